--- a/include/tealspar/counters.h
+++ b/include/tealspar/counters.h
@@ -67,6 +67,21 @@
     X(PLATFORM_FAILURES, counter, "platform_failures_total", "failed reads of the platform")       \
     X(LOOP_STALLS, counter, "loop_stalls_total", "times the loop woke up late past the bound")     \
     X(HTTP_BAD_REQUESTS, counter, "http_bad_requests_total", "requests refused as malformed")      \
+    X(REQUESTS, counter, "requests_total", "requests of callers that were read whole")             \
+    X(REQUESTS_OK, counter, "requests_ok_total", "requests answered with success")                 \
+    X(REQUESTS_PARTIAL, counter, "requests_partial_total", "successes with parts missing")         \
+    X(REQUESTS_REFUSED, counter, "requests_refused_total", "requests refused and not run")         \
+    X(REQUESTS_FAILED, counter, "requests_failed_total", "requests that may have run and failed")  \
+    X(REQUESTS_LEFT, counter, "requests_left_total", "requests whose caller left first")           \
+    X(SENDS, counter, "sends_total", "requests and parts sent to back ends")                       \
+    X(SEND_FAILURES, counter, "send_failures_total", "sends without a usable answer")              \
+    X(CONNECTS, counter, "connects_total", "connections opened to back ends")                      \
+    X(CONNECTS_FAILED, counter, "connects_failed_total", "connections that did not come up")       \
+    X(INSTANCES_SUSPECTED, counter, "instances_suspected_total",                                   \
+      "times a back end had something overdue")                                                    \
+    X(STORE_CALLS, counter, "store_calls_total", "calls to the configuration service")             \
+    X(STORE_FAILURES, counter, "store_failures_total", "failed calls to it")                       \
+    X(CALLER_CONNECTIONS, gauge, "caller_connections", "open connections of callers")              \
     X(LOG_LINES, counter, "log_lines_total", "log lines written")
 
 /* X(symbol, name, description); values in microseconds. */
--- /dev/null
+++ b/include/tealspar/dialect.h
@@ -0,0 +1,72 @@
+/**
+ * The dialect a deployment speaks: names of header fields, paths and the form of the configuration
+ * service's documents. The product's code uses these names through this table only. A dialect
+ * translates; it decides nothing.
+ */
+#ifndef TEALSPAR_DIALECT_H
+#define TEALSPAR_DIALECT_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "tealspar/registry.h"
+#include "tealspar/traffic.h"
+
+/** Names of the header fields. */
+typedef struct ts_header_names {
+    const char *request_id;
+    const char *deadline_ms;       /**< time that is left, in milliseconds */
+    const char *expected_instance; /**< the only instance that may run the request */
+    const char *not_executed;      /**< in an answer: the request was not run */
+    const char *signature;         /**< in an answer: the searcher's proof of its work */
+    const char *part_signatures;   /**< gathered answer: the signatures of the parts in it */
+    const char *missing_parts;     /**< gathered answer: number of parts left out */
+    const char *retry_after;       /**< refusal: seconds until the caller may come back */
+} ts_header_names_t;
+
+/** What an entry of the configuration service is about. */
+typedef enum ts_store_kind {
+    TS_STORE_OTHER,   /**< nothing of ours */
+    TS_STORE_TRAFFIC, /**< the configuration */
+    TS_STORE_INSTANCE /**< a back end */
+} ts_store_kind_t;
+
+/** One entry as it was written, or the news that it is gone. */
+typedef struct ts_store_entry {
+    ts_store_kind_t kind;
+    char *key;
+    char *id;      /**< TS_STORE_INSTANCE: its id; otherwise NULL */
+    bool is_gone;
+    char *value;   /**< the document; NULL when gone */
+    size_t length; /**< bytes of the value */
+} ts_store_entry_t;
+
+/** A page of entries, or the changes since a revision. */
+typedef struct ts_store_page {
+    GPtrArray *entries; /**< of ts_store_entry_t, owned */
+    uint64_t revision;  /**< of the service when it answered */
+    bool has_more;      /**< further pages follow */
+} ts_store_page_t;
+
+ts_store_page_t *ts_store_page_create(void);
+void ts_store_page_free(ts_store_page_t *page);
+/** Adds an empty entry and returns it. */
+ts_store_entry_t *ts_store_page_add(ts_store_page_t *page);
+
+typedef struct ts_dialect {
+    ts_header_names_t headers;
+    const char *ready_path; /**< where this node is asked whether it is ready */
+    /** Target of the call that lists all entries after `key` (NULL: from the first). */
+    char *(*list_target)(const char *after_key);
+    /** Target of the call that waits for changes after a revision. */
+    char *(*watch_target)(uint64_t after_revision, uint32_t wait_ms);
+    /** Reads the answer of either call. Returns TS_OK, TS_E_SYNTAX or TS_E_INVALID. */
+    ts_error_t (*read_page)(const char *text, size_t length, ts_store_page_t *page);
+    /** Reads an instance's entry; the caller clears the record. */
+    ts_error_t (*read_instance)(const ts_store_entry_t *entry, ts_instance_record_t *record);
+    /** Reads a configuration; NULL with problems listed. The caller owns the reference. */
+    ts_traffic_t *(*read_traffic)(const char *text, size_t length, ts_problems_t *problems);
+} ts_dialect_t;
+
+#endif
--- /dev/null
+++ b/include/tealspar/gateway.h
@@ -0,0 +1,52 @@
+/**
+ * The gateway: one process between callers and back ends. It owns the listeners, the connections to
+ * back ends, the registry and the configuration in force, and hands each request to its route.
+ */
+#ifndef TEALSPAR_GATEWAY_H
+#define TEALSPAR_GATEWAY_H
+
+#include <uv.h>
+
+#include "tealspar/caller.h"
+#include "tealspar/dialect.h"
+#include "tealspar/gateway_settings.h"
+#include "tealspar/registry.h"
+#include "tealspar/route_state.h"
+#include "tealspar/traffic.h"
+#include "tealspar/upstream.h"
+
+typedef struct ts_store_watch ts_store_watch_t;
+
+typedef struct ts_gateway {
+    uv_loop_t *loop;
+    ts_gateway_settings_t *settings; /**< owned; replaced whole at a reload */
+    const ts_dialect_t *dialect;
+    GHashTable *zones; /**< zone -> region, owned */
+    ts_registry_t *registry;
+    ts_upstream_t *upstream;
+    ts_store_watch_t *store;
+    ts_listener_t *callers;
+    ts_listener_t *ready;
+    ts_listener_t *metrics;      /**< NULL: not asked for */
+    ts_traffic_t *traffic;       /**< in force; NULL until one is known */
+    GHashTable *route_states;    /**< route name -> ts_route_state_t */
+    ts_retry_budget_rule_t rule; /**< what may be sent beyond the first */
+    unsigned requests;           /**< being worked on */
+    uint32_t random;             /**< state of the cheap generator that breaks ties */
+    bool is_stopping;
+} ts_gateway_t;
+
+/** Runs a gateway until it is told to stop. `path` is read again at a reload. */
+ts_error_t ts_gateway_run(const char *path, ts_gateway_settings_t *settings);
+/** Puts a configuration in force, unless it is older than the one that is. Takes the reference. */
+void ts_gateway_set_traffic(ts_gateway_t *gateway, ts_traffic_t *traffic);
+/** What is known of a route. */
+ts_route_state_t *ts_gateway_route_state(ts_gateway_t *gateway, const ts_traffic_route_t *route);
+/** A number to break ties with. */
+uint32_t ts_gateway_random(ts_gateway_t *gateway);
+/** Begins work on the request that a caller has sent. */
+void ts_request_begin(ts_gateway_t *gateway, ts_caller_t *caller);
+/** The caller left. */
+void ts_request_abandon(ts_gateway_t *gateway, ts_caller_t *caller);
+
+#endif
--- /dev/null
+++ b/include/tealspar/gateway_settings.h
@@ -0,0 +1,41 @@
+/** Settings of a gateway process: who it is, where it listens, and the bounds it keeps. */
+#ifndef TEALSPAR_GATEWAY_SETTINGS_H
+#define TEALSPAR_GATEWAY_SETTINGS_H
+
+#include <stdint.h>
+
+#include "tealspar/problem.h"
+#include "tealspar/settings.h"
+
+typedef struct ts_zone_setting {
+    char *zone;
+    char *region;
+} ts_zone_setting_t;
+
+/** Loaded from YAML; see etc/gateway.yaml for what each key means. */
+typedef struct ts_gateway_settings {
+    char *name;
+    char *zone;
+    char *dialect; /**< name of the plug-in that speaks the deployment's dialect */
+    char *callers; /**< "IP:port" for callers */
+    char *ready;   /**< "IP:port" where readiness is asked */
+    char *metrics; /**< "IP:port" for counters; absent: none */
+    char *store;   /**< "IP:port" of the configuration service */
+    ts_zone_setting_t *zones;
+    unsigned zones_count;
+    uint32_t drain_ms;     /**< a back end that leaves takes no new work after this */
+    uint32_t grace_ms;     /**< from the request to stop until the process is killed */
+    double retry_ratio;    /**< extra sends for each request, over the fleet */
+    uint32_t retry_window_ms;
+    double retry_slack;    /**< extra sends in a window beyond the ratio, over the fleet */
+    uint32_t fleet_nodes;  /**< nodes among which limits are divided; absent: 10 */
+    ts_log_format_t log_format;
+    ts_log_level_t log_level;
+} ts_gateway_settings_t;
+
+/** Loads settings from a text. NULL with problems listed. */
+ts_gateway_settings_t *ts_gateway_settings_load(const char *text, size_t length,
+                                                ts_problems_t *problems);
+void ts_gateway_settings_free(ts_gateway_settings_t *settings);
+
+#endif
--- a/include/tealspar/log.h
+++ b/include/tealspar/log.h
@@ -20,6 +20,9 @@
     X(PLATFORM_BACK, MESSAGE, "platform_back")                                                     \
     X(MEMBER_STATE, MESSAGE, "member_state")                                                       \
     X(BACKEND_STATE, MESSAGE, "backend_state")                                                     \
+    X(BACKEND_SUSPECT, MESSAGE, "backend_suspect")                                                 \
+    X(REQUEST_FAILED, MESSAGE, "request_failed")                                                   \
+    X(RELOADED, MESSAGE, "reloaded")                                                               \
     X(OWNERSHIP, INFO, "ownership_changed")                                                        \
     X(LOOP_STALLED, WARNING, "loop_stalled")                                                       \
     X(QUORUM, WARNING, "quorum_changed")                                                           \
--- a/include/tealspar/plugin.h
+++ b/include/tealspar/plugin.h
@@ -13,7 +13,8 @@
     TS_PLUGIN_POLICY,          /**< a routing policy; `ops` is a ts_policy_t */
     TS_PLUGIN_CALLER_API,      /**< how callers are spoken to; `ops` is a ts_caller_api_t */
     TS_PLUGIN_SEARCHER_CLIENT, /**< how searchers are spoken to; `ops` is ts_searcher_client_t */
-    TS_PLUGIN_PLATFORM         /**< how the platform is read; `ops` is a ts_platform_t */
+    TS_PLUGIN_PLATFORM,        /**< how the platform is read; `ops` is a ts_platform_t */
+    TS_PLUGIN_DIALECT          /**< what a deployment speaks; `ops` is a ts_dialect_t */
 } ts_plugin_kind_t;
 
 typedef struct ts_plugin {
--- /dev/null
+++ b/include/tealspar/registry.h
@@ -0,0 +1,105 @@
+/**
+ * The registry of back ends: every incarnation of a searcher (an instance) by its id, grouped by
+ * service, with what this node believes of its load and health. Identity is the id, never the
+ * address: addresses are used again. The registry owns instances; one that has left the list stays
+ * until nothing refers to it.
+ */
+#ifndef TEALSPAR_REGISTRY_H
+#define TEALSPAR_REGISTRY_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/socket.h>
+
+#include "tealspar/clock.h"
+#include "tealspar/error.h"
+#include "tealspar/retry_budget.h"
+
+/** How far a back end stands from this node. */
+typedef enum ts_distance {
+    TS_DISTANCE_ZONE,   /**< the same zone */
+    TS_DISTANCE_REGION, /**< another zone of the same region */
+    TS_DISTANCE_FAR,    /**< another region */
+    TS_DISTANCE_COUNT
+} ts_distance_t;
+
+/** What discovery says of an instance. */
+typedef struct ts_instance_record {
+    char *id;
+    char *service;
+    char *address; /**< "IP:port" */
+    char *zone;
+    uint32_t slots; /**< requests it works on at once; 0: not told */
+    bool is_draining;
+    uint32_t warmup_left_ms; /**< how much longer it is slow from its start */
+} ts_instance_record_t;
+
+void ts_instance_record_clear(ts_instance_record_t *record);
+
+typedef struct ts_service ts_service_t;
+
+typedef struct ts_instance {
+    char *id;
+    ts_service_t *service; /**< owned by the registry, lives as long */
+    struct sockaddr_storage address;
+    char *zone;
+    ts_distance_t distance;
+    uint32_t slots;
+    bool is_draining;
+    bool is_listed;           /**< discovery names it now */
+    ts_time_us_t left_us;     /**< when it began to drain or left the list */
+    ts_time_us_t warm_at_us;  /**< until then it is slow from its start */
+    /* What this node measured. */
+    uint32_t in_flight;          /**< requests of this node that it has */
+    double slowness;             /**< its answer times against its service's; 1: the same */
+    ts_time_us_t slowness_at_us; /**< when `slowness` was last moved */
+    ts_time_us_t answered_us;    /**< when its last answer came; 0: never */
+    ts_time_us_t suspected_us;   /**< since when something is overdue; 0: not suspected */
+    ts_time_us_t tried_us;       /**< last request sent to it while suspected */
+    ts_time_us_t avoid_until_us; /**< after a failed connection or a refusal */
+    uint32_t failures;           /**< in a row */
+    /* Its connections; see tealspar/upstream.h. */
+    GQueue idle;             /**< of ts_connection_t, the last used first */
+    uint32_t connections;    /**< open ones, idle and busy */
+} ts_instance_t;
+
+struct ts_service {
+    char *name;
+    GPtrArray *instances; /**< of ts_instance_t */
+    ts_retry_budget_t budget;
+    uint32_t connections_max; /**< that one instance takes from all callers; 0: not told */
+};
+
+typedef struct ts_registry ts_registry_t;
+
+/** `zones`: zone -> region, may be NULL; not owned. */
+ts_registry_t *ts_registry_create(const char *zone, GHashTable *zones);
+void ts_registry_destroy(ts_registry_t *registry);
+/** The service of a name; made when it is new. */
+ts_service_t *ts_registry_service(ts_registry_t *registry, const char *name);
+/** Enters or changes an instance. Returns whether something that matters changed. */
+bool ts_registry_update(ts_registry_t *registry, const ts_instance_record_t *record,
+                        ts_time_us_t now_us);
+/** Discovery no longer names the instance. */
+void ts_registry_remove(ts_registry_t *registry, const char *id, ts_time_us_t now_us);
+/** Discovery was read whole: what is not in `ids` (a set of ids) is removed. */
+void ts_registry_keep_only(ts_registry_t *registry, GHashTable *ids, ts_time_us_t now_us);
+/** Frees instances that have left and have no connections; call it now and then. */
+void ts_registry_sweep(ts_registry_t *registry, ts_time_us_t now_us);
+/** Calls `visit(name, service, context)` for every service. */
+void ts_registry_each_service(ts_registry_t *registry, GHFunc visit, void *context);
+/** Number of instances that discovery names. */
+unsigned ts_registry_listed(const ts_registry_t *registry);
+
+/** An answer came after `span_us`; `typical_us` is what its service takes for such a request. */
+void ts_instance_note_answer(ts_instance_t *instance, ts_time_us_t now_us, double span_us,
+                             double typical_us);
+/** A request sent at `sent_us` is overdue: the instance is suspected if it said nothing since. */
+void ts_instance_note_overdue(ts_instance_t *instance, ts_time_us_t sent_us, ts_time_us_t now_us);
+/** A connection or a request failed. */
+void ts_instance_note_failure(ts_instance_t *instance, ts_time_us_t now_us);
+/** It refused a request without running it. */
+void ts_instance_note_refusal(ts_instance_t *instance, ts_time_us_t now_us);
+
+#endif
--- /dev/null
+++ b/include/tealspar/replica.h
@@ -0,0 +1,32 @@
+/**
+ * The choice of an instance for one request or one part: the least expected time to an answer.
+ * Pure: a function of the given beliefs and time.
+ */
+#ifndef TEALSPAR_REPLICA_H
+#define TEALSPAR_REPLICA_H
+
+#include "tealspar/registry.h"
+
+/** What the choice depends on beside the instances. */
+typedef struct ts_replica_input {
+    double work_us;           /**< typical time of such a request at an instance */
+    ts_time_us_t now_us;
+    ts_time_us_t drain_us;    /**< an instance that is leaving takes no new work after this */
+    uint32_t connections_max; /**< this node's connections to one instance */
+    uint32_t random;          /**< breaks ties */
+} ts_replica_input_t;
+
+/** Time to an instance and back, without its work, in microseconds. */
+double ts_replica_travel_us(const ts_instance_t *instance);
+/** Whether an instance may be sent new work at all. */
+bool ts_replica_is_usable(const ts_instance_t *instance, const ts_replica_input_t *input);
+/** Expected time to an answer in microseconds, with penalties for what is doubtful. */
+double ts_replica_cost(const ts_instance_t *instance, const ts_replica_input_t *input);
+/**
+ * The best instance of a service that is not among `tried`; NULL when there is none. One that was
+ * suspected for a while is given a single request now and then.
+ */
+ts_instance_t *ts_replica_choose(const ts_service_t *service, const ts_replica_input_t *input,
+                                 ts_instance_t *const *tried, unsigned tried_count);
+
+#endif
--- /dev/null
+++ b/include/tealspar/store_client.h
@@ -0,0 +1,26 @@
+/**
+ * Calls to the configuration service: one at a time, over one kept connection. A call that is not
+ * answered in time ends its connection.
+ */
+#ifndef TEALSPAR_STORE_CLIENT_H
+#define TEALSPAR_STORE_CLIENT_H
+
+#include <stdint.h>
+#include <uv.h>
+
+#include "tealspar/error.h"
+
+typedef struct ts_store_client ts_store_client_t;
+
+/** `error` TS_OK: `status` and the body are the answer's; the body is valid during the call. */
+typedef void (*ts_store_done_t)(void *context, ts_error_t error, unsigned status, const char *body,
+                                size_t length);
+
+ts_store_client_t *ts_store_client_create(uv_loop_t *loop, const char *address,
+                                          ts_store_done_t done, void *context);
+/** Changes where the service is; a call under way fails with TS_E_CANCELLED. */
+void ts_store_client_set_address(ts_store_client_t *client, const char *address);
+/** Begins a GET; no other may be under way. `done` is called once, never before this returns. */
+void ts_store_client_get(ts_store_client_t *client, const char *target, uint32_t timeout_ms);
+
+#endif
--- /dev/null
+++ b/include/tealspar/upstream.h
@@ -0,0 +1,65 @@
+/**
+ * Connections to back ends. A connection belongs to one instance and carries one request at a time;
+ * it is used again only after exactly one whole, well-framed answer with the right request id and
+ * nothing after it. One exchange is one request sent to one instance.
+ */
+#ifndef TEALSPAR_UPSTREAM_H
+#define TEALSPAR_UPSTREAM_H
+
+#include <stdbool.h>
+#include <uv.h>
+
+#include "tealspar/clock.h"
+#include "tealspar/dialect.h"
+#include "tealspar/http_message.h"
+#include "tealspar/messages.h"
+#include "tealspar/registry.h"
+
+/** What is sent, the same to every instance that is asked; counted by references. */
+typedef struct ts_outgoing {
+    int references;
+    char *request_id;         /**< NULL: the answer's id is not checked */
+    GString *head;            /**< request line and fields, without deadline and instance */
+    GString *body;            /**< NULL: none */
+    bool is_head_method;      /**< the answer has no body */
+    bool is_repeatable;       /**< may be sent on a connection that has rested */
+    ts_time_us_t deadline_us; /**< nothing is waited for after this */
+} ts_outgoing_t;
+
+ts_outgoing_t *ts_outgoing_ref(ts_outgoing_t *outgoing);
+void ts_outgoing_unref(ts_outgoing_t *outgoing);
+
+typedef struct ts_upstream ts_upstream_t;
+typedef struct ts_exchange ts_exchange_t;
+
+/** How an exchange ended. */
+typedef struct ts_exchange_result {
+    ts_error_t error; /**< TS_OK: `answer` is whole, whatever its status */
+    ts_run_t run;     /**< whether the instance ran the request */
+    const ts_http_message_t *answer; /**< valid during the call; NULL on an error */
+    ts_time_us_t span_us;            /**< from the sending to the end */
+} ts_exchange_result_t;
+
+/** Called once, unless the exchange was cancelled or released before. */
+typedef void (*ts_exchange_done_t)(ts_exchange_t *exchange, const ts_exchange_result_t *result,
+                                   void *owner);
+
+ts_upstream_t *ts_upstream_create(uv_loop_t *loop, const ts_dialect_t *dialect);
+/**
+ * Sends a request to an instance, on an idle connection or a new one. `typical_us` is what such a
+ * request takes from here, to judge the instance by; 0: not known.
+ */
+ts_exchange_t *ts_upstream_send(ts_upstream_t *upstream, ts_instance_t *instance,
+                                ts_outgoing_t *outgoing, double typical_us,
+                                ts_exchange_done_t done, void *owner);
+/** Ends an exchange at once by closing its connection; `done` is not called. */
+void ts_exchange_cancel(ts_exchange_t *exchange);
+/** Nobody waits any more: it may finish until `until_us`, then it is cancelled. */
+void ts_exchange_release(ts_exchange_t *exchange, ts_time_us_t until_us);
+/** When the request left this node; 0 while the connection is coming up. */
+ts_time_us_t ts_exchange_sent_us(const ts_exchange_t *exchange);
+ts_instance_t *ts_exchange_instance(const ts_exchange_t *exchange);
+/** Closes idle connections that have rested too long, or whose instance has left. */
+void ts_upstream_sweep(ts_upstream_t *upstream, ts_instance_t *instance, ts_time_us_t now_us);
+
+#endif
--- /dev/null
+++ b/src/cli/command_gateway.c
@@ -0,0 +1,89 @@
+/** `tealspar gateway`: runs a gateway until SIGTERM. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "tealspar/command.h"
+#include "tealspar/gateway.h"
+#include "tealspar/plugin.h"
+
+#define TABLE_SIZE 4
+#define ERRORS_MAX 8
+#define SETTINGS_VARIABLE "TEALSPAR_CONFIG"
+
+static GLogLevelFlags level_of(ts_log_level_t level) {
+    switch (level) {
+    case TS_LEVEL_WARNING:
+        return G_LOG_LEVEL_WARNING;
+    case TS_LEVEL_INFO:
+        return G_LOG_LEVEL_INFO;
+    case TS_LEVEL_NOTICE:
+        break;
+    }
+    return G_LOG_LEVEL_MESSAGE;
+}
+
+static ts_gateway_settings_t *load_settings(const char *path) {
+    size_t length = 0;
+    char *text = ts_command_read_file(path, &length);
+    if (text == NULL) {
+        return NULL;
+    }
+    ts_problems_t problems;
+    ts_problems_init(&problems);
+    ts_gateway_settings_t *settings = ts_gateway_settings_load(text, length, &problems);
+    if (settings == NULL) {
+        ts_problems_print(&problems, path);
+    }
+    ts_problems_clear(&problems);
+    g_free(text);
+    return settings;
+}
+
+static int run_with(const char *path, ts_gateway_settings_t *settings) {
+    ts_log_open(settings->name, settings->log_format, level_of(settings->log_level));
+    ts_error_t error = ts_gateway_run(path, settings);
+    if (error != TS_OK) {
+        fprintf(stderr, "tealspar gateway: %s (%s)\n", ts_error_text(error), ts_error_name(error));
+        return TS_EXIT_FAILURE;
+    }
+    return TS_EXIT_OK;
+}
+
+static int run_file(const char *path, bool only_check) {
+    if (path == NULL) {
+        fprintf(stderr, "tealspar gateway: no settings: give --settings or set %s\n",
+                SETTINGS_VARIABLE);
+        return TS_EXIT_USAGE;
+    }
+    ts_gateway_settings_t *settings = load_settings(path);
+    if (settings == NULL) {
+        return TS_EXIT_USAGE;
+    }
+    if (only_check) {
+        ts_gateway_settings_free(settings);
+        return TS_EXIT_OK;
+    }
+    return run_with(path, settings);
+}
+
+static int run_gateway(int argc, char **argv) {
+    struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
+    struct arg_file *file = arg_file0("s", "settings", "FILE",
+                                      "the settings (YAML); else the file " SETTINGS_VARIABLE " names");
+    struct arg_lit *dry = arg_lit0(NULL, "check", "only check the settings");
+    struct arg_end *end = arg_end(ERRORS_MAX);
+    void *table[TABLE_SIZE] = {help, file, dry, end};
+    int exit_code = TS_EXIT_OK;
+    if (ts_command_parse(argc, argv, table, TABLE_SIZE, "run a gateway until SIGTERM",
+                         &exit_code)) {
+        const char *path = file->count > 0 ? file->filename[0] : getenv(SETTINGS_VARIABLE);
+        exit_code = run_file(path, dry->count > 0);
+    }
+    arg_freetable(table, TABLE_SIZE);
+    return exit_code;
+}
+
+static const ts_command_t command = {run_gateway};
+TS_REGISTER_PLUGIN(command_gateway, TS_PLUGIN_COMMAND, "gateway", 0, &command,
+                   "run a gateway between callers and back ends")
--- /dev/null
+++ b/src/config/gateway_settings.c
@@ -0,0 +1,111 @@
+/** Loading and checking of a gateway's settings. */
+#include "tealspar/gateway_settings.h"
+
+#include "tealspar/address.h"
+#include "tealspar/plugin.h"
+#include "tealspar/yaml_load.h"
+
+#define TEXT_MAX 200
+#define ZONES_MAX 1000
+#define DEFAULT_FLEET_NODES 10
+#define DEFAULT_DRAIN_MS 3000
+#define DEFAULT_GRACE_MS 10000
+#define DEFAULT_WINDOW_MS 10000
+#define WINDOW_MIN_MS 100
+
+#define REQUIRED CYAML_FLAG_POINTER
+#define OPTIONAL (CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL)
+#define TEXT_FIELD(field, flags)                                                                   \
+    CYAML_FIELD_STRING_PTR(#field, flags, ts_gateway_settings_t, field, 1, TEXT_MAX)
+#define NUMBER_FIELD(field)                                                                        \
+    CYAML_FIELD_UINT(#field, CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, field)
+
+static const cyaml_schema_field_t zone_fields[] = {
+    CYAML_FIELD_STRING_PTR("zone", REQUIRED, ts_zone_setting_t, zone, 1, TEXT_MAX),
+    CYAML_FIELD_STRING_PTR("region", REQUIRED, ts_zone_setting_t, region, 1, TEXT_MAX),
+    CYAML_FIELD_END};
+static const cyaml_schema_value_t zone_schema = {
+    CYAML_VALUE_MAPPING(CYAML_FLAG_DEFAULT, ts_zone_setting_t, zone_fields)};
+
+static const cyaml_strval_t format_names[] = {{"text", TS_LOG_TEXT}, {"json", TS_LOG_JSON}};
+static const cyaml_strval_t level_names[] = {
+    {"notice", TS_LEVEL_NOTICE}, {"warning", TS_LEVEL_WARNING}, {"info", TS_LEVEL_INFO}};
+
+static const cyaml_schema_field_t settings_fields[] = {
+    TEXT_FIELD(name, REQUIRED),
+    TEXT_FIELD(zone, REQUIRED),
+    TEXT_FIELD(dialect, REQUIRED),
+    TEXT_FIELD(callers, REQUIRED),
+    TEXT_FIELD(ready, REQUIRED),
+    TEXT_FIELD(metrics, OPTIONAL),
+    TEXT_FIELD(store, REQUIRED),
+    CYAML_FIELD_SEQUENCE("zones", OPTIONAL, ts_gateway_settings_t, zones, &zone_schema, 0,
+                         ZONES_MAX),
+    NUMBER_FIELD(drain_ms),
+    NUMBER_FIELD(grace_ms),
+    CYAML_FIELD_FLOAT("retry_ratio", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, retry_ratio),
+    NUMBER_FIELD(retry_window_ms),
+    CYAML_FIELD_FLOAT("retry_slack", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, retry_slack),
+    NUMBER_FIELD(fleet_nodes),
+    CYAML_FIELD_ENUM("log_format", CYAML_FLAG_STRICT | CYAML_FLAG_OPTIONAL, ts_gateway_settings_t,
+                     log_format, format_names, CYAML_ARRAY_LEN(format_names)),
+    CYAML_FIELD_ENUM("log_level", CYAML_FLAG_STRICT | CYAML_FLAG_OPTIONAL, ts_gateway_settings_t,
+                     log_level, level_names, CYAML_ARRAY_LEN(level_names)),
+    CYAML_FIELD_END};
+static const cyaml_schema_value_t settings_schema = {
+    CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, ts_gateway_settings_t, settings_fields)};
+
+static void check_address(ts_problems_t *problems, const char *path, const char *value) {
+    struct sockaddr_storage parsed;
+    if (value != NULL && ts_address_parse(value, &parsed) != TS_OK) {
+        ts_problems_add(problems, TS_E_INVALID, 0, path, "'%s' is not an IP number with a port",
+                        value);
+    }
+}
+
+static void check_settings(const ts_gateway_settings_t *settings, ts_problems_t *problems) {
+    check_address(problems, "callers", settings->callers);
+    check_address(problems, "ready", settings->ready);
+    check_address(problems, "metrics", settings->metrics);
+    check_address(problems, "store", settings->store);
+    if (ts_plugin_find(TS_PLUGIN_DIALECT, settings->dialect) == NULL) {
+        ts_problems_add(problems, TS_E_INVALID, 0, "dialect", "no dialect is named '%s'",
+                        settings->dialect);
+    }
+    if (settings->retry_ratio < 0 || settings->retry_slack < 0) {
+        ts_problems_add(problems, TS_E_INVALID, 0, "retry_ratio", "must not be below zero");
+    }
+    if (settings->retry_window_ms < WINDOW_MIN_MS) {
+        ts_problems_add(problems, TS_E_INVALID, 0, "retry_window_ms", "must be %d or more",
+                        WINDOW_MIN_MS);
+    }
+}
+
+static void set_default(uint32_t *value, uint32_t fallback) {
+    if (*value == 0) {
+        *value = fallback;
+    }
+}
+
+ts_gateway_settings_t *ts_gateway_settings_load(const char *text, size_t length,
+                                                ts_problems_t *problems) {
+    void *data = NULL;
+    if (ts_yaml_load(text, length, &settings_schema, &data, problems) != TS_OK) {
+        return NULL;
+    }
+    ts_gateway_settings_t *settings = data;
+    set_default(&settings->fleet_nodes, DEFAULT_FLEET_NODES);
+    set_default(&settings->drain_ms, DEFAULT_DRAIN_MS);
+    set_default(&settings->grace_ms, DEFAULT_GRACE_MS);
+    set_default(&settings->retry_window_ms, DEFAULT_WINDOW_MS);
+    check_settings(settings, problems);
+    if (ts_problems_count(problems) > 0) {
+        ts_gateway_settings_free(settings);
+        return NULL;
+    }
+    return settings;
+}
+
+void ts_gateway_settings_free(ts_gateway_settings_t *settings) {
+    ts_yaml_free(&settings_schema, settings);
+}
--- /dev/null
+++ b/src/edge/answer.c
@@ -0,0 +1,123 @@
+/** The final answer of a request. */
+#include <string.h>
+
+#include "request.h"
+#include "tealspar/counters.h"
+#include "tealspar/log.h"
+#include "tealspar/records.h"
+
+#define STATUS_OK 200
+#define STATUS_BAD_GATEWAY 502
+#define STATUS_UNAVAILABLE 503
+#define STATUS_GATEWAY_TIMEOUT 504
+#define RETRY_AFTER_MS 150
+#define MS_PER_S 1000.0
+
+static void append_retry_after(const ts_gateway_t *gateway, uint32_t retry_after_ms,
+                               GString *fields) {
+    if (retry_after_ms > 0) {
+        g_string_append_printf(fields, "%s: %.3f\r\n", gateway->dialect->headers.retry_after,
+                               retry_after_ms / MS_PER_S);
+    }
+}
+
+static char *describe_error(ts_error_t error) {
+    return g_strdup_printf("{\"error\":\"%s\",\"message\":\"%s\"}\n", ts_error_name(error),
+                           ts_error_text(error));
+}
+
+void ts_answer_error(ts_gateway_t *gateway, ts_caller_t *caller, unsigned status,
+                     ts_error_t error, uint32_t retry_after_ms) {
+    GString *fields = g_string_new("Content-Type: application/json\r\n");
+    const char *id_name = gateway->dialect->headers.request_id;
+    const char *id = ts_http_message_find(ts_caller_message(caller), id_name);
+    if (id != NULL) {
+        g_string_append_printf(fields, "%s: %s\r\n", id_name, id);
+    }
+    append_retry_after(gateway, retry_after_ms, fields);
+    char *body = describe_error(error);
+    ts_count_error(error);
+    ts_count(TS_COUNTER_REQUESTS_REFUSED, 1);
+    ts_log(TS_EVENT_REQUEST_FAILED, "request=%s status=%u error=%s config=%lu", id ? id : "-",
+           status, ts_error_name(error),
+           gateway->traffic ? (unsigned long)gateway->traffic->version : 0UL);
+    ts_caller_answer(caller, status, fields->str, body, strlen(body));
+    g_free(body);
+    g_string_free(fields, TRUE);
+}
+
+/* -- Success ----------------------------------------------------------------------------------- */
+
+static void answer_gathered(ts_request_t *request) {
+    const ts_header_names_t *names = &request->gateway->dialect->headers;
+    ts_top_records_t records;
+    ts_top_records_init(&records, request->route->top_count);
+    GString *fields = g_string_new(NULL);
+    g_string_append_printf(fields, "%s: %s\r\n%s: ", names->request_id,
+                           request->outgoing->request_id, names->part_signatures);
+    bool is_first = true;
+    for (unsigned i = 0; i < request->parts_count; i++) {
+        const ts_request_part_t *part = &request->parts[i];
+        if (part->state != TS_PART_IN) {
+            continue;
+        }
+        g_string_append_printf(fields, "%s%s", is_first ? "" : ", ", part->signature);
+        is_first = false;
+        ts_top_records_add(&records, part->body->str, part->body->len);
+    }
+    unsigned missing = request->parts_count - request->parts_in;
+    g_string_append_printf(fields, "\r\n%s: %u\r\n", names->missing_parts, missing);
+    GString *body = g_string_new(NULL);
+    ts_top_records_finish(&records, body);
+    ts_count(TS_COUNTER_REQUESTS_PARTIAL, missing > 0);
+    ts_caller_answer(request->caller, STATUS_OK, fields->str, body->str, body->len);
+    g_string_free(body, TRUE);
+    g_string_free(fields, TRUE);
+}
+
+static void answer_forwarded(ts_request_t *request) {
+    const ts_request_part_t *part = &request->parts[0];
+    ts_caller_answer(request->caller, part->status, part->fields->str, part->body->str,
+                     part->body->len);
+}
+
+void ts_answer_success(ts_request_t *request) {
+    ts_count(TS_COUNTER_REQUESTS_OK, 1);
+    ts_observe_us(TS_HISTOGRAM_QUERY_LATENCY, ts_clock_now_us() - request->arrived_us);
+    if (request->route->kind == TS_TARGET_GATHER) {
+        answer_gathered(request);
+    } else {
+        answer_forwarded(request);
+    }
+}
+
+/* -- Failure ----------------------------------------------------------------------------------- */
+
+static unsigned failure_status(ts_error_t error, bool may_have_run) {
+    if (!may_have_run) {
+        return STATUS_UNAVAILABLE;
+    }
+    return error == TS_E_DEADLINE ? STATUS_GATEWAY_TIMEOUT : STATUS_BAD_GATEWAY;
+}
+
+void ts_answer_failure(ts_request_t *request, ts_error_t error) {
+    bool may_have_run = ts_request_may_have_run(request);
+    unsigned status = failure_status(error, may_have_run);
+    GString *fields = g_string_new("Content-Type: application/json\r\n");
+    g_string_append_printf(fields, "%s: %s\r\n", request->gateway->dialect->headers.request_id,
+                           request->outgoing->request_id);
+    append_retry_after(request->gateway, may_have_run ? 0 : RETRY_AFTER_MS, fields);
+    char *body = describe_error(error);
+    ts_count_error(error);
+    ts_count(may_have_run ? TS_COUNTER_REQUESTS_FAILED : TS_COUNTER_REQUESTS_REFUSED, 1);
+    ts_log(TS_EVENT_REQUEST_FAILED,
+           "request=%s route=%s status=%u error=%s after_ms=%lu parts=%u in=%u lost=%u sends=%u "
+           "config=%lu",
+           request->outgoing->request_id, request->route->name, status, ts_error_name(error),
+           (unsigned long)((ts_clock_now_us() - request->arrived_us) / TS_US_PER_MS),
+           request->parts_count, request->parts_in, request->parts_lost, request->sends,
+           (unsigned long)request->traffic->version);
+    ts_caller_answer(request->caller, status, fields->str, body, strlen(body));
+    g_free(body);
+    g_string_free(fields, TRUE);
+}
--- /dev/null
+++ b/src/edge/request.c
@@ -0,0 +1,287 @@
+/** The life of a request: route, parts, time, and the moment it is decided. */
+#include "request.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "tealspar/counters.h"
+
+#define STATUS_BAD_REQUEST 400
+#define STATUS_NOT_FOUND 404
+#define STATUS_UNAVAILABLE 503
+#define NOT_READY_RETRY_MS 300
+/* An answer must leave this long before the caller's deadline, or the route's end of patience. */
+#define DEADLINE_MARGIN_US (25 * TS_US_PER_MS)
+/* A gathered answer leaves this long before the aim: the way back, and what the way here took. */
+#define AIM_MARGIN_US (16 * TS_US_PER_MS)
+/* What nobody waits for may finish for so long before it is cancelled. */
+#define LEFT_BEHIND_US (350 * TS_US_PER_MS)
+#define DEADLINE_MAX_MS (3600ULL * 1000ULL)
+#define COVERAGE_ROUNDING 1e-9
+
+unsigned ts_request_parts_needed(const ts_request_t *request) {
+    if (request->route->kind != TS_TARGET_GATHER) {
+        return 1;
+    }
+    double needed = ceil(request->route->coverage_min * request->parts_count - COVERAGE_ROUNDING);
+    return needed < 1 ? 1 : (unsigned)needed;
+}
+
+bool ts_request_may_have_run(const ts_request_t *request) {
+    for (unsigned i = 0; i < request->parts_count; i++) {
+        const ts_request_part_t *part = &request->parts[i];
+        if (part->may_have_run || part->state == TS_PART_IN) {
+            return true;
+        }
+        for (unsigned j = 0; j < part->sends; j++) {
+            if (part->exchanges[j] != NULL && ts_exchange_sent_us(part->exchanges[j]) != 0) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+/* -- Beginning --------------------------------------------------------------------------------- */
+
+/* The fields that go on to a back end, without those that this node sets itself. */
+static void copy_fields(const ts_http_message_t *message, const ts_header_names_t *names,
+                        GString *out) {
+    for (guint i = 0; i < message->fields->len; i++) {
+        const ts_http_field_t *field = &g_array_index(message->fields, ts_http_field_t, i);
+        const char *name = ts_http_message_text(message, field->name);
+        if (strcasecmp(name, names->deadline_ms) == 0 ||
+            strcasecmp(name, names->expected_instance) == 0 ||
+            ts_http_message_is_hop_field(message, name)) {
+            continue;
+        }
+        g_string_append(out, name);
+        g_string_append(out, ": ");
+        g_string_append_len(out, ts_http_message_text(message, field->value),
+                            field->value_length);
+        g_string_append(out, "\r\n");
+    }
+}
+
+static ts_outgoing_t *compose_outgoing(const ts_gateway_t *gateway,
+                                       const ts_http_message_t *message) {
+    const ts_header_names_t *names = &gateway->dialect->headers;
+    ts_outgoing_t *outgoing = g_new0(ts_outgoing_t, 1);
+    outgoing->references = 1;
+    outgoing->request_id = g_strdup(ts_http_message_find(message, names->request_id));
+    outgoing->head = g_string_sized_new(512);
+    g_string_append_printf(outgoing->head, "%s %s HTTP/1.1\r\n",
+                           http_method_str((enum http_method)message->parser.method),
+                           message->target->str);
+    copy_fields(message, names, outgoing->head);
+    bool has_length = (message->parser.flags & (F_CONTENTLENGTH | F_CHUNKED)) != 0;
+    if (message->body->len > 0 || has_length) {
+        outgoing->body = g_string_new_len(message->body->str, (gssize)message->body->len);
+        g_string_append_printf(outgoing->head, "Content-Length: %zu\r\n", message->body->len);
+    }
+    outgoing->is_head_method = message->parser.method == HTTP_HEAD;
+    return outgoing;
+}
+
+/* Time the caller gives, in milliseconds; the route's timeout when it gives none. */
+static uint64_t read_patience_ms(const ts_gateway_t *gateway, const ts_http_message_t *message,
+                                 const ts_traffic_route_t *route) {
+    const char *text = ts_http_message_find(message, gateway->dialect->headers.deadline_ms);
+    uint64_t given_ms = text == NULL ? DEADLINE_MAX_MS : strtoull(text, NULL, 10);
+    return given_ms < route->timeout_ms ? given_ms : route->timeout_ms;
+}
+
+static void set_times(ts_request_t *request, uint64_t patience_ms) {
+    const ts_traffic_route_t *route = request->route;
+    ts_time_us_t patience_us = patience_ms * TS_US_PER_MS;
+    ts_time_us_t margin_us =
+        patience_us > 4 * DEADLINE_MARGIN_US ? DEADLINE_MARGIN_US : patience_us / 4;
+    request->arrived_us = ts_clock_now_us();
+    request->deadline_us = request->arrived_us + patience_us - margin_us;
+    request->outgoing->deadline_us = request->arrived_us + patience_us;
+    ts_time_us_t aim_us = route->aim_ms * TS_US_PER_MS;
+    request->stop_us = aim_us > 2 * AIM_MARGIN_US ? request->arrived_us + aim_us - AIM_MARGIN_US
+                                                  : request->deadline_us;
+    if (request->stop_us > request->deadline_us) {
+        request->stop_us = request->deadline_us;
+    }
+}
+
+static void set_part(ts_request_t *request, unsigned index, const char *service) {
+    ts_request_part_t *part = &request->parts[index];
+    part->request = request;
+    part->service = ts_registry_service(request->gateway->registry, service);
+    ts_retry_budget_count_request(&part->service->budget, &request->gateway->rule,
+                                  ts_clock_now_us());
+}
+
+static void check_parts(uv_timer_t *timer);
+
+static ts_request_t *create_request(ts_gateway_t *gateway, ts_caller_t *caller,
+                                    const ts_traffic_route_t *route) {
+    bool is_gather = route->kind == TS_TARGET_GATHER;
+    unsigned parts = is_gather ? route->targets->len : 1;
+    ts_request_t *request = g_malloc0(sizeof(*request) + parts * sizeof(ts_request_part_t));
+    request->gateway = gateway;
+    request->caller = caller;
+    request->traffic = ts_traffic_ref(gateway->traffic);
+    request->route = route;
+    request->state = ts_gateway_route_state(gateway, route);
+    request->parts_count = parts;
+    request->outgoing = compose_outgoing(gateway, ts_caller_message(caller));
+    request->outgoing->is_repeatable = route->is_repeatable;
+    uv_timer_init(gateway->loop, &request->timer);
+    request->timer.data = request;
+    for (unsigned i = 0; is_gather && i < parts; i++) {
+        set_part(request, i, g_array_index(route->targets, ts_target_t, i).service);
+    }
+    if (!is_gather) {
+        set_part(request, 0, ts_route_state_next_target(request->state, route));
+    }
+    gateway->requests++;
+    return request;
+}
+
+/* -- Ending ------------------------------------------------------------------------------------ */
+
+static void free_request(uv_handle_t *handle) {
+    ts_request_t *request = handle->data;
+    for (unsigned i = 0; i < request->parts_count; i++) {
+        ts_part_clear(&request->parts[i]);
+    }
+    ts_outgoing_unref(request->outgoing);
+    ts_traffic_unref(request->traffic);
+    g_free(request);
+}
+
+/* Nothing is waited for any more; what is still out may finish for a moment. */
+static void end_request(ts_request_t *request) {
+    ts_time_us_t until_us = ts_clock_now_us() + LEFT_BEHIND_US;
+    for (unsigned i = 0; i < request->parts_count; i++) {
+        ts_part_release(&request->parts[i], until_us);
+    }
+    request->caller = NULL;
+    request->gateway->requests--;
+    uv_close((uv_handle_t *)&request->timer, free_request);
+}
+
+static void succeed(ts_request_t *request) {
+    ts_answer_success(request);
+    end_request(request);
+}
+
+static void fail(ts_request_t *request, ts_error_t error) {
+    ts_answer_failure(request, error);
+    end_request(request);
+}
+
+/* -- Deciding ---------------------------------------------------------------------------------- */
+
+/* Why a request without a success failed, by what its parts met. */
+static ts_error_t find_failure(const ts_request_t *request) {
+    for (unsigned i = 0; i < request->parts_count; i++) {
+        if (request->parts[i].state == TS_PART_LOST && request->parts[i].was_refused) {
+            return TS_E_OVERLOAD;
+        }
+    }
+    return request->parts_count > 1 ? TS_E_COVERAGE : TS_E_NO_REPLICA;
+}
+
+/* Decides the request if it can be decided now; returns whether it did. */
+static bool decide(ts_request_t *request, ts_time_us_t now_us) {
+    unsigned needed = ts_request_parts_needed(request);
+    unsigned open = request->parts_count - request->parts_in - request->parts_lost;
+    bool is_enough = request->parts_in >= needed;
+    if (is_enough && (open == 0 || now_us >= request->stop_us)) {
+        succeed(request);
+        return true;
+    }
+    if (request->parts_in + open < needed) {
+        fail(request, find_failure(request));
+        return true;
+    }
+    if (now_us >= request->deadline_us) {
+        fail(request, TS_E_DEADLINE);
+        return true;
+    }
+    return false;
+}
+
+static void set_timer(ts_request_t *request, ts_time_us_t now_us) {
+    ts_time_us_t due_us = request->deadline_us;
+    if (request->parts_count > 1 && request->stop_us > now_us && request->stop_us < due_us) {
+        due_us = request->stop_us;
+    }
+    for (unsigned i = 0; i < request->parts_count; i++) {
+        ts_time_us_t part_us = ts_part_due_us(&request->parts[i]);
+        if (part_us != 0 && part_us < due_us) {
+            due_us = part_us;
+        }
+    }
+    uint64_t wait_ms = due_us <= now_us ? 0 : (due_us - now_us + TS_US_PER_MS - 1) / TS_US_PER_MS;
+    uv_timer_start(&request->timer, check_parts, wait_ms, 0);
+}
+
+static void check_parts(uv_timer_t *timer) {
+    ts_request_t *request = timer->data;
+    ts_time_us_t now_us = ts_clock_now_us();
+    for (unsigned i = 0; i < request->parts_count; i++) {
+        ts_part_check(&request->parts[i], now_us);
+    }
+    if (!decide(request, now_us)) {
+        set_timer(request, now_us);
+    }
+}
+
+void ts_request_progress(ts_request_t *request) {
+    if (request->caller == NULL) {
+        return;
+    }
+    ts_time_us_t now_us = ts_clock_now_us();
+    if (!decide(request, now_us)) {
+        set_timer(request, now_us);
+    }
+}
+
+/* -- Entry ------------------------------------------------------------------------------------- */
+
+static const ts_traffic_route_t *find_route(const ts_gateway_t *gateway,
+                                            const ts_http_message_t *message) {
+    const char *host = ts_http_message_find(message, "Host");
+    return host == NULL ? NULL
+                        : ts_traffic_match(gateway->traffic, host, message->target->str);
+}
+
+void ts_request_begin(ts_gateway_t *gateway, ts_caller_t *caller) {
+    const ts_http_message_t *message = ts_caller_message(caller);
+    if (gateway->traffic == NULL) {
+        ts_answer_error(gateway, caller, STATUS_UNAVAILABLE, TS_E_NOT_READY, NOT_READY_RETRY_MS);
+        return;
+    }
+    const ts_traffic_route_t *route = find_route(gateway, message);
+    if (route == NULL) {
+        ts_answer_error(gateway, caller, STATUS_NOT_FOUND, TS_E_NOT_FOUND, 0);
+        return;
+    }
+    if (ts_http_message_find(message, gateway->dialect->headers.request_id) == NULL) {
+        ts_answer_error(gateway, caller, STATUS_BAD_REQUEST, TS_E_BAD_REQUEST, 0);
+        return;
+    }
+    ts_request_t *request = create_request(gateway, caller, route);
+    ts_caller_set_request(caller, request);
+    set_times(request, read_patience_ms(gateway, message, route));
+    for (unsigned i = 0; i < request->parts_count; i++) {
+        ts_part_send_first(&request->parts[i]);
+    }
+    set_timer(request, request->arrived_us);
+}
+
+void ts_request_abandon(ts_gateway_t *gateway, ts_caller_t *caller) {
+    ts_request_t *request = ts_caller_request(caller);
+    if (request != NULL) {
+        ts_count(TS_COUNTER_REQUESTS_LEFT, 1);
+        end_request(request);
+    }
+}
--- /dev/null
+++ b/src/edge/request.h
@@ -0,0 +1,80 @@
+/** A request on its way: its parts, their sends, and the answer. Internal to the edge. */
+#ifndef TEALSPAR_EDGE_REQUEST_H
+#define TEALSPAR_EDGE_REQUEST_H
+
+#include "tealspar/gateway.h"
+
+/* Most sends of one part that are remembered; a route may allow fewer. */
+#define TS_SENDS_MAX 6U
+
+typedef struct ts_request ts_request_t;
+
+typedef enum ts_part_state {
+    TS_PART_OPEN, /**< an answer may still come */
+    TS_PART_IN,   /**< answered */
+    TS_PART_LOST  /**< no answer will come any more */
+} ts_part_state_t;
+
+/** One service that is asked; a forwarded request has one part, a gathered one a part a shard. */
+typedef struct ts_request_part {
+    ts_request_t *request;
+    ts_service_t *service;
+    ts_part_state_t state;
+    ts_exchange_t *exchanges[TS_SENDS_MAX]; /**< under way; NULL once ended */
+    ts_instance_t *tried[TS_SENDS_MAX];     /**< whom they went to */
+    unsigned sends;                         /**< number of the two above */
+    unsigned attempts;                      /**< sends that run, ran or may have run */
+    bool was_overdue;                       /**< the latest send was counted as overdue */
+    bool may_have_run;
+    bool was_refused;          /**< some searcher said that it was full */
+    ts_time_us_t overdue_us;   /**< when the latest send is overdue; 0: none is out */
+    ts_time_us_t next_try_us;  /**< when to look for an instance again; 0: not waiting */
+    /* The answer. */
+    unsigned status;
+    GString *fields; /**< forwarded answer: its fields, each ended by CR LF */
+    GString *body;
+    char *signature;
+} ts_request_part_t;
+
+struct ts_request {
+    ts_gateway_t *gateway;
+    ts_caller_t *caller; /**< NULL once answered or gone */
+    ts_traffic_t *traffic;
+    const ts_traffic_route_t *route;
+    ts_route_state_t *state;
+    ts_outgoing_t *outgoing;
+    uv_timer_t timer;
+    ts_time_us_t arrived_us;
+    ts_time_us_t deadline_us; /**< the final answer leaves by then */
+    ts_time_us_t stop_us;     /**< gathered: what is in by then is enough, if coverage allows */
+    unsigned parts_count;
+    unsigned parts_in;
+    unsigned parts_lost;
+    unsigned sends; /**< of all parts */
+    ts_request_part_t parts[];
+};
+
+/** Sends the part to the best instance, or notes that none is there. */
+void ts_part_send_first(ts_request_part_t *part);
+/** Does what is due for the part: a second send, another look for an instance. */
+void ts_part_check(ts_request_part_t *part, ts_time_us_t now_us);
+/** When the part wants to be checked next; 0: never. */
+ts_time_us_t ts_part_due_us(const ts_request_part_t *part);
+/** Nobody waits for the part's sends any more. */
+void ts_part_release(ts_request_part_t *part, ts_time_us_t until_us);
+void ts_part_clear(ts_request_part_t *part);
+/** A part changed its state: answers the request if that is decided now. */
+void ts_request_progress(ts_request_t *request);
+
+/** Sends the final answer of a request to its caller. */
+void ts_answer_success(ts_request_t *request);
+void ts_answer_failure(ts_request_t *request, ts_error_t error);
+/** Answers a caller whose request was not even begun; `retry_after_ms` 0: do not say. */
+void ts_answer_error(ts_gateway_t *gateway, ts_caller_t *caller, unsigned status,
+                     ts_error_t error, uint32_t retry_after_ms);
+/** Parts that must be in for a success. */
+unsigned ts_request_parts_needed(const ts_request_t *request);
+/** Whether a searcher runs, ran or may have run some of the request. */
+bool ts_request_may_have_run(const ts_request_t *request);
+
+#endif
--- /dev/null
+++ b/src/edge/request_part.c
@@ -0,0 +1,298 @@
+/** One part of a request: whom it is sent to, when again, and what came of it. */
+#include <string.h>
+
+#include "request.h"
+#include "tealspar/counters.h"
+#include "tealspar/replica.h"
+
+/* Between two looks for an instance when none is there, or the budget holds nothing. */
+#define LOOK_AGAIN_US (30 * TS_US_PER_MS)
+/* A second send is not worth it on an instance as doubtful as this. */
+#define HEDGE_COST_MAX_US 350000.0
+#define CONNECTIONS_DEFAULT 4U
+#define CONNECTIONS_MIN 2U
+#define STATUS_SERVER_ERROR 500
+#define STATUS_SUCCESS_FIRST 200
+#define STATUS_SUCCESS_LAST 299
+#define STATUS_MISDIRECTED 421
+
+static void part_done(ts_exchange_t *exchange, const ts_exchange_result_t *result, void *owner);
+
+/* This node's share of the connections that one instance takes. */
+static uint32_t connections_max(const ts_request_part_t *part) {
+    const ts_gateway_t *gateway = part->request->gateway;
+    if (part->service->connections_max == 0) {
+        return CONNECTIONS_DEFAULT;
+    }
+    uint32_t share = part->service->connections_max / gateway->settings->fleet_nodes;
+    return share < CONNECTIONS_MIN ? CONNECTIONS_MIN : share;
+}
+
+static ts_replica_input_t choice_input(const ts_request_part_t *part, ts_time_us_t now_us) {
+    ts_gateway_t *gateway = part->request->gateway;
+    return (ts_replica_input_t){part->request->state->typical.value_us, now_us,
+                                gateway->settings->drain_ms * TS_US_PER_MS * 2 / 3,
+                                connections_max(part), ts_gateway_random(gateway)};
+}
+
+static unsigned exchanges_out(const ts_request_part_t *part) {
+    unsigned out = 0;
+    for (unsigned i = 0; i < part->sends; i++) {
+        out += part->exchanges[i] != NULL;
+    }
+    return out;
+}
+
+static void set_state(ts_request_part_t *part, ts_part_state_t state) {
+    part->state = state;
+    part->overdue_us = 0;
+    part->next_try_us = 0;
+    part->request->parts_in += state == TS_PART_IN;
+    part->request->parts_lost += state == TS_PART_LOST;
+}
+
+static void send_to(ts_request_part_t *part, ts_instance_t *instance, ts_time_us_t now_us) {
+    ts_request_t *request = part->request;
+    double typical_us = request->state->typical.value_us;
+    double travel_us = ts_replica_travel_us(instance);
+    part->tried[part->sends] = instance;
+    part->attempts++;
+    request->sends++;
+    part->was_overdue = false;
+    part->next_try_us = 0;
+    part->overdue_us =
+        now_us + (ts_time_us_t)(request->state->overdue.value_us + travel_us);
+    unsigned place = part->sends++;
+    part->exchanges[place] = ts_upstream_send(request->gateway->upstream, instance,
+                                              request->outgoing, typical_us + travel_us,
+                                              part_done, part);
+}
+
+void ts_part_send_first(ts_request_part_t *part) {
+    ts_time_us_t now_us = ts_clock_now_us();
+    ts_replica_input_t input = choice_input(part, now_us);
+    ts_instance_t *instance = ts_replica_choose(part->service, &input, NULL, 0);
+    if (instance == NULL) {
+        part->next_try_us = now_us + LOOK_AGAIN_US;
+        return;
+    }
+    send_to(part, instance, now_us);
+}
+
+/* Whether the route and the table of sends allow one more. */
+static bool may_send_again(const ts_request_part_t *part) {
+    const ts_traffic_route_t *route = part->request->route;
+    return part->attempts < route->attempts_max && part->sends < TS_SENDS_MAX &&
+           (route->is_repeatable || !part->may_have_run);
+}
+
+/* One more send, if an instance, the route and the budget allow it. */
+static bool send_again(ts_request_part_t *part, ts_time_us_t now_us, double cost_max_us) {
+    if (!may_send_again(part)) {
+        return false;
+    }
+    ts_gateway_t *gateway = part->request->gateway;
+    ts_replica_input_t input = choice_input(part, now_us);
+    ts_instance_t *instance =
+        ts_replica_choose(part->service, &input, part->tried, part->sends);
+    if (instance == NULL || ts_replica_cost(instance, &input) > cost_max_us) {
+        return false;
+    }
+    if (!ts_retry_budget_take(&part->service->budget, &gateway->rule, now_us)) {
+        ts_count(TS_COUNTER_RETRIES_DENIED, 1);
+        return false;
+    }
+    send_to(part, instance, now_us);
+    return true;
+}
+
+/* The latest send is overdue: its instance is suspected, and another one is asked. */
+static void check_overdue(ts_request_part_t *part, ts_time_us_t now_us) {
+    ts_exchange_t *latest = part->sends > 0 ? part->exchanges[part->sends - 1] : NULL;
+    part->overdue_us = 0;
+    if (latest == NULL) {
+        return;
+    }
+    ts_time_us_t sent_us = ts_exchange_sent_us(latest);
+    if (!part->was_overdue) {
+        part->was_overdue = true;
+        ts_route_state_note_overdue(part->request->state);
+        ts_instance_note_overdue(ts_exchange_instance(latest),
+                                 sent_us == 0 ? now_us : sent_us, now_us);
+    }
+    if (!part->request->route->is_repeatable) {
+        return;
+    }
+    if (send_again(part, now_us, HEDGE_COST_MAX_US)) {
+        ts_count(TS_COUNTER_HEDGES, 1);
+    } else if (may_send_again(part)) {
+        part->overdue_us = now_us + LOOK_AGAIN_US;
+    }
+}
+
+void ts_part_check(ts_request_part_t *part, ts_time_us_t now_us) {
+    if (part->state != TS_PART_OPEN) {
+        return;
+    }
+    if (part->overdue_us != 0 && now_us >= part->overdue_us) {
+        check_overdue(part, now_us);
+    }
+    if (part->next_try_us == 0 || now_us < part->next_try_us) {
+        return;
+    }
+    if (part->sends == 0) {
+        ts_part_send_first(part);
+    } else if (!send_again(part, now_us, G_MAXDOUBLE)) {
+        part->next_try_us = now_us + LOOK_AGAIN_US;
+    } else {
+        ts_count(TS_COUNTER_RETRIES, 1);
+    }
+}
+
+ts_time_us_t ts_part_due_us(const ts_request_part_t *part) {
+    if (part->state != TS_PART_OPEN) {
+        return 0;
+    }
+    if (part->overdue_us == 0 || part->next_try_us == 0) {
+        return part->overdue_us + part->next_try_us;
+    }
+    return part->overdue_us < part->next_try_us ? part->overdue_us : part->next_try_us;
+}
+
+/* Keeps the fields of an answer that go on to the caller. */
+static void keep_fields(ts_request_part_t *part, const ts_http_message_t *answer) {
+    part->fields = g_string_new(NULL);
+    for (guint i = 0; i < answer->fields->len; i++) {
+        const ts_http_field_t *field = &g_array_index(answer->fields, ts_http_field_t, i);
+        const char *name = ts_http_message_text(answer, field->name);
+        if (!ts_http_message_is_hop_field(answer, name)) {
+            g_string_append_printf(part->fields, "%s: %s\r\n", name,
+                                   ts_http_message_text(answer, field->value));
+        }
+    }
+}
+
+static void keep_answer(ts_request_part_t *part, const ts_http_message_t *answer) {
+    const char *signature_name = part->request->gateway->dialect->headers.signature;
+    part->status = answer->parser.status_code;
+    if (part->body != NULL) {
+        g_string_free(part->body, TRUE);
+    }
+    part->body = g_string_new_len(answer->body->str, (gssize)answer->body->len);
+    g_free(part->signature);
+    part->signature = g_strdup(ts_http_message_find(answer, signature_name));
+    if (part->request->route->kind != TS_TARGET_GATHER) {
+        if (part->fields != NULL) {
+            g_string_free(part->fields, TRUE);
+        }
+        keep_fields(part, answer);
+    }
+}
+
+/* A send came to nothing: another is made at once, or later, or the part is lost. */
+static void try_elsewhere(ts_request_part_t *part) {
+    ts_time_us_t now_us = ts_clock_now_us();
+    if (exchanges_out(part) > 0) {
+        return; /* another send may still bring the answer */
+    }
+    if (send_again(part, now_us, G_MAXDOUBLE)) {
+        ts_count(TS_COUNTER_RETRIES, 1);
+        return;
+    }
+    part->overdue_us = 0;
+    set_state(part, TS_PART_LOST);
+}
+
+/* What an answer that is not a success means for the part. */
+static void take_failure(ts_request_part_t *part, const ts_exchange_result_t *result) {
+    if (result->run == TS_RUN_NOT) {
+        part->attempts--;
+        part->was_refused = true;
+    } else {
+        part->may_have_run = true;
+    }
+    bool is_gather = part->request->route->kind == TS_TARGET_GATHER;
+    if (result->error == TS_OK && result->run == TS_RUN_DONE && !is_gather) {
+        keep_answer(part, result->answer);
+        bool is_final = part->status < STATUS_SERVER_ERROR || !may_send_again(part);
+        if (is_final) {
+            set_state(part, TS_PART_IN);
+            return;
+        }
+    }
+    try_elsewhere(part);
+}
+
+/* A send that never left costs neither an attempt nor the budget. */
+static void take_unsent(ts_request_part_t *part, const ts_instance_t *instance) {
+    part->attempts--;
+    if (part->sends > 1) {
+        ts_retry_budget_return(&part->service->budget);
+    }
+    try_elsewhere(part);
+}
+
+static void forget_exchange(ts_request_part_t *part, const ts_exchange_t *exchange) {
+    for (unsigned i = 0; i < part->sends; i++) {
+        if (part->exchanges[i] == exchange) {
+            part->exchanges[i] = NULL;
+        }
+    }
+}
+
+static void take_success(ts_request_part_t *part, const ts_exchange_result_t *result,
+                         const ts_instance_t *instance) {
+    if (instance->distance == TS_DISTANCE_ZONE) {
+        ts_route_state_note(part->request->state, (double)result->span_us);
+    }
+    keep_answer(part, result->answer);
+    set_state(part, TS_PART_IN);
+}
+
+static void part_done(ts_exchange_t *exchange, const ts_exchange_result_t *result, void *owner) {
+    ts_request_part_t *part = owner;
+    ts_instance_t *instance = ts_exchange_instance(exchange);
+    bool was_sent = ts_exchange_sent_us(exchange) != 0;
+    forget_exchange(part, exchange);
+    if (part->state != TS_PART_OPEN) {
+        return;
+    }
+    unsigned status = result->answer == NULL ? 0 : result->answer->parser.status_code;
+    if (status == STATUS_MISDIRECTED) {
+        ts_instance_note_failure(instance, ts_clock_now_us());
+    }
+    if (result->run == TS_RUN_DONE && status >= STATUS_SUCCESS_FIRST &&
+        status <= STATUS_SUCCESS_LAST) {
+        take_success(part, result, instance);
+    } else if (!was_sent) {
+        take_unsent(part, instance);
+    } else {
+        take_failure(part, result);
+    }
+    ts_request_progress(part->request);
+}
+
+void ts_part_release(ts_request_part_t *part, ts_time_us_t until_us) {
+    for (unsigned i = 0; i < part->sends; i++) {
+        ts_exchange_t *exchange = part->exchanges[i];
+        part->exchanges[i] = NULL;
+        if (exchange == NULL) {
+            continue;
+        }
+        if (ts_exchange_sent_us(exchange) == 0) {
+            ts_exchange_cancel(exchange);
+        } else {
+            ts_exchange_release(exchange, until_us);
+        }
+    }
+}
+
+void ts_part_clear(ts_request_part_t *part) {
+    if (part->fields != NULL) {
+        g_string_free(part->fields, TRUE);
+    }
+    if (part->body != NULL) {
+        g_string_free(part->body, TRUE);
+    }
+    g_free(part->signature);
+}
--- /dev/null
+++ b/src/http/http_message.c
@@ -0,0 +1,277 @@
+/** Strict reading of HTTP/1.1 messages over http_parser. */
+#include "tealspar/http_message.h"
+
+#include <string.h>
+#include <strings.h>
+
+#define INTERIM_STATUS_MAX 199
+#define TEXT_KEPT_MAX 4096
+#define BODY_KEPT_MAX 16384
+
+static ts_http_message_t *message_of(http_parser *parser) {
+    return parser->data;
+}
+
+static int refuse(ts_http_message_t *message, ts_error_t error) {
+    message->error = error;
+    return 1;
+}
+
+static int read_target(http_parser *parser, const char *bytes, size_t length) {
+    g_string_append_len(message_of(parser)->target, bytes, (gssize)length);
+    return 0;
+}
+
+/* A field's name: texts are kept one after another, each with its NUL. */
+static int read_field_name(http_parser *parser, const char *bytes, size_t length) {
+    ts_http_message_t *message = message_of(parser);
+    if (memchr(bytes, ' ', length) != NULL) {
+        return refuse(message, TS_E_BAD_REQUEST);
+    }
+    if (message->fields->len == 0 || message->in_value) {
+        ts_http_field_t field = {(uint32_t)message->text->len, 0, 0};
+        g_array_append_val(message->fields, field);
+        message->in_value = false;
+    } else {
+        g_string_truncate(message->text, message->text->len - 1);
+    }
+    g_string_append_len(message->text, bytes, (gssize)length);
+    g_string_append_c(message->text, '\0');
+    return 0;
+}
+
+static int read_field_value(http_parser *parser, const char *bytes, size_t length) {
+    ts_http_message_t *message = message_of(parser);
+    if (message->fields->len == 0) {
+        return refuse(message, TS_E_BAD_REQUEST);
+    }
+    ts_http_field_t *field =
+        &g_array_index(message->fields, ts_http_field_t, message->fields->len - 1);
+    if (!message->in_value) {
+        field->value = (uint32_t)message->text->len;
+        message->in_value = true;
+    } else {
+        g_string_truncate(message->text, message->text->len - 1);
+    }
+    g_string_append_len(message->text, bytes, (gssize)length);
+    g_string_append_c(message->text, '\0');
+    field->value_length += (uint32_t)length;
+    return 0;
+}
+
+static int end_head(http_parser *parser) {
+    ts_http_message_t *message = message_of(parser);
+    message->is_head_complete = true;
+    for (guint i = 0; i < message->fields->len; i++) {
+        ts_http_field_t *field = &g_array_index(message->fields, ts_http_field_t, i);
+        if (field->value == 0) { /* a field without a value: the NUL of its name */
+            field->value = field->name + (uint32_t)strlen(message->text->str + field->name);
+        }
+    }
+    bool has_length = (parser->flags & F_CONTENTLENGTH) != 0;
+    if (has_length && parser->content_length > message->body_max) {
+        return refuse(message, TS_E_TOO_LARGE) == 1 ? -1 : 0;
+    }
+    return message->answers_head ? 1 : 0;
+}
+
+static int read_body(http_parser *parser, const char *bytes, size_t length) {
+    ts_http_message_t *message = message_of(parser);
+    if (message->body->len + length > message->body_max) {
+        return refuse(message, TS_E_TOO_LARGE);
+    }
+    g_string_append_len(message->body, bytes, (gssize)length);
+    return 0;
+}
+
+static int end_message(http_parser *parser) {
+    ts_http_message_t *message = message_of(parser);
+    message->is_complete = true;
+    message->keeps_alive = http_should_keep_alive(parser) != 0;
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+static const http_parser_settings parser_settings = {
+    .on_url = read_target,
+    .on_header_field = read_field_name,
+    .on_header_value = read_field_value,
+    .on_headers_complete = end_head,
+    .on_body = read_body,
+    .on_message_complete = end_message,
+};
+
+static void begin(ts_http_message_t *message) {
+    http_parser_init(&message->parser, message->is_request ? HTTP_REQUEST : HTTP_RESPONSE);
+    message->parser.data = message;
+    message->head_bytes = 0;
+    message->last_head_byte = '\0';
+    message->has_begun = false;
+    message->is_head_complete = false;
+    message->is_complete = false;
+    message->keeps_alive = false;
+    message->in_value = false;
+    message->error = TS_OK;
+}
+
+void ts_http_message_init(ts_http_message_t *message, bool is_request, size_t head_max,
+                          size_t body_max) {
+    message->is_request = is_request;
+    message->answers_head = false;
+    message->head_max = head_max;
+    message->body_max = body_max;
+    message->target = g_string_new(NULL);
+    message->text = g_string_new(NULL);
+    message->fields = g_array_new(FALSE, FALSE, sizeof(ts_http_field_t));
+    message->body = g_string_new(NULL);
+    begin(message);
+}
+
+/* Empties a buffer, and gives its memory back when one message made it large. */
+static GString *empty_buffer(GString *buffer, size_t kept_max) {
+    if (buffer->allocated_len > kept_max) {
+        g_string_free(buffer, TRUE);
+        return g_string_new(NULL);
+    }
+    g_string_truncate(buffer, 0);
+    return buffer;
+}
+
+void ts_http_message_reset(ts_http_message_t *message) {
+    message->target = empty_buffer(message->target, TEXT_KEPT_MAX);
+    message->text = empty_buffer(message->text, TEXT_KEPT_MAX);
+    message->body = empty_buffer(message->body, BODY_KEPT_MAX);
+    g_array_set_size(message->fields, 0);
+    begin(message);
+}
+
+void ts_http_message_clear(ts_http_message_t *message) {
+    g_string_free(message->target, TRUE);
+    g_string_free(message->text, TRUE);
+    g_string_free(message->body, TRUE);
+    g_array_free(message->fields, TRUE);
+}
+
+/* Lines of a head end with CR LF: a bare LF reads differently in different programs. */
+static bool has_bare_line_end(const ts_http_message_t *message, const char *bytes, size_t length) {
+    char before = message->last_head_byte;
+    for (size_t i = 0; i < length; i++) {
+        if (bytes[i] == '\n' && before != '\r' && before != '\0') {
+            return true;
+        }
+        before = bytes[i];
+    }
+    return false;
+}
+
+/* Checks the bytes of the head that were just read. */
+static void check_head(ts_http_message_t *message, const char *bytes, size_t length) {
+    size_t head = length;
+    if (message->is_head_complete) {
+        const char *end = g_strstr_len(bytes, (gssize)length, "\r\n\r\n");
+        head = end == NULL ? 0 : (size_t)(end - bytes);
+    }
+    if (message->is_request && has_bare_line_end(message, bytes, head)) {
+        message->error = TS_E_BAD_REQUEST;
+    }
+    message->head_bytes += head;
+    if (message->head_bytes > message->head_max) {
+        message->error = TS_E_HEAD_TOO_LARGE;
+    }
+    message->last_head_byte = length > 0 ? bytes[length - 1] : '\0';
+}
+
+static bool is_interim(const ts_http_message_t *message) {
+    return message->is_complete && !message->is_request &&
+           message->parser.status_code <= INTERIM_STATUS_MAX;
+}
+
+size_t ts_http_message_feed(ts_http_message_t *message, const char *bytes, size_t length) {
+    size_t used = 0;
+    while (used < length && !message->is_complete && message->error == TS_OK) {
+        bool was_in_head = !message->is_head_complete;
+        message->has_begun = true;
+        size_t step =
+            http_parser_execute(&message->parser, &parser_settings, bytes + used, length - used);
+        enum http_errno failure = HTTP_PARSER_ERRNO(&message->parser);
+        if (failure != HPE_OK && failure != HPE_PAUSED && message->error == TS_OK) {
+            message->error = failure == HPE_HEADER_OVERFLOW ? TS_E_HEAD_TOO_LARGE
+                                                            : TS_E_BAD_REQUEST;
+        }
+        if (was_in_head && message->error == TS_OK) {
+            check_head(message, bytes + used, step);
+        }
+        used += step;
+        if (is_interim(message)) {
+            ts_http_message_reset(message);
+        }
+    }
+    return used;
+}
+
+void ts_http_message_finish(ts_http_message_t *message) {
+    if (message->is_complete || message->error != TS_OK) {
+        return;
+    }
+    (void)http_parser_execute(&message->parser, &parser_settings, NULL, 0);
+    if (!message->is_complete && message->error == TS_OK) {
+        message->error = TS_E_IO;
+    }
+}
+
+const char *ts_http_message_find(const ts_http_message_t *message, const char *name) {
+    for (guint i = 0; i < message->fields->len; i++) {
+        const ts_http_field_t *field = &g_array_index(message->fields, ts_http_field_t, i);
+        if (strcasecmp(ts_http_message_text(message, field->name), name) == 0) {
+            return ts_http_message_text(message, field->value);
+        }
+    }
+    return NULL;
+}
+
+unsigned ts_http_message_count(const ts_http_message_t *message, const char *name) {
+    unsigned count = 0;
+    for (guint i = 0; i < message->fields->len; i++) {
+        const ts_http_field_t *field = &g_array_index(message->fields, ts_http_field_t, i);
+        count += strcasecmp(ts_http_message_text(message, field->name), name) == 0;
+    }
+    return count;
+}
+
+/* Whether a comma-separated list holds a word, letter case aside. */
+static bool list_holds(const char *list, const char *word) {
+    size_t length = strlen(word);
+    while (*list != '\0') {
+        list += strspn(list, ", \t");
+        size_t item = strcspn(list, ", \t");
+        if (item == length && strncasecmp(list, word, length) == 0) {
+            return true;
+        }
+        list += item;
+    }
+    return false;
+}
+
+static bool is_named_by_connection(const ts_http_message_t *message, const char *name) {
+    for (guint i = 0; i < message->fields->len; i++) {
+        const ts_http_field_t *field = &g_array_index(message->fields, ts_http_field_t, i);
+        if (strcasecmp(ts_http_message_text(message, field->name), "Connection") == 0 &&
+            list_holds(ts_http_message_text(message, field->value), name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool ts_http_message_is_hop_field(const ts_http_message_t *message, const char *name) {
+    static const char *const hop_fields[] = {
+        "Connection", "Keep-Alive", "Proxy-Connection",  "Proxy-Authenticate", "Proxy-Authorization",
+        "TE",         "Trailer",    "Transfer-Encoding", "Upgrade",            "Content-Length",
+        "Expect"};
+    for (size_t i = 0; i < G_N_ELEMENTS(hop_fields); i++) {
+        if (strcasecmp(name, hop_fields[i]) == 0) {
+            return true;
+        }
+    }
+    return is_named_by_connection(message, name);
+}
--- /dev/null
+++ b/src/registry/registry.c
@@ -0,0 +1,194 @@
+/** The registry of back ends. */
+#include "tealspar/registry.h"
+
+#include <string.h>
+
+#include "tealspar/address.h"
+#include "tealspar/counters.h"
+#include "tealspar/log.h"
+
+/* One that has left is forgotten after this, when it has no connections. */
+#define FORGET_US (10 * TS_US_PER_S)
+
+struct ts_registry {
+    char *zone;
+    const char *region;
+    GHashTable *zones;
+    GHashTable *services;  /**< name -> ts_service_t, owned */
+    GHashTable *instances; /**< id -> ts_instance_t, owned */
+};
+
+void ts_instance_record_clear(ts_instance_record_t *record) {
+    g_free(record->id);
+    g_free(record->service);
+    g_free(record->address);
+    g_free(record->zone);
+    memset(record, 0, sizeof(*record));
+}
+
+static void free_service(gpointer data) {
+    ts_service_t *service = data;
+    g_ptr_array_unref(service->instances);
+    g_free(service->name);
+    g_free(service);
+}
+
+static void free_instance(gpointer data) {
+    ts_instance_t *instance = data;
+    g_queue_clear(&instance->idle);
+    g_free(instance->id);
+    g_free(instance->zone);
+    g_free(instance);
+}
+
+static const char *find_region(const ts_registry_t *registry, const char *zone) {
+    return registry->zones == NULL ? NULL : g_hash_table_lookup(registry->zones, zone);
+}
+
+ts_registry_t *ts_registry_create(const char *zone, GHashTable *zones) {
+    ts_registry_t *registry = g_new0(ts_registry_t, 1);
+    registry->zone = g_strdup(zone);
+    registry->zones = zones;
+    registry->region = find_region(registry, zone);
+    registry->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_service);
+    registry->instances = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_instance);
+    return registry;
+}
+
+void ts_registry_destroy(ts_registry_t *registry) {
+    g_hash_table_destroy(registry->services);
+    g_hash_table_destroy(registry->instances);
+    g_free(registry->zone);
+    g_free(registry);
+}
+
+ts_service_t *ts_registry_service(ts_registry_t *registry, const char *name) {
+    ts_service_t *service = g_hash_table_lookup(registry->services, name);
+    if (service == NULL) {
+        service = g_new0(ts_service_t, 1);
+        service->name = g_strdup(name);
+        service->instances = g_ptr_array_new();
+        g_hash_table_insert(registry->services, service->name, service);
+    }
+    return service;
+}
+
+static ts_distance_t measure_distance(const ts_registry_t *registry, const char *zone) {
+    if (strcmp(zone, registry->zone) == 0) {
+        return TS_DISTANCE_ZONE;
+    }
+    const char *region = find_region(registry, zone);
+    bool is_near =
+        region != NULL && registry->region != NULL && strcmp(region, registry->region) == 0;
+    return is_near ? TS_DISTANCE_REGION : TS_DISTANCE_FAR;
+}
+
+static ts_instance_t *add_instance(ts_registry_t *registry, const ts_instance_record_t *record) {
+    ts_instance_t *instance = g_new0(ts_instance_t, 1);
+    instance->id = g_strdup(record->id);
+    instance->zone = g_strdup(record->zone);
+    instance->distance = measure_distance(registry, record->zone);
+    instance->slowness = 1;
+    g_queue_init(&instance->idle);
+    instance->service = ts_registry_service(registry, record->service);
+    g_ptr_array_add(instance->service->instances, instance);
+    g_hash_table_insert(registry->instances, instance->id, instance);
+    return instance;
+}
+
+static void log_state(const ts_instance_t *instance, const char *state) {
+    ts_log(TS_EVENT_BACKEND_STATE, "instance=%s service=%s zone=%s state=%s", instance->id,
+           instance->service->name, instance->zone, state);
+}
+
+static void set_draining(ts_instance_t *instance, bool is_draining, ts_time_us_t now_us) {
+    if (instance->is_draining == is_draining) {
+        return;
+    }
+    instance->is_draining = is_draining;
+    instance->left_us = now_us;
+    log_state(instance, is_draining ? "draining" : "ready");
+}
+
+bool ts_registry_update(ts_registry_t *registry, const ts_instance_record_t *record,
+                        ts_time_us_t now_us) {
+    struct sockaddr_storage address;
+    if (ts_address_parse(record->address, &address) != TS_OK) {
+        ts_count_error(TS_E_ADDRESS);
+        return false;
+    }
+    ts_instance_t *instance = g_hash_table_lookup(registry->instances, record->id);
+    bool is_new = instance == NULL;
+    if (is_new) {
+        instance = add_instance(registry, record);
+    }
+    instance->address = address;
+    instance->slots = record->slots;
+    if (record->warmup_left_ms > 0) {
+        instance->warm_at_us = now_us + record->warmup_left_ms * TS_US_PER_MS;
+    }
+    if (!instance->is_listed) {
+        instance->is_listed = true;
+        log_state(instance, "listed");
+    }
+    set_draining(instance, record->is_draining, now_us);
+    return is_new;
+}
+
+static void unlist(ts_instance_t *instance, ts_time_us_t now_us) {
+    if (!instance->is_listed) {
+        return;
+    }
+    instance->is_listed = false;
+    if (!instance->is_draining) {
+        instance->left_us = now_us;
+    }
+    log_state(instance, "gone");
+}
+
+void ts_registry_remove(ts_registry_t *registry, const char *id, ts_time_us_t now_us) {
+    ts_instance_t *instance = g_hash_table_lookup(registry->instances, id);
+    if (instance != NULL) {
+        unlist(instance, now_us);
+    }
+}
+
+void ts_registry_keep_only(ts_registry_t *registry, GHashTable *ids, ts_time_us_t now_us) {
+    GHashTableIter iterator;
+    gpointer instance = NULL;
+    g_hash_table_iter_init(&iterator, registry->instances);
+    while (g_hash_table_iter_next(&iterator, NULL, &instance)) {
+        if (!g_hash_table_contains(ids, ((ts_instance_t *)instance)->id)) {
+            unlist(instance, now_us);
+        }
+    }
+}
+
+void ts_registry_sweep(ts_registry_t *registry, ts_time_us_t now_us) {
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, registry->instances);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        ts_instance_t *instance = value;
+        bool is_unused = instance->connections == 0 && instance->in_flight == 0;
+        if (!instance->is_listed && is_unused && now_us - instance->left_us > FORGET_US) {
+            g_ptr_array_remove_fast(instance->service->instances, instance);
+            g_hash_table_iter_remove(&iterator);
+        }
+    }
+}
+
+void ts_registry_each_service(ts_registry_t *registry, GHFunc visit, void *context) {
+    g_hash_table_foreach(registry->services, visit, context);
+}
+
+unsigned ts_registry_listed(const ts_registry_t *registry) {
+    GHashTableIter iterator;
+    gpointer instance = NULL;
+    unsigned count = 0;
+    g_hash_table_iter_init(&iterator, registry->instances);
+    while (g_hash_table_iter_next(&iterator, NULL, &instance)) {
+        count += ((ts_instance_t *)instance)->is_listed;
+    }
+    return count;
+}
--- /dev/null
+++ b/src/route/replica.c
@@ -0,0 +1,95 @@
+/** The choice of an instance. */
+#include "tealspar/replica.h"
+
+#include <math.h>
+
+/* Time there and back, by distance; links of the deployments so far. */
+static const double travel_us[TS_DISTANCE_COUNT] = {300, 2500, 25000};
+/* Beliefs about slowness fade with this half-life, so that an instance is tried again. */
+#define SLOWNESS_HALF_LIFE_US (4.0 * (double)TS_US_PER_S)
+#define SUSPECTED_COST_US 400000.0
+#define AVOIDED_COST_US 600000.0
+#define LEAVING_COST_US 1200000.0
+#define FULL_COST_US 300000.0
+#define WARMUP_FACTOR 1.6
+/* A suspected instance is given one request after so long without an answer. */
+#define RETRY_SUSPECTED_US (1000 * TS_US_PER_MS)
+#define TIE_SHARE 0.04
+#define RANDOM_RANGE 1024U
+
+double ts_replica_travel_us(const ts_instance_t *instance) {
+    return travel_us[instance->distance];
+}
+
+bool ts_replica_is_usable(const ts_instance_t *instance, const ts_replica_input_t *input) {
+    bool is_leaving = instance->is_draining || !instance->is_listed;
+    return !is_leaving || input->now_us - instance->left_us < input->drain_us;
+}
+
+static double current_slowness(const ts_instance_t *instance, ts_time_us_t now_us) {
+    double age_us = (double)(now_us - instance->slowness_at_us);
+    return 1 + (instance->slowness - 1) * exp2(-age_us / SLOWNESS_HALF_LIFE_US);
+}
+
+/* Share of a service time that new work waits for what this node has there already. */
+static double queue_factor(const ts_instance_t *instance) {
+    double slots = instance->slots > 0 ? instance->slots : 1;
+    double load = instance->in_flight / slots;
+    return load < 1 ? load * load / 2 : load;
+}
+
+static bool is_due_for_trial(const ts_instance_t *instance, ts_time_us_t now_us) {
+    return now_us - instance->tried_us > RETRY_SUSPECTED_US;
+}
+
+double ts_replica_cost(const ts_instance_t *instance, const ts_replica_input_t *input) {
+    double work_us = input->work_us * current_slowness(instance, input->now_us);
+    if (instance->warm_at_us > input->now_us) {
+        work_us *= WARMUP_FACTOR;
+    }
+    double cost_us = travel_us[instance->distance] + work_us * (1 + queue_factor(instance));
+    if (instance->suspected_us != 0 && !is_due_for_trial(instance, input->now_us)) {
+        cost_us += SUSPECTED_COST_US;
+    }
+    if (instance->avoid_until_us > input->now_us) {
+        cost_us += AVOIDED_COST_US;
+    }
+    if (instance->is_draining || !instance->is_listed) {
+        cost_us += LEAVING_COST_US;
+    }
+    bool is_full = instance->idle.length == 0 && instance->connections >= input->connections_max;
+    return is_full ? cost_us + FULL_COST_US : cost_us;
+}
+
+static bool is_among(const ts_instance_t *instance, ts_instance_t *const *tried, unsigned count) {
+    for (unsigned i = 0; i < count; i++) {
+        if (tried[i] == instance) {
+            return true;
+        }
+    }
+    return false;
+}
+
+ts_instance_t *ts_replica_choose(const ts_service_t *service, const ts_replica_input_t *input,
+                                 ts_instance_t *const *tried, unsigned tried_count) {
+    ts_instance_t *best = NULL;
+    double best_cost_us = 0;
+    uint32_t random = input->random;
+    for (guint i = 0; i < service->instances->len; i++) {
+        ts_instance_t *instance = g_ptr_array_index(service->instances, i);
+        if (!ts_replica_is_usable(instance, input) || is_among(instance, tried, tried_count)) {
+            continue;
+        }
+        random = random * 1664525U + 1013904223U;
+        double tie = TIE_SHARE * ((random >> 16) % RANDOM_RANGE) / RANDOM_RANGE;
+        double cost_us = ts_replica_cost(instance, input) + tie * input->work_us;
+        if (best == NULL || cost_us < best_cost_us) {
+            best = instance;
+            best_cost_us = cost_us;
+        }
+    }
+    if (best != NULL && best->suspected_us != 0) {
+        best->tried_us = input->now_us;
+    }
+    return best;
+}
