An answer without a length that is reset is not whole

Ruled out: reuse of a connection, and a crossed answer (the id was right, the body a prefix). Change: at an end the socket itself is asked.

--- a/src/control/store_client.c
+++ b/src/control/store_client.c
@@ -7,6 +7,7 @@
 #include "tealspar/address.h"
 #include "tealspar/counters.h"
 #include "tealspar/http_message.h"
+#include "tealspar/stream_end.h"
 
 #define HEAD_MAX 65536
 #define BODY_MAX (16U * 1024U * 1024U)
@@ -112,7 +113,7 @@
         return;
     }
     if (length < 0 || !client->is_calling) {
-        if (length == UV_EOF && client->is_calling) {
+        if (length == UV_EOF && client->is_calling && ts_stream_ended_in_order(stream)) {
             ts_http_message_finish(&link->answer);
         }
         if (client->is_calling) {
--- /dev/null
+++ b/src/http/stream_end.c
@@ -0,0 +1,13 @@
+/** How the other side ended a stream. */
+#include "tealspar/stream_end.h"
+
+#include <sys/socket.h>
+
+bool ts_stream_ended_in_order(const uv_stream_t *stream) {
+    uv_os_fd_t descriptor = -1;
+    char byte = 0;
+    if (uv_fileno((const uv_handle_t *)stream, &descriptor) != 0) {
+        return false;
+    }
+    return recv(descriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) == 0;
+}
--- a/src/upstream/upstream.c
+++ b/src/upstream/upstream.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "tealspar/counters.h"
+#include "tealspar/stream_end.h"
 
 #define ANSWER_HEAD_MAX 65536
 #define ANSWER_BODY_MAX (4U * 1024U * 1024U)
@@ -454,7 +455,7 @@
         close_connection(connection);
         return;
     }
-    if (status == UV_EOF) {
+    if (status == UV_EOF && ts_stream_ended_in_order((uv_stream_t *)&connection->socket)) {
         ts_http_message_finish(&connection->answer);
         if (connection->answer.is_complete) {
             end_answer(connection, true);
