--- a/include/tealspar/caller.h
+++ b/include/tealspar/caller.h
@@ -1,6 +1,7 @@
 /**
  * Connections of callers: HTTP/1.1, one request at a time, in order. A request is read whole within
- * the limits before it is handed on; while it is worked on, a caller that leaves is noticed at once.
+ * the limits before it is handed on; while it is worked on, a caller that leaves is noticed at
+ * once.
  */
 #ifndef TEALSPAR_CALLER_H
 #define TEALSPAR_CALLER_H
--- a/include/tealspar/dialect.h
+++ b/include/tealspar/dialect.h
@@ -36,7 +36,7 @@
 typedef struct ts_store_entry {
     ts_store_kind_t kind;
     char *key;
-    char *id;      /**< TS_STORE_INSTANCE: its id; otherwise NULL */
+    char *id; /**< TS_STORE_INSTANCE: its id; otherwise NULL */
     bool is_gone;
     char *value;   /**< the document; NULL when gone */
     size_t length; /**< bytes of the value */
--- a/include/tealspar/error.h
+++ b/include/tealspar/error.h
@@ -18,7 +18,7 @@
     X(TS_E_VERSION_CLASH, -9, "version_clash", "two documents carry one version")                  \
     X(TS_E_BAD_REQUEST, -20, "bad_request", "the request is malformed")                            \
     X(TS_E_TOO_LARGE, -21, "too_large", "the request is over a size limit")                        \
-    X(TS_E_HEAD_TOO_LARGE, -30, "head_too_large", "the head of the message is over its limit")    \
+    X(TS_E_HEAD_TOO_LARGE, -30, "head_too_large", "the head of the message is over its limit")     \
     X(TS_E_HEAD_TIMEOUT, -31, "head_timeout", "the head of the request came too slowly")           \
     X(TS_E_UNKNOWN_KIND, -22, "unknown_kind", "no selector declares this kind of query")           \
     X(TS_E_NOT_FOUND, -23, "not_found", "no such resource")                                        \
--- a/include/tealspar/gateway.h
+++ b/include/tealspar/gateway.h
@@ -36,6 +36,14 @@
     bool is_stopping;
 } ts_gateway_t;
 
+/** Opens a gateway on a loop; takes the settings. TS_OK or TS_E_LISTEN. */
+ts_error_t ts_gateway_open(ts_gateway_t *gateway, uv_loop_t *loop, ts_gateway_settings_t *settings);
+/** Puts other settings in force; addresses that are listened on stay as they are. */
+void ts_gateway_set_settings(ts_gateway_t *gateway, ts_gateway_settings_t *settings);
+/** Begins to leave: not ready any more, and every answer ends its connection. */
+void ts_gateway_leave(ts_gateway_t *gateway);
+/** Ends what rests too long and forgets what has left; call it every half second or so. */
+void ts_gateway_sweep(ts_gateway_t *gateway);
 /** Runs a gateway until it is told to stop. `path` is read again at a reload. */
 ts_error_t ts_gateway_run(const char *path, ts_gateway_settings_t *settings);
 /** Puts a configuration in force, unless it is older than the one that is. Takes the reference. */
--- a/include/tealspar/http_message.h
+++ b/include/tealspar/http_message.h
@@ -24,21 +24,25 @@
 typedef struct ts_http_message {
     http_parser parser;
     bool is_request;
-    bool answers_head;  /**< the answer to a HEAD request has no body */
-    GString *target;    /**< a request's target as it was sent */
-    GString *text;      /**< names and values of the fields */
-    GArray *fields;     /**< of ts_http_field_t */
-    GString *body;      /**< the body, without its framing */
-    size_t head_bytes;  /**< bytes of the head so far */
-    size_t head_max;    /**< more are refused with TS_E_HEAD_TOO_LARGE */
-    size_t body_max;    /**< more are refused with TS_E_TOO_LARGE */
+    bool answers_head; /**< the answer to a HEAD request has no body */
+    GString *target;   /**< a request's target as it was sent */
+    GString *text;     /**< names and values of the fields */
+    GArray *fields;    /**< of ts_http_field_t */
+    GString *body;     /**< the body, without its framing */
+    size_t head_bytes; /**< bytes of the head so far */
+    size_t head_max;   /**< more are refused with TS_E_HEAD_TOO_LARGE */
+    size_t body_max;   /**< more are refused with TS_E_TOO_LARGE */
+    size_t line_bytes; /**< of the head's present line */
     char last_head_byte;
-    bool has_begun;     /**< some byte was read */
+    bool has_start_line;
+    bool has_bare_line_end; /**< some line of the head ends with LF alone */
+    bool is_head_scanned;   /**< its empty line was seen */
+    bool has_begun;         /**< some byte was read */
     bool is_head_complete;
     bool is_complete;
-    bool keeps_alive;   /**< valid once complete: the connection may serve another message */
-    bool in_value;      /**< the parser last gave a part of a value */
-    ts_error_t error;   /**< why the message was refused; TS_OK while it is well formed */
+    bool keeps_alive; /**< valid once complete: the connection may serve another message */
+    bool in_value;    /**< the parser last gave a part of a value */
+    ts_error_t error; /**< why the message was refused; TS_OK while it is well formed */
 } ts_http_message_t;
 
 /** Prepares an empty message. */
--- a/include/tealspar/registry.h
+++ b/include/tealspar/registry.h
@@ -47,9 +47,9 @@
     ts_distance_t distance;
     uint32_t slots;
     bool is_draining;
-    bool is_listed;           /**< discovery names it now */
-    ts_time_us_t left_us;     /**< when it began to drain or left the list */
-    ts_time_us_t warm_at_us;  /**< until then it is slow from its start */
+    bool is_listed;          /**< discovery names it now */
+    ts_time_us_t left_us;    /**< when it began to drain or left the list */
+    ts_time_us_t warm_at_us; /**< until then it is slow from its start */
     /* What this node measured. */
     uint32_t in_flight;          /**< requests of this node that it has */
     double slowness;             /**< its answer times against its service's; 1: the same */
@@ -60,8 +60,8 @@
     ts_time_us_t avoid_until_us; /**< after a failed connection or a refusal */
     uint32_t failures;           /**< in a row */
     /* Its connections; see tealspar/upstream.h. */
-    GQueue idle;             /**< of ts_connection_t, the last used first */
-    uint32_t connections;    /**< open ones, idle and busy */
+    GQueue idle;          /**< of ts_connection_t, the last used first */
+    uint32_t connections; /**< open ones, idle and busy */
 } ts_instance_t;
 
 struct ts_service {
--- a/include/tealspar/replica.h
+++ b/include/tealspar/replica.h
@@ -9,7 +9,7 @@
 
 /** What the choice depends on beside the instances. */
 typedef struct ts_replica_input {
-    double work_us;           /**< typical time of such a request at an instance */
+    double work_us; /**< typical time of such a request at an instance */
     ts_time_us_t now_us;
     ts_time_us_t drain_us;    /**< an instance that is leaving takes no new work after this */
     uint32_t connections_max; /**< this node's connections to one instance */
--- a/include/tealspar/retry_budget.h
+++ b/include/tealspar/retry_budget.h
@@ -25,7 +25,7 @@
 typedef struct ts_retry_budget {
     uint32_t requests[TS_RETRY_BUDGET_SLICES];
     uint32_t extras[TS_RETRY_BUDGET_SLICES + 1]; /**< one slice more: the window slides */
-    uint64_t slice; /**< number of the slice in use */
+    uint64_t slice;                              /**< number of the slice in use */
 } ts_retry_budget_t;
 
 /** Counts a request for the service, whether or not it is sent. */
--- a/include/tealspar/upstream.h
+++ b/include/tealspar/upstream.h
@@ -34,8 +34,8 @@
 
 /** How an exchange ended. */
 typedef struct ts_exchange_result {
-    ts_error_t error; /**< TS_OK: `answer` is whole, whatever its status */
-    ts_run_t run;     /**< whether the instance ran the request */
+    ts_error_t error;                /**< TS_OK: `answer` is whole, whatever its status */
+    ts_run_t run;                    /**< whether the instance ran the request */
     const ts_http_message_t *answer; /**< valid during the call; NULL on an error */
     ts_time_us_t span_us;            /**< from the sending to the end */
 } ts_exchange_result_t;
@@ -50,8 +50,8 @@
  * request takes from here, to judge the instance by; 0: not known.
  */
 ts_exchange_t *ts_upstream_send(ts_upstream_t *upstream, ts_instance_t *instance,
-                                ts_outgoing_t *outgoing, double typical_us,
-                                ts_exchange_done_t done, void *owner);
+                                ts_outgoing_t *outgoing, double typical_us, ts_exchange_done_t done,
+                                void *owner);
 /** Ends an exchange at once by closing its connection; `done` is not called. */
 void ts_exchange_cancel(ts_exchange_t *exchange);
 /** Nobody waits any more: it may finish until `until_us`, then it is cancelled. */
--- /dev/null
+++ b/lab/standin_searcher.c
@@ -0,0 +1,270 @@
+/** A stand-in searcher. */
+#include "standin_searcher.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#include "../platform/names.h"
+#include "tealspar/http_message.h"
+
+#define HEAD_MAX 65536
+#define BODY_MAX (1U << 20)
+#define BACKLOG 64
+
+typedef struct visitor {
+    uv_tcp_t socket;
+    uv_timer_t timer;
+    lab_searcher_t *searcher;
+    ts_http_message_t request;
+    GString *answer;
+    unsigned handles; /* open ones */
+    bool is_working;
+    bool is_closing;
+} visitor_t;
+
+static void handle_closed(uv_handle_t *handle) {
+    visitor_t *visitor = handle->data;
+    if (--visitor->handles == 0) {
+        ts_http_message_clear(&visitor->request);
+        g_string_free(visitor->answer, TRUE);
+        g_free(visitor);
+    }
+}
+
+static void close_visitor(visitor_t *visitor, bool resets) {
+    if (visitor->is_closing) {
+        return;
+    }
+    visitor->is_closing = true;
+    visitor->searcher->closed_early += visitor->is_working;
+    if (resets) {
+        uv_tcp_close_reset(&visitor->socket, handle_closed);
+    } else {
+        uv_close((uv_handle_t *)&visitor->socket, handle_closed);
+    }
+    uv_close((uv_handle_t *)&visitor->timer, handle_closed);
+}
+
+static void send_bytes(visitor_t *visitor) {
+    uv_buf_t buffer = uv_buf_init(visitor->answer->str, (unsigned)visitor->answer->len);
+    (void)uv_try_write((uv_stream_t *)&visitor->socket, &buffer, 1);
+}
+
+static void append_head(visitor_t *visitor, unsigned status, const char *id, const char *extra) {
+    g_string_append_printf(visitor->answer, "HTTP/1.1 %u X\r\n%s: %s\r\n%s", status,
+                           NAME_REQUEST_ID, id, extra);
+}
+
+static void append_whole(visitor_t *visitor, unsigned status, const char *id, const char *extra) {
+    const lab_searcher_t *searcher = visitor->searcher;
+    char *fields = g_strdup_printf("%s: sig.%s.%u\r\n%sContent-Length: %zu\r\n\r\n", NAME_SIGNATURE,
+                                   searcher->id, searcher->runs, extra, searcher->body->len);
+    append_head(visitor, status, id, fields);
+    g_string_append_len(visitor->answer, searcher->body->str, (gssize)searcher->body->len);
+    g_free(fields);
+}
+
+/* An answer that ends with its connection. */
+static void append_unframed(visitor_t *visitor, const char *id, size_t length) {
+    const lab_searcher_t *searcher = visitor->searcher;
+    char *fields =
+        g_strdup_printf("%s: sig.%s.%u\r\n\r\n", NAME_SIGNATURE, searcher->id, searcher->runs);
+    append_head(visitor, 200, id, fields);
+    g_string_append_len(visitor->answer, searcher->body->str, (gssize)length);
+    g_free(fields);
+}
+
+static void misbehave(visitor_t *visitor, const char *id) {
+    const lab_searcher_t *searcher = visitor->searcher;
+    size_t half = searcher->body->len / 2;
+    switch (searcher->behaviour) {
+    case LAB_BREAKS_OFF:
+        append_whole(visitor, 200, id, "");
+        g_string_truncate(visitor->answer, visitor->answer->len - half);
+        send_bytes(visitor);
+        close_visitor(visitor, true);
+        break;
+    case LAB_UNFRAMED:
+        append_unframed(visitor, id, searcher->body->len);
+        send_bytes(visitor);
+        close_visitor(visitor, false);
+        break;
+    case LAB_UNFRAMED_RESET:
+        append_unframed(visitor, id, half);
+        send_bytes(visitor);
+        close_visitor(visitor, true);
+        break;
+    case LAB_GARBAGE:
+        g_string_append(visitor->answer, "these bytes are no answer\r\n\r\n");
+        send_bytes(visitor);
+        break;
+    default:
+        break;
+    }
+}
+
+static void answer(visitor_t *visitor) {
+    lab_searcher_t *searcher = visitor->searcher;
+    const char *id = ts_http_message_find(&visitor->request, NAME_REQUEST_ID);
+    id = id == NULL ? "" : id;
+    g_string_truncate(visitor->answer, 0);
+    visitor->is_working = false;
+    switch (searcher->behaviour) {
+    case LAB_ANSWERS:
+    case LAB_CLOSES_AFTER:
+        append_whole(visitor, 200, id, "");
+        break;
+    case LAB_SHEDS:
+        searcher->runs--;
+        append_head(visitor, 503, id, NAME_NOT_EXECUTED ": 1\r\nContent-Length: 0\r\n\r\n");
+        break;
+    case LAB_FAILS:
+        append_whole(visitor, 500, id, "");
+        break;
+    case LAB_ANSWERS_TWICE:
+        append_whole(visitor, 200, id, "");
+        append_whole(visitor, 200, id, "");
+        break;
+    case LAB_FOREIGN_ID:
+        append_whole(visitor, 200, "another", "");
+        break;
+    case LAB_UNSIGNED:
+        append_head(visitor, 200, id, "Content-Length: 0\r\n\r\n");
+        break;
+    case LAB_ENCODED:
+        append_whole(visitor, 200, id, "Content-Encoding: gzip\r\n");
+        break;
+    case LAB_HANGS:
+        visitor->is_working = true;
+        return;
+    default:
+        misbehave(visitor, id);
+        return;
+    }
+    send_bytes(visitor);
+    if (searcher->behaviour == LAB_CLOSES_AFTER) {
+        close_visitor(visitor, false);
+        return;
+    }
+    ts_http_message_reset(&visitor->request);
+}
+
+static void answer_later(uv_timer_t *timer) {
+    answer(timer->data);
+}
+
+static void remember(visitor_t *visitor) {
+    const ts_http_message_t *request = &visitor->request;
+    GString *text = g_string_new(NULL);
+    g_string_append_printf(text, "%s %s\r\n",
+                           http_method_str((enum http_method)request->parser.method),
+                           request->target->str);
+    for (guint i = 0; i < request->fields->len; i++) {
+        const ts_http_field_t *field = &g_array_index(request->fields, ts_http_field_t, i);
+        g_string_append_printf(text, "%s: %s\r\n", ts_http_message_text(request, field->name),
+                               ts_http_message_text(request, field->value));
+    }
+    g_string_append_printf(text, "\r\n%s", request->body->str);
+    g_ptr_array_add(visitor->searcher->heads, g_string_free(text, FALSE));
+}
+
+static void take_request(visitor_t *visitor) {
+    lab_searcher_t *searcher = visitor->searcher;
+    const char *expected = ts_http_message_find(&visitor->request, NAME_EXPECTED_INSTANCE);
+    if (expected != NULL && strcmp(expected, searcher->id) != 0) {
+        searcher->misdirected++;
+        g_string_truncate(visitor->answer, 0);
+        g_string_append(visitor->answer,
+                        "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
+        send_bytes(visitor);
+        ts_http_message_reset(&visitor->request);
+        return;
+    }
+    remember(visitor);
+    searcher->runs++;
+    visitor->is_working = true;
+    if (searcher->delay_ms == 0) {
+        answer(visitor);
+    } else {
+        uv_timer_start(&visitor->timer, answer_later, searcher->delay_ms, 0);
+    }
+}
+
+static void allocate(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer) {
+    static char bytes[65536];
+    *buffer = uv_buf_init(bytes, sizeof(bytes));
+}
+
+static void read_bytes(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer) {
+    visitor_t *visitor = stream->data;
+    if (length < 0) {
+        close_visitor(visitor, false);
+        return;
+    }
+    (void)ts_http_message_feed(&visitor->request, buffer->base, (size_t)length);
+    if (visitor->request.is_complete) {
+        take_request(visitor);
+    }
+}
+
+static void accept_visitor(uv_stream_t *server, int status) {
+    visitor_t *visitor = g_new0(visitor_t, 1);
+    visitor->searcher = server->data;
+    visitor->searcher->connections++;
+    visitor->answer = g_string_new(NULL);
+    visitor->handles = 2;
+    ts_http_message_init(&visitor->request, true, HEAD_MAX, BODY_MAX);
+    uv_tcp_init(server->loop, &visitor->socket);
+    uv_timer_init(server->loop, &visitor->timer);
+    visitor->socket.data = visitor;
+    visitor->timer.data = visitor;
+    if (uv_accept(server, (uv_stream_t *)&visitor->socket) != 0) {
+        close_visitor(visitor, false);
+        return;
+    }
+    uv_read_start((uv_stream_t *)&visitor->socket, allocate, read_bytes);
+}
+
+lab_searcher_t *lab_searcher_open(uv_loop_t *loop, const char *id, const char *service,
+                                  const char *zone) {
+    lab_searcher_t *searcher = g_new0(lab_searcher_t, 1);
+    struct sockaddr_in address;
+    int length = sizeof(address);
+    searcher->id = g_strdup(id);
+    searcher->service = g_strdup(service);
+    searcher->zone = g_strdup(zone);
+    searcher->body = g_string_new("0123456789abcdef");
+    searcher->heads = g_ptr_array_new_with_free_func(g_free);
+    uv_tcp_init(loop, &searcher->socket);
+    searcher->socket.data = searcher;
+    uv_ip4_addr("127.0.0.1", 0, &address);
+    uv_tcp_bind(&searcher->socket, (const struct sockaddr *)&address, 0);
+    uv_listen((uv_stream_t *)&searcher->socket, BACKLOG, accept_visitor);
+    uv_tcp_getsockname(&searcher->socket, (struct sockaddr *)&address, &length);
+    searcher->port = ntohs(address.sin_port);
+    return searcher;
+}
+
+char *lab_searcher_entry(const lab_searcher_t *searcher, bool is_draining) {
+    return g_strdup_printf("{\"%s\":\"%s\",\"%s\":\"127.0.0.1:%u\",\"%s\":\"%s\",\"%s\":4,"
+                           "\"%s\":\"%s\",\"%s\":0}",
+                           FIELD_SERVICE, searcher->service, FIELD_ADDRESS, searcher->port,
+                           FIELD_ZONE, searcher->zone, FIELD_SLOTS, FIELD_STATE,
+                           is_draining ? WORD_DRAINING : "ready", FIELD_WARMUP_MS);
+}
+
+char *lab_searcher_last_field(const lab_searcher_t *searcher, const char *name) {
+    if (searcher->heads->len == 0) {
+        return NULL;
+    }
+    const char *text = g_ptr_array_index(searcher->heads, searcher->heads->len - 1);
+    char *wanted = g_strdup_printf("\r\n%s: ", name);
+    const char *found = strstr(text, wanted);
+    char *value = NULL;
+    if (found != NULL) {
+        found += strlen(wanted);
+        value = g_strndup(found, strcspn(found, "\r\n"));
+    }
+    g_free(wanted);
+    return value;
+}
--- /dev/null
+++ b/lab/standin_searcher.h
@@ -0,0 +1,52 @@
+/**
+ * A stand-in searcher, by the platform's published protocol: it signs its answers, refuses work
+ * meant for another, and misbehaves on demand in the ways the pages list.
+ */
+#ifndef LAB_STANDIN_SEARCHER_H
+#define LAB_STANDIN_SEARCHER_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <uv.h>
+
+typedef enum lab_behaviour {
+    LAB_ANSWERS,        /**< one whole answer */
+    LAB_SHEDS,          /**< 503, not run */
+    LAB_FAILS,          /**< 500, run */
+    LAB_HANGS,          /**< runs it and says nothing */
+    LAB_BREAKS_OFF,     /**< half of the body, then a reset */
+    LAB_UNFRAMED,       /**< a whole body without a length, then an orderly end */
+    LAB_UNFRAMED_RESET, /**< half of a body without a length, then a reset */
+    LAB_ANSWERS_TWICE,  /**< a second answer right after the first */
+    LAB_FOREIGN_ID,     /**< the answer carries another request's id */
+    LAB_UNSIGNED,       /**< success without a signature */
+    LAB_ENCODED,        /**< success with a content encoding */
+    LAB_GARBAGE,        /**< bytes that are no answer */
+    LAB_CLOSES_AFTER    /**< a whole answer, then closes although it did not say so */
+} lab_behaviour_t;
+
+typedef struct lab_searcher {
+    uv_tcp_t socket;
+    char *id;
+    char *service;
+    char *zone;
+    unsigned port;
+    lab_behaviour_t behaviour;
+    unsigned delay_ms;     /**< before it answers */
+    GString *body;         /**< of its answers */
+    unsigned runs;         /**< requests it ran */
+    unsigned misdirected;  /**< requests meant for another */
+    unsigned connections;  /**< accepted so far */
+    unsigned closed_early; /**< connections that ended while it worked */
+    GPtrArray *heads;      /**< texts of the requests it got: target, fields, body */
+} lab_searcher_t;
+
+/** Listens on a free port of 127.0.0.1. Lives as long as the loop. */
+lab_searcher_t *lab_searcher_open(uv_loop_t *loop, const char *id, const char *service,
+                                  const char *zone);
+/** Its entry of the registry, as JSON; g_free. */
+char *lab_searcher_entry(const lab_searcher_t *searcher, bool is_draining);
+/** Value of a field in the latest request it got, or NULL; g_free. */
+char *lab_searcher_last_field(const lab_searcher_t *searcher, const char *name);
+
+#endif
--- /dev/null
+++ b/lab/standin_store.h
@@ -0,0 +1,33 @@
+/**
+ * A stand-in of the platform's configuration service, by its published protocol: list by pages,
+ * watch by long calls, a history that can be forgotten, and the ways it fails.
+ */
+#ifndef LAB_STANDIN_STORE_H
+#define LAB_STANDIN_STORE_H
+
+#include <stdint.h>
+#include <uv.h>
+
+typedef struct lab_store lab_store_t;
+
+typedef enum lab_store_mode {
+    LAB_STORE_NORMAL,
+    LAB_STORE_BUSY,      /**< every call gets 503 */
+    LAB_STORE_THROTTLED, /**< every call gets 429 */
+    LAB_STORE_SILENT     /**< no call is answered */
+} lab_store_mode_t;
+
+/** Listens on 127.0.0.1 at the port; NULL when that fails. */
+lab_store_t *lab_store_open(uv_loop_t *loop, unsigned port);
+/** Writes an entry, and answers the watches that wait for it. */
+void lab_store_put(lab_store_t *store, const char *key, const char *value);
+void lab_store_delete(lab_store_t *store, const char *key);
+/** The history is gone: watches that begin before now get 410; those that wait are cut. */
+void lab_store_forget(lab_store_t *store);
+void lab_store_set_mode(lab_store_t *store, lab_store_mode_t mode);
+/** Entries on one page of a list. */
+void lab_store_set_page(lab_store_t *store, unsigned entries);
+/** Calls so far. */
+unsigned lab_store_calls(const lab_store_t *store);
+
+#endif
--- a/src/cli/command_gateway.c
+++ b/src/cli/command_gateway.c
@@ -69,8 +69,8 @@
 
 static int run_gateway(int argc, char **argv) {
     struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
-    struct arg_file *file = arg_file0("s", "settings", "FILE",
-                                      "the settings (YAML); else the file " SETTINGS_VARIABLE " names");
+    struct arg_file *file = arg_file0(
+        "s", "settings", "FILE", "the settings (YAML); else the file " SETTINGS_VARIABLE " names");
     struct arg_lit *dry = arg_lit0(NULL, "check", "only check the settings");
     struct arg_end *end = arg_end(ERRORS_MAX);
     void *table[TABLE_SIZE] = {help, file, dry, end};
--- a/src/config/traffic.c
+++ b/src/config/traffic.c
@@ -34,11 +34,11 @@
     ts_traffic_t *traffic = g_new0(ts_traffic_t, 1);
     traffic->references = 1;
     traffic->version = version;
-    traffic->limits = (ts_traffic_limits_t){DEFAULT_HEAD_BYTES, DEFAULT_BODY_BYTES,
-                                            DEFAULT_HEAD_MS, DEFAULT_IDLE_MS};
+    traffic->limits = (ts_traffic_limits_t){DEFAULT_HEAD_BYTES, DEFAULT_BODY_BYTES, DEFAULT_HEAD_MS,
+                                            DEFAULT_IDLE_MS};
     traffic->routes = g_ptr_array_new_with_free_func(free_route);
-    traffic->by_host = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-                                             (GDestroyNotify)g_ptr_array_unref);
+    traffic->by_host =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, (GDestroyNotify)g_ptr_array_unref);
     traffic->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_service);
     return traffic;
 }
--- a/src/control/store_client.c
+++ b/src/control/store_client.c
@@ -192,8 +192,9 @@
 void ts_store_client_get(ts_store_client_t *client, const char *target, uint32_t timeout_ms) {
     client->is_calling = true;
     ts_count(TS_COUNTER_STORE_CALLS, 1);
-    g_string_printf(client->request, "GET %s HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n",
-                    target, client->address);
+    g_string_printf(client->request,
+                    "GET %s HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n", target,
+                    client->address);
     uv_timer_start(&client->timeout, call_timed_out, timeout_ms, 0);
     if (client->link != NULL) {
         write_request(client->link);
--- a/src/control/store_watch.c
+++ b/src/control/store_watch.c
@@ -25,11 +25,11 @@
     uv_timer_t pause;
     bool is_listing;
     bool is_primed;
-    bool is_lost;          /**< the last call failed */
-    uint64_t revision;     /**< changes up to here are applied */
+    bool is_lost;           /**< the last call failed */
+    uint64_t revision;      /**< changes up to here are applied */
     uint64_t list_revision; /**< of the first page of the list */
-    char *list_after;      /**< last key of the pages so far; NULL at the beginning */
-    GHashTable *listed;    /**< ids of instances on the pages so far */
+    char *list_after;       /**< last key of the pages so far; NULL at the beginning */
+    GHashTable *listed;     /**< ids of instances on the pages so far */
     uint32_t backoff_ms;
     ts_time_us_t heard_us; /**< when the service last answered */
 };
--- a/src/edge/answer.c
+++ b/src/edge/answer.c
@@ -26,8 +26,8 @@
                            ts_error_text(error));
 }
 
-void ts_answer_error(ts_gateway_t *gateway, ts_caller_t *caller, unsigned status,
-                     ts_error_t error, uint32_t retry_after_ms) {
+void ts_answer_error(ts_gateway_t *gateway, ts_caller_t *caller, unsigned status, ts_error_t error,
+                     uint32_t retry_after_ms) {
     GString *fields = g_string_new("Content-Type: application/json\r\n");
     const char *id_name = gateway->dialect->headers.request_id;
     const char *id = ts_http_message_find(ts_caller_message(caller), id_name);
--- a/src/edge/caller.c
+++ b/src/edge/caller.c
@@ -33,9 +33,9 @@
     ts_listener_t *listener;
     caller_state_t state;
     ts_http_message_t message;
-    GString *pending; /**< bytes after the request that is worked on */
-    GString *sending; /**< the answer on its way */
-    void *request;    /**< the owner's */
+    GString *pending;      /**< bytes after the request that is worked on */
+    GString *sending;      /**< the answer on its way */
+    void *request;         /**< the owner's */
     ts_time_us_t since_us; /**< when the state began, or the first byte of a request came */
     bool is_last;          /**< the connection ends after the answer */
     bool is_closing;
--- /dev/null
+++ b/src/edge/gateway_process.c
@@ -0,0 +1,145 @@
+/** The process around a gateway: signals, reloading of settings, and a polite stop. */
+#include <signal.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <sys/stat.h>
+
+#include "tealspar/counters.h"
+#include "tealspar/gateway.h"
+#include "tealspar/log.h"
+#include "tealspar/version.h"
+
+#define TICK_MS 500
+#define STOP_TICK_MS 50
+/* After the request to stop new connections still come for so long; then the listener closes. */
+#define STOP_ACCEPT_US (3500 * TS_US_PER_MS)
+/* The process ends so long before it would be killed. */
+#define STOP_MARGIN_US (400 * TS_US_PER_MS)
+
+typedef struct process {
+    ts_gateway_t gateway;
+    uv_loop_t loop;
+    uv_signal_t terminate;
+    uv_signal_t interrupt;
+    uv_signal_t hang_up;
+    uv_timer_t tick;
+    uv_timer_t stop_tick;
+    const char *path;
+    struct timespec settings_changed;
+    ts_time_us_t stop_began_us;
+} process_t;
+
+static process_t process;
+
+static bool settings_file_changed(void) {
+    struct stat status;
+    if (stat(process.path, &status) != 0) {
+        return false;
+    }
+    bool changed = status.st_mtim.tv_sec != process.settings_changed.tv_sec ||
+                   status.st_mtim.tv_nsec != process.settings_changed.tv_nsec;
+    process.settings_changed = status.st_mtim;
+    return changed;
+}
+
+/* Reads the settings again; a file that does not pass changes nothing. */
+static void reload(const char *reason) {
+    ts_gateway_t *gateway = &process.gateway;
+    char *text = NULL;
+    size_t length = 0;
+    ts_problems_t problems;
+    ts_problems_init(&problems);
+    ts_gateway_settings_t *settings = NULL;
+    if (g_file_get_contents(process.path, &text, &length, NULL)) {
+        settings = ts_gateway_settings_load(text, length, &problems);
+    }
+    if (settings != NULL) {
+        ts_gateway_set_settings(gateway, settings);
+    } else {
+        ts_count_error(TS_E_INVALID);
+    }
+    ts_log(TS_EVENT_RELOADED, "reason=%s accepted=%s", reason, settings ? "yes" : "no");
+    ts_problems_clear(&problems);
+    g_free(text);
+}
+
+static void hang_up(uv_signal_t *handle, int number) {
+    (void)settings_file_changed();
+    reload("signal");
+}
+
+/* -- Time -------------------------------------------------------------------------------------- */
+
+static void tick(uv_timer_t *timer) {
+    ts_gateway_sweep(&process.gateway);
+    if (settings_file_changed()) {
+        reload("file");
+    }
+}
+
+static void check_stop(uv_timer_t *timer) {
+    ts_gateway_t *gateway = &process.gateway;
+    ts_time_us_t age_us = ts_clock_now_us() - process.stop_began_us;
+    ts_time_us_t grace_us = gateway->settings->grace_ms * TS_US_PER_MS;
+    ts_time_us_t last_us = grace_us > 2 * STOP_MARGIN_US ? grace_us - STOP_MARGIN_US : grace_us / 2;
+    ts_time_us_t accept_us = STOP_ACCEPT_US < last_us ? STOP_ACCEPT_US : last_us * 2 / 3;
+    if (age_us > accept_us) {
+        ts_listener_close(gateway->callers);
+    }
+    bool is_done = age_us > accept_us && gateway->requests == 0 &&
+                   ts_listener_connections(gateway->callers) == 0;
+    if (is_done || age_us > last_us) {
+        uv_stop(&process.loop);
+    }
+}
+
+static void begin_stop(uv_signal_t *handle, int number) {
+    if (process.gateway.is_stopping) {
+        return;
+    }
+    process.stop_began_us = ts_clock_now_us();
+    ts_log(TS_EVENT_STOPPING, "signal=%d requests=%u", number, process.gateway.requests);
+    ts_gateway_leave(&process.gateway);
+    uv_timer_start(&process.stop_tick, check_stop, STOP_TICK_MS, STOP_TICK_MS);
+}
+
+/* -- Start ------------------------------------------------------------------------------------- */
+
+static void raise_open_files(void) {
+    struct rlimit limit;
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+        limit.rlim_cur = limit.rlim_max;
+        (void)setrlimit(RLIMIT_NOFILE, &limit);
+    }
+}
+
+static void watch_signals(void) {
+    signal(SIGPIPE, SIG_IGN);
+    uv_signal_init(&process.loop, &process.terminate);
+    uv_signal_init(&process.loop, &process.interrupt);
+    uv_signal_init(&process.loop, &process.hang_up);
+    uv_signal_start(&process.terminate, begin_stop, SIGTERM);
+    uv_signal_start(&process.interrupt, begin_stop, SIGINT);
+    uv_signal_start(&process.hang_up, hang_up, SIGHUP);
+}
+
+ts_error_t ts_gateway_run(const char *path, ts_gateway_settings_t *settings) {
+    process.path = path;
+    raise_open_files();
+    uv_loop_init(&process.loop);
+    watch_signals();
+    (void)settings_file_changed();
+    ts_error_t error = ts_gateway_open(&process.gateway, &process.loop, settings);
+    if (error != TS_OK) {
+        return error;
+    }
+    uv_timer_init(&process.loop, &process.tick);
+    uv_timer_init(&process.loop, &process.stop_tick);
+    uv_timer_start(&process.tick, tick, TICK_MS, TICK_MS);
+    ts_log(TS_EVENT_STARTED, "version=%s zone=%s callers=%s", TS_VERSION, settings->zone,
+           settings->callers);
+    uv_run(&process.loop, UV_RUN_DEFAULT);
+    ts_log(TS_EVENT_STOPPED, "after_ms=%lu",
+           (unsigned long)((ts_clock_now_us() - process.stop_began_us) / TS_US_PER_MS));
+    return TS_OK;
+}
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -59,8 +59,7 @@
         }
         g_string_append(out, name);
         g_string_append(out, ": ");
-        g_string_append_len(out, ts_http_message_text(message, field->value),
-                            field->value_length);
+        g_string_append_len(out, ts_http_message_text(message, field->value), field->value_length);
         g_string_append(out, "\r\n");
     }
 }
@@ -250,8 +249,7 @@
 static const ts_traffic_route_t *find_route(const ts_gateway_t *gateway,
                                             const ts_http_message_t *message) {
     const char *host = ts_http_message_find(message, "Host");
-    return host == NULL ? NULL
-                        : ts_traffic_match(gateway->traffic, host, message->target->str);
+    return host == NULL ? NULL : ts_traffic_match(gateway->traffic, host, message->target->str);
 }
 
 void ts_request_begin(ts_gateway_t *gateway, ts_caller_t *caller) {
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -26,9 +26,9 @@
     unsigned attempts;                      /**< sends that run, ran or may have run */
     bool was_overdue;                       /**< the latest send was counted as overdue */
     bool may_have_run;
-    bool was_refused;          /**< some searcher said that it was full */
-    ts_time_us_t overdue_us;   /**< when the latest send is overdue; 0: none is out */
-    ts_time_us_t next_try_us;  /**< when to look for an instance again; 0: not waiting */
+    bool was_refused;         /**< some searcher said that it was full */
+    ts_time_us_t overdue_us;  /**< when the latest send is overdue; 0: none is out */
+    ts_time_us_t next_try_us; /**< when to look for an instance again; 0: not waiting */
     /* The answer. */
     unsigned status;
     GString *fields; /**< forwarded answer: its fields, each ended by CR LF */
@@ -70,8 +70,8 @@
 void ts_answer_success(ts_request_t *request);
 void ts_answer_failure(ts_request_t *request, ts_error_t error);
 /** Answers a caller whose request was not even begun; `retry_after_ms` 0: do not say. */
-void ts_answer_error(ts_gateway_t *gateway, ts_caller_t *caller, unsigned status,
-                     ts_error_t error, uint32_t retry_after_ms);
+void ts_answer_error(ts_gateway_t *gateway, ts_caller_t *caller, unsigned status, ts_error_t error,
+                     uint32_t retry_after_ms);
 /** Parts that must be in for a success. */
 unsigned ts_request_parts_needed(const ts_request_t *request);
 /** Whether a searcher runs, ran or may have run some of the request. */
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -60,12 +60,11 @@
     request->sends++;
     part->was_overdue = false;
     part->next_try_us = 0;
-    part->overdue_us =
-        now_us + (ts_time_us_t)(request->state->overdue.value_us + travel_us);
+    part->overdue_us = now_us + (ts_time_us_t)(request->state->overdue.value_us + travel_us);
     unsigned place = part->sends++;
-    part->exchanges[place] = ts_upstream_send(request->gateway->upstream, instance,
-                                              request->outgoing, typical_us + travel_us,
-                                              part_done, part);
+    part->exchanges[place] =
+        ts_upstream_send(request->gateway->upstream, instance, request->outgoing,
+                         typical_us + travel_us, part_done, part);
 }
 
 void ts_part_send_first(ts_request_part_t *part) {
@@ -93,8 +92,7 @@
     }
     ts_gateway_t *gateway = part->request->gateway;
     ts_replica_input_t input = choice_input(part, now_us);
-    ts_instance_t *instance =
-        ts_replica_choose(part->service, &input, part->tried, part->sends);
+    ts_instance_t *instance = ts_replica_choose(part->service, &input, part->tried, part->sends);
     if (instance == NULL || ts_replica_cost(instance, &input) > cost_max_us) {
         return false;
     }
@@ -117,8 +115,8 @@
     if (!part->was_overdue) {
         part->was_overdue = true;
         ts_route_state_note_overdue(part->request->state);
-        ts_instance_note_overdue(ts_exchange_instance(latest),
-                                 sent_us == 0 ? now_us : sent_us, now_us);
+        ts_instance_note_overdue(ts_exchange_instance(latest), sent_us == 0 ? now_us : sent_us,
+                                 now_us);
     }
     if (!part->request->route->is_repeatable) {
         return;
--- a/src/http/http_message.c
+++ b/src/http/http_message.c
@@ -105,7 +105,11 @@
     http_parser_init(&message->parser, message->is_request ? HTTP_REQUEST : HTTP_RESPONSE);
     message->parser.data = message;
     message->head_bytes = 0;
+    message->line_bytes = 0;
     message->last_head_byte = '\0';
+    message->has_start_line = false;
+    message->has_bare_line_end = false;
+    message->is_head_scanned = false;
     message->has_begun = false;
     message->is_head_complete = false;
     message->is_complete = false;
@@ -152,33 +156,38 @@
     g_array_free(message->fields, TRUE);
 }
 
-/* Lines of a head end with CR LF: a bare LF reads differently in different programs. */
-static bool has_bare_line_end(const ts_http_message_t *message, const char *bytes, size_t length) {
-    char before = message->last_head_byte;
-    for (size_t i = 0; i < length; i++) {
-        if (bytes[i] == '\n' && before != '\r' && before != '\0') {
-            return true;
+/*
+ * Follows the lines of a head byte by byte, up to the empty line that ends it: their ends must be
+ * CR LF, as a bare LF reads differently in different programs. The parser takes both.
+ */
+static void scan_head(ts_http_message_t *message, const char *bytes, size_t length) {
+    for (size_t i = 0; i < length && !message->is_head_scanned; i++) {
+        message->head_bytes++;
+        if (bytes[i] != '\n') {
+            message->line_bytes++;
+            message->last_head_byte = bytes[i];
+            continue;
+        }
+        if (message->last_head_byte != '\r') {
+            message->has_bare_line_end = true;
         }
-        before = bytes[i];
+        bool is_empty = message->line_bytes <= 1;
+        message->is_head_scanned = is_empty && message->has_start_line;
+        message->has_start_line = message->has_start_line || !is_empty;
+        message->line_bytes = 0;
+        message->last_head_byte = '\n';
     }
-    return false;
 }
 
 /* Checks the bytes of the head that were just read. */
 static void check_head(ts_http_message_t *message, const char *bytes, size_t length) {
-    size_t head = length;
-    if (message->is_head_complete) {
-        const char *end = g_strstr_len(bytes, (gssize)length, "\r\n\r\n");
-        head = end == NULL ? 0 : (size_t)(end - bytes);
-    }
-    if (message->is_request && has_bare_line_end(message, bytes, head)) {
+    scan_head(message, bytes, length);
+    if (message->is_request && message->has_bare_line_end) {
         message->error = TS_E_BAD_REQUEST;
     }
-    message->head_bytes += head;
     if (message->head_bytes > message->head_max) {
         message->error = TS_E_HEAD_TOO_LARGE;
     }
-    message->last_head_byte = length > 0 ? bytes[length - 1] : '\0';
 }
 
 static bool is_interim(const ts_http_message_t *message) {
@@ -195,8 +204,8 @@
             http_parser_execute(&message->parser, &parser_settings, bytes + used, length - used);
         enum http_errno failure = HTTP_PARSER_ERRNO(&message->parser);
         if (failure != HPE_OK && failure != HPE_PAUSED && message->error == TS_OK) {
-            message->error = failure == HPE_HEADER_OVERFLOW ? TS_E_HEAD_TOO_LARGE
-                                                            : TS_E_BAD_REQUEST;
+            message->error =
+                failure == HPE_HEADER_OVERFLOW ? TS_E_HEAD_TOO_LARGE : TS_E_BAD_REQUEST;
         }
         if (was_in_head && message->error == TS_OK) {
             check_head(message, bytes + used, step);
@@ -264,10 +273,17 @@
 }
 
 bool ts_http_message_is_hop_field(const ts_http_message_t *message, const char *name) {
-    static const char *const hop_fields[] = {
-        "Connection", "Keep-Alive", "Proxy-Connection",  "Proxy-Authenticate", "Proxy-Authorization",
-        "TE",         "Trailer",    "Transfer-Encoding", "Upgrade",            "Content-Length",
-        "Expect"};
+    static const char *const hop_fields[] = {"Connection",
+                                             "Keep-Alive",
+                                             "Proxy-Connection",
+                                             "Proxy-Authenticate",
+                                             "Proxy-Authorization",
+                                             "TE",
+                                             "Trailer",
+                                             "Transfer-Encoding",
+                                             "Upgrade",
+                                             "Content-Length",
+                                             "Expect"};
     for (size_t i = 0; i < G_N_ELEMENTS(hop_fields); i++) {
         if (strcasecmp(name, hop_fields[i]) == 0) {
             return true;
--- a/src/upstream/upstream.c
+++ b/src/upstream/upstream.c
@@ -212,9 +212,8 @@
 static void compose(ts_connection_t *connection, ts_time_us_t now_us) {
     const ts_outgoing_t *outgoing = connection->exchange->outgoing;
     const ts_header_names_t *names = &connection->upstream->dialect->headers;
-    uint64_t left_ms = outgoing->deadline_us > now_us
-                           ? (outgoing->deadline_us - now_us) / TS_US_PER_MS
-                           : 0;
+    uint64_t left_ms =
+        outgoing->deadline_us > now_us ? (outgoing->deadline_us - now_us) / TS_US_PER_MS : 0;
     GString *out = connection->sending;
     g_string_truncate(out, 0);
     g_string_append_len(out, outgoing->head->str, (gssize)outgoing->head->len);
@@ -242,8 +241,7 @@
     compose(connection, exchange->sent_us);
     connection->answer.answers_head = exchange->outgoing->is_head_method;
     ts_count(TS_COUNTER_SENDS, 1);
-    uv_buf_t buffer =
-        uv_buf_init(connection->sending->str, (unsigned)connection->sending->len);
+    uv_buf_t buffer = uv_buf_init(connection->sending->str, (unsigned)connection->sending->len);
     int sent = uv_try_write((uv_stream_t *)&connection->socket, &buffer, 1);
     if (sent == (int)buffer.len) {
         return;
@@ -345,8 +343,8 @@
 }
 
 ts_exchange_t *ts_upstream_send(ts_upstream_t *upstream, ts_instance_t *instance,
-                                ts_outgoing_t *outgoing, double typical_us,
-                                ts_exchange_done_t done, void *owner) {
+                                ts_outgoing_t *outgoing, double typical_us, ts_exchange_done_t done,
+                                void *owner) {
     ts_exchange_t *exchange = create_exchange(upstream, instance, outgoing, done, owner);
     exchange->typical_us = typical_us;
     ts_connection_t *connection = take_idle(instance, outgoing->is_repeatable);
@@ -437,7 +435,8 @@
         return;
     }
     ts_exchange_result_t result = {TS_OK, read_run(connection->upstream, answer), answer, 0};
-    bool is_reusable = answer->keeps_alive && !has_extra && !uv_is_closing((uv_handle_t *)&connection->socket) &&
+    bool is_reusable = answer->keeps_alive && !has_extra &&
+                       !uv_is_closing((uv_handle_t *)&connection->socket) &&
                        connection->socket.write_queue_size == 0;
     connection->exchange = NULL;
     exchange->connection = NULL;
--- /dev/null
+++ b/tests/gateway/test_store_watch.c
@@ -0,0 +1,111 @@
+/** Configuration and back ends from the store, also when it fails. */
+#include "world.h"
+
+#include <string.h>
+
+#define ROUTE_A ROUTE_ONE("one", "/p/", "idempotent", "a", 1500)
+
+static void test_list_by_pages(void **state) {
+    world_t *world = world_open(NULL);
+    lab_store_set_page(world->store, 2);
+    for (int i = 0; i < 5; i++) {
+        char id[16];
+        g_snprintf(id, sizeof(id), "i-%d", i);
+        lab_searcher_t *searcher = lab_searcher_open(&world->loop, id, "a", "z1");
+        char *key = g_strdup_printf("servers/%s", id);
+        char *entry = lab_searcher_entry(searcher, false);
+        lab_store_put(world->store, key, entry);
+        g_free(entry);
+        g_free(key);
+    }
+    world_configure(world, 3, ROUTE_A);
+    assert_int_equal(ts_registry_listed(world->gateway.registry), 5);
+    assert_int_equal(world->gateway.traffic->version, 3);
+}
+
+static void test_entry_that_goes(void **state) {
+    world_t *world = world_open(NULL);
+    world_add_searcher(world, "i-1", "a", "z1");
+    world_add_searcher(world, "i-2", "a", "z1");
+    lab_store_delete(world->store, "servers/i-1");
+    world_run_ms(world, 500);
+    assert_int_equal(ts_registry_listed(world->gateway.registry), 1);
+}
+
+static void test_forgotten_history(void **state) {
+    world_t *world = world_open(NULL);
+    world_add_searcher(world, "i-1", "a", "z1");
+    world_add_searcher(world, "i-2", "a", "z1");
+    world_configure(world, 1, ROUTE_A);
+    lab_store_set_mode(world->store, LAB_STORE_SILENT); /* what is written now is not heard */
+    lab_store_delete(world->store, "servers/i-2");
+    lab_store_put(world->store, "op/config",
+                  "{\"version\":9,\"routes\":[" ROUTE_A "],\"services\":[]}");
+    lab_store_set_mode(world->store, LAB_STORE_NORMAL);
+    lab_store_forget(world->store);
+    world_await_version(world, 9);
+    assert_int_equal(world->gateway.traffic->version, 9);
+    assert_int_equal(ts_registry_listed(world->gateway.registry), 1);
+}
+
+static void test_older_version_is_ignored(void **state) {
+    world_t *world = world_open(NULL);
+    world_configure(world, 5, ROUTE_A);
+    lab_store_put(world->store, "op/config", "{\"version\":4,\"routes\":[],\"services\":[]}");
+    world_run_ms(world, 500);
+    assert_int_equal(world->gateway.traffic->version, 5);
+}
+
+static void test_invalid_document_is_refused_whole(void **state) {
+    static const char *const documents[] = {
+        "{",
+        "[]",
+        "{\"version\":8}",
+        "{\"version\":8,\"routes\":[{\"name\":\"x\",\"host\":\"h\",\"pathPrefix\":\"/no\","
+        "\"service\":\"a\"}]}",
+        "{\"version\":8,\"routes\":[{\"name\":\"x\",\"host\":\"h\",\"pathPrefix\":\"/p/\"}]}",
+        "{\"version\":8,\"routes\":[{\"name\":\"x\",\"host\":\"h\",\"pathPrefix\":\"/p/\","
+        "\"routeType\":\"idempotent\",\"gather\":[\"a\",\"a\"]}]}",
+    };
+    world_t *world = world_open(NULL);
+    world_configure(world, 5, ROUTE_A);
+    for (size_t i = 0; i < G_N_ELEMENTS(documents); i++) {
+        lab_store_put(world->store, "op/config", documents[i]);
+        world_run_ms(world, 350);
+        assert_int_equal(world->gateway.traffic->version, 5);
+    }
+}
+
+static void test_store_that_refuses(void **state) {
+    world_t *world = world_open(NULL);
+    world_configure(world, 1, ROUTE_A);
+    lab_store_set_mode(world->store, LAB_STORE_THROTTLED);
+    lab_store_forget(world->store); /* cuts the watch, so that the next call is refused */
+    unsigned calls = lab_store_calls(world->store);
+    world_run_ms(world, 2000);
+    assert_true(lab_store_calls(world->store) - calls < 10); /* each call is priced */
+    lab_store_set_mode(world->store, LAB_STORE_NORMAL);
+    world_configure(world, 2, ROUTE_A);
+    assert_int_equal(world->gateway.traffic->version, 2);
+}
+
+static void test_calls_on_a_calm_day_are_few(void **state) {
+    world_t *world = world_open(NULL);
+    world_configure(world, 1, ROUTE_A);
+    unsigned calls = lab_store_calls(world->store);
+    world_run_ms(world, 2000);
+    assert_true(lab_store_calls(world->store) - calls <= 2);
+}
+
+int main(void) {
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_list_by_pages),
+        cmocka_unit_test(test_entry_that_goes),
+        cmocka_unit_test(test_forgotten_history),
+        cmocka_unit_test(test_older_version_is_ignored),
+        cmocka_unit_test(test_invalid_document_is_refused_whole),
+        cmocka_unit_test(test_store_that_refuses),
+        cmocka_unit_test(test_calls_on_a_calm_day_are_few),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/route/test_gateway_decisions.c
@@ -0,0 +1,230 @@
+/** The gateway's pure decisions: budget, quantiles, split, records, replica. */
+#include "../test_support.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "tealspar/log.h"
+#include "tealspar/quantile.h"
+#include "tealspar/records.h"
+#include "tealspar/replica.h"
+#include "tealspar/retry_budget.h"
+#include "tealspar/route_state.h"
+
+#define MS TS_US_PER_MS
+
+/* In any window the extras of one node stay within ratio x requests + its share of the slack. */
+static void test_budget_holds_in_every_window(void **state) {
+    const ts_retry_budget_rule_t rule = {0.2, 2, 10 * TS_US_PER_S};
+    ts_retry_budget_t budget = {0};
+    GRand *random = g_rand_new_with_seed(11);
+    enum { SPAN_MS = 60000, WINDOW_MS = 10000 };
+    static uint32_t requests[SPAN_MS];
+    static uint32_t extras[SPAN_MS];
+    for (int ms = 0; ms < SPAN_MS; ms++) {
+        ts_time_us_t now_us = 5 * TS_US_PER_S + (ts_time_us_t)ms * MS;
+        int rate = (ms / 7000) % 3 == 1 ? 30 : 2; /* surges and lulls */
+        if (g_rand_int_range(random, 0, 100) < rate) {
+            ts_retry_budget_count_request(&budget, &rule, now_us);
+            requests[ms]++;
+        }
+        extras[ms] = ts_retry_budget_take(&budget, &rule, now_us);
+    }
+    for (int begin = 0; begin + WINDOW_MS <= SPAN_MS; begin += 50) {
+        uint32_t asked = 0;
+        uint32_t spent = 0;
+        uint32_t asked_before = 0;
+        for (int ms = begin; ms < begin + WINDOW_MS; ms++) {
+            asked += requests[ms];
+            spent += extras[ms];
+            asked_before += ms >= WINDOW_MS ? requests[ms - WINDOW_MS] : 0;
+        }
+        uint32_t counted = asked > asked_before ? asked : asked_before;
+        assert_true(spent <= rule.ratio * counted + rule.slack_share + 1);
+    }
+    g_rand_free(random);
+}
+
+static void test_budget_starts_with_its_share_only(void **state) {
+    const ts_retry_budget_rule_t rule = {0.2, 2, 10 * TS_US_PER_S};
+    ts_retry_budget_t budget = {0};
+    ts_time_us_t now_us = 100 * TS_US_PER_S;
+    assert_true(ts_retry_budget_take(&budget, &rule, now_us));
+    assert_true(ts_retry_budget_take(&budget, &rule, now_us));
+    assert_false(ts_retry_budget_take(&budget, &rule, now_us));
+    ts_retry_budget_return(&budget);
+    assert_true(ts_retry_budget_take(&budget, &rule, now_us));
+}
+
+static void test_quantile_follows(void **state) {
+    ts_quantile_t quantile;
+    GRand *random = g_rand_new_with_seed(3);
+    ts_quantile_init(&quantile, 0.9, 50000);
+    for (int i = 0; i < 4000; i++) {
+        ts_quantile_add(&quantile, g_rand_double_range(random, 10000, 20000));
+    }
+    assert_true(quantile.value_us > 18000 && quantile.value_us < 20500);
+    g_rand_free(random);
+}
+
+static void test_split_follows_weights(void **state) {
+    ts_traffic_t *traffic = ts_traffic_create(1);
+    ts_traffic_route_t *route = ts_traffic_add_route(traffic);
+    route->kind = TS_TARGET_SPLIT;
+    ts_traffic_route_add_target(route, "a", 70);
+    ts_traffic_route_add_target(route, "b", 25);
+    ts_traffic_route_add_target(route, "c", 5);
+    ts_traffic_route_add_target(route, "d", 0);
+    ts_route_state_t *route_state = ts_route_state_create(100);
+    unsigned counts[4] = {0};
+    for (int i = 1; i <= 200; i++) {
+        counts[ts_route_state_next_target(route_state, route)[0] - 'a']++;
+        assert_true(fabs(counts[0] - 0.70 * i) <= 1.0); /* at every moment, not only at the end */
+    }
+    assert_int_equal(counts[0], 140);
+    assert_int_equal(counts[1], 50);
+    assert_int_equal(counts[2], 10);
+    assert_int_equal(counts[3], 0);
+    ts_route_state_free(route_state);
+    ts_traffic_unref(traffic);
+}
+
+static gint compare_falling(gconstpointer left, gconstpointer right) {
+    return memcmp(*(char *const *)right, *(char *const *)left, TS_RECORD_BYTES);
+}
+
+/* Against sorting everything. */
+static void test_records_agree_with_a_full_sort(void **state) {
+    GRand *random = g_rand_new_with_seed(5);
+    for (int round = 0; round < 300; round++) {
+        GPtrArray *all = g_ptr_array_new_with_free_func(g_free);
+        size_t top = (size_t)g_rand_int_range(random, 0, 12);
+        ts_top_records_t records;
+        ts_top_records_init(&records, top);
+        for (int part = 0; part < 4; part++) {
+            GString *bytes = g_string_new(NULL);
+            int count = g_rand_int_range(random, 0, 9);
+            for (int i = 0; i < count; i++) {
+                char *record = g_malloc(TS_RECORD_BYTES);
+                for (unsigned b = 0; b < TS_RECORD_BYTES; b++) {
+                    record[b] = (char)(b < 14 ? 200 : g_rand_int_range(random, 0, 3));
+                }
+                record[0] = (char)g_rand_int_range(random, 126, 130); /* the sign bit of a char */
+                g_ptr_array_add(all, record);
+                g_string_append_len(bytes, record, TS_RECORD_BYTES);
+            }
+            g_string_append_len(bytes, "rest", g_rand_int_range(random, 0, 5));
+            ts_top_records_add(&records, bytes->str, bytes->len);
+            g_string_free(bytes, TRUE);
+        }
+        g_ptr_array_sort(all, compare_falling);
+        GString *out = g_string_new(NULL);
+        ts_top_records_finish(&records, out);
+        size_t expected = all->len < top ? all->len : top;
+        assert_int_equal(out->len, expected * TS_RECORD_BYTES);
+        for (size_t i = 0; i < expected; i++) {
+            assert_memory_equal(out->str + i * TS_RECORD_BYTES, g_ptr_array_index(all, i),
+                                TS_RECORD_BYTES);
+        }
+        g_string_free(out, TRUE);
+        g_ptr_array_unref(all);
+    }
+    g_rand_free(random);
+}
+
+/* -- Replica ----------------------------------------------------------------------------------- */
+
+static ts_instance_t *add(ts_registry_t *registry, const char *id, const char *zone) {
+    ts_instance_record_t record = {
+        g_strdup(id), g_strdup("s"), g_strdup("127.0.0.1:80"), g_strdup(zone), 4, false, 0};
+    ts_registry_update(registry, &record, 1);
+    ts_instance_record_clear(&record);
+    ts_service_t *service = ts_registry_service(registry, "s");
+    return g_ptr_array_index(service->instances, service->instances->len - 1);
+}
+
+static GHashTable *two_regions(void) {
+    GHashTable *zones = g_hash_table_new(g_str_hash, g_str_equal);
+    g_hash_table_insert(zones, "z1", "r1");
+    g_hash_table_insert(zones, "z2", "r1");
+    g_hash_table_insert(zones, "z3", "r2");
+    return zones;
+}
+
+static ts_instance_t *choose(ts_registry_t *registry, ts_time_us_t now_us) {
+    ts_replica_input_t input = {20000, now_us, 2000 * MS, 4, 17};
+    return ts_replica_choose(ts_registry_service(registry, "s"), &input, NULL, 0);
+}
+
+static void test_replica_prefers_near_and_free(void **state) {
+    ts_registry_t *registry = ts_registry_create("z1", two_regions());
+    ts_instance_t *far = add(registry, "far", "z3");
+    ts_instance_t *near = add(registry, "near", "z1");
+    ts_instance_t *next = add(registry, "next", "z2");
+    ts_time_us_t now_us = 100 * TS_US_PER_S;
+    assert_ptr_equal(choose(registry, now_us), near);
+    near->in_flight = 6;
+    assert_ptr_equal(choose(registry, now_us), next);
+    ts_instance_note_failure(next, now_us);
+    near->in_flight = 12;
+    assert_ptr_equal(choose(registry, now_us), far);
+}
+
+static void test_suspected_until_it_answers(void **state) {
+    ts_registry_t *registry = ts_registry_create("z1", two_regions());
+    ts_instance_t *near = add(registry, "near", "z1");
+    ts_instance_t *far = add(registry, "far", "z3");
+    ts_time_us_t now_us = 100 * TS_US_PER_S;
+    ts_instance_note_overdue(near, now_us - 50 * MS, now_us);
+    assert_ptr_equal(choose(registry, now_us), far);
+    assert_ptr_equal(choose(registry, now_us + 900 * MS), far);
+    assert_ptr_equal(choose(registry, now_us + 1100 * MS), near); /* one trial */
+    assert_ptr_equal(choose(registry, now_us + 1101 * MS), far);
+    ts_instance_note_answer(near, now_us + 1200 * MS, 20000, 20000);
+    assert_ptr_equal(choose(registry, now_us + 1200 * MS), near);
+    /* Something sent before its last answer proves nothing. */
+    ts_instance_note_overdue(near, now_us + 1100 * MS, now_us + 1300 * MS);
+    assert_ptr_equal(choose(registry, now_us + 1300 * MS), near);
+}
+
+/* A pause makes one or two answers late; a slow instance makes all of them late. */
+static void test_slow_is_told_from_paused(void **state) {
+    ts_registry_t *registry = ts_registry_create("z1", two_regions());
+    ts_instance_t *near = add(registry, "near", "z1");
+    ts_instance_t *far = add(registry, "far", "z3");
+    ts_time_us_t now_us = 100 * TS_US_PER_S;
+    ts_instance_note_answer(near, now_us, 300000, 20000);
+    assert_ptr_equal(choose(registry, now_us), near);
+    for (int i = 0; i < 5; i++) {
+        ts_instance_note_answer(near, now_us, 160000, 20000);
+    }
+    assert_ptr_equal(choose(registry, now_us), far);
+    assert_ptr_equal(choose(registry, now_us + 20 * TS_US_PER_S), near); /* beliefs fade */
+}
+
+static void test_leaving_takes_nothing_after_the_bound(void **state) {
+    ts_registry_t *registry = ts_registry_create("z1", two_regions());
+    ts_instance_t *near = add(registry, "near", "z1");
+    ts_time_us_t now_us = 100 * TS_US_PER_S;
+    ts_registry_remove(registry, "near", now_us);
+    assert_ptr_equal(choose(registry, now_us + 100 * MS), near); /* the last that is left */
+    assert_null(choose(registry, now_us + 2100 * MS));
+    ts_registry_sweep(registry, now_us + 11 * TS_US_PER_S);
+    assert_int_equal(ts_registry_service(registry, "s")->instances->len, 0);
+}
+
+int main(void) {
+    ts_log_open("test", TS_LOG_TEXT, G_LOG_LEVEL_CRITICAL);
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_budget_holds_in_every_window),
+        cmocka_unit_test(test_budget_starts_with_its_share_only),
+        cmocka_unit_test(test_quantile_follows),
+        cmocka_unit_test(test_split_follows_weights),
+        cmocka_unit_test(test_records_agree_with_a_full_sort),
+        cmocka_unit_test(test_replica_prefers_near_and_free),
+        cmocka_unit_test(test_suspected_until_it_answers),
+        cmocka_unit_test(test_slow_is_told_from_paused),
+        cmocka_unit_test(test_leaving_takes_nothing_after_the_bound),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
