Second sends are made as late as the aim allows; suspicion stays early

Ways weighed: at the 93rd percentile (before), as late as the answer usually still comes (trial), the same with 1.5 times the usual time in hand (kept). Suspicion of the instance stays at the 93rd.

--- a/include/tealspar/replica.h
+++ b/include/tealspar/replica.h
@@ -18,6 +18,8 @@
 
 /** Time to an instance and back, without its work, in microseconds. */
 double ts_replica_travel_us(const ts_instance_t *instance);
+/** The longest such time. */
+double ts_replica_travel_most_us(void);
 /** Whether an instance may be sent new work at all. */
 bool ts_replica_is_usable(const ts_instance_t *instance, const ts_replica_input_t *input);
 /** Expected time to an answer in microseconds, with penalties for what is doubtful. */
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -9,6 +9,8 @@
 #define LOOK_AGAIN_US (30 * TS_US_PER_MS)
 /* A second send is not worth it on an instance as doubtful as this. */
 #define HEDGE_COST_MAX_US 350000.0
+/* A second send is given this much more time than its answer usually takes. */
+#define SECOND_SEND_SAFETY 1.5
 #define CONNECTIONS_DEFAULT 4U
 #define CONNECTIONS_MIN 2U
 #define STATUS_SERVER_ERROR 500
@@ -51,6 +53,18 @@
     part->request->parts_lost += state == TS_PART_LOST;
 }
 
+/*
+ * When a second send is made: as late as its answer still comes within the aim, as most answers
+ * that are overdue come by themselves, and each second send costs work and links.
+ */
+static ts_time_us_t second_send_us(const ts_request_part_t *part, ts_time_us_t overdue_us) {
+    const ts_request_t *request = part->request;
+    ts_time_us_t need_us = (ts_time_us_t)(SECOND_SEND_SAFETY * (request->state->overdue.value_us +
+                                                                ts_replica_travel_most_us()));
+    ts_time_us_t latest_us = request->stop_us > need_us ? request->stop_us - need_us : 0;
+    return latest_us > overdue_us ? latest_us : overdue_us;
+}
+
 static void send_to(ts_request_part_t *part, ts_instance_t *instance, ts_time_us_t now_us) {
     ts_request_t *request = part->request;
     double typical_us = request->state->typical.value_us;
@@ -61,6 +75,7 @@
     part->was_overdue = false;
     part->next_try_us = 0;
     part->overdue_us = now_us + (ts_time_us_t)(request->state->overdue.value_us + travel_us);
+    part->second_us = second_send_us(part, part->overdue_us);
     unsigned place = part->sends++;
     part->exchanges[place] =
         ts_upstream_send(request->gateway->upstream, instance, request->outgoing,
@@ -121,6 +136,10 @@
     if (!part->request->route->is_repeatable) {
         return;
     }
+    if (now_us < part->second_us) {
+        part->overdue_us = part->second_us;
+        return;
+    }
     if (send_again(part, now_us, HEDGE_COST_MAX_US)) {
         ts_count(TS_COUNTER_HEDGES, 1);
     } else if (may_send_again(part)) {
--- a/src/route/replica.c
+++ b/src/route/replica.c
@@ -21,6 +21,10 @@
     return travel_us[instance->distance];
 }
 
+double ts_replica_travel_most_us(void) {
+    return travel_us[TS_DISTANCE_FAR];
+}
+
 bool ts_replica_is_usable(const ts_instance_t *instance, const ts_replica_input_t *input) {
     bool is_leaving = instance->is_draining || !instance->is_listed;
     return !is_leaving || input->now_us - instance->left_us < input->drain_us;
