--- a/src/control/store_watch.c
+++ b/src/control/store_watch.c
@@ -153,10 +153,9 @@
     note_lost(watch, reason);
     uint32_t random = ts_gateway_random(watch->gateway);
     pause_for(watch, watch->backoff_ms / 2 + random % watch->backoff_ms);
-    watch->backoff_ms *= BACKOFF_GROWTH;
-    if (watch->backoff_ms > BACKOFF_MAX_MS) {
-        watch->backoff_ms = BACKOFF_MAX_MS;
-    }
+    /* A node that knows nothing yet can serve nobody: it keeps asking. */
+    uint32_t most_ms = watch->is_primed ? BACKOFF_MAX_MS : BACKOFF_FIRST_MS;
+    watch->backoff_ms = MIN(watch->backoff_ms * BACKOFF_GROWTH, most_ms);
 }
 
 static void call_done(void *context, ts_error_t error, unsigned status, const char *body,
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -11,7 +11,7 @@
 #define STATUS_BAD_REQUEST 400
 #define STATUS_NOT_FOUND 404
 #define STATUS_UNAVAILABLE 503
-#define NOT_READY_RETRY_MS 300
+#define NOT_READY_RETRY_MS 900
 /* An answer must leave this long before the caller's deadline, or the route's end of patience. */
 #define DEADLINE_MARGIN_US (25 * TS_US_PER_MS)
 /* A gathered answer leaves this long before the aim: the way back, and what the way here took. */
