The limit of connections to a back end is never passed

Change: an instance whose connections are all at work is not chosen; a part waits 15 ms for one rather than being lost.

--- a/include/tealspar/replica.h
+++ b/include/tealspar/replica.h
@@ -22,6 +22,8 @@
 double ts_replica_travel_most_us(void);
 /** Whether an instance may be sent new work at all. */
 bool ts_replica_is_usable(const ts_instance_t *instance, const ts_replica_input_t *input);
+/** Whether all connections that this node may have to the instance are at work. */
+bool ts_replica_is_full(const ts_instance_t *instance, const ts_replica_input_t *input);
 /** Expected time to an answer in microseconds, with penalties for what is doubtful. */
 double ts_replica_cost(const ts_instance_t *instance, const ts_replica_input_t *input);
 /**
@@ -30,5 +32,8 @@
  */
 ts_instance_t *ts_replica_choose(const ts_service_t *service, const ts_replica_input_t *input,
                                  ts_instance_t *const *tried, unsigned tried_count);
+/** Whether some instance that was not tried could take the request once it is less busy. */
+bool ts_replica_is_worth_waiting(const ts_service_t *service, const ts_replica_input_t *input,
+                                 ts_instance_t *const *tried, unsigned tried_count);
 
 #endif
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -6,7 +6,7 @@
 #include "tealspar/replica.h"
 
 /* Between two looks for an instance when none is there, or the budget holds nothing. */
-#define LOOK_AGAIN_US (30 * TS_US_PER_MS)
+#define LOOK_AGAIN_US (15 * TS_US_PER_MS)
 /* A second send is not worth it on an instance as doubtful as this. */
 #define HEDGE_COST_MAX_US 350000.0
 /* A second send is given this much more time than its answer usually takes. */
@@ -218,6 +218,12 @@
         return;
     }
     part->overdue_us = 0;
+    ts_replica_input_t input = choice_input(part, now_us);
+    if (may_send_again(part) &&
+        ts_replica_is_worth_waiting(part->service, &input, part->tried, part->sends)) {
+        part->next_try_us = now_us + LOOK_AGAIN_US;
+        return;
+    }
     set_state(part, TS_PART_LOST);
 }
 
--- a/src/route/replica.c
+++ b/src/route/replica.c
@@ -10,7 +10,6 @@
 #define SUSPECTED_COST_US 400000.0
 #define AVOIDED_COST_US 600000.0
 #define LEAVING_COST_US 1200000.0
-#define FULL_COST_US 300000.0
 #define WARMUP_FACTOR 1.6
 /* A suspected instance is given one request after so long without an answer. */
 #define RETRY_SUSPECTED_US (1000 * TS_US_PER_MS)
@@ -61,8 +60,11 @@
     if (instance->is_draining || !instance->is_listed) {
         cost_us += LEAVING_COST_US;
     }
-    bool is_full = instance->idle.length == 0 && instance->connections >= input->connections_max;
-    return is_full ? cost_us + FULL_COST_US : cost_us;
+    return cost_us;
+}
+
+bool ts_replica_is_full(const ts_instance_t *instance, const ts_replica_input_t *input) {
+    return instance->idle.length == 0 && instance->connections >= input->connections_max;
 }
 
 static bool is_among(const ts_instance_t *instance, ts_instance_t *const *tried, unsigned count) {
@@ -81,7 +83,8 @@
     uint32_t random = input->random;
     for (guint i = 0; i < service->instances->len; i++) {
         ts_instance_t *instance = g_ptr_array_index(service->instances, i);
-        if (!ts_replica_is_usable(instance, input) || is_among(instance, tried, tried_count)) {
+        if (!ts_replica_is_usable(instance, input) || is_among(instance, tried, tried_count) ||
+            ts_replica_is_full(instance, input)) {
             continue;
         }
         random = random * 1664525U + 1013904223U;
@@ -97,3 +100,15 @@
     }
     return best;
 }
+
+bool ts_replica_is_worth_waiting(const ts_service_t *service, const ts_replica_input_t *input,
+                                 ts_instance_t *const *tried, unsigned tried_count) {
+    for (guint i = 0; i < service->instances->len; i++) {
+        const ts_instance_t *instance = g_ptr_array_index(service->instances, i);
+        if (ts_replica_is_usable(instance, input) && !is_among(instance, tried, tried_count) &&
+            ts_replica_is_full(instance, input)) {
+            return true;
+        }
+    }
+    return false;
+}
