Gateways know each other: one watcher a zone, changes told on, suspicions shared, limits divided

Change: membership (the project's own gossip, over nng) among gateways; each zone's watcher follows the service and tells its zone its revision twice a second; who is behind pulls the changes, who hears nothing confirmed for 1.5 s asks the service itself, who knows nothing pulls all from any peer. Limits are divided by the most nodes seen; two thirds of an instance's connections are used, as it takes fewer while its queue is long.

--- a/include/tealspar/dialect.h
+++ b/include/tealspar/dialect.h
@@ -36,7 +36,8 @@
 typedef struct ts_store_entry {
     ts_store_kind_t kind;
     char *key;
-    char *id; /**< TS_STORE_INSTANCE: its id; otherwise NULL */
+    char *id;          /**< TS_STORE_INSTANCE: its id; otherwise NULL */
+    uint64_t revision; /**< of its last change */
     bool is_gone;
     char *value;   /**< the document; NULL when gone */
     size_t length; /**< bytes of the value */
@@ -61,7 +62,11 @@
     char *(*list_target)(const char *after_key);
     /** Target of the call that waits for changes after a revision. */
     char *(*watch_target)(uint64_t after_revision, uint32_t wait_ms);
-    /** Reads the answer of either call. Returns TS_OK, TS_E_SYNTAX or TS_E_INVALID. */
+    /** Target of a cheap call that only tells the service's revision, which may be seconds old. */
+    char *(*probe_target)(void);
+    /** Sets an entry's kind and id by its key. */
+    void (*name_entry)(ts_store_entry_t *entry);
+    /** Reads the answer of any call. Returns TS_OK, TS_E_SYNTAX or TS_E_INVALID. */
     ts_error_t (*read_page)(const char *text, size_t length, ts_store_page_t *page);
     /** Reads an instance's entry; the caller clears the record. */
     ts_error_t (*read_instance)(const ts_store_entry_t *entry, ts_instance_record_t *record);
--- a/include/tealspar/gateway.h
+++ b/include/tealspar/gateway.h
@@ -16,6 +16,8 @@
 #include "tealspar/upstream.h"
 
 typedef struct ts_store_watch ts_store_watch_t;
+typedef struct ts_store_mirror ts_store_mirror_t;
+typedef struct ts_peers ts_peers_t;
 
 typedef struct ts_gateway {
     uv_loop_t *loop;
@@ -24,7 +26,10 @@
     GHashTable *zones; /**< zone -> region, owned */
     ts_registry_t *registry;
     ts_upstream_t *upstream;
+    ts_store_mirror_t *mirror;
     ts_store_watch_t *store;
+    ts_peers_t *peers; /**< NULL: this node is alone */
+    unsigned nodes;    /**< among which limits are divided */
     ts_listener_t *callers;
     ts_listener_t *ready;
     ts_listener_t *metrics;      /**< NULL: not asked for */
@@ -48,6 +53,8 @@
 ts_error_t ts_gateway_run(const char *path, ts_gateway_settings_t *settings);
 /** Puts a configuration in force, unless it is older than the one that is. Takes the reference. */
 void ts_gateway_set_traffic(ts_gateway_t *gateway, ts_traffic_t *traffic);
+/** The number of nodes believed live; limits are divided among them. */
+void ts_gateway_set_nodes(ts_gateway_t *gateway, unsigned nodes);
 /** What is known of a route. */
 ts_route_state_t *ts_gateway_route_state(ts_gateway_t *gateway, const ts_traffic_route_t *route);
 /** A number to break ties with. */
--- a/include/tealspar/gateway_settings.h
+++ b/include/tealspar/gateway_settings.h
@@ -20,15 +20,17 @@
     char *callers; /**< "IP:port" for callers */
     char *ready;   /**< "IP:port" where readiness is asked */
     char *metrics; /**< "IP:port" for counters; absent: none */
-    char *store;   /**< "IP:port" of the configuration service */
+    char *peers;   /**< "IP:port" for other gateways; absent: this one is alone */
+    char **seeds;  /**< where some other gateways may be reached at the start */
+    unsigned seeds_count;
+    char *store; /**< "IP:port" of the configuration service */
     ts_zone_setting_t *zones;
     unsigned zones_count;
     uint32_t drain_ms;  /**< a back end that leaves takes no new work after this */
     uint32_t grace_ms;  /**< from the request to stop until the process is killed */
     double retry_ratio; /**< extra sends for each request, over the fleet */
     uint32_t retry_window_ms;
-    double retry_slack;   /**< extra sends in a window beyond the ratio, over the fleet */
-    uint32_t fleet_nodes; /**< nodes among which limits are divided; absent: 10 */
+    double retry_slack; /**< extra sends in a window beyond the ratio, over the fleet */
     ts_log_format_t log_format;
     ts_log_level_t log_level;
 } ts_gateway_settings_t;
--- /dev/null
+++ b/include/tealspar/peer_link.h
@@ -0,0 +1,28 @@
+/**
+ * Bytes between gateways over nng: one pull socket to receive, one push socket for each peer,
+ * dialled when first needed and closed when idle. nng's threads reach the loop through a queue.
+ */
+#ifndef TEALSPAR_PEER_LINK_H
+#define TEALSPAR_PEER_LINK_H
+
+#include <stddef.h>
+#include <stdint.h>
+#include <uv.h>
+
+#include "tealspar/clock.h"
+
+typedef struct ts_peer_link ts_peer_link_t;
+typedef void (*ts_peer_received_t)(void *context, const uint8_t *bytes, size_t length);
+
+/** Listens on "IP:port"; NULL when that fails. `received` runs on the loop. */
+ts_peer_link_t *ts_peer_link_open(uv_loop_t *loop, const char *address, ts_peer_received_t received,
+                                  void *context);
+/** Sends a message, or drops it when the peer cannot take more. Never blocks. */
+void ts_peer_link_send(ts_peer_link_t *link, const char *address, const uint8_t *bytes,
+                       size_t length);
+/** Ends the connection to a peer; the next message opens another. */
+void ts_peer_link_reset(ts_peer_link_t *link, const char *address);
+/** Closes connections that were not used for a while. */
+void ts_peer_link_sweep(ts_peer_link_t *link, ts_time_us_t now_us);
+
+#endif
--- /dev/null
+++ b/include/tealspar/peers.h
@@ -0,0 +1,31 @@
+/**
+ * The other gateways: who they are, and what is passed between them. One node of each zone, the
+ * zone's watcher, follows the configuration service; the others are told by it and ask the service
+ * themselves only when they hear nothing. Suspicions of back ends are shared within the zone.
+ */
+#ifndef TEALSPAR_PEERS_H
+#define TEALSPAR_PEERS_H
+
+#include "tealspar/gateway.h"
+#include "tealspar/store_mirror.h"
+
+/** Listens for peers; NULL when that fails. Not to be called without a peers' address. */
+ts_peers_t *ts_peers_open(ts_gateway_t *gateway, ts_store_mirror_t *mirror);
+/** Whether this node is to follow the configuration service itself, at this moment. */
+bool ts_peers_should_watch(const ts_peers_t *peers, ts_time_us_t now_us);
+/** Whether others of the zone rely on this node to follow the service. */
+bool ts_peers_is_relied_on(const ts_peers_t *peers);
+/** Something new was read from the service: the zone is told at once. */
+void ts_peers_announce(ts_peers_t *peers);
+/** The service does not answer: somebody else is asked for what is known. */
+void ts_peers_ask_around(ts_peers_t *peers);
+/** Tells the zone that a back end has something overdue, or has answered again. */
+void ts_peers_tell_suspicion(ts_peers_t *peers, const char *instance, bool suspected);
+/** Nodes believed live, this one included. */
+unsigned ts_peers_count(const ts_peers_t *peers);
+/** This node leaves. */
+void ts_peers_leave(ts_peers_t *peers);
+/** Closes what is idle. */
+void ts_peers_sweep(ts_peers_t *peers, ts_time_us_t now_us);
+
+#endif
--- a/include/tealspar/registry.h
+++ b/include/tealspar/registry.h
@@ -38,6 +38,7 @@
 void ts_instance_record_clear(ts_instance_record_t *record);
 
 typedef struct ts_service ts_service_t;
+typedef struct ts_registry ts_registry_t;
 
 typedef struct ts_instance {
     char *id;
@@ -56,6 +57,7 @@
     ts_time_us_t slowness_at_us; /**< when `slowness` was last moved */
     ts_time_us_t answered_us;    /**< when its last answer came; 0: never */
     ts_time_us_t suspected_us;   /**< since when something is overdue; 0: not suspected */
+    bool is_suspected_by_peer;   /**< the suspicion was heard, not found here */
     ts_time_us_t tried_us;       /**< last request sent to it while suspected */
     ts_time_us_t avoid_until_us; /**< after a failed connection or a refusal */
     uint32_t failures;           /**< in a row */
@@ -69,10 +71,9 @@
     GPtrArray *instances; /**< of ts_instance_t */
     ts_retry_budget_t budget;
     uint32_t connections_max; /**< that one instance takes from all callers; 0: not told */
+    ts_registry_t *registry;
 };
 
-typedef struct ts_registry ts_registry_t;
-
 /** `zones`: zone -> region, may be NULL; not owned. */
 ts_registry_t *ts_registry_create(const char *zone, GHashTable *zones);
 void ts_registry_destroy(ts_registry_t *registry);
@@ -87,6 +88,12 @@
 void ts_registry_keep_only(ts_registry_t *registry, GHashTable *ids, ts_time_us_t now_us);
 /** Frees instances that have left and have no connections; call it now and then. */
 void ts_registry_sweep(ts_registry_t *registry, ts_time_us_t now_us);
+/** An instance by its id, or NULL. */
+ts_instance_t *ts_registry_instance(const ts_registry_t *registry, const char *id);
+/** Called when this node begins to suspect an instance, and when one it suspected answers. */
+typedef void (*ts_registry_suspected_t)(void *context, const ts_instance_t *instance,
+                                        bool suspected);
+void ts_registry_on_suspected(ts_registry_t *registry, ts_registry_suspected_t told, void *context);
 /** Calls `visit(name, service, context)` for every service. */
 void ts_registry_each_service(ts_registry_t *registry, GHFunc visit, void *context);
 /** Number of instances that discovery names. */
@@ -97,9 +104,14 @@
                              double typical_us);
 /** A request sent at `sent_us` is overdue: the instance is suspected if it said nothing since. */
 void ts_instance_note_overdue(ts_instance_t *instance, ts_time_us_t sent_us, ts_time_us_t now_us);
+/** Another node of the zone suspects the instance, or has had an answer from it again. */
+void ts_instance_hear_suspicion(ts_instance_t *instance, bool suspected, ts_time_us_t now_us);
 /** A connection or a request failed. */
 void ts_instance_note_failure(ts_instance_t *instance, ts_time_us_t now_us);
 /** It refused a request without running it. */
 void ts_instance_note_refusal(ts_instance_t *instance, ts_time_us_t now_us);
 
+/** Tells the listener of the registry; for the modules of the registry. */
+void ts_registry_tell_suspected(const ts_instance_t *instance, bool suspected);
+
 #endif
--- a/include/tealspar/store_watch.h
+++ b/include/tealspar/store_watch.h
@@ -12,7 +12,5 @@
 void ts_store_watch_start(ts_store_watch_t *watch);
 /** The settings changed. */
 void ts_store_watch_reload(ts_store_watch_t *watch);
-/** Whether the service was read whole at least once. */
-bool ts_store_watch_is_primed(const ts_store_watch_t *watch);
 
 #endif
--- a/lab/standin_store.c
+++ b/lab/standin_store.c
@@ -69,7 +69,7 @@
 static json_t *describe(const change_t *change) {
     json_t *item = json_object();
     json_object_set_new(item, FIELD_KEY, json_string(change->key));
-    json_object_set_new(item, "revision", json_integer((json_int_t)change->revision));
+    json_object_set_new(item, FIELD_REVISION, json_integer((json_int_t)change->revision));
     if (change->value == NULL) {
         json_object_set_new(item, FIELD_GONE, json_true());
         return item;
--- a/src/config/gateway_settings.c
+++ b/src/config/gateway_settings.c
@@ -7,7 +7,7 @@
 
 #define TEXT_MAX 200
 #define ZONES_MAX 1000
-#define DEFAULT_FLEET_NODES 10
+#define SEEDS_MAX 64
 #define DEFAULT_DRAIN_MS 3000
 #define DEFAULT_GRACE_MS 10000
 #define DEFAULT_WINDOW_MS 10000
@@ -20,6 +20,9 @@
 #define NUMBER_FIELD(field)                                                                        \
     CYAML_FIELD_UINT(#field, CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, field)
 
+static const cyaml_schema_value_t text_schema = {
+    CYAML_VALUE_STRING(CYAML_FLAG_POINTER, char, 1, TEXT_MAX)};
+
 static const cyaml_schema_field_t zone_fields[] = {
     CYAML_FIELD_STRING_PTR("zone", REQUIRED, ts_zone_setting_t, zone, 1, TEXT_MAX),
     CYAML_FIELD_STRING_PTR("region", REQUIRED, ts_zone_setting_t, region, 1, TEXT_MAX),
@@ -38,6 +41,9 @@
     TEXT_FIELD(callers, REQUIRED),
     TEXT_FIELD(ready, REQUIRED),
     TEXT_FIELD(metrics, OPTIONAL),
+    TEXT_FIELD(peers, OPTIONAL),
+    CYAML_FIELD_SEQUENCE("seeds", OPTIONAL, ts_gateway_settings_t, seeds, &text_schema, 0,
+                         SEEDS_MAX),
     TEXT_FIELD(store, REQUIRED),
     CYAML_FIELD_SEQUENCE("zones", OPTIONAL, ts_gateway_settings_t, zones, &zone_schema, 0,
                          ZONES_MAX),
@@ -46,7 +52,6 @@
     CYAML_FIELD_FLOAT("retry_ratio", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, retry_ratio),
     NUMBER_FIELD(retry_window_ms),
     CYAML_FIELD_FLOAT("retry_slack", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, retry_slack),
-    NUMBER_FIELD(fleet_nodes),
     CYAML_FIELD_ENUM("log_format", CYAML_FLAG_STRICT | CYAML_FLAG_OPTIONAL, ts_gateway_settings_t,
                      log_format, format_names, CYAML_ARRAY_LEN(format_names)),
     CYAML_FIELD_ENUM("log_level", CYAML_FLAG_STRICT | CYAML_FLAG_OPTIONAL, ts_gateway_settings_t,
@@ -67,7 +72,11 @@
     check_address(problems, "callers", settings->callers);
     check_address(problems, "ready", settings->ready);
     check_address(problems, "metrics", settings->metrics);
+    check_address(problems, "peers", settings->peers);
     check_address(problems, "store", settings->store);
+    for (unsigned i = 0; i < settings->seeds_count; i++) {
+        check_address(problems, "seeds", settings->seeds[i]);
+    }
     if (ts_plugin_find(TS_PLUGIN_DIALECT, settings->dialect) == NULL) {
         ts_problems_add(problems, TS_E_INVALID, 0, "dialect", "no dialect is named '%s'",
                         settings->dialect);
@@ -94,7 +103,6 @@
         return NULL;
     }
     ts_gateway_settings_t *settings = data;
-    set_default(&settings->fleet_nodes, DEFAULT_FLEET_NODES);
     set_default(&settings->drain_ms, DEFAULT_DRAIN_MS);
     set_default(&settings->grace_ms, DEFAULT_GRACE_MS);
     set_default(&settings->retry_window_ms, DEFAULT_WINDOW_MS);
--- a/src/control/store_watch.c
+++ b/src/control/store_watch.c
@@ -1,11 +1,13 @@
-/** Reads the configuration service, and applies what it says. */
+/** Follows the configuration service, unless the zone's watcher does it for this node. */
 #include "tealspar/store_watch.h"
 
 #include <string.h>
 
 #include "tealspar/counters.h"
 #include "tealspar/log.h"
+#include "tealspar/peers.h"
 #include "tealspar/store_client.h"
+#include "tealspar/store_mirror.h"
 
 #define STATUS_OK 200
 #define STATUS_GONE 410
@@ -19,6 +21,11 @@
 #define WATCH_MARGIN_MS 1000
 /* Changes that come close together are read by one call, as each call is priced. */
 #define BATCH_MS 700
+/* Between two looks of a node that leaves the service to the zone's watcher. */
+#define REST_MS 200
+/* Between two signs of life of the service while others rely on this node. */
+#define PROBE_MS 1000
+#define PROBE_TIMEOUT_MS 900
 #define BACKOFF_FIRST_MS 150
 #define BACKOFF_MAX_MS 1000
 #define BACKOFF_GROWTH 2
@@ -28,14 +35,17 @@
     ts_store_client_t *client;
     uv_timer_t pause;
     bool is_listing;
-    bool is_primed;
     bool is_lost;           /**< the last call failed */
     uint64_t revision;      /**< changes up to here are applied */
     uint64_t list_revision; /**< of the first page of the list */
     char *list_after;       /**< last key of the pages so far; NULL at the beginning */
     GHashTable *listed;     /**< ids of instances on the pages so far */
     uint32_t backoff_ms;
-    ts_time_us_t heard_us; /**< when the service last answered */
+    ts_time_us_t called_us; /**< when the call under way began */
+    ts_store_client_t *prober;
+    uv_timer_t probe_timer;
+    ts_time_us_t probed_us; /**< when the probe under way began */
+    bool is_probing;
 };
 
 static void call_next(uv_timer_t *timer);
@@ -50,61 +60,21 @@
     g_hash_table_remove_all(watch->listed);
 }
 
-static void apply_traffic(ts_store_watch_t *watch, const ts_store_entry_t *entry) {
-    ts_problems_t problems;
-    ts_problems_init(&problems);
-    ts_traffic_t *traffic =
-        watch->gateway->dialect->read_traffic(entry->value, entry->length, &problems);
-    if (traffic == NULL) {
-        char *text = ts_problems_format(&problems, entry->key);
-        ts_count(TS_COUNTER_CONFIG_REFUSED, 1);
-        ts_log(TS_EVENT_CONFIG_REFUSED, "%s", text);
-        g_free(text);
-    } else {
-        ts_gateway_set_traffic(watch->gateway, traffic);
-    }
-    ts_problems_clear(&problems);
-}
-
-static void apply_instance(ts_store_watch_t *watch, const ts_store_entry_t *entry,
-                           ts_time_us_t now_us) {
-    ts_registry_t *registry = watch->gateway->registry;
-    if (entry->is_gone) {
-        ts_registry_remove(registry, entry->id, now_us);
-        return;
-    }
-    ts_instance_record_t record = {0};
-    ts_error_t error = watch->gateway->dialect->read_instance(entry, &record);
-    if (error == TS_OK) {
-        (void)ts_registry_update(registry, &record, now_us);
-    } else {
-        ts_count_error(error);
-    }
-    ts_instance_record_clear(&record);
-}
-
-static void apply_page(ts_store_watch_t *watch, const ts_store_page_t *page) {
-    ts_time_us_t now_us = ts_clock_now_us();
-    for (guint i = 0; i < page->entries->len; i++) {
-        const ts_store_entry_t *entry = g_ptr_array_index(page->entries, i);
-        if (entry->kind == TS_STORE_INSTANCE) {
-            apply_instance(watch, entry, now_us);
-            if (watch->is_listing) {
-                g_hash_table_add(watch->listed, g_strdup(entry->id));
-            }
-        } else if (entry->kind == TS_STORE_TRAFFIC && !entry->is_gone) {
-            apply_traffic(watch, entry);
-        }
+/* Tells the other nodes of the zone that there is something new. */
+static void announce(const ts_store_watch_t *watch) {
+    if (watch->gateway->peers != NULL) {
+        ts_peers_announce(watch->gateway->peers);
     }
 }
 
 /* The whole list was read: what it does not name has left. */
 static void end_list(ts_store_watch_t *watch) {
-    ts_registry_keep_only(watch->gateway->registry, watch->listed, ts_clock_now_us());
+    ts_store_mirror_t *mirror = watch->gateway->mirror;
+    ts_store_mirror_keep_only(mirror, watch->listed, watch->list_revision);
+    ts_store_mirror_reach(mirror, watch->list_revision, watch->called_us);
     g_hash_table_remove_all(watch->listed);
-    watch->revision = watch->list_revision;
     watch->is_listing = false;
-    watch->is_primed = true;
+    announce(watch);
 }
 
 /* Takes a page of the list; returns how long to wait before the next call. */
@@ -112,7 +82,11 @@
     if (watch->list_after == NULL) {
         watch->list_revision = page->revision;
     }
-    apply_page(watch, page);
+    ts_store_mirror_apply(watch->gateway->mirror, page->entries);
+    for (guint i = 0; i < page->entries->len; i++) {
+        const ts_store_entry_t *entry = g_ptr_array_index(page->entries, i);
+        g_hash_table_add(watch->listed, g_strdup(entry->key));
+    }
     if (page->has_more && page->entries->len > 0) {
         const ts_store_entry_t *last = g_ptr_array_index(page->entries, page->entries->len - 1);
         g_free(watch->list_after);
@@ -124,19 +98,21 @@
 }
 
 static uint64_t take_changes(ts_store_watch_t *watch, const ts_store_page_t *page) {
-    apply_page(watch, page);
-    if (page->revision > watch->revision) {
-        watch->revision = page->revision;
+    ts_store_mirror_apply(watch->gateway->mirror, page->entries);
+    ts_store_mirror_reach(watch->gateway->mirror, page->revision, ts_clock_now_us());
+    if (page->entries->len == 0) {
+        return 0;
     }
-    return page->entries->len > 0 ? BATCH_MS : 0;
+    announce(watch);
+    return BATCH_MS;
 }
 
 static void note_heard(ts_store_watch_t *watch) {
-    watch->heard_us = ts_clock_now_us();
     watch->backoff_ms = BACKOFF_FIRST_MS;
     if (watch->is_lost) {
         watch->is_lost = false;
-        ts_log(TS_EVENT_PLATFORM_BACK, "revision=%lu", (unsigned long)watch->revision);
+        ts_log(TS_EVENT_PLATFORM_BACK, "revision=%lu",
+               (unsigned long)ts_store_mirror_revision(watch->gateway->mirror));
     }
 }
 
@@ -144,17 +120,21 @@
     if (!watch->is_lost) {
         watch->is_lost = true;
         ts_log(TS_EVENT_PLATFORM_LOST, "reason=%s revision=%lu", reason,
-               (unsigned long)watch->revision);
+               (unsigned long)ts_store_mirror_revision(watch->gateway->mirror));
     }
 }
 
 static void take_failure(ts_store_watch_t *watch, const char *reason) {
     ts_count(TS_COUNTER_PLATFORM_FAILURES, 1);
     note_lost(watch, reason);
+    if (watch->gateway->peers != NULL) {
+        ts_peers_ask_around(watch->gateway->peers);
+    }
     uint32_t random = ts_gateway_random(watch->gateway);
     pause_for(watch, watch->backoff_ms / 2 + random % watch->backoff_ms);
     /* A node that knows nothing yet can serve nobody: it keeps asking. */
-    uint32_t most_ms = watch->is_primed ? BACKOFF_MAX_MS : BACKOFF_FIRST_MS;
+    bool is_primed = ts_store_mirror_is_primed(watch->gateway->mirror);
+    uint32_t most_ms = is_primed ? BACKOFF_MAX_MS : BACKOFF_FIRST_MS;
     watch->backoff_ms = MIN(watch->backoff_ms * BACKOFF_GROWTH, most_ms);
 }
 
@@ -189,37 +169,87 @@
     ts_store_page_free(page);
 }
 
+/* Whether this node leaves the service to others at present. */
+static bool may_rest(const ts_store_watch_t *watch) {
+    const ts_gateway_t *gateway = watch->gateway;
+    return gateway->peers != NULL && ts_store_mirror_is_primed(gateway->mirror) &&
+           !ts_peers_should_watch(gateway->peers, ts_clock_now_us());
+}
+
 static void call_next(uv_timer_t *timer) {
     ts_store_watch_t *watch = timer->data;
     const ts_dialect_t *dialect = watch->gateway->dialect;
-    char *target = watch->is_listing ? dialect->list_target(watch->list_after)
-                                     : dialect->watch_target(watch->revision, WATCH_MS);
+    if (may_rest(watch)) {
+        watch->is_listing = false; /* a peer has given what the list would */
+        pause_for(watch, REST_MS);
+        return;
+    }
+    watch->called_us = ts_clock_now_us();
+    char *target =
+        watch->is_listing
+            ? dialect->list_target(watch->list_after)
+            : dialect->watch_target(ts_store_mirror_revision(watch->gateway->mirror), WATCH_MS);
     ts_store_client_get(watch->client, target,
                         watch->is_listing ? LIST_TIMEOUT_MS : WATCH_MS + WATCH_MARGIN_MS);
     g_free(target);
 }
 
+/* -- Probing ----------------------------------------------------------------------------------- */
+
+static void probe_done(void *context, ts_error_t error, unsigned status, const char *body,
+                       size_t length) {
+    ts_store_watch_t *watch = context;
+    ts_store_mirror_t *mirror = watch->gateway->mirror;
+    watch->is_probing = false;
+    if (error != TS_OK || status != STATUS_OK) {
+        return;
+    }
+    ts_store_page_t *page = ts_store_page_create();
+    bool is_current = watch->gateway->dialect->read_page(body, length, page) == TS_OK &&
+                      page->revision <= ts_store_mirror_revision(mirror);
+    if (is_current && !watch->is_lost) {
+        ts_store_mirror_confirm(mirror, watch->probed_us);
+    }
+    ts_store_page_free(page);
+}
+
+/* The zone's watcher makes sure, between changes, that the service is still heard. */
+static void probe(uv_timer_t *timer) {
+    ts_store_watch_t *watch = timer->data;
+    const ts_gateway_t *gateway = watch->gateway;
+    bool is_relied_on = gateway->peers != NULL && ts_peers_is_relied_on(gateway->peers);
+    if (watch->is_probing || !is_relied_on || !ts_store_mirror_is_primed(gateway->mirror)) {
+        return;
+    }
+    watch->is_probing = true;
+    watch->probed_us = ts_clock_now_us();
+    char *target = gateway->dialect->probe_target();
+    ts_store_client_get(watch->prober, target, PROBE_TIMEOUT_MS);
+    g_free(target);
+}
+
 ts_store_watch_t *ts_store_watch_create(ts_gateway_t *gateway) {
     ts_store_watch_t *watch = g_new0(ts_store_watch_t, 1);
+    const char *address = gateway->settings->store;
     watch->gateway = gateway;
-    watch->client =
-        ts_store_client_create(gateway->loop, gateway->settings->store, call_done, watch);
+    watch->client = ts_store_client_create(gateway->loop, address, call_done, watch);
+    watch->prober = ts_store_client_create(gateway->loop, address, probe_done, watch);
     watch->listed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     watch->backoff_ms = BACKOFF_FIRST_MS;
     uv_timer_init(gateway->loop, &watch->pause);
+    uv_timer_init(gateway->loop, &watch->probe_timer);
     watch->pause.data = watch;
+    watch->probe_timer.data = watch;
     begin_list(watch);
     return watch;
 }
 
 void ts_store_watch_start(ts_store_watch_t *watch) {
     pause_for(watch, 0);
+    uv_timer_start(&watch->probe_timer, probe, PROBE_MS, PROBE_MS);
 }
 
 void ts_store_watch_reload(ts_store_watch_t *watch) {
     ts_store_client_set_address(watch->client, watch->gateway->settings->store);
-}
-
-bool ts_store_watch_is_primed(const ts_store_watch_t *watch) {
-    return watch->is_primed;
+    ts_store_client_set_address(watch->prober, watch->gateway->settings->store);
 }
--- a/src/edge/gateway.c
+++ b/src/edge/gateway.c
@@ -5,14 +5,18 @@
 
 #include "tealspar/counters.h"
 #include "tealspar/log.h"
+#include "tealspar/peers.h"
 #include "tealspar/plugin.h"
+#include "tealspar/store_mirror.h"
 #include "tealspar/store_watch.h"
 
 #define STATUS_OK 200
 #define STATUS_NOT_FOUND 404
 #define STATUS_UNAVAILABLE 503
-/* Of the slack, which cannot be divided among nodes nobody counts, one takes this part. */
-#define SLACK_DIVISOR 3.0
+/* A node takes this part of its share of the slack, as others may count fewer nodes than it. */
+#define SLACK_DIVISOR 2.0
+/* Limits are divided among at least this many nodes: those that are there may not be known yet. */
+#define NODES_LEAST 4U
 
 uint32_t ts_gateway_random(ts_gateway_t *gateway) {
     uint32_t value = gateway->random;
@@ -77,7 +81,7 @@
 
 static bool is_ready(const ts_gateway_t *gateway) {
     return !gateway->is_stopping && gateway->traffic != NULL &&
-           ts_store_watch_is_primed(gateway->store);
+           ts_store_mirror_is_primed(gateway->mirror);
 }
 
 static void answer_ready(ts_caller_t *caller, void *context) {
@@ -119,11 +123,17 @@
 
 /* -- Life -------------------------------------------------------------------------------------- */
 
+void ts_gateway_set_nodes(ts_gateway_t *gateway, unsigned nodes) {
+    /* Nodes that are down come back with full rights: the most that were seen counts. */
+    gateway->nodes = MAX(MAX(gateway->nodes, nodes), NODES_LEAST);
+    gateway->rule.slack_share = gateway->settings->retry_slack / (SLACK_DIVISOR * gateway->nodes);
+}
+
 static void apply_settings(ts_gateway_t *gateway) {
     const ts_gateway_settings_t *settings = gateway->settings;
     gateway->rule.ratio = settings->retry_ratio;
     gateway->rule.window_us = settings->retry_window_ms * TS_US_PER_MS;
-    gateway->rule.slack_share = settings->retry_slack / (SLACK_DIVISOR * settings->fleet_nodes);
+    ts_gateway_set_nodes(gateway, gateway->nodes);
     for (unsigned i = 0; i < settings->zones_count; i++) {
         g_hash_table_replace(gateway->zones, g_strdup(settings->zones[i].zone),
                              g_strdup(settings->zones[i].region));
@@ -137,6 +147,11 @@
     ts_store_watch_reload(gateway->store);
 }
 
+static void tell_suspicion(void *context, const ts_instance_t *instance, bool suspected) {
+    const ts_gateway_t *gateway = context;
+    ts_peers_tell_suspicion(gateway->peers, instance->id, suspected);
+}
+
 ts_error_t ts_gateway_open(ts_gateway_t *gateway, uv_loop_t *loop,
                            ts_gateway_settings_t *settings) {
     gateway->loop = loop;
@@ -149,8 +164,14 @@
     apply_settings(gateway);
     gateway->registry = ts_registry_create(settings->zone, gateway->zones);
     gateway->upstream = ts_upstream_create(loop, gateway->dialect);
+    gateway->mirror = ts_store_mirror_create(gateway);
     gateway->store = ts_store_watch_create(gateway);
     ts_error_t error = open_listeners(gateway);
+    if (error == TS_OK && settings->peers != NULL) {
+        gateway->peers = ts_peers_open(gateway, gateway->mirror);
+        ts_registry_on_suspected(gateway->registry, tell_suspicion, gateway);
+        error = gateway->peers == NULL ? TS_E_LISTEN : TS_OK;
+    }
     if (error == TS_OK) {
         ts_store_watch_start(gateway->store);
     }
@@ -159,6 +180,9 @@
 
 void ts_gateway_leave(ts_gateway_t *gateway) {
     gateway->is_stopping = true;
+    if (gateway->peers != NULL) {
+        ts_peers_leave(gateway->peers);
+    }
     ts_listener_leave(gateway->callers);
 }
 
@@ -178,5 +202,10 @@
         ts_listener_sweep(gateway->metrics);
     }
     ts_registry_each_service(gateway->registry, sweep_service, gateway);
-    ts_registry_sweep(gateway->registry, ts_clock_now_us());
+    ts_time_us_t now_us = ts_clock_now_us();
+    ts_registry_sweep(gateway->registry, now_us);
+    ts_store_mirror_sweep(gateway->mirror, now_us);
+    if (gateway->peers != NULL) {
+        ts_peers_sweep(gateway->peers, now_us);
+    }
 }
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -13,6 +13,9 @@
 #define SECOND_SEND_SAFETY 1.5
 #define CONNECTIONS_DEFAULT 4U
 #define CONNECTIONS_MIN 2U
+/* Thirds of an instance's connections that the fleet uses: it takes fewer while its queue is long.
+ */
+#define CONNECTIONS_USED 2U
 #define STATUS_SERVER_ERROR 500
 #define STATUS_SUCCESS_FIRST 200
 #define STATUS_SUCCESS_LAST 299
@@ -26,7 +29,7 @@
     if (part->service->connections_max == 0) {
         return CONNECTIONS_DEFAULT;
     }
-    uint32_t share = part->service->connections_max / gateway->settings->fleet_nodes;
+    uint32_t share = part->service->connections_max * CONNECTIONS_USED / 3 / gateway->nodes;
     return share < CONNECTIONS_MIN ? CONNECTIONS_MIN : share;
 }
 
--- /dev/null
+++ b/src/peers/peers.c
@@ -0,0 +1,399 @@
+/** The other gateways: membership, the zone's watcher, and what is passed between them. */
+#include "tealspar/peers.h"
+
+#include <string.h>
+
+#include "peer.pb-c.h"
+#include "tealspar/counters.h"
+#include "tealspar/hash.h"
+#include "tealspar/log.h"
+#include "tealspar/membership.h"
+#include "tealspar/peer_link.h"
+
+#define PROTOCOL 1
+/* The time between two beacons of a watcher, and the tick of membership. */
+#define TICK_MS 250
+#define BEACON_TICKS 2
+/* What a watcher knows is older than this: each node follows the service itself. */
+#define CONFIRMED_MAX_US (1500 * TS_US_PER_MS)
+/* A pull that was not answered is asked again after this. */
+#define PULL_AGAIN_US (300 * TS_US_PER_MS)
+/* While nothing is known, somebody is asked this often. */
+#define ASK_AROUND_US (500 * TS_US_PER_MS)
+
+struct ts_peers {
+    ts_gateway_t *gateway;
+    ts_store_mirror_t *mirror;
+    ts_membership_t *membership;
+    ts_peer_link_t *link;
+    ts_view_t *view;
+    uv_timer_t timer;
+    const ts_view_member_t *watcher; /* of the zone, in the view; NULL: none but this node */
+    unsigned ticks;
+    ts_time_us_t pulled_us; /* when changes were last asked for */
+    ts_time_us_t asked_us;  /* when somebody was last asked for everything */
+};
+
+/* -- Sending ----------------------------------------------------------------------------------- */
+
+static void send_frame(ts_peers_t *peers, const char *address, TsPeer__Frame *frame) {
+    const ts_gateway_settings_t *settings = peers->gateway->settings;
+    frame->protocol = PROTOCOL;
+    frame->name = settings->name;
+    frame->address = settings->peers;
+    size_t length = ts_peer__frame__get_packed_size(frame);
+    uint8_t *bytes = g_malloc(length);
+    ts_peer__frame__pack(frame, bytes);
+    ts_peer_link_send(peers->link, address, bytes, length);
+    g_free(bytes);
+}
+
+/* To the other nodes of this zone. */
+static void send_to_zone(ts_peers_t *peers, TsPeer__Frame *frame) {
+    for (size_t i = 0; i < peers->view->count; i++) {
+        const ts_view_member_t *member = &peers->view->members[i];
+        if (!member->is_self && strcmp(member->zone, peers->gateway->settings->zone) == 0) {
+            send_frame(peers, member->address, frame);
+        }
+    }
+}
+
+static uint32_t age_ms(const ts_peers_t *peers) {
+    ts_time_us_t confirmed_us = ts_store_mirror_confirmed_us(peers->mirror);
+    ts_time_us_t age_us = confirmed_us == 0 ? 0 : ts_clock_now_us() - confirmed_us;
+    ts_time_us_t age = age_us / TS_US_PER_MS;
+    return confirmed_us == 0 || age > UINT32_MAX ? UINT32_MAX : (uint32_t)age;
+}
+
+static void send_beacon(ts_peers_t *peers) {
+    TsPeer__Beacon beacon = TS_PEER__BEACON__INIT;
+    TsPeer__Frame frame = TS_PEER__FRAME__INIT;
+    beacon.revision = ts_store_mirror_revision(peers->mirror);
+    beacon.age_ms = age_ms(peers);
+    frame.beacon = &beacon;
+    send_to_zone(peers, &frame);
+}
+
+static void send_pull(ts_peers_t *peers, const char *address, uint64_t after) {
+    TsPeer__Pull pull = TS_PEER__PULL__INIT;
+    TsPeer__Frame frame = TS_PEER__FRAME__INIT;
+    pull.after = after;
+    frame.pull = &pull;
+    send_frame(peers, address, &frame);
+}
+
+static void send_changes(ts_peers_t *peers, const char *address, uint64_t after) {
+    bool is_whole = false;
+    GPtrArray *list = ts_store_mirror_changes(peers->mirror, after, &is_whole);
+    TsPeer__Entry *rows = g_new0(TsPeer__Entry, list->len + 1);
+    TsPeer__Entry **pointers = g_new0(TsPeer__Entry *, list->len + 1);
+    for (guint i = 0; i < list->len; i++) {
+        const ts_store_entry_t *entry = g_ptr_array_index(list, i);
+        ts_peer__entry__init(&rows[i]);
+        rows[i].key = entry->key;
+        rows[i].revision = entry->revision;
+        rows[i].gone = entry->is_gone;
+        rows[i].value.data = (uint8_t *)entry->value;
+        rows[i].value.len = entry->length;
+        pointers[i] = &rows[i];
+    }
+    TsPeer__Changes changes = TS_PEER__CHANGES__INIT;
+    TsPeer__Frame frame = TS_PEER__FRAME__INIT;
+    changes.revision = ts_store_mirror_revision(peers->mirror);
+    changes.age_ms = age_ms(peers);
+    changes.is_whole = is_whole;
+    changes.entries = pointers;
+    changes.n_entries = list->len;
+    frame.changes = &changes;
+    send_frame(peers, address, &frame);
+    g_free(pointers);
+    g_free(rows);
+    g_ptr_array_unref(list);
+}
+
+/* -- Receiving --------------------------------------------------------------------------------- */
+
+/* When something of that age was confirmed, on this node's clock. */
+static ts_time_us_t confirmed_at(uint32_t age) {
+    ts_time_us_t now_us = ts_clock_now_us();
+    ts_time_us_t age_us = (ts_time_us_t)age * TS_US_PER_MS;
+    return age_us < now_us ? now_us - age_us : 0;
+}
+
+static void pull_from(ts_peers_t *peers, const char *address, uint64_t after) {
+    ts_time_us_t now_us = ts_clock_now_us();
+    if (now_us - peers->pulled_us > PULL_AGAIN_US) {
+        peers->pulled_us = now_us;
+        send_pull(peers, address, after);
+    }
+}
+
+static void take_beacon(ts_peers_t *peers, const TsPeer__Frame *frame) {
+    uint64_t own = ts_store_mirror_revision(peers->mirror);
+    if (!ts_store_mirror_is_primed(peers->mirror)) {
+        pull_from(peers, frame->address, 0);
+    } else if (frame->beacon->revision > own) {
+        pull_from(peers, frame->address, own);
+    } else if (frame->beacon->revision == own) {
+        ts_store_mirror_confirm(peers->mirror, confirmed_at(frame->beacon->age_ms));
+    }
+}
+
+static void take_pull(ts_peers_t *peers, const TsPeer__Frame *frame) {
+    if (ts_store_mirror_is_primed(peers->mirror)) {
+        send_changes(peers, frame->address, frame->pull->after);
+    }
+}
+
+static GPtrArray *read_entries(const ts_peers_t *peers, const TsPeer__Changes *changes) {
+    ts_store_page_t *page = ts_store_page_create();
+    for (size_t i = 0; i < changes->n_entries; i++) {
+        const TsPeer__Entry *row = changes->entries[i];
+        ts_store_entry_t *entry = ts_store_page_add(page);
+        entry->key = g_strdup(row->key);
+        entry->revision = row->revision;
+        entry->is_gone = row->gone;
+        entry->length = row->value.len;
+        entry->value = row->gone ? NULL : g_strndup((const char *)row->value.data, row->value.len);
+        peers->gateway->dialect->name_entry(entry);
+    }
+    GPtrArray *entries = g_ptr_array_ref(page->entries);
+    ts_store_page_free(page);
+    return entries;
+}
+
+static void take_changes(ts_peers_t *peers, const TsPeer__Changes *changes) {
+    bool is_news = changes->revision >= ts_store_mirror_revision(peers->mirror);
+    if (!changes->is_whole && !ts_store_mirror_is_primed(peers->mirror)) {
+        return;
+    }
+    GPtrArray *entries = read_entries(peers, changes);
+    ts_store_mirror_apply(peers->mirror, entries);
+    if (changes->is_whole && is_news) {
+        GHashTable *keys = g_hash_table_new(g_str_hash, g_str_equal);
+        for (guint i = 0; i < entries->len; i++) {
+            g_hash_table_add(keys, ((ts_store_entry_t *)g_ptr_array_index(entries, i))->key);
+        }
+        ts_store_mirror_keep_only(peers->mirror, keys, changes->revision);
+        g_hash_table_unref(keys);
+    }
+    ts_store_mirror_reach(peers->mirror, changes->revision, confirmed_at(changes->age_ms));
+    ts_count(TS_COUNTER_CONFIG_FROM_PEER, 1);
+    peers->pulled_us = 0;
+    g_ptr_array_unref(entries);
+}
+
+static void take_suspicion(ts_peers_t *peers, const TsPeer__Suspicion *suspicion) {
+    ts_instance_t *instance = ts_registry_instance(peers->gateway->registry, suspicion->instance);
+    if (instance != NULL) {
+        ts_instance_hear_suspicion(instance, suspicion->suspected, ts_clock_now_us());
+    }
+}
+
+static void take_frame(void *context, const uint8_t *bytes, size_t length) {
+    ts_peers_t *peers = context;
+    TsPeer__Frame *frame = ts_peer__frame__unpack(NULL, length, bytes);
+    if (frame == NULL || frame->protocol != PROTOCOL) {
+        ts_count_error(TS_E_PROTOCOL);
+        if (frame != NULL) {
+            ts_peer__frame__free_unpacked(frame, NULL);
+        }
+        return;
+    }
+    if (frame->gossip.len > 0 &&
+        !ts_membership_receive(peers->membership, frame->name, frame->address, frame->gossip.data,
+                               frame->gossip.len, ts_clock_now_us())) {
+        ts_count_error(TS_E_PROTOCOL);
+    }
+    if (frame->beacon != NULL) {
+        take_beacon(peers, frame);
+    }
+    if (frame->pull != NULL) {
+        take_pull(peers, frame);
+    }
+    if (frame->changes != NULL) {
+        take_changes(peers, frame->changes);
+    }
+    if (frame->suspicion != NULL) {
+        take_suspicion(peers, frame->suspicion);
+    }
+    ts_peer__frame__free_unpacked(frame, NULL);
+}
+
+/* -- Membership -------------------------------------------------------------------------------- */
+
+static void send_gossip(void *context, const char *name, const char *address, const uint8_t *bytes,
+                        size_t length) {
+    TsPeer__Frame frame = TS_PEER__FRAME__INIT;
+    frame.gossip.data = (uint8_t *)bytes;
+    frame.gossip.len = length;
+    ts_count(TS_COUNTER_CONTROL_BYTES_SENT, (int64_t)length);
+    send_frame(context, address, &frame);
+}
+
+/* A peer has a newer configuration; asked for only if the zone's watcher is not heard. */
+static void hear_config(void *context, const char *name, const char *address, uint64_t version,
+                        uint64_t digest) {
+    ts_peers_t *peers = context;
+    const ts_traffic_t *traffic = peers->gateway->traffic;
+    if (traffic == NULL || version > traffic->version) {
+        pull_from(peers, address,
+                  ts_store_mirror_is_primed(peers->mirror) ? ts_store_mirror_revision(peers->mirror)
+                                                           : 0);
+    }
+}
+
+/* The zone's watcher: the highest rendezvous weight among its live members. */
+static const ts_view_member_t *choose_watcher(const ts_view_t *view, const char *zone) {
+    const ts_view_member_t *best = NULL;
+    uint64_t best_weight = 0;
+    uint64_t zone_hash = ts_hash_text(zone);
+    for (size_t i = 0; i < view->count; i++) {
+        const ts_view_member_t *member = &view->members[i];
+        uint64_t weight = ts_hash_mix(member->id, zone_hash);
+        if (member->state == TS_MEMBER_LIVE && strcmp(member->zone, zone) == 0 &&
+            (best == NULL || weight > best_weight)) {
+            best = member;
+            best_weight = weight;
+        }
+    }
+    return best;
+}
+
+static void change_view(void *context) {
+    ts_peers_t *peers = context;
+    ts_view_unref(peers->view);
+    peers->view = ts_membership_view(peers->membership);
+    peers->watcher = choose_watcher(peers->view, peers->gateway->settings->zone);
+    ts_gauge_set(TS_COUNTER_MEMBERS_LIVE,
+                 (int64_t)ts_membership_count(peers->membership, TS_MEMBER_LIVE));
+    ts_gateway_set_nodes(peers->gateway, (unsigned)peers->view->count);
+}
+
+static void log_member(void *context, const char *name, ts_member_state_t old,
+                       ts_member_state_t state) {
+    ts_log(TS_EVENT_MEMBER_STATE, "peer=%s before=%s state=%s", name, ts_member_state_name(old),
+           ts_member_state_name(state));
+}
+
+/* -- Time -------------------------------------------------------------------------------------- */
+
+static bool is_watcher(const ts_peers_t *peers) {
+    return peers->watcher == NULL || peers->watcher->is_self;
+}
+
+bool ts_peers_is_relied_on(const ts_peers_t *peers) {
+    bool has_others = false;
+    for (size_t i = 0; i < peers->view->count; i++) {
+        const ts_view_member_t *member = &peers->view->members[i];
+        has_others |= !member->is_self && strcmp(member->zone, peers->gateway->settings->zone) == 0;
+    }
+    return has_others && is_watcher(peers);
+}
+
+bool ts_peers_should_watch(const ts_peers_t *peers, ts_time_us_t now_us) {
+    ts_time_us_t confirmed_us = ts_store_mirror_confirmed_us(peers->mirror);
+    return is_watcher(peers) || confirmed_us == 0 || now_us - confirmed_us > CONFIRMED_MAX_US;
+}
+
+void ts_peers_announce(ts_peers_t *peers) {
+    const ts_traffic_t *traffic = peers->gateway->traffic;
+    if (traffic != NULL) {
+        ts_membership_set_config(peers->membership, traffic->version, 0);
+    }
+    if (is_watcher(peers)) {
+        send_beacon(peers);
+    }
+}
+
+void ts_peers_ask_around(ts_peers_t *peers) {
+    ts_time_us_t now_us = ts_clock_now_us();
+    size_t count = peers->view->count;
+    if (count < 2 || now_us - peers->asked_us < ASK_AROUND_US) {
+        return;
+    }
+    size_t begin = ts_gateway_random(peers->gateway) % count;
+    for (size_t i = 0; i < count; i++) {
+        const ts_view_member_t *member = &peers->view->members[(begin + i) % count];
+        if (!member->is_self) {
+            peers->asked_us = now_us;
+            bool is_primed = ts_store_mirror_is_primed(peers->mirror);
+            send_pull(peers, member->address,
+                      is_primed ? ts_store_mirror_revision(peers->mirror) : 0);
+            return;
+        }
+    }
+}
+
+static void tick(uv_timer_t *timer) {
+    ts_peers_t *peers = timer->data;
+    ts_membership_tick(peers->membership, ts_clock_now_us());
+    if (!ts_store_mirror_is_primed(peers->mirror)) {
+        ts_peers_ask_around(peers);
+    }
+    if (++peers->ticks % BEACON_TICKS == 0 && is_watcher(peers) &&
+        ts_store_mirror_is_primed(peers->mirror)) {
+        send_beacon(peers);
+    }
+}
+
+void ts_peers_tell_suspicion(ts_peers_t *peers, const char *instance, bool suspected) {
+    TsPeer__Suspicion suspicion = TS_PEER__SUSPICION__INIT;
+    TsPeer__Frame frame = TS_PEER__FRAME__INIT;
+    suspicion.instance = (char *)instance;
+    suspicion.suspected = suspected;
+    frame.suspicion = &suspicion;
+    send_to_zone(peers, &frame);
+}
+
+unsigned ts_peers_count(const ts_peers_t *peers) {
+    return (unsigned)peers->view->count;
+}
+
+void ts_peers_leave(ts_peers_t *peers) {
+    ts_membership_leave(peers->membership, ts_clock_now_us());
+}
+
+void ts_peers_sweep(ts_peers_t *peers, ts_time_us_t now_us) {
+    ts_peer_link_sweep(peers->link, now_us);
+}
+
+/* Seeds are asked by address alone; their names come with their answers. */
+static void add_seeds(ts_peers_t *peers) {
+    const ts_gateway_settings_t *settings = peers->gateway->settings;
+    ts_membership_begin_machines(peers->membership);
+    for (unsigned i = 0; i < settings->seeds_count; i++) {
+        if (strcmp(settings->seeds[i], settings->peers) != 0) {
+            ts_membership_add_machine(peers->membership, settings->seeds[i], settings->seeds[i],
+                                      "");
+        }
+    }
+    ts_membership_end_machines(peers->membership);
+}
+
+ts_peers_t *ts_peers_open(ts_gateway_t *gateway, ts_store_mirror_t *mirror) {
+    static const ts_membership_ops_t ops = {send_gossip, hear_config, change_view, log_member};
+    const ts_gateway_settings_t *settings = gateway->settings;
+    ts_peers_t *peers = g_new0(ts_peers_t, 1);
+    uint64_t incarnation = (uint64_t)ts_clock_wall_ms();
+    ts_membership_config_t config = {
+        .name = settings->name,
+        .address = settings->peers,
+        .zone = settings->zone,
+        .incarnation = incarnation,
+        .seed = ts_hash_mix(ts_hash_text(settings->name), incarnation),
+    };
+    peers->gateway = gateway;
+    peers->mirror = mirror;
+    peers->link = ts_peer_link_open(gateway->loop, settings->peers, take_frame, peers);
+    if (peers->link == NULL) {
+        return NULL;
+    }
+    peers->membership = ts_membership_create(&config, &ops, peers, ts_clock_now_us());
+    peers->view = ts_membership_view(peers->membership);
+    add_seeds(peers);
+    uv_timer_init(gateway->loop, &peers->timer);
+    peers->timer.data = peers;
+    uv_timer_start(&peers->timer, tick, TICK_MS, TICK_MS);
+    return peers;
+}
--- a/src/registry/registry.c
+++ b/src/registry/registry.c
@@ -16,6 +16,8 @@
     GHashTable *zones;
     GHashTable *services;  /**< name -> ts_service_t, owned */
     GHashTable *instances; /**< id -> ts_instance_t, owned */
+    ts_registry_suspected_t told;
+    void *told_context;
 };
 
 void ts_instance_record_clear(ts_instance_record_t *record) {
@@ -68,6 +70,7 @@
         service = g_new0(ts_service_t, 1);
         service->name = g_strdup(name);
         service->instances = g_ptr_array_new();
+        service->registry = registry;
         g_hash_table_insert(registry->services, service->name, service);
     }
     return service;
@@ -178,6 +181,23 @@
     }
 }
 
+ts_instance_t *ts_registry_instance(const ts_registry_t *registry, const char *id) {
+    return g_hash_table_lookup(registry->instances, id);
+}
+
+void ts_registry_on_suspected(ts_registry_t *registry, ts_registry_suspected_t told,
+                              void *context) {
+    registry->told = told;
+    registry->told_context = context;
+}
+
+void ts_registry_tell_suspected(const ts_instance_t *instance, bool suspected) {
+    const ts_registry_t *registry = instance->service->registry;
+    if (registry->told != NULL) {
+        registry->told(registry->told_context, instance, suspected);
+    }
+}
+
 void ts_registry_each_service(ts_registry_t *registry, GHFunc visit, void *context) {
     g_hash_table_foreach(registry->services, visit, context);
 }
