--- a/include/tealspar/peers.h
+++ b/include/tealspar/peers.h
@@ -23,6 +23,8 @@
 void ts_peers_tell_suspicion(ts_peers_t *peers, const char *instance, bool suspected);
 /** Nodes believed live, this one included. */
 unsigned ts_peers_count(const ts_peers_t *peers);
+/** For tests: sends nothing more, as a process that stands still would. */
+void ts_peers_set_mute(ts_peers_t *peers, bool is_mute);
 /** This node leaves. */
 void ts_peers_leave(ts_peers_t *peers);
 /** Closes what is idle. */
--- a/src/peers/peers.c
+++ b/src/peers/peers.c
@@ -30,6 +30,7 @@
     uv_timer_t timer;
     const ts_view_member_t *watcher; /* of the zone, in the view; NULL: none but this node */
     unsigned ticks;
+    bool is_mute; /**< sends nothing; see ts_peers_set_mute */
     ts_time_us_t pulled_us; /* when changes were last asked for */
     ts_time_us_t asked_us;  /* when somebody was last asked for everything */
 };
@@ -38,6 +39,9 @@
 
 static void send_frame(ts_peers_t *peers, const char *address, TsPeer__Frame *frame) {
     const ts_gateway_settings_t *settings = peers->gateway->settings;
+    if (peers->is_mute) {
+        return;
+    }
     frame->protocol = PROTOCOL;
     frame->name = settings->name;
     frame->address = settings->peers;
@@ -350,6 +354,10 @@
     return (unsigned)peers->view->count;
 }
 
+void ts_peers_set_mute(ts_peers_t *peers, bool is_mute) {
+    peers->is_mute = is_mute;
+}
+
 void ts_peers_leave(ts_peers_t *peers) {
     ts_membership_leave(peers->membership, ts_clock_now_us());
 }
--- /dev/null
+++ b/tests/gateway/test_peers.c
@@ -0,0 +1,167 @@
+/** Several gateways: who follows the store, and what they tell each other. */
+#include "world.h"
+
+#include "tealspar/peers.h"
+
+#define NODES 4
+#define ROUTE_A ROUTE_ONE("one", "/p/", "idempotent", "a", 1500)
+
+typedef struct fleet {
+    world_t *world;
+    ts_gateway_t *nodes[NODES];
+    unsigned ports[NODES];
+} fleet_t;
+
+/* Three nodes in z1 and one in z2, all with the store, which has version 1 and one back end. */
+static fleet_t open_fleet(void) {
+    fleet_t fleet = {.world = world_open(NULL)};
+    world_add_searcher(fleet.world, "i-1", "a", "z1");
+    world_configure(fleet.world, 1, ROUTE_A);
+    for (int i = 0; i < NODES; i++) {
+        char name[8];
+        g_snprintf(name, sizeof(name), "n%d", i);
+        fleet.ports[i] = world_next_port();
+        fleet.nodes[i] =
+            world_add_gateway(fleet.world, name, i < 3 ? "z1" : "z2", fleet.ports[i],
+                              fleet.ports[0], fleet.world->store_port);
+    }
+    for (int i = 0; i < NODES; i++) {
+        assert_true(world_await_knowledge(fleet.world, fleet.nodes[i], 1, 1));
+    }
+    for (int i = 0; i < 300 && ts_peers_count(fleet.nodes[NODES - 1]->peers) < NODES; i++) {
+        world_run_ms(fleet.world, 10);
+    }
+    world_run_ms(fleet.world, 1000);
+    return fleet;
+}
+
+static ts_gateway_t *watcher_of(const fleet_t *fleet) {
+    for (int i = 0; i < 3; i++) {
+        if (ts_peers_is_relied_on(fleet->nodes[i]->peers)) {
+            return fleet->nodes[i];
+        }
+    }
+    return NULL;
+}
+
+static void test_one_watcher_a_zone(void **state) {
+    fleet_t fleet = open_fleet();
+    unsigned watchers = 0;
+    for (int i = 0; i < NODES; i++) {
+        assert_int_equal(ts_peers_count(fleet.nodes[i]->peers), NODES);
+        watchers += ts_peers_should_watch(fleet.nodes[i]->peers, ts_clock_now_us());
+    }
+    assert_int_equal(watchers, 2);
+}
+
+static void test_change_reaches_all_within_the_bound(void **state) {
+    fleet_t fleet = open_fleet();
+    ts_time_us_t begun_us = ts_clock_now_us();
+    world_configure(fleet.world, 2, ROUTE_A);
+    for (int i = 0; i < NODES; i++) {
+        assert_true(world_await_knowledge(fleet.world, fleet.nodes[i], 2, 1));
+    }
+    assert_true(ts_clock_now_us() - begun_us < 1500 * TS_US_PER_MS);
+    lab_store_delete(fleet.world->store, "servers/i-1");
+    for (int i = 0; i < NODES; i++) {
+        assert_true(world_await_knowledge(fleet.world, fleet.nodes[i], 2, 0));
+    }
+}
+
+static void test_start_while_the_store_is_silent(void **state) {
+    fleet_t fleet = open_fleet();
+    lab_store_set_mode(fleet.world->store, LAB_STORE_SILENT);
+    ts_gateway_t *late = world_add_gateway(fleet.world, "late", "z2", world_next_port(),
+                                           fleet.ports[0], fleet.world->store_port);
+    ts_time_us_t begun_us = ts_clock_now_us();
+    assert_true(world_await_knowledge(fleet.world, late, 1, 1));
+    assert_true(ts_clock_now_us() - begun_us < 2000 * TS_US_PER_MS);
+}
+
+/* The service refuses one node while it serves the others. */
+static void test_refused_node_follows_its_peers(void **state) {
+    fleet_t fleet = open_fleet();
+    ts_gateway_t *refused =
+        world_add_gateway(fleet.world, "m", "z2", world_next_port(), fleet.ports[0], 0);
+    assert_true(world_await_knowledge(fleet.world, refused, 1, 1));
+    for (unsigned version = 2; version < 5; version++) {
+        ts_time_us_t begun_us = ts_clock_now_us();
+        world_configure(fleet.world, version, ROUTE_A);
+        assert_true(world_await_knowledge(fleet.world, refused, version, 1));
+        assert_true(ts_clock_now_us() - begun_us < 3000 * TS_US_PER_MS);
+        world_run_ms(fleet.world, 700);
+    }
+}
+
+static void test_watcher_that_leaves_is_replaced(void **state) {
+    fleet_t fleet = open_fleet();
+    ts_gateway_t *watcher = watcher_of(&fleet);
+    assert_non_null(watcher);
+    ts_gateway_leave(watcher);
+    world_run_ms(fleet.world, 500);
+    assert_ptr_not_equal(watcher_of(&fleet), watcher);
+    assert_non_null(watcher_of(&fleet));
+}
+
+/* A watcher that says nothing more: the others ask the service themselves, within the bound. */
+static void test_silent_watcher_is_not_waited_for(void **state) {
+    fleet_t fleet = open_fleet();
+    ts_gateway_t *watcher = watcher_of(&fleet);
+    assert_non_null(watcher);
+    ts_peers_set_mute(watcher->peers, true);
+    world_run_ms(fleet.world, 100);
+    ts_time_us_t begun_us = ts_clock_now_us();
+    world_configure(fleet.world, 2, ROUTE_A);
+    for (int i = 0; i < 3; i++) {
+        assert_true(world_await_knowledge(fleet.world, fleet.nodes[i], 2, 1));
+    }
+    assert_true(ts_clock_now_us() - begun_us < 3000 * TS_US_PER_MS);
+}
+
+static void test_suspicion_is_shared_in_the_zone(void **state) {
+    fleet_t fleet = open_fleet();
+    ts_instance_t *own = ts_registry_instance(fleet.nodes[0]->registry, "i-1");
+    ts_instance_t *theirs = ts_registry_instance(fleet.nodes[1]->registry, "i-1");
+    ts_instance_t *far = ts_registry_instance(fleet.nodes[3]->registry, "i-1");
+    ts_time_us_t now_us = ts_clock_now_us();
+    ts_instance_note_overdue(own, now_us - 50 * TS_US_PER_MS, now_us);
+    for (int i = 0; i < 100 && theirs->suspected_us == 0; i++) {
+        world_run_ms(fleet.world, 5);
+    }
+    assert_true(theirs->suspected_us != 0);
+    assert_true(far->suspected_us == 0);
+    ts_instance_note_answer(own, ts_clock_now_us(), 1000, 1000);
+    for (int i = 0; i < 100 && theirs->suspected_us != 0; i++) {
+        world_run_ms(fleet.world, 5);
+    }
+    assert_true(theirs->suspected_us == 0);
+}
+
+static void test_limits_are_divided_by_the_most_nodes_seen(void **state) {
+    fleet_t fleet = open_fleet();
+    double share = fleet.nodes[0]->rule.slack_share;
+    assert_true(share <= 60.0 / NODES);
+    world_add_gateway(fleet.world, "m5", "z2", world_next_port(), fleet.ports[0],
+                      fleet.world->store_port);
+    for (int i = 0; i < 300 && fleet.nodes[0]->nodes < 5; i++) {
+        world_run_ms(fleet.world, 10);
+    }
+    assert_true(fleet.nodes[0]->rule.slack_share < share);
+    ts_gateway_leave(fleet.nodes[1]);
+    world_run_ms(fleet.world, 500);
+    assert_int_equal(fleet.nodes[0]->nodes, 5); /* one that is down comes back with full rights */
+}
+
+int main(void) {
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_one_watcher_a_zone),
+        cmocka_unit_test(test_change_reaches_all_within_the_bound),
+        cmocka_unit_test(test_start_while_the_store_is_silent),
+        cmocka_unit_test(test_refused_node_follows_its_peers),
+        cmocka_unit_test(test_watcher_that_leaves_is_replaced),
+        cmocka_unit_test(test_silent_watcher_is_not_waited_for),
+        cmocka_unit_test(test_suspicion_is_shared_in_the_zone),
+        cmocka_unit_test(test_limits_are_divided_by_the_most_nodes_seen),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/gateway/world.c
+++ b/tests/gateway/world.c
@@ -9,7 +9,7 @@
 #define WAIT_MS 5000
 #define FIRST_PORT 21000
 
-static unsigned next_port(void) {
+unsigned world_next_port(void) {
     static unsigned port;
     if (port == 0) {
         port = FIRST_PORT + (unsigned)getpid() % 3000 * 10;
@@ -23,12 +23,13 @@
     uv_loop_init(&world->loop);
     unsigned store_port = 0;
     for (int i = 0; i < 20 && world->store == NULL; i++) {
-        store_port = next_port();
+        store_port = world_next_port();
         world->store = lab_store_open(&world->loop, store_port);
     }
     assert_non_null(world->store);
-    world->callers_port = next_port();
-    world->ready_port = next_port();
+    world->callers_port = world_next_port();
+    world->ready_port = world_next_port();
+    world->store_port = store_port;
     char *text = g_strdup_printf("name: test\nzone: z1\ndialect: platform\n"
                                  "callers: 127.0.0.1:%u\nready: 127.0.0.1:%u\n"
                                  "store: 127.0.0.1:%u\n"
@@ -46,6 +47,39 @@
     return world;
 }
 
+ts_gateway_t *world_add_gateway(world_t *world, const char *name, const char *zone,
+                                unsigned peers_port, unsigned seed_port, unsigned store_port) {
+    ts_gateway_t *gateway = g_new0(ts_gateway_t, 1);
+    char *text = g_strdup_printf("name: %s\nzone: %s\ndialect: platform\n"
+                                 "callers: 127.0.0.1:%u\nready: 127.0.0.1:%u\n"
+                                 "peers: 127.0.0.1:%u\nseeds: ['127.0.0.1:%u']\n"
+                                 "store: 127.0.0.1:%u\n"
+                                 "zones: [{zone: z1, region: r1}, {zone: z2, region: r2}]\n"
+                                 "retry_ratio: 0.2\nretry_slack: 60\n",
+                                 name, zone, world_next_port(), world_next_port(), peers_port,
+                                 seed_port, store_port == 0 ? 1 : store_port);
+    ts_problems_t problems;
+    ts_problems_init(&problems);
+    ts_gateway_settings_t *settings = ts_gateway_settings_load(text, strlen(text), &problems);
+    assert_non_null(settings);
+    ts_problems_clear(&problems);
+    g_free(text);
+    assert_int_equal(ts_gateway_open(gateway, &world->loop, settings), TS_OK);
+    return gateway;
+}
+
+bool world_await_knowledge(world_t *world, const ts_gateway_t *gateway, uint64_t version,
+                           unsigned listed) {
+    for (int i = 0; i < WAIT_MS / 10; i++) {
+        if (gateway->traffic != NULL && gateway->traffic->version >= version &&
+            ts_registry_listed(gateway->registry) == listed) {
+            return true;
+        }
+        world_run_ms(world, 10);
+    }
+    return false;
+}
+
 void world_configure(world_t *world, unsigned version, const char *routes) {
     char *text = g_strdup_printf("{\"version\":%u,\"routes\":[%s],\"services\":[],\"limits\":"
                                  "{\"maxHeaderBytes\":4096,\"maxBodyBytes\":65536,"
--- a/tests/gateway/world.h
+++ b/tests/gateway/world.h
@@ -17,6 +17,7 @@
     lab_store_t *store;
     unsigned callers_port;
     unsigned ready_port;
+    unsigned store_port;
 } world_t;
 
 /** A connection of a caller. */
@@ -33,6 +34,17 @@
 
 /** Opens store and gateway; extra settings lines may be given, or NULL. */
 world_t *world_open(const char *settings);
+/**
+ * Adds another gateway that listens for peers; `store_port` 0: a port where nobody answers. The
+ * first one has no peers, so tests of peers leave it alone.
+ */
+ts_gateway_t *world_add_gateway(world_t *world, const char *name, const char *zone,
+                                unsigned peers_port, unsigned seed_port, unsigned store_port);
+/** A port that no other part of the test uses. */
+unsigned world_next_port(void);
+/** Runs the loop until the gateway has this version and this many back ends, or 5 s have passed. */
+bool world_await_knowledge(world_t *world, const ts_gateway_t *gateway, uint64_t version,
+                           unsigned listed);
 /** Writes a configuration with the version and routes, both JSON texts. */
 void world_configure(world_t *world, unsigned version, const char *routes);
 /** Adds a searcher and enters it in the store. */
