--- a/include/tealspar/counters.h
+++ b/include/tealspar/counters.h
@@ -82,6 +82,12 @@
     X(STORE_CALLS, counter, "store_calls_total", "calls to the configuration service")             \
     X(STORE_FAILURES, counter, "store_failures_total", "failed calls to it")                       \
     X(CALLER_CONNECTIONS, gauge, "caller_connections", "open connections of callers")              \
+    X(PARTS_LOST, counter, "parts_lost_total", "parts that no searcher answered")                  \
+    X(CONFIG_CONFIRMED_AGE, gauge, "config_confirmed_age_milliseconds",                            \
+      "time since the configuration service confirmed what this node knows")                       \
+    X(INSTANCES_LISTED, gauge, "instances_listed", "back ends that discovery names")               \
+    X(LOG_LINES_DROPPED, counter, "log_lines_dropped_total",                                       \
+      "log lines for which there was no room")                                                     \
     X(LOG_LINES, counter, "log_lines_total", "log lines written")
 
 /* X(symbol, name, description); values in microseconds. */
--- a/include/tealspar/gateway.h
+++ b/include/tealspar/gateway.h
@@ -49,6 +49,8 @@
 void ts_gateway_leave(ts_gateway_t *gateway);
 /** Ends what rests too long and forgets what has left; call it every half second or so. */
 void ts_gateway_sweep(ts_gateway_t *gateway);
+/** Appends all figures in the Prometheus text format. */
+void ts_gateway_write_metrics(const ts_gateway_t *gateway, GString *out);
 /** Runs a gateway until it is told to stop. `path` is read again at a reload. */
 ts_error_t ts_gateway_run(const char *path, ts_gateway_settings_t *settings);
 /** Puts a configuration in force, unless it is older than the one that is. Takes the reference. */
--- a/include/tealspar/log.h
+++ b/include/tealspar/log.h
@@ -1,6 +1,7 @@
 /**
- * Structured logging over GLib. Lines are written for changes of state only; everything else is a
- * counter. Each line names an event of the table below.
+ * Structured logging over GLib: one line for each decision that touches a request or changes what
+ * the process believes; what happens all the time is a counter. Each line names an event of the
+ * table below.
  */
 #ifndef TEALSPAR_LOG_H
 #define TEALSPAR_LOG_H
@@ -21,7 +22,14 @@
     X(MEMBER_STATE, MESSAGE, "member_state")                                                       \
     X(BACKEND_STATE, MESSAGE, "backend_state")                                                     \
     X(BACKEND_SUSPECT, MESSAGE, "backend_suspect")                                                 \
+    X(REQUEST_DONE, INFO, "request_done")                                                          \
     X(REQUEST_FAILED, MESSAGE, "request_failed")                                                   \
+    X(REQUEST_LEFT, MESSAGE, "request_left")                                                       \
+    X(PART_SENT_AGAIN, INFO, "part_sent_again")                                                    \
+    X(PART_DENIED, INFO, "part_denied")                                                            \
+    X(PART_FAILED, INFO, "part_failed")                                                            \
+    X(PART_LOST, INFO, "part_lost")                                                                \
+    X(LOG_DROPPED, WARNING, "log_dropped")                                                         \
     X(RELOADED, MESSAGE, "reloaded")                                                               \
     X(OWNERSHIP, INFO, "ownership_changed")                                                        \
     X(LOOP_STALLED, WARNING, "loop_stalled")                                                       \
@@ -34,12 +42,25 @@
 
 typedef enum ts_log_format { TS_LOG_TEXT, TS_LOG_JSON } ts_log_format_t;
 
+/** Version of the set of fields of a line; see docs/OPERATIONS.md. */
+#define TS_LOG_SCHEMA 1
+
 /**
- * Installs the process's log writer (standard error). `node` names the process in each line.
- * `minimum` is the least severe level that is written, as a GLib level flag.
+ * Installs the process's log writer (standard output). `node` names the process in each line.
+ * `minimum` is the least severe level that is written, as a GLib level flag. Lines are bounded and
+ * never block, see tealspar/line_writer.h.
  */
 void ts_log_open(const char *node, ts_log_format_t format, GLogLevelFlags minimum);
-/** Writes one line for a change of state; `format` gives the details. */
+/**
+ * Writes one line. `format` gives the details as "name=value" words, which become fields of a JSON
+ * line; a value holds no blanks.
+ */
 void ts_log(ts_event_t event, const char *format, ...) G_GNUC_PRINTF(2, 3);
+/** Writes what the reader takes; call it once a turn of the loop. */
+void ts_log_flush(void);
+/** Writes all that is left and that the reader takes; at the end of the process. */
+void ts_log_close(void);
+/** Whether lines of this event are written at all, to spare their making. */
+gboolean ts_log_is_wanted(ts_event_t event);
 
 #endif
--- a/include/tealspar/route_state.h
+++ b/include/tealspar/route_state.h
@@ -8,13 +8,28 @@
 
 #include <glib.h>
 
+#include "tealspar/histogram.h"
 #include "tealspar/quantile.h"
 #include "tealspar/traffic.h"
 
+/** How a request ended. */
+typedef enum ts_outcome {
+    TS_OUTCOME_OK,
+    TS_OUTCOME_PARTIAL, /**< a success with parts missing */
+    TS_OUTCOME_REFUSED, /**< not run */
+    TS_OUTCOME_FAILED,  /**< it may have run */
+    TS_OUTCOME_LEFT,    /**< the caller left first */
+    TS_OUTCOME_COUNT
+} ts_outcome_t;
+
+/** Stable name of an outcome, for metrics. */
+const char *ts_route_outcome_name(ts_outcome_t outcome);
+
 typedef struct ts_route_state {
     ts_quantile_t typical; /**< the median time of a back end, without travel */
     ts_quantile_t overdue; /**< the quantile after which a second send is worth its cost */
-    GHashTable *credits;   /**< service -> double*, its turn in the split */
+    ts_histogram_t *latencies[TS_OUTCOME_COUNT]; /**< NULL until the first such outcome */
+    GHashTable *credits;                         /**< service -> double*, its turn in the split */
 } ts_route_state_t;
 
 ts_route_state_t *ts_route_state_create(uint32_t aim_ms);
@@ -23,6 +38,8 @@
 void ts_route_state_note(ts_route_state_t *state, double span_us);
 /** A send was not answered in time; its span is not known yet. */
 void ts_route_state_note_overdue(ts_route_state_t *state);
+/** A request of the route ended after this span. */
+void ts_route_state_count(ts_route_state_t *state, ts_outcome_t outcome, ts_time_us_t span_us);
 /** The next target of a split, so that shares follow the weights as closely as whole numbers do. */
 const char *ts_route_state_next_target(ts_route_state_t *state, const ts_traffic_route_t *route);
 
--- a/src/edge/answer.c
+++ b/src/edge/answer.c
@@ -5,6 +5,7 @@
 #include "tealspar/counters.h"
 #include "tealspar/log.h"
 #include "tealspar/records.h"
+#include "tealspar/store_mirror.h"
 
 #define STATUS_OK 200
 #define STATUS_BAD_GATEWAY 502
@@ -81,9 +82,42 @@
                      part->body->len);
 }
 
+/* How long ago the configuration service confirmed what this node knows. */
+static unsigned long confirmed_age_ms(const ts_gateway_t *gateway) {
+    ts_time_us_t confirmed_us = ts_store_mirror_confirmed_us(gateway->mirror);
+    return (unsigned long)((ts_clock_now_us() - confirmed_us) / TS_US_PER_MS);
+}
+
+static void log_outcome(const ts_request_t *request, ts_event_t event, unsigned status,
+                        const char *error) {
+    if (!ts_log_is_wanted(event)) {
+        return;
+    }
+    ts_log(event,
+           "request=%s route=%s status=%u error=%s after_ms=%lu aim_ms=%u parts=%u in=%u lost=%u "
+           "sends=%u config=%lu confirmed_ms=%lu",
+           request->outgoing->request_id, request->route->name, status, error,
+           (unsigned long)((ts_clock_now_us() - request->arrived_us) / TS_US_PER_MS),
+           request->route->aim_ms, request->parts_count, request->parts_in, request->parts_lost,
+           request->sends, (unsigned long)request->traffic->version,
+           confirmed_age_ms(request->gateway));
+}
+
+void ts_answer_left(const ts_request_t *request) {
+    ts_count(TS_COUNTER_REQUESTS_LEFT, 1);
+    ts_route_state_count(request->state, TS_OUTCOME_LEFT, ts_clock_now_us() - request->arrived_us);
+    log_outcome(request, TS_EVENT_REQUEST_LEFT, 0, "caller_left");
+}
+
 void ts_answer_success(ts_request_t *request) {
+    ts_time_us_t span_us = ts_clock_now_us() - request->arrived_us;
+    bool is_partial = request->parts_in < request->parts_count;
     ts_count(TS_COUNTER_REQUESTS_OK, 1);
-    ts_observe_us(TS_HISTOGRAM_QUERY_LATENCY, ts_clock_now_us() - request->arrived_us);
+    ts_observe_us(TS_HISTOGRAM_QUERY_LATENCY, span_us);
+    ts_route_state_count(request->state, is_partial ? TS_OUTCOME_PARTIAL : TS_OUTCOME_OK, span_us);
+    log_outcome(request, TS_EVENT_REQUEST_DONE,
+                request->route->kind == TS_TARGET_GATHER ? STATUS_OK : request->parts[0].status,
+                is_partial ? "parts_missing" : "none");
     if (request->route->kind == TS_TARGET_GATHER) {
         answer_gathered(request);
     } else {
@@ -110,13 +144,9 @@
     char *body = describe_error(error);
     ts_count_error(error);
     ts_count(may_have_run ? TS_COUNTER_REQUESTS_FAILED : TS_COUNTER_REQUESTS_REFUSED, 1);
-    ts_log(TS_EVENT_REQUEST_FAILED,
-           "request=%s route=%s status=%u error=%s after_ms=%lu parts=%u in=%u lost=%u sends=%u "
-           "config=%lu",
-           request->outgoing->request_id, request->route->name, status, ts_error_name(error),
-           (unsigned long)((ts_clock_now_us() - request->arrived_us) / TS_US_PER_MS),
-           request->parts_count, request->parts_in, request->parts_lost, request->sends,
-           (unsigned long)request->traffic->version);
+    ts_route_state_count(request->state, may_have_run ? TS_OUTCOME_FAILED : TS_OUTCOME_REFUSED,
+                         ts_clock_now_us() - request->arrived_us);
+    log_outcome(request, TS_EVENT_REQUEST_FAILED, status, ts_error_name(error));
     ts_caller_answer(request->caller, status, fields->str, body, strlen(body));
     g_free(body);
     g_string_free(fields, TRUE);
--- a/src/edge/gateway.c
+++ b/src/edge/gateway.c
@@ -96,7 +96,7 @@
 
 static void answer_metrics(ts_caller_t *caller, void *context) {
     GString *text = g_string_new(NULL);
-    ts_counters_write_prometheus(text);
+    ts_gateway_write_metrics(context, text);
     ts_caller_answer(caller, STATUS_OK, "Content-Type: text/plain; version=0.0.4\r\n", text->str,
                      text->len);
     g_string_free(text, TRUE);
--- /dev/null
+++ b/src/edge/gateway_metrics.c
@@ -0,0 +1,64 @@
+/** The gateway's figures in the Prometheus text format. */
+#include "tealspar/counters.h"
+#include "tealspar/gateway.h"
+#include "tealspar/store_mirror.h"
+
+/* Routes that get labels of their own; a configuration may have hundreds. */
+#define ROUTES_MAX 50U
+#define US_PER_S_DOUBLE 1e6
+
+static const ts_time_us_t edges_us[] = {1000,   2500,   5000,   10000,  25000,   50000,   75000,
+                                        100000, 150000, 250000, 500000, 1000000, 2500000, 10000000};
+
+static uint64_t count_up_to(const ts_histogram_t *histogram, ts_time_us_t edge_us) {
+    uint64_t count = 0;
+    for (uint32_t i = 0; i < TS_HISTOGRAM_BUCKETS && ts_histogram_upper_us(i) <= edge_us; i++) {
+        count += histogram->buckets[i];
+    }
+    return count;
+}
+
+static void write_latency(GString *out, const char *route, const char *outcome,
+                          const ts_histogram_t *histogram) {
+    static const char name[] = "tealspar_request_latency_seconds";
+    for (size_t i = 0; i < G_N_ELEMENTS(edges_us); i++) {
+        g_string_append_printf(out, "%s_bucket{route=\"%s\",outcome=\"%s\",le=\"%g\"} %lu\n", name,
+                               route, outcome, (double)edges_us[i] / US_PER_S_DOUBLE,
+                               (unsigned long)count_up_to(histogram, edges_us[i]));
+    }
+    g_string_append_printf(out, "%s_bucket{route=\"%s\",outcome=\"%s\",le=\"+Inf\"} %lu\n", name,
+                           route, outcome, (unsigned long)histogram->total);
+    g_string_append_printf(out, "%s_sum{route=\"%s\",outcome=\"%s\"} %.6f\n", name, route, outcome,
+                           (double)histogram->sum_us / US_PER_S_DOUBLE);
+    g_string_append_printf(out, "%s_count{route=\"%s\",outcome=\"%s\"} %lu\n", name, route, outcome,
+                           (unsigned long)histogram->total);
+}
+
+static void write_routes(const ts_gateway_t *gateway, GString *out) {
+    GHashTableIter iterator;
+    gpointer name = NULL;
+    gpointer value = NULL;
+    unsigned routes = 0;
+    g_string_append(out, "# HELP tealspar_request_latency_seconds time from a request's arrival to "
+                         "its final answer, by route and outcome\n"
+                         "# TYPE tealspar_request_latency_seconds histogram\n");
+    g_hash_table_iter_init(&iterator, gateway->route_states);
+    while (g_hash_table_iter_next(&iterator, &name, &value) && routes < ROUTES_MAX) {
+        const ts_route_state_t *state = value;
+        routes++;
+        for (int i = 0; i < TS_OUTCOME_COUNT; i++) {
+            if (state->latencies[i] != NULL) {
+                write_latency(out, name, ts_route_outcome_name(i), state->latencies[i]);
+            }
+        }
+    }
+}
+
+void ts_gateway_write_metrics(const ts_gateway_t *gateway, GString *out) {
+    ts_time_us_t confirmed_us = ts_store_mirror_confirmed_us(gateway->mirror);
+    ts_gauge_set(TS_COUNTER_CONFIG_CONFIRMED_AGE,
+                 (int64_t)((ts_clock_now_us() - confirmed_us) / TS_US_PER_MS));
+    ts_gauge_set(TS_COUNTER_INSTANCES_LISTED, ts_registry_listed(gateway->registry));
+    ts_counters_write_prometheus(out);
+    write_routes(gateway, out);
+}
--- a/src/edge/gateway_process.c
+++ b/src/edge/gateway_process.c
@@ -22,6 +22,7 @@
     uv_signal_t terminate;
     uv_signal_t interrupt;
     uv_signal_t hang_up;
+    uv_prepare_t flush;
     uv_timer_t tick;
     uv_timer_t stop_tick;
     const char *path;
@@ -70,6 +71,10 @@
 
 /* -- Time -------------------------------------------------------------------------------------- */
 
+static void flush_log(uv_prepare_t *prepare) {
+    ts_log_flush();
+}
+
 static void tick(uv_timer_t *timer) {
     ts_gateway_sweep(&process.gateway);
     if (settings_file_changed()) {
@@ -135,11 +140,14 @@
     }
     uv_timer_init(&process.loop, &process.tick);
     uv_timer_init(&process.loop, &process.stop_tick);
+    uv_prepare_init(&process.loop, &process.flush);
+    uv_prepare_start(&process.flush, flush_log);
     uv_timer_start(&process.tick, tick, TICK_MS, TICK_MS);
     ts_log(TS_EVENT_STARTED, "version=%s zone=%s callers=%s", TS_VERSION, settings->zone,
            settings->callers);
     uv_run(&process.loop, UV_RUN_DEFAULT);
     ts_log(TS_EVENT_STOPPED, "after_ms=%lu",
            (unsigned long)((ts_clock_now_us() - process.stop_began_us) / TS_US_PER_MS));
+    ts_log_close();
     return TS_OK;
 }
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -279,7 +279,7 @@
 void ts_request_abandon(ts_gateway_t *gateway, ts_caller_t *caller) {
     ts_request_t *request = ts_caller_request(caller);
     if (request != NULL) {
-        ts_count(TS_COUNTER_REQUESTS_LEFT, 1);
+        ts_answer_left(request);
         end_request(request);
     }
 }
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -70,6 +70,8 @@
 /** Sends the final answer of a request to its caller. */
 void ts_answer_success(ts_request_t *request);
 void ts_answer_failure(ts_request_t *request, ts_error_t error);
+/** Counts and logs a request whose caller left. */
+void ts_answer_left(const ts_request_t *request);
 /** Answers a caller whose request was not even begun; `retry_after_ms` 0: do not say. */
 void ts_answer_error(ts_gateway_t *gateway, ts_caller_t *caller, unsigned status, ts_error_t error,
                      uint32_t retry_after_ms);
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -3,6 +3,7 @@
 
 #include "request.h"
 #include "tealspar/counters.h"
+#include "tealspar/log.h"
 #include "tealspar/replica.h"
 
 /* Between two looks for an instance when none is there, or the budget holds nothing. */
@@ -85,6 +86,27 @@
                          typical_us + travel_us, part_done, part);
 }
 
+/* One line for a decision about the part: whom, why, and what was believed of it. */
+static void log_decision(const ts_request_part_t *part, ts_event_t event, const char *reason,
+                         const ts_instance_t *instance, ts_time_us_t now_us) {
+    if (!ts_log_is_wanted(event)) {
+        return;
+    }
+    const ts_request_t *request = part->request;
+    const char *id = instance == NULL ? "-" : instance->id;
+    ts_log(event,
+           "request=%s service=%s instance=%s reason=%s after_ms=%lu sends=%u attempts=%u "
+           "in_flight=%u slowness_percent=%u suspected_ms=%lu config=%lu",
+           request->outgoing->request_id, part->service->name, id, reason,
+           (unsigned long)((now_us - request->arrived_us) / TS_US_PER_MS), part->sends,
+           part->attempts, instance == NULL ? 0 : instance->in_flight,
+           instance == NULL ? 0 : (unsigned)(instance->slowness * 100),
+           instance == NULL || instance->suspected_us == 0
+               ? 0UL
+               : (unsigned long)((now_us - instance->suspected_us) / TS_US_PER_MS),
+           (unsigned long)request->traffic->version);
+}
+
 void ts_part_send_first(ts_request_part_t *part) {
     ts_time_us_t now_us = ts_clock_now_us();
     ts_replica_input_t input = choice_input(part, now_us);
@@ -104,7 +126,8 @@
 }
 
 /* One more send, if an instance, the route and the budget allow it. */
-static bool send_again(ts_request_part_t *part, ts_time_us_t now_us, double cost_max_us) {
+static bool send_again(ts_request_part_t *part, ts_time_us_t now_us, double cost_max_us,
+                       const char *reason) {
     if (!may_send_again(part)) {
         return false;
     }
@@ -116,8 +139,10 @@
     }
     if (!ts_retry_budget_take(&part->service->budget, &gateway->rule, now_us)) {
         ts_count(TS_COUNTER_RETRIES_DENIED, 1);
+        log_decision(part, TS_EVENT_PART_DENIED, "budget", instance, now_us);
         return false;
     }
+    log_decision(part, TS_EVENT_PART_SENT_AGAIN, reason, instance, now_us);
     send_to(part, instance, now_us);
     return true;
 }
@@ -143,7 +168,7 @@
         part->overdue_us = part->second_us;
         return;
     }
-    if (send_again(part, now_us, HEDGE_COST_MAX_US)) {
+    if (send_again(part, now_us, HEDGE_COST_MAX_US, "overdue")) {
         ts_count(TS_COUNTER_HEDGES, 1);
     } else if (may_send_again(part)) {
         part->overdue_us = now_us + LOOK_AGAIN_US;
@@ -162,7 +187,7 @@
     }
     if (part->sends == 0) {
         ts_part_send_first(part);
-    } else if (!send_again(part, now_us, G_MAXDOUBLE)) {
+    } else if (!send_again(part, now_us, G_MAXDOUBLE, "failed")) {
         part->next_try_us = now_us + LOOK_AGAIN_US;
     } else {
         ts_count(TS_COUNTER_RETRIES, 1);
@@ -216,7 +241,7 @@
     if (exchanges_out(part) > 0) {
         return; /* another send may still bring the answer */
     }
-    if (send_again(part, now_us, G_MAXDOUBLE)) {
+    if (send_again(part, now_us, G_MAXDOUBLE, "failed")) {
         ts_count(TS_COUNTER_RETRIES, 1);
         return;
     }
@@ -227,6 +252,8 @@
         part->next_try_us = now_us + LOOK_AGAIN_US;
         return;
     }
+    log_decision(part, TS_EVENT_PART_LOST, "no_send_left", NULL, now_us);
+    ts_count(TS_COUNTER_PARTS_LOST, 1);
     set_state(part, TS_PART_LOST);
 }
 
@@ -276,6 +303,17 @@
     set_state(part, TS_PART_IN);
 }
 
+/* Why a send brought no success, in one word. */
+static const char *failure_name(const ts_exchange_result_t *result, unsigned status) {
+    if (result->error != TS_OK) {
+        return ts_error_name(result->error);
+    }
+    if (result->run == TS_RUN_NOT) {
+        return status == STATUS_MISDIRECTED ? "misdirected" : "not_executed";
+    }
+    return "searcher_failed";
+}
+
 static void part_done(ts_exchange_t *exchange, const ts_exchange_result_t *result, void *owner) {
     ts_request_part_t *part = owner;
     ts_instance_t *instance = ts_exchange_instance(exchange);
@@ -285,6 +323,10 @@
         return;
     }
     unsigned status = result->answer == NULL ? 0 : result->answer->parser.status_code;
+    if (status < STATUS_SUCCESS_FIRST || status > STATUS_SUCCESS_LAST) {
+        log_decision(part, TS_EVENT_PART_FAILED, failure_name(result, status), instance,
+                     ts_clock_now_us());
+    }
     if (status == STATUS_MISDIRECTED) {
         ts_instance_note_failure(instance, ts_clock_now_us());
     }
--- a/src/peers/peers.c
+++ b/src/peers/peers.c
@@ -30,7 +30,7 @@
     uv_timer_t timer;
     const ts_view_member_t *watcher; /* of the zone, in the view; NULL: none but this node */
     unsigned ticks;
-    bool is_mute; /**< sends nothing; see ts_peers_set_mute */
+    bool is_mute;           /**< sends nothing; see ts_peers_set_mute */
     ts_time_us_t pulled_us; /* when changes were last asked for */
     ts_time_us_t asked_us;  /* when somebody was last asked for everything */
 };
--- a/src/route/route_state.c
+++ b/src/route/route_state.c
@@ -21,6 +21,9 @@
 }
 
 void ts_route_state_free(ts_route_state_t *state) {
+    for (int i = 0; i < TS_OUTCOME_COUNT; i++) {
+        g_free(state->latencies[i]);
+    }
     g_hash_table_destroy(state->credits);
     g_free(state);
 }
@@ -34,6 +37,18 @@
     ts_quantile_add(&state->overdue, state->overdue.value_us * OVERDUE_FACTOR);
 }
 
+const char *ts_route_outcome_name(ts_outcome_t outcome) {
+    static const char *const names[] = {"ok", "partial", "refused", "failed", "left"};
+    return names[outcome];
+}
+
+void ts_route_state_count(ts_route_state_t *state, ts_outcome_t outcome, ts_time_us_t span_us) {
+    if (state->latencies[outcome] == NULL) {
+        state->latencies[outcome] = g_new0(ts_histogram_t, 1);
+    }
+    ts_histogram_add(state->latencies[outcome], span_us);
+}
+
 static double *find_credit(ts_route_state_t *state, const char *service) {
     double *credit = g_hash_table_lookup(state->credits, service);
     if (credit == NULL) {
--- a/tests/gateway/test_peers.c
+++ b/tests/gateway/test_peers.c
@@ -21,9 +21,8 @@
         char name[8];
         g_snprintf(name, sizeof(name), "n%d", i);
         fleet.ports[i] = world_next_port();
-        fleet.nodes[i] =
-            world_add_gateway(fleet.world, name, i < 3 ? "z1" : "z2", fleet.ports[i],
-                              fleet.ports[0], fleet.world->store_port);
+        fleet.nodes[i] = world_add_gateway(fleet.world, name, i < 3 ? "z1" : "z2", fleet.ports[i],
+                                           fleet.ports[0], fleet.world->store_port);
     }
     for (int i = 0; i < NODES; i++) {
         assert_true(world_await_knowledge(fleet.world, fleet.nodes[i], 1, 1));
