--- a/src/edge/gateway.c
+++ b/src/edge/gateway.c
@@ -15,8 +15,13 @@
 #define STATUS_UNAVAILABLE 503
 /* A node takes this part of its share of the slack, as others may count fewer nodes than it. */
 #define SLACK_DIVISOR 2.0
-/* Limits are divided among at least this many nodes: those that are there may not be known yet. */
+/*
+ * Limits are divided among at least this many nodes; among more while the node is young, as those
+ * that are there may not be known yet.
+ */
 #define NODES_LEAST 4U
+#define NODES_UNSURE 12U
+#define UNSURE_US (5 * TS_US_PER_S)
 
 uint32_t ts_gateway_random(ts_gateway_t *gateway) {
     uint32_t value = gateway->random;
@@ -125,7 +130,10 @@
 
 void ts_gateway_set_nodes(ts_gateway_t *gateway, unsigned nodes) {
     /* Nodes that are down come back with full rights: the most that were seen counts. */
-    gateway->nodes = MAX(MAX(gateway->nodes, nodes), NODES_LEAST);
+    gateway->nodes_seen = MAX(MAX(gateway->nodes_seen, nodes), NODES_LEAST);
+    bool is_young = ts_clock_now_us() - gateway->opened_us < UNSURE_US;
+    gateway->nodes =
+        is_young ? MAX(gateway->nodes_seen, NODES_UNSURE) : gateway->nodes_seen;
     gateway->rule.slack_share = gateway->settings->retry_slack / (SLACK_DIVISOR * gateway->nodes);
 }
 
@@ -133,7 +141,7 @@
     const ts_gateway_settings_t *settings = gateway->settings;
     gateway->rule.ratio = settings->retry_ratio;
     gateway->rule.window_us = settings->retry_window_ms * TS_US_PER_MS;
-    ts_gateway_set_nodes(gateway, gateway->nodes);
+    ts_gateway_set_nodes(gateway, gateway->nodes_seen);
     for (unsigned i = 0; i < settings->zones_count; i++) {
         g_hash_table_replace(gateway->zones, g_strdup(settings->zones[i].zone),
                              g_strdup(settings->zones[i].region));
@@ -156,6 +164,7 @@
                            ts_gateway_settings_t *settings) {
     gateway->loop = loop;
     gateway->settings = settings;
+    gateway->opened_us = ts_clock_now_us();
     gateway->dialect = ts_plugin_find(TS_PLUGIN_DIALECT, settings->dialect);
     gateway->zones = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     gateway->route_states =
@@ -204,6 +213,7 @@
     ts_registry_each_service(gateway->registry, sweep_service, gateway);
     ts_time_us_t now_us = ts_clock_now_us();
     ts_registry_sweep(gateway->registry, now_us);
+    ts_gateway_set_nodes(gateway, gateway->nodes_seen); /* a young node grows sure */
     ts_store_mirror_sweep(gateway->mirror, now_us);
     if (gateway->peers != NULL) {
         ts_peers_sweep(gateway->peers, now_us);
--- a/tests/gateway/test_peers.c
+++ b/tests/gateway/test_peers.c
@@ -138,7 +138,13 @@
 
 static void test_limits_are_divided_by_the_most_nodes_seen(void **state) {
     fleet_t fleet = open_fleet();
+    assert_true(fleet.nodes[0]->nodes > NODES); /* young, hence unsure: the smaller share */
+    for (int i = 0; i < 600 && fleet.nodes[0]->nodes > NODES; i++) {
+        world_run_ms(fleet.world, 10);
+        ts_gateway_sweep(fleet.nodes[0]);
+    }
     double share = fleet.nodes[0]->rule.slack_share;
+    assert_int_equal(fleet.nodes[0]->nodes, NODES);
     assert_true(share <= 60.0 / NODES);
     world_add_gateway(fleet.world, "m5", "z2", world_next_port(), fleet.ports[0],
                       fleet.world->store_port);
