--- a/src/route/route_state.c
+++ b/src/route/route_state.c
@@ -2,7 +2,7 @@
 #include "tealspar/route_state.h"
 
 #define TYPICAL_QUANTILE 0.5
-#define OVERDUE_QUANTILE 0.93
+#define OVERDUE_QUANTILE 0.9
 /* First guesses, as parts of the aim, until answers were seen. */
 #define TYPICAL_GUESS_DIVISOR 10
 #define OVERDUE_GUESS_DIVISOR 5
