--- a/src/control/configuration.c
+++ b/src/control/configuration.c
@@ -15,6 +15,8 @@
 #include "tealspar/node.h"
 
 #define TICK_MS 100
+/* A tick that comes later than this was late because the process stood still. */
+#define TICK_COUNTS_MOST_US (150 * TS_US_PER_MS)
 /* How long a starting node waits for its peers before it believes the platform alone. */
 #define JOIN_WAIT_US (3000ULL * TS_US_PER_MS)
 /* After the first peer is heard, others may have something newer: listen to them for this time. */
@@ -35,9 +37,16 @@
     char *refused_reason;
     ts_document_loader_t *loader;
     uint64_t highest_heard;
-    uint64_t fetching_version;   /* asked for and not given yet */
-    ts_time_us_t first_heard_us; /* when a peer's version was first heard; 0: never */
-    ts_time_us_t started_us;
+    uint64_t fetching_version; /* asked for and not given yet */
+    /*
+     * Time in which this node could hear its peers: a process that stood still has not listened, so
+     * each tick counts for little more than its own length.
+     */
+    ts_time_us_t listened_us;
+    ts_time_us_t ticked_us; /* when the last tick was */
+    bool has_heard;         /* some peer's version */
+    bool has_platform_answered;
+    ts_time_us_t first_heard_us; /* `listened_us` when a peer's version was first heard */
     ts_time_us_t fetch_after_us;
     ts_timer_t timer;
 } configuration_t;
@@ -115,13 +124,13 @@
  */
 static bool may_accept(const configuration_t *configuration,
                        const ts_declarations_t *declarations) {
-    ts_time_us_t span_us = ts_clock_now_us() - configuration->started_us;
+    ts_time_us_t span_us = configuration->listened_us;
     bool is_newest = declarations->version >= configuration->highest_heard;
     if (configuration->declarations != NULL) {
         return true; /* compared with what is in force */
     }
-    if (is_newest && configuration->first_heard_us != 0) {
-        return ts_clock_now_us() - configuration->first_heard_us > HEARING_US;
+    if (is_newest && configuration->has_heard) {
+        return span_us - configuration->first_heard_us > HEARING_US;
     }
     if (is_newest) {
         return span_us > JOIN_WAIT_US;
@@ -206,8 +215,9 @@
                               const ts_document_message_t *message) {
     ts_time_us_t now_us = ts_clock_now_us();
     configuration->highest_heard = MAX(configuration->highest_heard, message->version);
-    if (configuration->first_heard_us == 0) {
-        configuration->first_heard_us = now_us;
+    if (!configuration->has_heard) {
+        configuration->has_heard = true;
+        configuration->first_heard_us = configuration->listened_us;
     }
     try_held(configuration);
     if (!is_wanted(configuration, message->version, message->digest) ||
@@ -222,7 +232,21 @@
     ts_task_send(configuration->mesh, &wish->head);
 }
 
+/*
+ * The platform answers for the first time. Its list of machines comes with it: before, this node
+ * may have known nobody to listen to, so the wait for its peers begins now.
+ */
+static void note_platform(configuration_t *configuration) {
+    if (!configuration->has_platform_answered && !configuration->has_heard) {
+        configuration->listened_us = 0;
+    }
+    configuration->has_platform_answered = true;
+}
+
 static void take_document(configuration_t *configuration, const ts_document_message_t *message) {
+    if (message->text != NULL && message->peer_name == NULL) {
+        note_platform(configuration);
+    }
     if (message->text != NULL) {
         configuration->fetch_after_us = ts_clock_now_us() + FETCH_RETRY_US; /* it is checked now */
         ts_count(TS_COUNTER_CONFIG_FROM_PEER, message->peer_name != NULL);
@@ -236,6 +260,10 @@
 
 static void tick(ts_timer_t *timer) {
     configuration_t *configuration = timer->data;
+    ts_time_us_t now_us = ts_clock_now_us();
+    ts_time_us_t since_us = now_us - configuration->ticked_us;
+    configuration->ticked_us = now_us;
+    configuration->listened_us += MIN(since_us, TICK_COUNTS_MOST_US);
     try_held(configuration);
 }
 
@@ -250,7 +278,7 @@
     configuration_t *configuration = g_new0(configuration_t, 1);
     ts_node_set_state(node, "configuration", configuration);
     configuration->node = node;
-    configuration->started_us = ts_clock_now_us();
+    configuration->ticked_us = ts_clock_now_us();
     configuration->loader = ts_document_loader_create(node->runtime, take_loaded, configuration);
     configuration->task =
         ts_task_create(node->tasks, "configuration", handle_message, configuration);
--- a/src/control/platform_reader.c
+++ b/src/control/platform_reader.c
@@ -15,6 +15,11 @@
 #define READERS_PER_ZONE 2U
 #define POLL_MS 500
 #define MACHINES_EVERY 4U
+/*
+ * A document is passed on only when the list of machines was read too, so that a node that starts
+ * knows whom to ask for a newer one; after so many polls without a list it is passed on anyway.
+ */
+#define POLLS_WITHOUT_LIST 40U
 /* A node that is no reader still looks at the list now and then, to find itself a way back in. */
 #define MACHINES_EVERY_OTHERS 120U
 
@@ -31,6 +36,7 @@
     bool is_document_out;
     bool is_machines_out;
     bool is_lost;
+    bool has_machines; /* the list was read at least once */
 } reader_t;
 
 static void note_result(reader_t *reader, ts_error_t error) {
@@ -47,7 +53,8 @@
     reader_t *reader = context;
     reader->is_document_out = false;
     note_result(reader, error);
-    if (error != TS_OK || text == NULL) {
+    bool knows_peers = reader->has_machines || reader->polls > POLLS_WITHOUT_LIST;
+    if (error != TS_OK || text == NULL || !knows_peers) {
         return;
     }
     ts_document_message_t *message = ts_document_message(NULL, NULL);
@@ -61,6 +68,7 @@
     reader->is_machines_out = false;
     note_result(reader, error);
     if (machines != NULL) {
+        reader->has_machines = true;
         ts_task_send(reader->membership, &machines->head);
     }
 }
@@ -72,7 +80,9 @@
         reader->is_document_out = true;
         reader->platform->read_document(reader->handle, reader->have, take_document, reader);
     }
-    if (reader->polls++ % every == 0 && !reader->is_machines_out) {
+    bool is_due = !reader->has_machines || reader->polls % every == 0;
+    reader->polls++;
+    if (is_due && !reader->is_machines_out) {
         reader->is_machines_out = true;
         reader->platform->read_machines(reader->handle, take_machines, reader);
     }
--- a/src/edge/gateway.c
+++ b/src/edge/gateway.c
@@ -132,8 +132,7 @@
     /* Nodes that are down come back with full rights: the most that were seen counts. */
     gateway->nodes_seen = MAX(MAX(gateway->nodes_seen, nodes), NODES_LEAST);
     bool is_young = ts_clock_now_us() - gateway->opened_us < UNSURE_US;
-    gateway->nodes =
-        is_young ? MAX(gateway->nodes_seen, NODES_UNSURE) : gateway->nodes_seen;
+    gateway->nodes = is_young ? MAX(gateway->nodes_seen, NODES_UNSURE) : gateway->nodes_seen;
     gateway->rule.slack_share = gateway->settings->retry_slack / (SLACK_DIVISOR * gateway->nodes);
 }
 
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -266,7 +266,7 @@
         part->may_have_run = true;
     }
     bool is_gather = part->request->route->kind == TS_TARGET_GATHER;
-    if (result->error == TS_OK && result->run == TS_RUN_DONE && !is_gather) {
+    if (result->answer != NULL && result->run == TS_RUN_DONE && !is_gather) {
         keep_answer(part, result->answer);
         bool is_final = part->status < STATUS_SERVER_ERROR || !may_send_again(part);
         if (is_final) {
--- a/tests/gateway/test_forwarding.c
+++ b/tests/gateway/test_forwarding.c
@@ -249,6 +249,24 @@
     assert_int_equal(second->runs, 1);
 }
 
+/* The connections that this node may have to an instance are never passed; requests wait. */
+static void test_full_instance_is_waited_for(void **state) {
+    lab_searcher_t *searcher = NULL;
+    world_t *world = open_one("idempotent", &searcher, NULL);
+    searcher->delay_ms = 60;
+    visit_t *visits[12];
+    for (int i = 0; i < 12; i++) {
+        visits[i] = visit_open(world, world->callers_port);
+        visit_send(visits[i], "GET /p/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r\r\n"
+                              "X-Deadline-Ms: 1400\r\n\r\n");
+    }
+    for (int i = 0; i < 12; i++) {
+        assert_int_equal(visit_await(world, visits[i]), 200);
+    }
+    assert_true(searcher->connections <= 4);
+    assert_int_equal(searcher->runs, 12);
+}
+
 static void test_draining_gets_no_new_work(void **state) {
     lab_searcher_t *first = NULL;
     lab_searcher_t *second = NULL;
@@ -289,6 +307,7 @@
         cmocka_unit_test(test_final_answer_at_the_routes_timeout),
         cmocka_unit_test(test_caller_that_leaves_is_cancelled),
         cmocka_unit_test(test_address_used_by_another_instance),
+        cmocka_unit_test(test_full_instance_is_waited_for),
         cmocka_unit_test(test_draining_gets_no_new_work),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/lab/test_fuzz.c
+++ b/tests/lab/test_fuzz.c
@@ -24,6 +24,22 @@
     assert_true(answered > SEEDS); /* the fleet did work meanwhile */
 }
 
+/* Seeds that once found something, each with its cause (docs/FAILURES.md, 15 and 16). */
+static void test_seeds_that_failed_once(void **state) {
+    static const uint64_t seeds[] = {
+        31380,   /* a node that stood still counted that time as listening to its peers */
+        8675332, /* a node took the old document before it knew whom to listen to */
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(seeds); i++) {
+        GArray *actions = lab_fuzz_draw(seeds[i], ACTIONS);
+        lab_finding_t finding = lab_fuzz_run(seeds[i], actions);
+        if (finding.is_broken) {
+            fail_msg("seed %lu: %s", (unsigned long)seeds[i], finding.text);
+        }
+        g_array_free(actions, TRUE);
+    }
+}
+
 static void test_a_seed_replays_exactly(void **state) {
     GArray *actions = lab_fuzz_draw(11, ACTIONS);
     lab_finding_t first = lab_fuzz_run(11, actions);
@@ -65,6 +81,7 @@
 int main(void) {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_fixed_seeds_hold_every_promise),
+        cmocka_unit_test(test_seeds_that_failed_once),
         cmocka_unit_test(test_a_seed_replays_exactly),
         cmocka_unit_test(test_planted_bugs_are_found),
     };
