--- a/include/tealspar/log.h
+++ b/include/tealspar/log.h
@@ -23,6 +23,7 @@
     X(BACKEND_STATE, MESSAGE, "backend_state")                                                     \
     X(BACKEND_SUSPECT, MESSAGE, "backend_suspect")                                                 \
     X(REQUEST_DONE, INFO, "request_done")                                                          \
+    X(REQUEST_PARTIAL, MESSAGE, "request_partial")                                                 \
     X(REQUEST_FAILED, MESSAGE, "request_failed")                                                   \
     X(REQUEST_LEFT, MESSAGE, "request_left")                                                       \
     X(PART_SENT_AGAIN, INFO, "part_sent_again")                                                    \
--- a/src/edge/answer.c
+++ b/src/edge/answer.c
@@ -103,6 +103,12 @@
            confirmed_age_ms(request->gateway));
 }
 
+static void log_missing(const ts_request_t *request) {
+    for (unsigned i = 0; i < request->parts_count; i++) {
+        ts_part_log_missing(&request->parts[i]);
+    }
+}
+
 void ts_answer_left(const ts_request_t *request) {
     ts_count(TS_COUNTER_REQUESTS_LEFT, 1);
     ts_route_state_count(request->state, TS_OUTCOME_LEFT, ts_clock_now_us() - request->arrived_us);
@@ -115,7 +121,10 @@
     ts_count(TS_COUNTER_REQUESTS_OK, 1);
     ts_observe_us(TS_HISTOGRAM_QUERY_LATENCY, span_us);
     ts_route_state_count(request->state, is_partial ? TS_OUTCOME_PARTIAL : TS_OUTCOME_OK, span_us);
-    log_outcome(request, TS_EVENT_REQUEST_DONE,
+    if (is_partial) {
+        log_missing(request);
+    }
+    log_outcome(request, is_partial ? TS_EVENT_REQUEST_PARTIAL : TS_EVENT_REQUEST_DONE,
                 request->route->kind == TS_TARGET_GATHER ? STATUS_OK : request->parts[0].status,
                 is_partial ? "parts_missing" : "none");
     if (request->route->kind == TS_TARGET_GATHER) {
@@ -146,6 +155,7 @@
     ts_count(may_have_run ? TS_COUNTER_REQUESTS_FAILED : TS_COUNTER_REQUESTS_REFUSED, 1);
     ts_route_state_count(request->state, may_have_run ? TS_OUTCOME_FAILED : TS_OUTCOME_REFUSED,
                          ts_clock_now_us() - request->arrived_us);
+    log_missing(request);
     log_outcome(request, TS_EVENT_REQUEST_FAILED, status, ts_error_name(error));
     ts_caller_answer(request->caller, status, fields->str, body, strlen(body));
     g_free(body);
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -341,6 +341,15 @@
     ts_request_progress(part->request);
 }
 
+void ts_part_log_missing(const ts_request_part_t *part) {
+    if (part->state != TS_PART_OPEN) {
+        return; /* what was lost was said when it was */
+    }
+    const ts_instance_t *latest = part->sends > 0 ? part->tried[part->sends - 1] : NULL;
+    log_decision(part, TS_EVENT_PART_LOST, latest == NULL ? "no_instance" : "not_in_time", latest,
+                 ts_clock_now_us());
+}
+
 void ts_part_release(ts_request_part_t *part, ts_time_us_t until_us) {
     for (unsigned i = 0; i < part->sends; i++) {
         ts_exchange_t *exchange = part->exchanges[i];
