Admission at entry by priority; limits in flight learned from late answers and refusals

Change: an instance's limit falls with answers 2.5 times later than usual and with refusals, and rises with timely ones; a request that cannot be begun within a fifth of its aim is refused with the time to come back; less urgent kinds of a service are not refused less than more urgent ones.

--- a/include/tealspar/registry.h
+++ b/include/tealspar/registry.h
@@ -53,6 +53,8 @@
     ts_time_us_t warm_at_us; /**< until then it is slow from its start */
     /* What this node measured. */
     uint32_t in_flight;          /**< requests of this node that it has */
+    double limit;                /**< how many it may have, as learned; 0: nothing learned */
+    ts_time_us_t limited_us;     /**< when `limit` was last lowered */
     double slowness;             /**< its answer times against its service's; 1: the same */
     ts_time_us_t slowness_at_us; /**< when `slowness` was last moved */
     ts_time_us_t answered_us;    /**< when its last answer came; 0: never */
@@ -66,11 +68,15 @@
     uint32_t connections; /**< open ones, idle and busy */
 } ts_instance_t;
 
+/** Priorities whose refusals are told apart; less urgent ones count as the last. */
+#define TS_PRIORITIES 4U
+
 struct ts_service {
     char *name;
     GPtrArray *instances; /**< of ts_instance_t */
     ts_retry_budget_t budget;
-    uint32_t connections_max; /**< that one instance takes from all callers; 0: not told */
+    uint32_t connections_max;      /**< that one instance takes from all callers; 0: not told */
+    double refused[TS_PRIORITIES]; /**< share of late requests that were refused, by priority */
     ts_registry_t *registry;
 };
 
--- a/include/tealspar/replica.h
+++ b/include/tealspar/replica.h
@@ -13,6 +13,7 @@
     ts_time_us_t now_us;
     ts_time_us_t drain_us;    /**< an instance that is leaving takes no new work after this */
     uint32_t connections_max; /**< this node's connections to one instance */
+    uint32_t nodes;           /**< among which an instance's slots are divided */
     uint32_t random;          /**< breaks ties */
 } ts_replica_input_t;
 
@@ -22,7 +23,10 @@
 double ts_replica_travel_most_us(void);
 /** Whether an instance may be sent new work at all. */
 bool ts_replica_is_usable(const ts_instance_t *instance, const ts_replica_input_t *input);
-/** Whether all connections that this node may have to the instance are at work. */
+/** Whether some instance of the service could take a request at once, and is believed well. */
+bool ts_replica_is_any_free(const ts_service_t *service, const ts_replica_input_t *input);
+/** Whether this node has as many requests there as it may: by connections, and by what was learned.
+ */
 bool ts_replica_is_full(const ts_instance_t *instance, const ts_replica_input_t *input);
 /** Expected time to an answer in microseconds, with penalties for what is doubtful. */
 double ts_replica_cost(const ts_instance_t *instance, const ts_replica_input_t *input);
--- a/src/edge/answer.c
+++ b/src/edge/answer.c
@@ -12,6 +12,9 @@
 #define STATUS_UNAVAILABLE 503
 #define STATUS_GATEWAY_TIMEOUT 504
 #define RETRY_AFTER_MS 150
+#define OVERLOAD_RETRY_MS 400
+/* Later still by the share of requests that are refused at present. */
+#define OVERLOAD_RETRY_MORE_MS 1200
 #define MS_PER_S 1000.0
 
 static void append_retry_after(const ts_gateway_t *gateway, uint32_t retry_after_ms,
@@ -143,13 +146,24 @@
     return error == TS_E_DEADLINE ? STATUS_GATEWAY_TIMEOUT : STATUS_BAD_GATEWAY;
 }
 
+/* When a caller may come back: later, and spread out, when there is more work than can be done. */
+static uint32_t retry_after_ms(const ts_request_t *request, ts_error_t error) {
+    if (error != TS_E_OVERLOAD) {
+        return RETRY_AFTER_MS;
+    }
+    unsigned priority = MIN(request->route->priority, TS_PRIORITIES - 1);
+    double refused = request->parts[0].service->refused[priority];
+    return OVERLOAD_RETRY_MS + ts_gateway_random(request->gateway) % OVERLOAD_RETRY_MS +
+           (uint32_t)(refused * OVERLOAD_RETRY_MORE_MS);
+}
+
 void ts_answer_failure(ts_request_t *request, ts_error_t error) {
     bool may_have_run = ts_request_may_have_run(request);
     unsigned status = failure_status(error, may_have_run);
     GString *fields = g_string_new("Content-Type: application/json\r\n");
     g_string_append_printf(fields, "%s: %s\r\n", request->gateway->dialect->headers.request_id,
                            request->outgoing->request_id);
-    append_retry_after(request->gateway, may_have_run ? 0 : RETRY_AFTER_MS, fields);
+    append_retry_after(request->gateway, may_have_run ? 0 : retry_after_ms(request, error), fields);
     char *body = describe_error(error);
     ts_count_error(error);
     ts_count(may_have_run ? TS_COUNTER_REQUESTS_FAILED : TS_COUNTER_REQUESTS_REFUSED, 1);
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -14,6 +14,15 @@
 #define NOT_READY_RETRY_MS 900
 /* An answer must leave this long before the caller's deadline, or the route's end of patience. */
 #define DEADLINE_MARGIN_US (25 * TS_US_PER_MS)
+/*
+ * A request that cannot be begun waits for at most this part of its aim, and is then refused: early
+ * enough for the caller to come back in time, and looked at this often.
+ */
+#define ADMISSION_DIVISOR 5
+#define ADMISSION_LOOK_US (6 * TS_US_PER_MS)
+/* Of the shares of refused requests: how fast they follow, and by how much one may lead. */
+#define REFUSED_STEP 0.03
+#define REFUSED_MARGIN 0.04
 /* A gathered answer leaves this long before the aim: the way back, and what the way here took. */
 #define AIM_MARGIN_US (16 * TS_US_PER_MS)
 /* What nobody waits for may finish for so long before it is cancelled. */
@@ -106,6 +115,8 @@
     if (request->stop_us > request->deadline_us) {
         request->stop_us = request->deadline_us;
     }
+    request->admit_by_us =
+        request->arrived_us + (request->stop_us - request->arrived_us) / ADMISSION_DIVISOR;
 }
 
 static void set_part(ts_request_t *request, unsigned index, const char *service) {
@@ -117,6 +128,7 @@
 }
 
 static void check_parts(uv_timer_t *timer);
+static void set_timer(ts_request_t *request, ts_time_us_t now_us);
 
 static ts_request_t *create_request(ts_gateway_t *gateway, ts_caller_t *caller,
                                     const ts_traffic_route_t *route) {
@@ -176,6 +188,59 @@
     end_request(request);
 }
 
+/* -- Admission --------------------------------------------------------------------------------- */
+
+/* Whether enough parts could be sent at once for the request to succeed. */
+static bool can_begin(const ts_request_t *request, ts_time_us_t now_us) {
+    unsigned may_miss = request->parts_count - ts_request_parts_needed(request);
+    unsigned blocked = 0;
+    for (unsigned i = 0; i < request->parts_count && blocked <= may_miss; i++) {
+        blocked += ts_part_is_blocked(&request->parts[i], now_us);
+    }
+    return blocked <= may_miss;
+}
+
+static unsigned priority_of(const ts_request_t *request) {
+    return MIN(request->route->priority, TS_PRIORITIES - 1);
+}
+
+/* The services of a gather are shared by its routes: the first one keeps the account. */
+static void note_admission(const ts_request_t *request, bool was_refused) {
+    double *share = &request->parts[0].service->refused[priority_of(request)];
+    *share += REFUSED_STEP * ((was_refused ? 1.0 : 0.0) - *share);
+}
+
+/* Whether more urgent requests for the same service are refused more often than such as this. */
+static bool is_behind_urgent(const ts_request_t *request) {
+    const double *refused = request->parts[0].service->refused;
+    unsigned own = priority_of(request);
+    for (unsigned priority = 0; priority < own; priority++) {
+        if (refused[priority] > refused[own] + REFUSED_MARGIN) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Begins the request if it can be begun, or refuses it when its time to begin is over. */
+static bool try_admit(ts_request_t *request, ts_time_us_t now_us) {
+    if (!is_behind_urgent(request) && can_begin(request, now_us)) {
+        request->is_admitted = true;
+        note_admission(request, false);
+        for (unsigned i = 0; i < request->parts_count; i++) {
+            ts_part_send_first(&request->parts[i]);
+        }
+        return true;
+    }
+    if (now_us >= request->admit_by_us) {
+        note_admission(request, true);
+        fail(request, TS_E_OVERLOAD);
+        return true;
+    }
+    uv_timer_start(&request->timer, check_parts, ADMISSION_LOOK_US / TS_US_PER_MS, 0);
+    return false;
+}
+
 /* -- Deciding ---------------------------------------------------------------------------------- */
 
 /* Why a request without a success failed, by what its parts met. */
@@ -226,6 +291,12 @@
 static void check_parts(uv_timer_t *timer) {
     ts_request_t *request = timer->data;
     ts_time_us_t now_us = ts_clock_now_us();
+    if (!request->is_admitted) {
+        if (try_admit(request, now_us) && request->is_admitted) {
+            set_timer(request, now_us);
+        }
+        return;
+    }
     for (unsigned i = 0; i < request->parts_count; i++) {
         ts_part_check(&request->parts[i], now_us);
     }
@@ -270,10 +341,9 @@
     ts_request_t *request = create_request(gateway, caller, route);
     ts_caller_set_request(caller, request);
     set_times(request, read_patience_ms(gateway, message, route));
-    for (unsigned i = 0; i < request->parts_count; i++) {
-        ts_part_send_first(&request->parts[i]);
+    if (try_admit(request, request->arrived_us) && request->is_admitted) {
+        set_timer(request, request->arrived_us);
     }
-    set_timer(request, request->arrived_us);
 }
 
 void ts_request_abandon(ts_gateway_t *gateway, ts_caller_t *caller) {
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -47,6 +47,8 @@
     uv_timer_t timer;
     ts_time_us_t arrived_us;
     ts_time_us_t deadline_us; /**< the final answer leaves by then */
+    ts_time_us_t admit_by_us; /**< refused if it could not be begun by then */
+    bool is_admitted;         /**< its parts are sent */
     ts_time_us_t stop_us;     /**< gathered: what is in by then is enough, if coverage allows */
     unsigned parts_count;
     unsigned parts_in;
@@ -55,6 +57,8 @@
     ts_request_part_t parts[];
 };
 
+/** Whether no instance of the part's service could take it at once. */
+bool ts_part_is_blocked(const ts_request_part_t *part, ts_time_us_t now_us);
 /** Sends the part to the best instance, or notes that none is there. */
 void ts_part_send_first(ts_request_part_t *part);
 /** Does what is due for the part: a second send, another look for an instance. */
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -36,9 +36,12 @@
 
 static ts_replica_input_t choice_input(const ts_request_part_t *part, ts_time_us_t now_us) {
     ts_gateway_t *gateway = part->request->gateway;
-    return (ts_replica_input_t){part->request->state->typical.value_us, now_us,
+    return (ts_replica_input_t){part->request->state->typical.value_us,
+                                now_us,
                                 gateway->settings->drain_ms * TS_US_PER_MS / 2,
-                                connections_max(part), ts_gateway_random(gateway)};
+                                connections_max(part),
+                                gateway->nodes,
+                                ts_gateway_random(gateway)};
 }
 
 static unsigned exchanges_out(const ts_request_part_t *part) {
@@ -107,6 +110,11 @@
            (unsigned long)request->traffic->version);
 }
 
+bool ts_part_is_blocked(const ts_request_part_t *part, ts_time_us_t now_us) {
+    ts_replica_input_t input = choice_input(part, now_us);
+    return !ts_replica_is_any_free(part->service, &input);
+}
+
 void ts_part_send_first(ts_request_part_t *part) {
     ts_time_us_t now_us = ts_clock_now_us();
     ts_replica_input_t input = choice_input(part, now_us);
--- a/src/registry/instance_health.c
+++ b/src/registry/instance_health.c
@@ -11,10 +11,43 @@
 #define SLOWNESS_MAX 12.0
 /* What a peer says weighs less than an answer that this node had just now. */
 #define HEARD_AFTER_US (15 * TS_US_PER_MS)
+/*
+ * The limit of requests in flight falls when answers take this much longer than usual, or when the
+ * instance refuses work, and rises while answers come in time and the limit is used.
+ */
+#define OVERLOADED_RATIO 2.5
+#define RELAXED_RATIO 1.8
+#define LIMIT_FALL 0.85
+#define LIMIT_FALL_REFUSED 0.7
+#define LIMIT_RISE 0.25
+#define LIMIT_LEAST 1.0
+#define LIMIT_MOST 1000.0
+/* Answers to requests that were sent before the limit fell say nothing about the new one. */
+#define LIMIT_SETTLES_RATIO 2.0
 #define AVOID_FIRST_US (300 * TS_US_PER_MS)
 #define AVOID_MAX_US (2 * TS_US_PER_S)
 #define AVOID_REFUSED_US (60 * TS_US_PER_MS)
 
+static void lower_limit(ts_instance_t *instance, double factor, ts_time_us_t now_us) {
+    double present = instance->limit > 0 ? instance->limit : instance->in_flight;
+    instance->limit = MAX(present * factor, LIMIT_LEAST);
+    instance->limited_us = now_us;
+}
+
+static void adapt_limit(ts_instance_t *instance, ts_time_us_t now_us, double span_us,
+                        double typical_us) {
+    double settled_us = LIMIT_SETTLES_RATIO * typical_us;
+    bool is_settled = (double)(now_us - instance->limited_us) > settled_us;
+    if (span_us > OVERLOADED_RATIO * typical_us) {
+        if (is_settled && instance->in_flight > 1) {
+            lower_limit(instance, LIMIT_FALL, now_us);
+        }
+    } else if (span_us < RELAXED_RATIO * typical_us && instance->limit > 0 &&
+               instance->in_flight + 1 >= instance->limit) {
+        instance->limit = MIN(instance->limit + LIMIT_RISE, LIMIT_MOST);
+    }
+}
+
 static void note_span(ts_instance_t *instance, double ratio) {
     if (ratio < SLOW_RATIO) {
         instance->slowness += SLOWNESS_STEP * (ratio - instance->slowness);
@@ -38,6 +71,7 @@
     }
     if (typical_us > 0) {
         note_span(instance, span_us / typical_us);
+        adapt_limit(instance, now_us, span_us, typical_us);
         instance->slowness_at_us = now_us;
     }
 }
@@ -77,4 +111,5 @@
 void ts_instance_note_refusal(ts_instance_t *instance, ts_time_us_t now_us) {
     instance->answered_us = now_us;
     instance->avoid_until_us = now_us + AVOID_REFUSED_US;
+    lower_limit(instance, LIMIT_FALL_REFUSED, now_us);
 }
--- a/src/route/replica.c
+++ b/src/route/replica.c
@@ -1,6 +1,7 @@
 /** The choice of an instance. */
 #include "tealspar/replica.h"
 
+#include <glib.h>
 #include <math.h>
 
 /* Time there and back, by distance; links of the deployments so far. */
@@ -13,6 +14,8 @@
 #define WARMUP_FACTOR 1.6
 /* A suspected instance is given one request after so long without an answer. */
 #define RETRY_SUSPECTED_US (1000 * TS_US_PER_MS)
+/* How often the nodes together fill an instance's slots when their limits are at the lowest. */
+#define SLOTS_FILLED 2.0
 #define TIE_SHARE 0.04
 #define RANDOM_RANGE 1024U
 
@@ -64,7 +67,12 @@
 }
 
 bool ts_replica_is_full(const ts_instance_t *instance, const ts_replica_input_t *input) {
-    return instance->idle.length == 0 && instance->connections >= input->connections_max;
+    /* Whatever was learned, the nodes together may fill the instance's slots and queue as much. */
+    double slots_share = SLOTS_FILLED * instance->slots / (double)input->nodes;
+    double least = MAX(ceil(slots_share), 1);
+    double learned =
+        instance->limit > 0 ? MAX(floor(instance->limit), least) : input->connections_max;
+    return instance->in_flight >= MIN(learned, input->connections_max);
 }
 
 static bool is_among(const ts_instance_t *instance, ts_instance_t *const *tried, unsigned count) {
@@ -101,6 +109,17 @@
     return best;
 }
 
+bool ts_replica_is_any_free(const ts_service_t *service, const ts_replica_input_t *input) {
+    for (guint i = 0; i < service->instances->len; i++) {
+        const ts_instance_t *instance = g_ptr_array_index(service->instances, i);
+        if (ts_replica_is_usable(instance, input) && !ts_replica_is_full(instance, input) &&
+            instance->avoid_until_us <= input->now_us) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool ts_replica_is_worth_waiting(const ts_service_t *service, const ts_replica_input_t *input,
                                  ts_instance_t *const *tried, unsigned tried_count) {
     for (guint i = 0; i < service->instances->len; i++) {
