--- /dev/null
+++ b/tests/peers/test_peer_link.c
@@ -0,0 +1,84 @@
+/** Connections to peers: messages arrive, and closing one at any moment harms nothing. */
+#include "../test_support.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "tealspar/peer_link.h"
+
+#define ROUNDS 300
+#define WAIT_MS 5000
+
+static unsigned received;
+
+static void take(void *context, const uint8_t *bytes, size_t length) {
+    assert_int_equal(length, 5);
+    assert_memory_equal(bytes, "hello", 5);
+    received++;
+}
+
+static char *free_address(void) {
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    socklen_t length = sizeof(address);
+    int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    assert_int_equal(bind(descriptor, (const struct sockaddr *)&address, length), 0);
+    assert_int_equal(getsockname(descriptor, (struct sockaddr *)&address, &length), 0);
+    close(descriptor);
+    return g_strdup_printf("127.0.0.1:%u", ntohs(address.sin_port));
+}
+
+static void stop_loop(uv_timer_t *timer) {
+    uv_stop(timer->loop);
+}
+
+static void run_ms(uv_loop_t *loop, uint64_t span_ms) {
+    uv_timer_t timer;
+    uv_timer_init(loop, &timer);
+    uv_timer_start(&timer, stop_loop, span_ms, 0);
+    uv_run(loop, UV_RUN_DEFAULT);
+    uv_close((uv_handle_t *)&timer, NULL);
+    uv_run(loop, UV_RUN_NOWAIT);
+}
+
+static void test_messages_arrive_and_connections_end(void **state) {
+    uv_loop_t loop;
+    uv_loop_init(&loop);
+    char *here = free_address();
+    char *there = free_address();
+    char *nowhere = free_address();
+    ts_peer_link_t *link = ts_peer_link_open(&loop, here, take, NULL);
+    ts_peer_link_t *other = ts_peer_link_open(&loop, there, take, NULL);
+    assert_non_null(link);
+    assert_non_null(other);
+    for (int i = 0; i < ROUNDS; i++) {
+        ts_peer_link_send(link, there, (const uint8_t *)"hello", 5);
+        ts_peer_link_send(other, here, (const uint8_t *)"hello", 5);
+        ts_peer_link_send(link, nowhere, (const uint8_t *)"hello", 5);
+        if (i % 3 != 0) {
+            run_ms(&loop, (uint64_t)(i % 7));
+        }
+        ts_peer_link_reset(link, there);
+        ts_peer_link_reset(link, nowhere);
+        if (i % 2 == 0) {
+            ts_peer_link_sweep(other, ts_clock_now_us() + 3600 * TS_US_PER_S);
+        }
+    }
+    received = 0;
+    ts_peer_link_send(link, there, (const uint8_t *)"hello", 5);
+    for (int i = 0; i < WAIT_MS / 10 && received == 0; i++) {
+        run_ms(&loop, 10);
+    }
+    assert_true(received >= 1);
+    g_free(here);
+    g_free(there);
+    g_free(nowhere);
+}
+
+int main(void) {
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_messages_arrive_and_connections_end),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
