Instances are kept while requests remember them

Ruled out: nng (300 rounds of closing under the address sanitizer), connections and exchanges (both counted). Change: requests count as references. test_remembered_instance_is_not_forgotten fails without it.

--- a/include/tealspar/registry.h
+++ b/include/tealspar/registry.h
@@ -52,6 +52,7 @@
     ts_time_us_t left_us;    /**< when it began to drain or left the list */
     ts_time_us_t warm_at_us; /**< until then it is slow from its start */
     /* What this node measured. */
+    uint32_t references;         /**< requests that remember it, answered or not */
     uint32_t in_flight;          /**< requests of this node that it has */
     double limit;                /**< how many it may have, as learned; 0: nothing learned */
     ts_time_us_t limited_us;     /**< when `limit` was last lowered */
@@ -92,7 +93,7 @@
 void ts_registry_remove(ts_registry_t *registry, const char *id, ts_time_us_t now_us);
 /** Discovery was read whole: what is not in `ids` (a set of ids) is removed. */
 void ts_registry_keep_only(ts_registry_t *registry, GHashTable *ids, ts_time_us_t now_us);
-/** Frees instances that have left and have no connections; call it now and then. */
+/** Frees instances that have left and that nothing refers to; call it now and then. */
 void ts_registry_sweep(ts_registry_t *registry, ts_time_us_t now_us);
 /** An instance by its id, or NULL. */
 ts_instance_t *ts_registry_instance(const ts_registry_t *registry, const char *id);
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -77,6 +77,7 @@
     double typical_us = request->state->typical.value_us;
     double travel_us = ts_replica_travel_us(instance);
     part->tried[part->sends] = instance;
+    instance->references++;
     part->attempts++;
     request->sends++;
     part->was_overdue = false;
@@ -374,6 +375,9 @@
 }
 
 void ts_part_clear(ts_request_part_t *part) {
+    for (unsigned i = 0; i < part->sends; i++) {
+        part->tried[i]->references--;
+    }
     if (part->fields != NULL) {
         g_string_free(part->fields, TRUE);
     }
--- a/src/registry/registry.c
+++ b/src/registry/registry.c
@@ -173,7 +173,8 @@
     g_hash_table_iter_init(&iterator, registry->instances);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         ts_instance_t *instance = value;
-        bool is_unused = instance->connections == 0 && instance->in_flight == 0;
+        bool is_unused =
+            instance->connections == 0 && instance->in_flight == 0 && instance->references == 0;
         if (!instance->is_listed && is_unused && now_us - instance->left_us > FORGET_US) {
             g_ptr_array_remove_fast(instance->service->instances, instance);
             g_hash_table_iter_remove(&iterator);
--- a/tests/gateway/test_churn.c
+++ b/tests/gateway/test_churn.c
@@ -1,7 +1,7 @@
 /**
- * Searchers that come, misbehave, drain, go and are forgotten while requests run, by fixed seeds: no
- * memory is used after it was freed (run it with SANITIZE=address), every request ends, and counts
- * return to zero.
+ * Searchers that come, misbehave, drain, go and are forgotten while requests run, by fixed seeds:
+ * no memory is used after it was freed (run it with SANITIZE=address), every request ends, and
+ * counts return to zero.
  */
 #include "world.h"
 
@@ -36,8 +36,8 @@
     g_snprintf(id, sizeof(id), "i-%u", churn->made);
     const char *zone = churn->made % 3 == 0 ? "z2" : "z1";
     churn->made++;
-    g_ptr_array_add(churn->searchers, world_add_searcher(churn->world, id, service_name(service),
-                                                         zone));
+    lab_searcher_t *searcher = world_enter_searcher(churn->world, id, service_name(service), zone);
+    g_ptr_array_add(churn->searchers, searcher);
 }
 
 static void remove_searcher(churn_t *churn) {
@@ -95,9 +95,9 @@
     for (unsigned i = 0; i < 3 * SERVICES; i++) {
         add_searcher(&churn, i);
     }
-    world_configure(churn.world, 1,
-                    ROUTE_GATHER("all", "/g/", 0.6) "," ROUTE_ONE("one", "/p/", "idempotent", "a",
-                                                                  1500));
+    world_configure(
+        churn.world, 1,
+        ROUTE_GATHER("all", "/g/", 0.6) "," ROUTE_ONE("one", "/p/", "idempotent", "a", 1500));
     for (int round = 0; round < ROUNDS; round++) {
         visit_t *visits[REQUESTS];
         misbehave(&churn);
--- a/tests/gateway/world.c
+++ b/tests/gateway/world.c
@@ -111,10 +111,16 @@
     g_free(key);
 }
 
-lab_searcher_t *world_add_searcher(world_t *world, const char *id, const char *service,
-                                   const char *zone) {
+lab_searcher_t *world_enter_searcher(world_t *world, const char *id, const char *service,
+                                     const char *zone) {
     lab_searcher_t *searcher = lab_searcher_open(&world->loop, id, service, zone);
     enter(world, searcher, false);
+    return searcher;
+}
+
+lab_searcher_t *world_add_searcher(world_t *world, const char *id, const char *service,
+                                   const char *zone) {
+    lab_searcher_t *searcher = world_enter_searcher(world, id, service, zone);
     world_await_listed(world, ts_registry_listed(world->gateway.registry) + 1);
     return searcher;
 }
--- a/tests/gateway/world.h
+++ b/tests/gateway/world.h
@@ -50,6 +50,9 @@
 /** Adds a searcher and enters it in the store. */
 lab_searcher_t *world_add_searcher(world_t *world, const char *id, const char *service,
                                    const char *zone);
+/** The same, without waiting until the gateway knows it. */
+lab_searcher_t *world_enter_searcher(world_t *world, const char *id, const char *service,
+                                     const char *zone);
 void world_set_draining(world_t *world, const lab_searcher_t *searcher);
 /** Runs the loop for a span. */
 void world_run_ms(world_t *world, unsigned span_ms);
--- a/tests/route/test_gateway_decisions.c
+++ b/tests/route/test_gateway_decisions.c
@@ -241,6 +241,19 @@
     assert_int_equal(ts_registry_service(registry, "s")->instances->len, 0);
 }
 
+/* A request that waits for long may still name whom it asked (a crash on the bench, fresh-ab50). */
+static void test_remembered_instance_is_not_forgotten(void **state) {
+    ts_registry_t *registry = ts_registry_create("z1", two_regions());
+    ts_instance_t *near = add(registry, "near", "z1");
+    near->references = 1;
+    ts_registry_remove(registry, "near", TS_US_PER_S);
+    ts_registry_sweep(registry, 20 * TS_US_PER_S);
+    assert_ptr_equal(ts_registry_instance(registry, "near"), near);
+    near->references = 0;
+    ts_registry_sweep(registry, 20 * TS_US_PER_S);
+    assert_null(ts_registry_instance(registry, "near"));
+}
+
 int main(void) {
     ts_log_open("test", TS_LOG_TEXT, G_LOG_LEVEL_CRITICAL);
     const struct CMUnitTest tests[] = {
@@ -253,6 +266,7 @@
         cmocka_unit_test(test_suspected_until_it_answers),
         cmocka_unit_test(test_slow_is_told_from_paused),
         cmocka_unit_test(test_limit_is_learned),
+        cmocka_unit_test(test_remembered_instance_is_not_forgotten),
         cmocka_unit_test(test_leaving_takes_nothing_after_the_bound),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
