--- a/include/tealspar/gateway_settings.h
+++ b/include/tealspar/gateway_settings.h
@@ -12,6 +12,13 @@
     char *region;
 } ts_zone_setting_t;
 
+/** How late parts are treated; the last two are baselines to measure the first against. */
+typedef enum ts_late_policy {
+    TS_LATE_ADAPTIVE, /**< suspicion, second sends as late as the aim allows, answers at the aim */
+    TS_LATE_FIXED_HEDGE, /**< a second send after a fixed part of the aim; answers at the aim */
+    TS_LATE_NAIVE        /**< neither second sends for lateness nor answers before all is in */
+} ts_late_policy_t;
+
 /** Loaded from YAML; see etc/gateway.yaml for what each key means. */
 typedef struct ts_gateway_settings {
     char *name;
@@ -31,6 +38,7 @@
     double retry_ratio; /**< extra sends for each request, over the fleet */
     uint32_t retry_window_ms;
     double retry_slack; /**< extra sends in a window beyond the ratio, over the fleet */
+    ts_late_policy_t policy;
     ts_log_format_t log_format;
     ts_log_level_t log_level;
 } ts_gateway_settings_t;
--- a/src/config/gateway_settings.c
+++ b/src/config/gateway_settings.c
@@ -30,6 +30,8 @@
 static const cyaml_schema_value_t zone_schema = {
     CYAML_VALUE_MAPPING(CYAML_FLAG_DEFAULT, ts_zone_setting_t, zone_fields)};
 
+static const cyaml_strval_t policy_names[] = {
+    {"adaptive", TS_LATE_ADAPTIVE}, {"fixed-hedge", TS_LATE_FIXED_HEDGE}, {"naive", TS_LATE_NAIVE}};
 static const cyaml_strval_t format_names[] = {{"text", TS_LOG_TEXT}, {"json", TS_LOG_JSON}};
 static const cyaml_strval_t level_names[] = {
     {"notice", TS_LEVEL_NOTICE}, {"warning", TS_LEVEL_WARNING}, {"info", TS_LEVEL_INFO}};
@@ -52,6 +54,8 @@
     CYAML_FIELD_FLOAT("retry_ratio", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, retry_ratio),
     NUMBER_FIELD(retry_window_ms),
     CYAML_FIELD_FLOAT("retry_slack", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, retry_slack),
+    CYAML_FIELD_ENUM("policy", CYAML_FLAG_STRICT | CYAML_FLAG_OPTIONAL, ts_gateway_settings_t,
+                     policy, policy_names, CYAML_ARRAY_LEN(policy_names)),
     CYAML_FIELD_ENUM("log_format", CYAML_FLAG_STRICT | CYAML_FLAG_OPTIONAL, ts_gateway_settings_t,
                      log_format, format_names, CYAML_ARRAY_LEN(format_names)),
     CYAML_FIELD_ENUM("log_level", CYAML_FLAG_STRICT | CYAML_FLAG_OPTIONAL, ts_gateway_settings_t,
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -112,7 +112,8 @@
     ts_time_us_t aim_us = route->aim_ms * TS_US_PER_MS;
     request->stop_us = aim_us > 2 * AIM_MARGIN_US ? request->arrived_us + aim_us - AIM_MARGIN_US
                                                   : request->deadline_us;
-    if (request->stop_us > request->deadline_us) {
+    if (request->gateway->settings->policy == TS_LATE_NAIVE ||
+        request->stop_us > request->deadline_us) {
         request->stop_us = request->deadline_us;
     }
     request->admit_by_us =
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -12,6 +12,8 @@
 #define HEDGE_COST_MAX_US 350000.0
 /* A second send is given this much more time than its answer usually takes. */
 #define SECOND_SEND_SAFETY 1.5
+/* The baseline 'fixed-hedge' sends again after this part of the aim. */
+#define FIXED_HEDGE_DIVISOR 5
 #define CONNECTIONS_DEFAULT 4U
 #define CONNECTIONS_MIN 2U
 /* Thirds of an instance's connections that the fleet uses: it takes fewer while its queue is long.
@@ -66,12 +68,24 @@
  */
 static ts_time_us_t second_send_us(const ts_request_part_t *part, ts_time_us_t overdue_us) {
     const ts_request_t *request = part->request;
+    if (request->gateway->settings->policy != TS_LATE_ADAPTIVE) {
+        return overdue_us;
+    }
     ts_time_us_t need_us = (ts_time_us_t)(SECOND_SEND_SAFETY * (request->state->overdue.value_us +
                                                                 ts_replica_travel_most_us()));
     ts_time_us_t latest_us = request->stop_us > need_us ? request->stop_us - need_us : 0;
     return latest_us > overdue_us ? latest_us : overdue_us;
 }
 
+/* After how long a send is overdue. */
+static ts_time_us_t overdue_after_us(const ts_request_t *request, double travel_us) {
+    ts_time_us_t aim_us = request->stop_us - request->arrived_us;
+    if (request->gateway->settings->policy != TS_LATE_ADAPTIVE) {
+        return aim_us / FIXED_HEDGE_DIVISOR;
+    }
+    return (ts_time_us_t)(request->state->overdue.value_us + travel_us);
+}
+
 static void send_to(ts_request_part_t *part, ts_instance_t *instance, ts_time_us_t now_us) {
     ts_request_t *request = part->request;
     double typical_us = request->state->typical.value_us;
@@ -164,7 +178,11 @@
         return;
     }
     ts_time_us_t sent_us = ts_exchange_sent_us(latest);
-    if (!part->was_overdue) {
+    ts_late_policy_t policy = part->request->gateway->settings->policy;
+    if (policy == TS_LATE_NAIVE) {
+        return;
+    }
+    if (!part->was_overdue && policy == TS_LATE_ADAPTIVE) {
         part->was_overdue = true;
         ts_route_state_note_overdue(part->request->state);
         ts_instance_note_overdue(ts_exchange_instance(latest), sent_us == 0 ? now_us : sent_us,
