--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -96,7 +96,7 @@
     request->sends++;
     part->was_overdue = false;
     part->next_try_us = 0;
-    part->overdue_us = now_us + (ts_time_us_t)(request->state->overdue.value_us + travel_us);
+    part->overdue_us = now_us + overdue_after_us(request, travel_us);
     part->second_us = second_send_us(part, part->overdue_us);
     unsigned place = part->sends++;
     part->exchanges[place] =
