What the zone's watcher knows goes down a tree; nobody pulls what the service is giving

Change: a node asks around only when it knows not one entry after 0.4 s, of its own zone every second time; gossip leads to a pull only when nothing is confirmed; beacons go down a tree of sixteen children a node; a suspicion is told to eight.

--- a/include/tealspar/store_mirror.h
+++ b/include/tealspar/store_mirror.h
@@ -21,6 +21,8 @@
 void ts_store_mirror_keep_only(ts_store_mirror_t *mirror, GHashTable *keys, uint64_t revision);
 /** Whether the entries were read whole at least once. */
 bool ts_store_mirror_is_primed(const ts_store_mirror_t *mirror);
+/** Whether not a single entry is known. */
+bool ts_store_mirror_is_empty(const ts_store_mirror_t *mirror);
 uint64_t ts_store_mirror_revision(const ts_store_mirror_t *mirror);
 /** When the revision was last confirmed as the newest; 0: never. */
 ts_time_us_t ts_store_mirror_confirmed_us(const ts_store_mirror_t *mirror);
--- a/src/control/store_mirror.c
+++ b/src/control/store_mirror.c
@@ -148,6 +148,10 @@
     return mirror->is_primed;
 }
 
+bool ts_store_mirror_is_empty(const ts_store_mirror_t *mirror) {
+    return g_hash_table_size(mirror->entries) == 0;
+}
+
 uint64_t ts_store_mirror_revision(const ts_store_mirror_t *mirror) {
     return mirror->revision;
 }
--- a/src/peers/peers.c
+++ b/src/peers/peers.c
@@ -18,8 +18,15 @@
 #define CONFIRMED_MAX_US (1500 * TS_US_PER_MS)
 /* A pull that was not answered is asked again after this. */
 #define PULL_AGAIN_US (300 * TS_US_PER_MS)
-/* While nothing is known, somebody is asked this often. */
+/* While nothing is known, somebody is asked this often, once the service had time to answer. */
 #define ASK_AROUND_US (500 * TS_US_PER_MS)
+#define ASK_FIRST_US (400 * TS_US_PER_MS)
+/* A beacon goes down a tree of the zone's nodes, so that no node sends more than this many. */
+#define BEACON_CHILDREN 16U
+/* A beacon is passed on only if it confirms what was last passed on this much later. */
+#define BEACON_NEWER_US (100 * TS_US_PER_MS)
+/* A suspicion is told to so many nodes of the zone. */
+#define SUSPICION_FANOUT 8U
 
 struct ts_peers {
     ts_gateway_t *gateway;
@@ -28,13 +35,26 @@
     ts_peer_link_t *link;
     ts_view_t *view;
     uv_timer_t timer;
-    const ts_view_member_t *watcher; /* of the zone, in the view; NULL: none but this node */
+    /*
+     * Members of this node's zone that are not dead, in the view, by rendezvous weight, the live
+     * before others: the first is the zone's watcher, the children of the node at `i` stand from
+     * BEACON_CHILDREN x i + 1 on.
+     */
+    GPtrArray *zone_order;
+    guint own_place;           /* of this node in the order */
+    ts_time_us_t passed_on_us; /* what the last beacon that was passed on confirmed */
+    uint64_t passed_on_revision;
     unsigned ticks;
     bool is_mute;           /**< sends nothing; see ts_peers_set_mute */
     ts_time_us_t pulled_us; /* when changes were last asked for */
     ts_time_us_t asked_us;  /* when somebody was last asked for everything */
+    unsigned asked_times;
 };
 
+static bool is_watcher(const ts_peers_t *peers) {
+    return peers->own_place == 0;
+}
+
 /* -- Sending ----------------------------------------------------------------------------------- */
 
 static void send_frame(ts_peers_t *peers, const char *address, TsPeer__Frame *frame) {
@@ -52,12 +72,24 @@
     g_free(bytes);
 }
 
-/* To the other nodes of this zone. */
-static void send_to_zone(ts_peers_t *peers, TsPeer__Frame *frame) {
-    for (size_t i = 0; i < peers->view->count; i++) {
-        const ts_view_member_t *member = &peers->view->members[i];
-        if (!member->is_self && strcmp(member->zone, peers->gateway->settings->zone) == 0) {
+/* To this node's children in the zone's tree. */
+static void send_to_children(ts_peers_t *peers, TsPeer__Frame *frame) {
+    guint begin = peers->own_place * BEACON_CHILDREN + 1;
+    for (guint i = begin; i < begin + BEACON_CHILDREN && i < peers->zone_order->len; i++) {
+        const ts_view_member_t *member = g_ptr_array_index(peers->zone_order, i);
+        send_frame(peers, member->address, frame);
+    }
+}
+
+/* To a few nodes of this zone, drawn at random; to all when there are few. */
+static void send_to_some(ts_peers_t *peers, TsPeer__Frame *frame) {
+    guint count = peers->zone_order->len;
+    guint begin = count == 0 ? 0 : ts_gateway_random(peers->gateway) % count;
+    for (guint i = 0, sent = 0; i < count && sent < SUSPICION_FANOUT; i++) {
+        const ts_view_member_t *member = g_ptr_array_index(peers->zone_order, (begin + i) % count);
+        if (!member->is_self) {
             send_frame(peers, member->address, frame);
+            sent++;
         }
     }
 }
@@ -75,7 +107,9 @@
     beacon.revision = ts_store_mirror_revision(peers->mirror);
     beacon.age_ms = age_ms(peers);
     frame.beacon = &beacon;
-    send_to_zone(peers, &frame);
+    peers->passed_on_us = ts_store_mirror_confirmed_us(peers->mirror);
+    peers->passed_on_revision = beacon.revision;
+    send_to_children(peers, &frame);
 }
 
 static void send_pull(ts_peers_t *peers, const char *address, uint64_t after) {
@@ -132,14 +166,33 @@
     }
 }
 
+/* Whether this node knows nothing although the service had time to answer. */
+static bool is_in_need(const ts_peers_t *peers) {
+    return ts_store_mirror_is_empty(peers->mirror) &&
+           ts_clock_now_us() - peers->gateway->opened_us > ASK_FIRST_US;
+}
+
+/* Passes on what is known now to this node's children, if it is news since the last time. */
+static void pass_on(ts_peers_t *peers) {
+    ts_time_us_t confirmed_us = ts_store_mirror_confirmed_us(peers->mirror);
+    bool is_news = ts_store_mirror_revision(peers->mirror) > peers->passed_on_revision ||
+                   confirmed_us > peers->passed_on_us + BEACON_NEWER_US;
+    if (is_news && !is_watcher(peers)) {
+        send_beacon(peers);
+    }
+}
+
 static void take_beacon(ts_peers_t *peers, const TsPeer__Frame *frame) {
     uint64_t own = ts_store_mirror_revision(peers->mirror);
     if (!ts_store_mirror_is_primed(peers->mirror)) {
-        pull_from(peers, frame->address, 0);
+        if (is_in_need(peers)) {
+            pull_from(peers, frame->address, 0);
+        }
     } else if (frame->beacon->revision > own) {
         pull_from(peers, frame->address, own);
     } else if (frame->beacon->revision == own) {
         ts_store_mirror_confirm(peers->mirror, confirmed_at(frame->beacon->age_ms));
+        pass_on(peers);
     }
 }
 
@@ -184,6 +237,7 @@
     ts_store_mirror_reach(peers->mirror, changes->revision, confirmed_at(changes->age_ms));
     ts_count(TS_COUNTER_CONFIG_FROM_PEER, 1);
     peers->pulled_us = 0;
+    pass_on(peers);
     g_ptr_array_unref(entries);
 }
 
@@ -247,28 +301,42 @@
     }
 }
 
-/* The zone's watcher: the highest rendezvous weight among its live members. */
-static const ts_view_member_t *choose_watcher(const ts_view_t *view, const char *zone) {
-    const ts_view_member_t *best = NULL;
-    uint64_t best_weight = 0;
-    uint64_t zone_hash = ts_hash_text(zone);
-    for (size_t i = 0; i < view->count; i++) {
-        const ts_view_member_t *member = &view->members[i];
-        uint64_t weight = ts_hash_mix(member->id, zone_hash);
-        if (member->state == TS_MEMBER_LIVE && strcmp(member->zone, zone) == 0 &&
-            (best == NULL || weight > best_weight)) {
-            best = member;
-            best_weight = weight;
+/* Live ones first, then by rendezvous weight; the same view gives the same order everywhere. */
+static gint compare_members(gconstpointer left, gconstpointer right) {
+    const ts_view_member_t *a = *(ts_view_member_t *const *)left;
+    const ts_view_member_t *b = *(ts_view_member_t *const *)right;
+    bool a_is_live = a->state == TS_MEMBER_LIVE;
+    bool b_is_live = b->state == TS_MEMBER_LIVE;
+    if (a_is_live != b_is_live) {
+        return a_is_live ? -1 : 1;
+    }
+    uint64_t a_weight = ts_hash_mix(a->id, ts_hash_text(a->zone));
+    uint64_t b_weight = ts_hash_mix(b->id, ts_hash_text(b->zone));
+    return (a_weight < b_weight) - (a_weight > b_weight);
+}
+
+static void order_zone(ts_peers_t *peers) {
+    const char *zone = peers->gateway->settings->zone;
+    g_ptr_array_set_size(peers->zone_order, 0);
+    for (size_t i = 0; i < peers->view->count; i++) {
+        ts_view_member_t *member = &peers->view->members[i];
+        if (strcmp(member->zone, zone) == 0) {
+            g_ptr_array_add(peers->zone_order, member);
+        }
+    }
+    g_ptr_array_sort(peers->zone_order, compare_members);
+    for (guint i = 0; i < peers->zone_order->len; i++) {
+        if (((ts_view_member_t *)g_ptr_array_index(peers->zone_order, i))->is_self) {
+            peers->own_place = i;
         }
     }
-    return best;
 }
 
 static void change_view(void *context) {
     ts_peers_t *peers = context;
     ts_view_unref(peers->view);
     peers->view = ts_membership_view(peers->membership);
-    peers->watcher = choose_watcher(peers->view, peers->gateway->settings->zone);
+    order_zone(peers);
     ts_gauge_set(TS_COUNTER_MEMBERS_LIVE,
                  (int64_t)ts_membership_count(peers->membership, TS_MEMBER_LIVE));
     ts_gateway_set_nodes(peers->gateway, (unsigned)peers->view->count);
@@ -282,17 +350,8 @@
 
 /* -- Time -------------------------------------------------------------------------------------- */
 
-static bool is_watcher(const ts_peers_t *peers) {
-    return peers->watcher == NULL || peers->watcher->is_self;
-}
-
 bool ts_peers_is_relied_on(const ts_peers_t *peers) {
-    bool has_others = false;
-    for (size_t i = 0; i < peers->view->count; i++) {
-        const ts_view_member_t *member = &peers->view->members[i];
-        has_others |= !member->is_self && strcmp(member->zone, peers->gateway->settings->zone) == 0;
-    }
-    return has_others && is_watcher(peers);
+    return peers->zone_order->len > 1 && is_watcher(peers);
 }
 
 bool ts_peers_should_watch(const ts_peers_t *peers, ts_time_us_t now_us) {
@@ -310,29 +369,39 @@
     }
 }
 
-void ts_peers_ask_around(ts_peers_t *peers) {
-    ts_time_us_t now_us = ts_clock_now_us();
-    size_t count = peers->view->count;
-    if (count < 2 || now_us - peers->asked_us < ASK_AROUND_US) {
-        return;
-    }
+/* Somebody else, drawn at random: of this zone and of all zones in turn. */
+static const ts_view_member_t *choose_to_ask(ts_peers_t *peers) {
+    bool in_zone = peers->asked_times++ % 2 == 0 && peers->zone_order->len > 1;
+    size_t count = in_zone ? peers->zone_order->len : peers->view->count;
     size_t begin = ts_gateway_random(peers->gateway) % count;
     for (size_t i = 0; i < count; i++) {
-        const ts_view_member_t *member = &peers->view->members[(begin + i) % count];
+        size_t place = (begin + i) % count;
+        const ts_view_member_t *member =
+            in_zone ? g_ptr_array_index(peers->zone_order, place) : &peers->view->members[place];
         if (!member->is_self) {
-            peers->asked_us = now_us;
-            bool is_primed = ts_store_mirror_is_primed(peers->mirror);
-            send_pull(peers, member->address,
-                      is_primed ? ts_store_mirror_revision(peers->mirror) : 0);
-            return;
+            return member;
         }
     }
+    return NULL;
+}
+
+void ts_peers_ask_around(ts_peers_t *peers) {
+    ts_time_us_t now_us = ts_clock_now_us();
+    if (now_us - peers->asked_us < ASK_AROUND_US) {
+        return;
+    }
+    const ts_view_member_t *member = choose_to_ask(peers);
+    if (member != NULL) {
+        peers->asked_us = now_us;
+        bool is_primed = ts_store_mirror_is_primed(peers->mirror);
+        send_pull(peers, member->address, is_primed ? ts_store_mirror_revision(peers->mirror) : 0);
+    }
 }
 
 static void tick(uv_timer_t *timer) {
     ts_peers_t *peers = timer->data;
     ts_membership_tick(peers->membership, ts_clock_now_us());
-    if (!ts_store_mirror_is_primed(peers->mirror)) {
+    if (is_in_need(peers)) {
         ts_peers_ask_around(peers);
     }
     if (++peers->ticks % BEACON_TICKS == 0 && is_watcher(peers) &&
@@ -347,7 +416,7 @@
     suspicion.instance = (char *)instance;
     suspicion.suspected = suspected;
     frame.suspicion = &suspicion;
-    send_to_zone(peers, &frame);
+    send_to_some(peers, &frame);
 }
 
 unsigned ts_peers_count(const ts_peers_t *peers) {
@@ -398,7 +467,9 @@
         return NULL;
     }
     peers->membership = ts_membership_create(&config, &ops, peers, ts_clock_now_us());
+    peers->zone_order = g_ptr_array_new();
     peers->view = ts_membership_view(peers->membership);
+    order_zone(peers);
     add_seeds(peers);
     uv_timer_init(gateway->loop, &peers->timer);
     peers->timer.data = peers;
--- a/tests/gateway/test_peers.c
+++ b/tests/gateway/test_peers.c
@@ -157,6 +157,40 @@
     assert_int_equal(fleet.nodes[0]->nodes, 5); /* one that is down comes back with full rights */
 }
 
+/* More nodes than one tells by itself: what is known goes down a tree. */
+static void test_large_zone_is_told_down_a_tree(void **state) {
+    enum { MANY = 24 };
+    world_t *world = world_open(NULL);
+    ts_gateway_t *nodes[MANY];
+    world_add_searcher(world, "i-1", "a", "z1");
+    world_configure(world, 1, ROUTE_A);
+    unsigned first_port = world_next_port();
+    for (int i = 0; i < MANY; i++) {
+        char name[8];
+        g_snprintf(name, sizeof(name), "n%d", i);
+        nodes[i] = world_add_gateway(world, name, "z1", i == 0 ? first_port : world_next_port(),
+                                     first_port, world->store_port);
+    }
+    for (int i = 0; i < MANY; i++) {
+        assert_true(world_await_knowledge(world, nodes[i], 1, 1));
+        for (int j = 0; j < 500 && ts_peers_count(nodes[i]->peers) < MANY; j++) {
+            world_run_ms(world, 20);
+        }
+    }
+    world_run_ms(world, 3000);
+    unsigned watching = 0;
+    for (int i = 0; i < MANY; i++) {
+        watching += ts_peers_should_watch(nodes[i]->peers, ts_clock_now_us());
+    }
+    assert_int_equal(watching, 1);
+    ts_time_us_t begun_us = ts_clock_now_us();
+    world_configure(world, 2, ROUTE_A);
+    for (int i = 0; i < MANY; i++) {
+        assert_true(world_await_knowledge(world, nodes[i], 2, 1));
+    }
+    assert_true(ts_clock_now_us() - begun_us < 2500 * TS_US_PER_MS);
+}
+
 int main(void) {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_one_watcher_a_zone),
@@ -166,6 +200,7 @@
         cmocka_unit_test(test_watcher_that_leaves_is_replaced),
         cmocka_unit_test(test_silent_watcher_is_not_waited_for),
         cmocka_unit_test(test_suspicion_is_shared_in_the_zone),
+        cmocka_unit_test(test_large_zone_is_told_down_a_tree),
         cmocka_unit_test(test_limits_are_divided_by_the_most_nodes_seen),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
