--- a/src/control/membership_receive.c
+++ b/src/control/membership_receive.c
@@ -8,6 +8,8 @@
 /* Exchanges of all members are paced: often after the start, rarely later. */
 #define RECENT_US (15ULL * TS_US_PER_S)
 #define REPAIR_GAP_US (300ULL * TS_US_PER_MS)
+/* One in so many exchanges that are due with a node of another zone is made. */
+#define SYNC_OTHER_ZONE_EVERY 8U
 #define SYNC_GAP_MOST_US (64ULL * TS_US_PER_S)
 
 /* At one incarnation a later state of this order wins. */
@@ -136,6 +138,16 @@
     }
 }
 
+/*
+ * Whether the exchange of all members is left to a node of this zone: links between zones are dear,
+ * and what one node of a zone learns there it tells the others.
+ */
+static bool is_sync_spared(ts_membership_t *m, const char *name) {
+    const member_t *member = ts_member_find_member(m, name);
+    bool is_other_zone = member != NULL && !ts_member_is_same_zone(m, member);
+    return is_other_zone && ts_member_next_random(m) % SYNC_OTHER_ZONE_EVERY != 0;
+}
+
 /* Views that stay different are put right by an exchange of all members, paced. */
 static void compare_digest(ts_membership_t *m, const char *name, const char *address,
                            uint64_t digest) {
@@ -144,7 +156,7 @@
         return;
     }
     tell_recent(m, name, address);
-    if (m->now_us < m->next_sync_us) {
+    if (m->now_us < m->next_sync_us || is_sync_spared(m, name)) {
         return;
     }
     m->next_sync_us = m->now_us + m->sync_gap_us + ts_member_next_random(m) % m->sync_gap_us;
