--- a/include/tealspar/settings.h
+++ b/include/tealspar/settings.h
@@ -10,6 +10,9 @@
 
 typedef enum ts_log_level { TS_LEVEL_NOTICE, TS_LEVEL_WARNING, TS_LEVEL_INFO } ts_log_level_t;
 
+/** The least severe level that is written at a setting, as a GLib level flag. */
+GLogLevelFlags ts_log_level_flags(ts_log_level_t level);
+
 /** One node's settings; loaded from YAML and overridden by flags. */
 typedef struct ts_settings {
     char *name;    /**< unique in the cluster */
--- a/src/cli/command_gateway.c
+++ b/src/cli/command_gateway.c
@@ -11,18 +11,6 @@
 #define ERRORS_MAX 8
 #define SETTINGS_VARIABLE "TEALSPAR_CONFIG"
 
-static GLogLevelFlags level_of(ts_log_level_t level) {
-    switch (level) {
-    case TS_LEVEL_WARNING:
-        return G_LOG_LEVEL_WARNING;
-    case TS_LEVEL_INFO:
-        return G_LOG_LEVEL_INFO;
-    case TS_LEVEL_NOTICE:
-        break;
-    }
-    return G_LOG_LEVEL_MESSAGE;
-}
-
 static ts_gateway_settings_t *load_settings(const char *path) {
     size_t length = 0;
     char *text = ts_command_read_file(path, &length);
@@ -41,7 +29,7 @@
 }
 
 static int run_with(const char *path, ts_gateway_settings_t *settings) {
-    ts_log_open(settings->name, settings->log_format, level_of(settings->log_level));
+    ts_log_open(settings->name, settings->log_format, ts_log_level_flags(settings->log_level));
     ts_error_t error = ts_gateway_run(path, settings);
     if (error != TS_OK) {
         fprintf(stderr, "tealspar gateway: %s (%s)\n", ts_error_text(error), ts_error_name(error));
--- a/src/cli/command_node.c
+++ b/src/cli/command_node.c
@@ -11,18 +11,6 @@
 #define OVERRIDES_MAX 20
 #define TABLE_SIZE 5
 
-static GLogLevelFlags level_of(ts_log_level_t level) {
-    switch (level) {
-    case TS_LEVEL_WARNING:
-        return G_LOG_LEVEL_WARNING;
-    case TS_LEVEL_INFO:
-        return G_LOG_LEVEL_INFO;
-    case TS_LEVEL_NOTICE:
-        break;
-    }
-    return G_LOG_LEVEL_MESSAGE;
-}
-
 /* Puts "key: value" in the place of the key's line in the YAML text, or at its end. */
 static char *override_key(char *text, const char *assignment) {
     const char *equals = strchr(assignment, '=');
@@ -76,7 +64,7 @@
 }
 
 static int run_with(const ts_settings_t *settings) {
-    ts_log_open(settings->name, settings->log_format, level_of(settings->log_level));
+    ts_log_open(settings->name, settings->log_format, ts_log_level_flags(settings->log_level));
     ts_error_t error = ts_node_run(settings);
     if (error != TS_OK) {
         fprintf(stderr, "tealspar node: %s (%s)\n", ts_error_text(error), ts_error_name(error));
--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -96,6 +96,18 @@
     }
 }
 
+GLogLevelFlags ts_log_level_flags(ts_log_level_t level) {
+    switch (level) {
+    case TS_LEVEL_WARNING:
+        return G_LOG_LEVEL_WARNING;
+    case TS_LEVEL_INFO:
+        return G_LOG_LEVEL_INFO;
+    case TS_LEVEL_NOTICE:
+        break;
+    }
+    return G_LOG_LEVEL_MESSAGE;
+}
+
 static void set_default(uint32_t *value, uint32_t fallback) {
     if (*value == 0) {
         *value = fallback;
