--- /dev/null
+++ b/src/cli/command_routes.c
@@ -0,0 +1,114 @@
+/** `tealspar routes`: checks a configuration offline, and says which route a request takes. */
+#include <stdio.h>
+
+#include "tealspar/command.h"
+#include "tealspar/dialect.h"
+#include "tealspar/plugin.h"
+
+#define TABLE_SIZE 6
+#define ERRORS_MAX 8
+#define DIALECT_DEFAULT "platform"
+
+static const char *describe_kind(ts_target_kind_t kind) {
+    switch (kind) {
+    case TS_TARGET_ONE:
+        return "one service";
+    case TS_TARGET_SPLIT:
+        return "one of several services, by weight";
+    case TS_TARGET_GATHER:
+        break;
+    }
+    return "a part from each service";
+}
+
+static void print_route(const ts_traffic_route_t *route) {
+    printf("route %s: %s%s\n", route->name, route->host, route->prefix);
+    printf("  goes to      %s\n", describe_kind(route->kind));
+    for (guint i = 0; i < route->targets->len; i++) {
+        const ts_target_t *target = &g_array_index(route->targets, ts_target_t, i);
+        printf("               %s", target->service);
+        if (route->kind == TS_TARGET_SPLIT) {
+            printf(" (weight %g)", target->weight);
+        }
+        printf("\n");
+    }
+    printf("  repeatable   %s\n", route->is_repeatable ? "yes" : "no: sent once, unless not run");
+    printf("  attempts     %u\n", route->attempts_max);
+    printf("  timeout      %u ms, aim %u ms, priority %u\n", route->timeout_ms, route->aim_ms,
+           route->priority);
+    if (route->kind == TS_TARGET_GATHER) {
+        printf("  answer       the greatest %u records, from %g of the parts at least\n",
+               route->top_count, route->coverage_min);
+    }
+}
+
+/* Exit code: a request without a route is a finding, not a wrong document. */
+static int explain(const ts_traffic_t *traffic, const char *host, const char *path) {
+    const ts_traffic_route_t *route = ts_traffic_match(traffic, host, path);
+    if (route == NULL) {
+        printf("no route for %s%s in version %lu: 404\n", host, path,
+               (unsigned long)traffic->version);
+        return TS_EXIT_FAILURE;
+    }
+    print_route(route);
+    return TS_EXIT_OK;
+}
+
+static int read_file(const ts_dialect_t *dialect, const char *file, const char *host,
+                     const char *path) {
+    size_t length = 0;
+    char *text = ts_command_read_file(file, &length);
+    if (text == NULL) {
+        return TS_EXIT_USAGE;
+    }
+    ts_problems_t problems;
+    ts_problems_init(&problems);
+    int exit_code = TS_EXIT_USAGE;
+    ts_traffic_t *traffic = dialect->read_traffic(text, length, &problems);
+    if (traffic == NULL) {
+        ts_problems_print(&problems, file);
+    } else if (host != NULL) {
+        exit_code = explain(traffic, host, path);
+    } else {
+        printf("%s: version %lu, %u routes, pass\n", file, (unsigned long)traffic->version,
+               traffic->routes->len);
+        exit_code = TS_EXIT_OK;
+    }
+    ts_traffic_unref(traffic);
+    ts_problems_clear(&problems);
+    g_free(text);
+    return exit_code;
+}
+
+static int run_routes(int argc, char **argv) {
+    struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
+    struct arg_file *file =
+        arg_file1(NULL, NULL, "FILE", "the configuration, as the service has it");
+    struct arg_str *name = arg_str0(NULL, "dialect", "NAME", "its form; absent: " DIALECT_DEFAULT);
+    struct arg_str *host = arg_str0("H", "host", "HOST", "say which route a request of this host");
+    struct arg_str *path = arg_str0("p", "path", "PATH", "and this path takes; absent: /");
+    struct arg_end *end = arg_end(ERRORS_MAX);
+    void *table[TABLE_SIZE] = {help, file, name, host, path, end};
+    int exit_code = TS_EXIT_OK;
+    if (ts_command_parse(argc, argv, table, TABLE_SIZE,
+                         "check a configuration of routes, or say which route a request takes",
+                         &exit_code)) {
+        const char *dialect_name = name->count > 0 ? name->sval[0] : DIALECT_DEFAULT;
+        const ts_dialect_t *dialect = ts_plugin_find(TS_PLUGIN_DIALECT, dialect_name);
+        if (dialect == NULL) {
+            fprintf(stderr, "no dialect is named '%s' (%s)\n", dialect_name,
+                    ts_error_name(TS_E_ARGUMENT));
+            exit_code = TS_EXIT_USAGE;
+        } else {
+            exit_code =
+                read_file(dialect, file->filename[0], host->count > 0 ? host->sval[0] : NULL,
+                          path->count > 0 ? path->sval[0] : "/");
+        }
+    }
+    arg_freetable(table, TABLE_SIZE);
+    return exit_code;
+}
+
+static const ts_command_t command = {run_routes};
+TS_REGISTER_PLUGIN(command_routes, TS_PLUGIN_COMMAND, "routes", 1, &command,
+                   "check a configuration of routes, or say which route a request takes")
--- /dev/null
+++ b/tests/platform/test_documents.c
@@ -0,0 +1,138 @@
+/** The platform's documents, read into the product's model. */
+#include "../test_support.h"
+
+#include <string.h>
+
+#include "tealspar/dialect.h"
+#include "tealspar/plugin.h"
+
+static const ts_dialect_t *platform(void) {
+    const ts_dialect_t *dialect = ts_plugin_find(TS_PLUGIN_DIALECT, "platform");
+    assert_non_null(dialect);
+    return dialect;
+}
+
+static ts_traffic_t *read_document(const char *text, char **reasons) {
+    ts_problems_t problems;
+    ts_problems_init(&problems);
+    ts_traffic_t *traffic = platform()->read_traffic(text, strlen(text), &problems);
+    *reasons = ts_problems_format(&problems, "config");
+    ts_problems_clear(&problems);
+    return traffic;
+}
+
+#define ROUTE(fields) "{\"name\":\"r\",\"host\":\"H.Example\",\"pathPrefix\":\"/a/\"," fields "}"
+#define DOCUMENT(routes) "{\"version\":7,\"routes\":[" routes "],\"services\":[]}"
+
+static void test_longest_prefix_of_the_host(void **state) {
+    char *reasons = NULL;
+    ts_traffic_t *traffic = read_document(
+        DOCUMENT(ROUTE("\"service\":\"short\"") ",{\"name\":\"l\",\"host\":\"h.example\","
+                                                "\"pathPrefix\":\"/a/b/\",\"service\":\"long\"}"),
+        &reasons);
+    assert_non_null(traffic);
+    assert_int_equal(traffic->version, 7);
+    assert_string_equal(ts_traffic_match(traffic, "h.example", "/a/b/c?x=/z/")->name, "l");
+    assert_string_equal(ts_traffic_match(traffic, "H.EXAMPLE:80", "/a/x")->name, "r");
+    assert_null(ts_traffic_match(traffic, "h.example", "/a"));
+    assert_null(ts_traffic_match(traffic, "other.example", "/a/x"));
+    ts_traffic_unref(traffic);
+    g_free(reasons);
+}
+
+static void test_fields_of_a_gather(void **state) {
+    char *reasons = NULL;
+    ts_traffic_t *traffic = read_document(
+        DOCUMENT(ROUTE("\"routeType\":\"idempotent\",\"timeoutMs\":2000,\"targetLatencyMs\":120,"
+                       "\"priority\":2,\"gather\":[\"x\",\"y\"],\"maxAttempts\":2,\"topK\":5,"
+                       "\"minCoverage\":0.75,\"unknown\":{}")),
+        &reasons);
+    assert_non_null(traffic);
+    const ts_traffic_route_t *route = ts_traffic_match(traffic, "h.example", "/a/");
+    assert_int_equal(route->kind, TS_TARGET_GATHER);
+    assert_int_equal(route->targets->len, 2);
+    assert_true(route->is_repeatable);
+    assert_int_equal(route->attempts_max, 2);
+    assert_int_equal(route->timeout_ms, 2000);
+    assert_int_equal(route->aim_ms, 120);
+    assert_int_equal(route->priority, 2);
+    assert_int_equal(route->top_count, 5);
+    assert_true(route->coverage_min > 0.749 && route->coverage_min < 0.751);
+    ts_traffic_unref(traffic);
+    g_free(reasons);
+}
+
+static void test_what_is_refused_is_named(void **state) {
+    static const struct {
+        const char *text;
+        const char *reason;
+    } cases[] = {
+        {"{\"version\":7}", "no version or no routes"},
+        {"[1]", "no version or no routes"},
+        {DOCUMENT("{\"name\":\"r\",\"pathPrefix\":\"/a/\",\"service\":\"s\"}"),
+         "needs a name and a host"},
+        {DOCUMENT("{\"name\":\"r\",\"host\":\"h\",\"pathPrefix\":\"/a\",\"service\":\"s\"}"),
+         "begin and end with a slash"},
+        {DOCUMENT(ROUTE("\"priority\":1")), "leads to no service"},
+        {DOCUMENT(ROUTE("\"gather\":[\"x\",\"y\"]")), "must be repeatable"},
+        {DOCUMENT(ROUTE("\"routeType\":\"idempotent\",\"gather\":[\"x\",\"x\"]")), "named twice"},
+        {DOCUMENT(ROUTE("\"service\":\"s\",\"timeoutMs\":0")), "above zero"},
+        {DOCUMENT(ROUTE("\"service\":\"s\",\"minCoverage\":1.5")), "between 0 and 1"},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        char *reasons = NULL;
+        assert_null(read_document(cases[i].text, &reasons));
+        if (strstr(reasons, cases[i].reason) == NULL) {
+            fail_msg("case %zu: %s", i, reasons);
+        }
+        g_free(reasons);
+    }
+}
+
+static void test_page_with_changes(void **state) {
+    const char *text =
+        "{\"events\":[{\"privateKey\":\"servers/i-1\",\"value\":\"e30=\",\"revision\":4},"
+        "{\"privateKey\":\"servers/i-2\",\"revision\":5,\"gone\":true},"
+        "{\"privateKey\":\"my/own\",\"value\":\"e30=\",\"revision\":6}],\"at\":9}";
+    ts_store_page_t *page = ts_store_page_create();
+    assert_int_equal(platform()->read_page(text, strlen(text), page), TS_OK);
+    assert_int_equal(page->revision, 9);
+    assert_int_equal(page->entries->len, 3);
+    const ts_store_entry_t *first = g_ptr_array_index(page->entries, 0);
+    const ts_store_entry_t *second = g_ptr_array_index(page->entries, 1);
+    const ts_store_entry_t *third = g_ptr_array_index(page->entries, 2);
+    assert_string_equal(first->id, "i-1");
+    assert_string_equal(first->value, "{}");
+    assert_int_equal(first->revision, 4);
+    assert_true(second->is_gone);
+    assert_int_equal(third->kind, TS_STORE_OTHER);
+    ts_instance_record_t record = {0};
+    assert_int_equal(platform()->read_instance(first, &record), TS_E_SYNTAX); /* no service */
+    ts_instance_record_clear(&record);
+    ts_store_page_free(page);
+}
+
+static void test_pages_that_are_none(void **state) {
+    static const char *const texts[] = {"",
+                                        "{",
+                                        "null",
+                                        "{\"items\":{}}",
+                                        "{\"items\":[{}]}",
+                                        "{\"items\":[{\"privateKey\":\"a\"}]}"};
+    for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+        ts_store_page_t *page = ts_store_page_create();
+        assert_int_not_equal(platform()->read_page(texts[i], strlen(texts[i]), page), TS_OK);
+        ts_store_page_free(page);
+    }
+}
+
+int main(void) {
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_longest_prefix_of_the_host),
+        cmocka_unit_test(test_fields_of_a_gather),
+        cmocka_unit_test(test_what_is_refused_is_named),
+        cmocka_unit_test(test_page_with_changes),
+        cmocka_unit_test(test_pages_that_are_none),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
