Rumours are pushed within the zone, one of four anywhere

Cause: of the bytes between regions at 300 machines a part are rumours of the first seconds, each pushed to four members of any zone at every tick.

--- a/src/control/membership.c
+++ b/src/control/membership.c
@@ -9,6 +9,7 @@
 #define SUSPICION_BASE_US (3200ULL * TS_US_PER_MS)
 #define SUSPICION_PER_DECADE_US (600.0 * TS_US_PER_MS)
 #define PUSH_FANOUT 4U
+#define PUSH_DRAWS 8U
 #define RUMOUR_SENDS_BASE 3.0
 #define RUMOUR_SENDS_PER_DECADE 3.0
 #define DEAD_RETRY_US (5ULL * TS_US_PER_S)
@@ -150,13 +151,25 @@
     }
 }
 
+/* Anybody, or somebody of this zone if a few draws find one: links between zones are dear. */
+static const member_t *choose_push_target(ts_membership_t *m, bool may_be_far) {
+    const member_t *member = ts_member_choose_random(m, NULL);
+    for (unsigned i = 0; i < PUSH_DRAWS && !may_be_far && member != NULL; i++) {
+        if (ts_member_is_same_zone(m, member)) {
+            break;
+        }
+        member = ts_member_choose_random(m, NULL);
+    }
+    return member;
+}
+
 static void push_rumours(ts_membership_t *m) {
     if (!m->push_due) {
         return;
     }
     m->push_due = false;
     for (unsigned i = 0; i < PUSH_FANOUT; i++) {
-        const member_t *member = ts_member_choose_random(m, NULL);
+        const member_t *member = choose_push_target(m, i == 0);
         if (member != NULL) {
             ts_member_send_gossip(m, member->name, member->address, GOSSIP_RUMOURS, 0, NULL);
         }
