Regions are looked up when they are needed: a reload replaces the settings' texts

Cause: found by reading the whole change: the registry kept a pointer into the table of zones, whose texts a reload (SIGHUP, a changed file) frees; the address sanitizer stops test_reload_keeps_distances without the change (heap-use-after-free in strcmp), and passes with it.

--- a/src/registry/registry.c
+++ b/src/registry/registry.c
@@ -12,7 +12,6 @@
 
 struct ts_registry {
     char *zone;
-    const char *region;
     GHashTable *zones;
     GHashTable *services;  /**< name -> ts_service_t, owned */
     GHashTable *instances; /**< id -> ts_instance_t, owned */
@@ -51,7 +50,6 @@
     ts_registry_t *registry = g_new0(ts_registry_t, 1);
     registry->zone = g_strdup(zone);
     registry->zones = zones;
-    registry->region = find_region(registry, zone);
     registry->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_service);
     registry->instances = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_instance);
     return registry;
@@ -80,9 +78,10 @@
     if (strcmp(zone, registry->zone) == 0) {
         return TS_DISTANCE_ZONE;
     }
+    /* Looked up each time: a reload of the settings replaces the texts in the table. */
+    const char *own = find_region(registry, registry->zone);
     const char *region = find_region(registry, zone);
-    bool is_near =
-        region != NULL && registry->region != NULL && strcmp(region, registry->region) == 0;
+    bool is_near = region != NULL && own != NULL && strcmp(region, own) == 0;
     return is_near ? TS_DISTANCE_REGION : TS_DISTANCE_FAR;
 }
 
--- a/tests/gateway/test_callers.c
+++ b/tests/gateway/test_callers.c
@@ -121,6 +121,29 @@
     assert_int_equal(visit_await(world, visit), 503);
 }
 
+/* A reload replaces every text of the settings; nothing may still point at the old ones. */
+static void test_reload_keeps_distances(void **state) {
+    lab_searcher_t *searcher = NULL;
+    world_t *world = open_world(&searcher);
+    const char *text = "name: test\nzone: z1\ndialect: platform\ncallers: 127.0.0.1:1\n"
+                       "ready: 127.0.0.1:2\nstore: 127.0.0.1:%u\n"
+                       "zones: [{zone: z1, region: r1}, {zone: z2, region: r1}]\n";
+    char *settings = g_strdup_printf(text, world->store_port);
+    ts_problems_t problems;
+    ts_problems_init(&problems);
+    ts_gateway_set_settings(&world->gateway,
+                            ts_gateway_settings_load(settings, strlen(settings), &problems));
+    world_add_searcher(world, "i-2", "a", "z2");
+    const ts_instance_t *instance = ts_registry_instance(world->gateway.registry, "i-2");
+    assert_non_null(instance);
+    assert_int_equal(instance->distance, TS_DISTANCE_REGION);
+    unsigned status = 0;
+    visit_get(world, "/p/x", "r", 1000, &status);
+    assert_int_equal(status, 200);
+    ts_problems_clear(&problems);
+    g_free(settings);
+}
+
 static void test_leaving_ends_connections_after_answers(void **state) {
     lab_searcher_t *searcher = NULL;
     world_t *world = open_world(&searcher);
@@ -145,6 +168,7 @@
         cmocka_unit_test(test_requests_in_a_row_on_one_connection),
         cmocka_unit_test(test_expect_is_answered),
         cmocka_unit_test(test_readiness),
+        cmocka_unit_test(test_reload_keeps_distances),
         cmocka_unit_test(test_leaving_ends_connections_after_answers),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
