test_swallowed_watch fails without its change now; it did not before

Taking the changes out once more showed that it passed: the stand-in answered the swallowed call when it was itself again. Change: a silent store drops the calls that wait; the test lets one wait first, then is silent for 0.3 s. With the old times it fails, with the present ones it passes (two runs).

--- a/lab/standin_store.c
+++ b/lab/standin_store.c
@@ -286,6 +286,9 @@
 
 void lab_store_set_mode(lab_store_t *store, lab_store_mode_t mode) {
     store->mode = mode;
+    if (mode == LAB_STORE_SILENT) {
+        g_ptr_array_set_size(store->waiters, 0); /* the calls that wait are never answered */
+    }
 }
 
 void lab_store_set_page(lab_store_t *store, unsigned entries) {
--- a/tests/gateway/test_store_watch.c
+++ b/tests/gateway/test_store_watch.c
@@ -93,10 +93,11 @@
 static void test_swallowed_watch(void **state) {
     world_t *world = world_open(NULL);
     world_configure(world, 1, ROUTE_A);
+    world_run_ms(world, 1500); /* a call waits now */
     lab_store_set_mode(world->store, LAB_STORE_SILENT);
     lab_store_put(world->store, "op/config",
                   "{\"version\":2,\"routes\":[" ROUTE_A "],\"services\":[]}");
-    world_run_ms(world, 3000); /* by now a call was swallowed */
+    world_run_ms(world, 300);
     lab_store_set_mode(world->store, LAB_STORE_NORMAL);
     world_run_ms(world, 4000);
     assert_int_equal(world->gateway.traffic->version, 2);
