--- a/bench/bench_decision.c
+++ b/bench/bench_decision.c
@@ -14,11 +14,13 @@
 #define SHARDS 83
 #define NODES 119
 
-static void print_row(const char *label, ts_time_us_t begin_us, unsigned rounds) {
+static void print_row(const char *label, ts_time_us_t begin_us, unsigned rounds)
+{
     printf("| %s | %.3f |\n", label, (double)(ts_clock_now_us() - begin_us) / rounds);
 }
 
-static void bench_snapshot(void) {
+static void bench_snapshot(void)
+{
     ts_shard_versions_t shards[SHARDS] = {0};
     uint64_t sum = 0;
     for (int i = 0; i < SHARDS; i++) {
@@ -33,7 +35,8 @@
     (void)sum;
 }
 
-static void bench_choice(void) {
+static void bench_choice(void)
+{
     const ts_policy_t *policy = ts_plugin_find(TS_PLUGIN_POLICY, "adaptive");
     ts_candidate_t candidates[3] = {{.slots = 5, .service_us = 2000},
                                     {.slots = 5, .service_us = 2100},
@@ -48,7 +51,8 @@
     (void)sum;
 }
 
-static void bench_admission(void) {
+static void bench_admission(void)
+{
     ts_admission_input_t input = {.slots = 5,
                                   .kind_share_percent = 80,
                                   .queue_max = 40,
@@ -65,7 +69,8 @@
     (void)sum;
 }
 
-static void bench_owner(void) {
+static void bench_owner(void)
+{
     ts_view_t *view = ts_view_create(NODES);
     for (int i = 0; i < NODES; i++) {
         char name[16];
@@ -83,7 +88,8 @@
     ts_view_unref(view);
 }
 
-static ts_message_t *make_subreply(uint64_t counter) {
+static ts_message_t *make_subreply(uint64_t counter)
+{
     ts_subreply_message_t *message = ts_subreply_message(1);
     message->subreply.counter = counter;
     message->subreply.hits = g_new0(ts_hit_t, 2);
@@ -95,11 +101,13 @@
     return &message->head;
 }
 
-static void destroy_message(void *context, ts_message_t *message) {
+static void destroy_message(void *context, ts_message_t *message)
+{
     message->destroy(message);
 }
 
-static void bench_codec(void) {
+static void bench_codec(void)
+{
     static const ts_wire_identity_t alpha = {"cluster", "alpha", "10.0.0.1:20201", 1};
     static const ts_wire_identity_t beta = {"cluster", "beta", "10.0.0.2:20201", 1};
     ts_message_t *messages[4];
@@ -125,7 +133,8 @@
     }
 }
 
-static void bench_declarations(const char *path) {
+static void bench_declarations(const char *path)
+{
     ts_time_us_t begin_us = ts_clock_now_us();
     ts_declarations_t *declarations = ts_declarations_load_file(path);
     if (declarations == NULL) {
@@ -137,7 +146,8 @@
     ts_declarations_unref(declarations);
 }
 
-int main(int argc, char **argv) {
+int main(int argc, char **argv)
+{
     printf("| step | us |\n| --- | --- |\n");
     bench_snapshot();
     bench_choice();
--- a/bench/bench_mesh.c
+++ b/bench/bench_mesh.c
@@ -19,20 +19,23 @@
 #define CONNECTIONS 300
 #define US_PER_S 1e6
 
-static double cpu_seconds(void) {
+static double cpu_seconds(void)
+{
     struct rusage usage;
     getrusage(RUSAGE_SELF, &usage);
     return (double)(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) +
            (double)(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec) / US_PER_S;
 }
 
-static double wall_seconds(void) {
+static double wall_seconds(void)
+{
     struct timespec now;
     clock_gettime(CLOCK_MONOTONIC, &now);
     return (double)now.tv_sec + (double)now.tv_nsec / 1e9;
 }
 
-static long resident_kb(void) {
+static long resident_kb(void)
+{
     FILE *file = fopen("/proc/self/statm", "r");
     long total = 0;
     long resident = 0;
@@ -45,7 +48,8 @@
     return resident * sysconf(_SC_PAGESIZE) / 1024;
 }
 
-static void pin(int core) {
+static void pin(int core)
+{
     cpu_set_t set;
     CPU_ZERO(&set);
     CPU_SET(core, &set);
@@ -61,7 +65,8 @@
     long kb_a_connection;
 } receiver_result_t;
 
-static void receive(int core, int results) {
+static void receive(int core, int results)
+{
     nng_socket socket;
     receiver_result_t result = {0};
     pin(core);
@@ -87,7 +92,8 @@
     _exit(written == sizeof(result) ? 0 : 1);
 }
 
-static double send_all(int core, size_t size) {
+static double send_all(int core, size_t size)
+{
     nng_socket socket;
     pin(core);
     nng_push0_open(&socket);
@@ -107,7 +113,8 @@
     return cpu;
 }
 
-static void measure(const char *label, int sender_core, int receiver_core, size_t size) {
+static void measure(const char *label, int sender_core, int receiver_core, size_t size)
+{
     int pipe_fds[2];
     int sender_fds[2];
     receiver_result_t result = {0};
@@ -135,7 +142,8 @@
     fflush(stdout);
 }
 
-static void accept_idle(int results) {
+static void accept_idle(int results)
+{
     nng_socket socket;
     nng_pull0_open(&socket);
     nng_listen(socket, URL, NULL, 0);
@@ -147,7 +155,8 @@
     _exit(written == sizeof(result) ? 0 : 1);
 }
 
-static void measure_memory(void) {
+static void measure_memory(void)
+{
     int fds[2];
     receiver_result_t result = {0};
     static nng_socket sockets[CONNECTIONS];
@@ -182,7 +191,8 @@
     }
 }
 
-int main(void) {
+int main(void)
+{
     printf("| push to pull | messages/s | receiver, us CPU | sender, us CPU |\n");
     printf("| --- | --- | --- | --- |\n");
     fflush(stdout);
--- a/bench/count_malloc.c
+++ b/bench/count_malloc.c
@@ -22,7 +22,8 @@
 static atomic_bool is_wanted;
 static const char *path;
 
-static void write_counts(void) {
+static void write_counts(void)
+{
     char text[96];
     int length = snprintf(text, sizeof(text), "mallocs %lu bytes %lu\n", atomic_exchange(&calls, 0),
                           atomic_exchange(&bytes, 0));
@@ -33,7 +34,8 @@
     }
 }
 
-static void count(size_t size) {
+static void count(size_t size)
+{
     if (atomic_exchange(&is_wanted, false)) {
         write_counts(); /* here and not in the handler of the signal, which may do next to nothing
                          */
@@ -42,26 +44,31 @@
     atomic_fetch_add_explicit(&bytes, size, memory_order_relaxed);
 }
 
-void *malloc(size_t size) {
+void *malloc(size_t size)
+{
     count(size);
     return __libc_malloc(size);
 }
 
-void *calloc(size_t number, size_t size) {
+void *calloc(size_t number, size_t size)
+{
     count(number * size);
     return __libc_calloc(number, size);
 }
 
-void *realloc(void *pointer, size_t size) {
+void *realloc(void *pointer, size_t size)
+{
     count(size);
     return __libc_realloc(pointer, size);
 }
 
-static void request_counts(int number) {
+static void request_counts(int number)
+{
     atomic_store(&is_wanted, true);
 }
 
-__attribute__((constructor)) static void watch_signal(void) {
+__attribute__((constructor)) static void watch_signal(void)
+{
     path = getenv("COUNT_MALLOC");
     signal(SIGUSR1, request_counts);
 }
--- a/include/tealspar/http_message.h
+++ b/include/tealspar/http_message.h
@@ -64,7 +64,8 @@
 /** Number of fields of that name. */
 unsigned ts_http_message_count(const ts_http_message_t *message, const char *name);
 /** Text of a field's name or value by its offset. */
-static inline const char *ts_http_message_text(const ts_http_message_t *message, uint32_t offset) {
+static inline const char *ts_http_message_text(const ts_http_message_t *message, uint32_t offset)
+{
     return message->text->str + offset;
 }
 /** Whether a field concerns one connection only and is not forwarded (RFC 9110, 7.6.1). */
--- a/include/tealspar/plugin.h
+++ b/include/tealspar/plugin.h
@@ -36,7 +36,8 @@
 #define TS_REGISTER_PLUGIN(symbol, plugin_kind, plugin_name, plugin_order, plugin_ops, text)       \
     static ts_plugin_t symbol = {(plugin_kind),  (plugin_name), (text),                            \
                                  (plugin_order), (plugin_ops),  NULL};                             \
-    __attribute__((constructor)) static void symbol##_register(void) {                             \
+    __attribute__((constructor)) static void symbol##_register(void)                               \
+    {                                                                                              \
         ts_plugin_register(&symbol);                                                               \
     }
 
--- a/lab/emulate.c
+++ b/lab/emulate.c
@@ -57,7 +57,8 @@
     const char *fault;
 } emulation_t;
 
-static double uniform(emulation_t *emulation) {
+static double uniform(emulation_t *emulation)
+{
     emulation->random = ts_hash_mix(emulation->random, 7);
     return ((double)(emulation->random >> 11) + 0.5) / 9007199254740992.0;
 }
@@ -65,7 +66,8 @@
 /* ---- the rate for a load ---- */
 
 /* Work a second that one query a second puts on each back end, in slot-seconds, at its hottest. */
-static double hottest_use(const emulation_t *emulation) {
+static double hottest_use(const emulation_t *emulation)
+{
     double *use = g_new0(double, emulation->declarations->backends_count);
     for (size_t k = 0; k < emulation->kinds_count; k++) {
         const emulated_kind_t *kind = &emulation->kinds[k];
@@ -95,7 +97,8 @@
     emulated_kind_t *kind;
 } asked_t;
 
-static void take_answer(void *context, const ts_answer_t *answer) {
+static void take_answer(void *context, const ts_answer_t *answer)
+{
     asked_t *asked = context;
     emulated_kind_t *kind = asked->kind;
     switch (answer->outcome) {
@@ -114,7 +117,8 @@
     g_free(asked);
 }
 
-static emulated_kind_t *draw_kind(emulation_t *emulation) {
+static emulated_kind_t *draw_kind(emulation_t *emulation)
+{
     double drawn = uniform(emulation);
     for (size_t i = 0; i + 1 < emulation->kinds_count; i++) {
         drawn -= emulation->kinds[i].share;
@@ -125,7 +129,8 @@
     return &emulation->kinds[emulation->kinds_count - 1];
 }
 
-static void send_query(emulation_t *emulation) {
+static void send_query(emulation_t *emulation)
+{
     emulated_kind_t *kind = draw_kind(emulation);
     g_assert(kind->selector != NULL);
     unsigned node = (unsigned)(uniform(emulation) * lab_sim_node_count(emulation->sim));
@@ -154,7 +159,8 @@
 
 /* ---- faults in the middle ---- */
 
-static void begin_fault(emulation_t *emulation) {
+static void begin_fault(emulation_t *emulation)
+{
     lab_sim_t *sim = emulation->sim;
     if (strcmp(emulation->fault, "replica") == 0) {
         lab_sim_set_searcher(sim, 0, LAB_SIM_DEAD);
@@ -165,14 +171,16 @@
     }
 }
 
-static void end_fault(emulation_t *emulation) {
+static void end_fault(emulation_t *emulation)
+{
     lab_sim_set_searcher(emulation->sim, 0, LAB_SIM_SERVING);
     lab_sim_slow_searcher(emulation->sim, 0, 1.0);
     lab_sim_start(emulation->sim, 0);
 }
 
 /* Rolls the back ends one by one over the middle of the time. */
-static void roll_due(emulation_t *emulation, double part, unsigned *rolled) {
+static void roll_due(emulation_t *emulation, double part, unsigned *rolled)
+{
     unsigned count = lab_sim_searcher_count(emulation->sim);
     double progress = (part - FAULT_BEGIN) / (FAULT_END - FAULT_BEGIN);
     while (*rolled < count && (double)*rolled / count < progress) {
@@ -182,7 +190,8 @@
 
 /* ---- the run ---- */
 
-static void run_load(emulation_t *emulation) {
+static void run_load(emulation_t *emulation)
+{
     lab_sim_run(emulation->sim, SETTLE_US);
     lab_sim_reset_totals(emulation->sim);
     ts_time_us_t begin_us = lab_sim_now_us(emulation->sim);
@@ -212,11 +221,13 @@
     lab_sim_run(emulation->sim, DRAIN_US);
 }
 
-static double quantile_ms(const ts_histogram_t *histogram, double quantile) {
+static double quantile_ms(const ts_histogram_t *histogram, double quantile)
+{
     return (double)ts_histogram_quantile(histogram, quantile) / US_PER_MS_DOUBLE;
 }
 
-static json_t *report_kinds(const emulation_t *emulation) {
+static json_t *report_kinds(const emulation_t *emulation)
+{
     json_t *kinds = json_object();
     for (size_t i = 0; i < emulation->kinds_count; i++) {
         const emulated_kind_t *kind = &emulation->kinds[i];
@@ -231,7 +242,8 @@
     return kinds;
 }
 
-static json_t *report(const emulation_t *emulation, const char *policy, double stragglers) {
+static json_t *report(const emulation_t *emulation, const char *policy, double stragglers)
+{
     double work_us = 0;
     uint64_t requests = 0;
     lab_sim_totals(emulation->sim, &work_us, &requests);
@@ -245,7 +257,8 @@
 
 /* ---- the command ---- */
 
-static bool add_kind(emulation_t *emulation, const char *text) {
+static bool add_kind(emulation_t *emulation, const char *text)
+{
     char **parts = g_strsplit(text, ":", 2);
     emulated_kind_t *kind = &emulation->kinds[emulation->kinds_count++];
     kind->selector =
@@ -259,7 +272,8 @@
     return true;
 }
 
-static void normalise_shares(emulation_t *emulation) {
+static void normalise_shares(emulation_t *emulation)
+{
     double sum = 0;
     for (size_t i = 0; i < emulation->kinds_count; i++) {
         sum += emulation->kinds[i].share;
@@ -269,7 +283,8 @@
     }
 }
 
-static void emulate(emulation_t *emulation, const lab_sim_config_t *config) {
+static void emulate(emulation_t *emulation, const lab_sim_config_t *config)
+{
     static const lab_sim_observer_t nobody = {0};
     const lab_sim_service_t *service = &config->service;
     double mean_factor = (service->straggler_factor[0] + service->straggler_factor[1]) / 2;
@@ -286,11 +301,13 @@
     lab_sim_destroy(emulation->sim);
 }
 
-static double value_or(const struct arg_dbl *option, double fallback) {
+static double value_or(const struct arg_dbl *option, double fallback)
+{
     return option->count > 0 ? option->dval[0] : fallback;
 }
 
-static int run_emulate(int argc, char **argv) {
+static int run_emulate(int argc, char **argv)
+{
     struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
     struct arg_file *file = arg_file1("d", "declarations", "FILE", "declarations");
     struct arg_str *kinds =
--- a/lab/fault_proxy.c
+++ b/lab/fault_proxy.c
@@ -106,7 +106,8 @@
     ts_http_server_t *control;
 } proxy;
 
-static link_mode_t mode_of(const char *zone) {
+static link_mode_t mode_of(const char *zone)
+{
     gpointer mode = g_hash_table_lookup(proxy.modes, zone);
     if (mode == NULL) {
         mode = g_hash_table_lookup(proxy.modes, "*");
@@ -114,12 +115,14 @@
     return (link_mode_t)GPOINTER_TO_INT(mode);
 }
 
-static bool crosses_zones(const connection_t *connection) {
+static bool crosses_zones(const connection_t *connection)
+{
     return connection->source != NULL &&
            strcmp(connection->source->zone, connection->link->zone) != 0;
 }
 
-static link_mode_t mode_between(const connection_t *connection) {
+static link_mode_t mode_between(const connection_t *connection)
+{
     if (!crosses_zones(connection)) {
         return MODE_PASS;
     }
@@ -127,7 +130,8 @@
     return mode != MODE_PASS ? mode : mode_of(connection->link->zone);
 }
 
-static double delay_ms(const connection_t *connection) {
+static double delay_ms(const connection_t *connection)
+{
     if (!crosses_zones(connection)) {
         return 0;
     }
@@ -137,14 +141,16 @@
     return delay + proxy.settings->jitter_ms * g_random_double();
 }
 
-static bool is_held(const direction_t *direction) {
+static bool is_held(const direction_t *direction)
+{
     link_mode_t mode = mode_between(direction->connection);
     return mode == MODE_BLACKHOLE || (mode == MODE_HALF_OPEN && direction->is_forward);
 }
 
 /* ---- closing ---- */
 
-static void free_when_closed(uv_handle_t *handle) {
+static void free_when_closed(uv_handle_t *handle)
+{
     connection_t *connection = handle->data;
     if (--connection->open_handles > 0) {
         return;
@@ -154,7 +160,8 @@
     g_free(connection);
 }
 
-static void close_connection(connection_t *connection) {
+static void close_connection(connection_t *connection)
+{
     if (connection->is_closing) {
         return;
     }
@@ -172,13 +179,15 @@
     chunk_t *chunk;
 } write_request_t;
 
-static void on_written(uv_write_t *write, int status) {
+static void on_written(uv_write_t *write, int status)
+{
     write_request_t *request = (write_request_t *)write;
     g_free(request->chunk);
     g_free(request);
 }
 
-static void send_due_chunks(direction_t *direction, ts_time_us_t now_us) {
+static void send_due_chunks(direction_t *direction, ts_time_us_t now_us)
+{
     while (!is_held(direction) && !g_queue_is_empty(direction->chunks)) {
         chunk_t *chunk = g_queue_peek_head(direction->chunks);
         if (chunk->due_us > now_us) {
@@ -199,7 +208,8 @@
 
 static void arm_timer(connection_t *connection);
 
-static void on_timer(uv_timer_t *timer) {
+static void on_timer(uv_timer_t *timer)
+{
     connection_t *connection = timer->data;
     ts_time_us_t now_us = ts_clock_now_us();
     send_due_chunks(&connection->forward, now_us);
@@ -211,7 +221,8 @@
     }
 }
 
-static void arm_timer(connection_t *connection) {
+static void arm_timer(connection_t *connection)
+{
     ts_time_us_t due_us = UINT64_MAX;
     const direction_t *directions[] = {&connection->forward, &connection->backward};
     for (size_t i = 0; i < G_N_ELEMENTS(directions); i++) {
@@ -228,12 +239,14 @@
     uv_timer_start(&connection->timer, on_timer, left_us / TS_US_PER_MS, 0);
 }
 
-static void allocate(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer) {
+static void allocate(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
     static char bytes[CHUNK_SIZE];
     *buffer = uv_buf_init(bytes, sizeof(bytes));
 }
 
-static void take_bytes(direction_t *direction, const char *bytes, size_t length) {
+static void take_bytes(direction_t *direction, const char *bytes, size_t length)
+{
     connection_t *connection = direction->connection;
     chunk_t *chunk = g_malloc(sizeof(*chunk) + length);
     chunk->due_us = ts_clock_now_us() + (ts_time_us_t)(delay_ms(connection) * (double)TS_US_PER_MS);
@@ -248,7 +261,8 @@
     }
 }
 
-static void on_client_read(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer) {
+static void on_client_read(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
+{
     connection_t *connection = stream->data;
     if (length < 0) {
         close_connection(connection);
@@ -257,7 +271,8 @@
     }
 }
 
-static void on_server_read(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer) {
+static void on_server_read(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
+{
     connection_t *connection = stream->data;
     if (length < 0) {
         close_connection(connection);
@@ -268,7 +283,8 @@
 
 /* ---- accepting ---- */
 
-static const link_t *find_source(const uv_tcp_t *client) {
+static const link_t *find_source(const uv_tcp_t *client)
+{
     struct sockaddr_storage address;
     int length = sizeof(address);
     char text[TS_ADDRESS_TEXT_MAX];
@@ -284,7 +300,8 @@
     return NULL;
 }
 
-static void on_connected(uv_connect_t *connect, int status) {
+static void on_connected(uv_connect_t *connect, int status)
+{
     connection_t *connection = connect->data;
     if (status != 0 || connection->is_closing) {
         close_connection(connection);
@@ -295,7 +312,8 @@
 }
 
 static void open_direction(direction_t *direction, connection_t *connection, uv_tcp_t *from,
-                           uv_tcp_t *to, bool is_forward) {
+                           uv_tcp_t *to, bool is_forward)
+{
     direction->connection = connection;
     direction->from = from;
     direction->to = to;
@@ -303,7 +321,8 @@
     direction->is_forward = is_forward;
 }
 
-static void on_accept(uv_stream_t *listener, int status) {
+static void on_accept(uv_stream_t *listener, int status)
+{
     connection_t *connection = g_new0(connection_t, 1);
     struct sockaddr_storage target;
     connection->link = listener->data;
@@ -335,7 +354,8 @@
     }
 }
 
-static bool open_link(link_t *link) {
+static bool open_link(link_t *link)
+{
     struct sockaddr_storage address;
     uv_tcp_init(proxy.loop, &link->listener);
     link->listener.data = link;
@@ -346,7 +366,8 @@
 
 /* ---- control ---- */
 
-static void apply_modes(void) {
+static void apply_modes(void)
+{
     for (guint i = proxy.connections->len; i > 0; i--) {
         connection_t *connection = g_ptr_array_index(proxy.connections, i - 1);
         if (mode_between(connection) == MODE_RESET) {
@@ -358,7 +379,8 @@
 }
 
 static void handle_control(void *context, ts_http_exchange_t *exchange,
-                           const ts_http_request_t *request) {
+                           const ts_http_request_t *request)
+{
     static const char *const names[] = {"pass", "blackhole", "reset", "half_open"};
     json_t *root = json_loadb(request->body, request->body_length, 0, NULL);
     const char *zone = json_string_value(json_object_get(root, "zone"));
@@ -373,11 +395,13 @@
     ts_http_reply(exchange, 200, "application/json", "{}\n", strlen("{}\n"), 0);
 }
 
-static void stop_loop(uv_signal_t *handle, int number) {
+static void stop_loop(uv_signal_t *handle, int number)
+{
     uv_stop(handle->loop);
 }
 
-static int serve(void) {
+static int serve(void)
+{
     uv_signal_t terminate;
     ts_http_limits_t limits = {BODY_BYTES_MAX, REQUEST_TIMEOUT_MS, CONNECTIONS_MAX};
     proxy.loop = uv_default_loop();
@@ -403,7 +427,8 @@
     return TS_EXIT_OK;
 }
 
-static int run_proxy(int argc, char **argv) {
+static int run_proxy(int argc, char **argv)
+{
     struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
     struct arg_file *file = arg_file1("s", "settings", "FILE", "links and delays (YAML)");
     struct arg_end *end = arg_end(4);
--- a/lab/faults.c
+++ b/lab/faults.c
@@ -31,13 +31,15 @@
     ts_http_pool_t *pool;
 } control_call_t;
 
-static void forget_call(void *context, const ts_http_result_t *result) {
+static void forget_call(void *context, const ts_http_result_t *result)
+{
     control_call_t *call = context;
     ts_http_pool_close(call->pool);
     g_free(call);
 }
 
-static void send_control(const lab_fleet_t *fleet, const char *address, const char *body) {
+static void send_control(const lab_fleet_t *fleet, const char *address, const char *body)
+{
     control_call_t *call = g_new0(control_call_t, 1);
     ts_http_send_t send = {"POST", "/control", "connection: close\r\n", body, strlen(body)};
     if (ts_http_pool_open(&call->pool, fleet->loop, address, CONTROL_CONNECTIONS) == TS_OK) {
@@ -45,7 +47,8 @@
     }
 }
 
-static const ts_backend_t *find_backend(const lab_fleet_t *fleet, const char *name) {
+static const ts_backend_t *find_backend(const lab_fleet_t *fleet, const char *name)
+{
     for (unsigned i = 0; name != NULL && i < fleet->declarations->backends_count; i++) {
         if (strcmp(fleet->declarations->backends[i].name, name) == 0) {
             return &fleet->declarations->backends[i];
@@ -57,7 +60,8 @@
 static void control_backend(const armed_fault_t *armed, const char *format, ...)
     G_GNUC_PRINTF(2, 3);
 
-static void control_backend(const armed_fault_t *armed, const char *format, ...) {
+static void control_backend(const armed_fault_t *armed, const char *format, ...)
+{
     va_list arguments;
     va_start(arguments, format);
     char *body = g_strdup_vprintf(format, arguments);
@@ -67,7 +71,8 @@
     g_free(body);
 }
 
-static void control_proxy(const armed_fault_t *armed, const char *mode) {
+static void control_proxy(const armed_fault_t *armed, const char *mode)
+{
     char *body =
         g_strdup_printf("{\"zone\": \"%s\", \"mode\": \"%s\"}", armed->fault->target, mode);
     send_control(armed->fleet, armed->fleet->proxy_control, body);
@@ -76,26 +81,30 @@
 
 /* ---- nodes ---- */
 
-static void signal_node(const armed_fault_t *armed, int number) {
+static void signal_node(const armed_fault_t *armed, int number)
+{
     lab_node_t *node = lab_fleet_node(armed->fleet, armed->fault->target);
     if (node->process.is_running) {
         uv_process_kill(&node->process.handle, number);
     }
 }
 
-static void note_stop(const armed_fault_t *armed) {
+static void note_stop(const armed_fault_t *armed)
+{
     int64_t now_ms = ts_clock_wall_ms();
     g_array_append_val(armed->log->stops, now_ms);
 }
 
-static void note_disturbance(const armed_fault_t *armed) {
+static void note_disturbance(const armed_fault_t *armed)
+{
     int64_t now_ms = ts_clock_wall_ms();
     lab_disturbance_t disturbance = {now_ms,
                                      now_ms + (int64_t)(armed->fault->for_s * MS_PER_S_DOUBLE)};
     g_array_append_val(armed->log->disturbances, disturbance);
 }
 
-static void kill_target(const armed_fault_t *armed) {
+static void kill_target(const armed_fault_t *armed)
+{
     lab_node_t *node = lab_fleet_node(armed->fleet, armed->fault->target);
     if (node == NULL) {
         control_backend(armed, "{\"state\": \"dead\"}");
@@ -106,7 +115,8 @@
     signal_node(armed, SIGKILL);
 }
 
-static void start_target(const armed_fault_t *armed) {
+static void start_target(const armed_fault_t *armed)
+{
     lab_node_t *node = lab_fleet_node(armed->fleet, armed->fault->target);
     if (node == NULL) {
         control_backend(armed, "{\"state\": \"serving\"}");
@@ -117,23 +127,27 @@
 
 /* ---- configuration ---- */
 
-static void publish(const armed_fault_t *armed, char *text) {
+static void publish(const armed_fault_t *armed, char *text)
+{
     lab_published_t published = {lab_config_version(text), ts_clock_now_us()};
     lab_fleet_publish(armed->fleet, text);
     g_array_append_val(armed->log->published, published);
 }
 
-static void publish_change(const armed_fault_t *armed) {
+static void publish_change(const armed_fault_t *armed)
+{
     uint64_t version = lab_config_version(armed->fleet->config_text) + 1;
     publish(armed, lab_config_with_version(armed->fleet->config_text, version));
 }
 
-static void show_text(const lab_fleet_t *fleet, const char *text) {
+static void show_text(const lab_fleet_t *fleet, const char *text)
+{
     g_file_set_contents(fleet->config_path, text, -1, NULL);
 }
 
 /* A higher version that every node must refuse: a selector reaches a group that nobody declares. */
-static void show_bad(const armed_fault_t *armed) {
+static void show_bad(const armed_fault_t *armed)
+{
     uint64_t version = lab_config_version(armed->fleet->config_text) + 1;
     char *text = lab_config_with_version(armed->fleet->config_text, version);
     char *bad = g_strconcat(text, "  - {kind: bad, groups: [service=nobody], wait: deadline, ",
@@ -145,7 +159,8 @@
 
 /* ---- repartition ---- */
 
-static char *find_shards_field(char *text, const char *backend, char **end) {
+static char *find_shards_field(char *text, const char *backend, char **end)
+{
     char *name = g_strdup_printf("{name: %s,", backend);
     char *line = strstr(text, name);
     g_free(name);
@@ -155,7 +170,8 @@
 }
 
 /* The declarations with the shards of two back ends exchanged. */
-static char *exchange_shards(const char *config, const char *first, const char *second) {
+static char *exchange_shards(const char *config, const char *first, const char *second)
+{
     char *text = g_strdup(config);
     char *first_end = NULL;
     char *second_end = NULL;
@@ -178,13 +194,15 @@
     return g_string_free(result, FALSE);
 }
 
-static void set_shards(const lab_fleet_t *fleet, const ts_backend_t *backend, const char *shards) {
+static void set_shards(const lab_fleet_t *fleet, const ts_backend_t *backend, const char *shards)
+{
     char *body = g_strdup_printf("{\"shards\": [%s]}", shards);
     send_control(fleet, backend->address, body);
     g_free(body);
 }
 
-static void begin_repartition(const armed_fault_t *armed) {
+static void begin_repartition(const armed_fault_t *armed)
+{
     const lab_fleet_t *fleet = armed->fleet;
     const ts_backend_t *first = find_backend(fleet, armed->fault->target);
     const ts_backend_t *second = find_backend(fleet, armed->fault->to);
@@ -198,7 +216,8 @@
     g_free(exchanged);
 }
 
-static void end_repartition(const armed_fault_t *armed) {
+static void end_repartition(const armed_fault_t *armed)
+{
     const ts_backend_t *first = find_backend(armed->fleet, armed->fault->target);
     const ts_backend_t *second = find_backend(armed->fleet, armed->fault->to);
     char *of_first = g_strdup_printf("\"%s\"", second->shards[0]);
@@ -211,7 +230,8 @@
 
 /* ---- snapshot roll ---- */
 
-static void roll_next(uv_timer_t *timer) {
+static void roll_next(uv_timer_t *timer)
+{
     armed_fault_t *armed = timer->data;
     const lab_fleet_t *fleet = armed->fleet;
     if (armed->rolled >= fleet->declarations->backends_count) {
@@ -226,7 +246,8 @@
     g_free(body);
 }
 
-static void begin_roll(armed_fault_t *armed) {
+static void begin_roll(armed_fault_t *armed)
+{
     uint64_t step_ms = (uint64_t)(armed->fault->for_s * MS_PER_S_DOUBLE /
                                   armed->fleet->declarations->backends_count);
     uv_timer_start(&armed->middle, roll_next, 0, MAX(step_ms, 1));
@@ -234,13 +255,15 @@
 
 /* ---- beginning and ending ---- */
 
-static void warm_up_slowly(uv_timer_t *timer) {
+static void warm_up_slowly(uv_timer_t *timer)
+{
     const armed_fault_t *armed = timer->data;
     control_backend(armed, "{\"state\": \"serving\", \"cold_ms\": %g}",
                     armed->fault->for_s * MS_PER_S_DOUBLE);
 }
 
-static void begin_fault(uv_timer_t *timer) {
+static void begin_fault(uv_timer_t *timer)
+{
     armed_fault_t *armed = timer->data;
     switch (armed->fault->type) {
     case LAB_FAULT_STRAGGLE:
@@ -294,7 +317,8 @@
     }
 }
 
-static void end_fault(uv_timer_t *timer) {
+static void end_fault(uv_timer_t *timer)
+{
     armed_fault_t *armed = timer->data;
     switch (armed->fault->type) {
     case LAB_FAULT_STRAGGLE:
@@ -327,7 +351,8 @@
 
 /* ---- checking and arming ---- */
 
-static bool has_target(const lab_fleet_t *fleet, const lab_fault_t *fault) {
+static bool has_target(const lab_fleet_t *fleet, const lab_fault_t *fault)
+{
     switch (fault->type) {
     case LAB_FAULT_KILL:
     case LAB_FAULT_START:
@@ -352,7 +377,8 @@
     }
 }
 
-bool lab_faults_check(const lab_fleet_t *fleet) {
+bool lab_faults_check(const lab_fleet_t *fleet)
+{
     for (unsigned i = 0; i < fleet->scenario->faults_count; i++) {
         const lab_fault_t *fault = &fleet->scenario->faults[i];
         if (!has_target(fleet, fault)) {
@@ -364,7 +390,8 @@
     return true;
 }
 
-void lab_faults_arm(lab_fleet_t *fleet, lab_fault_log_t *log) {
+void lab_faults_arm(lab_fleet_t *fleet, lab_fault_log_t *log)
+{
     for (unsigned i = 0; i < fleet->scenario->faults_count; i++) {
         const lab_fault_t *fault = &fleet->scenario->faults[i];
         armed_fault_t *armed = g_new0(armed_fault_t, 1);
--- a/lab/fleet.c
+++ b/lab/fleet.c
@@ -27,13 +27,15 @@
 #define POLL_MS 10
 #define CONFIG_VERSION_PATTERN "(?m)^version: *[0-9]+"
 
-uint64_t lab_config_version(const char *text) {
+uint64_t lab_config_version(const char *text)
+{
     const char *line = strstr(text, "\nversion:");
     line = line == NULL ? strstr(text, "version:") : line + 1;
     return line == NULL ? 0 : strtoull(line + strlen("version:"), NULL, 10);
 }
 
-char *lab_config_with_version(const char *text, uint64_t version) {
+char *lab_config_with_version(const char *text, uint64_t version)
+{
     GRegex *regex = g_regex_new(CONFIG_VERSION_PATTERN, 0, 0, NULL);
     char *line = g_strdup_printf("version: %" PRIu64, version);
     char *result = g_regex_replace_literal(regex, text, -1, 0, line, 0, NULL);
@@ -42,7 +44,8 @@
     return result;
 }
 
-void lab_fleet_publish(lab_fleet_t *fleet, char *text) {
+void lab_fleet_publish(lab_fleet_t *fleet, char *text)
+{
     g_free(fleet->config_text);
     fleet->config_text = text;
     /* GLib replaces the file as a whole: the platform never reads half of it */
@@ -51,16 +54,19 @@
 
 /* ---- files ---- */
 
-static char *in_directory(const lab_fleet_t *fleet, const char *name, const char *suffix) {
+static char *in_directory(const lab_fleet_t *fleet, const char *name, const char *suffix)
+{
     return g_strdup_printf("%s/%s%s", fleet->directory, name, suffix);
 }
 
-static char *make_address(const lab_fleet_t *fleet, unsigned host, unsigned port) {
+static char *make_address(const lab_fleet_t *fleet, unsigned host, unsigned port)
+{
     return g_strdup_printf("%s.%u:%u", fleet->base, host, port);
 }
 
 /* Puts one deadline in the place of every kind's; takes the text and gives another. */
-static char *set_deadlines(char *text, uint32_t deadline_ms) {
+static char *set_deadlines(char *text, uint32_t deadline_ms)
+{
     GRegex *regex = g_regex_new("deadline_ms: *[0-9]+", 0, 0, NULL);
     char *field = g_strdup_printf("deadline_ms: %u", deadline_ms);
     char *result = g_regex_replace_literal(regex, text, -1, 0, field, 0, NULL);
@@ -70,7 +76,8 @@
     return result;
 }
 
-static bool load_declarations(lab_fleet_t *fleet, const char *path) {
+static bool load_declarations(lab_fleet_t *fleet, const char *path)
+{
     size_t length = 0;
     ts_problems_t problems;
     char *text = ts_command_read_file(path, &length);
@@ -98,7 +105,8 @@
     return fleet->declarations != NULL;
 }
 
-static void write_node_settings(const lab_fleet_t *fleet, lab_node_t *node) {
+static void write_node_settings(const lab_fleet_t *fleet, lab_node_t *node)
+{
     node->settings_path = in_directory(fleet, node->process.name, ".yaml");
     char *text = g_strdup_printf("name: %s\ncluster: lab\nzone: %s\ncallers: %s\noperators: %s\n"
                                  "peers: %s\nadvertise: %s\nplatform: %s\npolicy: %s\n",
@@ -108,7 +116,8 @@
     g_free(text);
 }
 
-static void add_node(lab_fleet_t *fleet, const char *zone, unsigned number, unsigned host) {
+static void add_node(lab_fleet_t *fleet, const char *zone, unsigned number, unsigned host)
+{
     lab_node_t *node = g_new0(lab_node_t, 1);
     bool has_proxy = fleet->proxy_control != NULL;
     node->process.name = g_strdup_printf("%s-%u", zone, number);
@@ -121,7 +130,8 @@
     g_ptr_array_add(fleet->nodes, node);
 }
 
-static void add_nodes(lab_fleet_t *fleet) {
+static void add_nodes(lab_fleet_t *fleet)
+{
     unsigned host = FIRST_NODE;
     for (unsigned z = 0; z < fleet->declarations->zones_count; z++) {
         for (unsigned i = 1; i <= fleet->scenario->nodes_per_zone; i++) {
@@ -130,7 +140,8 @@
     }
 }
 
-static void write_machines(const lab_fleet_t *fleet) {
+static void write_machines(const lab_fleet_t *fleet)
+{
     json_t *rows = json_array();
     for (guint i = 0; i < fleet->nodes->len; i++) {
         const lab_node_t *node = g_ptr_array_index(fleet->nodes, i);
@@ -145,12 +156,14 @@
     json_decref(root);
 }
 
-static const char *region_of(const lab_fleet_t *fleet, const char *zone) {
+static const char *region_of(const lab_fleet_t *fleet, const char *zone)
+{
     int index = ts_declarations_zone_index(fleet->declarations, zone);
     return fleet->declarations->zones[index].region;
 }
 
-static void write_proxy_settings(const lab_fleet_t *fleet) {
+static void write_proxy_settings(const lab_fleet_t *fleet)
+{
     GString *text = g_string_new(NULL);
     g_string_append_printf(text,
                            "control: %s\nzone_delay_ms: %g\nregion_delay_ms: %g\n"
@@ -170,7 +183,8 @@
     g_string_free(text, TRUE);
 }
 
-static bool needs_proxy(const lab_scenario_t *scenario) {
+static bool needs_proxy(const lab_scenario_t *scenario)
+{
     for (unsigned i = 0; i < scenario->faults_count; i++) {
         if (scenario->faults[i].type == LAB_FAULT_PARTITION) {
             return true;
@@ -179,7 +193,8 @@
     return scenario->zone_delay_ms > 0 || scenario->region_delay_ms > 0;
 }
 
-static void find_programs(lab_fleet_t *fleet) {
+static void find_programs(lab_fleet_t *fleet)
+{
     char path[4096];
     ssize_t length = readlink("/proc/self/exe", path, sizeof(path) - 1);
     path[length > 0 ? length : 0] = '\0';
@@ -190,7 +205,8 @@
 }
 
 /* What an earlier run left in the directory must not be read as this one's. */
-static void remove_old_files(const lab_fleet_t *fleet) {
+static void remove_old_files(const lab_fleet_t *fleet)
+{
     GDir *folder = g_dir_open(fleet->directory, 0, NULL);
     const char *name = NULL;
     while (folder != NULL && (name = g_dir_read_name(folder)) != NULL) {
@@ -207,7 +223,8 @@
     }
 }
 
-bool lab_fleet_prepare(lab_fleet_t *fleet, const char *declarations_path) {
+bool lab_fleet_prepare(lab_fleet_t *fleet, const char *declarations_path)
+{
     pid_t pid = getpid();
     /* A loopback network of its own, so that runs side by side never share an address. */
     fleet->base = g_strdup_printf("127.%d.%d", 1 + pid / 250 % 250, 1 + pid % 250);
@@ -231,7 +248,8 @@
 
 /* ---- processes ---- */
 
-static void note_exit(uv_process_t *handle, int64_t status, int signal_number) {
+static void note_exit(uv_process_t *handle, int64_t status, int signal_number)
+{
     lab_process_t *process = handle->data;
     process->is_running = false;
     process->exit_status = status;
@@ -240,7 +258,8 @@
 }
 
 bool lab_fleet_spawn(lab_fleet_t *fleet, lab_process_t *process, char **arguments,
-                     const char *output, uv_exit_cb on_exit) {
+                     const char *output, uv_exit_cb on_exit)
+{
     char *path = in_directory(fleet, output, "");
     char *error_path = g_strdup_printf("%s.err", path);
     int file = open(path, O_CREAT | O_WRONLY | O_TRUNC, 0644);
@@ -269,7 +288,8 @@
     return status == 0;
 }
 
-static bool start_other(lab_fleet_t *fleet, const char *name, char **arguments) {
+static bool start_other(lab_fleet_t *fleet, const char *name, char **arguments)
+{
     lab_process_t *process = g_new0(lab_process_t, 1);
     process->name = g_strdup(name);
     g_ptr_array_add(fleet->processes, process);
@@ -279,7 +299,8 @@
     return is_started;
 }
 
-bool lab_fleet_start_node(lab_fleet_t *fleet, lab_node_t *node) {
+bool lab_fleet_start_node(lab_fleet_t *fleet, lab_node_t *node)
+{
     char *arguments[] = {fleet->program, "node", "--settings", node->settings_path, NULL};
     char *log = g_strdup_printf("%s.log", node->process.name);
     bool is_started = lab_fleet_spawn(fleet, &node->process, arguments, log, NULL);
@@ -287,7 +308,8 @@
     return is_started;
 }
 
-static bool start_searchers(lab_fleet_t *fleet, const char *zone) {
+static bool start_searchers(lab_fleet_t *fleet, const char *zone)
+{
     const lab_scenario_t *scenario = fleet->scenario;
     char *name = g_strdup_printf("searchers-%s", zone);
     char *journal = in_directory(fleet, name, ".journal");
@@ -326,7 +348,8 @@
     return is_started;
 }
 
-static bool start_platform(lab_fleet_t *fleet) {
+static bool start_platform(lab_fleet_t *fleet)
+{
     char *machines = in_directory(fleet, "machines", ".json");
     char *arguments[] = {fleet->lab_program, "platform", "--address",
                          fleet->platform,    "--config", fleet->config_path,
@@ -336,7 +359,8 @@
     return is_started;
 }
 
-static bool start_proxy(lab_fleet_t *fleet) {
+static bool start_proxy(lab_fleet_t *fleet)
+{
     if (fleet->proxy_control == NULL) {
         return true;
     }
@@ -347,7 +371,8 @@
     return is_started;
 }
 
-bool lab_fleet_start(lab_fleet_t *fleet) {
+bool lab_fleet_start(lab_fleet_t *fleet)
+{
     bool is_started = start_platform(fleet) && start_proxy(fleet);
     for (unsigned z = 0; z < fleet->declarations->zones_count; z++) {
         is_started = is_started && start_searchers(fleet, fleet->declarations->zones[z].name);
@@ -358,7 +383,8 @@
     return is_started;
 }
 
-lab_node_t *lab_fleet_node(const lab_fleet_t *fleet, const char *name) {
+lab_node_t *lab_fleet_node(const lab_fleet_t *fleet, const char *name)
+{
     for (guint i = 0; name != NULL && i < fleet->nodes->len; i++) {
         lab_node_t *node = g_ptr_array_index(fleet->nodes, i);
         if (strcmp(node->process.name, name) == 0) {
@@ -370,11 +396,13 @@
 
 /* ---- waiting and stopping ---- */
 
-static void wake_loop(uv_timer_t *timer) {
+static void wake_loop(uv_timer_t *timer)
+{
 }
 
 bool lab_run_until(lab_fleet_t *fleet, bool (*is_done)(void *context), void *context,
-                   double seconds) {
+                   double seconds)
+{
     ts_time_us_t ends_us = ts_clock_now_us() + (ts_time_us_t)(seconds * (double)TS_US_PER_S);
     uv_timer_t timer;
     uv_timer_init(fleet->loop, &timer);
@@ -389,7 +417,8 @@
     return done;
 }
 
-static bool are_nodes_gone(void *context) {
+static bool are_nodes_gone(void *context)
+{
     const lab_fleet_t *fleet = context;
     for (guint i = 0; i < fleet->nodes->len; i++) {
         if (((lab_node_t *)g_ptr_array_index(fleet->nodes, i))->process.is_running) {
@@ -399,7 +428,8 @@
     return true;
 }
 
-static bool are_others_gone(void *context) {
+static bool are_others_gone(void *context)
+{
     const lab_fleet_t *fleet = context;
     for (guint i = 0; i < fleet->processes->len; i++) {
         if (((lab_process_t *)g_ptr_array_index(fleet->processes, i))->is_running) {
@@ -409,19 +439,22 @@
     return true;
 }
 
-static void signal_process(lab_process_t *process, int number) {
+static void signal_process(lab_process_t *process, int number)
+{
     if (process->is_running) {
         uv_process_kill(&process->handle, number);
     }
 }
 
-static void signal_all(lab_fleet_t *fleet, int number) {
+static void signal_all(lab_fleet_t *fleet, int number)
+{
     for (guint i = 0; i < fleet->nodes->len; i++) {
         signal_process(&((lab_node_t *)g_ptr_array_index(fleet->nodes, i))->process, number);
     }
 }
 
-unsigned lab_fleet_stop(lab_fleet_t *fleet) {
+unsigned lab_fleet_stop(lab_fleet_t *fleet)
+{
     unsigned failed = 0;
     fleet->is_interrupted = false; /* the stop itself is waited for */
     signal_all(fleet, SIGCONT);
--- a/lab/fuzz.c
+++ b/lab/fuzz.c
@@ -116,7 +116,8 @@
 static void report(run_t *run, const char *format, ...) G_GNUC_PRINTF(2, 3);
 
 /* Keeps the first broken promise. */
-static void report(run_t *run, const char *format, ...) {
+static void report(run_t *run, const char *format, ...)
+{
     if (run->finding.is_broken) {
         return;
     }
@@ -130,7 +131,8 @@
 
 /* ---- what the simulator tells ---- */
 
-static void note_ran(void *context, const lab_sim_run_t *ran) {
+static void note_ran(void *context, const lab_sim_run_t *ran)
+{
     run_t *run = context;
     request_t *request = g_hash_table_lookup(run->requests, ran->request_id);
     if (request == NULL) {
@@ -146,11 +148,13 @@
     }
 }
 
-static void note_after_leave(void *context, const char *request_id, const char *backend) {
+static void note_after_leave(void *context, const char *request_id, const char *backend)
+{
     report(context, "work_after_leave: %s at %s", request_id, backend);
 }
 
-static void note_configured(void *context, unsigned node, uint64_t version) {
+static void note_configured(void *context, unsigned node, uint64_t version)
+{
     run_t *run = context;
     if (version < run->node_versions[node]) {
         report(run, "config_reverted: node %u from %" PRIu64 " to %" PRIu64, node,
@@ -161,7 +165,8 @@
 
 /* ---- submissions ---- */
 
-static void check_answered(run_t *run, const request_t *request, const ts_answer_t *answer) {
+static void check_answered(run_t *run, const request_t *request, const ts_answer_t *answer)
+{
     lab_violations_t violations = {0};
     lab_told_t told;
     char *text = ts_caller_json_write(answer, NULL);
@@ -182,7 +187,8 @@
     free(text);
 }
 
-static void take_answer(void *context, const ts_answer_t *answer) {
+static void take_answer(void *context, const ts_answer_t *answer)
+{
     submission_t *submission = context;
     run_t *run = submission->run;
     request_t *request = submission->request;
@@ -207,7 +213,8 @@
     g_hash_table_remove(run->submissions, submission);
 }
 
-static void submit(run_t *run, request_t *request, unsigned node, bool is_repeat) {
+static void submit(run_t *run, request_t *request, unsigned node, bool is_repeat)
+{
     ts_front_t *front = lab_sim_front(run->sim, node);
     if (front == NULL) {
         return;
@@ -236,7 +243,8 @@
     ts_front_submit(front, &query, take_answer, submission);
 }
 
-static request_t *create_request(run_t *run, const char *kind, bool is_unrepeatable) {
+static request_t *create_request(run_t *run, const char *kind, bool is_unrepeatable)
+{
     request_t *request = g_new0(request_t, 1);
     g_snprintf(request->id, sizeof(request->id), "r%u", run->next_id++);
     g_snprintf(request->text, sizeof(request->text), "t%" PRIu64, lab_sim_random(run->sim) % KEYS);
@@ -247,13 +255,15 @@
     return request;
 }
 
-static void dispatch(run_t *run, unsigned node) {
+static void dispatch(run_t *run, unsigned node)
+{
     request_t *request = create_request(run, DISPATCH_KIND, true);
     g_ptr_array_add(run->dispatched, request);
     submit(run, request, node, false);
 }
 
-static void repeat(run_t *run, const lab_action_t *action) {
+static void repeat(run_t *run, const lab_action_t *action)
+{
     if (run->dispatched->len == 0) {
         return;
     }
@@ -262,7 +272,8 @@
 }
 
 /* A submission must end by its deadline, unless its node died or stood still. */
-static void check_overdue(run_t *run) {
+static void check_overdue(run_t *run)
+{
     ts_time_us_t now_us = lab_sim_now_us(run->sim);
     GHashTableIter iterator;
     gpointer key = NULL;
@@ -284,18 +295,21 @@
 
 /* ---- actions ---- */
 
-static char *with_version(uint64_t version, const char *suffix) {
+static char *with_version(uint64_t version, const char *suffix)
+{
     const char *rest = strchr(first_config, '\n');
     return g_strdup_printf("version: %" PRIu64 "%s%s", version, rest, suffix);
 }
 
-static void publish(run_t *run, uint64_t version, const char *suffix) {
+static void publish(run_t *run, uint64_t version, const char *suffix)
+{
     char *text = with_version(version, suffix);
     lab_sim_set_platform(run->sim, text);
     g_free(text);
 }
 
-static void end_process(run_t *run, unsigned node) {
+static void end_process(run_t *run, unsigned node)
+{
     if (lab_sim_is_running(run->sim, node)) {
         lab_sim_kill(run->sim, node);
         run->node_generations[node]++;
@@ -306,7 +320,8 @@
  * The version below which a node that starts may not fall: what every node that it can hear has in
  * force. What nobody holds any more is lost, as nothing lasts but in the nodes.
  */
-static uint64_t version_floor(const run_t *run, unsigned starting) {
+static uint64_t version_floor(const run_t *run, unsigned starting)
+{
     uint64_t floor = run->node_versions[starting];
     bool hears_anybody = false;
     for (unsigned node = 0; node < NODES; node++) {
@@ -320,7 +335,8 @@
     return hears_anybody && !run->is_cut ? floor : 0;
 }
 
-static void start_process(run_t *run, unsigned node) {
+static void start_process(run_t *run, unsigned node)
+{
     if (!lab_sim_is_running(run->sim, node)) {
         run->node_versions[node] = version_floor(run, node);
         run->node_generations[node]++;
@@ -329,7 +345,8 @@
     }
 }
 
-static void heal(run_t *run) {
+static void heal(run_t *run)
+{
     for (unsigned zone = 0; zone < ZONES; zone++) {
         lab_sim_cut(run->sim, zone, false);
     }
@@ -339,12 +356,14 @@
     run->is_cut = false;
 }
 
-static void roll(run_t *run, const lab_action_t *action) {
+static void roll(run_t *run, const lab_action_t *action)
+{
     run->snapshot += lab_sim_random(run->sim) % 8 == 0;
     lab_sim_set_snapshot(run->sim, action->a % SEARCHERS, run->snapshot, action->b % 2 == 0);
 }
 
-static void act(run_t *run, const lab_action_t *action) {
+static void act(run_t *run, const lab_action_t *action)
+{
     unsigned node = action->a % NODES;
     lab_action_t bounded = *action;
     bounded.a = node;
@@ -417,7 +436,8 @@
 
 /* ---- runs ---- */
 
-static void open_run(run_t *run, uint64_t seed) {
+static void open_run(run_t *run, uint64_t seed)
+{
     lab_sim_config_t config = {
         .declarations = first_config,
         .nodes_per_zone = NODES_PER_ZONE,
@@ -443,7 +463,8 @@
     run->sim = lab_sim_create(&config, &observer);
 }
 
-static void close_run(run_t *run) {
+static void close_run(run_t *run)
+{
     lab_sim_destroy(run->sim);
     g_hash_table_destroy(run->submissions);
     g_hash_table_destroy(run->requests);
@@ -452,7 +473,8 @@
 }
 
 /* Planned stops end a process when it is idle; the oracle counts that as an end. */
-static void note_ended(run_t *run, const bool *was_running) {
+static void note_ended(run_t *run, const bool *was_running)
+{
     for (unsigned node = 0; node < NODES; node++) {
         if (was_running[node] && !lab_sim_is_running(run->sim, node)) {
             run->node_generations[node]++;
@@ -460,7 +482,8 @@
     }
 }
 
-static void pass_time(run_t *run, ts_time_us_t span_us) {
+static void pass_time(run_t *run, ts_time_us_t span_us)
+{
     bool was_running[NODES];
     for (unsigned node = 0; node < NODES; node++) {
         was_running[node] = lab_sim_is_running(run->sim, node);
@@ -470,7 +493,8 @@
     check_overdue(run);
 }
 
-static void finish(run_t *run) {
+static void finish(run_t *run)
+{
     heal(run);
     for (unsigned node = 0; node < NODES; node++) {
         start_process(run, node);
@@ -480,7 +504,8 @@
     }
 }
 
-lab_finding_t lab_fuzz_run(uint64_t seed, const GArray *actions) {
+lab_finding_t lab_fuzz_run(uint64_t seed, const GArray *actions)
+{
     run_t run = {0};
     open_run(&run, seed);
     lab_sim_run(run.sim, SETTLE_US);
@@ -511,7 +536,8 @@
     [LAB_ACTION_CONFIG_DOWN] = 5, [LAB_ACTION_CONFIG_BAD] = 4,
 };
 
-static lab_action_type_t draw_type(GRand *random) {
+static lab_action_type_t draw_type(GRand *random)
+{
     gint32 sum = 0;
     for (int i = 0; i < LAB_ACTION_COUNT; i++) {
         sum += (gint32)weights[i];
@@ -524,7 +550,8 @@
     return (lab_action_type_t)type;
 }
 
-GArray *lab_fuzz_draw(uint64_t seed, unsigned count) {
+GArray *lab_fuzz_draw(uint64_t seed, unsigned count)
+{
     static const gint32 paces_ms[PACES] = {120, 300, 900};
     GRand *random = g_rand_new_with_seed((guint32)seed);
     GArray *actions = g_array_new(FALSE, FALSE, sizeof(lab_action_t));
@@ -545,7 +572,8 @@
 
 /* ---- shrinking ---- */
 
-static GArray *without(const GArray *actions, guint begin, guint count) {
+static GArray *without(const GArray *actions, guint begin, guint count)
+{
     GArray *rest = g_array_new(FALSE, FALSE, sizeof(lab_action_t));
     uint32_t removed_ms = 0;
     for (guint i = 0; i < actions->len; i++) {
@@ -561,7 +589,8 @@
     return rest;
 }
 
-GArray *lab_fuzz_shrink(uint64_t seed, const GArray *actions) {
+GArray *lab_fuzz_shrink(uint64_t seed, const GArray *actions)
+{
     GArray *best = without(actions, 0, 0);
     for (guint chunk = best->len / 2; chunk > 0; chunk /= 2) {
         for (guint begin = 0; begin < best->len;) {
@@ -578,7 +607,8 @@
     return best;
 }
 
-void lab_fuzz_describe(const lab_action_t *action, GString *out) {
+void lab_fuzz_describe(const lab_action_t *action, GString *out)
+{
     static const char *const names[] = {
         "query", "dispatch", "repeat",     "kill",        "start",     "stop",
         "pause", "cut",      "isolate",    "heal",        "searcher",  "slow",
--- a/lab/fuzz_command.c
+++ b/lab/fuzz_command.c
@@ -10,7 +10,8 @@
 #define DEFAULT_ACTIONS 400
 
 /* Runs one seed; prints and shrinks what it finds. Returns whether every promise held. */
-static bool fuzz_seed(uint64_t seed, unsigned count, bool shrinks, lab_finding_t *finding) {
+static bool fuzz_seed(uint64_t seed, unsigned count, bool shrinks, lab_finding_t *finding)
+{
     GArray *actions = lab_fuzz_draw(seed, count);
     *finding = lab_fuzz_run(seed, actions);
     if (finding->is_broken) {
@@ -41,7 +42,8 @@
     bool stops_at_first;
 } extent_t;
 
-static int fuzz(uint64_t seed, unsigned count, const extent_t *extent, bool shrinks) {
+static int fuzz(uint64_t seed, unsigned count, const extent_t *extent, bool shrinks)
+{
     ts_time_us_t begin_us = ts_clock_now_us();
     uint64_t steps = 0;
     uint64_t outcomes[3] = {0};
@@ -67,7 +69,8 @@
     return broken == 0 ? TS_EXIT_OK : TS_EXIT_FAILURE;
 }
 
-static int run_fuzz(int argc, char **argv) {
+static int run_fuzz(int argc, char **argv)
+{
     struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
     struct arg_int *seed = arg_int0(NULL, "seed", "N", "first seed (1)");
     struct arg_int *steps = arg_int0(NULL, "steps", "N", "actions a seed (400)");
--- a/lab/hollow.c
+++ b/lab/hollow.c
@@ -46,11 +46,13 @@
     uint64_t report_since_ms;
 };
 
-static ts_time_us_t now_us(const lab_hollow_t *fleet) {
+static ts_time_us_t now_us(const lab_hollow_t *fleet)
+{
     return (fleet->now_ms + 1000) * TS_US_PER_MS;
 }
 
-static void free_letter(gpointer pointer) {
+static void free_letter(gpointer pointer)
+{
     letter_t *letter = pointer;
     g_free(letter->bytes);
     g_free(letter);
@@ -58,13 +60,15 @@
 
 /* ---- what membership asks of its surroundings ---- */
 
-static bool is_cut(const lab_hollow_t *fleet, unsigned from, unsigned to) {
+static bool is_cut(const lab_hollow_t *fleet, unsigned from, unsigned to)
+{
     unsigned from_zone = fleet->nodes[from].zone;
     unsigned to_zone = fleet->nodes[to].zone;
     return from_zone != to_zone && (fleet->is_zone_cut[from_zone] || fleet->is_zone_cut[to_zone]);
 }
 
-static void post_letter(lab_hollow_t *fleet, letter_t *letter, unsigned delay_ms) {
+static void post_letter(lab_hollow_t *fleet, letter_t *letter, unsigned delay_ms)
+{
     unsigned slot = (unsigned)((fleet->now_ms + MIN(delay_ms, SLOTS - 1)) % SLOTS);
     if (fleet->slots[slot] == NULL) {
         fleet->slots[slot] = g_ptr_array_new_with_free_func(free_letter);
@@ -73,7 +77,8 @@
 }
 
 static void send_letter(void *context, const char *name, const char *address, const uint8_t *bytes,
-                        size_t length) {
+                        size_t length)
+{
     const hollow_node_t *node = context;
     lab_hollow_t *fleet = node->fleet;
     unsigned to = GPOINTER_TO_UINT(g_hash_table_lookup(fleet->index_by_name, name));
@@ -98,7 +103,8 @@
 }
 
 static void hear_config(void *context, const char *name, const char *address, uint64_t version,
-                        uint64_t digest) {
+                        uint64_t digest)
+{
     hollow_node_t *node = context;
     if (version > node->version && version > node->wanted_version) {
         node->wanted_version = version;
@@ -106,11 +112,13 @@
     }
 }
 
-static void ignore_change(void *context) {
+static void ignore_change(void *context)
+{
 }
 
 static void note_member(void *context, const char *name, ts_member_state_t old,
-                        ts_member_state_t state) {
+                        ts_member_state_t state)
+{
     hollow_node_t *node = context;
     lab_hollow_t *fleet = node->fleet;
     unsigned index = GPOINTER_TO_UINT(g_hash_table_lookup(fleet->index_by_name, name));
@@ -122,7 +130,8 @@
 
 /* ---- nodes ---- */
 
-static void tell_machines(lab_hollow_t *fleet, hollow_node_t *node) {
+static void tell_machines(lab_hollow_t *fleet, hollow_node_t *node)
+{
     ts_membership_begin_machines(node->membership);
     for (unsigned i = 0; i < fleet->config.nodes; i++) {
         const hollow_node_t *other = &fleet->nodes[i];
@@ -131,7 +140,8 @@
     ts_membership_end_machines(node->membership);
 }
 
-static void start_node(lab_hollow_t *fleet, hollow_node_t *node) {
+static void start_node(lab_hollow_t *fleet, hollow_node_t *node)
+{
     static const ts_membership_ops_t ops = {send_letter, hear_config, ignore_change, note_member};
     node->incarnation = fleet->now_ms + 1;
     node->is_running = true;
@@ -148,7 +158,8 @@
     tell_machines(fleet, node);
 }
 
-lab_hollow_t *lab_hollow_create(const lab_hollow_config_t *config) {
+lab_hollow_t *lab_hollow_create(const lab_hollow_config_t *config)
+{
     lab_hollow_t *fleet = g_new0(lab_hollow_t, 1);
     fleet->config = *config;
     fleet->nodes = g_new0(hollow_node_t, config->nodes);
@@ -172,7 +183,8 @@
     return fleet;
 }
 
-void lab_hollow_destroy(lab_hollow_t *fleet) {
+void lab_hollow_destroy(lab_hollow_t *fleet)
+{
     for (unsigned i = 0; i < fleet->config.nodes; i++) {
         hollow_node_t *node = &fleet->nodes[i];
         if (node->is_running) {
@@ -194,7 +206,8 @@
     g_free(fleet);
 }
 
-void lab_hollow_kill(lab_hollow_t *fleet, unsigned index) {
+void lab_hollow_kill(lab_hollow_t *fleet, unsigned index)
+{
     hollow_node_t *node = &fleet->nodes[index];
     if (node->is_running) {
         node->is_running = false;
@@ -203,28 +216,33 @@
     }
 }
 
-void lab_hollow_start(lab_hollow_t *fleet, unsigned index) {
+void lab_hollow_start(lab_hollow_t *fleet, unsigned index)
+{
     if (!fleet->nodes[index].is_running) {
         start_node(fleet, &fleet->nodes[index]);
     }
 }
 
-void lab_hollow_pause(lab_hollow_t *fleet, unsigned index, unsigned ms) {
+void lab_hollow_pause(lab_hollow_t *fleet, unsigned index, unsigned ms)
+{
     fleet->nodes[index].paused_until_ms = fleet->now_ms + ms;
 }
 
-void lab_hollow_cut(lab_hollow_t *fleet, unsigned zone, bool is_cut_now) {
+void lab_hollow_cut(lab_hollow_t *fleet, unsigned zone, bool is_cut_now)
+{
     fleet->is_zone_cut[zone] = is_cut_now;
 }
 
-void lab_hollow_configure(lab_hollow_t *fleet, unsigned index, uint64_t version) {
+void lab_hollow_configure(lab_hollow_t *fleet, unsigned index, uint64_t version)
+{
     fleet->nodes[index].version = version;
     ts_membership_set_config(fleet->nodes[index].membership, version, version);
 }
 
 /* ---- time ---- */
 
-static void deliver_letter(lab_hollow_t *fleet, letter_t *letter) {
+static void deliver_letter(lab_hollow_t *fleet, letter_t *letter)
+{
     hollow_node_t *to = &fleet->nodes[letter->to];
     const hollow_node_t *from = &fleet->nodes[letter->from];
     if (!to->is_running || is_cut(fleet, letter->from, letter->to)) {
@@ -240,7 +258,8 @@
     free_letter(letter);
 }
 
-static void deliver_due(lab_hollow_t *fleet) {
+static void deliver_due(lab_hollow_t *fleet)
+{
     unsigned slot = (unsigned)(fleet->now_ms % SLOTS);
     GPtrArray *due = fleet->slots[slot];
     if (due == NULL) {
@@ -254,7 +273,8 @@
     g_ptr_array_free(due, TRUE);
 }
 
-static void tick_node(lab_hollow_t *fleet, hollow_node_t *node) {
+static void tick_node(lab_hollow_t *fleet, hollow_node_t *node)
+{
     bool is_paused = node->paused_until_ms > fleet->now_ms;
     if (!node->is_running || is_paused) {
         return;
@@ -267,7 +287,8 @@
     }
 }
 
-void lab_hollow_run(lab_hollow_t *fleet, unsigned ms) {
+void lab_hollow_run(lab_hollow_t *fleet, unsigned ms)
+{
     for (unsigned i = 0; i < ms; i++) {
         fleet->now_ms++;
         deliver_due(fleet);
@@ -279,7 +300,8 @@
 
 /* ---- looking ---- */
 
-unsigned lab_hollow_running(const lab_hollow_t *fleet) {
+unsigned lab_hollow_running(const lab_hollow_t *fleet)
+{
     unsigned running = 0;
     for (unsigned i = 0; i < fleet->config.nodes; i++) {
         running += fleet->nodes[i].is_running;
@@ -287,11 +309,13 @@
     return running;
 }
 
-ts_view_t *lab_hollow_view(const lab_hollow_t *fleet, unsigned node) {
+ts_view_t *lab_hollow_view(const lab_hollow_t *fleet, unsigned node)
+{
     return ts_membership_view(fleet->nodes[node].membership);
 }
 
-static ts_member_state_t state_in_view(const ts_view_t *view, const char *name) {
+static ts_member_state_t state_in_view(const ts_view_t *view, const char *name)
+{
     for (size_t i = 0; i < view->count; i++) {
         if (strcmp(view->members[i].name, name) == 0) {
             return view->members[i].state;
@@ -300,7 +324,8 @@
     return TS_MEMBER_DEAD;
 }
 
-unsigned lab_hollow_believers(const lab_hollow_t *fleet, unsigned node, ts_member_state_t state) {
+unsigned lab_hollow_believers(const lab_hollow_t *fleet, unsigned node, ts_member_state_t state)
+{
     unsigned believers = 0;
     for (unsigned i = 0; i < fleet->config.nodes; i++) {
         if (i == node || !fleet->nodes[i].is_running) {
@@ -313,7 +338,8 @@
     return believers;
 }
 
-bool lab_hollow_is_converged(const lab_hollow_t *fleet) {
+bool lab_hollow_is_converged(const lab_hollow_t *fleet)
+{
     unsigned running = lab_hollow_running(fleet);
     for (unsigned i = 0; i < fleet->config.nodes; i++) {
         const hollow_node_t *node = &fleet->nodes[i];
@@ -325,7 +351,8 @@
     return true;
 }
 
-unsigned lab_hollow_configured(const lab_hollow_t *fleet, uint64_t version) {
+unsigned lab_hollow_configured(const lab_hollow_t *fleet, uint64_t version)
+{
     unsigned count = 0;
     for (unsigned i = 0; i < fleet->config.nodes; i++) {
         count += fleet->nodes[i].is_running && fleet->nodes[i].version >= version;
@@ -333,13 +360,15 @@
     return count;
 }
 
-lab_hollow_report_t lab_hollow_report(const lab_hollow_t *fleet) {
+lab_hollow_report_t lab_hollow_report(const lab_hollow_t *fleet)
+{
     lab_hollow_report_t report = fleet->report;
     report.seconds = (double)(fleet->now_ms - fleet->report_since_ms) / 1000.0;
     return report;
 }
 
-void lab_hollow_reset_report(lab_hollow_t *fleet) {
+void lab_hollow_reset_report(lab_hollow_t *fleet)
+{
     memset(&fleet->report, 0, sizeof(fleet->report));
     fleet->report_since_ms = fleet->now_ms;
 }
--- a/lab/hollow_command.c
+++ b/lab/hollow_command.c
@@ -18,12 +18,14 @@
 #define PAUSE_MS 900U
 #define REPORT_DIGITS 5
 
-static double cpu_seconds(void) {
+static double cpu_seconds(void)
+{
     return (double)clock() / CLOCKS_PER_SEC;
 }
 
 /* Virtual milliseconds until every other node believes a killed node dead. */
-static double measure_death(lab_hollow_t *fleet, unsigned node) {
+static double measure_death(lab_hollow_t *fleet, unsigned node)
+{
     lab_hollow_kill(fleet, node);
     unsigned waited = 0;
     while (waited < WAIT_MS_MAX &&
@@ -34,7 +36,8 @@
     return waited;
 }
 
-static double measure_configuration(lab_hollow_t *fleet, uint64_t version) {
+static double measure_configuration(lab_hollow_t *fleet, uint64_t version)
+{
     lab_hollow_configure(fleet, 0, version);
     unsigned waited = 0;
     while (waited < WAIT_MS_MAX &&
@@ -45,7 +48,8 @@
     return waited;
 }
 
-static double measure_join(lab_hollow_t *fleet) {
+static double measure_join(lab_hollow_t *fleet)
+{
     unsigned waited = 0;
     while (waited < JOIN_MS_MAX && !lab_hollow_is_converged(fleet)) {
         lab_hollow_run(fleet, STEP_MS);
@@ -55,7 +59,8 @@
 }
 
 /* One node in a hundred stands still for less than the bound of self-doubt, once every 10 s. */
-static void run_with_pauses(lab_hollow_t *fleet, unsigned nodes, unsigned seconds, bool pauses) {
+static void run_with_pauses(lab_hollow_t *fleet, unsigned nodes, unsigned seconds, bool pauses)
+{
     for (unsigned second = 0; second < seconds; second++) {
         for (unsigned i = 0; pauses && i < nodes; i += 100) {
             if ((second + i / 100) % 10 == 0) {
@@ -66,7 +71,8 @@
     }
 }
 
-static json_t *measure(const lab_hollow_config_t *config, unsigned seconds, bool pauses) {
+static json_t *measure(const lab_hollow_config_t *config, unsigned seconds, bool pauses)
+{
     size_t heap_before = mallinfo2().uordblks;
     lab_hollow_t *fleet = lab_hollow_create(config);
     double join_ms = measure_join(fleet);
@@ -92,7 +98,8 @@
     return result;
 }
 
-static int run_hollow(int argc, char **argv) {
+static int run_hollow(int argc, char **argv)
+{
     struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
     struct arg_int *nodes = arg_intn("n", "nodes", "N", 1, 20, "fleet size; may be given again");
     struct arg_int *zones = arg_int0(NULL, "zones", "N", "zones (8)");
--- a/lab/load.c
+++ b/lab/load.c
@@ -32,12 +32,14 @@
 
 static int arrivals_fd;
 
-static void draw_next(const lab_load_t *load, lab_load_kind_t *kind) {
+static void draw_next(const lab_load_t *load, lab_load_kind_t *kind)
+{
     double gap_s = gsl_ran_exponential(load->random, 1.0 / kind->rate);
     kind->next_us += (ts_time_us_t)(gap_s * (double)TS_US_PER_S);
 }
 
-static void arm_arrivals(const lab_load_t *load) {
+static void arm_arrivals(const lab_load_t *load)
+{
     ts_time_us_t now_us = ts_clock_now_us();
     ts_time_us_t due_us = load->ends_us;
     for (guint i = 0; i < load->kinds->len; i++) {
@@ -51,7 +53,8 @@
     timerfd_settime(arrivals_fd, 0, &when, NULL);
 }
 
-static void send_due(uv_poll_t *poll, int status, int events) {
+static void send_due(uv_poll_t *poll, int status, int events)
+{
     lab_load_t *load = poll->data;
     uint64_t expirations = 0;
     ssize_t got = read(arrivals_fd, &expirations, sizeof(expirations));
@@ -73,13 +76,15 @@
 
 /* ---- health ---- */
 
-static void take_health(void *context, const ts_http_result_t *result) {
+static void take_health(void *context, const ts_http_result_t *result)
+{
     lab_load_node_t *node = context;
     node->is_checking = false;
     node->is_ready = result->error == TS_OK && result->status == 200;
 }
 
-static void check_nodes(uv_timer_t *timer) {
+static void check_nodes(uv_timer_t *timer)
+{
     lab_load_t *load = timer->data;
     if (load->is_over && load->outstanding == 0) {
         uv_stop(load->loop);
@@ -97,11 +102,13 @@
 
 /* ---- report ---- */
 
-static double quantile_ms(const ts_histogram_t *histogram, double quantile) {
+static double quantile_ms(const ts_histogram_t *histogram, double quantile)
+{
     return (double)ts_histogram_quantile(histogram, quantile) / US_PER_MS_DOUBLE;
 }
 
-static json_t *report_kind(const lab_load_kind_t *kind) {
+static json_t *report_kind(const lab_load_kind_t *kind)
+{
     return json_pack("{s:I, s:I, s:I, s:I, s:I, s:f, s:f, s:f, s:f}", "sent",
                      (json_int_t)kind->sent, "answered", (json_int_t)kind->answered, "refused",
                      (json_int_t)kind->refused, "unknown", (json_int_t)kind->unknown, "lost",
@@ -112,7 +119,8 @@
                      kind->answered == 0 ? 0.0 : kind->coverage_sum / (double)kind->answered);
 }
 
-json_t *lab_load_report(const lab_load_t *load) {
+json_t *lab_load_report(const lab_load_t *load)
+{
     json_t *kinds = json_object();
     uint64_t totals[5] = {0};
     double coverage_sum = 0;
@@ -149,7 +157,8 @@
 
 /* ---- the command ---- */
 
-static bool add_node(lab_load_t *load, const char *text) {
+static bool add_node(lab_load_t *load, const char *text)
+{
     char **parts = g_strsplit(text, "/", 2);
     lab_load_node_t *node = g_new0(lab_load_node_t, 1);
     node->callers = g_strdup(parts[0]);
@@ -167,7 +176,8 @@
     return is_good;
 }
 
-static bool add_kind(lab_load_t *load, const char *text) {
+static bool add_kind(lab_load_t *load, const char *text)
+{
     char **parts = g_strsplit(text, ":", 2);
     lab_load_kind_t *kind = g_new0(lab_load_kind_t, 1);
     kind->name = g_strdup(parts[0]);
@@ -185,7 +195,8 @@
     return true;
 }
 
-static void generate(lab_load_t *load) {
+static void generate(lab_load_t *load)
+{
     uv_poll_t poll;
     uv_timer_t health;
     signal(SIGPIPE, SIG_IGN);
@@ -201,7 +212,8 @@
 }
 
 static bool prepare(lab_load_t *load, const char *path, const struct arg_str *nodes,
-                    const struct arg_str *kinds) {
+                    const struct arg_str *kinds)
+{
     load->declarations = ts_declarations_load_file(path);
     if (load->declarations == NULL) {
         return false;
@@ -216,7 +228,8 @@
     return is_good;
 }
 
-static int run_load(int argc, char **argv) {
+static int run_load(int argc, char **argv)
+{
     struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
     struct arg_file *file = arg_file1("d", "declarations", "FILE", "declarations in force");
     struct arg_str *nodes = arg_strn("a", "node", "CALLERS/OPERATORS", 1, NODES_MAX,
--- a/lab/load_check.c
+++ b/lab/load_check.c
@@ -19,7 +19,8 @@
 } evidence_t;
 
 static void examine_hit(const lab_asked_t *asked, const json_t *hit, uint64_t snapshot,
-                        double *last_score, evidence_t *evidence) {
+                        double *last_score, evidence_t *evidence)
+{
     char shard[NAME_SIZE];
     char expected[TEXT_SIZE];
     uint64_t hit_snapshot = 0;
@@ -43,7 +44,8 @@
 }
 
 /* Every covered shard must have given all its hits, and be one that the kind may reach. */
-static void examine_shards(const lab_asked_t *asked, uint64_t snapshot, evidence_t *evidence) {
+static void examine_shards(const lab_asked_t *asked, uint64_t snapshot, evidence_t *evidence)
+{
     GHashTableIter iterator;
     gpointer key = NULL;
     gpointer value = NULL;
@@ -66,7 +68,8 @@
     }
 }
 
-static bool is_key_shard(const lab_asked_t *asked, const evidence_t *evidence) {
+static bool is_key_shard(const lab_asked_t *asked, const evidence_t *evidence)
+{
     if (asked->selector->route != TS_ROUTE_KEY) {
         return true;
     }
@@ -76,11 +79,13 @@
 }
 
 /* The groups' coverage must add up and agree with the hits. */
-static bool is_group_coverage_true(const json_t *coverage, const evidence_t *evidence) {
+static bool is_group_coverage_true(const json_t *coverage, const evidence_t *evidence)
+{
     size_t index = 0;
     const json_t *row = NULL;
     json_int_t sum = 0;
-    json_array_foreach(json_object_get(coverage, "groups"), index, row) {
+    json_array_foreach(json_object_get(coverage, "groups"), index, row)
+    {
         const char *group = json_string_value(json_object_get(row, "group"));
         json_int_t covered = json_integer_value(json_object_get(row, "covered"));
         json_int_t found = 0;
@@ -101,7 +106,8 @@
 }
 
 void lab_check_answer(const lab_asked_t *asked, const json_t *answer, lab_told_t *told,
-                      lab_violations_t *violations) {
+                      lab_violations_t *violations)
+{
     evidence_t evidence = {g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL), false,
                            false};
     const json_t *coverage = json_object_get(answer, "coverage");
@@ -112,7 +118,8 @@
     told->snapshot = (uint64_t)json_integer_value(json_object_get(answer, "snapshot"));
     told->shards = (uint32_t)json_integer_value(json_object_get(coverage, "shards"));
     told->covered = (uint32_t)json_integer_value(json_object_get(coverage, "covered"));
-    json_array_foreach(json_object_get(answer, "hits"), index, hit) {
+    json_array_foreach(json_object_get(answer, "hits"), index, hit)
+    {
         examine_hit(asked, hit, told->snapshot, &last_score, &evidence);
     }
     examine_shards(asked, told->snapshot, &evidence);
--- a/lab/load_query.c
+++ b/lab/load_query.c
@@ -28,13 +28,15 @@
     uv_timer_t timer;
 } lab_query_t;
 
-static void free_query(uv_handle_t *handle) {
+static void free_query(uv_handle_t *handle)
+{
     g_free(handle->data);
 }
 
 /* Journal: "WALL_MS LATENCY_US KIND ID OUTCOME ERROR SNAPSHOT SHARDS COVERED REPEAT". */
 static void finish(lab_query_t *query, const char *outcome, const char *error,
-                   const lab_told_t *told) {
+                   const lab_told_t *told)
+{
     lab_load_t *load = query->load;
     ts_time_us_t latency_us = ts_clock_now_us() - query->due_us;
     if (load->journal != NULL) {
@@ -48,11 +50,13 @@
 
 static void send_query(lab_query_t *query);
 
-static void repeat_later(uv_timer_t *timer) {
+static void repeat_later(uv_timer_t *timer)
+{
     send_query(timer->data);
 }
 
-static void take_answered(lab_query_t *query, const json_t *root) {
+static void take_answered(lab_query_t *query, const json_t *root)
+{
     lab_load_kind_t *kind = query->kind;
     lab_load_t *load = query->load;
     lab_told_t told = {0};
@@ -70,7 +74,8 @@
 }
 
 /* What a caller does with an unrepeatable request of which it does not know whether it ran. */
-static bool repeat_unknown(lab_query_t *query) {
+static bool repeat_unknown(lab_query_t *query)
+{
     if (!query->kind->selector->unrepeatable || query->repeats >= REPEATS_MAX) {
         return false;
     }
@@ -80,7 +85,8 @@
     return true;
 }
 
-static void take_reply(lab_query_t *query, const json_t *root) {
+static void take_reply(lab_query_t *query, const json_t *root)
+{
     const char *outcome = json_string_value(json_object_get(root, "outcome"));
     const char *error = json_string_value(json_object_get(root, "error"));
     lab_told_t nothing = {0};
@@ -100,7 +106,8 @@
     }
 }
 
-static void take_result(void *context, const ts_http_result_t *result) {
+static void take_result(void *context, const ts_http_result_t *result)
+{
     lab_query_t *query = context;
     lab_told_t nothing = {0};
     query->call = NULL;
@@ -121,7 +128,8 @@
     json_decref(root);
 }
 
-static void take_timeout(uv_timer_t *timer) {
+static void take_timeout(uv_timer_t *timer)
+{
     lab_query_t *query = timer->data;
     lab_told_t nothing = {0};
     ts_http_cancel(query->call);
@@ -131,7 +139,8 @@
 }
 
 /* The next ready node in turn, or the next at all; the command line names at least one. */
-static lab_load_node_t *choose_node(lab_load_t *load) {
+static lab_load_node_t *choose_node(lab_load_t *load)
+{
     guint count = MAX(load->nodes->len, 1);
     for (guint i = 0; i < count; i++) {
         lab_load_node_t *node = g_ptr_array_index(load->nodes, load->next_node++ % count);
@@ -142,7 +151,8 @@
     return g_ptr_array_index(load->nodes, load->next_node++ % count);
 }
 
-static char *write_body(const lab_query_t *query) {
+static char *write_body(const lab_query_t *query)
+{
     const ts_selector_t *selector = query->kind->selector;
     uint32_t wanted = selector->reach_count * RESULT_LIMIT_MARGIN;
     json_t *root = json_pack("{s:s, s:s, s:i}", "id", query->id, "kind", query->kind->name, "limit",
@@ -159,7 +169,8 @@
     return text;
 }
 
-static void send_query(lab_query_t *query) {
+static void send_query(lab_query_t *query)
+{
     const lab_load_node_t *node = choose_node(query->load);
     char *body = write_body(query);
     ts_http_send_t send = {"POST", "/v1/query", NULL, body, strlen(body)};
@@ -170,7 +181,8 @@
     free(body);
 }
 
-void lab_load_send(lab_load_t *load, lab_load_kind_t *kind, ts_time_us_t due_us) {
+void lab_load_send(lab_load_t *load, lab_load_kind_t *kind, ts_time_us_t due_us)
+{
     lab_query_t *query = g_new0(lab_query_t, 1);
     query->load = load;
     query->kind = kind;
--- a/lab/platform.c
+++ b/lab/platform.c
@@ -29,16 +29,19 @@
     ts_http_server_t *server;
 } platform;
 
-static void reply(ts_http_exchange_t *exchange, int status, const char *type, const char *text) {
+static void reply(ts_http_exchange_t *exchange, int status, const char *type, const char *text)
+{
     ts_http_reply(exchange, status, type, text, strlen(text), 0);
 }
 
-static uint64_t find_version(const char *text) {
+static uint64_t find_version(const char *text)
+{
     const char *line = strstr(text, "version:");
     return line == NULL ? 0 : strtoull(line + strlen("version:"), NULL, 10);
 }
 
-static void reply_config(ts_http_exchange_t *exchange) {
+static void reply_config(ts_http_exchange_t *exchange)
+{
     char *text = NULL;
     char have[64] = "";
     char current[64];
@@ -56,7 +59,8 @@
     g_free(text);
 }
 
-static void reply_machines(ts_http_exchange_t *exchange) {
+static void reply_machines(ts_http_exchange_t *exchange)
+{
     char *text = NULL;
     if (!g_file_get_contents(platform.machines_path, &text, NULL, NULL)) {
         reply(exchange, 404, "text/plain", "no machines\n");
@@ -66,7 +70,8 @@
     g_free(text);
 }
 
-static void take_control(ts_http_exchange_t *exchange, const ts_http_request_t *request) {
+static void take_control(ts_http_exchange_t *exchange, const ts_http_request_t *request)
+{
     json_t *root = json_loadb(request->body, request->body_length, 0, NULL);
     const char *mode = json_string_value(json_object_get(root, "mode"));
     if (mode != NULL) {
@@ -78,13 +83,15 @@
     reply(exchange, 200, "application/json", text);
 }
 
-static bool is_path(const ts_http_request_t *request, const char *path) {
+static bool is_path(const ts_http_request_t *request, const char *path)
+{
     return request->path_length == strlen(path) &&
            memcmp(request->path, path, request->path_length) == 0;
 }
 
 static void handle_request(void *context, ts_http_exchange_t *exchange,
-                           const ts_http_request_t *request) {
+                           const ts_http_request_t *request)
+{
     if (is_path(request, "/control")) {
         take_control(exchange, request);
         return;
@@ -101,11 +108,13 @@
     }
 }
 
-static void stop_loop(uv_signal_t *handle, int number) {
+static void stop_loop(uv_signal_t *handle, int number)
+{
     uv_stop(handle->loop);
 }
 
-static int serve(const char *address) {
+static int serve(const char *address)
+{
     uv_loop_t *loop = uv_default_loop();
     uv_signal_t terminate;
     ts_http_limits_t limits = {BODY_BYTES_MAX, REQUEST_TIMEOUT_MS, CONNECTIONS_MAX};
@@ -124,7 +133,8 @@
     return TS_EXIT_OK;
 }
 
-static int run_platform(int argc, char **argv) {
+static int run_platform(int argc, char **argv)
+{
     struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
     struct arg_str *address = arg_str1("a", "address", "IP:PORT", "where to listen");
     struct arg_file *config = arg_file1("c", "config", "FILE", "declarations to serve");
--- a/lab/records.c
+++ b/lab/records.c
@@ -12,30 +12,35 @@
 #define SHARD_SIZE 128
 #define SCORE_STEPS 1000U
 
-static uint64_t hash_query(const char *shard, const char *query, uint64_t snapshot) {
+static uint64_t hash_query(const char *shard, const char *query, uint64_t snapshot)
+{
     return ts_hash_mix(ts_hash_mix(ts_hash_text(shard), ts_hash_text(query)), snapshot);
 }
 
-unsigned lab_record_count(const char *shard, const char *query, uint64_t snapshot) {
+unsigned lab_record_count(const char *shard, const char *query, uint64_t snapshot)
+{
     return 1U + (unsigned)(hash_query(shard, query, snapshot) % LAB_HITS_PER_SHARD_MAX);
 }
 
-void lab_record_id(char *id, size_t size, const char *shard, uint64_t snapshot, unsigned number) {
+void lab_record_id(char *id, size_t size, const char *shard, uint64_t snapshot, unsigned number)
+{
     snprintf(id, size, "%s@%" PRIu64 "#%u", shard, snapshot, number);
 }
 
-double lab_record_score(const char *shard, const char *query, uint64_t snapshot, unsigned number) {
+double lab_record_score(const char *shard, const char *query, uint64_t snapshot, unsigned number)
+{
     uint64_t hash = ts_hash_mix(hash_query(shard, query, snapshot), number);
     return (double)(hash % SCORE_STEPS) / SCORE_STEPS;
 }
 
-void lab_record_text(char *text, size_t size, const char *query, uint64_t snapshot,
-                     unsigned number) {
+void lab_record_text(char *text, size_t size, const char *query, uint64_t snapshot, unsigned number)
+{
     snprintf(text, size, "record %u of %016" PRIx64, number,
              ts_hash_mix(ts_hash_text(query), snapshot));
 }
 
-bool lab_record_split(const char *id, char *shard, uint64_t *snapshot, unsigned *number) {
+bool lab_record_split(const char *id, char *shard, uint64_t *snapshot, unsigned *number)
+{
     const char *at = strrchr(id, '@');
     if (at == NULL || (size_t)(at - id) >= SHARD_SIZE) {
         return false;
@@ -45,7 +50,8 @@
     return sscanf(at, "@%" SCNu64 "#%u", snapshot, number) == 2;
 }
 
-json_t *lab_record_answer(const char *shard, const char *query, uint64_t snapshot, unsigned limit) {
+json_t *lab_record_answer(const char *shard, const char *query, uint64_t snapshot, unsigned limit)
+{
     unsigned total = lab_record_count(shard, query, snapshot);
     json_t *hits = json_array();
     for (unsigned i = 0; i < total && i < limit; i++) {
--- a/lab/report.c
+++ b/lab/report.c
@@ -48,7 +48,8 @@
 
 /* ---- reading ---- */
 
-static second_t *second_of(run_t *run, int64_t at_ms) {
+static second_t *second_of(run_t *run, int64_t at_ms)
+{
     int64_t index = (at_ms - run->begin_ms) / MS_PER_S;
     if (index < 0 || index >= (int64_t)SECONDS_MAX) {
         return NULL;
@@ -57,7 +58,8 @@
     return &run->seconds[index];
 }
 
-static void read_caller_line(run_t *run, const char *line) {
+static void read_caller_line(run_t *run, const char *line)
+{
     char kind[FIELD_SIZE];
     char id[FIELD_SIZE];
     char outcome[FIELD_SIZE];
@@ -90,7 +92,8 @@
     second->coverage_sum += shards == 0 ? 0 : (double)covered / shards;
 }
 
-static void read_searcher_line(run_t *run, const char *line) {
+static void read_searcher_line(run_t *run, const char *line)
+{
     char backend[FIELD_SIZE];
     char event[FIELD_SIZE];
     int64_t at_ms = 0;
@@ -103,7 +106,8 @@
     }
 }
 
-static void read_file(run_t *run, const char *name, void (*read_line)(run_t *, const char *)) {
+static void read_file(run_t *run, const char *name, void (*read_line)(run_t *, const char *))
+{
     char line[1024];
     char *path = g_build_filename(run->directory, name, NULL);
     FILE *file = fopen(path, "r");
@@ -116,7 +120,8 @@
     g_free(path);
 }
 
-static void free_run(run_t *run) {
+static void free_run(run_t *run)
+{
     if (run != NULL) {
         json_decref(run->report);
         g_hash_table_destroy(run->latencies);
@@ -125,7 +130,8 @@
     }
 }
 
-static run_t *read_run(const char *directory) {
+static run_t *read_run(const char *directory)
+{
     run_t *run = g_new0(run_t, 1);
     run->directory = g_strdup(directory);
     run->latencies = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -151,7 +157,8 @@
     return run;
 }
 
-static const char *text_of(const run_t *run, const char *key) {
+static const char *text_of(const run_t *run, const char *key)
+{
     const char *text = json_string_value(json_object_get(run->report, key));
     return text == NULL ? "" : text;
 }
@@ -159,7 +166,8 @@
 /* ---- drawing ---- */
 
 static void begin_plot(GString *out, const char *title, const char *x_label, const char *y_label,
-                       double y_most) {
+                       double y_most)
+{
     g_string_append_printf(
         out,
         "<h3>%s</h3><svg viewBox='0 0 %.0f %.0f' width='%.0f'>"
@@ -171,7 +179,8 @@
         PLOT_HEIGHT + 20, y_label);
 }
 
-static void add_line(GString *out, const GArray *points, const char *colour) {
+static void add_line(GString *out, const GArray *points, const char *colour)
+{
     g_string_append(out, "<polyline fill='none' stroke-width='1.5' stroke='");
     g_string_append_printf(out, "%s' points='", colour);
     for (guint i = 0; i + 1 < points->len; i += 2) {
@@ -182,13 +191,15 @@
     g_string_append(out, "'/>\n");
 }
 
-static void add_point(GArray *points, double x, double y) {
+static void add_point(GArray *points, double x, double y)
+{
     g_array_append_val(points, x);
     g_array_append_val(points, y);
 }
 
 /* Latency against the part of answers that took longer, both on scales of tens. */
-static void draw_latencies(GString *out, run_t **runs, unsigned count, const char *kind) {
+static void draw_latencies(GString *out, run_t **runs, unsigned count, const char *kind)
+{
     static const double longest_ms = 1000;
     static const double least_part = 1e-4;
     char *title = g_strdup_printf("%s: part of answers slower than", kind);
@@ -215,24 +226,29 @@
     g_string_append(out, "</svg>\n");
 }
 
-static double answered_of(const second_t *second) {
+static double answered_of(const second_t *second)
+{
     return (double)second->answered;
 }
 
-static double others_of(const second_t *second) {
+static double others_of(const second_t *second)
+{
     return (double)second->others;
 }
 
-static double requests_of(const second_t *second) {
+static double requests_of(const second_t *second)
+{
     return (double)second->searcher_requests;
 }
 
-static double coverage_of(const second_t *second) {
+static double coverage_of(const second_t *second)
+{
     return second->answered == 0 ? 0 : second->coverage_sum / (double)second->answered;
 }
 
 static void draw_over_time(GString *out, run_t **runs, unsigned count, const char *title,
-                           double (*value)(const second_t *second)) {
+                           double (*value)(const second_t *second))
+{
     double most = 0;
     unsigned longest = 1;
     for (unsigned r = 0; r < count; r++) {
@@ -258,7 +274,8 @@
 
 /* ---- the page ---- */
 
-static void write_numbers(GString *out, const run_t *run, const char *colour) {
+static void write_numbers(GString *out, const run_t *run, const char *colour)
+{
     const char *kind = NULL;
     const json_t *row = NULL;
     g_string_append_printf(out,
@@ -267,7 +284,8 @@
                            "<th>p99.9 ms</th><th>coverage</th></tr>",
                            colour, text_of(run, "scenario"), text_of(run, "policy"),
                            (long long)json_integer_value(json_object_get(run->report, "seed")));
-    json_object_foreach(json_object_get(run->report, "kinds"), kind, row) {
+    json_object_foreach(json_object_get(run->report, "kinds"), kind, row)
+    {
         g_string_append_printf(
             out,
             "<tr><td>%s</td><td>%lld</td><td>%lld</td><td>%.2f</td><td>%.2f</td><td>%.2f</td>"
@@ -286,7 +304,8 @@
     free(violations);
 }
 
-static char *write_page(run_t **runs, unsigned count) {
+static char *write_page(run_t **runs, unsigned count)
+{
     const char *kind = NULL;
     const json_t *row = NULL;
     g_assert(runs[0] != NULL);
@@ -297,7 +316,8 @@
     for (unsigned r = 0; r < count; r++) {
         write_numbers(out, runs[r], colours[r]);
     }
-    json_object_foreach(json_object_get(runs[0]->report, "kinds"), kind, row) {
+    json_object_foreach(json_object_get(runs[0]->report, "kinds"), kind, row)
+    {
         draw_latencies(out, runs, count, kind);
     }
     draw_over_time(out, runs, count, "answers a second", answered_of);
@@ -307,7 +327,8 @@
     return g_string_free(out, FALSE);
 }
 
-static int write_report(const struct arg_file *directories, const char *path) {
+static int write_report(const struct arg_file *directories, const char *path)
+{
     run_t *runs[RUNS_MAX] = {NULL};
     unsigned count = (unsigned)CLAMP(directories->count, 1, (int)RUNS_MAX);
     bool are_read = true;
@@ -332,7 +353,8 @@
     return TS_EXIT_OK;
 }
 
-static int run_report(int argc, char **argv) {
+static int run_report(int argc, char **argv)
+{
     struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
     struct arg_file *directories =
         arg_filen(NULL, NULL, "DIR", 1, RUNS_MAX, "output directories of 'tealspar-lab run'");
--- a/lab/run.c
+++ b/lab/run.c
@@ -20,18 +20,21 @@
 #define CONFIG_BOUND_MS 13000.0
 #define REPORT_DIGITS 6
 
-static bool never(void *context) {
+static bool never(void *context)
+{
     return false;
 }
 
-static bool is_load_over(void *context) {
+static bool is_load_over(void *context)
+{
     return !((const lab_process_t *)context)->is_running;
 }
 
 /* ---- processor time of the nodes ---- */
 
 /* User and system seconds that a running process has used; 0 when it is gone. */
-static double read_cpu_seconds(int pid) {
+static double read_cpu_seconds(int pid)
+{
     char *path = g_strdup_printf("/proc/%d/stat", pid);
     char *text = NULL;
     unsigned long user = 0;
@@ -48,7 +51,8 @@
     return (double)(user + system) / (double)sysconf(_SC_CLK_TCK);
 }
 
-static double sum_node_cpu(const lab_fleet_t *fleet) {
+static double sum_node_cpu(const lab_fleet_t *fleet)
+{
     double sum = 0;
     for (guint i = 0; i < fleet->nodes->len; i++) {
         const lab_node_t *node = g_ptr_array_index(fleet->nodes, i);
@@ -59,7 +63,8 @@
 
 /* ---- the load generator as a process ---- */
 
-static bool changes_reach(const lab_scenario_t *scenario) {
+static bool changes_reach(const lab_scenario_t *scenario)
+{
     for (unsigned i = 0; i < scenario->faults_count; i++) {
         if (scenario->faults[i].type == LAB_FAULT_REPARTITION) {
             return true;
@@ -68,7 +73,8 @@
     return false;
 }
 
-static bool start_load(lab_fleet_t *fleet, lab_process_t *process) {
+static bool start_load(lab_fleet_t *fleet, lab_process_t *process)
+{
     const lab_scenario_t *scenario = fleet->scenario;
     GPtrArray *arguments = g_ptr_array_new_with_free_func(g_free);
     /* the load keeps to the first declarations: a repartition moves shards, not the reach */
@@ -100,14 +106,16 @@
 
 /* ---- the report ---- */
 
-static json_t *read_load_report(const lab_fleet_t *fleet) {
+static json_t *read_load_report(const lab_fleet_t *fleet)
+{
     char *path = g_strdup_printf("%s/load.json", fleet->directory);
     json_t *report = json_load_file(path, 0, NULL);
     g_free(path);
     return report;
 }
 
-static void add_verdict(json_t *report, const lab_verdict_t *verdict) {
+static void add_verdict(json_t *report, const lab_verdict_t *verdict)
+{
     json_t *violations = json_object_get(report, "violations");
     json_object_set_new(violations, "ran_though_refused",
                         json_integer(verdict->ran_though_refused));
@@ -120,7 +128,8 @@
     json_object_set_new(report, "over_slots", json_integer((json_int_t)verdict->over_slots));
 }
 
-static void add_watch(json_t *report, const lab_watch_t *watch, const lab_fault_log_t *log) {
+static void add_watch(json_t *report, const lab_watch_t *watch, const lab_fault_log_t *log)
+{
     json_t *violations = json_object_get(report, "violations");
     unsigned late = 0;
     double spread_ms = lab_watch_spread_ms(watch, log, CONFIG_BOUND_MS, &late);
@@ -130,16 +139,19 @@
 }
 
 /* Meaningful only when no node was started anew meanwhile. */
-static void add_cpu(json_t *report, const lab_verdict_t *verdict, double cpu_s) {
+static void add_cpu(json_t *report, const lab_verdict_t *verdict, double cpu_s)
+{
     double per_core = cpu_s > 0 ? (double)verdict->searcher_requests / cpu_s : 0;
     json_object_set_new(report, "node_cpu_s", json_real(cpu_s));
     json_object_set_new(report, "searcher_requests_per_core_s", json_real(per_core));
 }
 
-static bool is_clean(const json_t *report) {
+static bool is_clean(const json_t *report)
+{
     const char *key = NULL;
     const json_t *value = NULL;
-    json_object_foreach(json_object_get(report, "violations"), key, value) {
+    json_object_foreach(json_object_get(report, "violations"), key, value)
+    {
         if (json_integer_value(value) != 0) {
             return false;
         }
@@ -147,12 +159,14 @@
     return true;
 }
 
-static json_int_t count_of(const json_t *report, const char *key) {
+static json_int_t count_of(const json_t *report, const char *key)
+{
     return json_integer_value(json_object_get(report, key));
 }
 
 /* The scenario's own expectations; what falls short is said on standard error. */
-static bool meets_expectations(const lab_scenario_t *scenario, const json_t *report) {
+static bool meets_expectations(const lab_scenario_t *scenario, const json_t *report)
+{
     json_int_t answered = count_of(report, "answered");
     json_int_t lost = count_of(report, "lost");
     json_int_t all = answered + lost + count_of(report, "refused") + count_of(report, "unknown");
@@ -171,13 +185,15 @@
     return is_good;
 }
 
-static void name_run(json_t *report, const lab_fleet_t *fleet) {
+static void name_run(json_t *report, const lab_fleet_t *fleet)
+{
     json_object_set_new(report, "scenario", json_string(fleet->scenario->name));
     json_object_set_new(report, "seed", json_integer((json_int_t)fleet->seed));
     json_object_set_new(report, "policy", json_string(fleet->policy));
 }
 
-static void write_report(const lab_fleet_t *fleet, const json_t *report) {
+static void write_report(const lab_fleet_t *fleet, const json_t *report)
+{
     char *path = g_strdup_printf("%s/report.json", fleet->directory);
     json_dump_file(report, path, JSON_INDENT(2) | JSON_REAL_PRECISION(REPORT_DIGITS));
     g_free(path);
@@ -187,11 +203,13 @@
 
 /* ---- the run ---- */
 
-static void interrupt_run(uv_signal_t *handle, int number) {
+static void interrupt_run(uv_signal_t *handle, int number)
+{
     ((lab_fleet_t *)handle->data)->is_interrupted = true;
 }
 
-static void watch_signals(lab_fleet_t *fleet) {
+static void watch_signals(lab_fleet_t *fleet)
+{
     static uv_signal_t handles[2];
     static const int numbers[2] = {SIGTERM, SIGINT};
     for (int i = 0; i < 2; i++) {
@@ -201,7 +219,8 @@
     }
 }
 
-static bool put_load(lab_fleet_t *fleet, lab_fault_log_t *log) {
+static bool put_load(lab_fleet_t *fleet, lab_fault_log_t *log)
+{
     lab_process_t load = {.name = "load"};
     if (!start_load(fleet, &load)) {
         return false;
@@ -217,7 +236,8 @@
     return load.exit_status == 0;
 }
 
-static int run_fleet(lab_fleet_t *fleet) {
+static int run_fleet(lab_fleet_t *fleet)
+{
     lab_fault_log_t log = {g_array_new(FALSE, FALSE, sizeof(lab_published_t)),
                            g_array_new(FALSE, FALSE, sizeof(int64_t)),
                            g_array_new(FALSE, FALSE, sizeof(lab_disturbance_t))};
@@ -261,7 +281,8 @@
     return is_clean_run ? TS_EXIT_OK : TS_EXIT_FAILURE;
 }
 
-static lab_scenario_t *load_scenario(const char *path) {
+static lab_scenario_t *load_scenario(const char *path)
+{
     size_t length = 0;
     ts_problems_t problems;
     char *text = ts_command_read_file(path, &length);
@@ -279,7 +300,8 @@
 }
 
 static int run_scenario(const char *path, const char *policy, const char *directory, uint64_t seed,
-                        double seconds) {
+                        double seconds)
+{
     lab_scenario_t *scenario = load_scenario(path);
     if (scenario == NULL) {
         return TS_EXIT_USAGE;
@@ -301,7 +323,8 @@
     return is_prepared ? run_fleet(&fleet) : TS_EXIT_USAGE;
 }
 
-static int run_run(int argc, char **argv) {
+static int run_run(int argc, char **argv)
+{
     struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
     struct arg_file *file = arg_file1(NULL, NULL, "SCENARIO", "scenario (YAML)");
     struct arg_int *seed = arg_int0(NULL, "seed", "N", "seed (1)");
--- a/lab/scenario.c
+++ b/lab/scenario.c
@@ -77,7 +77,8 @@
 static const cyaml_schema_value_t scenario_schema = {
     CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, lab_scenario_t, scenario_fields)};
 
-lab_scenario_t *lab_scenario_load(const char *text, size_t length, ts_problems_t *problems) {
+lab_scenario_t *lab_scenario_load(const char *text, size_t length, ts_problems_t *problems)
+{
     void *data = NULL;
     if (ts_yaml_load(text, length, &scenario_schema, &data, problems) != TS_OK) {
         return NULL;
--- a/lab/searcher.c
+++ b/lab/searcher.c
@@ -15,18 +15,21 @@
 
 static FILE *journal;
 
-static void flush_journal(uv_timer_t *timer) {
+static void flush_journal(uv_timer_t *timer)
+{
     if (journal != NULL) {
         fflush(journal);
     }
 }
 
-static void stop_loop(uv_signal_t *handle, int number) {
+static void stop_loop(uv_signal_t *handle, int number)
+{
     uv_stop(handle->loop);
 }
 
 static bool open_searcher(uv_loop_t *loop, const ts_backend_t *backend,
-                          const lab_service_t *service, uint64_t seed) {
+                          const lab_service_t *service, uint64_t seed)
+{
     lab_searcher_t *searcher = lab_searcher_create(loop, backend, service, seed, journal);
     ts_http_limits_t limits = {BODY_BYTES_MAX, REQUEST_TIMEOUT_MS, backend->connections};
     ts_error_t error = ts_http_server_open(&searcher->server, loop, backend->address, &limits,
@@ -39,12 +42,14 @@
 }
 
 static bool is_wanted(const ts_backend_t *backend, const struct arg_str *zone,
-                      const struct arg_str *name) {
+                      const struct arg_str *name)
+{
     return (zone->count == 0 || strcmp(backend->zone, zone->sval[0]) == 0) &&
            (name->count == 0 || strcmp(backend->name, name->sval[0]) == 0);
 }
 
-static int serve(uv_loop_t *loop) {
+static int serve(uv_loop_t *loop)
+{
     uv_signal_t terminate;
     uv_signal_t interrupt;
     uv_timer_t flush;
@@ -64,7 +69,8 @@
     return TS_EXIT_OK;
 }
 
-static int run_searcher(int argc, char **argv) {
+static int run_searcher(int argc, char **argv)
+{
     struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
     struct arg_file *file = arg_file1("d", "declarations", "FILE", "declarations");
     struct arg_str *zone = arg_str0(NULL, "zone", "ZONE", "only the back ends of this zone");
--- a/lab/searcher_model.c
+++ b/lab/searcher_model.c
@@ -24,7 +24,8 @@
 /* ---- journal: "WALL_MS BACKEND EVENT ID SHARD SNAPSHOT NUMBER" ---- */
 
 static void write_journal(const lab_searcher_t *searcher, const char *event, const char *id,
-                          const char *shard, uint64_t snapshot, int64_t number) {
+                          const char *shard, uint64_t snapshot, int64_t number)
+{
     if (searcher->journal != NULL) {
         fprintf(searcher->journal, "%" PRId64 " %s %s %s %s %" PRIu64 " %" PRId64 "\n",
                 ts_clock_wall_ms(), searcher->backend->name, event, id, shard, snapshot, number);
@@ -33,14 +34,16 @@
 
 /* ---- replies ---- */
 
-static void reply_json(ts_http_exchange_t *exchange, int status, json_t *body) {
+static void reply_json(ts_http_exchange_t *exchange, int status, json_t *body)
+{
     char *text = json_dumps(body, JSON_COMPACT);
     ts_http_reply(exchange, status, "application/json", text, strlen(text), 0);
     free(text);
     json_decref(body);
 }
 
-static void refuse(ts_http_exchange_t *exchange, int status, const char *reason) {
+static void refuse(ts_http_exchange_t *exchange, int status, const char *reason)
+{
     reply_json(exchange, status, json_pack("{s:s, s:i}", "error", reason, "retry_after_ms", 100));
 }
 
@@ -48,7 +51,8 @@
 
 static void run_waiting(lab_searcher_t *searcher);
 
-static void free_request(uv_handle_t *handle) {
+static void free_request(uv_handle_t *handle)
+{
     lab_request_t *request = handle->data;
     g_free(request->id);
     g_free(request->shard);
@@ -56,7 +60,8 @@
     g_free(request);
 }
 
-static void end_request(lab_request_t *request) {
+static void end_request(lab_request_t *request)
+{
     lab_searcher_t *searcher = request->searcher;
     if (request->is_running) {
         g_ptr_array_remove_fast(searcher->running, request);
@@ -67,7 +72,8 @@
     run_waiting(searcher);
 }
 
-static void take_gone(void *context) {
+static void take_gone(void *context)
+{
     lab_request_t *request = context;
     write_journal(request->searcher, "cancel", request->id, request->shard, 0, request->is_running);
     request->is_gone = true;
@@ -77,14 +83,16 @@
     end_request(request);
 }
 
-static uint64_t choose_snapshot(const lab_request_t *request) {
+static uint64_t choose_snapshot(const lab_request_t *request)
+{
     const lab_searcher_t *searcher = request->searcher;
     bool has_previous =
         searcher->previous_snapshot != 0 && request->wanted_snapshot == searcher->previous_snapshot;
     return has_previous ? searcher->previous_snapshot : searcher->snapshot;
 }
 
-static void finish_service(uv_timer_t *timer) {
+static void finish_service(uv_timer_t *timer)
+{
     lab_request_t *request = timer->data;
     if (!request->is_gone) {
         reply_json(request->exchange, 200,
@@ -94,7 +102,8 @@
     end_request(request);
 }
 
-static double draw_service_ms(lab_searcher_t *searcher) {
+static double draw_service_ms(lab_searcher_t *searcher)
+{
     const lab_service_t *service = &searcher->service;
     /* exp(zeta) is chosen so that the mean of the distribution is mean_ms */
     double zeta = log(service->mean_ms) - service->sigma * service->sigma / 2;
@@ -108,7 +117,8 @@
     return ms * searcher->slow_factor * (is_cold ? COLD_SLOW_FACTOR : 1.0);
 }
 
-static void run_request(lab_request_t *request) {
+static void run_request(lab_request_t *request)
+{
     lab_searcher_t *searcher = request->searcher;
     request->is_running = true;
     g_ptr_array_add(searcher->running, request);
@@ -123,13 +133,15 @@
 }
 
 /* The caller has given up by now: says so without having run the request. */
-static void refuse_late(lab_request_t *request) {
+static void refuse_late(lab_request_t *request)
+{
     write_journal(request->searcher, "late", request->id, request->shard, 0, 0);
     refuse(request->exchange, 503, "past_deadline");
     uv_close((uv_handle_t *)&request->timer, free_request);
 }
 
-static void run_waiting(lab_searcher_t *searcher) {
+static void run_waiting(lab_searcher_t *searcher)
+{
     while (searcher->running->len < searcher->backend->slots &&
            !g_queue_is_empty(searcher->waiting)) {
         lab_request_t *request = g_queue_pop_head(searcher->waiting);
@@ -143,12 +155,14 @@
 
 /* ---- taking ---- */
 
-static bool holds_shard(const lab_searcher_t *searcher, const char *shard) {
+static bool holds_shard(const lab_searcher_t *searcher, const char *shard)
+{
     return shard != NULL && g_strv_contains((const char *const *)searcher->shards, shard);
 }
 
 static lab_request_t *create_request(lab_searcher_t *searcher, ts_http_exchange_t *exchange,
-                                     const json_t *root) {
+                                     const json_t *root)
+{
     lab_request_t *request = g_new0(lab_request_t, 1);
     const char *text = json_string_value(json_object_get(root, "text"));
     const char *key = json_string_value(json_object_get(root, "key"));
@@ -172,7 +186,8 @@
 }
 
 /* Why a searcher in this state takes no work, or NULL. */
-static const char *refusal_of_state(const lab_searcher_t *searcher) {
+static const char *refusal_of_state(const lab_searcher_t *searcher)
+{
     ts_time_us_t span_us = ts_clock_now_us() - searcher->state_since_us;
     switch (searcher->state) {
     case LAB_STARTING:
@@ -187,7 +202,8 @@
 }
 
 static void handle_search(lab_searcher_t *searcher, ts_http_exchange_t *exchange,
-                          const ts_http_request_t *http) {
+                          const ts_http_request_t *http)
+{
     json_t *root = json_loadb(http->body, http->body_length, 0, NULL);
     const char *shard = json_string_value(json_object_get(root, "shard"));
     const char *refusal = refusal_of_state(searcher);
@@ -221,13 +237,15 @@
 
 /* ---- control ---- */
 
-static void report_state(uv_timer_t *timer) {
+static void report_state(uv_timer_t *timer)
+{
     lab_searcher_t *searcher = timer->data;
     searcher->reported = searcher->state;
 }
 
 /* The load endpoint shows what was true a while ago. */
-static void refresh_load(lab_searcher_t *searcher) {
+static void refresh_load(lab_searcher_t *searcher)
+{
     ts_time_us_t now_us = ts_clock_now_us();
     if (now_us - searcher->load_seen_us > LOAD_LAG_MS * TS_US_PER_MS) {
         searcher->load_seen_us = now_us;
@@ -238,21 +256,24 @@
     }
 }
 
-static void handle_load(lab_searcher_t *searcher, ts_http_exchange_t *exchange) {
+static void handle_load(lab_searcher_t *searcher, ts_http_exchange_t *exchange)
+{
     refresh_load(searcher);
     reply_json(exchange, 200,
                json_pack("{s:i, s:i, s:i}", "slots", (int)searcher->backend->slots, "running",
                          (int)searcher->shown_running, "waiting", (int)searcher->shown_waiting));
 }
 
-static void set_state(lab_searcher_t *searcher, lab_searcher_state_t state) {
+static void set_state(lab_searcher_t *searcher, lab_searcher_state_t state)
+{
     searcher->state = state;
     searcher->state_since_us = ts_clock_now_us();
     uv_timer_start(&searcher->lag, report_state, HEALTH_LAG_MS, 0);
     write_journal(searcher, state_names[state], "-", "-", searcher->snapshot, 0);
 }
 
-static void set_state_by_name(lab_searcher_t *searcher, const char *name) {
+static void set_state_by_name(lab_searcher_t *searcher, const char *name)
+{
     for (size_t i = 0; i < G_N_ELEMENTS(state_names); i++) {
         if (strcmp(state_names[i], name) == 0) {
             set_state(searcher, (lab_searcher_state_t)i);
@@ -260,7 +281,8 @@
     }
 }
 
-static void set_shards(lab_searcher_t *searcher, const json_t *names) {
+static void set_shards(lab_searcher_t *searcher, const json_t *names)
+{
     g_strfreev(searcher->shards);
     searcher->shards = g_new0(char *, json_array_size(names) + 1);
     for (size_t i = 0; i < json_array_size(names); i++) {
@@ -268,7 +290,8 @@
     }
 }
 
-static void apply_control(lab_searcher_t *searcher, const json_t *root) {
+static void apply_control(lab_searcher_t *searcher, const json_t *root)
+{
     const json_t *value = json_object_get(root, "snapshot");
     if (json_is_integer(value)) {
         bool keeps = json_is_true(json_object_get(root, "keep_previous"));
@@ -295,7 +318,8 @@
 }
 
 static void handle_control(lab_searcher_t *searcher, ts_http_exchange_t *exchange,
-                           const ts_http_request_t *http) {
+                           const ts_http_request_t *http)
+{
     json_t *root = json_loadb(http->body, http->body_length, 0, NULL);
     apply_control(searcher, root);
     json_decref(root);
@@ -306,15 +330,16 @@
                          (int)ts_http_server_connections(searcher->server)));
 }
 
-static void handle_health(const lab_searcher_t *searcher, ts_http_exchange_t *exchange) {
+static void handle_health(const lab_searcher_t *searcher, ts_http_exchange_t *exchange)
+{
     const char *state = state_names[searcher->reported];
     const char *shown = searcher->reported == LAB_SHEDDING ? "serving" : state;
     reply_json(exchange, 200,
                json_pack("{s:s, s:I}", "state", shown, "snapshot", (json_int_t)searcher->snapshot));
 }
 
-void lab_searcher_handle(void *context, ts_http_exchange_t *exchange,
-                         const ts_http_request_t *http) {
+void lab_searcher_handle(void *context, ts_http_exchange_t *exchange, const ts_http_request_t *http)
+{
     lab_searcher_t *searcher = context;
     if (http->path_length == strlen("/control") && memcmp(http->path, "/control", 8) == 0) {
         handle_control(searcher, exchange, http);
@@ -330,7 +355,8 @@
 }
 
 lab_searcher_t *lab_searcher_create(uv_loop_t *loop, const ts_backend_t *backend,
-                                    const lab_service_t *service, uint64_t seed, FILE *journal) {
+                                    const lab_service_t *service, uint64_t seed, FILE *journal)
+{
     lab_searcher_t *searcher = g_new0(lab_searcher_t, 1);
     searcher->loop = loop;
     searcher->backend = backend;
--- a/lab/sim.c
+++ b/lab/sim.c
@@ -17,22 +17,26 @@
 
 static lab_sim_t *current;
 
-static ts_time_us_t virtual_now_us(void) {
+static ts_time_us_t virtual_now_us(void)
+{
     return current->now_us;
 }
 
-static int64_t virtual_wall_ms(void) {
+static int64_t virtual_wall_ms(void)
+{
     return WALL_BEGIN_MS + (int64_t)(current->now_us / TS_US_PER_MS);
 }
 
 /* ---- the heap of events ---- */
 
-static bool is_earlier(const lab_sim_event_t *left, const lab_sim_event_t *right) {
+static bool is_earlier(const lab_sim_event_t *left, const lab_sim_event_t *right)
+{
     return left->due_us != right->due_us ? left->due_us < right->due_us
                                          : left->sequence < right->sequence;
 }
 
-static void push_event(lab_sim_t *sim, lab_sim_event_t *event) {
+static void push_event(lab_sim_t *sim, lab_sim_event_t *event)
+{
     g_ptr_array_add(sim->heap, event);
     gpointer *items = sim->heap->pdata;
     guint at = sim->heap->len - 1;
@@ -44,7 +48,8 @@
     }
 }
 
-static lab_sim_event_t *pop_event(lab_sim_t *sim) {
+static lab_sim_event_t *pop_event(lab_sim_t *sim)
+{
     gpointer *items = sim->heap->pdata;
     lab_sim_event_t *first = items[0];
     guint count = sim->heap->len - 1;
@@ -70,7 +75,8 @@
 
 lab_sim_event_t *lab_sim_schedule(lab_sim_t *sim, int node, ts_time_us_t after_us,
                                   void (*fire)(void *context), void (*drop)(void *context),
-                                  void *context) {
+                                  void *context)
+{
     lab_sim_event_t *event = g_new0(lab_sim_event_t, 1);
     event->due_us = sim->now_us + after_us;
     event->sequence = sim->sequence++;
@@ -83,14 +89,16 @@
     return event;
 }
 
-static void drop_event(lab_sim_event_t *event) {
+static void drop_event(lab_sim_event_t *event)
+{
     if (!event->is_dead && event->drop != NULL) {
         event->drop(event->context);
     }
     g_free(event);
 }
 
-static void fire_event(lab_sim_t *sim, lab_sim_event_t *event) {
+static void fire_event(lab_sim_t *sim, lab_sim_event_t *event)
+{
     if (event->node != LAB_SIM_WORLD && !event->is_dead) {
         lab_sim_node_t *node = &sim->nodes[event->node];
         if (node->generation != event->generation) {
@@ -110,7 +118,8 @@
     g_free(event);
 }
 
-void lab_sim_run(lab_sim_t *sim, ts_time_us_t span_us) {
+void lab_sim_run(lab_sim_t *sim, ts_time_us_t span_us)
+{
     ts_time_us_t until_us = sim->now_us + span_us;
     while (sim->heap->len > 0) {
         const lab_sim_event_t *next = g_ptr_array_index(sim->heap, 0);
@@ -123,33 +132,39 @@
     sim->now_us = until_us;
 }
 
-void lab_sim_at(lab_sim_t *sim, ts_time_us_t at_us, void (*fire)(void *context), void *context) {
+void lab_sim_at(lab_sim_t *sim, ts_time_us_t at_us, void (*fire)(void *context), void *context)
+{
     ts_time_us_t after_us = at_us > sim->now_us ? at_us - sim->now_us : 0;
     lab_sim_schedule(sim, LAB_SIM_WORLD, after_us, fire, NULL, context);
 }
 
-ts_time_us_t lab_sim_now_us(const lab_sim_t *sim) {
+ts_time_us_t lab_sim_now_us(const lab_sim_t *sim)
+{
     return sim->now_us;
 }
 
-uint64_t lab_sim_steps(const lab_sim_t *sim) {
+uint64_t lab_sim_steps(const lab_sim_t *sim)
+{
     return sim->steps;
 }
 
-uint64_t lab_sim_random(lab_sim_t *sim) {
+uint64_t lab_sim_random(lab_sim_t *sim)
+{
     sim->random ^= sim->random >> 12;
     sim->random ^= sim->random << 25;
     sim->random ^= sim->random >> 27;
     return sim->random * 2685821657736338717ULL;
 }
 
-double lab_sim_uniform(lab_sim_t *sim) {
+double lab_sim_uniform(lab_sim_t *sim)
+{
     return (double)lab_sim_random(sim) / RANDOM_SCALE;
 }
 
 /* ---- the runtime of a node ---- */
 
-static void fire_timer(void *context) {
+static void fire_timer(void *context)
+{
     ts_timer_t *timer = context;
     lab_sim_node_t *node = (lab_sim_node_t *)timer->runtime;
     g_hash_table_remove(node->timers, timer);
@@ -163,7 +178,8 @@
     timer->fired(timer);
 }
 
-static void forget_timer(ts_timer_t *timer) {
+static void forget_timer(ts_timer_t *timer)
+{
     lab_sim_node_t *node = (lab_sim_node_t *)timer->runtime;
     lab_sim_event_t *event = g_hash_table_lookup(node->timers, timer);
     if (event != NULL) {
@@ -172,10 +188,12 @@
     }
 }
 
-static void init_timer(ts_timer_t *timer) {
+static void init_timer(ts_timer_t *timer)
+{
 }
 
-static void start_timer(ts_timer_t *timer, uint64_t after_ms) {
+static void start_timer(ts_timer_t *timer, uint64_t after_ms)
+{
     lab_sim_node_t *node = (lab_sim_node_t *)timer->runtime;
     forget_timer(timer);
     lab_sim_event_t *event = lab_sim_schedule(node->sim, (int)node->index, after_ms * TS_US_PER_MS,
@@ -183,14 +201,16 @@
     g_hash_table_insert(node->timers, timer, event);
 }
 
-static void fire_closed(void *context) {
+static void fire_closed(void *context)
+{
     ts_timer_t *timer = context;
     if (timer->closed != NULL) {
         timer->closed(timer);
     }
 }
 
-static void close_timer(ts_timer_t *timer) {
+static void close_timer(ts_timer_t *timer)
+{
     lab_sim_node_t *node = (lab_sim_node_t *)timer->runtime;
     forget_timer(timer);
     /* the world's, so that memory is freed even when the node ends first */
@@ -199,20 +219,23 @@
 
 /* The work is done at once and takes no virtual time but a little. */
 static void do_work(ts_runtime_t *runtime, void (*run)(void *context), void (*done)(void *context),
-                    void (*drop)(void *context), void *context) {
+                    void (*drop)(void *context), void *context)
+{
     lab_sim_node_t *node = (lab_sim_node_t *)runtime;
     run(context);
     lab_sim_schedule(node->sim, (int)node->index, WORK_US, done, drop, context);
 }
 
-static void drain_node(void *context) {
+static void drain_node(void *context)
+{
     lab_sim_node_t *node = context;
     node->is_drain_due = false;
     while (ts_tasks_drain(node->node.tasks)) {
     }
 }
 
-static void wake_node(ts_runtime_t *runtime) {
+static void wake_node(ts_runtime_t *runtime)
+{
     lab_sim_node_t *node = (lab_sim_node_t *)runtime;
     if (!node->is_drain_due) {
         node->is_drain_due = true;
@@ -222,11 +245,13 @@
 
 /* ---- nodes ---- */
 
-lab_sim_node_t *lab_sim_node_of(const ts_node_t *node) {
+lab_sim_node_t *lab_sim_node_of(const ts_node_t *node)
+{
     return node->environment;
 }
 
-lab_sim_node_t *lab_sim_find_node(lab_sim_t *sim, uint64_t id) {
+lab_sim_node_t *lab_sim_find_node(lab_sim_t *sim, uint64_t id)
+{
     for (unsigned i = 0; i < sim->node_count; i++) {
         if (ts_hash_text(sim->nodes[i].settings.name) == id) {
             return &sim->nodes[i];
@@ -236,13 +261,15 @@
 }
 
 bool lab_sim_is_connected(const lab_sim_t *sim, const lab_sim_node_t *from,
-                          const lab_sim_node_t *to) {
+                          const lab_sim_node_t *to)
+{
     bool is_zone_cut =
         from->zone != to->zone && (sim->is_zone_cut[from->zone] || sim->is_zone_cut[to->zone]);
     return !is_zone_cut && !from->is_isolated && !to->is_isolated;
 }
 
-static void start_node(lab_sim_t *sim, lab_sim_node_t *node) {
+static void start_node(lab_sim_t *sim, lab_sim_node_t *node)
+{
     static const ts_runtime_ops_t ops = {init_timer,  start_timer, forget_timer,
                                          close_timer, do_work,     wake_node};
     node->runtime.ops = &ops;
@@ -257,7 +284,8 @@
     ts_node_start(&node->node);
 }
 
-static void end_node(lab_sim_t *sim, lab_sim_node_t *node) {
+static void end_node(lab_sim_t *sim, lab_sim_node_t *node)
+{
     if (!node->is_running) {
         return;
     }
@@ -275,17 +303,20 @@
     lab_sim_tell_lost(sim, node);
 }
 
-void lab_sim_kill(lab_sim_t *sim, unsigned index) {
+void lab_sim_kill(lab_sim_t *sim, unsigned index)
+{
     end_node(sim, &sim->nodes[index]);
 }
 
-void lab_sim_start(lab_sim_t *sim, unsigned index) {
+void lab_sim_start(lab_sim_t *sim, unsigned index)
+{
     if (!sim->nodes[index].is_running) {
         start_node(sim, &sim->nodes[index]);
     }
 }
 
-static void check_stopped(void *context) {
+static void check_stopped(void *context)
+{
     lab_sim_node_t *node = context;
     if (ts_node_is_idle(&node->node)) {
         end_node(node->sim, node);
@@ -294,7 +325,8 @@
     lab_sim_schedule(node->sim, (int)node->index, STOP_CHECK_US, check_stopped, NULL, node);
 }
 
-void lab_sim_stop(lab_sim_t *sim, unsigned index) {
+void lab_sim_stop(lab_sim_t *sim, unsigned index)
+{
     lab_sim_node_t *node = &sim->nodes[index];
     if (node->is_running && !node->node.stopping) {
         ts_node_leave(&node->node);
@@ -302,43 +334,52 @@
     }
 }
 
-void lab_sim_pause(lab_sim_t *sim, unsigned index, ts_time_us_t span_us) {
+void lab_sim_pause(lab_sim_t *sim, unsigned index, ts_time_us_t span_us)
+{
     sim->nodes[index].paused_until_us = sim->now_us + span_us;
 }
 
-void lab_sim_cut(lab_sim_t *sim, unsigned zone, bool is_cut) {
+void lab_sim_cut(lab_sim_t *sim, unsigned zone, bool is_cut)
+{
     sim->is_zone_cut[zone] = is_cut;
 }
 
-void lab_sim_isolate(lab_sim_t *sim, unsigned node, bool is_isolated) {
+void lab_sim_isolate(lab_sim_t *sim, unsigned node, bool is_isolated)
+{
     sim->nodes[node].is_isolated = is_isolated;
 }
 
-unsigned lab_sim_node_count(const lab_sim_t *sim) {
+unsigned lab_sim_node_count(const lab_sim_t *sim)
+{
     return sim->node_count;
 }
 
-bool lab_sim_is_running(const lab_sim_t *sim, unsigned node) {
+bool lab_sim_is_running(const lab_sim_t *sim, unsigned node)
+{
     return sim->nodes[node].is_running;
 }
 
-ts_front_t *lab_sim_front(lab_sim_t *sim, unsigned index) {
+ts_front_t *lab_sim_front(lab_sim_t *sim, unsigned index)
+{
     lab_sim_node_t *node = &sim->nodes[index];
     bool serves = node->is_running && node->paused_until_us <= sim->now_us;
     return serves ? ts_node_state(&node->node, "front") : NULL;
 }
 
-void lab_sim_set_platform(lab_sim_t *sim, const char *text) {
+void lab_sim_set_platform(lab_sim_t *sim, const char *text)
+{
     g_free(sim->platform_text);
     sim->platform_text = g_strdup(text);
 }
 
-void lab_sim_totals(const lab_sim_t *sim, double *work_us, uint64_t *requests) {
+void lab_sim_totals(const lab_sim_t *sim, double *work_us, uint64_t *requests)
+{
     *work_us = sim->work_us;
     *requests = sim->requests;
 }
 
-void lab_sim_reset_totals(lab_sim_t *sim) {
+void lab_sim_reset_totals(lab_sim_t *sim)
+{
     sim->work_us = 0;
     sim->requests = 0;
 }
@@ -346,7 +387,8 @@
 /* ---- making and ending ---- */
 
 static void prepare_node(lab_sim_t *sim, lab_sim_node_t *node, unsigned index, unsigned zone,
-                         unsigned number) {
+                         unsigned number)
+{
     node->sim = sim;
     node->index = index;
     node->zone = zone;
@@ -362,7 +404,8 @@
     node->settings.drain_ms = DRAIN_MS;
 }
 
-static void prepare_searchers(lab_sim_t *sim) {
+static void prepare_searchers(lab_sim_t *sim)
+{
     sim->searchers = g_new0(lab_sim_searcher_t, sim->declarations->backends_count);
     for (unsigned i = 0; i < sim->declarations->backends_count; i++) {
         sim->searchers[i].sim = sim;
@@ -373,7 +416,8 @@
     }
 }
 
-lab_sim_t *lab_sim_create(const lab_sim_config_t *config, const lab_sim_observer_t *observer) {
+lab_sim_t *lab_sim_create(const lab_sim_config_t *config, const lab_sim_observer_t *observer)
+{
     ts_problems_t problems;
     lab_sim_t *sim = g_new0(lab_sim_t, 1);
     sim->config = *config;
@@ -404,7 +448,8 @@
     return sim;
 }
 
-void lab_sim_destroy(lab_sim_t *sim) {
+void lab_sim_destroy(lab_sim_t *sim)
+{
     for (unsigned i = 0; i < sim->node_count; i++) {
         end_node(sim, &sim->nodes[i]);
     }
--- a/lab/sim_mesh.c
+++ b/lab/sim_mesh.c
@@ -20,13 +20,15 @@
     size_t length;
 } frame_t;
 
-static void free_frame(void *context) {
+static void free_frame(void *context)
+{
     frame_t *frame = context;
     g_free(frame->bytes);
     g_free(frame);
 }
 
-static ts_wire_identity_t identify(const lab_sim_node_t *node) {
+static ts_wire_identity_t identify(const lab_sim_node_t *node)
+{
     ts_wire_identity_t identity = {node->settings.cluster, node->settings.name,
                                    node->settings.advertise, node->node.incarnation};
     return identity;
@@ -34,7 +36,8 @@
 
 /* ---- delivering ---- */
 
-static void deliver_message(void *context, ts_message_t *message) {
+static void deliver_message(void *context, ts_message_t *message)
+{
     const lab_sim_node_t *node = context;
     const char *receiver = NULL;
     switch (message->type) {
@@ -58,7 +61,8 @@
     ts_task_send(ts_task_find(node->node.tasks, receiver), message);
 }
 
-static void take_frame(void *context) {
+static void take_frame(void *context)
+{
     frame_t *frame = context;
     lab_sim_node_t *to = &frame->sim->nodes[frame->to];
     ts_wire_identity_t identity = identify(to);
@@ -67,7 +71,8 @@
 }
 
 /* Arrives at the machine: a paused process finds it when it wakes up. */
-static void arrive_frame(void *context) {
+static void arrive_frame(void *context)
+{
     frame_t *frame = context;
     lab_sim_t *sim = frame->sim;
     const lab_sim_node_t *from = &sim->nodes[frame->from];
@@ -89,15 +94,16 @@
 
 /* ---- sending ---- */
 
-static ts_time_us_t draw_delay(lab_sim_t *sim, const lab_sim_node_t *from,
-                               const lab_sim_node_t *to) {
+static ts_time_us_t draw_delay(lab_sim_t *sim, const lab_sim_node_t *from, const lab_sim_node_t *to)
+{
     double ms = sim->config.network_ms + (from->zone == to->zone ? 0 : sim->config.zone_ms);
     ms *= 1.0 + sim->config.jitter * lab_sim_uniform(sim);
     return (ts_time_us_t)(ms * (double)TS_US_PER_MS);
 }
 
 static void post_frame(lab_sim_node_t *from, const lab_sim_node_t *to, const uint8_t *bytes,
-                       size_t length) {
+                       size_t length)
+{
     lab_sim_t *sim = from->sim;
     frame_t *frame = g_new0(frame_t, 1);
     frame->sim = sim;
@@ -109,7 +115,8 @@
                      frame);
 }
 
-static void send_pending(lab_sim_node_t *node, uint64_t peer, GPtrArray *messages) {
+static void send_pending(lab_sim_node_t *node, uint64_t peer, GPtrArray *messages)
+{
     lab_sim_t *sim = node->sim;
     const lab_sim_node_t *to = lab_sim_find_node(sim, peer);
     ts_wire_identity_t identity = identify(node);
@@ -130,7 +137,8 @@
     g_free(bytes);
 }
 
-static void free_messages(GPtrArray *messages) {
+static void free_messages(GPtrArray *messages)
+{
     for (guint i = 0; i < messages->len; i++) {
         ts_message_t *message = g_ptr_array_index(messages, i);
         message->destroy(message);
@@ -139,13 +147,15 @@
 }
 
 /* Hash tables have no order that is the same in every run: peers are sent to by their id. */
-static gint compare_ids(gconstpointer left, gconstpointer right) {
+static gint compare_ids(gconstpointer left, gconstpointer right)
+{
     uint64_t left_id = *(const uint64_t *)left;
     uint64_t right_id = *(const uint64_t *)right;
     return left_id < right_id ? -1 : left_id > right_id;
 }
 
-static void flush(void *state) {
+static void flush(void *state)
+{
     lab_sim_node_t *node = state;
     GList *peers = g_list_sort(g_hash_table_get_keys(node->pending), compare_ids);
     for (GList *item = peers; item != NULL; item = item->next) {
@@ -157,7 +167,8 @@
     g_hash_table_remove_all(node->pending);
 }
 
-void lab_sim_mesh_clear(lab_sim_node_t *node) {
+void lab_sim_mesh_clear(lab_sim_node_t *node)
+{
     GHashTableIter iterator;
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, node->pending);
@@ -167,7 +178,8 @@
     g_hash_table_remove_all(node->pending);
 }
 
-static void keep_for(lab_sim_node_t *node, uint64_t peer, ts_message_t *message) {
+static void keep_for(lab_sim_node_t *node, uint64_t peer, ts_message_t *message)
+{
     GPtrArray *messages = g_hash_table_lookup(node->pending, &peer);
     if (messages == NULL) {
         uint64_t *key = g_new(uint64_t, 1);
@@ -179,7 +191,8 @@
     g_ptr_array_add(messages, message);
 }
 
-static void handle_message(void *state, ts_message_t *message) {
+static void handle_message(void *state, ts_message_t *message)
+{
     lab_sim_node_t *node = state;
     switch (message->type) {
     case TS_MESSAGE_SUBREQUESTS:
@@ -210,7 +223,8 @@
     uint64_t lost;
 } notice_t;
 
-static void give_notice(void *context) {
+static void give_notice(void *context)
+{
     notice_t *notice = context;
     const lab_sim_node_t *to = &notice->sim->nodes[notice->to];
     const lab_sim_node_t *lost = lab_sim_find_node(notice->sim, notice->lost);
@@ -221,7 +235,8 @@
     g_free(notice);
 }
 
-void lab_sim_tell_lost(lab_sim_t *sim, const lab_sim_node_t *lost) {
+void lab_sim_tell_lost(lab_sim_t *sim, const lab_sim_node_t *lost)
+{
     for (unsigned i = 0; i < sim->node_count; i++) {
         const lab_sim_node_t *node = &sim->nodes[i];
         if (node == lost || !node->is_running || !lab_sim_is_connected(sim, node, lost)) {
@@ -237,7 +252,8 @@
 
 /* ---- the task ---- */
 
-static ts_error_t open_mesh(ts_node_t *node) {
+static ts_error_t open_mesh(ts_node_t *node)
+{
     lab_sim_node_t *simulated = lab_sim_node_of(node);
     simulated->mesh = ts_task_create(node->tasks, "mesh", handle_message, simulated);
     ts_task_on_drained(simulated->mesh, flush);
@@ -245,7 +261,8 @@
 }
 
 /* Watches what is put in force, for the observer. */
-static void watch_declarations(void *state, ts_message_t *message) {
+static void watch_declarations(void *state, ts_message_t *message)
+{
     lab_sim_node_t *node = state;
     if (message->type == TS_MESSAGE_DECLARATIONS) {
         /* by the text, so that a node that miscounts versions is found out */
@@ -257,7 +274,8 @@
     }
 }
 
-static ts_error_t open_watch(ts_node_t *node) {
+static ts_error_t open_watch(ts_node_t *node)
+{
     ts_task_create(node->tasks, "observer", watch_declarations, lab_sim_node_of(node));
     return TS_OK;
 }
--- a/lab/sim_world.c
+++ b/lab/sim_world.c
@@ -49,20 +49,23 @@
 
 static void run_waiting(lab_sim_searcher_t *searcher);
 
-static void free_call(ts_searcher_call_t *call) {
+static void free_call(ts_searcher_call_t *call)
+{
     ts_work_unref(call->work);
     g_free(call->shard);
     g_free(call);
 }
 
-static void free_result(void *context) {
+static void free_result(void *context)
+{
     result_t *result = context;
     ts_subreply_clear(&result->subreply);
     free_call(result->call);
     g_free(result);
 }
 
-static void take_result(void *context) {
+static void take_result(void *context)
+{
     result_t *result = context;
     ts_searcher_call_t *call = result->call;
     if (!call->is_cancelled) {
@@ -74,7 +77,8 @@
     free_result(result);
 }
 
-static void answer(ts_searcher_call_t *call, const ts_subreply_t *subreply) {
+static void answer(ts_searcher_call_t *call, const ts_subreply_t *subreply)
+{
     result_t *result = g_new0(result_t, 1);
     result->call = call;
     result->subreply = *subreply;
@@ -82,19 +86,22 @@
                      result);
 }
 
-static void refuse(ts_searcher_call_t *call, ts_error_t error) {
+static void refuse(ts_searcher_call_t *call, ts_error_t error)
+{
     ts_subreply_t subreply = {.error = error, .run = TS_RUN_NOT};
     answer(call, &subreply);
 }
 
 /* ---- service ---- */
 
-static double uniform_of(uint64_t hash) {
+static double uniform_of(uint64_t hash)
+{
     return ((double)hash + 1.0) / HASH_SCALE;
 }
 
 /* The time depends on the request, the shard and the back end alone: the same for every policy. */
-static double draw_service_us(const ts_searcher_call_t *call) {
+static double draw_service_us(const ts_searcher_call_t *call)
+{
     const lab_sim_service_t *service = &call->searcher->sim->config.service;
     uint64_t hash = ts_hash_mix(ts_hash_text(call->work->request_id), call->searcher->backend->id);
     hash = ts_hash_mix(hash, ts_hash_text(call->shard));
@@ -110,7 +117,8 @@
     return ms * call->searcher->slow_factor * (double)TS_US_PER_MS;
 }
 
-static void fill_hits(const ts_searcher_call_t *call, uint64_t snapshot, ts_subreply_t *subreply) {
+static void fill_hits(const ts_searcher_call_t *call, uint64_t snapshot, ts_subreply_t *subreply)
+{
     const char *query = call->work->text != NULL ? call->work->text : call->work->key;
     unsigned total = lab_record_count(call->shard, query, snapshot);
     subreply->hits = g_new0(ts_hit_t, total);
@@ -127,7 +135,8 @@
     subreply->total = total;
 }
 
-static void end_service(void *context) {
+static void end_service(void *context)
+{
     ts_searcher_call_t *call = context;
     lab_sim_searcher_t *searcher = call->searcher;
     searcher->running--;
@@ -148,11 +157,13 @@
     run_waiting(searcher);
 }
 
-static void drop_service(void *context) {
+static void drop_service(void *context)
+{
     free_call(context);
 }
 
-static void begin_service(ts_searcher_call_t *call) {
+static void begin_service(ts_searcher_call_t *call)
+{
     lab_sim_searcher_t *searcher = call->searcher;
     lab_sim_t *sim = searcher->sim;
     double service_us = draw_service_us(call);
@@ -172,7 +183,8 @@
                                         drop_service, call);
 }
 
-static void run_waiting(lab_sim_searcher_t *searcher) {
+static void run_waiting(lab_sim_searcher_t *searcher)
+{
     while (searcher->running < searcher->backend->slots && !g_queue_is_empty(searcher->waiting)) {
         begin_service(g_queue_pop_head(searcher->waiting));
     }
@@ -180,7 +192,8 @@
 
 /* ---- arrival ---- */
 
-static bool holds_shard(const lab_sim_searcher_t *searcher, const char *shard) {
+static bool holds_shard(const lab_sim_searcher_t *searcher, const char *shard)
+{
     for (unsigned i = 0; i < searcher->backend->shards_count; i++) {
         if (strcmp(searcher->backend->shards[i], shard) == 0) {
             return true;
@@ -189,7 +202,8 @@
     return false;
 }
 
-static ts_error_t refusal(const ts_searcher_call_t *call) {
+static ts_error_t refusal(const ts_searcher_call_t *call)
+{
     const lab_sim_searcher_t *searcher = call->searcher;
     ts_time_us_t span_us = searcher->sim->now_us - searcher->state_since_us;
     bool is_full = searcher->running >= searcher->backend->slots &&
@@ -206,7 +220,8 @@
     return holds_shard(searcher, call->shard) ? TS_OK : TS_E_WRONG_SHARD;
 }
 
-static void tell_after_leave(const ts_searcher_call_t *call) {
+static void tell_after_leave(const ts_searcher_call_t *call)
+{
     const lab_sim_searcher_t *searcher = call->searcher;
     const lab_sim_observer_t *observer = &searcher->sim->observer;
     bool has_left = searcher->state == LAB_SIM_DRAINING &&
@@ -216,7 +231,8 @@
     }
 }
 
-static void arrive(void *context) {
+static void arrive(void *context)
+{
     ts_searcher_call_t *call = context;
     if (call->is_cancelled) {
         free_call(call);
@@ -237,7 +253,8 @@
 /* ---- the client plug-in ---- */
 
 static ts_error_t open_searcher(ts_searcher_t **opened, const ts_node_t *node, const char *address,
-                                uint32_t connections) {
+                                uint32_t connections)
+{
     ts_searcher_t *searcher = g_new0(ts_searcher_t, 1);
     searcher->node = lab_sim_node_of(node);
     lab_sim_t *sim = searcher->node->sim;
@@ -251,13 +268,15 @@
     return TS_OK;
 }
 
-static void close_searcher(ts_searcher_t *searcher) {
+static void close_searcher(ts_searcher_t *searcher)
+{
     g_free(searcher);
 }
 
 static ts_searcher_call_t *search(ts_searcher_t *searcher, const ts_work_t *work, const char *shard,
                                   uint64_t wanted_snapshot, ts_time_us_t left_us,
-                                  ts_searcher_done_t done, void *context) {
+                                  ts_searcher_done_t done, void *context)
+{
     ts_searcher_call_t *call = g_new0(ts_searcher_call_t, 1);
     call->node = searcher->node;
     call->searcher = searcher->searcher;
@@ -272,7 +291,8 @@
 }
 
 /* Cancelling frees a slot at once, but what cannot be repeated runs to its end. */
-static void cancel(ts_searcher_call_t *call) {
+static void cancel(ts_searcher_call_t *call)
+{
     lab_sim_searcher_t *searcher = call->searcher;
     call->is_cancelled = true;
     if (call->state == CALL_WAITING) {
@@ -294,7 +314,8 @@
     void *context;
 } health_call_t;
 
-static void answer_health(void *context) {
+static void answer_health(void *context)
+{
     health_call_t *call = context;
     const lab_sim_searcher_t *searcher = call->searcher;
     bool is_known = searcher->sim->now_us - searcher->state_since_us > HEALTH_LAG_US;
@@ -308,7 +329,8 @@
     g_free(call);
 }
 
-static void check_health(ts_searcher_t *searcher, ts_searcher_health_done_t done, void *context) {
+static void check_health(ts_searcher_t *searcher, ts_searcher_health_done_t done, void *context)
+{
     health_call_t *call = g_new0(health_call_t, 1);
     call->searcher = searcher->searcher;
     call->done = done;
@@ -324,22 +346,26 @@
 
 /* ---- faults of searchers ---- */
 
-unsigned lab_sim_searcher_count(const lab_sim_t *sim) {
+unsigned lab_sim_searcher_count(const lab_sim_t *sim)
+{
     return sim->declarations->backends_count;
 }
 
-void lab_sim_set_searcher(lab_sim_t *sim, unsigned index, lab_sim_searcher_state_t state) {
+void lab_sim_set_searcher(lab_sim_t *sim, unsigned index, lab_sim_searcher_state_t state)
+{
     if (sim->searchers[index].state != state) {
         sim->searchers[index].state = state;
         sim->searchers[index].state_since_us = sim->now_us;
     }
 }
 
-void lab_sim_slow_searcher(lab_sim_t *sim, unsigned searcher, double factor) {
+void lab_sim_slow_searcher(lab_sim_t *sim, unsigned searcher, double factor)
+{
     sim->searchers[searcher].slow_factor = factor;
 }
 
-void lab_sim_set_snapshot(lab_sim_t *sim, unsigned index, uint64_t snapshot, bool keep_previous) {
+void lab_sim_set_snapshot(lab_sim_t *sim, unsigned index, uint64_t snapshot, bool keep_previous)
+{
     lab_sim_searcher_t *searcher = &sim->searchers[index];
     searcher->previous_snapshot = keep_previous ? searcher->snapshot : 0;
     searcher->snapshot = snapshot;
@@ -355,12 +381,14 @@
     void *context;
 } platform_call_t;
 
-uint64_t lab_sim_version_of(const char *text) {
+uint64_t lab_sim_version_of(const char *text)
+{
     const char *line = strstr(text, "version:");
     return line == NULL ? 0 : strtoull(line + strlen("version:"), NULL, 10);
 }
 
-static void answer_document(void *context) {
+static void answer_document(void *context)
+{
     platform_call_t *call = context;
     const char *text = call->node->sim->platform_text;
     if (text == NULL) {
@@ -373,7 +401,8 @@
     g_free(call);
 }
 
-static void answer_machines(void *context) {
+static void answer_machines(void *context)
+{
     platform_call_t *call = context;
     lab_sim_t *sim = call->node->sim;
     if (sim->platform_text == NULL) {
@@ -391,19 +420,22 @@
     g_free(call);
 }
 
-static ts_error_t open_platform(void **handle, const ts_node_t *node) {
+static ts_error_t open_platform(void **handle, const ts_node_t *node)
+{
     *handle = lab_sim_node_of(node);
     return TS_OK;
 }
 
-static platform_call_t *make_call(lab_sim_node_t *node, void *context) {
+static platform_call_t *make_call(lab_sim_node_t *node, void *context)
+{
     platform_call_t *call = g_new0(platform_call_t, 1);
     call->node = node;
     call->context = context;
     return call;
 }
 
-static void read_document(void *handle, uint64_t have, ts_platform_document_t done, void *context) {
+static void read_document(void *handle, uint64_t have, ts_platform_document_t done, void *context)
+{
     lab_sim_node_t *node = handle;
     platform_call_t *call = make_call(node, context);
     call->have = have;
@@ -411,7 +443,8 @@
     lab_sim_schedule(node->sim, (int)node->index, PLATFORM_US, answer_document, g_free, call);
 }
 
-static void read_machines(void *handle, ts_platform_machines_t done, void *context) {
+static void read_machines(void *handle, ts_platform_machines_t done, void *context)
+{
     lab_sim_node_t *node = handle;
     platform_call_t *call = make_call(node, context);
     call->machines_done = done;
--- a/lab/standin_searcher.c
+++ b/lab/standin_searcher.c
@@ -22,7 +22,8 @@
     bool is_closing;
 } visitor_t;
 
-static void handle_closed(uv_handle_t *handle) {
+static void handle_closed(uv_handle_t *handle)
+{
     visitor_t *visitor = handle->data;
     if (--visitor->handles == 0) {
         ts_http_message_clear(&visitor->request);
@@ -31,7 +32,8 @@
     }
 }
 
-static void close_visitor(visitor_t *visitor, bool resets) {
+static void close_visitor(visitor_t *visitor, bool resets)
+{
     if (visitor->is_closing) {
         return;
     }
@@ -45,17 +47,20 @@
     uv_close((uv_handle_t *)&visitor->timer, handle_closed);
 }
 
-static void send_bytes(visitor_t *visitor) {
+static void send_bytes(visitor_t *visitor)
+{
     uv_buf_t buffer = uv_buf_init(visitor->answer->str, (unsigned)visitor->answer->len);
     (void)uv_try_write((uv_stream_t *)&visitor->socket, &buffer, 1);
 }
 
-static void append_head(visitor_t *visitor, unsigned status, const char *id, const char *extra) {
+static void append_head(visitor_t *visitor, unsigned status, const char *id, const char *extra)
+{
     g_string_append_printf(visitor->answer, "HTTP/1.1 %u X\r\n%s: %s\r\n%s", status,
                            NAME_REQUEST_ID, id, extra);
 }
 
-static void append_whole(visitor_t *visitor, unsigned status, const char *id, const char *extra) {
+static void append_whole(visitor_t *visitor, unsigned status, const char *id, const char *extra)
+{
     const lab_searcher_t *searcher = visitor->searcher;
     char *fields = g_strdup_printf("%s: sig.%s.%u\r\n%sContent-Length: %zu\r\n\r\n", NAME_SIGNATURE,
                                    searcher->id, searcher->runs, extra, searcher->body->len);
@@ -65,7 +70,8 @@
 }
 
 /* An answer that ends with its connection. */
-static void append_unframed(visitor_t *visitor, const char *id, size_t length) {
+static void append_unframed(visitor_t *visitor, const char *id, size_t length)
+{
     const lab_searcher_t *searcher = visitor->searcher;
     char *fields =
         g_strdup_printf("%s: sig.%s.%u\r\n\r\n", NAME_SIGNATURE, searcher->id, searcher->runs);
@@ -74,7 +80,8 @@
     g_free(fields);
 }
 
-static void misbehave(visitor_t *visitor, const char *id) {
+static void misbehave(visitor_t *visitor, const char *id)
+{
     const lab_searcher_t *searcher = visitor->searcher;
     size_t half = searcher->body->len / 2;
     switch (searcher->behaviour) {
@@ -103,7 +110,8 @@
     }
 }
 
-static void answer(visitor_t *visitor) {
+static void answer(visitor_t *visitor)
+{
     lab_searcher_t *searcher = visitor->searcher;
     const char *id = ts_http_message_find(&visitor->request, NAME_REQUEST_ID);
     id = id == NULL ? "" : id;
@@ -149,11 +157,13 @@
     ts_http_message_reset(&visitor->request);
 }
 
-static void answer_later(uv_timer_t *timer) {
+static void answer_later(uv_timer_t *timer)
+{
     answer(timer->data);
 }
 
-static void remember(visitor_t *visitor) {
+static void remember(visitor_t *visitor)
+{
     const ts_http_message_t *request = &visitor->request;
     GString *text = g_string_new(NULL);
     g_string_append_printf(text, "%s %s\r\n",
@@ -168,7 +178,8 @@
     g_ptr_array_add(visitor->searcher->heads, g_string_free(text, FALSE));
 }
 
-static void take_request(visitor_t *visitor) {
+static void take_request(visitor_t *visitor)
+{
     lab_searcher_t *searcher = visitor->searcher;
     const char *expected = ts_http_message_find(&visitor->request, NAME_EXPECTED_INSTANCE);
     if (expected != NULL && strcmp(expected, searcher->id) != 0) {
@@ -190,12 +201,14 @@
     }
 }
 
-static void allocate(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer) {
+static void allocate(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
     static char bytes[65536];
     *buffer = uv_buf_init(bytes, sizeof(bytes));
 }
 
-static void read_bytes(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer) {
+static void read_bytes(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
+{
     visitor_t *visitor = stream->data;
     if (length < 0) {
         close_visitor(visitor, false);
@@ -207,7 +220,8 @@
     }
 }
 
-static void accept_visitor(uv_stream_t *server, int status) {
+static void accept_visitor(uv_stream_t *server, int status)
+{
     visitor_t *visitor = g_new0(visitor_t, 1);
     visitor->searcher = server->data;
     visitor->searcher->connections++;
@@ -226,7 +240,8 @@
 }
 
 lab_searcher_t *lab_searcher_open(uv_loop_t *loop, const char *id, const char *service,
-                                  const char *zone) {
+                                  const char *zone)
+{
     lab_searcher_t *searcher = g_new0(lab_searcher_t, 1);
     struct sockaddr_in address;
     int length = sizeof(address);
@@ -245,7 +260,8 @@
     return searcher;
 }
 
-char *lab_searcher_entry(const lab_searcher_t *searcher, bool is_draining) {
+char *lab_searcher_entry(const lab_searcher_t *searcher, bool is_draining)
+{
     return g_strdup_printf("{\"%s\":\"%s\",\"%s\":\"127.0.0.1:%u\",\"%s\":\"%s\",\"%s\":4,"
                            "\"%s\":\"%s\",\"%s\":0}",
                            FIELD_SERVICE, searcher->service, FIELD_ADDRESS, searcher->port,
@@ -253,7 +269,8 @@
                            is_draining ? WORD_DRAINING : "ready", FIELD_WARMUP_MS);
 }
 
-char *lab_searcher_last_field(const lab_searcher_t *searcher, const char *name) {
+char *lab_searcher_last_field(const lab_searcher_t *searcher, const char *name)
+{
     if (searcher->heads->len == 0) {
         return NULL;
     }
--- a/lab/standin_store.c
+++ b/lab/standin_store.c
@@ -45,20 +45,23 @@
     unsigned calls;
 };
 
-static void free_change(gpointer data) {
+static void free_change(gpointer data)
+{
     change_t *change = data;
     g_free(change->key);
     g_free(change->value);
     g_free(change);
 }
 
-static void free_waiter(gpointer data) {
+static void free_waiter(gpointer data)
+{
     waiter_t *waiter = data;
     g_free(waiter->prefix);
     g_free(waiter);
 }
 
-static change_t *create_change(uint64_t revision, const char *key, const char *value) {
+static change_t *create_change(uint64_t revision, const char *key, const char *value)
+{
     change_t *change = g_new0(change_t, 1);
     change->revision = revision;
     change->key = g_strdup(key);
@@ -66,7 +69,8 @@
     return change;
 }
 
-static json_t *describe(const change_t *change) {
+static json_t *describe(const change_t *change)
+{
     json_t *item = json_object();
     json_object_set_new(item, FIELD_KEY, json_string(change->key));
     json_object_set_new(item, FIELD_REVISION, json_integer((json_int_t)change->revision));
@@ -80,7 +84,8 @@
     return item;
 }
 
-static void answer_json(ts_caller_t *caller, json_t *document) {
+static void answer_json(ts_caller_t *caller, json_t *document)
+{
     char *text = json_dumps(document, JSON_COMPACT);
     ts_caller_answer(caller, STATUS_OK, "Content-Type: application/json\r\n", text, strlen(text));
     free(text);
@@ -88,7 +93,8 @@
 }
 
 /* Value of a query parameter, unescaped; "" when it is not there. */
-static char *query_of(const char *target, const char *name) {
+static char *query_of(const char *target, const char *name)
+{
     char *pattern = g_strdup_printf("[?&]%s=([^&]*)", name);
     GRegex *regex = g_regex_new(pattern, 0, 0, NULL);
     GMatchInfo *match = NULL;
@@ -112,7 +118,8 @@
     bool has_more;
 } listing_t;
 
-static gboolean list_entry(gpointer key, gpointer value, gpointer context) {
+static gboolean list_entry(gpointer key, gpointer value, gpointer context)
+{
     listing_t *listing = context;
     if (strncmp(key, listing->prefix, strlen(listing->prefix)) != 0 ||
         strcmp(key, listing->after) <= 0) {
@@ -126,7 +133,8 @@
     return FALSE;
 }
 
-static void answer_list(lab_store_t *store, ts_caller_t *caller, const char *target) {
+static void answer_list(lab_store_t *store, ts_caller_t *caller, const char *target)
+{
     char *prefix = query_of(target, QUERY_PREFIX);
     char *after = query_of(target, QUERY_AFTER);
     listing_t listing = {store, prefix, after, json_array(), false};
@@ -137,7 +145,8 @@
     g_free(after);
 }
 
-static json_t *changes_after(const lab_store_t *store, const char *prefix, uint64_t after) {
+static json_t *changes_after(const lab_store_t *store, const char *prefix, uint64_t after)
+{
     json_t *events = json_array();
     for (guint i = 0; i < store->history->len; i++) {
         const change_t *change = g_ptr_array_index(store->history, i);
@@ -148,12 +157,14 @@
     return events;
 }
 
-static void answer_events(const lab_store_t *store, ts_caller_t *caller, json_t *events) {
+static void answer_events(const lab_store_t *store, ts_caller_t *caller, json_t *events)
+{
     answer_json(caller, json_pack("{s:o, s:I}", FIELD_EVENTS, events, FIELD_AT,
                                   (json_int_t)store->revision));
 }
 
-static void answer_watch(lab_store_t *store, ts_caller_t *caller, const char *target) {
+static void answer_watch(lab_store_t *store, ts_caller_t *caller, const char *target)
+{
     char *prefix = query_of(target, QUERY_PREFIX);
     char *after_text = query_of(target, QUERY_AFTER);
     char *wait_text = query_of(target, QUERY_WAIT);
@@ -179,7 +190,8 @@
     g_free(wait_text);
 }
 
-static void take_call(ts_caller_t *caller, void *context) {
+static void take_call(ts_caller_t *caller, void *context)
+{
     lab_store_t *store = context;
     const char *target = ts_caller_message(caller)->target->str;
     store->calls++;
@@ -204,7 +216,8 @@
     }
 }
 
-static void caller_left(ts_caller_t *caller, void *context) {
+static void caller_left(ts_caller_t *caller, void *context)
+{
     lab_store_t *store = context;
     for (guint i = store->waiters->len; i > 0; i--) {
         const waiter_t *waiter = g_ptr_array_index(store->waiters, i - 1);
@@ -217,7 +230,8 @@
 static const ts_listener_ops_t store_ops = {take_call, caller_left};
 
 /* Answers the watches that something came for, or whose time is over. */
-static void serve_waiters(lab_store_t *store) {
+static void serve_waiters(lab_store_t *store)
+{
     ts_time_us_t now_us = ts_clock_now_us();
     for (guint i = store->waiters->len; i > 0 && store->mode != LAB_STORE_SILENT; i--) {
         waiter_t *waiter = g_ptr_array_index(store->waiters, i - 1);
@@ -233,15 +247,18 @@
     }
 }
 
-static void tick(uv_timer_t *timer) {
+static void tick(uv_timer_t *timer)
+{
     serve_waiters(timer->data);
 }
 
-static gint compare_keys(gconstpointer left, gconstpointer right, gpointer data) {
+static gint compare_keys(gconstpointer left, gconstpointer right, gpointer data)
+{
     return strcmp(left, right);
 }
 
-lab_store_t *lab_store_open(uv_loop_t *loop, unsigned port) {
+lab_store_t *lab_store_open(uv_loop_t *loop, unsigned port)
+{
     lab_store_t *store = g_new0(lab_store_t, 1);
     char address[32];
     g_snprintf(address, sizeof(address), "127.0.0.1:%u", port);
@@ -256,24 +273,28 @@
     return store->listener == NULL ? NULL : store;
 }
 
-static void note_change(lab_store_t *store, const char *key, const char *value) {
+static void note_change(lab_store_t *store, const char *key, const char *value)
+{
     store->revision++;
     g_ptr_array_add(store->history, create_change(store->revision, key, value));
 }
 
-void lab_store_put(lab_store_t *store, const char *key, const char *value) {
+void lab_store_put(lab_store_t *store, const char *key, const char *value)
+{
     note_change(store, key, value);
     g_tree_replace(store->entries, g_strdup(key), create_change(store->revision, key, value));
     serve_waiters(store);
 }
 
-void lab_store_delete(lab_store_t *store, const char *key) {
+void lab_store_delete(lab_store_t *store, const char *key)
+{
     note_change(store, key, NULL);
     g_tree_remove(store->entries, key);
     serve_waiters(store);
 }
 
-void lab_store_forget(lab_store_t *store) {
+void lab_store_forget(lab_store_t *store)
+{
     store->forgotten = store->revision + 1;
     store->revision++;
     g_ptr_array_set_size(store->history, 0);
@@ -284,17 +305,20 @@
     }
 }
 
-void lab_store_set_mode(lab_store_t *store, lab_store_mode_t mode) {
+void lab_store_set_mode(lab_store_t *store, lab_store_mode_t mode)
+{
     store->mode = mode;
     if (mode == LAB_STORE_SILENT) {
         g_ptr_array_set_size(store->waiters, 0); /* the calls that wait are never answered */
     }
 }
 
-void lab_store_set_page(lab_store_t *store, unsigned entries) {
+void lab_store_set_page(lab_store_t *store, unsigned entries)
+{
     store->page = entries;
 }
 
-unsigned lab_store_calls(const lab_store_t *store) {
+unsigned lab_store_calls(const lab_store_t *store)
+{
     return store->calls;
 }
--- a/lab/verdict.c
+++ b/lab/verdict.c
@@ -19,7 +19,8 @@
     const lab_fault_log_t *log;
 } journals_t;
 
-static bool is_near(const GArray *times, int64_t at_ms) {
+static bool is_near(const GArray *times, int64_t at_ms)
+{
     for (guint i = 0; i < times->len; i++) {
         int64_t after_ms = at_ms - g_array_index(times, int64_t, i);
         if (after_ms > -BLAME_BEFORE_MS && after_ms < BLAME_AFTER_MS) {
@@ -29,7 +30,8 @@
     return false;
 }
 
-static bool is_disturbed(const GArray *disturbances, int64_t at_ms) {
+static bool is_disturbed(const GArray *disturbances, int64_t at_ms)
+{
     for (guint i = 0; i < disturbances->len; i++) {
         const lab_disturbance_t *span = &g_array_index(disturbances, lab_disturbance_t, i);
         if (at_ms > span->begin_ms - BLAME_BEFORE_MS && at_ms < span->end_ms + BLAME_AFTER_MS) {
@@ -39,7 +41,8 @@
     return false;
 }
 
-static void read_searcher_line(journals_t *journals, const char *line) {
+static void read_searcher_line(journals_t *journals, const char *line)
+{
     char backend[FIELD_SIZE];
     char event[FIELD_SIZE];
     char id[FIELD_SIZE];
@@ -66,7 +69,8 @@
     }
 }
 
-static void read_caller_line(journals_t *journals, const char *line) {
+static void read_caller_line(journals_t *journals, const char *line)
+{
     char kind[FIELD_SIZE];
     char id[FIELD_SIZE];
     char outcome[FIELD_SIZE];
@@ -85,7 +89,8 @@
 }
 
 static void read_file(journals_t *journals, const char *path,
-                      void (*read_line)(journals_t *journals, const char *line)) {
+                      void (*read_line)(journals_t *journals, const char *line))
+{
     char line[1024];
     FILE *file = fopen(path, "r");
     while (file != NULL && fgets(line, sizeof(line), file) != NULL) {
@@ -96,7 +101,8 @@
     }
 }
 
-static void read_directory(journals_t *journals, const char *directory) {
+static void read_directory(journals_t *journals, const char *directory)
+{
     GDir *folder = g_dir_open(directory, 0, NULL);
     const char *name = NULL;
     while (folder != NULL && (name = g_dir_read_name(folder)) != NULL) {
@@ -113,7 +119,8 @@
     }
 }
 
-void lab_verdict_read(lab_verdict_t *verdict, const char *directory, const lab_fault_log_t *log) {
+void lab_verdict_read(lab_verdict_t *verdict, const char *directory, const lab_fault_log_t *log)
+{
     journals_t journals = {
         .refused = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
         .runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
--- a/lab/watch.c
+++ b/lab/watch.c
@@ -35,7 +35,8 @@
     unsigned reverted;
 };
 
-static void note_version(watched_t *watched, uint64_t version) {
+static void note_version(watched_t *watched, uint64_t version)
+{
     if (version == 0) {
         return; /* started anew, nothing in force yet */
     }
@@ -48,18 +49,21 @@
     }
 }
 
-static size_t count_live(const json_t *status) {
+static size_t count_live(const json_t *status)
+{
     size_t index = 0;
     size_t live = 0;
     const json_t *row = NULL;
-    json_array_foreach(json_object_get(status, "members"), index, row) {
+    json_array_foreach(json_object_get(status, "members"), index, row)
+    {
         const char *state = json_string_value(json_object_get(row, "state"));
         live += state != NULL && strcmp(state, "live") == 0;
     }
     return live;
 }
 
-static void take_status(void *context, const ts_http_result_t *result) {
+static void take_status(void *context, const ts_http_result_t *result)
+{
     watched_t *watched = context;
     ts_time_us_t now_us = ts_clock_now_us();
     watched->is_out = false;
@@ -78,7 +82,8 @@
     json_decref(status);
 }
 
-static void read_statuses(uv_timer_t *timer) {
+static void read_statuses(uv_timer_t *timer)
+{
     lab_watch_t *watch = timer->data;
     for (guint i = 0; i < watch->nodes->len; i++) {
         watched_t *watched = g_ptr_array_index(watch->nodes, i);
@@ -90,7 +95,8 @@
     }
 }
 
-lab_watch_t *lab_watch_start(lab_fleet_t *fleet) {
+lab_watch_t *lab_watch_start(lab_fleet_t *fleet)
+{
     lab_watch_t *watch = g_new0(lab_watch_t, 1);
     watch->fleet = fleet;
     watch->nodes = g_ptr_array_new();
@@ -108,11 +114,13 @@
     return watch;
 }
 
-void lab_watch_stop(lab_watch_t *watch) {
+void lab_watch_stop(lab_watch_t *watch)
+{
     uv_close((uv_handle_t *)&watch->timer, NULL);
 }
 
-bool lab_watch_all_ready(void *context) {
+bool lab_watch_all_ready(void *context)
+{
     const lab_watch_t *watch = context;
     for (guint i = 0; i < watch->nodes->len; i++) {
         const watched_t *watched = g_ptr_array_index(watch->nodes, i);
@@ -123,12 +131,14 @@
     return true;
 }
 
-unsigned lab_watch_reverted(const lab_watch_t *watch) {
+unsigned lab_watch_reverted(const lab_watch_t *watch)
+{
     return watch->reverted;
 }
 
 /* When a node first showed this version or a higher one; 0 when never. */
-static ts_time_us_t first_sighting(const watched_t *watched, uint64_t version) {
+static ts_time_us_t first_sighting(const watched_t *watched, uint64_t version)
+{
     for (guint i = 0; i < watched->sightings->len; i++) {
         const sighting_t *sighting = &g_array_index(watched->sightings, sighting_t, i);
         if (sighting->version >= version) {
@@ -139,7 +149,8 @@
 }
 
 double lab_watch_spread_ms(const lab_watch_t *watch, const lab_fault_log_t *log, double bound_ms,
-                           unsigned *late) {
+                           unsigned *late)
+{
     double longest_ms = 0;
     *late = 0;
     for (guint p = 0; p < log->published->len; p++) {
--- a/src/broker/broker.c
+++ b/src/broker/broker.c
@@ -35,13 +35,15 @@
 
 /* ---- replies ---- */
 
-static void free_job(ts_job_t *job) {
+static void free_job(ts_job_t *job)
+{
     ts_work_unref(job->work);
     g_hash_table_remove(job->broker->jobs, &job->part.counter);
 }
 
 /* Keeps or clears the idempotency entry of a dispatched unrepeatable request. */
-static void settle_idempotency(const ts_job_t *job, const ts_subreply_t *subreply) {
+static void settle_idempotency(const ts_job_t *job, const ts_subreply_t *subreply)
+{
     if (!job->work->unrepeatable) {
         return;
     }
@@ -53,7 +55,8 @@
     }
 }
 
-static void send_subreply(ts_job_t *job, ts_subreply_t *subreply) {
+static void send_subreply(ts_job_t *job, ts_subreply_t *subreply)
+{
     ts_subreply_message_t *message = ts_subreply_message(job->peer);
     subreply->counter = job->part.counter;
     if (job->owned != NULL) {
@@ -65,13 +68,15 @@
     ts_task_send(is_local ? job->broker->front : job->broker->mesh, &message->head);
 }
 
-void ts_job_reply(ts_job_t *job, ts_subreply_t *subreply) {
+void ts_job_reply(ts_job_t *job, ts_subreply_t *subreply)
+{
     settle_idempotency(job, subreply);
     send_subreply(job, subreply);
     free_job(job);
 }
 
-void ts_job_refuse(ts_job_t *job, ts_error_t error) {
+void ts_job_refuse(ts_job_t *job, ts_error_t error)
+{
     ts_subreply_t subreply = {.error = error, .run = TS_RUN_NOT};
     ts_count(TS_COUNTER_BROKER_REFUSED, 1);
     ts_count_error(error);
@@ -79,19 +84,22 @@
 }
 
 /* Answers without touching the idempotency table: the request was not dispatched by this job. */
-static void answer_undispatched(ts_job_t *job, ts_subreply_t *subreply) {
+static void answer_undispatched(ts_job_t *job, ts_subreply_t *subreply)
+{
     send_subreply(job, subreply);
     free_job(job);
 }
 
-static void refuse_undispatched(ts_job_t *job, ts_error_t error) {
+static void refuse_undispatched(ts_job_t *job, ts_error_t error)
+{
     ts_subreply_t subreply = {.error = error, .run = TS_RUN_NOT};
     ts_count(TS_COUNTER_BROKER_REFUSED, 1);
     ts_count_error(error);
     answer_undispatched(job, &subreply);
 }
 
-static void answer_unknown(ts_job_t *job, ts_error_t error) {
+static void answer_unknown(ts_job_t *job, ts_error_t error)
+{
     ts_subreply_t subreply = {.error = error, .run = TS_RUN_MAYBE};
     ts_count_error(error);
     answer_undispatched(job, &subreply);
@@ -100,7 +108,8 @@
 /* ---- unrepeatable requests ---- */
 
 /* Whether this owner can vouch that no earlier owner has dispatched the id. */
-static ts_error_t check_vouching(const ts_job_t *job) {
+static ts_error_t check_vouching(const ts_job_t *job)
+{
     const ts_broker_t *broker = job->broker;
     int64_t now_ms = ts_clock_wall_ms();
     int64_t issued_ms = job->work->issued_at_ms;
@@ -120,7 +129,8 @@
     return TS_OK;
 }
 
-static void submit_unrepeatable(ts_job_t *job) {
+static void submit_unrepeatable(ts_job_t *job)
+{
     ts_broker_t *broker = job->broker;
     ts_subreply_t kept = {0};
     ts_error_t error = check_vouching(job);
@@ -149,7 +159,8 @@
 /* ---- subrequests ---- */
 
 static ts_job_t *create_job(ts_broker_t *broker, const ts_subrequests_message_t *message,
-                            const ts_part_t *part) {
+                            const ts_part_t *part)
+{
     ts_job_t *job = g_new0(ts_job_t, 1);
     job->broker = broker;
     job->peer = message->peer;
@@ -162,7 +173,8 @@
 }
 
 static void submit_part(ts_broker_t *broker, const ts_subrequests_message_t *message,
-                        const ts_part_t *part) {
+                        const ts_part_t *part)
+{
     if (g_hash_table_contains(broker->jobs, &part->counter)) {
         return; /* a doubled message */
     }
@@ -184,7 +196,8 @@
 }
 
 /* Only the node that sent a subrequest may cancel it. */
-static void take_cancel(ts_broker_t *broker, const ts_cancel_message_t *message) {
+static void take_cancel(ts_broker_t *broker, const ts_cancel_message_t *message)
+{
     ts_job_t *job = g_hash_table_lookup(broker->jobs, &message->counter);
     if (job != NULL && job->peer == message->peer) {
         ts_owned_cancel(job);
@@ -193,7 +206,8 @@
 
 /* ---- ownership ---- */
 
-static void retire_owned(ts_owned_t *owned) {
+static void retire_owned(ts_owned_t *owned)
+{
     ts_broker_t *broker = owned->broker;
     ts_log(TS_EVENT_OWNERSHIP, "gave up %s", owned->name);
     ts_owned_set_state(owned, TS_OWNED_RETIRED);
@@ -202,7 +216,8 @@
 }
 
 /* Whether a back end that stays owned was declared anew in a way that needs a fresh start. */
-static bool is_redeclared(const ts_owned_t *owned, const ts_backend_t *backend) {
+static bool is_redeclared(const ts_owned_t *owned, const ts_backend_t *backend)
+{
     bool same_shards = g_strv_length(owned->shards) == backend->shards_count;
     for (unsigned i = 0; same_shards && i < backend->shards_count; i++) {
         same_shards = strcmp(owned->shards[i], backend->shards[i]) == 0;
@@ -212,14 +227,16 @@
            strcmp(owned->address, backend->address) != 0;
 }
 
-static bool is_own(const ts_broker_t *broker, const ts_backend_t *backend) {
+static bool is_own(const ts_broker_t *broker, const ts_backend_t *backend)
+{
     const ts_view_member_t *owner = ts_view_owner(broker->view, backend);
     return owner != NULL && owner->is_self;
 }
 
 /* Gives up what is not wanted any more; `since` keeps the start of ownership of what is redeclared.
  */
-static void give_up_lost(ts_broker_t *broker, GHashTable *wanted, GHashTable *since) {
+static void give_up_lost(ts_broker_t *broker, GHashTable *wanted, GHashTable *since)
+{
     GHashTableIter iterator;
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, broker->owned);
@@ -234,7 +251,8 @@
     }
 }
 
-static void take_gained(ts_broker_t *broker, GHashTable *wanted, GHashTable *since) {
+static void take_gained(ts_broker_t *broker, GHashTable *wanted, GHashTable *since)
+{
     GHashTableIter iterator;
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, wanted);
@@ -253,7 +271,8 @@
     }
 }
 
-static void update_ownership(ts_broker_t *broker) {
+static void update_ownership(ts_broker_t *broker)
+{
     if (broker->view == NULL || broker->declarations == NULL || broker->stopping) {
         return;
     }
@@ -275,14 +294,16 @@
 /* ---- the task ---- */
 
 /* Ticks faster while something is in flight, for the deadlines. */
-static void set_tick(ts_broker_t *broker, uint64_t period_ms) {
+static void set_tick(ts_broker_t *broker, uint64_t period_ms)
+{
     if (broker->tick.repeat_ms != period_ms) {
         ts_timer_start(&broker->tick, period_ms, period_ms);
     }
 }
 
 /* From now on this node vouches anew: others may have owned the same until here. */
-static void lose_standing(ts_broker_t *broker) {
+static void lose_standing(ts_broker_t *broker)
+{
     broker->standing_since_ms = ts_clock_wall_ms();
 }
 
@@ -290,7 +311,8 @@
  * A process that stood still believes old things: its ownership may have passed on, and back ends
  * may have left. Nothing is sent on such beliefs before they are renewed.
  */
-static void notice_stall(ts_broker_t *broker) {
+static void notice_stall(ts_broker_t *broker)
+{
     ts_time_us_t now_us = ts_clock_now_us();
     bool has_stalled = broker->awake_us != 0 && now_us - broker->awake_us > STALL_BOUND_US;
     broker->awake_us = now_us;
@@ -307,7 +329,8 @@
     }
 }
 
-static void take_view(ts_broker_t *broker, ts_view_t *view) {
+static void take_view(ts_broker_t *broker, ts_view_t *view)
+{
     bool had_quorum = broker->view != NULL && broker->view->has_quorum;
     if (view->standing != broker->standing || (view->has_quorum && !had_quorum)) {
         lose_standing(broker);
@@ -318,7 +341,8 @@
     update_ownership(broker);
 }
 
-static void tick(ts_timer_t *timer) {
+static void tick(ts_timer_t *timer)
+{
     ts_broker_t *broker = timer->data;
     notice_stall(broker);
     ts_time_us_t now_us = ts_clock_now_us();
@@ -341,13 +365,15 @@
     ts_gauge_set(TS_COUNTER_IDEMPOTENCY_ENTRIES, (int64_t)ts_idempotency_size(broker->idempotency));
 }
 
-static void take_subrequests(ts_broker_t *broker, const ts_subrequests_message_t *message) {
+static void take_subrequests(ts_broker_t *broker, const ts_subrequests_message_t *message)
+{
     for (size_t i = 0; i < message->parts_count; i++) {
         submit_part(broker, message, &message->parts[i]);
     }
 }
 
-static void handle_message(void *state, ts_message_t *message) {
+static void handle_message(void *state, ts_message_t *message)
+{
     ts_broker_t *broker = state;
     notice_stall(broker);
     switch (message->type) {
@@ -371,7 +397,8 @@
     }
 }
 
-static ts_error_t open_broker(ts_node_t *node) {
+static ts_error_t open_broker(ts_node_t *node)
+{
     ts_broker_t *broker = g_new0(ts_broker_t, 1);
     ts_node_set_state(node, "broker", broker);
     broker->node = node;
@@ -384,7 +411,8 @@
     return TS_OK;
 }
 
-static ts_error_t start_broker(ts_node_t *node) {
+static ts_error_t start_broker(ts_node_t *node)
+{
     ts_broker_t *broker = ts_node_state(node, "broker");
     broker->front = ts_task_find(node->tasks, "front");
     broker->mesh = ts_task_find(node->tasks, "mesh");
@@ -394,7 +422,8 @@
     return TS_OK;
 }
 
-static void give_up_all(ts_timer_t *timer) {
+static void give_up_all(ts_timer_t *timer)
+{
     ts_broker_t *broker = timer->data;
     GHashTableIter iterator;
     gpointer value = NULL;
@@ -406,18 +435,21 @@
     broker->gave_up = true;
 }
 
-static void stop_broker(ts_node_t *node) {
+static void stop_broker(ts_node_t *node)
+{
     ts_broker_t *broker = ts_node_state(node, "broker");
     broker->stopping = true;
     ts_timer_start(&broker->handover, HANDOVER_MS, 0);
 }
 
-static bool is_broker_idle(ts_node_t *node) {
+static bool is_broker_idle(ts_node_t *node)
+{
     const ts_broker_t *broker = ts_node_state(node, "broker");
     return broker->gave_up && g_hash_table_size(broker->jobs) == 0;
 }
 
-static void describe_broker(ts_node_t *node, json_t *status) {
+static void describe_broker(ts_node_t *node, json_t *status)
+{
     const ts_broker_t *broker = ts_node_state(node, "broker");
     json_t *rows = json_array();
     GHashTableIter iterator;
@@ -436,14 +468,16 @@
 }
 
 /* Frees a job without an answer. */
-static void drop_job(ts_job_t *job) {
+static void drop_job(ts_job_t *job)
+{
     if (job->call != NULL) {
         job->broker->client->cancel(job->call);
     }
     ts_work_unref(job->work);
 }
 
-static void close_broker(ts_node_t *node) {
+static void close_broker(ts_node_t *node)
+{
     ts_broker_t *broker = ts_node_state(node, "broker");
     GHashTableIter iterator;
     gpointer value = NULL;
--- a/src/broker/idempotency.c
+++ b/src/broker/idempotency.c
@@ -17,32 +17,37 @@
     ts_time_us_t keep_us;
 };
 
-static void free_entry(gpointer pointer) {
+static void free_entry(gpointer pointer)
+{
     entry_t *entry = pointer;
     ts_subreply_clear(&entry->outcome);
     g_free(entry);
 }
 
-ts_idempotency_t *ts_idempotency_create(ts_time_us_t keep_us) {
+ts_idempotency_t *ts_idempotency_create(ts_time_us_t keep_us)
+{
     ts_idempotency_t *table = g_new0(ts_idempotency_t, 1);
     table->entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_entry);
     table->keep_us = keep_us;
     return table;
 }
 
-void ts_idempotency_destroy(ts_idempotency_t *table) {
+void ts_idempotency_destroy(ts_idempotency_t *table)
+{
     g_hash_table_destroy(table->entries);
     g_free(table);
 }
 
-static uint64_t digest_work(const ts_work_t *work) {
+static uint64_t digest_work(const ts_work_t *work)
+{
     uint64_t digest = ts_hash_text(work->kind);
     digest = ts_hash_mix(digest, ts_hash_text(work->key == NULL ? "" : work->key));
     return ts_hash_mix(digest, ts_hash_text(work->text == NULL ? "" : work->text));
 }
 
 ts_idempotency_verdict_t ts_idempotency_admit(ts_idempotency_t *table, const ts_work_t *work,
-                                              ts_time_us_t now_us) {
+                                              ts_time_us_t now_us)
+{
     entry_t *entry = g_hash_table_lookup(table->entries, work->request_id);
     uint64_t digest = digest_work(work);
     if (entry == NULL) {
@@ -58,11 +63,13 @@
     return entry->is_finished ? TS_IDEMPOTENCY_REPLAY : TS_IDEMPOTENCY_UNKNOWN;
 }
 
-void ts_idempotency_release(ts_idempotency_t *table, const char *request_id) {
+void ts_idempotency_release(ts_idempotency_t *table, const char *request_id)
+{
     g_hash_table_remove(table->entries, request_id);
 }
 
-static void copy_outcome(ts_subreply_t *to, const ts_subreply_t *from) {
+static void copy_outcome(ts_subreply_t *to, const ts_subreply_t *from)
+{
     *to = *from;
     to->hits = g_new0(ts_hit_t, from->hits_count);
     for (size_t i = 0; i < from->hits_count; i++) {
@@ -73,7 +80,8 @@
 }
 
 void ts_idempotency_finish(ts_idempotency_t *table, const char *request_id,
-                           const ts_subreply_t *outcome, ts_time_us_t now_us) {
+                           const ts_subreply_t *outcome, ts_time_us_t now_us)
+{
     entry_t *entry = g_hash_table_lookup(table->entries, request_id);
     if (entry == NULL) {
         return;
@@ -85,12 +93,14 @@
 }
 
 void ts_idempotency_replay(const ts_idempotency_t *table, const char *request_id,
-                           ts_subreply_t *outcome) {
+                           ts_subreply_t *outcome)
+{
     const entry_t *entry = g_hash_table_lookup(table->entries, request_id);
     copy_outcome(outcome, &entry->outcome);
 }
 
-void ts_idempotency_expire(ts_idempotency_t *table, ts_time_us_t now_us) {
+void ts_idempotency_expire(ts_idempotency_t *table, ts_time_us_t now_us)
+{
     GHashTableIter iterator;
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, table->entries);
@@ -102,6 +112,7 @@
     }
 }
 
-size_t ts_idempotency_size(const ts_idempotency_t *table) {
+size_t ts_idempotency_size(const ts_idempotency_t *table)
+{
     return g_hash_table_size(table->entries);
 }
--- a/src/broker/owned.c
+++ b/src/broker/owned.c
@@ -17,13 +17,15 @@
 
 static void check_health(ts_owned_t *owned);
 
-const char *ts_owned_state_name(ts_owned_state_t state) {
+const char *ts_owned_state_name(ts_owned_state_t state)
+{
     static const char *const names[] = {"checking", "serving",     "starting",
                                         "draining", "unreachable", "retired"};
     return names[state];
 }
 
-ts_owned_t *ts_owned_create(ts_broker_t *broker, const ts_backend_t *backend) {
+ts_owned_t *ts_owned_create(ts_broker_t *broker, const ts_backend_t *backend)
+{
     ts_owned_t *owned = g_new0(ts_owned_t, 1);
     owned->broker = broker;
     owned->id = backend->id;
@@ -45,7 +47,8 @@
     return owned;
 }
 
-void ts_owned_free(ts_owned_t *owned) {
+void ts_owned_free(ts_owned_t *owned)
+{
     owned->broker->client->close(owned->searcher);
     g_ptr_array_free(owned->running, TRUE);
     g_ptr_array_free(owned->waiting, TRUE);
@@ -55,7 +58,8 @@
     g_free(owned);
 }
 
-void ts_owned_set_state(ts_owned_t *owned, ts_owned_state_t state) {
+void ts_owned_set_state(ts_owned_t *owned, ts_owned_state_t state)
+{
     if (owned->state == state || owned->state == TS_OWNED_RETIRED) {
         return;
     }
@@ -75,7 +79,8 @@
     }
 }
 
-const char *ts_owned_find_shard(const ts_owned_t *owned, uint64_t shard) {
+const char *ts_owned_find_shard(const ts_owned_t *owned, uint64_t shard)
+{
     for (char **name = owned->shards; *name != NULL; name++) {
         if (ts_hash_text(*name) == shard) {
             return *name;
@@ -84,7 +89,8 @@
     return NULL;
 }
 
-static uint32_t count_kind(const ts_owned_t *owned, const char *kind) {
+static uint32_t count_kind(const ts_owned_t *owned, const char *kind)
+{
     uint32_t count = 0;
     for (guint i = 0; i < owned->running->len; i++) {
         const ts_job_t *job = g_ptr_array_index(owned->running, i);
@@ -93,7 +99,8 @@
     return count;
 }
 
-static ts_time_us_t time_left(const ts_job_t *job, ts_time_us_t now_us) {
+static ts_time_us_t time_left(const ts_job_t *job, ts_time_us_t now_us)
+{
     return job->work->deadline_us > now_us ? job->work->deadline_us - now_us : 0;
 }
 
@@ -101,7 +108,8 @@
 
 static void run_next(ts_owned_t *owned);
 
-static void learn_service(ts_owned_t *owned, const ts_subreply_t *subreply) {
+static void learn_service(ts_owned_t *owned, const ts_subreply_t *subreply)
+{
     double service = subreply->service_us;
     owned->service_us = owned->service_us <= 0
                             ? service
@@ -110,7 +118,8 @@
     owned->allowed = MIN(owned->allowed + 1, owned->slots);
 }
 
-static void learn_outcome(ts_owned_t *owned, const ts_subreply_t *subreply) {
+static void learn_outcome(ts_owned_t *owned, const ts_subreply_t *subreply)
+{
     switch (subreply->error) {
     case TS_OK:
         learn_service(owned, subreply);
@@ -134,7 +143,8 @@
     }
 }
 
-static void take_result(void *context, ts_subreply_t *subreply) {
+static void take_result(void *context, ts_subreply_t *subreply)
+{
     ts_job_t *job = context;
     ts_owned_t *owned = job->owned;
     g_ptr_array_remove_fast(owned->running, job);
@@ -147,7 +157,8 @@
     run_next(owned);
 }
 
-static void run_job(ts_owned_t *owned, ts_job_t *job) {
+static void run_job(ts_owned_t *owned, ts_job_t *job)
+{
     job->started_us = ts_clock_now_us();
     g_ptr_array_add(owned->running, job);
     ts_count(TS_COUNTER_BROKER_SLOTS_IN_USE, 1);
@@ -159,7 +170,8 @@
 }
 
 /* The waiting job of the highest rank that may have a slot, or NULL. */
-static ts_job_t *choose_waiting(const ts_owned_t *owned, ts_time_us_t now_us) {
+static ts_job_t *choose_waiting(const ts_owned_t *owned, ts_time_us_t now_us)
+{
     ts_job_t *best = NULL;
     double best_rank = -1;
     for (guint i = 0; i < owned->waiting->len; i++) {
@@ -175,12 +187,14 @@
     return best;
 }
 
-static void remove_waiting(ts_owned_t *owned, ts_job_t *job) {
+static void remove_waiting(ts_owned_t *owned, ts_job_t *job)
+{
     g_ptr_array_remove_fast(owned->waiting, job);
     ts_count(TS_COUNTER_BROKER_QUEUED, -1);
 }
 
-static void run_next(ts_owned_t *owned) {
+static void run_next(ts_owned_t *owned)
+{
     ts_time_us_t now_us = ts_clock_now_us();
     ts_job_t *job = NULL;
     while ((job = choose_waiting(owned, now_us)) != NULL) {
@@ -195,7 +209,8 @@
 
 /* ---- taking ---- */
 
-static ts_error_t refusal_of_state(ts_owned_state_t state) {
+static ts_error_t refusal_of_state(ts_owned_state_t state)
+{
     switch (state) {
     case TS_OWNED_CHECKING:
     case TS_OWNED_SERVING:
@@ -211,7 +226,8 @@
     return TS_E_NOT_OWNER;
 }
 
-static ts_admission_input_t describe_load(const ts_owned_t *owned, const ts_job_t *job) {
+static ts_admission_input_t describe_load(const ts_owned_t *owned, const ts_job_t *job)
+{
     uint32_t ahead = 0;
     for (guint i = 0; i < owned->waiting->len; i++) {
         const ts_job_t *other = g_ptr_array_index(owned->waiting, i);
@@ -232,7 +248,8 @@
 }
 
 /* Makes room in a full queue by refusing the lowest-ranked job below this one's priority. */
-static bool displace_lower(ts_owned_t *owned, const ts_job_t *job) {
+static bool displace_lower(ts_owned_t *owned, const ts_job_t *job)
+{
     ts_job_t *lowest = NULL;
     for (guint i = 0; i < owned->waiting->len; i++) {
         ts_job_t *other = g_ptr_array_index(owned->waiting, i);
@@ -249,7 +266,8 @@
     return true;
 }
 
-void ts_owned_submit(ts_owned_t *owned, ts_job_t *job) {
+void ts_owned_submit(ts_owned_t *owned, ts_job_t *job)
+{
     ts_error_t error = refusal_of_state(owned->state);
     if (error != TS_OK) {
         ts_job_refuse(job, error);
@@ -279,7 +297,8 @@
 /* ---- ending ---- */
 
 /* Takes a job out of its slot or out of the queue, without a reply. */
-static void withdraw(ts_job_t *job) {
+static void withdraw(ts_job_t *job)
+{
     ts_owned_t *owned = job->owned;
     if (job->call == NULL) {
         remove_waiting(owned, job);
@@ -291,7 +310,8 @@
     ts_count(TS_COUNTER_BROKER_SLOTS_IN_USE, -1);
 }
 
-void ts_owned_cancel(ts_job_t *job) {
+void ts_owned_cancel(ts_job_t *job)
+{
     ts_owned_t *owned = job->owned;
     bool is_unrepeatable = job->work->unrepeatable;
     bool is_running = job->call != NULL;
@@ -308,7 +328,8 @@
     run_next(owned);
 }
 
-void ts_owned_refuse_waiting(ts_owned_t *owned, ts_error_t error) {
+void ts_owned_refuse_waiting(ts_owned_t *owned, ts_error_t error)
+{
     while (owned->waiting->len > 0) {
         ts_job_t *job = g_ptr_array_index(owned->waiting, 0);
         remove_waiting(owned, job);
@@ -316,7 +337,8 @@
     }
 }
 
-static void expire_running(ts_owned_t *owned, ts_time_us_t now_us) {
+static void expire_running(ts_owned_t *owned, ts_time_us_t now_us)
+{
     for (guint i = owned->running->len; i > 0; i--) {
         ts_job_t *job = g_ptr_array_index(owned->running, i - 1);
         if (time_left(job, now_us) > 0) {
@@ -329,7 +351,8 @@
     }
 }
 
-static void expire_waiting(ts_owned_t *owned, ts_time_us_t now_us) {
+static void expire_waiting(ts_owned_t *owned, ts_time_us_t now_us)
+{
     for (guint i = owned->waiting->len; i > 0; i--) {
         ts_job_t *job = g_ptr_array_index(owned->waiting, i - 1);
         if (time_left(job, now_us) == 0) {
@@ -340,12 +363,14 @@
 }
 
 /* What a reply said of draining outlives what the lagging endpoint still says. */
-static bool is_late_news(const ts_owned_t *owned, ts_searcher_health_t health) {
+static bool is_late_news(const ts_owned_t *owned, ts_searcher_health_t health)
+{
     return owned->state == TS_OWNED_DRAINING && health == TS_HEALTH_SERVING &&
            ts_clock_now_us() - owned->drain_told_us < DRAIN_TOLD_US;
 }
 
-static void take_health(void *context, ts_searcher_health_t health) {
+static void take_health(void *context, ts_searcher_health_t health)
+{
     static const ts_owned_state_t states[] = {TS_OWNED_UNREACHABLE, TS_OWNED_STARTING,
                                               TS_OWNED_SERVING, TS_OWNED_DRAINING};
     ts_owned_t *owned = context;
@@ -363,7 +388,8 @@
     run_next(owned);
 }
 
-void ts_owned_recheck(ts_owned_t *owned) {
+void ts_owned_recheck(ts_owned_t *owned)
+{
     if (owned->state == TS_OWNED_RETIRED) {
         return;
     }
@@ -373,12 +399,14 @@
     owned->health_due_us = 0;
 }
 
-static void check_health(ts_owned_t *owned) {
+static void check_health(ts_owned_t *owned)
+{
     owned->health_pending = true;
     owned->broker->client->check_health(owned->searcher, take_health, owned);
 }
 
-void ts_owned_tick(ts_owned_t *owned, ts_time_us_t now_us) {
+void ts_owned_tick(ts_owned_t *owned, ts_time_us_t now_us)
+{
     expire_running(owned, now_us);
     expire_waiting(owned, now_us);
     run_next(owned);
--- a/src/broker/searcher_http.c
+++ b/src/broker/searcher_http.c
@@ -27,7 +27,8 @@
 };
 
 static ts_error_t open_searcher(ts_searcher_t **opened, const ts_node_t *node, const char *address,
-                                uint32_t connections) {
+                                uint32_t connections)
+{
     ts_searcher_t *searcher = g_new0(ts_searcher_t, 1);
     ts_error_t error = ts_http_pool_open(&searcher->pool, node->loop, address, connections);
     if (error != TS_OK) {
@@ -38,12 +39,14 @@
     return TS_OK;
 }
 
-static void close_searcher(ts_searcher_t *searcher) {
+static void close_searcher(ts_searcher_t *searcher)
+{
     ts_http_pool_close(searcher->pool);
     g_free(searcher);
 }
 
-static bool read_hit(const json_t *row, ts_hit_t *hit) {
+static bool read_hit(const json_t *row, ts_hit_t *hit)
+{
     const char *id = json_string_value(json_object_get(row, "id"));
     const char *text = json_string_value(json_object_get(row, "text"));
     const json_t *score = json_object_get(row, "score");
@@ -56,7 +59,8 @@
     return true;
 }
 
-static bool read_hits(const json_t *rows, ts_subreply_t *subreply) {
+static bool read_hits(const json_t *rows, ts_subreply_t *subreply)
+{
     if (!json_is_array(rows)) {
         return false;
     }
@@ -70,7 +74,8 @@
     return true;
 }
 
-static void read_answer(const ts_http_result_t *result, ts_subreply_t *subreply) {
+static void read_answer(const ts_http_result_t *result, ts_subreply_t *subreply)
+{
     json_t *root = json_loadb(result->body, result->body_length, JSON_REJECT_DUPLICATES, NULL);
     const json_t *snapshot = json_object_get(root, "snapshot");
     const json_t *total = json_object_get(root, "total");
@@ -89,7 +94,8 @@
 }
 
 /* A 503 names its reason; the searcher promises that it did not run the request. */
-static ts_error_t read_unavailable(const ts_http_result_t *result, ts_subreply_t *subreply) {
+static ts_error_t read_unavailable(const ts_http_result_t *result, ts_subreply_t *subreply)
+{
     json_t *root = json_loadb(result->body, result->body_length, 0, NULL);
     const char *reason = json_string_value(json_object_get(root, "error"));
     json_int_t after_ms = json_integer_value(json_object_get(root, "retry_after_ms"));
@@ -99,7 +105,8 @@
     return is_draining ? TS_E_DRAINING : TS_E_SHEDDING;
 }
 
-static void read_result(const ts_http_result_t *result, ts_subreply_t *subreply) {
+static void read_result(const ts_http_result_t *result, ts_subreply_t *subreply)
+{
     if (result->error != TS_OK) {
         subreply->error = result->error;
         subreply->run = result->error == TS_E_CONNECT ? TS_RUN_NOT : TS_RUN_MAYBE;
@@ -127,7 +134,8 @@
     }
 }
 
-static void finish_search(void *context, const ts_http_result_t *result) {
+static void finish_search(void *context, const ts_http_result_t *result)
+{
     ts_searcher_call_t *call = context;
     ts_subreply_t subreply = {0};
     read_result(result, &subreply);
@@ -137,7 +145,8 @@
 }
 
 static char *write_request(const ts_work_t *work, const char *shard, uint64_t wanted_snapshot,
-                           ts_time_us_t left_us) {
+                           ts_time_us_t left_us)
+{
     json_t *root =
         json_pack("{s:s, s:s, s:s, s:i, s:I, s:b}", "id", work->request_id, "kind", work->kind,
                   "shard", shard, "limit", (int)work->limit, "deadline_ms",
@@ -158,7 +167,8 @@
 
 static ts_searcher_call_t *search(ts_searcher_t *searcher, const ts_work_t *work, const char *shard,
                                   uint64_t wanted_snapshot, ts_time_us_t left_us,
-                                  ts_searcher_done_t done, void *context) {
+                                  ts_searcher_done_t done, void *context)
+{
     ts_searcher_call_t *call = g_new0(ts_searcher_call_t, 1);
     call->done = done;
     call->context = context;
@@ -170,7 +180,8 @@
     return call;
 }
 
-static void cancel_search(ts_searcher_call_t *call) {
+static void cancel_search(ts_searcher_call_t *call)
+{
     ts_http_cancel(call->call);
     g_free(call);
 }
@@ -180,7 +191,8 @@
     void *context;
 } health_call_t;
 
-static ts_searcher_health_t read_health(const ts_http_result_t *result) {
+static ts_searcher_health_t read_health(const ts_http_result_t *result)
+{
     if (result->error != TS_OK) {
         return TS_HEALTH_UNREACHABLE;
     }
@@ -198,13 +210,15 @@
     return health;
 }
 
-static void finish_health(void *context, const ts_http_result_t *result) {
+static void finish_health(void *context, const ts_http_result_t *result)
+{
     health_call_t *call = context;
     call->done(call->context, read_health(result));
     g_free(call);
 }
 
-static void check_health(ts_searcher_t *searcher, ts_searcher_health_done_t done, void *context) {
+static void check_health(ts_searcher_t *searcher, ts_searcher_health_done_t done, void *context)
+{
     health_call_t *call = g_new0(health_call_t, 1);
     call->done = done;
     call->context = context;
--- a/src/cli/command.c
+++ b/src/cli/command.c
@@ -7,7 +7,8 @@
 
 #include "tealspar/plugin.h"
 
-static void print_commands(FILE *out, const char *program, const char *about) {
+static void print_commands(FILE *out, const char *program, const char *about)
+{
     const ts_plugin_t *plugin = NULL;
     fprintf(out, "%s: %s\n\nUsage: %s COMMAND [OPTION...]\n\n", program, about, program);
     while ((plugin = ts_plugin_next(TS_PLUGIN_COMMAND, plugin)) != NULL) {
@@ -16,7 +17,8 @@
     fprintf(out, "\n'%s COMMAND --help' describes a command.\n", program);
 }
 
-int ts_command_main(const char *program, const char *about, int argc, char **argv) {
+int ts_command_main(const char *program, const char *about, int argc, char **argv)
+{
     if (argc < 2) {
         print_commands(stderr, program, about);
         return TS_EXIT_USAGE;
@@ -39,7 +41,8 @@
 }
 
 bool ts_command_parse(int argc, char **argv, void **table, size_t entries, const char *about,
-                      int *exit_code) {
+                      int *exit_code)
+{
     *exit_code = TS_EXIT_USAGE;
     if (arg_nullcheck(table) != 0) {
         fprintf(stderr, "%s: out of memory\n", argv[0]);
@@ -62,7 +65,8 @@
     return true;
 }
 
-char *ts_command_read_file(const char *path, size_t *length) {
+char *ts_command_read_file(const char *path, size_t *length)
+{
     char *text = NULL;
     GError *error = NULL;
     if (!g_file_get_contents(path, &text, length, &error)) {
--- a/src/cli/command_check.c
+++ b/src/cli/command_check.c
@@ -11,11 +11,13 @@
 #define TABLE_SIZE 3
 
 /* A document with a top-level key `selectors` or `backends` is meant as declarations. */
-static bool is_declarations(const char *text) {
+static bool is_declarations(const char *text)
+{
     return g_regex_match_simple("^(selectors|backends|groups):", text, G_REGEX_MULTILINE, 0);
 }
 
-static bool check_text(const char *path, const char *text, size_t length) {
+static bool check_text(const char *path, const char *text, size_t length)
+{
     ts_problems_t problems;
     ts_problems_init(&problems);
     bool declares = is_declarations(text);
@@ -37,7 +39,8 @@
     return is_good;
 }
 
-static bool check_file(const char *path) {
+static bool check_file(const char *path)
+{
     size_t length = 0;
     char *text = ts_command_read_file(path, &length);
     bool is_good = text != NULL && check_text(path, text, length);
@@ -45,7 +48,8 @@
     return is_good;
 }
 
-static int run_check(int argc, char **argv) {
+static int run_check(int argc, char **argv)
+{
     struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
     struct arg_file *files =
         arg_filen(NULL, NULL, "FILE", 1, FILES_MAX, "declarations or settings (YAML)");
--- a/src/cli/command_counters.c
+++ b/src/cli/command_counters.c
@@ -5,7 +5,8 @@
 #include "tealspar/counters.h"
 #include "tealspar/plugin.h"
 
-static int run_counters(int argc, char **argv) {
+static int run_counters(int argc, char **argv)
+{
     struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
     struct arg_end *end = arg_end(4);
     void *table[] = {help, end};
--- a/src/cli/command_explain.c
+++ b/src/cli/command_explain.c
@@ -21,14 +21,16 @@
     const ts_view_t *view;
 } explanation_t;
 
-static const char *name_wait(ts_wait_rule_t wait) {
+static const char *name_wait(ts_wait_rule_t wait)
+{
     static const char *const names[] = {"every shard until the deadline",
                                         "until the least coverage is reached",
                                         "past the least coverage, until more waiting does not pay"};
     return names[wait];
 }
 
-static void print_limits(const explanation_t *explanation) {
+static void print_limits(const explanation_t *explanation)
+{
     const ts_selector_t *selector = explanation->selector;
     uint32_t shards = selector->route == TS_ROUTE_KEY ? 1 : selector->reach_count;
     printf("kind            %s (declarations version %lu)\n", selector->kind,
@@ -46,7 +48,8 @@
     printf("unrepeatable    %s\n", selector->unrepeatable ? "yes: at most one dispatch" : "no");
 }
 
-static void print_times(const explanation_t *explanation) {
+static void print_times(const explanation_t *explanation)
+{
     ts_histogram_t nothing = {0};
     ts_hedge_input_t hedge = {explanation->selector, &nothing,
                               explanation->selector->deadline_ms * TS_US_PER_MS};
@@ -60,7 +63,8 @@
 }
 
 /* The choice of a node that has learned nothing yet. */
-static int choose(const explanation_t *explanation, const uint32_t *replicas, uint32_t count) {
+static int choose(const explanation_t *explanation, const uint32_t *replicas, uint32_t count)
+{
     ts_candidate_t candidates[CANDIDATES_MAX] = {0};
     uint32_t known = count < CANDIDATES_MAX ? count : CANDIDATES_MAX;
     for (uint32_t i = 0; i < known; i++) {
@@ -71,7 +75,8 @@
     return explanation->policy->choose(&input);
 }
 
-static void print_replica(const explanation_t *explanation, uint32_t index, bool is_chosen) {
+static void print_replica(const explanation_t *explanation, uint32_t index, bool is_chosen)
+{
     const ts_backend_t *backend = &explanation->declarations->backends[index];
     const ts_view_member_t *owner =
         explanation->view->count == 0 ? NULL : ts_view_owner(explanation->view, backend);
@@ -81,7 +86,8 @@
 }
 
 static void print_shard(const explanation_t *explanation, uint32_t reach_index,
-                        const char *request_id) {
+                        const char *request_id)
+{
     const ts_selector_t *selector = explanation->selector;
     uint32_t begin = selector->replicas_begin[reach_index];
     uint32_t count = selector->replicas_begin[reach_index + 1] - begin;
@@ -95,8 +101,8 @@
     }
 }
 
-static void print_shards(const explanation_t *explanation, const char *key,
-                         const char *request_id) {
+static void print_shards(const explanation_t *explanation, const char *key, const char *request_id)
+{
     const ts_selector_t *selector = explanation->selector;
     printf("shards and replicas (* is what a node that has learned nothing yet would ask):\n");
     if (selector->route == TS_ROUTE_KEY && key != NULL) {
@@ -109,7 +115,8 @@
     }
 }
 
-static bool add_nodes(ts_view_t *view, const struct arg_str *nodes) {
+static bool add_nodes(ts_view_t *view, const struct arg_str *nodes)
+{
     for (int i = 0; i < nodes->count; i++) {
         char **parts = g_strsplit(nodes->sval[i], "/", 2);
         bool is_good = parts[0] != NULL && parts[1] != NULL;
@@ -127,7 +134,8 @@
 }
 
 static int explain(const char *path, const char *kind, const char *key, const char *id,
-                   const struct arg_str *nodes) {
+                   const struct arg_str *nodes)
+{
     ts_declarations_t *declarations = ts_declarations_load_file(path);
     if (declarations == NULL) {
         return TS_EXIT_USAGE;
@@ -150,7 +158,8 @@
     return exit_code;
 }
 
-static int run_explain(int argc, char **argv) {
+static int run_explain(int argc, char **argv)
+{
     struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
     struct arg_file *file = arg_file1("d", "declarations", "FILE", "declarations (YAML)");
     struct arg_str *kind = arg_str1("k", "kind", "KIND", "kind of query");
--- a/src/cli/command_gateway.c
+++ b/src/cli/command_gateway.c
@@ -11,7 +11,8 @@
 #define ERRORS_MAX 8
 #define SETTINGS_VARIABLE "TEALSPAR_CONFIG"
 
-static ts_gateway_settings_t *load_settings(const char *path) {
+static ts_gateway_settings_t *load_settings(const char *path)
+{
     size_t length = 0;
     char *text = ts_command_read_file(path, &length);
     if (text == NULL) {
@@ -28,7 +29,8 @@
     return settings;
 }
 
-static int run_with(const char *path, ts_gateway_settings_t *settings) {
+static int run_with(const char *path, ts_gateway_settings_t *settings)
+{
     ts_log_open(settings->name, settings->log_format, ts_log_level_flags(settings->log_level));
     ts_error_t error = ts_gateway_run(path, settings);
     if (error != TS_OK) {
@@ -38,7 +40,8 @@
     return TS_EXIT_OK;
 }
 
-static int run_file(const char *path, bool only_check) {
+static int run_file(const char *path, bool only_check)
+{
     if (path == NULL) {
         fprintf(stderr, "tealspar gateway: no settings: give --settings or set %s\n",
                 SETTINGS_VARIABLE);
@@ -55,7 +58,8 @@
     return run_with(path, settings);
 }
 
-static int run_gateway(int argc, char **argv) {
+static int run_gateway(int argc, char **argv)
+{
     struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
     struct arg_file *file = arg_file0(
         "s", "settings", "FILE", "the settings (YAML); else the file " SETTINGS_VARIABLE " names");
--- a/src/cli/command_node.c
+++ b/src/cli/command_node.c
@@ -12,7 +12,8 @@
 #define TABLE_SIZE 5
 
 /* Puts "key: value" in the place of the key's line in the YAML text, or at its end. */
-static char *override_key(char *text, const char *assignment) {
+static char *override_key(char *text, const char *assignment)
+{
     const char *equals = strchr(assignment, '=');
     char *key = g_strndup(assignment, (gsize)(equals - assignment));
     char *pattern = g_strdup_printf("^%s:.*$", key);
@@ -32,12 +33,14 @@
     return result;
 }
 
-static bool is_assignment(const char *text) {
+static bool is_assignment(const char *text)
+{
     size_t length = strspn(text, "abcdefghijklmnopqrstuvwxyz_");
     return length > 0 && text[length] == '=';
 }
 
-static ts_settings_t *load_settings(const char *path, const struct arg_str *overrides) {
+static ts_settings_t *load_settings(const char *path, const struct arg_str *overrides)
+{
     size_t length = 0;
     char *text = ts_command_read_file(path, &length);
     if (text == NULL) {
@@ -63,7 +66,8 @@
     return settings;
 }
 
-static int run_with(const ts_settings_t *settings) {
+static int run_with(const ts_settings_t *settings)
+{
     ts_log_open(settings->name, settings->log_format, ts_log_level_flags(settings->log_level));
     ts_error_t error = ts_node_run(settings);
     if (error != TS_OK) {
@@ -73,7 +77,8 @@
     return TS_EXIT_OK;
 }
 
-static int run_node(int argc, char **argv) {
+static int run_node(int argc, char **argv)
+{
     struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
     struct arg_file *file = arg_file1("s", "settings", "FILE", "the node's settings (YAML)");
     struct arg_str *overrides = arg_strn(NULL, "set", "KEY=VALUE", 0, OVERRIDES_MAX,
--- a/src/cli/command_query.c
+++ b/src/cli/command_query.c
@@ -18,19 +18,22 @@
 #define EXIT_REFUSED 3
 #define EXIT_UNKNOWN 4
 
-static void set_text(json_t *root, const char *key, const struct arg_str *option) {
+static void set_text(json_t *root, const char *key, const struct arg_str *option)
+{
     if (option->count > 0) {
         json_object_set_new(root, key, json_string(option->sval[0]));
     }
 }
 
-static void set_number(json_t *root, const char *key, const struct arg_int *option) {
+static void set_number(json_t *root, const char *key, const struct arg_int *option)
+{
     if (option->count > 0) {
         json_object_set_new(root, key, json_integer(option->ival[0]));
     }
 }
 
-static int print_reply(const ts_http_reply_copy_t *reply) {
+static int print_reply(const ts_http_reply_copy_t *reply)
+{
     if (reply->error != TS_OK) {
         fprintf(stderr, "tealspar: %s (%s)\n", ts_error_text(reply->error),
                 ts_error_name(reply->error));
@@ -43,7 +46,8 @@
     return reply->status == HTTP_UNKNOWN ? EXIT_UNKNOWN : EXIT_REFUSED;
 }
 
-static int run_query(int argc, char **argv) {
+static int run_query(int argc, char **argv)
+{
     struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
     struct arg_str *address = arg_str1("a", "address", "IP:PORT", "a node's address for callers");
     struct arg_str *kind = arg_str1("k", "kind", "KIND", "kind of query, as declared");
@@ -85,7 +89,8 @@
     return exit_code;
 }
 
-static int run_status(int argc, char **argv) {
+static int run_status(int argc, char **argv)
+{
     struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
     struct arg_str *address = arg_str1(NULL, NULL, "IP:PORT", "a node's address for operators");
     struct arg_end *end = arg_end(4);
--- a/src/cli/command_routes.c
+++ b/src/cli/command_routes.c
@@ -9,7 +9,8 @@
 #define ERRORS_MAX 8
 #define DIALECT_DEFAULT "platform"
 
-static const char *describe_kind(ts_target_kind_t kind) {
+static const char *describe_kind(ts_target_kind_t kind)
+{
     switch (kind) {
     case TS_TARGET_ONE:
         return "one service";
@@ -21,7 +22,8 @@
     return "a part from each service";
 }
 
-static void print_route(const ts_traffic_route_t *route) {
+static void print_route(const ts_traffic_route_t *route)
+{
     printf("route %s: %s%s\n", route->name, route->host, route->prefix);
     printf("  goes to      %s\n", describe_kind(route->kind));
     for (guint i = 0; i < route->targets->len; i++) {
@@ -43,7 +45,8 @@
 }
 
 /* Exit code: a request without a route is a finding, not a wrong document. */
-static int explain(const ts_traffic_t *traffic, const char *host, const char *path) {
+static int explain(const ts_traffic_t *traffic, const char *host, const char *path)
+{
     const ts_traffic_route_t *route = ts_traffic_match(traffic, host, path);
     if (route == NULL) {
         printf("no route for %s%s in version %lu: 404\n", host, path,
@@ -55,7 +58,8 @@
 }
 
 static int read_file(const ts_dialect_t *dialect, const char *file, const char *host,
-                     const char *path) {
+                     const char *path)
+{
     size_t length = 0;
     char *text = ts_command_read_file(file, &length);
     if (text == NULL) {
@@ -80,7 +84,8 @@
     return exit_code;
 }
 
-static int run_routes(int argc, char **argv) {
+static int run_routes(int argc, char **argv)
+{
     struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
     struct arg_file *file =
         arg_file1(NULL, NULL, "FILE", "the configuration, as the service has it");
--- a/src/cli/command_trace.c
+++ b/src/cli/command_trace.c
@@ -25,22 +25,26 @@
     GHashTable *instances; /* ids that the request met */
 } trace_t;
 
-static void clear_line(gpointer data) {
+static void clear_line(gpointer data)
+{
     json_decref(((trace_line_t *)data)->fields);
 }
 
-static const char *text_of(const json_t *fields, const char *name) {
+static const char *text_of(const json_t *fields, const char *name)
+{
     const char *text = json_string_value(json_object_get(fields, name));
     return text == NULL ? "" : text;
 }
 
 /* A collector may put its own words before a line. */
-static const char *find_object(const char *line) {
+static const char *find_object(const char *line)
+{
     return strchr(line, '{');
 }
 
 /* Whether a line's request is the one asked for; an id of digits alone is written as a number. */
-static bool is_of_request(const json_t *fields, const char *request) {
+static bool is_of_request(const json_t *fields, const char *request)
+{
     const json_t *id = json_object_get(fields, "request");
     if (json_is_integer(id)) {
         char text[32];
@@ -50,7 +54,8 @@
     return json_is_string(id) && strcmp(json_string_value(id), request) == 0;
 }
 
-static void take_line(trace_t *trace, const char *text) {
+static void take_line(trace_t *trace, const char *text)
+{
     const char *object = find_object(text);
     json_t *fields = object == NULL ? NULL : json_loads(object, JSON_DISABLE_EOF_CHECK, NULL);
     trace->read++;
@@ -69,7 +74,8 @@
     g_array_append_val(trace->lines, line);
 }
 
-static bool read_file(trace_t *trace, const char *path) {
+static bool read_file(trace_t *trace, const char *path)
+{
     FILE *file = strcmp(path, "-") == 0 ? stdin : fopen(path, "r");
     if (file == NULL) {
         fprintf(stderr, "%s: cannot be read (%s)\n", path, ts_error_name(TS_E_FILE));
@@ -87,13 +93,15 @@
     return true;
 }
 
-static gint compare_times(gconstpointer left, gconstpointer right) {
+static gint compare_times(gconstpointer left, gconstpointer right)
+{
     const trace_line_t *a = left;
     const trace_line_t *b = right;
     return (a->time_ms > b->time_ms) - (a->time_ms < b->time_ms);
 }
 
-static bool is_heading(const char *name) {
+static bool is_heading(const char *name)
+{
     static const char *const headings[] = {"v", "time_ms", "level", "node", "event", "request"};
     for (size_t i = 0; i < G_N_ELEMENTS(headings); i++) {
         if (strcmp(name, headings[i]) == 0) {
@@ -103,12 +111,14 @@
     return false;
 }
 
-static void print_line(const trace_line_t *line, json_int_t begin_ms) {
+static void print_line(const trace_line_t *line, json_int_t begin_ms)
+{
     const char *name = NULL;
     json_t *value = NULL;
     printf("%+6" JSON_INTEGER_FORMAT " ms  %-24s %-16s", line->time_ms - begin_ms,
            text_of(line->fields, "node"), text_of(line->fields, "event"));
-    json_object_foreach(line->fields, name, value) {
+    json_object_foreach(line->fields, name, value)
+    {
         if (!is_heading(name)) {
             char *text = json_dumps(value, JSON_ENCODE_ANY);
             printf(" %s=%s", name, text);
@@ -118,7 +128,8 @@
     printf("\n");
 }
 
-static void print_trace(const trace_t *trace) {
+static void print_trace(const trace_t *trace)
+{
     g_array_sort(trace->lines, compare_times);
     for (guint i = 0; i < trace->lines->len; i++) {
         const trace_line_t *first = &g_array_index(trace->lines, trace_line_t, 0);
@@ -128,7 +139,8 @@
            trace->lines->len, g_hash_table_size(trace->instances), trace->read, trace->unreadable);
 }
 
-static int trace_files(const char *request, const struct arg_file *files) {
+static int trace_files(const char *request, const struct arg_file *files)
+{
     trace_t trace = {.request = request,
                      .lines = g_array_new(FALSE, FALSE, sizeof(trace_line_t)),
                      .instances = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL)};
@@ -144,7 +156,8 @@
     return is_found && is_read ? TS_EXIT_OK : TS_EXIT_FAILURE;
 }
 
-static int run_trace(int argc, char **argv) {
+static int run_trace(int argc, char **argv)
+{
     struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
     struct arg_str *request = arg_str1(NULL, NULL, "ID", "the request's id");
     struct arg_file *files =
--- a/src/cli/declarations_file.c
+++ b/src/cli/declarations_file.c
@@ -5,7 +5,8 @@
 
 #include "tealspar/command.h"
 
-ts_declarations_t *ts_declarations_load_file(const char *path) {
+ts_declarations_t *ts_declarations_load_file(const char *path)
+{
     size_t length = 0;
     ts_problems_t problems;
     char *text = ts_command_read_file(path, &length);
