--- a/src/config/declarations.c
+++ b/src/config/declarations.c
@@ -27,7 +27,8 @@
 static void add_problem(check_t *check, const char *path, const char *format, ...)
     G_GNUC_PRINTF(3, 4);
 
-static void add_problem(check_t *check, const char *path, const char *format, ...) {
+static void add_problem(check_t *check, const char *path, const char *format, ...)
+{
     if (ts_problems_count(check->problems) >= MAX_PROBLEMS) {
         return;
     }
@@ -41,25 +42,29 @@
 }
 
 /* Formats the path of a field of a list's item, in a buffer that the next call reuses. */
-static const char *item_path(const char *list, unsigned item, const char *field) {
+static const char *item_path(const char *list, unsigned item, const char *field)
+{
     static _Thread_local char path[256];
     g_snprintf(path, sizeof(path), "%s[%u].%s", list, item, field);
     return path;
 }
 
-static const char *entry_path(const char *list, unsigned item, const char *field, unsigned entry) {
+static const char *entry_path(const char *list, unsigned item, const char *field, unsigned entry)
+{
     static _Thread_local char path[256];
     g_snprintf(path, sizeof(path), "%s[%u].%s[%u]", list, item, field, entry);
     return path;
 }
 
-static void check_range(check_t *check, const char *path, double value, double least, double most) {
+static void check_range(check_t *check, const char *path, double value, double least, double most)
+{
     if (!(value >= least && value <= most)) {
         add_problem(check, path, "%g is not between %g and %g", value, least, most);
     }
 }
 
-static void check_name(check_t *check, const char *path, char *name) {
+static void check_name(check_t *check, const char *path, char *name)
+{
     if (strchr(name, '/') != NULL) {
         add_problem(check, path, "the name '%s' must not contain '/'", name);
     }
@@ -69,7 +74,8 @@
 }
 
 static void check_labels(check_t *check, const char *list, unsigned item, const char *field,
-                         char **labels, unsigned count, bool is_term) {
+                         char **labels, unsigned count, bool is_term)
+{
     for (unsigned i = 0; i < count; i++) {
         if (!ts_label_valid(labels[i], is_term)) {
             add_problem(check, entry_path(list, item, field, i), "'%s' is not of the form %s",
@@ -86,14 +92,16 @@
     }
 }
 
-static void check_zones(check_t *check) {
+static void check_zones(check_t *check)
+{
     g_hash_table_remove_all(check->names);
     for (unsigned i = 0; i < check->declarations->zones_count; i++) {
         check_name(check, item_path("zones", i, "name"), check->declarations->zones[i].name);
     }
 }
 
-static void check_groups(check_t *check) {
+static void check_groups(check_t *check)
+{
     g_hash_table_remove_all(check->names);
     for (unsigned i = 0; i < check->declarations->groups_count; i++) {
         const ts_group_t *group = &check->declarations->groups[i];
@@ -103,7 +111,8 @@
     }
 }
 
-static void index_shards(ts_declarations_t *declarations) {
+static void index_shards(ts_declarations_t *declarations)
+{
     size_t count = 0;
     for (unsigned i = 0; i < declarations->groups_count; i++) {
         count += declarations->groups[i].shards;
@@ -122,7 +131,8 @@
     }
 }
 
-static void check_backend_shards(check_t *check, unsigned item) {
+static void check_backend_shards(check_t *check, unsigned item)
+{
     const ts_backend_t *backend = &check->declarations->backends[item];
     for (unsigned i = 0; i < backend->shards_count; i++) {
         if (!g_hash_table_contains(check->declarations->shard_by_name, backend->shards[i])) {
@@ -138,7 +148,8 @@
     }
 }
 
-static void check_backend(check_t *check, unsigned i, GHashTable *addresses) {
+static void check_backend(check_t *check, unsigned i, GHashTable *addresses)
+{
     ts_backend_t *backend = &check->declarations->backends[i];
     struct sockaddr_storage parsed;
     check_name(check, item_path("backends", i, "name"), backend->name);
@@ -164,7 +175,8 @@
     check_backend_shards(check, i);
 }
 
-static void check_backends(check_t *check) {
+static void check_backends(check_t *check)
+{
     ts_declarations_t *declarations = check->declarations;
     GHashTable *addresses = g_hash_table_new(g_str_hash, g_str_equal);
     g_hash_table_remove_all(check->names);
@@ -177,7 +189,8 @@
     g_hash_table_destroy(addresses);
 }
 
-static void check_unrepeatable(check_t *check, unsigned i, const ts_selector_t *selector) {
+static void check_unrepeatable(check_t *check, unsigned i, const ts_selector_t *selector)
+{
     if (!selector->unrepeatable) {
         return;
     }
@@ -195,7 +208,8 @@
     }
 }
 
-static void check_selector(check_t *check, unsigned i) {
+static void check_selector(check_t *check, unsigned i)
+{
     ts_selector_t *selector = &check->declarations->selectors[i];
     check_name(check, item_path("selectors", i, "kind"), selector->kind);
     check_labels(check, "selectors", i, "groups", selector->groups, selector->groups_count, true);
@@ -223,7 +237,8 @@
     check_unrepeatable(check, i, selector);
 }
 
-static void apply_defaults(ts_selector_t *selector) {
+static void apply_defaults(ts_selector_t *selector)
+{
     if (selector->slot_share_percent == 0) {
         selector->slot_share_percent = DEFAULT_SLOT_SHARE;
     }
@@ -233,7 +248,8 @@
 }
 
 /* Lists the back ends that hold a shard, for every shard: arrays of indexes. */
-static GArray **list_holders(const ts_declarations_t *declarations) {
+static GArray **list_holders(const ts_declarations_t *declarations)
+{
     GArray **holders = g_new0(GArray *, declarations->shards_count);
     for (unsigned i = 0; i < declarations->shards_count; i++) {
         holders[i] = g_array_new(FALSE, FALSE, sizeof(uint32_t));
@@ -250,7 +266,8 @@
 }
 
 static void collect_replicas(const ts_declarations_t *declarations, const ts_selector_t *selector,
-                             const GArray *holders, GArray *replicas) {
+                             const GArray *holders, GArray *replicas)
+{
     g_assert(holders != NULL);
     for (guint i = 0; i < holders->len; i++) {
         uint32_t index = g_array_index(holders, uint32_t, i);
@@ -263,7 +280,8 @@
 }
 
 /* Works out which shards a selector reaches and which back ends serve each for it. */
-static void plan_selector(check_t *check, unsigned item, GArray **holders) {
+static void plan_selector(check_t *check, unsigned item, GArray **holders)
+{
     const ts_declarations_t *declarations = check->declarations;
     ts_selector_t *selector = &check->declarations->selectors[item];
     GArray *reach = g_array_new(FALSE, FALSE, sizeof(uint32_t));
@@ -294,7 +312,8 @@
     selector->replicas = (uint32_t *)(void *)g_array_free(replicas, FALSE);
 }
 
-static void plan_selectors(check_t *check) {
+static void plan_selectors(check_t *check)
+{
     if (check->declarations->shards_count == 0) {
         return; /* groups have at least one shard, so this does not come to pass */
     }
@@ -309,7 +328,8 @@
     g_free(holders);
 }
 
-static void check_document(ts_declarations_t *declarations, ts_problems_t *problems) {
+static void check_document(ts_declarations_t *declarations, ts_problems_t *problems)
+{
     check_t check = {declarations, problems, g_hash_table_new(g_str_hash, g_str_equal)};
     if (declarations->version == 0) {
         add_problem(&check, "version", "versions begin at 1");
@@ -330,7 +350,8 @@
     g_hash_table_destroy(check.names);
 }
 
-ts_declarations_t *ts_declarations_load(const char *text, size_t length, ts_problems_t *problems) {
+ts_declarations_t *ts_declarations_load(const char *text, size_t length, ts_problems_t *problems)
+{
     void *data = NULL;
     if (length > TS_DECLARATIONS_BYTES_MAX) {
         ts_problems_add(problems, TS_E_TOO_LARGE, 0, "(document)", "%zu bytes are over the limit",
@@ -353,12 +374,14 @@
     return declarations;
 }
 
-ts_declarations_t *ts_declarations_ref(ts_declarations_t *declarations) {
+ts_declarations_t *ts_declarations_ref(ts_declarations_t *declarations)
+{
     declarations->references++;
     return declarations;
 }
 
-static void free_computed(ts_declarations_t *declarations) {
+static void free_computed(ts_declarations_t *declarations)
+{
     for (unsigned i = 0; i < declarations->shards_count; i++) {
         g_free(declarations->shards[i].name);
     }
@@ -373,7 +396,8 @@
     g_free(declarations->text);
 }
 
-void ts_declarations_unref(ts_declarations_t *declarations) {
+void ts_declarations_unref(ts_declarations_t *declarations)
+{
     if (declarations == NULL || --declarations->references > 0) {
         return;
     }
@@ -382,7 +406,8 @@
 }
 
 const ts_selector_t *ts_declarations_selector(const ts_declarations_t *declarations,
-                                              const char *kind) {
+                                              const char *kind)
+{
     for (unsigned i = 0; i < declarations->selectors_count; i++) {
         if (strcmp(declarations->selectors[i].kind, kind) == 0) {
             return &declarations->selectors[i];
@@ -391,11 +416,13 @@
     return NULL;
 }
 
-int ts_declarations_backend_index(const ts_declarations_t *declarations, uint64_t id) {
+int ts_declarations_backend_index(const ts_declarations_t *declarations, uint64_t id)
+{
     return GPOINTER_TO_INT(g_hash_table_lookup(declarations->backend_by_id, &id)) - 1;
 }
 
-int ts_declarations_zone_index(const ts_declarations_t *declarations, const char *name) {
+int ts_declarations_zone_index(const ts_declarations_t *declarations, const char *name)
+{
     for (unsigned i = 0; i < declarations->zones_count; i++) {
         if (strcmp(declarations->zones[i].name, name) == 0) {
             return (int)i;
--- a/src/config/gateway_settings.c
+++ b/src/config/gateway_settings.c
@@ -64,7 +64,8 @@
 static const cyaml_schema_value_t settings_schema = {
     CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, ts_gateway_settings_t, settings_fields)};
 
-static void check_address(ts_problems_t *problems, const char *path, const char *value) {
+static void check_address(ts_problems_t *problems, const char *path, const char *value)
+{
     struct sockaddr_storage parsed;
     if (value != NULL && ts_address_parse(value, &parsed) != TS_OK) {
         ts_problems_add(problems, TS_E_INVALID, 0, path, "'%s' is not an IP number with a port",
@@ -72,7 +73,8 @@
     }
 }
 
-static void check_settings(const ts_gateway_settings_t *settings, ts_problems_t *problems) {
+static void check_settings(const ts_gateway_settings_t *settings, ts_problems_t *problems)
+{
     check_address(problems, "callers", settings->callers);
     check_address(problems, "ready", settings->ready);
     check_address(problems, "metrics", settings->metrics);
@@ -94,14 +96,16 @@
     }
 }
 
-static void set_default(uint32_t *value, uint32_t fallback) {
+static void set_default(uint32_t *value, uint32_t fallback)
+{
     if (*value == 0) {
         *value = fallback;
     }
 }
 
 ts_gateway_settings_t *ts_gateway_settings_load(const char *text, size_t length,
-                                                ts_problems_t *problems) {
+                                                ts_problems_t *problems)
+{
     void *data = NULL;
     if (ts_yaml_load(text, length, &settings_schema, &data, problems) != TS_OK) {
         return NULL;
@@ -118,6 +122,7 @@
     return settings;
 }
 
-void ts_gateway_settings_free(ts_gateway_settings_t *settings) {
+void ts_gateway_settings_free(ts_gateway_settings_t *settings)
+{
     ts_yaml_free(&settings_schema, settings);
 }
--- a/src/config/labels.c
+++ b/src/config/labels.c
@@ -4,7 +4,8 @@
 
 #include "tealspar/declarations.h"
 
-static bool is_word(const char *text, size_t length) {
+static bool is_word(const char *text, size_t length)
+{
     if (length == 0) {
         return false;
     }
@@ -16,7 +17,8 @@
     return true;
 }
 
-bool ts_label_valid(const char *text, bool allow_alternatives) {
+bool ts_label_valid(const char *text, bool allow_alternatives)
+{
     const char *equals = strchr(text, '=');
     if (equals == NULL || !is_word(text, (size_t)(equals - text))) {
         return false;
@@ -37,12 +39,14 @@
     }
 }
 
-bool ts_label_same_key(const char *left, const char *right) {
+bool ts_label_same_key(const char *left, const char *right)
+{
     size_t length = strcspn(left, "=");
     return length == strcspn(right, "=") && strncmp(left, right, length) == 0;
 }
 
-static bool term_matches_value(const char *term, const char *value) {
+static bool term_matches_value(const char *term, const char *value)
+{
     const char *alternative = strchr(term, '=') + 1;
     size_t value_length = strlen(value);
     for (;;) {
@@ -57,7 +61,8 @@
     }
 }
 
-static bool term_matches(const char *term, char **labels, unsigned label_count) {
+static bool term_matches(const char *term, char **labels, unsigned label_count)
+{
     for (unsigned i = 0; i < label_count; i++) {
         if (ts_label_same_key(term, labels[i]) &&
             term_matches_value(term, strchr(labels[i], '=') + 1)) {
@@ -67,7 +72,8 @@
     return false;
 }
 
-bool ts_labels_match(char **terms, unsigned term_count, char **labels, unsigned label_count) {
+bool ts_labels_match(char **terms, unsigned term_count, char **labels, unsigned label_count)
+{
     for (unsigned i = 0; i < term_count; i++) {
         if (!term_matches(terms[i], labels, label_count)) {
             return false;
--- a/src/config/problem.c
+++ b/src/config/problem.c
@@ -8,24 +8,28 @@
 #include <string.h>
 #include <yaml.h>
 
-static void free_problem(gpointer pointer) {
+static void free_problem(gpointer pointer)
+{
     ts_problem_t *problem = pointer;
     g_free(problem->path);
     g_free(problem->reason);
     g_free(problem);
 }
 
-void ts_problems_init(ts_problems_t *problems) {
+void ts_problems_init(ts_problems_t *problems)
+{
     problems->list = g_ptr_array_new_with_free_func(free_problem);
 }
 
-void ts_problems_clear(ts_problems_t *problems) {
+void ts_problems_clear(ts_problems_t *problems)
+{
     g_ptr_array_free(problems->list, TRUE);
     problems->list = NULL;
 }
 
 void ts_problems_add(ts_problems_t *problems, ts_error_t error, unsigned line, const char *path,
-                     const char *format, ...) {
+                     const char *format, ...)
+{
     ts_problem_t *problem = g_new0(ts_problem_t, 1);
     va_list arguments;
     va_start(arguments, format);
@@ -37,11 +41,13 @@
     g_ptr_array_add(problems->list, problem);
 }
 
-unsigned ts_problems_count(const ts_problems_t *problems) {
+unsigned ts_problems_count(const ts_problems_t *problems)
+{
     return problems->list->len;
 }
 
-char *ts_problems_format(const ts_problems_t *problems, const char *file) {
+char *ts_problems_format(const ts_problems_t *problems, const char *file)
+{
     GString *out = g_string_new(NULL);
     for (guint i = 0; i < problems->list->len; i++) {
         const ts_problem_t *problem = g_ptr_array_index(problems->list, i);
@@ -51,14 +57,16 @@
     return g_string_free(out, FALSE);
 }
 
-void ts_problems_print(const ts_problems_t *problems, const char *file) {
+void ts_problems_print(const ts_problems_t *problems, const char *file)
+{
     char *lines = ts_problems_format(problems, file);
     fprintf(stderr, "%s\n", lines);
     g_free(lines);
 }
 
 static yaml_node_t *find_field(yaml_document_t *document, const yaml_node_t *node, const char *name,
-                               size_t length) {
+                               size_t length)
+{
     if (node->type != YAML_MAPPING_NODE) {
         return NULL;
     }
@@ -73,7 +81,8 @@
     return NULL;
 }
 
-static yaml_node_t *find_item(yaml_document_t *document, const yaml_node_t *node, long index) {
+static yaml_node_t *find_item(yaml_document_t *document, const yaml_node_t *node, long index)
+{
     if (node->type != YAML_SEQUENCE_NODE) {
         return NULL;
     }
@@ -85,8 +94,8 @@
 }
 
 /* Takes one step of the path; advances `*path` past it. */
-static yaml_node_t *take_step(yaml_document_t *document, const yaml_node_t *node,
-                              const char **path) {
+static yaml_node_t *take_step(yaml_document_t *document, const yaml_node_t *node, const char **path)
+{
     const char *at = *path;
     if (*at == '[') {
         char *end = NULL;
@@ -102,7 +111,8 @@
     return find_field(document, node, at, length);
 }
 
-static unsigned locate_path(yaml_document_t *document, const char *path) {
+static unsigned locate_path(yaml_document_t *document, const char *path)
+{
     const yaml_node_t *node = yaml_document_get_root_node(document);
     if (node == NULL) {
         return 0;
@@ -118,7 +128,8 @@
     return (unsigned)line + 1;
 }
 
-unsigned ts_yaml_line(const char *text, size_t length, const char *path) {
+unsigned ts_yaml_line(const char *text, size_t length, const char *path)
+{
     yaml_parser_t parser;
     yaml_document_t document;
     unsigned line = 0;
--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -58,7 +58,8 @@
     ts_problems_t *problems;
 } source_t;
 
-static void check_address(const source_t *source, const char *path, const char *value) {
+static void check_address(const source_t *source, const char *path, const char *value)
+{
     struct sockaddr_storage parsed;
     if (ts_address_parse(value, &parsed) != TS_OK) {
         ts_problems_add(source->problems, TS_E_INVALID,
@@ -67,7 +68,8 @@
     }
 }
 
-static void check_settings(const source_t *source, const ts_settings_t *settings) {
+static void check_settings(const source_t *source, const ts_settings_t *settings)
+{
     check_address(source, "callers", settings->callers);
     check_address(source, "operators", settings->operators);
     check_address(source, "peers", settings->peers);
@@ -96,7 +98,8 @@
     }
 }
 
-GLogLevelFlags ts_log_level_flags(ts_log_level_t level) {
+GLogLevelFlags ts_log_level_flags(ts_log_level_t level)
+{
     switch (level) {
     case TS_LEVEL_WARNING:
         return G_LOG_LEVEL_WARNING;
@@ -108,13 +111,15 @@
     return G_LOG_LEVEL_MESSAGE;
 }
 
-static void set_default(uint32_t *value, uint32_t fallback) {
+static void set_default(uint32_t *value, uint32_t fallback)
+{
     if (*value == 0) {
         *value = fallback;
     }
 }
 
-static void apply_defaults(ts_settings_t *settings) {
+static void apply_defaults(ts_settings_t *settings)
+{
     if (settings->policy == NULL) {
         settings->policy = strdup("adaptive"); /* freed by libcyaml, hence from malloc */
     }
@@ -127,7 +132,8 @@
     set_default(&settings->drain_ms, DEFAULT_DRAIN_MS);
 }
 
-ts_settings_t *ts_settings_load(const char *text, size_t length, ts_problems_t *problems) {
+ts_settings_t *ts_settings_load(const char *text, size_t length, ts_problems_t *problems)
+{
     void *data = NULL;
     if (ts_yaml_load(text, length, &settings_schema, &data, problems) != TS_OK) {
         return NULL;
@@ -143,6 +149,7 @@
     return settings;
 }
 
-void ts_settings_free(ts_settings_t *settings) {
+void ts_settings_free(ts_settings_t *settings)
+{
     ts_yaml_free(&settings_schema, settings);
 }
--- a/src/config/traffic.c
+++ b/src/config/traffic.c
@@ -10,11 +10,13 @@
 #define DEFAULT_TIMEOUT_MS 10000
 #define HOST_MAX 256
 
-static void clear_target(gpointer data) {
+static void clear_target(gpointer data)
+{
     g_free(((ts_target_t *)data)->service);
 }
 
-static void free_route(gpointer data) {
+static void free_route(gpointer data)
+{
     ts_traffic_route_t *route = data;
     g_free(route->name);
     g_free(route->host);
@@ -23,14 +25,16 @@
     g_free(route);
 }
 
-static void free_service(gpointer data) {
+static void free_service(gpointer data)
+{
     ts_traffic_service_t *service = data;
     g_free(service->name);
     g_free(service->health_path);
     g_free(service);
 }
 
-ts_traffic_t *ts_traffic_create(uint64_t version) {
+ts_traffic_t *ts_traffic_create(uint64_t version)
+{
     ts_traffic_t *traffic = g_new0(ts_traffic_t, 1);
     traffic->references = 1;
     traffic->version = version;
@@ -43,12 +47,14 @@
     return traffic;
 }
 
-ts_traffic_t *ts_traffic_ref(ts_traffic_t *traffic) {
+ts_traffic_t *ts_traffic_ref(ts_traffic_t *traffic)
+{
     traffic->references++;
     return traffic;
 }
 
-void ts_traffic_unref(ts_traffic_t *traffic) {
+void ts_traffic_unref(ts_traffic_t *traffic)
+{
     if (traffic == NULL || --traffic->references > 0) {
         return;
     }
@@ -58,7 +64,8 @@
     g_free(traffic);
 }
 
-ts_traffic_route_t *ts_traffic_add_route(ts_traffic_t *traffic) {
+ts_traffic_route_t *ts_traffic_add_route(ts_traffic_t *traffic)
+{
     ts_traffic_route_t *route = g_new0(ts_traffic_route_t, 1);
     route->targets = g_array_new(FALSE, TRUE, sizeof(ts_target_t));
     g_array_set_clear_func(route->targets, clear_target);
@@ -68,13 +75,15 @@
     return route;
 }
 
-void ts_traffic_route_add_target(ts_traffic_route_t *route, const char *service, double weight) {
+void ts_traffic_route_add_target(ts_traffic_route_t *route, const char *service, double weight)
+{
     ts_target_t target = {g_strdup(service), weight};
     g_array_append_val(route->targets, target);
 }
 
 void ts_traffic_add_service(ts_traffic_t *traffic, const char *name, const char *health_path,
-                            uint32_t connections_max) {
+                            uint32_t connections_max)
+{
     ts_traffic_service_t *service = g_new0(ts_traffic_service_t, 1);
     service->name = g_strdup(name);
     service->health_path = g_strdup(health_path);
@@ -82,7 +91,8 @@
     g_hash_table_replace(traffic->services, service->name, service);
 }
 
-static bool has_target_twice(const ts_traffic_route_t *route) {
+static bool has_target_twice(const ts_traffic_route_t *route)
+{
     for (guint i = 1; i < route->targets->len; i++) {
         for (guint j = 0; j < i; j++) {
             if (strcmp(g_array_index(route->targets, ts_target_t, i).service,
@@ -94,7 +104,8 @@
     return false;
 }
 
-static const char *find_route_fault(const ts_traffic_route_t *route) {
+static const char *find_route_fault(const ts_traffic_route_t *route)
+{
     if (route->name == NULL || route->host == NULL || *route->host == '\0') {
         return "a route needs a name and a host";
     }
@@ -120,13 +131,15 @@
     return NULL;
 }
 
-static gint compare_prefixes(gconstpointer left, gconstpointer right) {
+static gint compare_prefixes(gconstpointer left, gconstpointer right)
+{
     const ts_traffic_route_t *a = *(ts_traffic_route_t *const *)left;
     const ts_traffic_route_t *b = *(ts_traffic_route_t *const *)right;
     return (a->prefix_length < b->prefix_length) - (a->prefix_length > b->prefix_length);
 }
 
-static void index_route(ts_traffic_t *traffic, ts_traffic_route_t *route) {
+static void index_route(ts_traffic_t *traffic, ts_traffic_route_t *route)
+{
     GPtrArray *routes = g_hash_table_lookup(traffic->by_host, route->host);
     if (routes == NULL) {
         routes = g_ptr_array_new();
@@ -135,7 +148,8 @@
     g_ptr_array_add(routes, route);
 }
 
-ts_error_t ts_traffic_finish(ts_traffic_t *traffic, ts_problems_t *problems) {
+ts_error_t ts_traffic_finish(ts_traffic_t *traffic, ts_problems_t *problems)
+{
     ts_error_t result = TS_OK;
     for (guint i = 0; i < traffic->routes->len; i++) {
         ts_traffic_route_t *route = g_ptr_array_index(traffic->routes, i);
@@ -159,7 +173,8 @@
 }
 
 /* Lower case, without the port; false if it does not fit. */
-static bool normalize_host(const char *host, char *normal) {
+static bool normalize_host(const char *host, char *normal)
+{
     size_t length = strcspn(host, ":");
     if (length >= HOST_MAX) {
         return false;
@@ -172,7 +187,8 @@
 }
 
 const ts_traffic_route_t *ts_traffic_match(const ts_traffic_t *traffic, const char *host,
-                                           const char *target) {
+                                           const char *target)
+{
     char normal[HOST_MAX];
     if (!normalize_host(host, normal)) {
         return NULL;
--- a/src/config/yaml_load.c
+++ b/src/config/yaml_load.c
@@ -12,7 +12,8 @@
     unsigned line;
 } load_report_t;
 
-static void prepend_place(load_report_t *report, const char *text) {
+static void prepend_place(load_report_t *report, const char *text)
+{
     char field[128];
     unsigned index = 0;
     if (sscanf(text, " in mapping field '%127[^']'", field) == 1 ||
@@ -30,7 +31,8 @@
     }
 }
 
-static void take_line(cyaml_log_t level, void *context, const char *format, va_list arguments) {
+static void take_line(cyaml_log_t level, void *context, const char *format, va_list arguments)
+{
     load_report_t *report = context;
     char *text = g_strdup_vprintf(format, arguments);
     g_strchomp(text);
@@ -47,7 +49,8 @@
     g_free(text);
 }
 
-static cyaml_config_t make_config(load_report_t *report) {
+static cyaml_config_t make_config(load_report_t *report)
+{
     cyaml_config_t config = {
         .log_fn = report == NULL ? NULL : take_line,
         .log_ctx = report,
@@ -59,7 +62,8 @@
 }
 
 ts_error_t ts_yaml_load(const char *text, size_t length, const cyaml_schema_value_t *schema,
-                        void **data, ts_problems_t *problems) {
+                        void **data, ts_problems_t *problems)
+{
     load_report_t report = {g_string_new(NULL), g_string_new(NULL), 0};
     cyaml_config_t config = make_config(&report);
     *data = NULL;
@@ -78,7 +82,8 @@
     return error;
 }
 
-void ts_yaml_free(const cyaml_schema_value_t *schema, void *data) {
+void ts_yaml_free(const cyaml_schema_value_t *schema, void *data)
+{
     cyaml_config_t config = make_config(NULL);
     cyaml_free(&config, schema, data, 0);
 }
--- a/src/control/configuration.c
+++ b/src/control/configuration.c
@@ -52,7 +52,8 @@
 } configuration_t;
 
 /* Tells all who work by the declarations; the observer is there in simulations only. */
-static void broadcast(const configuration_t *configuration) {
+static void broadcast(const configuration_t *configuration)
+{
     static const char *const receivers[] = {"front", "broker", "platform", "membership",
                                             "observer"};
     for (size_t i = 0; i < G_N_ELEMENTS(receivers); i++) {
@@ -63,7 +64,8 @@
     }
 }
 
-static void put_in_force(configuration_t *configuration, ts_declarations_t *declarations) {
+static void put_in_force(configuration_t *configuration, ts_declarations_t *declarations)
+{
     ts_declarations_unref(configuration->declarations);
     configuration->declarations = declarations;
     g_clear_pointer(&configuration->refused_reason, g_free);
@@ -80,7 +82,8 @@
  * one version the one with the higher digest wins, everywhere alike.
  */
 static ts_error_t compare_with_accepted(const configuration_t *configuration,
-                                        const ts_declarations_t *declarations) {
+                                        const ts_declarations_t *declarations)
+{
     const ts_declarations_t *accepted = configuration->declarations;
     if (accepted == NULL || declarations->version > accepted->version) {
         return TS_OK;
@@ -98,7 +101,8 @@
 }
 
 static void note_refusal(configuration_t *configuration, uint64_t digest, uint64_t version,
-                         const ts_problems_t *problems) {
+                         const ts_problems_t *problems)
+{
     if (configuration->refused_digest == digest) {
         return;
     }
@@ -110,7 +114,8 @@
     ts_log(TS_EVENT_CONFIG_REFUSED, "%s", configuration->refused_reason);
 }
 
-static bool is_known(const configuration_t *configuration, uint64_t digest) {
+static bool is_known(const configuration_t *configuration, uint64_t digest)
+{
     bool is_accepted =
         configuration->declarations != NULL && configuration->declarations->digest == digest;
     bool is_held = configuration->held != NULL && configuration->held->digest == digest;
@@ -122,8 +127,8 @@
  * newer one; or there was time enough for one to be heard. Peers that have none prove nothing: they
  * may have started together with this node.
  */
-static bool may_accept(const configuration_t *configuration,
-                       const ts_declarations_t *declarations) {
+static bool may_accept(const configuration_t *configuration, const ts_declarations_t *declarations)
+{
     ts_time_us_t span_us = configuration->listened_us;
     bool is_newest = declarations->version >= configuration->highest_heard;
     if (configuration->declarations != NULL) {
@@ -139,7 +144,8 @@
 }
 
 /* Keeps the newest of the documents that may not be accepted yet. */
-static void hold(configuration_t *configuration, ts_declarations_t *declarations) {
+static void hold(configuration_t *configuration, ts_declarations_t *declarations)
+{
     ts_declarations_t *held = configuration->held;
     if (held != NULL && held->version > declarations->version) {
         ts_declarations_unref(declarations);
@@ -149,7 +155,8 @@
     configuration->held = declarations;
 }
 
-static void consider(configuration_t *configuration, ts_declarations_t *declarations) {
+static void consider(configuration_t *configuration, ts_declarations_t *declarations)
+{
     ts_error_t error = compare_with_accepted(configuration, declarations);
     if (error != TS_OK) {
         ts_count(TS_COUNTER_CONFIG_STALE, 1);
@@ -161,14 +168,16 @@
     }
 }
 
-static void take_text(const configuration_t *configuration, const ts_document_message_t *message) {
+static void take_text(const configuration_t *configuration, const ts_document_message_t *message)
+{
     if (!is_known(configuration, ts_hash_bytes(message->text, message->length))) {
         ts_document_loader_submit(configuration->loader, message->text, message->length,
                                   message->version);
     }
 }
 
-static void take_loaded(void *context, const ts_loaded_document_t *document) {
+static void take_loaded(void *context, const ts_loaded_document_t *document)
+{
     configuration_t *configuration = context;
     if (document->declarations == NULL) {
         note_refusal(configuration, document->digest, document->version, document->problems);
@@ -177,7 +186,8 @@
     }
 }
 
-static void give_document(const configuration_t *configuration, const ts_document_message_t *wish) {
+static void give_document(const configuration_t *configuration, const ts_document_message_t *wish)
+{
     if (configuration->declarations == NULL) {
         return;
     }
@@ -189,7 +199,8 @@
     ts_task_send(configuration->mesh, &message->head);
 }
 
-static bool is_wanted(const configuration_t *configuration, uint64_t version, uint64_t digest) {
+static bool is_wanted(const configuration_t *configuration, uint64_t version, uint64_t digest)
+{
     const ts_declarations_t *accepted = configuration->declarations;
     if (accepted == NULL && configuration->held != NULL &&
         configuration->held->version >= version) {
@@ -201,7 +212,8 @@
     return version == accepted->version && digest > accepted->digest;
 }
 
-static void try_held(configuration_t *configuration) {
+static void try_held(configuration_t *configuration)
+{
     ts_declarations_t *held = configuration->held;
     if (held == NULL || !may_accept(configuration, held)) {
         return;
@@ -211,8 +223,8 @@
 }
 
 /* Somebody has said which version it has: ask for it if it is newer. */
-static void take_announcement(configuration_t *configuration,
-                              const ts_document_message_t *message) {
+static void take_announcement(configuration_t *configuration, const ts_document_message_t *message)
+{
     ts_time_us_t now_us = ts_clock_now_us();
     configuration->highest_heard = MAX(configuration->highest_heard, message->version);
     if (!configuration->has_heard) {
@@ -236,14 +248,16 @@
  * The platform answers for the first time. Its list of machines comes with it: before, this node
  * may have known nobody to listen to, so the wait for its peers begins now.
  */
-static void note_platform(configuration_t *configuration) {
+static void note_platform(configuration_t *configuration)
+{
     if (!configuration->has_platform_answered && !configuration->has_heard) {
         configuration->listened_us = 0;
     }
     configuration->has_platform_answered = true;
 }
 
-static void take_document(configuration_t *configuration, const ts_document_message_t *message) {
+static void take_document(configuration_t *configuration, const ts_document_message_t *message)
+{
     if (message->text != NULL && message->peer_name == NULL) {
         note_platform(configuration);
     }
@@ -258,7 +272,8 @@
     }
 }
 
-static void tick(ts_timer_t *timer) {
+static void tick(ts_timer_t *timer)
+{
     configuration_t *configuration = timer->data;
     ts_time_us_t now_us = ts_clock_now_us();
     ts_time_us_t since_us = now_us - configuration->ticked_us;
@@ -267,14 +282,16 @@
     try_held(configuration);
 }
 
-static void handle_message(void *state, ts_message_t *message) {
+static void handle_message(void *state, ts_message_t *message)
+{
     configuration_t *configuration = state;
     if (message->type == TS_MESSAGE_DOCUMENT) {
         take_document(configuration, (ts_document_message_t *)message);
     }
 }
 
-static ts_error_t open_configuration(ts_node_t *node) {
+static ts_error_t open_configuration(ts_node_t *node)
+{
     configuration_t *configuration = g_new0(configuration_t, 1);
     ts_node_set_state(node, "configuration", configuration);
     configuration->node = node;
@@ -285,7 +302,8 @@
     return TS_OK;
 }
 
-static ts_error_t start_configuration(ts_node_t *node) {
+static ts_error_t start_configuration(ts_node_t *node)
+{
     configuration_t *configuration = ts_node_state(node, "configuration");
     configuration->mesh = ts_task_find(node->tasks, "mesh");
     ts_timer_init(&configuration->timer, node->runtime, tick, configuration);
@@ -293,7 +311,8 @@
     return TS_OK;
 }
 
-static void describe_configuration(ts_node_t *node, json_t *status) {
+static void describe_configuration(ts_node_t *node, json_t *status)
+{
     const configuration_t *configuration = ts_node_state(node, "configuration");
     const ts_declarations_t *accepted = configuration->declarations;
     json_t *view = json_object();
@@ -308,7 +327,8 @@
     json_object_set_new(status, "configuration", view);
 }
 
-static void close_configuration(ts_node_t *node) {
+static void close_configuration(ts_node_t *node)
+{
     configuration_t *configuration = ts_node_state(node, "configuration");
     ts_declarations_unref(configuration->declarations);
     ts_declarations_unref(configuration->held);
--- a/src/control/document_loader.c
+++ b/src/control/document_loader.c
@@ -24,7 +24,8 @@
     GQueue *waiting;     /* of load_job_t */
 };
 
-static void free_job(void *context) {
+static void free_job(void *context)
+{
     load_job_t *job = context;
     ts_declarations_unref(job->declarations);
     ts_problems_clear(&job->problems);
@@ -33,7 +34,8 @@
 }
 
 ts_document_loader_t *ts_document_loader_create(ts_runtime_t *runtime, ts_document_loaded_t loaded,
-                                                void *context) {
+                                                void *context)
+{
     ts_document_loader_t *loader = g_new0(ts_document_loader_t, 1);
     loader->runtime = runtime;
     loader->loaded = loaded;
@@ -42,20 +44,23 @@
     return loader;
 }
 
-void ts_document_loader_destroy(ts_document_loader_t *loader) {
+void ts_document_loader_destroy(ts_document_loader_t *loader)
+{
     g_queue_free_full(loader->waiting, free_job);
     g_free(loader);
 }
 
 /* Runs on another thread: touches nothing but the job. */
-static void load(void *context) {
+static void load(void *context)
+{
     load_job_t *job = context;
     job->declarations = ts_declarations_load(job->text, job->length, &job->problems);
 }
 
 static void start_next(ts_document_loader_t *loader);
 
-static void finish(void *context) {
+static void finish(void *context)
+{
     load_job_t *job = context;
     ts_document_loader_t *loader = job->loader;
     ts_loaded_document_t document = {job->digest, job->version, job->declarations, &job->problems};
@@ -66,7 +71,8 @@
     start_next(loader);
 }
 
-static void start_next(ts_document_loader_t *loader) {
+static void start_next(ts_document_loader_t *loader)
+{
     if (loader->current != NULL || g_queue_is_empty(loader->waiting)) {
         return;
     }
@@ -74,7 +80,8 @@
     ts_runtime_work(loader->runtime, load, finish, free_job, loader->current);
 }
 
-static bool is_in_hand(const ts_document_loader_t *loader, uint64_t digest) {
+static bool is_in_hand(const ts_document_loader_t *loader, uint64_t digest)
+{
     if (loader->current != NULL && loader->current->digest == digest) {
         return true;
     }
@@ -87,7 +94,8 @@
 }
 
 void ts_document_loader_submit(ts_document_loader_t *loader, const char *text, size_t length,
-                               uint64_t version) {
+                               uint64_t version)
+{
     uint64_t digest = ts_hash_bytes(text, length);
     if (is_in_hand(loader, digest)) {
         return;
--- a/src/control/membership.c
+++ b/src/control/membership.c
@@ -20,14 +20,16 @@
 #define STALL_BOUND_US (1000ULL * TS_US_PER_MS)
 #define DOUBT_US (3ULL * TS_US_PER_S)
 
-uint64_t ts_member_next_random(ts_membership_t *m) {
+uint64_t ts_member_next_random(ts_membership_t *m)
+{
     m->random ^= m->random >> 12;
     m->random ^= m->random << 25;
     m->random ^= m->random >> 27;
     return m->random * 2685821657736338717ULL;
 }
 
-static void free_member(gpointer pointer) {
+static void free_member(gpointer pointer)
+{
     member_t *member = pointer;
     g_free(member->name);
     g_free(member->address);
@@ -35,35 +37,41 @@
     g_free(member);
 }
 
-static void free_relay(gpointer pointer) {
+static void free_relay(gpointer pointer)
+{
     relay_t *relay = pointer;
     g_free(relay->requester);
     g_free(relay->requester_address);
     g_free(relay);
 }
 
-member_t *ts_member_find_member(const ts_membership_t *m, const char *name) {
+member_t *ts_member_find_member(const ts_membership_t *m, const char *name)
+{
     return g_hash_table_lookup(m->members, name);
 }
 
-unsigned ts_member_sends_for_rumour(const ts_membership_t *m) {
+unsigned ts_member_sends_for_rumour(const ts_membership_t *m)
+{
     double decades = log10((double)g_hash_table_size(m->members) + 1.0);
     return (unsigned)(RUMOUR_SENDS_BASE + RUMOUR_SENDS_PER_DECADE * decades);
 }
 
-static ts_time_us_t suspicion_span(const ts_membership_t *m) {
+static ts_time_us_t suspicion_span(const ts_membership_t *m)
+{
     double decades = log10((double)g_hash_table_size(m->members) + 1.0);
     return SUSPICION_BASE_US + (ts_time_us_t)(SUSPICION_PER_DECADE_US * decades);
 }
 
-static void spread(ts_membership_t *m, member_t *member) {
+static void spread(ts_membership_t *m, member_t *member)
+{
     member->rumour_sends = ts_member_sends_for_rumour(m);
     m->push_due = true;
 }
 
 /* The one place where a member's state changes. */
 void ts_member_set_state(ts_membership_t *m, member_t *member, ts_member_state_t state,
-                         uint64_t incarnation) {
+                         uint64_t incarnation)
+{
     ts_member_state_t old = member->state;
     bool is_return = state == TS_MEMBER_LIVE || state == TS_MEMBER_SUSPECT;
     member->has_left = state == TS_MEMBER_LEAVING || (member->has_left && !is_return);
@@ -83,7 +91,8 @@
 }
 
 member_t *ts_member_add_member(ts_membership_t *m, const char *name, const char *address,
-                               const char *zone) {
+                               const char *zone)
+{
     member_t *member = g_new0(member_t, 1);
     member->name = g_strdup(name);
     member->address = g_strdup(address);
@@ -101,7 +110,8 @@
     return member;
 }
 
-void ts_member_remove_member(ts_membership_t *m, member_t *member) {
+void ts_member_remove_member(ts_membership_t *m, member_t *member)
+{
     g_ptr_array_remove(m->order, member);
     g_hash_table_remove(m->members, member->name);
 }
@@ -109,7 +119,8 @@
 /* ---- joining, healing, pushing ---- */
 
 /* Asks a few members, of this zone first, for all they know. */
-static void ask_to_join(ts_membership_t *m) {
+static void ask_to_join(ts_membership_t *m)
+{
     if (m->has_joined || m->now_us < m->next_join_us) {
         return;
     }
@@ -133,7 +144,8 @@
 }
 
 /* Tries a listed member that is believed dead, so that a healed partition is noticed. */
-static void retry_dead(ts_membership_t *m) {
+static void retry_dead(ts_membership_t *m)
+{
     if (m->now_us < m->next_dead_retry_us) {
         return;
     }
@@ -152,7 +164,8 @@
 }
 
 /* Anybody, or somebody of this zone if a few draws find one: links between zones are dear. */
-static const member_t *choose_push_target(ts_membership_t *m, bool may_be_far) {
+static const member_t *choose_push_target(ts_membership_t *m, bool may_be_far)
+{
     const member_t *member = ts_member_choose_random(m, NULL);
     for (unsigned i = 0; i < PUSH_DRAWS && !may_be_far && member != NULL; i++) {
         if (ts_member_is_same_zone(m, member)) {
@@ -163,7 +176,8 @@
     return member;
 }
 
-static void push_rumours(ts_membership_t *m) {
+static void push_rumours(ts_membership_t *m)
+{
     if (!m->push_due) {
         return;
     }
@@ -176,7 +190,8 @@
     }
 }
 
-void ts_member_notice_stall(ts_membership_t *m, ts_time_us_t now_us) {
+void ts_member_notice_stall(ts_membership_t *m, ts_time_us_t now_us)
+{
     if (m->now_us != 0 && now_us - m->now_us > STALL_BOUND_US) {
         m->doubt_until_us = now_us + DOUBT_US;
         m->is_doubtful = true;
@@ -187,7 +202,8 @@
     m->now_us = now_us;
 }
 
-void ts_membership_tick(ts_membership_t *m, ts_time_us_t now_us) {
+void ts_membership_tick(ts_membership_t *m, ts_time_us_t now_us)
+{
     ts_member_notice_stall(m, now_us);
     ask_to_join(m);
     ts_member_check_probe(m);
@@ -203,14 +219,16 @@
 
 /* ---- the platform's list, the configuration, leaving ---- */
 
-void ts_membership_begin_machines(ts_membership_t *m) {
+void ts_membership_begin_machines(ts_membership_t *m)
+{
     for (guint i = 0; i < m->order->len; i++) {
         ((member_t *)g_ptr_array_index(m->order, i))->list_mark = false;
     }
 }
 
 void ts_membership_add_machine(ts_membership_t *m, const char *name, const char *address,
-                               const char *zone) {
+                               const char *zone)
+{
     member_t *member = ts_member_find_member(m, name);
     if (member == NULL) {
         member = ts_member_add_member(m, name, address, zone);
@@ -221,7 +239,8 @@
     member->list_mark = true;
 }
 
-void ts_membership_end_machines(ts_membership_t *m) {
+void ts_membership_end_machines(ts_membership_t *m)
+{
     m->has_list = true;
     for (guint i = 0; i < m->order->len; i++) {
         member_t *member = g_ptr_array_index(m->order, i);
@@ -230,25 +249,29 @@
     }
 }
 
-void ts_membership_set_config(ts_membership_t *m, uint64_t version, uint64_t digest) {
+void ts_membership_set_config(ts_membership_t *m, uint64_t version, uint64_t digest)
+{
     m->config_version = version;
     m->config_digest = digest;
     m->push_due = true;
 }
 
-void ts_membership_leave(ts_membership_t *m, ts_time_us_t now_us) {
+void ts_membership_leave(ts_membership_t *m, ts_time_us_t now_us)
+{
     m->now_us = now_us;
     m->is_leaving = true;
     ts_member_set_state(m, m->self, TS_MEMBER_LEAVING, m->self->incarnation + 1);
     push_rumours(m);
 }
 
-bool ts_membership_has_joined(const ts_membership_t *m) {
+bool ts_membership_has_joined(const ts_membership_t *m)
+{
     return m->has_joined;
 }
 
 /* A majority of the zone's nodes that are listed or heard and have not left, this one included. */
-static bool has_quorum(const ts_membership_t *m) {
+static bool has_quorum(const ts_membership_t *m)
+{
     unsigned known = 0;
     unsigned heard = 0;
     for (guint i = 0; i < m->order->len; i++) {
@@ -263,13 +286,15 @@
     return heard * 2 > known && !m->is_doubtful && !ts_member_is_cut_off(m);
 }
 
-static int compare_names(const void *left, const void *right) {
+static int compare_names(const void *left, const void *right)
+{
     const member_t *const *left_member = left;
     const member_t *const *right_member = right;
     return strcmp((*left_member)->name, (*right_member)->name);
 }
 
-ts_view_t *ts_membership_view(const ts_membership_t *m) {
+ts_view_t *ts_membership_view(const ts_membership_t *m)
+{
     GPtrArray *sorted = g_ptr_array_sized_new(m->order->len);
     for (guint i = 0; i < m->order->len; i++) {
         member_t *member = g_ptr_array_index(m->order, i);
@@ -290,7 +315,8 @@
     return view;
 }
 
-size_t ts_membership_count(const ts_membership_t *m, ts_member_state_t state) {
+size_t ts_membership_count(const ts_membership_t *m, ts_member_state_t state)
+{
     size_t count = 0;
     for (guint i = 0; i < m->order->len; i++) {
         count += ((member_t *)g_ptr_array_index(m->order, i))->state == state;
@@ -300,7 +326,8 @@
 
 ts_membership_t *ts_membership_create(const ts_membership_config_t *config,
                                       const ts_membership_ops_t *ops, void *context,
-                                      ts_time_us_t now_us) {
+                                      ts_time_us_t now_us)
+{
     ts_membership_t *m = g_new0(ts_membership_t, 1);
     m->ops = *ops;
     m->context = context;
@@ -317,7 +344,8 @@
     return m;
 }
 
-void ts_membership_destroy(ts_membership_t *m) {
+void ts_membership_destroy(ts_membership_t *m)
+{
     ts_member_clear_probe(m);
     g_hash_table_destroy(m->relays);
     g_ptr_array_free(m->order, TRUE);
--- a/src/control/membership_probe.c
+++ b/src/control/membership_probe.c
@@ -18,7 +18,8 @@
 #define DEAD_KEEP_US (120ULL * TS_US_PER_S)
 #define LEAVING_KEEP_US (15ULL * TS_US_PER_S)
 
-bool ts_member_is_heard(const member_t *member) {
+bool ts_member_is_heard(const member_t *member)
+{
     return member->state != TS_MEMBER_DEAD;
 }
 
@@ -27,16 +28,19 @@
  * one by one; this says within seconds, in a zone of any size, that a node no longer hears its
  * zone.
  */
-bool ts_member_is_cut_off(const ts_membership_t *m) {
+bool ts_member_is_cut_off(const ts_membership_t *m)
+{
     return __builtin_popcount(m->probe_history) >= PROBE_FAILURES_CUT_OFF;
 }
 
-bool ts_member_is_same_zone(const ts_membership_t *m, const member_t *member) {
+bool ts_member_is_same_zone(const ts_membership_t *m, const member_t *member)
+{
     return strcmp(member->zone, m->self->zone) == 0;
 }
 
 /* A random member that is not this node, not dead, and not `other`; or NULL. */
-member_t *ts_member_choose_random(ts_membership_t *m, const member_t *other) {
+member_t *ts_member_choose_random(ts_membership_t *m, const member_t *other)
+{
     guint begin = (guint)(ts_member_next_random(m) % m->order->len);
     for (guint i = 0; i < m->order->len; i++) {
         member_t *member = g_ptr_array_index(m->order, (begin + i) % m->order->len);
@@ -48,7 +52,8 @@
 }
 
 /* The next member of the round: this zone's, and now and then one of another zone. */
-static member_t *choose_probe_target(ts_membership_t *m) {
+static member_t *choose_probe_target(ts_membership_t *m)
+{
     bool wants_other_zone = m->rounds++ % OTHER_ZONE_EVERY == OTHER_ZONE_EVERY - 1;
     member_t *fallback = NULL;
     for (guint i = 0; i < m->order->len; i++) {
@@ -66,11 +71,13 @@
 
 /* ---- probing ---- */
 
-void ts_member_clear_probe(ts_membership_t *m) {
+void ts_member_clear_probe(ts_membership_t *m)
+{
     g_clear_pointer(&m->probe.target, g_free);
 }
 
-static void start_probe(ts_membership_t *m, const member_t *target) {
+static void start_probe(ts_membership_t *m, const member_t *target)
+{
     ts_member_clear_probe(m);
     m->probe.target = g_strdup(target->name);
     m->probe.sequence = ++m->sequence;
@@ -79,7 +86,8 @@
     ts_member_send_gossip(m, target->name, target->address, GOSSIP_PING, m->probe.sequence, NULL);
 }
 
-static void send_indirect_probes(ts_membership_t *m, const member_t *target) {
+static void send_indirect_probes(ts_membership_t *m, const member_t *target)
+{
     m->probe.is_indirect_sent = true;
     for (unsigned i = 0; i < INDIRECT_PROBES; i++) {
         const member_t *helper = ts_member_choose_random(m, target);
@@ -91,7 +99,8 @@
 }
 
 /* Remembers how a probe within the zone ended: many failures mean that this node is cut off. */
-void ts_member_note_probe(ts_membership_t *m, const member_t *target, bool has_failed) {
+void ts_member_note_probe(ts_membership_t *m, const member_t *target, bool has_failed)
+{
     if (!ts_member_is_same_zone(m, target)) {
         return;
     }
@@ -100,13 +109,15 @@
     m->is_changed |= was_cut_off != ts_member_is_cut_off(m);
 }
 
-static void suspect(ts_membership_t *m, member_t *member) {
+static void suspect(ts_membership_t *m, member_t *member)
+{
     if (member->state == TS_MEMBER_LIVE && m->now_us >= m->doubt_until_us) {
         ts_member_set_state(m, member, TS_MEMBER_SUSPECT, member->incarnation);
     }
 }
 
-void ts_member_check_probe(ts_membership_t *m) {
+void ts_member_check_probe(ts_membership_t *m)
+{
     if (m->probe.target == NULL) {
         return;
     }
@@ -123,7 +134,8 @@
     }
 }
 
-void ts_member_start_due_probe(ts_membership_t *m) {
+void ts_member_start_due_probe(ts_membership_t *m)
+{
     if (m->now_us < m->next_probe_us || m->probe.target != NULL) {
         return;
     }
@@ -135,7 +147,8 @@
     }
 }
 
-void ts_membership_peer_lost(ts_membership_t *m, const char *name, ts_time_us_t now_us) {
+void ts_membership_peer_lost(ts_membership_t *m, const char *name, ts_time_us_t now_us)
+{
     member_t *member = ts_member_find_member(m, name);
     m->now_us = now_us;
     if (member == NULL || member == m->self || !ts_member_is_heard(member)) {
@@ -153,7 +166,8 @@
 
 /* ---- ageing of states ---- */
 
-static bool is_suspicion_over(const ts_membership_t *m, const member_t *member) {
+static bool is_suspicion_over(const ts_membership_t *m, const member_t *member)
+{
     return member->state == TS_MEMBER_SUSPECT && m->now_us >= m->doubt_until_us &&
            m->now_us - member->since_us >= member->suspicion_us;
 }
@@ -162,7 +176,8 @@
  * Some time before a suspicion ends, a few of the nodes that hold it probe the suspect once more
  * and tell it of the suspicion, so that a lost refutation does not become a death.
  */
-static void reconfirm(ts_membership_t *m, member_t *member) {
+static void reconfirm(ts_membership_t *m, member_t *member)
+{
     bool is_due = member->state == TS_MEMBER_SUSPECT && !member->is_reconfirmed &&
                   m->now_us - member->since_us >= member->suspicion_us / 2;
     if (!is_due) {
@@ -175,17 +190,20 @@
     }
 }
 
-static bool is_leaving_over(const ts_membership_t *m, const member_t *member) {
+static bool is_leaving_over(const ts_membership_t *m, const member_t *member)
+{
     return member != m->self && member->state == TS_MEMBER_LEAVING &&
            m->now_us - member->since_us >= LEAVING_KEEP_US;
 }
 
-static bool is_forgettable(const ts_membership_t *m, const member_t *member) {
+static bool is_forgettable(const ts_membership_t *m, const member_t *member)
+{
     return member->state == TS_MEMBER_DEAD && !member->is_listed &&
            m->now_us - member->since_us >= DEAD_KEEP_US;
 }
 
-void ts_member_age_members(ts_membership_t *m) {
+void ts_member_age_members(ts_membership_t *m)
+{
     for (guint i = m->order->len; i > 0; i--) {
         member_t *member = g_ptr_array_index(m->order, i - 1);
         reconfirm(m, member);
--- a/src/control/membership_receive.c
+++ b/src/control/membership_receive.c
@@ -13,14 +13,16 @@
 #define SYNC_GAP_MOST_US (64ULL * TS_US_PER_S)
 
 /* At one incarnation a later state of this order wins. */
-static bool is_news(const member_t *member, ts_member_state_t state, uint64_t incarnation) {
+static bool is_news(const member_t *member, ts_member_state_t state, uint64_t incarnation)
+{
     if (incarnation != member->incarnation) {
         return incarnation > member->incarnation;
     }
     return state > member->state;
 }
 
-static void refute(ts_membership_t *m, uint64_t incarnation) {
+static void refute(ts_membership_t *m, uint64_t incarnation)
+{
     ts_count(TS_COUNTER_MEMBER_REFUTATIONS, 1);
     m->standing++;
     m->is_changed = true;
@@ -28,14 +30,16 @@
     ts_member_set_state(m, m->self, state, MAX(incarnation, m->self->incarnation) + 1);
 }
 
-void ts_member_replace_text(char **place, const char *text) {
+void ts_member_replace_text(char **place, const char *text)
+{
     if (strcmp(*place, text) != 0) {
         g_free(*place);
         *place = g_strdup(text);
     }
 }
 
-static void take_rumour(ts_membership_t *m, const TsWire__Member *rumour) {
+static void take_rumour(ts_membership_t *m, const TsWire__Member *rumour)
+{
     if (rumour->state > TS_MEMBER_DEAD || rumour->name[0] == '\0' || rumour->incarnation == 0) {
         return;
     }
@@ -63,7 +67,8 @@
 }
 
 static void answer_ping(ts_membership_t *m, const char *name, const char *address,
-                        uint64_t sequence) {
+                        uint64_t sequence)
+{
     member_t *sender = ts_member_find_member(m, name);
     if (sender != NULL && sender->state != TS_MEMBER_LIVE) {
         sender->rumour_sends = MAX(sender->rumour_sends, 1U); /* lets it refute */
@@ -71,7 +76,8 @@
     ts_member_send_gossip(m, name, address, GOSSIP_ACK, sequence, NULL);
 }
 
-static void take_ack(ts_membership_t *m, uint64_t sequence) {
+static void take_ack(ts_membership_t *m, uint64_t sequence)
+{
     relay_t *relay = g_hash_table_lookup(m->relays, &sequence);
     if (relay != NULL) {
         ts_member_send_gossip(m, relay->requester, relay->requester_address, GOSSIP_ACK,
@@ -88,13 +94,15 @@
     }
 }
 
-static gboolean is_relay_old(gpointer key, gpointer value, gpointer data) {
+static gboolean is_relay_old(gpointer key, gpointer value, gpointer data)
+{
     const ts_membership_t *m = data;
     return m->now_us - ((relay_t *)value)->sent_us > TS_MEMBERSHIP_PERIOD_US;
 }
 
 static void take_ping_request(ts_membership_t *m, const char *name, const char *address,
-                              const TsWire__Gossip *gossip) {
+                              const TsWire__Gossip *gossip)
+{
     const member_t *target = ts_member_find_member(m, gossip->target);
     if (target == NULL || target == m->self) {
         return;
@@ -112,7 +120,8 @@
 }
 
 /* Rumours that a peer with the same view knows already are told less often. */
-static void fade_rumours(ts_membership_t *m) {
+static void fade_rumours(ts_membership_t *m)
+{
     for (guint i = 0; i < m->order->len; i++) {
         member_t *member = g_ptr_array_index(m->order, i);
         member->rumour_sends /= 2;
@@ -120,7 +129,8 @@
 }
 
 /* Tells a peer whose view differs what has changed here lately; it may have missed a rumour. */
-static void tell_recent(ts_membership_t *m, const char *name, const char *address) {
+static void tell_recent(ts_membership_t *m, const char *name, const char *address)
+{
     bool has_recent = false;
     if (m->now_us < m->next_repair_us) {
         return;
@@ -142,7 +152,8 @@
  * Whether the exchange of all members is left to a node of this zone: links between zones are dear,
  * and what one node of a zone learns there it tells the others.
  */
-static bool is_sync_spared(ts_membership_t *m, const char *name) {
+static bool is_sync_spared(ts_membership_t *m, const char *name)
+{
     const member_t *member = ts_member_find_member(m, name);
     bool is_other_zone = member != NULL && !ts_member_is_same_zone(m, member);
     return is_other_zone && ts_member_next_random(m) % SYNC_OTHER_ZONE_EVERY != 0;
@@ -150,7 +161,8 @@
 
 /* Views that stay different are put right by an exchange of all members, paced. */
 static void compare_digest(ts_membership_t *m, const char *name, const char *address,
-                           uint64_t digest) {
+                           uint64_t digest)
+{
     if (digest == ts_member_digest_view(m)) {
         fade_rumours(m);
         return;
@@ -165,7 +177,8 @@
 }
 
 static void take_gossip(ts_membership_t *m, const char *name, const char *address,
-                        const TsWire__Gossip *gossip) {
+                        const TsWire__Gossip *gossip)
+{
     switch (gossip->type) {
     case GOSSIP_PING:
         answer_ping(m, name, address, gossip->sequence);
@@ -193,7 +206,8 @@
 }
 
 bool ts_membership_receive(ts_membership_t *m, const char *from_name, const char *from_address,
-                           const uint8_t *bytes, size_t length, ts_time_us_t now_us) {
+                           const uint8_t *bytes, size_t length, ts_time_us_t now_us)
+{
     TsWire__Gossip *gossip = ts_wire__gossip__unpack(NULL, length, bytes);
     if (gossip == NULL) {
         return false;
--- a/src/control/membership_task.c
+++ b/src/control/membership_task.c
@@ -24,13 +24,15 @@
 } membership_task_t;
 
 static void send_gossip(void *context, const char *name, const char *address, const uint8_t *bytes,
-                        size_t length) {
+                        size_t length)
+{
     membership_task_t *task = context;
     ts_task_send(task->mesh, &ts_gossip_message(name, address, bytes, length)->head);
 }
 
 static void heard_config(void *context, const char *name, const char *address, uint64_t version,
-                         uint64_t digest) {
+                         uint64_t digest)
+{
     membership_task_t *task = context;
     ts_document_message_t *message = ts_document_message(name, address);
     message->version = version;
@@ -39,12 +41,14 @@
 }
 
 static void log_member(void *context, const char *name, ts_member_state_t old,
-                       ts_member_state_t state) {
+                       ts_member_state_t state)
+{
     ts_log(TS_EVENT_MEMBER_STATE, "%s: %s to %s", name, ts_member_state_name(old),
            ts_member_state_name(state));
 }
 
-static void note_quorum(membership_task_t *task, const ts_view_t *view) {
+static void note_quorum(membership_task_t *task, const ts_view_t *view)
+{
     if (view->has_quorum != task->had_quorum) {
         task->had_quorum = view->has_quorum;
         ts_log(TS_EVENT_QUORUM, "a majority of the zone is %s",
@@ -52,7 +56,8 @@
     }
 }
 
-static void show_view(void *context) {
+static void show_view(void *context)
+{
     membership_task_t *task = context;
     static const char *const receivers[] = {"mesh", "front", "broker", "platform", "configuration"};
     bool waited = ts_clock_now_us() - task->started_us > ALONE_US;
@@ -72,7 +77,8 @@
                  (int64_t)ts_membership_count(task->membership, TS_MEMBER_SUSPECT));
 }
 
-static void tick(ts_timer_t *timer) {
+static void tick(ts_timer_t *timer)
+{
     membership_task_t *task = timer->data;
     ts_membership_tick(task->membership, ts_clock_now_us());
     if (!task->is_shown) {
@@ -80,7 +86,8 @@
     }
 }
 
-static void take_machines(membership_task_t *task, const ts_machines_message_t *message) {
+static void take_machines(membership_task_t *task, const ts_machines_message_t *message)
+{
     ts_membership_begin_machines(task->membership);
     for (guint i = 0; i < message->machines->len; i++) {
         const ts_machine_t *machine = g_ptr_array_index(message->machines, i);
@@ -89,7 +96,8 @@
     ts_membership_end_machines(task->membership);
 }
 
-static void handle_message(void *state, ts_message_t *message) {
+static void handle_message(void *state, ts_message_t *message)
+{
     membership_task_t *task = state;
     ts_time_us_t now_us = ts_clock_now_us();
     switch (message->type) {
@@ -119,7 +127,8 @@
 }
 
 /* Seeds are asked by address alone; their names come with their answers. */
-static void add_seeds(membership_task_t *task, const ts_settings_t *settings) {
+static void add_seeds(membership_task_t *task, const ts_settings_t *settings)
+{
     for (unsigned i = 0; i < settings->seeds_count; i++) {
         if (strcmp(settings->seeds[i], settings->advertise) != 0) {
             ts_membership_add_machine(task->membership, settings->seeds[i], settings->seeds[i], "");
@@ -127,7 +136,8 @@
     }
 }
 
-static ts_error_t open_membership(ts_node_t *node) {
+static ts_error_t open_membership(ts_node_t *node)
+{
     static const ts_membership_ops_t ops = {send_gossip, heard_config, show_view, log_member};
     ts_membership_config_t config = {
         .name = node->settings->name,
@@ -146,7 +156,8 @@
     return TS_OK;
 }
 
-static ts_error_t start_membership(ts_node_t *node) {
+static ts_error_t start_membership(ts_node_t *node)
+{
     membership_task_t *task = ts_node_state(node, "membership");
     task->mesh = ts_task_find(node->tasks, "mesh");
     task->configuration = ts_task_find(node->tasks, "configuration");
@@ -157,12 +168,14 @@
     return TS_OK;
 }
 
-static void stop_membership(ts_node_t *node) {
+static void stop_membership(ts_node_t *node)
+{
     membership_task_t *task = ts_node_state(node, "membership");
     ts_membership_leave(task->membership, ts_clock_now_us());
 }
 
-static void describe_membership(ts_node_t *node, json_t *status) {
+static void describe_membership(ts_node_t *node, json_t *status)
+{
     const membership_task_t *task = ts_node_state(node, "membership");
     ts_view_t *view = ts_membership_view(task->membership);
     json_t *rows = json_array();
@@ -178,7 +191,8 @@
     ts_view_unref(view);
 }
 
-static void close_membership(ts_node_t *node) {
+static void close_membership(ts_node_t *node)
+{
     membership_task_t *task = ts_node_state(node, "membership");
     ts_membership_destroy(task->membership);
     g_free(task);
--- a/src/control/membership_wire.c
+++ b/src/control/membership_wire.c
@@ -8,7 +8,8 @@
 #define RUMOURS_PER_MESSAGE 8U
 #define SYNC_MEMBERS_PER_MESSAGE 200U
 
-static TsWire__Member describe_member(const member_t *member) {
+static TsWire__Member describe_member(const member_t *member)
+{
     TsWire__Member wire = TS_WIRE__MEMBER__INIT;
     wire.name = member->name;
     wire.address = member->address;
@@ -19,7 +20,8 @@
 }
 
 /* The rumours told least often go first; returns how many were written. */
-static size_t choose_rumours(ts_membership_t *m, TsWire__Member *rows) {
+static size_t choose_rumours(ts_membership_t *m, TsWire__Member *rows)
+{
     member_t *chosen[RUMOURS_PER_MESSAGE];
     size_t count = 0;
     for (guint i = 0; i < m->order->len; i++) {
@@ -47,7 +49,8 @@
 }
 
 /* A digest of who is in the view, kept until a state changes. */
-uint64_t ts_member_digest_view(ts_membership_t *m) {
+uint64_t ts_member_digest_view(ts_membership_t *m)
+{
     if (m->is_digest_known) {
         return m->digest;
     }
@@ -64,7 +67,8 @@
 }
 
 static void send_wire(ts_membership_t *m, const char *name, const char *address,
-                      TsWire__Gossip *gossip) {
+                      TsWire__Gossip *gossip)
+{
     gossip->config_version = m->config_version;
     gossip->config_digest = m->config_digest;
     size_t length = ts_wire__gossip__get_packed_size(gossip);
@@ -75,7 +79,8 @@
 }
 
 void ts_member_send_gossip(ts_membership_t *m, const char *name, const char *address,
-                           gossip_type_t type, uint64_t sequence, const char *target) {
+                           gossip_type_t type, uint64_t sequence, const char *target)
+{
     TsWire__Gossip gossip = TS_WIRE__GOSSIP__INIT;
     TsWire__Member rows[RUMOURS_PER_MESSAGE];
     TsWire__Member *pointers[RUMOURS_PER_MESSAGE];
@@ -96,7 +101,8 @@
 }
 
 /* Sends all members, in messages of bounded size. */
-void ts_member_send_sync(ts_membership_t *m, const char *name, const char *address) {
+void ts_member_send_sync(ts_membership_t *m, const char *name, const char *address)
+{
     for (guint begin = 0; begin < m->order->len; begin += SYNC_MEMBERS_PER_MESSAGE) {
         guint count = MIN(SYNC_MEMBERS_PER_MESSAGE, m->order->len - begin);
         TsWire__Gossip gossip = TS_WIRE__GOSSIP__INIT;
--- a/src/control/mesh.c
+++ b/src/control/mesh.c
@@ -62,12 +62,14 @@
 
 /* ---- receiving, on nng's threads ---- */
 
-static void destroy_network(ts_message_t *message) {
+static void destroy_network(ts_message_t *message)
+{
     nng_msg_free(((network_message_t *)message)->bytes);
     g_free(message);
 }
 
-static void on_received(void *unused) {
+static void on_received(void *unused)
+{
     if (nng_aio_result(mesh.receive) != 0) {
         return; /* the socket is closed */
     }
@@ -79,18 +81,21 @@
     nng_recv_aio(mesh.receiver, mesh.receive);
 }
 
-static void on_pipe_removed(nng_pipe pipe, nng_pipe_ev event, void *peer_id) {
+static void on_pipe_removed(nng_pipe pipe, nng_pipe_ev event, void *peer_id)
+{
     ts_peer_message_t *message = ts_peer_message((uint64_t)(uintptr_t)peer_id, "");
     ts_task_send(mesh.task, &message->head);
 }
 
 /* ---- peers ---- */
 
-static peer_t *find_peer(uint64_t id) {
+static peer_t *find_peer(uint64_t id)
+{
     return g_hash_table_lookup(mesh.peers, &id);
 }
 
-static void close_peer(peer_t *peer) {
+static void close_peer(peer_t *peer)
+{
     if (peer->is_open) {
         peer->is_open = false;
         nng_close(peer->socket);
@@ -98,7 +103,8 @@
     }
 }
 
-static peer_t *learn_peer(const char *name, const char *address) {
+static peer_t *learn_peer(const char *name, const char *address)
+{
     uint64_t id = ts_hash_text(name);
     peer_t *peer = find_peer(id);
     if (peer == NULL) {
@@ -116,7 +122,8 @@
     return peer;
 }
 
-static bool open_peer(peer_t *peer) {
+static bool open_peer(peer_t *peer)
+{
     if (peer->is_open) {
         return true;
     }
@@ -142,7 +149,8 @@
 
 /* ---- sending ---- */
 
-static void drop_pending(peer_t *peer) {
+static void drop_pending(peer_t *peer)
+{
     for (guint i = 0; i < peer->pending->len; i++) {
         ts_message_t *message = g_ptr_array_index(peer->pending, i);
         message->destroy(message);
@@ -150,7 +158,8 @@
     g_ptr_array_set_size(peer->pending, 0);
 }
 
-static nng_msg *pack_pending(const peer_t *peer) {
+static nng_msg *pack_pending(const peer_t *peer)
+{
     ts_wire_frame_t *frame = ts_wire_frame_build(
         &mesh.identity, (ts_message_t *const *)peer->pending->pdata, peer->pending->len);
     nng_msg *bytes = NULL;
@@ -162,7 +171,8 @@
 }
 
 /* Sends what waits for a peer as one frame; false when its buffer is full. */
-static bool flush_peer(peer_t *peer) {
+static bool flush_peer(peer_t *peer)
+{
     if (!open_peer(peer)) {
         drop_pending(peer);
         return true;
@@ -188,7 +198,8 @@
 
 static void retry_flush(uv_timer_t *timer);
 
-static void flush_peers(void *state) {
+static void flush_peers(void *state)
+{
     for (guint i = mesh.dirty->len; i > 0; i--) {
         if (flush_peer(g_ptr_array_index(mesh.dirty, i - 1))) {
             g_ptr_array_remove_index_fast(mesh.dirty, i - 1);
@@ -200,11 +211,13 @@
 }
 
 /* Tries again what a full buffer has held back. */
-static void retry_flush(uv_timer_t *timer) {
+static void retry_flush(uv_timer_t *timer)
+{
     flush_peers(NULL);
 }
 
-static void keep_for(peer_t *peer, ts_message_t *message) {
+static void keep_for(peer_t *peer, ts_message_t *message)
+{
     if (peer == NULL) {
         return; /* a peer nobody knows: the kernel destroys the message */
     }
@@ -216,19 +229,22 @@
     peer->used_us = ts_clock_now_us();
 }
 
-static void send_gossip(ts_gossip_message_t *message) {
+static void send_gossip(ts_gossip_message_t *message)
+{
     ts_count(TS_COUNTER_CONTROL_BYTES_SENT, (int64_t)message->length);
     keep_for(learn_peer(message->peer_name, message->peer_address), &message->head);
 }
 
-static void send_document(ts_document_message_t *message) {
+static void send_document(ts_document_message_t *message)
+{
     ts_count(TS_COUNTER_CONTROL_BYTES_SENT, (int64_t)message->length);
     keep_for(learn_peer(message->peer_name, message->peer_address), &message->head);
 }
 
 /* ---- delivering ---- */
 
-static void deliver(void *context, ts_message_t *message) {
+static void deliver(void *context, ts_message_t *message)
+{
     switch (message->type) {
     case TS_MESSAGE_SUBREQUESTS:
     case TS_MESSAGE_CANCEL:
@@ -251,7 +267,8 @@
     }
 }
 
-static void take_network(const network_message_t *message) {
+static void take_network(const network_message_t *message)
+{
     const uint8_t *bytes = nng_msg_body(message->bytes);
     size_t length = nng_msg_len(message->bytes);
     ts_error_t error = ts_wire_frame_unpack(&mesh.identity, bytes, length, deliver, NULL);
@@ -263,7 +280,8 @@
     }
 }
 
-static void take_peer_lost(uint64_t id) {
+static void take_peer_lost(uint64_t id)
+{
     const peer_t *peer = find_peer(id);
     if (peer == NULL || !peer->is_open) {
         return; /* closed by this node */
@@ -272,7 +290,8 @@
     ts_task_send(mesh.membership, &ts_peer_message(id, peer->name)->head);
 }
 
-static void take_view(const ts_view_t *view) {
+static void take_view(const ts_view_t *view)
+{
     for (size_t i = 0; i < view->count; i++) {
         if (!view->members[i].is_self) {
             learn_peer(view->members[i].name, view->members[i].address);
@@ -280,7 +299,8 @@
     }
 }
 
-static void handle_message(void *state, ts_message_t *message) {
+static void handle_message(void *state, ts_message_t *message)
+{
     switch (message->type) {
     case TS_MESSAGE_NETWORK:
         take_network((const network_message_t *)message);
@@ -313,7 +333,8 @@
 
 /* ---- the task ---- */
 
-static void close_idle_peers(uv_timer_t *timer) {
+static void close_idle_peers(uv_timer_t *timer)
+{
     ts_time_us_t now_us = ts_clock_now_us();
     GHashTableIter iterator;
     gpointer value = NULL;
@@ -330,7 +351,8 @@
  * nng starts its threads at the first call and they inherit the affinity of the caller. On one core
  * they wake each other without crossing cores, which costs several times less a message.
  */
-static void pin_nng_threads(const ts_settings_t *settings) {
+static void pin_nng_threads(const ts_settings_t *settings)
+{
     cpu_set_t all;
     cpu_set_t one;
     pthread_t self = pthread_self();
@@ -350,7 +372,8 @@
     pthread_setaffinity_np(self, sizeof(all), &all);
 }
 
-static ts_error_t listen_for_peers(const ts_settings_t *settings) {
+static ts_error_t listen_for_peers(const ts_settings_t *settings)
+{
     if (nng_pull0_open(&mesh.receiver) != 0) {
         return TS_E_LISTEN;
     }
@@ -362,7 +385,8 @@
     return status == 0 ? TS_OK : TS_E_LISTEN;
 }
 
-static ts_error_t open_mesh(ts_node_t *node) {
+static ts_error_t open_mesh(ts_node_t *node)
+{
     mesh.identity.cluster = node->settings->cluster;
     mesh.identity.name = node->settings->name;
     mesh.identity.address = node->settings->advertise;
@@ -376,7 +400,8 @@
     return listen_for_peers(node->settings);
 }
 
-static ts_error_t start_mesh(ts_node_t *node) {
+static ts_error_t start_mesh(ts_node_t *node)
+{
     mesh.front = ts_task_find(node->tasks, "front");
     mesh.broker = ts_task_find(node->tasks, "broker");
     mesh.membership = ts_task_find(node->tasks, "membership");
@@ -389,7 +414,8 @@
     return TS_OK;
 }
 
-static void describe_mesh(ts_node_t *node, json_t *status) {
+static void describe_mesh(ts_node_t *node, json_t *status)
+{
     json_object_set_new(status, "connections_to_nodes",
                         json_integer(ts_counter_value(TS_COUNTER_MESH_PEERS)));
 }
--- a/src/control/operators.c
+++ b/src/control/operators.c
@@ -12,11 +12,13 @@
 
 static ts_http_server_t *server;
 
-static void reply_text(ts_http_exchange_t *exchange, int status, const char *text) {
+static void reply_text(ts_http_exchange_t *exchange, int status, const char *text)
+{
     ts_http_reply(exchange, status, "text/plain", text, strlen(text), 0);
 }
 
-static void reply_status(ts_node_t *node, ts_http_exchange_t *exchange) {
+static void reply_status(ts_node_t *node, ts_http_exchange_t *exchange)
+{
     json_t *status = ts_node_status(node);
     char *text = json_dumps(status, JSON_INDENT(2));
     ts_http_reply(exchange, 200, "application/json", text, strlen(text), 0);
@@ -24,7 +26,8 @@
     json_decref(status);
 }
 
-static void reply_ready(ts_node_t *node, ts_http_exchange_t *exchange) {
+static void reply_ready(ts_node_t *node, ts_http_exchange_t *exchange)
+{
     json_t *status = ts_node_status(node);
     bool is_ready = json_is_true(json_object_get(status, "ready"));
     json_decref(status);
@@ -35,20 +38,23 @@
     }
 }
 
-static void reply_metrics(ts_http_exchange_t *exchange) {
+static void reply_metrics(ts_http_exchange_t *exchange)
+{
     GString *text = g_string_new(NULL);
     ts_counters_write_prometheus(text);
     ts_http_reply(exchange, 200, "text/plain; version=0.0.4", text->str, text->len, 0);
     g_string_free(text, TRUE);
 }
 
-static bool is_path(const ts_http_request_t *request, const char *path) {
+static bool is_path(const ts_http_request_t *request, const char *path)
+{
     return request->path_length == strlen(path) &&
            memcmp(request->path, path, request->path_length) == 0;
 }
 
 static void handle_request(void *context, ts_http_exchange_t *exchange,
-                           const ts_http_request_t *request) {
+                           const ts_http_request_t *request)
+{
     ts_node_t *node = context;
     if (request->method_length != 3 || memcmp(request->method, "GET", 3) != 0) {
         reply_text(exchange, 405, "only GET\n");
@@ -65,7 +71,8 @@
     }
 }
 
-static ts_error_t start_operators(ts_node_t *node) {
+static ts_error_t start_operators(ts_node_t *node)
+{
     ts_http_limits_t limits = {BODY_BYTES_MAX, REQUEST_TIMEOUT_MS, CONNECTIONS_MAX};
     return ts_http_server_open(&server, node->loop, node->settings->operators, &limits,
                                handle_request, node);
--- a/src/control/platform_http.c
+++ b/src/control/platform_http.c
@@ -25,12 +25,14 @@
     void *context;
 } machines_call_t;
 
-static ts_error_t open_platform(void **handle, const ts_node_t *node) {
+static ts_error_t open_platform(void **handle, const ts_node_t *node)
+{
     return ts_http_pool_open((ts_http_pool_t **)handle, node->loop, node->settings->platform,
                              CONNECTIONS);
 }
 
-static void finish_document(void *context, const ts_http_result_t *result) {
+static void finish_document(void *context, const ts_http_result_t *result)
+{
     document_call_t *call = context;
     if (result->error != TS_OK) {
         call->done(call->context, result->error, NULL, 0);
@@ -44,7 +46,8 @@
     g_free(call);
 }
 
-static void read_document(void *pool, uint64_t have, ts_platform_document_t done, void *context) {
+static void read_document(void *pool, uint64_t have, ts_platform_document_t done, void *context)
+{
     char header[HEADER_SIZE];
     g_snprintf(header, sizeof(header), "if-none-match: \"%" PRIu64 "\"\r\n", have);
     document_call_t *call = g_new0(document_call_t, 1);
@@ -54,7 +57,8 @@
     ts_http_call(pool, &send, finish_document, call);
 }
 
-static bool add_machine(ts_machines_message_t *message, const json_t *row) {
+static bool add_machine(ts_machines_message_t *message, const json_t *row)
+{
     const char *name = json_string_value(json_object_get(row, "name"));
     const char *address = json_string_value(json_object_get(row, "address"));
     const char *zone = json_string_value(json_object_get(row, "zone"));
@@ -66,7 +70,8 @@
     return true;
 }
 
-static ts_machines_message_t *parse_machines(const ts_http_result_t *result) {
+static ts_machines_message_t *parse_machines(const ts_http_result_t *result)
+{
     json_t *root = json_loadb(result->body, result->body_length, 0, NULL);
     const json_t *rows = json_object_get(root, "machines");
     ts_machines_message_t *message = json_is_array(rows) ? ts_machines_message() : NULL;
@@ -80,7 +85,8 @@
     return message;
 }
 
-static void finish_machines(void *context, const ts_http_result_t *result) {
+static void finish_machines(void *context, const ts_http_result_t *result)
+{
     machines_call_t *call = context;
     ts_error_t error = result->error;
     ts_machines_message_t *message = NULL;
@@ -92,7 +98,8 @@
     g_free(call);
 }
 
-static void read_machines(void *pool, ts_platform_machines_t done, void *context) {
+static void read_machines(void *pool, ts_platform_machines_t done, void *context)
+{
     machines_call_t *call = g_new0(machines_call_t, 1);
     call->done = done;
     call->context = context;
--- a/src/control/platform_reader.c
+++ b/src/control/platform_reader.c
@@ -39,7 +39,8 @@
     bool has_machines; /* the list was read at least once */
 } reader_t;
 
-static void note_result(reader_t *reader, ts_error_t error) {
+static void note_result(reader_t *reader, ts_error_t error)
+{
     bool is_lost = error != TS_OK;
     ts_count(TS_COUNTER_PLATFORM_FAILURES, is_lost);
     if (is_lost != reader->is_lost) {
@@ -49,7 +50,8 @@
     }
 }
 
-static void take_document(void *context, ts_error_t error, const char *text, size_t length) {
+static void take_document(void *context, ts_error_t error, const char *text, size_t length)
+{
     reader_t *reader = context;
     reader->is_document_out = false;
     note_result(reader, error);
@@ -63,7 +65,8 @@
     ts_task_send(reader->configuration, &message->head);
 }
 
-static void take_machines(void *context, ts_error_t error, ts_machines_message_t *machines) {
+static void take_machines(void *context, ts_error_t error, ts_machines_message_t *machines)
+{
     reader_t *reader = context;
     reader->is_machines_out = false;
     note_result(reader, error);
@@ -73,7 +76,8 @@
     }
 }
 
-static void poll_platform(ts_timer_t *timer) {
+static void poll_platform(ts_timer_t *timer)
+{
     reader_t *reader = timer->data;
     unsigned every = reader->is_reader ? MACHINES_EVERY : MACHINES_EVERY_OTHERS;
     if (reader->is_reader && !reader->is_document_out) {
@@ -89,7 +93,8 @@
 }
 
 /* Whether this node is among the highest-ranked live nodes of its zone. */
-static bool ranks_as_reader(const ts_view_t *view) {
+static bool ranks_as_reader(const ts_view_t *view)
+{
     const ts_view_member_t *self = NULL;
     for (size_t i = 0; i < view->count; i++) {
         if (view->members[i].is_self) {
@@ -106,7 +111,8 @@
     return higher < READERS_PER_ZONE;
 }
 
-static void handle_message(void *state, ts_message_t *message) {
+static void handle_message(void *state, ts_message_t *message)
+{
     reader_t *reader = state;
     if (message->type == TS_MESSAGE_VIEW) {
         reader->is_reader = ranks_as_reader(((ts_view_message_t *)message)->view);
@@ -115,7 +121,8 @@
     }
 }
 
-static ts_error_t open_reader(ts_node_t *node) {
+static ts_error_t open_reader(ts_node_t *node)
+{
     reader_t *reader = g_new0(reader_t, 1);
     ts_node_set_state(node, "platform", reader);
     reader->is_reader = true;
@@ -124,7 +131,8 @@
     return reader->platform->open(&reader->handle, node);
 }
 
-static ts_error_t start_reader(ts_node_t *node) {
+static ts_error_t start_reader(ts_node_t *node)
+{
     reader_t *reader = ts_node_state(node, "platform");
     reader->configuration = ts_task_find(node->tasks, "configuration");
     reader->membership = ts_task_find(node->tasks, "membership");
@@ -133,14 +141,16 @@
     return TS_OK;
 }
 
-static void describe_reader(ts_node_t *node, json_t *status) {
+static void describe_reader(ts_node_t *node, json_t *status)
+{
     const reader_t *reader = ts_node_state(node, "platform");
     json_object_set_new(
         status, "platform",
         json_pack("{s:b, s:b}", "is_reader", reader->is_reader, "is_lost", reader->is_lost));
 }
 
-static void close_reader(ts_node_t *node) {
+static void close_reader(ts_node_t *node)
+{
     g_free(ts_node_state(node, "platform"));
 }
 
--- a/src/control/store_client.c
+++ b/src/control/store_client.c
@@ -34,14 +34,16 @@
     GString *request;
 };
 
-static void free_link(uv_handle_t *handle) {
+static void free_link(uv_handle_t *handle)
+{
     link_t *link = handle->data;
     ts_http_message_clear(&link->answer);
     g_string_free(link->sending, TRUE);
     g_free(link);
 }
 
-static void drop_link(ts_store_client_t *client) {
+static void drop_link(ts_store_client_t *client)
+{
     link_t *link = client->link;
     if (link != NULL) {
         client->link = NULL;
@@ -51,7 +53,8 @@
 }
 
 /* Ends the call; `body` may belong to the link, which is dropped afterwards if it is spoilt. */
-static void end_call(ts_store_client_t *client, ts_error_t error) {
+static void end_call(ts_store_client_t *client, ts_error_t error)
+{
     link_t *link = client->link;
     if (!client->is_calling) {
         return;
@@ -77,22 +80,26 @@
     g_string_free(body, TRUE);
 }
 
-static void call_timed_out(uv_timer_t *timer) {
+static void call_timed_out(uv_timer_t *timer)
+{
     end_call(timer->data, TS_E_DEADLINE);
 }
 
-static void fail_soon(uv_timer_t *timer) {
+static void fail_soon(uv_timer_t *timer)
+{
     end_call(timer->data, TS_E_CONNECT);
 }
 
-static void write_done(uv_write_t *request, int status) {
+static void write_done(uv_write_t *request, int status)
+{
     link_t *link = request->data;
     if (status < 0 && link->client != NULL) {
         end_call(link->client, TS_E_IO);
     }
 }
 
-static void write_request(link_t *link) {
+static void write_request(link_t *link)
+{
     g_string_assign(link->sending, link->client->request->str);
     uv_buf_t buffer = uv_buf_init(link->sending->str, (unsigned)link->sending->len);
     link->writing.data = link;
@@ -101,12 +108,14 @@
     }
 }
 
-static void allocate(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer) {
+static void allocate(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
     static char bytes[65536]; /* one loop, and each read is used up at once */
     *buffer = uv_buf_init(bytes, sizeof(bytes));
 }
 
-static void read_bytes(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer) {
+static void read_bytes(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
+{
     link_t *link = stream->data;
     ts_store_client_t *client = link->client;
     if (length == 0 || client == NULL) {
@@ -131,7 +140,8 @@
     }
 }
 
-static void connected(uv_connect_t *request, int status) {
+static void connected(uv_connect_t *request, int status)
+{
     link_t *link = request->data;
     if (link->client == NULL) {
         return;
@@ -145,7 +155,8 @@
     write_request(link);
 }
 
-static bool open_link(ts_store_client_t *client) {
+static bool open_link(ts_store_client_t *client)
+{
     struct sockaddr_storage address;
     if (ts_address_parse(client->address, &address) != TS_OK) {
         return false;
@@ -164,7 +175,8 @@
 }
 
 ts_store_client_t *ts_store_client_create(uv_loop_t *loop, const char *address,
-                                          ts_store_done_t done, void *context) {
+                                          ts_store_done_t done, void *context)
+{
     ts_store_client_t *client = g_new0(ts_store_client_t, 1);
     client->loop = loop;
     client->address = g_strdup(address);
@@ -176,7 +188,8 @@
     return client;
 }
 
-void ts_store_client_set_address(ts_store_client_t *client, const char *address) {
+void ts_store_client_set_address(ts_store_client_t *client, const char *address)
+{
     if (strcmp(client->address, address) == 0) {
         return;
     }
@@ -189,7 +202,8 @@
     }
 }
 
-void ts_store_client_get(ts_store_client_t *client, const char *target, uint32_t timeout_ms) {
+void ts_store_client_get(ts_store_client_t *client, const char *target, uint32_t timeout_ms)
+{
     client->is_calling = true;
     ts_count(TS_COUNTER_STORE_CALLS, 1);
     g_string_printf(client->request,
--- a/src/control/store_mirror.c
+++ b/src/control/store_mirror.c
@@ -23,7 +23,8 @@
     bool is_primed;
 };
 
-static void free_kept(gpointer data) {
+static void free_kept(gpointer data)
+{
     kept_t *kept = data;
     g_free(kept->entry.key);
     g_free(kept->entry.id);
@@ -31,7 +32,8 @@
     g_free(kept);
 }
 
-ts_store_mirror_t *ts_store_mirror_create(ts_gateway_t *gateway) {
+ts_store_mirror_t *ts_store_mirror_create(ts_gateway_t *gateway)
+{
     ts_store_mirror_t *mirror = g_new0(ts_store_mirror_t, 1);
     mirror->gateway = gateway;
     mirror->entries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_kept);
@@ -40,7 +42,8 @@
 
 /* -- Applying ---------------------------------------------------------------------------------- */
 
-static void apply_traffic(ts_store_mirror_t *mirror, const ts_store_entry_t *entry) {
+static void apply_traffic(ts_store_mirror_t *mirror, const ts_store_entry_t *entry)
+{
     ts_problems_t problems;
     ts_problems_init(&problems);
     ts_traffic_t *traffic =
@@ -57,7 +60,8 @@
 }
 
 static void apply_instance(ts_store_mirror_t *mirror, const ts_store_entry_t *entry,
-                           ts_time_us_t now_us) {
+                           ts_time_us_t now_us)
+{
     ts_registry_t *registry = mirror->gateway->registry;
     if (entry->is_gone) {
         ts_registry_remove(registry, entry->id, now_us);
@@ -74,7 +78,8 @@
 }
 
 static void apply_entry(ts_store_mirror_t *mirror, const ts_store_entry_t *entry,
-                        ts_time_us_t now_us) {
+                        ts_time_us_t now_us)
+{
     if (entry->kind == TS_STORE_INSTANCE) {
         apply_instance(mirror, entry, now_us);
     } else if (entry->kind == TS_STORE_TRAFFIC && !entry->is_gone) {
@@ -83,7 +88,8 @@
 }
 
 static kept_t *keep_entry(ts_store_mirror_t *mirror, const ts_store_entry_t *entry,
-                          ts_time_us_t now_us) {
+                          ts_time_us_t now_us)
+{
     kept_t *kept = g_new0(kept_t, 1);
     kept->entry = *entry;
     kept->entry.key = g_strdup(entry->key);
@@ -94,7 +100,8 @@
     return kept;
 }
 
-void ts_store_mirror_apply(ts_store_mirror_t *mirror, const GPtrArray *entries) {
+void ts_store_mirror_apply(ts_store_mirror_t *mirror, const GPtrArray *entries)
+{
     ts_time_us_t now_us = ts_clock_now_us();
     for (guint i = 0; i < entries->len; i++) {
         const ts_store_entry_t *entry = g_ptr_array_index(entries, i);
@@ -107,20 +114,23 @@
     }
 }
 
-void ts_store_mirror_reach(ts_store_mirror_t *mirror, uint64_t revision, ts_time_us_t as_of_us) {
+void ts_store_mirror_reach(ts_store_mirror_t *mirror, uint64_t revision, ts_time_us_t as_of_us)
+{
     if (revision >= mirror->revision) {
         mirror->revision = revision;
         ts_store_mirror_confirm(mirror, as_of_us);
     }
 }
 
-void ts_store_mirror_confirm(ts_store_mirror_t *mirror, ts_time_us_t as_of_us) {
+void ts_store_mirror_confirm(ts_store_mirror_t *mirror, ts_time_us_t as_of_us)
+{
     if (as_of_us > mirror->confirmed_us) {
         mirror->confirmed_us = as_of_us;
     }
 }
 
-void ts_store_mirror_keep_only(ts_store_mirror_t *mirror, GHashTable *keys, uint64_t revision) {
+void ts_store_mirror_keep_only(ts_store_mirror_t *mirror, GHashTable *keys, uint64_t revision)
+{
     GHashTableIter iterator;
     gpointer value = NULL;
     ts_time_us_t now_us = ts_clock_now_us();
@@ -144,24 +154,28 @@
 
 /* -- Asking ------------------------------------------------------------------------------------ */
 
-bool ts_store_mirror_is_primed(const ts_store_mirror_t *mirror) {
+bool ts_store_mirror_is_primed(const ts_store_mirror_t *mirror)
+{
     return mirror->is_primed;
 }
 
-bool ts_store_mirror_is_empty(const ts_store_mirror_t *mirror) {
+bool ts_store_mirror_is_empty(const ts_store_mirror_t *mirror)
+{
     return g_hash_table_size(mirror->entries) == 0;
 }
 
-uint64_t ts_store_mirror_revision(const ts_store_mirror_t *mirror) {
+uint64_t ts_store_mirror_revision(const ts_store_mirror_t *mirror)
+{
     return mirror->revision;
 }
 
-ts_time_us_t ts_store_mirror_confirmed_us(const ts_store_mirror_t *mirror) {
+ts_time_us_t ts_store_mirror_confirmed_us(const ts_store_mirror_t *mirror)
+{
     return mirror->confirmed_us;
 }
 
-GPtrArray *ts_store_mirror_changes(const ts_store_mirror_t *mirror, uint64_t after,
-                                   bool *is_whole) {
+GPtrArray *ts_store_mirror_changes(const ts_store_mirror_t *mirror, uint64_t after, bool *is_whole)
+{
     GPtrArray *changes = g_ptr_array_new();
     GHashTableIter iterator;
     gpointer value = NULL;
@@ -176,7 +190,8 @@
     return changes;
 }
 
-void ts_store_mirror_sweep(ts_store_mirror_t *mirror, ts_time_us_t now_us) {
+void ts_store_mirror_sweep(ts_store_mirror_t *mirror, ts_time_us_t now_us)
+{
     GHashTableIter iterator;
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, mirror->entries);
--- a/src/control/store_page.c
+++ b/src/control/store_page.c
@@ -1,7 +1,8 @@
 /** Pages of the configuration service's entries. */
 #include "tealspar/dialect.h"
 
-static void free_entry(gpointer data) {
+static void free_entry(gpointer data)
+{
     ts_store_entry_t *entry = data;
     g_free(entry->key);
     g_free(entry->id);
@@ -9,18 +10,21 @@
     g_free(entry);
 }
 
-ts_store_page_t *ts_store_page_create(void) {
+ts_store_page_t *ts_store_page_create(void)
+{
     ts_store_page_t *page = g_new0(ts_store_page_t, 1);
     page->entries = g_ptr_array_new_with_free_func(free_entry);
     return page;
 }
 
-void ts_store_page_free(ts_store_page_t *page) {
+void ts_store_page_free(ts_store_page_t *page)
+{
     g_ptr_array_unref(page->entries);
     g_free(page);
 }
 
-ts_store_entry_t *ts_store_page_add(ts_store_page_t *page) {
+ts_store_entry_t *ts_store_page_add(ts_store_page_t *page)
+{
     ts_store_entry_t *entry = g_new0(ts_store_entry_t, 1);
     g_ptr_array_add(page->entries, entry);
     return entry;
--- a/src/control/store_watch.c
+++ b/src/control/store_watch.c
@@ -50,25 +50,29 @@
 
 static void call_next(uv_timer_t *timer);
 
-static void pause_for(ts_store_watch_t *watch, uint64_t pause_ms) {
+static void pause_for(ts_store_watch_t *watch, uint64_t pause_ms)
+{
     uv_timer_start(&watch->pause, call_next, pause_ms, 0);
 }
 
-static void begin_list(ts_store_watch_t *watch) {
+static void begin_list(ts_store_watch_t *watch)
+{
     watch->is_listing = true;
     g_clear_pointer(&watch->list_after, g_free);
     g_hash_table_remove_all(watch->listed);
 }
 
 /* Tells the other nodes of the zone that there is something new. */
-static void announce(const ts_store_watch_t *watch) {
+static void announce(const ts_store_watch_t *watch)
+{
     if (watch->gateway->peers != NULL) {
         ts_peers_announce(watch->gateway->peers);
     }
 }
 
 /* The whole list was read: what it does not name has left. */
-static void end_list(ts_store_watch_t *watch) {
+static void end_list(ts_store_watch_t *watch)
+{
     ts_store_mirror_t *mirror = watch->gateway->mirror;
     ts_store_mirror_keep_only(mirror, watch->listed, watch->list_revision);
     ts_store_mirror_reach(mirror, watch->list_revision, watch->called_us);
@@ -78,7 +82,8 @@
 }
 
 /* Takes a page of the list; returns how long to wait before the next call. */
-static uint64_t take_list_page(ts_store_watch_t *watch, const ts_store_page_t *page) {
+static uint64_t take_list_page(ts_store_watch_t *watch, const ts_store_page_t *page)
+{
     if (watch->list_after == NULL) {
         watch->list_revision = page->revision;
     }
@@ -97,7 +102,8 @@
     return 0;
 }
 
-static uint64_t take_changes(ts_store_watch_t *watch, const ts_store_page_t *page) {
+static uint64_t take_changes(ts_store_watch_t *watch, const ts_store_page_t *page)
+{
     ts_store_mirror_apply(watch->gateway->mirror, page->entries);
     ts_store_mirror_reach(watch->gateway->mirror, page->revision, ts_clock_now_us());
     if (page->entries->len == 0) {
@@ -107,7 +113,8 @@
     return BATCH_MS;
 }
 
-static void note_heard(ts_store_watch_t *watch) {
+static void note_heard(ts_store_watch_t *watch)
+{
     watch->backoff_ms = BACKOFF_FIRST_MS;
     if (watch->is_lost) {
         watch->is_lost = false;
@@ -116,7 +123,8 @@
     }
 }
 
-static void note_lost(ts_store_watch_t *watch, const char *reason) {
+static void note_lost(ts_store_watch_t *watch, const char *reason)
+{
     if (!watch->is_lost) {
         watch->is_lost = true;
         ts_log(TS_EVENT_PLATFORM_LOST, "reason=%s revision=%lu", reason,
@@ -124,7 +132,8 @@
     }
 }
 
-static void take_failure(ts_store_watch_t *watch, const char *reason) {
+static void take_failure(ts_store_watch_t *watch, const char *reason)
+{
     ts_count(TS_COUNTER_PLATFORM_FAILURES, 1);
     note_lost(watch, reason);
     if (watch->gateway->peers != NULL) {
@@ -139,7 +148,8 @@
 }
 
 static void call_done(void *context, ts_error_t error, unsigned status, const char *body,
-                      size_t length) {
+                      size_t length)
+{
     ts_store_watch_t *watch = context;
     if (error != TS_OK) {
         take_failure(watch, ts_error_name(error));
@@ -170,13 +180,15 @@
 }
 
 /* Whether this node leaves the service to others at present. */
-static bool may_rest(const ts_store_watch_t *watch) {
+static bool may_rest(const ts_store_watch_t *watch)
+{
     const ts_gateway_t *gateway = watch->gateway;
     return gateway->peers != NULL && ts_store_mirror_is_primed(gateway->mirror) &&
            !ts_peers_should_watch(gateway->peers, ts_clock_now_us());
 }
 
-static void call_next(uv_timer_t *timer) {
+static void call_next(uv_timer_t *timer)
+{
     ts_store_watch_t *watch = timer->data;
     const ts_dialect_t *dialect = watch->gateway->dialect;
     if (may_rest(watch)) {
@@ -197,7 +209,8 @@
 /* -- Probing ----------------------------------------------------------------------------------- */
 
 static void probe_done(void *context, ts_error_t error, unsigned status, const char *body,
-                       size_t length) {
+                       size_t length)
+{
     ts_store_watch_t *watch = context;
     ts_store_mirror_t *mirror = watch->gateway->mirror;
     watch->is_probing = false;
@@ -214,7 +227,8 @@
 }
 
 /* The zone's watcher makes sure, between changes, that the service is still heard. */
-static void probe(uv_timer_t *timer) {
+static void probe(uv_timer_t *timer)
+{
     ts_store_watch_t *watch = timer->data;
     const ts_gateway_t *gateway = watch->gateway;
     bool is_relied_on = gateway->peers != NULL && ts_peers_is_relied_on(gateway->peers);
@@ -228,7 +242,8 @@
     g_free(target);
 }
 
-ts_store_watch_t *ts_store_watch_create(ts_gateway_t *gateway) {
+ts_store_watch_t *ts_store_watch_create(ts_gateway_t *gateway)
+{
     ts_store_watch_t *watch = g_new0(ts_store_watch_t, 1);
     const char *address = gateway->settings->store;
     watch->gateway = gateway;
@@ -244,12 +259,14 @@
     return watch;
 }
 
-void ts_store_watch_start(ts_store_watch_t *watch) {
+void ts_store_watch_start(ts_store_watch_t *watch)
+{
     pause_for(watch, 0);
     uv_timer_start(&watch->probe_timer, probe, PROBE_MS, PROBE_MS);
 }
 
-void ts_store_watch_reload(ts_store_watch_t *watch) {
+void ts_store_watch_reload(ts_store_watch_t *watch)
+{
     ts_store_client_set_address(watch->client, watch->gateway->settings->store);
     ts_store_client_set_address(watch->prober, watch->gateway->settings->store);
 }
--- a/src/control/view.c
+++ b/src/control/view.c
@@ -6,12 +6,14 @@
 
 #include "tealspar/hash.h"
 
-const char *ts_member_state_name(ts_member_state_t state) {
+const char *ts_member_state_name(ts_member_state_t state)
+{
     static const char *const names[] = {"live", "suspect", "leaving", "dead"};
     return names[state];
 }
 
-ts_view_t *ts_view_create(size_t capacity) {
+ts_view_t *ts_view_create(size_t capacity)
+{
     ts_view_t *view = g_new0(ts_view_t, 1);
     view->references = 1;
     view->members = g_new0(ts_view_member_t, capacity);
@@ -19,7 +21,8 @@
 }
 
 void ts_view_add(ts_view_t *view, const char *name, const char *address, const char *zone,
-                 uint64_t incarnation, ts_member_state_t state, bool is_self) {
+                 uint64_t incarnation, ts_member_state_t state, bool is_self)
+{
     ts_view_member_t *member = &view->members[view->count++];
     member->name = g_strdup(name);
     member->address = g_strdup(address);
@@ -30,12 +33,14 @@
     member->is_self = is_self;
 }
 
-ts_view_t *ts_view_ref(ts_view_t *view) {
+ts_view_t *ts_view_ref(ts_view_t *view)
+{
     view->references++;
     return view;
 }
 
-void ts_view_unref(ts_view_t *view) {
+void ts_view_unref(ts_view_t *view)
+{
     if (view == NULL || --view->references > 0) {
         return;
     }
@@ -48,12 +53,14 @@
     g_free(view);
 }
 
-static bool may_own(const ts_view_member_t *member) {
+static bool may_own(const ts_view_member_t *member)
+{
     return member->state == TS_MEMBER_LIVE || member->state == TS_MEMBER_SUSPECT;
 }
 
 /* Highest weight among the members that may own; `zone` NULL means any zone. */
-static const ts_view_member_t *find_highest(const ts_view_t *view, uint64_t key, const char *zone) {
+static const ts_view_member_t *find_highest(const ts_view_t *view, uint64_t key, const char *zone)
+{
     const ts_view_member_t *best = NULL;
     uint64_t best_weight = 0;
     for (size_t i = 0; i < view->count; i++) {
@@ -70,7 +77,8 @@
     return best;
 }
 
-const ts_view_member_t *ts_view_owner(const ts_view_t *view, const ts_backend_t *backend) {
+const ts_view_member_t *ts_view_owner(const ts_view_t *view, const ts_backend_t *backend)
+{
     const ts_view_member_t *owner = find_highest(view, backend->id, backend->zone);
     return owner != NULL ? owner : find_highest(view, backend->id, NULL);
 }
--- a/src/edge/answer.c
+++ b/src/edge/answer.c
@@ -18,20 +18,23 @@
 #define MS_PER_S 1000.0
 
 static void append_retry_after(const ts_gateway_t *gateway, uint32_t retry_after_ms,
-                               GString *fields) {
+                               GString *fields)
+{
     if (retry_after_ms > 0) {
         g_string_append_printf(fields, "%s: %.3f\r\n", gateway->dialect->headers.retry_after,
                                retry_after_ms / MS_PER_S);
     }
 }
 
-static char *describe_error(ts_error_t error) {
+static char *describe_error(ts_error_t error)
+{
     return g_strdup_printf("{\"error\":\"%s\",\"message\":\"%s\"}\n", ts_error_name(error),
                            ts_error_text(error));
 }
 
 void ts_answer_error(ts_gateway_t *gateway, ts_caller_t *caller, unsigned status, ts_error_t error,
-                     uint32_t retry_after_ms) {
+                     uint32_t retry_after_ms)
+{
     GString *fields = g_string_new("Content-Type: application/json\r\n");
     const char *id_name = gateway->dialect->headers.request_id;
     const char *id = ts_http_message_find(ts_caller_message(caller), id_name);
@@ -52,7 +55,8 @@
 
 /* -- Success ----------------------------------------------------------------------------------- */
 
-static void answer_gathered(ts_request_t *request) {
+static void answer_gathered(ts_request_t *request)
+{
     const ts_header_names_t *names = &request->gateway->dialect->headers;
     ts_top_records_t records;
     ts_top_records_init(&records, request->route->top_count);
@@ -79,20 +83,23 @@
     g_string_free(fields, TRUE);
 }
 
-static void answer_forwarded(ts_request_t *request) {
+static void answer_forwarded(ts_request_t *request)
+{
     const ts_request_part_t *part = &request->parts[0];
     ts_caller_answer(request->caller, part->status, part->fields->str, part->body->str,
                      part->body->len);
 }
 
 /* How long ago the configuration service confirmed what this node knows. */
-static unsigned long confirmed_age_ms(const ts_gateway_t *gateway) {
+static unsigned long confirmed_age_ms(const ts_gateway_t *gateway)
+{
     ts_time_us_t confirmed_us = ts_store_mirror_confirmed_us(gateway->mirror);
     return (unsigned long)((ts_clock_now_us() - confirmed_us) / TS_US_PER_MS);
 }
 
 static void log_outcome(const ts_request_t *request, ts_event_t event, unsigned status,
-                        const char *error) {
+                        const char *error)
+{
     if (!ts_log_is_wanted(event)) {
         return;
     }
@@ -106,19 +113,22 @@
            confirmed_age_ms(request->gateway));
 }
 
-static void log_missing(const ts_request_t *request) {
+static void log_missing(const ts_request_t *request)
+{
     for (unsigned i = 0; i < request->parts_count; i++) {
         ts_part_log_missing(&request->parts[i]);
     }
 }
 
-void ts_answer_left(const ts_request_t *request) {
+void ts_answer_left(const ts_request_t *request)
+{
     ts_count(TS_COUNTER_REQUESTS_LEFT, 1);
     ts_route_state_count(request->state, TS_OUTCOME_LEFT, ts_clock_now_us() - request->arrived_us);
     log_outcome(request, TS_EVENT_REQUEST_LEFT, 0, "caller_left");
 }
 
-void ts_answer_success(ts_request_t *request) {
+void ts_answer_success(ts_request_t *request)
+{
     ts_time_us_t span_us = ts_clock_now_us() - request->arrived_us;
     bool is_partial = request->parts_in < request->parts_count;
     ts_count(TS_COUNTER_REQUESTS_OK, 1);
@@ -139,7 +149,8 @@
 
 /* -- Failure ----------------------------------------------------------------------------------- */
 
-static unsigned failure_status(ts_error_t error, bool may_have_run) {
+static unsigned failure_status(ts_error_t error, bool may_have_run)
+{
     if (!may_have_run) {
         return STATUS_UNAVAILABLE;
     }
@@ -147,7 +158,8 @@
 }
 
 /* When a caller may come back: later, and spread out, when there is more work than can be done. */
-static uint32_t retry_after_ms(const ts_request_t *request, ts_error_t error) {
+static uint32_t retry_after_ms(const ts_request_t *request, ts_error_t error)
+{
     if (error != TS_E_OVERLOAD) {
         return RETRY_AFTER_MS;
     }
@@ -157,7 +169,8 @@
            (uint32_t)(refused * OVERLOAD_RETRY_MORE_MS);
 }
 
-void ts_answer_failure(ts_request_t *request, ts_error_t error) {
+void ts_answer_failure(ts_request_t *request, ts_error_t error)
+{
     bool may_have_run = ts_request_may_have_run(request);
     unsigned status = failure_status(error, may_have_run);
     GString *fields = g_string_new("Content-Type: application/json\r\n");
--- a/src/edge/caller.c
+++ b/src/edge/caller.c
@@ -57,7 +57,8 @@
 
 static void read_pending(ts_caller_t *caller);
 
-static void free_caller(uv_handle_t *handle) {
+static void free_caller(uv_handle_t *handle)
+{
     ts_caller_t *caller = handle->data;
     ts_http_message_clear(&caller->message);
     g_string_free(caller->pending, TRUE);
@@ -65,7 +66,8 @@
     g_free(caller);
 }
 
-static void unlink_caller(ts_caller_t *caller) {
+static void unlink_caller(ts_caller_t *caller)
+{
     if (caller->previous != NULL) {
         caller->previous->next = caller->next;
     } else {
@@ -78,7 +80,8 @@
     ts_count(TS_COUNTER_CALLER_CONNECTIONS, -1);
 }
 
-static void close_caller(ts_caller_t *caller) {
+static void close_caller(ts_caller_t *caller)
+{
     if (caller->is_closing) {
         return;
     }
@@ -90,14 +93,16 @@
     uv_close((uv_handle_t *)&caller->socket, free_caller);
 }
 
-static void set_state(ts_caller_t *caller, caller_state_t state) {
+static void set_state(ts_caller_t *caller, caller_state_t state)
+{
     caller->state = state;
     caller->since_us = ts_clock_now_us();
 }
 
 /* -- Writing ----------------------------------------------------------------------------------- */
 
-static void ended(uv_shutdown_t *request, int status) {
+static void ended(uv_shutdown_t *request, int status)
+{
     ts_caller_t *caller = request->data;
     if (status < 0) {
         close_caller(caller);
@@ -105,7 +110,8 @@
 }
 
 /* The answer has left: the next request, or the end of the connection. */
-static void end_answer(ts_caller_t *caller) {
+static void end_answer(ts_caller_t *caller)
+{
     if (caller->is_last) {
         set_state(caller, CALLER_LINGERING);
         caller->ending.data = caller;
@@ -123,7 +129,8 @@
     read_pending(caller);
 }
 
-static void write_done(uv_write_t *request, int status) {
+static void write_done(uv_write_t *request, int status)
+{
     ts_caller_t *caller = request->data;
     if (status < 0) {
         close_caller(caller);
@@ -132,7 +139,8 @@
     end_answer(caller);
 }
 
-static void write_answer(ts_caller_t *caller) {
+static void write_answer(ts_caller_t *caller)
+{
     set_state(caller, CALLER_WRITING);
     uv_buf_t buffer = uv_buf_init(caller->sending->str, (unsigned)caller->sending->len);
     int sent = uv_try_write((uv_stream_t *)&caller->socket, &buffer, 1);
@@ -155,7 +163,8 @@
 }
 
 void ts_caller_answer(ts_caller_t *caller, unsigned status, const char *fields, const char *body,
-                      size_t length) {
+                      size_t length)
+{
     bool is_head = caller->message.parser.method == HTTP_HEAD && caller->message.is_complete;
     caller->is_last =
         caller->is_last || caller->listener->is_leaving || !caller->message.keeps_alive;
@@ -173,7 +182,8 @@
 
 /* -- Reading ----------------------------------------------------------------------------------- */
 
-static unsigned status_of(ts_error_t error) {
+static unsigned status_of(ts_error_t error)
+{
     if (error == TS_E_TOO_LARGE) {
         return STATUS_TOO_LARGE;
     }
@@ -181,7 +191,8 @@
 }
 
 /* Refuses a request that was not read whole, and ends the connection. */
-static void refuse(ts_caller_t *caller, unsigned status) {
+static void refuse(ts_caller_t *caller, unsigned status)
+{
     ts_count(TS_COUNTER_HTTP_BAD_REQUESTS, 1);
     caller->is_last = true;
     g_string_truncate(caller->pending, 0);
@@ -189,13 +200,15 @@
 }
 
 /* One Host field in HTTP/1.1, as two readers must not differ on it. */
-static bool is_sound(const ts_http_message_t *message) {
+static bool is_sound(const ts_http_message_t *message)
+{
     bool is_old = message->parser.http_major == 1 && message->parser.http_minor == 0;
     unsigned hosts = ts_http_message_count(message, "Host");
     return hosts == 1 || (is_old && hosts == 0);
 }
 
-static void say_continue(ts_caller_t *caller) {
+static void say_continue(ts_caller_t *caller)
+{
     static char text[] = "HTTP/1.1 100 Continue\r\n\r\n";
     const char *expect = ts_http_message_find(&caller->message, "Expect");
     if (caller->said_continue || expect == NULL || strcasecmp(expect, "100-continue") != 0) {
@@ -207,7 +220,8 @@
 }
 
 /* Reads bytes into the request; what follows it is kept for later. */
-static void read_request(ts_caller_t *caller, const char *bytes, size_t length) {
+static void read_request(ts_caller_t *caller, const char *bytes, size_t length)
+{
     ts_http_message_t *message = &caller->message;
     if (!message->has_begun) {
         caller->since_us = ts_clock_now_us();
@@ -234,7 +248,8 @@
     caller->listener->ops->request(caller, caller->listener->context);
 }
 
-static void read_pending(ts_caller_t *caller) {
+static void read_pending(ts_caller_t *caller)
+{
     if (caller->pending->len == 0 || caller->is_closing) {
         return;
     }
@@ -244,12 +259,14 @@
     g_string_free(bytes, TRUE);
 }
 
-static void allocate(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer) {
+static void allocate(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
     static char bytes[65536]; /* one loop, and each read is used up at once */
     *buffer = uv_buf_init(bytes, sizeof(bytes));
 }
 
-static void read_bytes(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer) {
+static void read_bytes(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
+{
     ts_caller_t *caller = stream->data;
     if (length == 0 || caller->is_closing) {
         return;
@@ -273,7 +290,8 @@
 
 /* -- Life -------------------------------------------------------------------------------------- */
 
-static void accept_caller(uv_stream_t *server, int status) {
+static void accept_caller(uv_stream_t *server, int status)
+{
     ts_listener_t *listener = server->data;
     if (status < 0) {
         return;
@@ -303,7 +321,8 @@
 }
 
 ts_listener_t *ts_listener_open(uv_loop_t *loop, const char *address, const ts_listener_ops_t *ops,
-                                void *context) {
+                                void *context)
+{
     struct sockaddr_storage parsed;
     if (ts_address_parse(address, &parsed) != TS_OK) {
         return NULL;
@@ -323,7 +342,8 @@
     return listener;
 }
 
-void ts_listener_set_limits(ts_listener_t *listener, const ts_traffic_limits_t *limits) {
+void ts_listener_set_limits(ts_listener_t *listener, const ts_traffic_limits_t *limits)
+{
     listener->limits = *limits;
     for (ts_caller_t *caller = listener->callers; caller != NULL; caller = caller->next) {
         if (caller->state == CALLER_READING && !caller->message.has_begun) {
@@ -333,11 +353,13 @@
     }
 }
 
-void ts_listener_leave(ts_listener_t *listener) {
+void ts_listener_leave(ts_listener_t *listener)
+{
     listener->is_leaving = true;
 }
 
-void ts_listener_close(ts_listener_t *listener) {
+void ts_listener_close(ts_listener_t *listener)
+{
     if (!listener->is_closed) {
         listener->is_closed = true;
         uv_close((uv_handle_t *)&listener->socket, NULL);
@@ -352,7 +374,8 @@
 }
 
 static void sweep_caller(ts_caller_t *caller, const ts_traffic_limits_t *limits,
-                         ts_time_us_t now_us) {
+                         ts_time_us_t now_us)
+{
     ts_time_us_t age_us = now_us - caller->since_us;
     const ts_http_message_t *message = &caller->message;
     switch (caller->state) {
@@ -381,7 +404,8 @@
     }
 }
 
-void ts_listener_sweep(ts_listener_t *listener) {
+void ts_listener_sweep(ts_listener_t *listener)
+{
     ts_time_us_t now_us = ts_clock_now_us();
     ts_caller_t *next = NULL;
     for (ts_caller_t *caller = listener->callers; caller != NULL; caller = next) {
@@ -390,18 +414,22 @@
     }
 }
 
-unsigned ts_listener_connections(const ts_listener_t *listener) {
+unsigned ts_listener_connections(const ts_listener_t *listener)
+{
     return listener->connections;
 }
 
-const ts_http_message_t *ts_caller_message(const ts_caller_t *caller) {
+const ts_http_message_t *ts_caller_message(const ts_caller_t *caller)
+{
     return &caller->message;
 }
 
-void ts_caller_set_request(ts_caller_t *caller, void *request) {
+void ts_caller_set_request(ts_caller_t *caller, void *request)
+{
     caller->request = request;
 }
 
-void *ts_caller_request(const ts_caller_t *caller) {
+void *ts_caller_request(const ts_caller_t *caller)
+{
     return caller->request;
 }
--- a/src/edge/gateway.c
+++ b/src/edge/gateway.c
@@ -23,7 +23,8 @@
 #define NODES_UNSURE 12U
 #define UNSURE_US (5 * TS_US_PER_S)
 
-uint32_t ts_gateway_random(ts_gateway_t *gateway) {
+uint32_t ts_gateway_random(ts_gateway_t *gateway)
+{
     uint32_t value = gateway->random;
     value ^= value << 13;
     value ^= value >> 17;
@@ -32,7 +33,8 @@
     return value;
 }
 
-ts_route_state_t *ts_gateway_route_state(ts_gateway_t *gateway, const ts_traffic_route_t *route) {
+ts_route_state_t *ts_gateway_route_state(ts_gateway_t *gateway, const ts_traffic_route_t *route)
+{
     ts_route_state_t *state = g_hash_table_lookup(gateway->route_states, route->name);
     if (state == NULL) {
         state = ts_route_state_create(route->aim_ms);
@@ -42,7 +44,8 @@
 }
 
 /* Services carry the limits of the configuration in force. */
-static void apply_services(ts_gateway_t *gateway) {
+static void apply_services(ts_gateway_t *gateway)
+{
     GHashTableIter iterator;
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, gateway->traffic->services);
@@ -53,7 +56,8 @@
     }
 }
 
-void ts_gateway_set_traffic(ts_gateway_t *gateway, ts_traffic_t *traffic) {
+void ts_gateway_set_traffic(ts_gateway_t *gateway, ts_traffic_t *traffic)
+{
     if (gateway->traffic != NULL && traffic->version <= gateway->traffic->version) {
         if (traffic->version < gateway->traffic->version) {
             ts_count(TS_COUNTER_CONFIG_STALE, 1);
@@ -74,22 +78,26 @@
 
 /* -- Listeners --------------------------------------------------------------------------------- */
 
-static void begin_request(ts_caller_t *caller, void *context) {
+static void begin_request(ts_caller_t *caller, void *context)
+{
     ts_request_begin(context, caller);
 }
 
-static void abandon_request(ts_caller_t *caller, void *context) {
+static void abandon_request(ts_caller_t *caller, void *context)
+{
     ts_request_abandon(context, caller);
 }
 
 static const ts_listener_ops_t caller_ops = {begin_request, abandon_request};
 
-static bool is_ready(const ts_gateway_t *gateway) {
+static bool is_ready(const ts_gateway_t *gateway)
+{
     return !gateway->is_stopping && gateway->traffic != NULL &&
            ts_store_mirror_is_primed(gateway->mirror);
 }
 
-static void answer_ready(ts_caller_t *caller, void *context) {
+static void answer_ready(ts_caller_t *caller, void *context)
+{
     const ts_gateway_t *gateway = context;
     const char *target = ts_caller_message(caller)->target->str;
     unsigned status = STATUS_NOT_FOUND;
@@ -99,7 +107,8 @@
     ts_caller_answer(caller, status, NULL, NULL, 0);
 }
 
-static void answer_metrics(ts_caller_t *caller, void *context) {
+static void answer_metrics(ts_caller_t *caller, void *context)
+{
     GString *text = g_string_new(NULL);
     ts_gateway_write_metrics(context, text);
     ts_caller_answer(caller, STATUS_OK, "Content-Type: text/plain; version=0.0.4\r\n", text->str,
@@ -107,13 +116,15 @@
     g_string_free(text, TRUE);
 }
 
-static void ignore_leaving(ts_caller_t *caller, void *context) {
+static void ignore_leaving(ts_caller_t *caller, void *context)
+{
 }
 
 static const ts_listener_ops_t ready_ops = {answer_ready, ignore_leaving};
 static const ts_listener_ops_t metrics_ops = {answer_metrics, ignore_leaving};
 
-static ts_error_t open_listeners(ts_gateway_t *gateway) {
+static ts_error_t open_listeners(ts_gateway_t *gateway)
+{
     const ts_gateway_settings_t *settings = gateway->settings;
     gateway->callers = ts_listener_open(gateway->loop, settings->callers, &caller_ops, gateway);
     gateway->ready = ts_listener_open(gateway->loop, settings->ready, &ready_ops, gateway);
@@ -128,7 +139,8 @@
 
 /* -- Life -------------------------------------------------------------------------------------- */
 
-void ts_gateway_set_nodes(ts_gateway_t *gateway, unsigned nodes) {
+void ts_gateway_set_nodes(ts_gateway_t *gateway, unsigned nodes)
+{
     /* Nodes that are down come back with full rights: the most that were seen counts. */
     gateway->nodes_seen = MAX(MAX(gateway->nodes_seen, nodes), NODES_LEAST);
     bool is_young = ts_clock_now_us() - gateway->opened_us < UNSURE_US;
@@ -136,7 +148,8 @@
     gateway->rule.slack_share = gateway->settings->retry_slack / (SLACK_DIVISOR * gateway->nodes);
 }
 
-static void apply_settings(ts_gateway_t *gateway) {
+static void apply_settings(ts_gateway_t *gateway)
+{
     const ts_gateway_settings_t *settings = gateway->settings;
     gateway->rule.ratio = settings->retry_ratio;
     gateway->rule.window_us = settings->retry_window_ms * TS_US_PER_MS;
@@ -147,20 +160,22 @@
     }
 }
 
-void ts_gateway_set_settings(ts_gateway_t *gateway, ts_gateway_settings_t *settings) {
+void ts_gateway_set_settings(ts_gateway_t *gateway, ts_gateway_settings_t *settings)
+{
     ts_gateway_settings_free(gateway->settings);
     gateway->settings = settings;
     apply_settings(gateway);
     ts_store_watch_reload(gateway->store);
 }
 
-static void tell_suspicion(void *context, const ts_instance_t *instance, bool suspected) {
+static void tell_suspicion(void *context, const ts_instance_t *instance, bool suspected)
+{
     const ts_gateway_t *gateway = context;
     ts_peers_tell_suspicion(gateway->peers, instance->id, suspected);
 }
 
-ts_error_t ts_gateway_open(ts_gateway_t *gateway, uv_loop_t *loop,
-                           ts_gateway_settings_t *settings) {
+ts_error_t ts_gateway_open(ts_gateway_t *gateway, uv_loop_t *loop, ts_gateway_settings_t *settings)
+{
     gateway->loop = loop;
     gateway->settings = settings;
     gateway->opened_us = ts_clock_now_us();
@@ -186,7 +201,8 @@
     return error;
 }
 
-void ts_gateway_leave(ts_gateway_t *gateway) {
+void ts_gateway_leave(ts_gateway_t *gateway)
+{
     gateway->is_stopping = true;
     if (gateway->peers != NULL) {
         ts_peers_leave(gateway->peers);
@@ -194,7 +210,8 @@
     ts_listener_leave(gateway->callers);
 }
 
-static void sweep_service(gpointer name, gpointer value, gpointer context) {
+static void sweep_service(gpointer name, gpointer value, gpointer context)
+{
     const ts_service_t *service = value;
     ts_gateway_t *gateway = context;
     ts_time_us_t now_us = ts_clock_now_us();
@@ -203,7 +220,8 @@
     }
 }
 
-void ts_gateway_sweep(ts_gateway_t *gateway) {
+void ts_gateway_sweep(ts_gateway_t *gateway)
+{
     ts_listener_sweep(gateway->callers);
     ts_listener_sweep(gateway->ready);
     if (gateway->metrics != NULL) {
--- a/src/edge/gateway_metrics.c
+++ b/src/edge/gateway_metrics.c
@@ -10,7 +10,8 @@
 static const ts_time_us_t edges_us[] = {1000,   2500,   5000,   10000,  25000,   50000,   75000,
                                         100000, 150000, 250000, 500000, 1000000, 2500000, 10000000};
 
-static uint64_t count_up_to(const ts_histogram_t *histogram, ts_time_us_t edge_us) {
+static uint64_t count_up_to(const ts_histogram_t *histogram, ts_time_us_t edge_us)
+{
     uint64_t count = 0;
     for (uint32_t i = 0; i < TS_HISTOGRAM_BUCKETS && ts_histogram_upper_us(i) <= edge_us; i++) {
         count += histogram->buckets[i];
@@ -19,7 +20,8 @@
 }
 
 static void write_latency(GString *out, const char *route, const char *outcome,
-                          const ts_histogram_t *histogram) {
+                          const ts_histogram_t *histogram)
+{
     static const char name[] = "tealspar_request_latency_seconds";
     for (size_t i = 0; i < G_N_ELEMENTS(edges_us); i++) {
         g_string_append_printf(out, "%s_bucket{route=\"%s\",outcome=\"%s\",le=\"%g\"} %lu\n", name,
@@ -34,7 +36,8 @@
                            (unsigned long)histogram->total);
 }
 
-static void write_routes(const ts_gateway_t *gateway, GString *out) {
+static void write_routes(const ts_gateway_t *gateway, GString *out)
+{
     GHashTableIter iterator;
     gpointer name = NULL;
     gpointer value = NULL;
@@ -54,7 +57,8 @@
     }
 }
 
-void ts_gateway_write_metrics(const ts_gateway_t *gateway, GString *out) {
+void ts_gateway_write_metrics(const ts_gateway_t *gateway, GString *out)
+{
     ts_time_us_t confirmed_us = ts_store_mirror_confirmed_us(gateway->mirror);
     ts_gauge_set(TS_COUNTER_CONFIG_CONFIRMED_AGE,
                  (int64_t)((ts_clock_now_us() - confirmed_us) / TS_US_PER_MS));
--- a/src/edge/gateway_process.c
+++ b/src/edge/gateway_process.c
@@ -32,7 +32,8 @@
 
 static process_t process;
 
-static bool settings_file_changed(void) {
+static bool settings_file_changed(void)
+{
     struct stat status;
     if (stat(process.path, &status) != 0) {
         return false;
@@ -44,7 +45,8 @@
 }
 
 /* Reads the settings again; a file that does not pass changes nothing. */
-static void reload(const char *reason) {
+static void reload(const char *reason)
+{
     ts_gateway_t *gateway = &process.gateway;
     char *text = NULL;
     size_t length = 0;
@@ -64,25 +66,29 @@
     g_free(text);
 }
 
-static void hang_up(uv_signal_t *handle, int number) {
+static void hang_up(uv_signal_t *handle, int number)
+{
     (void)settings_file_changed();
     reload("signal");
 }
 
 /* -- Time -------------------------------------------------------------------------------------- */
 
-static void flush_log(uv_prepare_t *prepare) {
+static void flush_log(uv_prepare_t *prepare)
+{
     ts_log_flush();
 }
 
-static void tick(uv_timer_t *timer) {
+static void tick(uv_timer_t *timer)
+{
     ts_gateway_sweep(&process.gateway);
     if (settings_file_changed()) {
         reload("file");
     }
 }
 
-static void check_stop(uv_timer_t *timer) {
+static void check_stop(uv_timer_t *timer)
+{
     ts_gateway_t *gateway = &process.gateway;
     ts_time_us_t age_us = ts_clock_now_us() - process.stop_began_us;
     ts_time_us_t grace_us = gateway->settings->grace_ms * TS_US_PER_MS;
@@ -98,7 +104,8 @@
     }
 }
 
-static void begin_stop(uv_signal_t *handle, int number) {
+static void begin_stop(uv_signal_t *handle, int number)
+{
     if (process.gateway.is_stopping) {
         return;
     }
@@ -110,7 +117,8 @@
 
 /* -- Start ------------------------------------------------------------------------------------- */
 
-static void raise_open_files(void) {
+static void raise_open_files(void)
+{
     struct rlimit limit;
     if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
         limit.rlim_cur = limit.rlim_max;
@@ -118,7 +126,8 @@
     }
 }
 
-static void watch_signals(void) {
+static void watch_signals(void)
+{
     signal(SIGPIPE, SIG_IGN);
     uv_signal_init(&process.loop, &process.terminate);
     uv_signal_init(&process.loop, &process.interrupt);
@@ -128,7 +137,8 @@
     uv_signal_start(&process.hang_up, hang_up, SIGHUP);
 }
 
-ts_error_t ts_gateway_run(const char *path, ts_gateway_settings_t *settings) {
+ts_error_t ts_gateway_run(const char *path, ts_gateway_settings_t *settings)
+{
     process.path = path;
     raise_open_files();
     uv_loop_init(&process.loop);
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -30,7 +30,8 @@
 #define DEADLINE_MAX_MS (3600ULL * 1000ULL)
 #define COVERAGE_ROUNDING 1e-9
 
-unsigned ts_request_parts_needed(const ts_request_t *request) {
+unsigned ts_request_parts_needed(const ts_request_t *request)
+{
     if (request->route->kind != TS_TARGET_GATHER) {
         return 1;
     }
@@ -38,7 +39,8 @@
     return needed < 1 ? 1 : (unsigned)needed;
 }
 
-bool ts_request_may_have_run(const ts_request_t *request) {
+bool ts_request_may_have_run(const ts_request_t *request)
+{
     for (unsigned i = 0; i < request->parts_count; i++) {
         const ts_request_part_t *part = &request->parts[i];
         if (part->may_have_run || part->state == TS_PART_IN) {
@@ -57,7 +59,8 @@
 
 /* The fields that go on to a back end, without those that this node sets itself. */
 static void copy_fields(const ts_http_message_t *message, const ts_header_names_t *names,
-                        GString *out) {
+                        GString *out)
+{
     for (guint i = 0; i < message->fields->len; i++) {
         const ts_http_field_t *field = &g_array_index(message->fields, ts_http_field_t, i);
         const char *name = ts_http_message_text(message, field->name);
@@ -74,7 +77,8 @@
 }
 
 static ts_outgoing_t *compose_outgoing(const ts_gateway_t *gateway,
-                                       const ts_http_message_t *message) {
+                                       const ts_http_message_t *message)
+{
     const ts_header_names_t *names = &gateway->dialect->headers;
     ts_outgoing_t *outgoing = g_new0(ts_outgoing_t, 1);
     outgoing->references = 1;
@@ -95,13 +99,15 @@
 
 /* Time the caller gives, in milliseconds; the route's timeout when it gives none. */
 static uint64_t read_patience_ms(const ts_gateway_t *gateway, const ts_http_message_t *message,
-                                 const ts_traffic_route_t *route) {
+                                 const ts_traffic_route_t *route)
+{
     const char *text = ts_http_message_find(message, gateway->dialect->headers.deadline_ms);
     uint64_t given_ms = text == NULL ? DEADLINE_MAX_MS : strtoull(text, NULL, 10);
     return given_ms < route->timeout_ms ? given_ms : route->timeout_ms;
 }
 
-static void set_times(ts_request_t *request, uint64_t patience_ms) {
+static void set_times(ts_request_t *request, uint64_t patience_ms)
+{
     const ts_traffic_route_t *route = request->route;
     ts_time_us_t patience_us = patience_ms * TS_US_PER_MS;
     ts_time_us_t margin_us =
@@ -120,7 +126,8 @@
         request->arrived_us + (request->stop_us - request->arrived_us) / ADMISSION_DIVISOR;
 }
 
-static void set_part(ts_request_t *request, unsigned index, const char *service) {
+static void set_part(ts_request_t *request, unsigned index, const char *service)
+{
     ts_request_part_t *part = &request->parts[index];
     part->request = request;
     part->service = ts_registry_service(request->gateway->registry, service);
@@ -132,7 +139,8 @@
 static void set_timer(ts_request_t *request, ts_time_us_t now_us);
 
 static ts_request_t *create_request(ts_gateway_t *gateway, ts_caller_t *caller,
-                                    const ts_traffic_route_t *route) {
+                                    const ts_traffic_route_t *route)
+{
     bool is_gather = route->kind == TS_TARGET_GATHER;
     unsigned parts = is_gather ? route->targets->len : 1;
     ts_request_t *request = g_malloc0(sizeof(*request) + parts * sizeof(ts_request_part_t));
@@ -158,7 +166,8 @@
 
 /* -- Ending ------------------------------------------------------------------------------------ */
 
-static void free_request(uv_handle_t *handle) {
+static void free_request(uv_handle_t *handle)
+{
     ts_request_t *request = handle->data;
     for (unsigned i = 0; i < request->parts_count; i++) {
         ts_part_clear(&request->parts[i]);
@@ -169,7 +178,8 @@
 }
 
 /* Nothing is waited for any more; what is still out may finish for a moment. */
-static void end_request(ts_request_t *request) {
+static void end_request(ts_request_t *request)
+{
     ts_time_us_t until_us = ts_clock_now_us() + LEFT_BEHIND_US;
     for (unsigned i = 0; i < request->parts_count; i++) {
         ts_part_release(&request->parts[i], until_us);
@@ -179,12 +189,14 @@
     uv_close((uv_handle_t *)&request->timer, free_request);
 }
 
-static void succeed(ts_request_t *request) {
+static void succeed(ts_request_t *request)
+{
     ts_answer_success(request);
     end_request(request);
 }
 
-static void fail(ts_request_t *request, ts_error_t error) {
+static void fail(ts_request_t *request, ts_error_t error)
+{
     ts_answer_failure(request, error);
     end_request(request);
 }
@@ -192,7 +204,8 @@
 /* -- Admission --------------------------------------------------------------------------------- */
 
 /* Whether enough parts could be sent at once for the request to succeed. */
-static bool can_begin(const ts_request_t *request, ts_time_us_t now_us) {
+static bool can_begin(const ts_request_t *request, ts_time_us_t now_us)
+{
     unsigned may_miss = request->parts_count - ts_request_parts_needed(request);
     unsigned blocked = 0;
     for (unsigned i = 0; i < request->parts_count && blocked <= may_miss; i++) {
@@ -201,18 +214,21 @@
     return blocked <= may_miss;
 }
 
-static unsigned priority_of(const ts_request_t *request) {
+static unsigned priority_of(const ts_request_t *request)
+{
     return MIN(request->route->priority, TS_PRIORITIES - 1);
 }
 
 /* The services of a gather are shared by its routes: the first one keeps the account. */
-static void note_admission(const ts_request_t *request, bool was_refused) {
+static void note_admission(const ts_request_t *request, bool was_refused)
+{
     double *share = &request->parts[0].service->refused[priority_of(request)];
     *share += REFUSED_STEP * ((was_refused ? 1.0 : 0.0) - *share);
 }
 
 /* Whether more urgent requests for the same service are refused more often than such as this. */
-static bool is_behind_urgent(const ts_request_t *request) {
+static bool is_behind_urgent(const ts_request_t *request)
+{
     const double *refused = request->parts[0].service->refused;
     unsigned own = priority_of(request);
     for (unsigned priority = 0; priority < own; priority++) {
@@ -224,7 +240,8 @@
 }
 
 /* Begins the request if it can be begun, or refuses it when its time to begin is over. */
-static bool try_admit(ts_request_t *request, ts_time_us_t now_us) {
+static bool try_admit(ts_request_t *request, ts_time_us_t now_us)
+{
     if (!is_behind_urgent(request) && can_begin(request, now_us)) {
         request->is_admitted = true;
         note_admission(request, false);
@@ -245,7 +262,8 @@
 /* -- Deciding ---------------------------------------------------------------------------------- */
 
 /* Why a request without a success failed, by what its parts met. */
-static ts_error_t find_failure(const ts_request_t *request) {
+static ts_error_t find_failure(const ts_request_t *request)
+{
     for (unsigned i = 0; i < request->parts_count; i++) {
         if (request->parts[i].state == TS_PART_LOST && request->parts[i].was_refused) {
             return TS_E_OVERLOAD;
@@ -255,7 +273,8 @@
 }
 
 /* Decides the request if it can be decided now; returns whether it did. */
-static bool decide(ts_request_t *request, ts_time_us_t now_us) {
+static bool decide(ts_request_t *request, ts_time_us_t now_us)
+{
     unsigned needed = ts_request_parts_needed(request);
     unsigned open = request->parts_count - request->parts_in - request->parts_lost;
     bool is_enough = request->parts_in >= needed;
@@ -274,7 +293,8 @@
     return false;
 }
 
-static void set_timer(ts_request_t *request, ts_time_us_t now_us) {
+static void set_timer(ts_request_t *request, ts_time_us_t now_us)
+{
     ts_time_us_t due_us = request->deadline_us;
     if (request->parts_count > 1 && request->stop_us > now_us && request->stop_us < due_us) {
         due_us = request->stop_us;
@@ -289,7 +309,8 @@
     uv_timer_start(&request->timer, check_parts, wait_ms, 0);
 }
 
-static void check_parts(uv_timer_t *timer) {
+static void check_parts(uv_timer_t *timer)
+{
     ts_request_t *request = timer->data;
     ts_time_us_t now_us = ts_clock_now_us();
     if (!request->is_admitted) {
@@ -306,7 +327,8 @@
     }
 }
 
-void ts_request_progress(ts_request_t *request) {
+void ts_request_progress(ts_request_t *request)
+{
     if (request->caller == NULL) {
         return;
     }
@@ -319,12 +341,14 @@
 /* -- Entry ------------------------------------------------------------------------------------- */
 
 static const ts_traffic_route_t *find_route(const ts_gateway_t *gateway,
-                                            const ts_http_message_t *message) {
+                                            const ts_http_message_t *message)
+{
     const char *host = ts_http_message_find(message, "Host");
     return host == NULL ? NULL : ts_traffic_match(gateway->traffic, host, message->target->str);
 }
 
-void ts_request_begin(ts_gateway_t *gateway, ts_caller_t *caller) {
+void ts_request_begin(ts_gateway_t *gateway, ts_caller_t *caller)
+{
     const ts_http_message_t *message = ts_caller_message(caller);
     if (gateway->traffic == NULL) {
         ts_answer_error(gateway, caller, STATUS_UNAVAILABLE, TS_E_NOT_READY, NOT_READY_RETRY_MS);
@@ -347,7 +371,8 @@
     }
 }
 
-void ts_request_abandon(ts_gateway_t *gateway, ts_caller_t *caller) {
+void ts_request_abandon(ts_gateway_t *gateway, ts_caller_t *caller)
+{
     ts_request_t *request = ts_caller_request(caller);
     if (request != NULL) {
         ts_answer_left(request);
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -27,7 +27,8 @@
 static void part_done(ts_exchange_t *exchange, const ts_exchange_result_t *result, void *owner);
 
 /* This node's share of the connections that one instance takes. */
-static uint32_t connections_max(const ts_request_part_t *part) {
+static uint32_t connections_max(const ts_request_part_t *part)
+{
     const ts_gateway_t *gateway = part->request->gateway;
     if (part->service->connections_max == 0) {
         return CONNECTIONS_DEFAULT;
@@ -36,7 +37,8 @@
     return share < CONNECTIONS_MIN ? CONNECTIONS_MIN : share;
 }
 
-static ts_replica_input_t choice_input(const ts_request_part_t *part, ts_time_us_t now_us) {
+static ts_replica_input_t choice_input(const ts_request_part_t *part, ts_time_us_t now_us)
+{
     ts_gateway_t *gateway = part->request->gateway;
     return (ts_replica_input_t){part->request->state->typical.value_us,
                                 now_us,
@@ -46,7 +48,8 @@
                                 ts_gateway_random(gateway)};
 }
 
-static unsigned exchanges_out(const ts_request_part_t *part) {
+static unsigned exchanges_out(const ts_request_part_t *part)
+{
     unsigned out = 0;
     for (unsigned i = 0; i < part->sends; i++) {
         out += part->exchanges[i] != NULL;
@@ -54,7 +57,8 @@
     return out;
 }
 
-static void set_state(ts_request_part_t *part, ts_part_state_t state) {
+static void set_state(ts_request_part_t *part, ts_part_state_t state)
+{
     part->state = state;
     part->overdue_us = 0;
     part->next_try_us = 0;
@@ -66,7 +70,8 @@
  * When a second send is made: as late as its answer still comes within the aim, as most answers
  * that are overdue come by themselves, and each second send costs work and links.
  */
-static ts_time_us_t second_send_us(const ts_request_part_t *part, ts_time_us_t overdue_us) {
+static ts_time_us_t second_send_us(const ts_request_part_t *part, ts_time_us_t overdue_us)
+{
     const ts_request_t *request = part->request;
     if (request->gateway->settings->policy != TS_LATE_ADAPTIVE) {
         return overdue_us;
@@ -78,7 +83,8 @@
 }
 
 /* After how long a send is overdue. */
-static ts_time_us_t overdue_after_us(const ts_request_t *request, double travel_us) {
+static ts_time_us_t overdue_after_us(const ts_request_t *request, double travel_us)
+{
     ts_time_us_t aim_us = request->stop_us - request->arrived_us;
     if (request->gateway->settings->policy != TS_LATE_ADAPTIVE) {
         return aim_us / FIXED_HEDGE_DIVISOR;
@@ -86,7 +92,8 @@
     return (ts_time_us_t)(request->state->overdue.value_us + travel_us);
 }
 
-static void send_to(ts_request_part_t *part, ts_instance_t *instance, ts_time_us_t now_us) {
+static void send_to(ts_request_part_t *part, ts_instance_t *instance, ts_time_us_t now_us)
+{
     ts_request_t *request = part->request;
     double typical_us = request->state->typical.value_us;
     double travel_us = ts_replica_travel_us(instance);
@@ -106,7 +113,8 @@
 
 /* One line for a decision about the part: whom, why, and what was believed of it. */
 static void log_decision(const ts_request_part_t *part, ts_event_t event, const char *reason,
-                         const ts_instance_t *instance, ts_time_us_t now_us) {
+                         const ts_instance_t *instance, ts_time_us_t now_us)
+{
     if (!ts_log_is_wanted(event)) {
         return;
     }
@@ -125,12 +133,14 @@
            (unsigned long)request->traffic->version);
 }
 
-bool ts_part_is_blocked(const ts_request_part_t *part, ts_time_us_t now_us) {
+bool ts_part_is_blocked(const ts_request_part_t *part, ts_time_us_t now_us)
+{
     ts_replica_input_t input = choice_input(part, now_us);
     return !ts_replica_is_any_free(part->service, &input);
 }
 
-void ts_part_send_first(ts_request_part_t *part) {
+void ts_part_send_first(ts_request_part_t *part)
+{
     ts_time_us_t now_us = ts_clock_now_us();
     ts_replica_input_t input = choice_input(part, now_us);
     ts_instance_t *instance = ts_replica_choose(part->service, &input, NULL, 0);
@@ -142,7 +152,8 @@
 }
 
 /* Whether the route and the table of sends allow one more. */
-static bool may_send_again(const ts_request_part_t *part) {
+static bool may_send_again(const ts_request_part_t *part)
+{
     const ts_traffic_route_t *route = part->request->route;
     return part->attempts < route->attempts_max && part->sends < TS_SENDS_MAX &&
            (route->is_repeatable || !part->may_have_run);
@@ -150,7 +161,8 @@
 
 /* One more send, if an instance, the route and the budget allow it. */
 static bool send_again(ts_request_part_t *part, ts_time_us_t now_us, double cost_max_us,
-                       const char *reason) {
+                       const char *reason)
+{
     if (!may_send_again(part)) {
         return false;
     }
@@ -171,7 +183,8 @@
 }
 
 /* The latest send is overdue: its instance is suspected, and another one is asked. */
-static void check_overdue(ts_request_part_t *part, ts_time_us_t now_us) {
+static void check_overdue(ts_request_part_t *part, ts_time_us_t now_us)
+{
     ts_exchange_t *latest = part->sends > 0 ? part->exchanges[part->sends - 1] : NULL;
     part->overdue_us = 0;
     if (latest == NULL) {
@@ -202,7 +215,8 @@
     }
 }
 
-void ts_part_check(ts_request_part_t *part, ts_time_us_t now_us) {
+void ts_part_check(ts_request_part_t *part, ts_time_us_t now_us)
+{
     if (part->state != TS_PART_OPEN) {
         return;
     }
@@ -221,7 +235,8 @@
     }
 }
 
-ts_time_us_t ts_part_due_us(const ts_request_part_t *part) {
+ts_time_us_t ts_part_due_us(const ts_request_part_t *part)
+{
     if (part->state != TS_PART_OPEN) {
         return 0;
     }
@@ -232,7 +247,8 @@
 }
 
 /* Keeps the fields of an answer that go on to the caller. */
-static void keep_fields(ts_request_part_t *part, const ts_http_message_t *answer) {
+static void keep_fields(ts_request_part_t *part, const ts_http_message_t *answer)
+{
     GString *fields = g_string_new(NULL);
     for (guint i = 0; i < answer->fields->len; i++) {
         const ts_http_field_t *field = &g_array_index(answer->fields, ts_http_field_t, i);
@@ -245,7 +261,8 @@
     part->fields = fields;
 }
 
-static void keep_answer(ts_request_part_t *part, const ts_http_message_t *answer) {
+static void keep_answer(ts_request_part_t *part, const ts_http_message_t *answer)
+{
     const char *signature_name = part->request->gateway->dialect->headers.signature;
     part->status = answer->parser.status_code;
     if (part->body != NULL) {
@@ -263,7 +280,8 @@
 }
 
 /* A send came to nothing: another is made at once, or later, or the part is lost. */
-static void try_elsewhere(ts_request_part_t *part) {
+static void try_elsewhere(ts_request_part_t *part)
+{
     ts_time_us_t now_us = ts_clock_now_us();
     if (exchanges_out(part) > 0) {
         return; /* another send may still bring the answer */
@@ -285,7 +303,8 @@
 }
 
 /* What an answer that is not a success means for the part. */
-static void take_failure(ts_request_part_t *part, const ts_exchange_result_t *result) {
+static void take_failure(ts_request_part_t *part, const ts_exchange_result_t *result)
+{
     if (result->run == TS_RUN_NOT) {
         part->attempts--;
         part->was_refused = true;
@@ -305,7 +324,8 @@
 }
 
 /* A send that never left costs neither an attempt nor the budget. */
-static void take_unsent(ts_request_part_t *part, const ts_instance_t *instance) {
+static void take_unsent(ts_request_part_t *part, const ts_instance_t *instance)
+{
     part->attempts--;
     if (part->sends > 1) {
         ts_retry_budget_return(&part->service->budget);
@@ -313,7 +333,8 @@
     try_elsewhere(part);
 }
 
-static void forget_exchange(ts_request_part_t *part, const ts_exchange_t *exchange) {
+static void forget_exchange(ts_request_part_t *part, const ts_exchange_t *exchange)
+{
     for (unsigned i = 0; i < part->sends; i++) {
         if (part->exchanges[i] == exchange) {
             part->exchanges[i] = NULL;
@@ -322,7 +343,8 @@
 }
 
 static void take_success(ts_request_part_t *part, const ts_exchange_result_t *result,
-                         const ts_instance_t *instance) {
+                         const ts_instance_t *instance)
+{
     if (instance->distance == TS_DISTANCE_ZONE) {
         ts_route_state_note(part->request->state, (double)result->span_us);
     }
@@ -331,7 +353,8 @@
 }
 
 /* Why a send brought no success, in one word. */
-static const char *failure_name(const ts_exchange_result_t *result, unsigned status) {
+static const char *failure_name(const ts_exchange_result_t *result, unsigned status)
+{
     if (result->error != TS_OK) {
         return ts_error_name(result->error);
     }
@@ -341,7 +364,8 @@
     return "searcher_failed";
 }
 
-static void part_done(ts_exchange_t *exchange, const ts_exchange_result_t *result, void *owner) {
+static void part_done(ts_exchange_t *exchange, const ts_exchange_result_t *result, void *owner)
+{
     ts_request_part_t *part = owner;
     ts_instance_t *instance = ts_exchange_instance(exchange);
     bool was_sent = ts_exchange_sent_us(exchange) != 0;
@@ -368,7 +392,8 @@
     ts_request_progress(part->request);
 }
 
-void ts_part_log_missing(const ts_request_part_t *part) {
+void ts_part_log_missing(const ts_request_part_t *part)
+{
     if (part->state != TS_PART_OPEN) {
         return; /* what was lost was said when it was */
     }
@@ -377,7 +402,8 @@
                  ts_clock_now_us());
 }
 
-void ts_part_release(ts_request_part_t *part, ts_time_us_t until_us) {
+void ts_part_release(ts_request_part_t *part, ts_time_us_t until_us)
+{
     for (unsigned i = 0; i < part->sends; i++) {
         ts_exchange_t *exchange = part->exchanges[i];
         part->exchanges[i] = NULL;
@@ -392,7 +418,8 @@
     }
 }
 
-void ts_part_clear(ts_request_part_t *part) {
+void ts_part_clear(ts_request_part_t *part)
+{
     for (unsigned i = 0; i < part->sends; i++) {
         part->tried[i]->references--;
     }
--- a/src/front/caller_http.c
+++ b/src/front/caller_http.c
@@ -21,7 +21,8 @@
     ts_query_t *query;
 } caller_t;
 
-static int status_of_refusal(ts_error_t error) {
+static int status_of_refusal(ts_error_t error)
+{
     switch (error) {
     case TS_E_BAD_REQUEST:
         return 400;
@@ -39,7 +40,8 @@
     }
 }
 
-static int status_of(const ts_answer_t *answer) {
+static int status_of(const ts_answer_t *answer)
+{
     switch (answer->outcome) {
     case TS_OUTCOME_ANSWERED:
         return 200;
@@ -51,8 +53,8 @@
     return 500;
 }
 
-static void send_answer(ts_http_exchange_t *exchange, const ts_answer_t *answer,
-                        const char *detail) {
+static void send_answer(ts_http_exchange_t *exchange, const ts_answer_t *answer, const char *detail)
+{
     char *text = ts_caller_json_write(answer, detail);
     int status = status_of(answer);
     bool may_come_back = status >= 500;
@@ -61,27 +63,31 @@
     free(text);
 }
 
-static void refuse(ts_http_exchange_t *exchange, ts_error_t error, const char *detail) {
+static void refuse(ts_http_exchange_t *exchange, ts_error_t error, const char *detail)
+{
     ts_answer_t answer = {.outcome = TS_OUTCOME_REFUSED, .error = error};
     ts_count(TS_COUNTER_HTTP_BAD_REQUESTS, 1);
     ts_count_error(error);
     send_answer(exchange, &answer, detail);
 }
 
-static void take_answer(void *context, const ts_answer_t *answer) {
+static void take_answer(void *context, const ts_answer_t *answer)
+{
     caller_t *caller = context;
     send_answer(caller->exchange, answer, NULL);
     g_free(caller);
 }
 
-static void take_abandoned(void *context) {
+static void take_abandoned(void *context)
+{
     caller_t *caller = context;
     ts_front_abandon(caller->query);
     g_free(caller);
 }
 
 /* The id in the body wins; then the header; then one is made, so that logs and journals match. */
-static void complete_id(ts_http_exchange_t *exchange, ts_query_request_t *request) {
+static void complete_id(ts_http_exchange_t *exchange, ts_query_request_t *request)
+{
     char id[REQUEST_ID_SIZE];
     if (request->id != NULL) {
         return;
@@ -98,7 +104,8 @@
     }
 }
 
-static void start_query(ts_http_exchange_t *exchange, ts_query_request_t *request) {
+static void start_query(ts_http_exchange_t *exchange, ts_query_request_t *request)
+{
     caller_t *caller = g_new0(caller_t, 1);
     caller->exchange = exchange;
     complete_id(exchange, request);
@@ -109,12 +116,14 @@
     }
 }
 
-static bool equals(const char *text, size_t length, const char *expected) {
+static bool equals(const char *text, size_t length, const char *expected)
+{
     return strlen(expected) == length && memcmp(text, expected, length) == 0;
 }
 
 static void handle_request(void *context, ts_http_exchange_t *exchange,
-                           const ts_http_request_t *http) {
+                           const ts_http_request_t *http)
+{
     ts_query_request_t request;
     const char *detail = NULL;
     if (!equals(http->path, http->path_length, "/v1/query")) {
@@ -133,18 +142,21 @@
     start_query(exchange, &request);
 }
 
-static ts_error_t open_api(uv_loop_t *loop, const ts_settings_t *settings, ts_front_t *front) {
+static ts_error_t open_api(uv_loop_t *loop, const ts_settings_t *settings, ts_front_t *front)
+{
     ts_http_limits_t limits = {settings->body_bytes_max, REQUEST_TIMEOUT_MS,
                                settings->connections_max};
     query_front = front;
     return ts_http_server_open(&server, loop, settings->callers, &limits, handle_request, NULL);
 }
 
-static void leave_api(void) {
+static void leave_api(void)
+{
     ts_http_server_leave(server);
 }
 
-static void drain_api(void) {
+static void drain_api(void)
+{
     ts_http_server_drain(server);
 }
 
--- a/src/front/caller_json.c
+++ b/src/front/caller_json.c
@@ -13,7 +13,8 @@
 #define REAL_DIGITS 10
 #define US_PER_MS_DOUBLE 1000.0
 
-const char *ts_outcome_name(ts_outcome_t outcome) {
+const char *ts_outcome_name(ts_outcome_t outcome)
+{
     static const char *const names[] = {"answered", "refused", "unknown"};
     return names[outcome];
 }
@@ -28,7 +29,9 @@
 } field_t;
 
 #define FIELD(type, member, most)                                                                  \
-    { #member, type, offsetof(ts_query_request_t, member), most }
+    {                                                                                              \
+#member, type, offsetof(ts_query_request_t, member), most                                  \
+    }
 static const field_t fields[] = {
     FIELD(FIELD_TEXT, id, ID_MAX),
     FIELD(FIELD_TEXT, kind, ID_MAX),
@@ -42,7 +45,8 @@
     FIELD(FIELD_TIME, issued_at_ms, INT64_MAX),
 };
 
-static const field_t *find_field(const char *name) {
+static const field_t *find_field(const char *name)
+{
     for (size_t i = 0; i < sizeof(fields) / sizeof(fields[0]); i++) {
         if (strcmp(fields[i].name, name) == 0) {
             return &fields[i];
@@ -51,7 +55,8 @@
     return NULL;
 }
 
-static const char *read_number(const field_t *field, const json_t *value, void *place) {
+static const char *read_number(const field_t *field, const json_t *value, void *place)
+{
     if (!json_is_integer(value)) {
         return "a number has the wrong type";
     }
@@ -67,7 +72,8 @@
     return NULL;
 }
 
-static const char *read_text(const field_t *field, const json_t *value, void *place) {
+static const char *read_text(const field_t *field, const json_t *value, void *place)
+{
     if (!json_is_string(value)) {
         return "a text has the wrong type";
     }
@@ -81,7 +87,8 @@
 
 /* Returns NULL or what is wrong. */
 static const char *read_field(const field_t *field, const json_t *value,
-                              ts_query_request_t *request) {
+                              ts_query_request_t *request)
+{
     void *place = (char *)request + field->offset;
     switch (field->type) {
     case FIELD_TEXT:
@@ -99,13 +106,15 @@
     return NULL;
 }
 
-static const char *read_object(json_t *root, ts_query_request_t *request) {
+static const char *read_object(json_t *root, ts_query_request_t *request)
+{
     const char *key = NULL;
     json_t *value = NULL;
     if (!json_is_object(root)) {
         return "the body is not a JSON object";
     }
-    json_object_foreach(root, key, value) {
+    json_object_foreach(root, key, value)
+    {
         const field_t *field = find_field(key);
         const char *wrong = field == NULL ? "an unknown key" : read_field(field, value, request);
         if (wrong != NULL) {
@@ -125,7 +134,8 @@
 }
 
 ts_error_t ts_caller_json_read(const char *body, size_t length, ts_query_request_t *request,
-                               const char **detail) {
+                               const char **detail)
+{
     memset(request, 0, sizeof(*request));
     request->limit = DEFAULT_LIMIT;
     json_t *root = json_loadb(body, length, JSON_REJECT_DUPLICATES, NULL);
@@ -142,7 +152,8 @@
     return TS_OK;
 }
 
-static json_t *write_coverage(const ts_answer_t *answer) {
+static json_t *write_coverage(const ts_answer_t *answer)
+{
     json_t *groups = json_array();
     for (size_t i = 0; i < answer->groups_count; i++) {
         const ts_group_coverage_t *group = &answer->groups[i];
@@ -155,7 +166,8 @@
                      (int)answer->covered, "ratio", part, "groups", groups);
 }
 
-static json_t *write_hits(const ts_answer_t *answer) {
+static json_t *write_hits(const ts_answer_t *answer)
+{
     json_t *hits = json_array();
     for (size_t i = 0; i < answer->hits_count; i++) {
         const ts_hit_t *hit = &answer->hits[i];
@@ -165,7 +177,8 @@
     return hits;
 }
 
-static void write_failure(const ts_answer_t *answer, const char *detail, json_t *root) {
+static void write_failure(const ts_answer_t *answer, const char *detail, json_t *root)
+{
     json_object_set_new(root, "error", json_string(ts_error_name(answer->error)));
     const char *text = detail != NULL ? detail : ts_error_text(answer->error);
     json_object_set_new(root, "detail", json_string(text));
@@ -175,7 +188,8 @@
     }
 }
 
-char *ts_caller_json_write(const ts_answer_t *answer, const char *detail) {
+char *ts_caller_json_write(const ts_answer_t *answer, const char *detail)
+{
     json_t *root = json_object();
     if (answer->id != NULL) {
         json_object_set_new(root, "id", json_string(answer->id));
--- a/src/front/directory.c
+++ b/src/front/directory.c
@@ -35,21 +35,24 @@
     uint64_t epoch; /* grows with every view */
 };
 
-ts_directory_t *ts_directory_create(void) {
+ts_directory_t *ts_directory_create(void)
+{
     ts_directory_t *directory = g_new0(ts_directory_t, 1);
     directory->replicas = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     directory->peers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     return directory;
 }
 
-void ts_directory_destroy(ts_directory_t *directory) {
+void ts_directory_destroy(ts_directory_t *directory)
+{
     g_hash_table_destroy(directory->replicas);
     g_hash_table_destroy(directory->peers);
     ts_view_unref(directory->view);
     g_free(directory);
 }
 
-void ts_directory_set_view(ts_directory_t *directory, ts_view_t *view) {
+void ts_directory_set_view(ts_directory_t *directory, ts_view_t *view)
+{
     ts_view_unref(directory->view);
     directory->view = ts_view_ref(view);
     directory->epoch++;
@@ -61,11 +64,13 @@
     }
 }
 
-const ts_view_t *ts_directory_view(const ts_directory_t *directory) {
+const ts_view_t *ts_directory_view(const ts_directory_t *directory)
+{
     return directory->view;
 }
 
-ts_replica_t *ts_directory_replica(ts_directory_t *directory, const ts_backend_t *backend) {
+ts_replica_t *ts_directory_replica(ts_directory_t *directory, const ts_backend_t *backend)
+{
     ts_replica_t *replica = g_hash_table_lookup(directory->replicas, &backend->id);
     if (replica == NULL) {
         replica = g_new0(ts_replica_t, 1);
@@ -75,7 +80,8 @@
     return replica;
 }
 
-const ts_view_member_t *ts_directory_owner(ts_directory_t *directory, const ts_backend_t *backend) {
+const ts_view_member_t *ts_directory_owner(ts_directory_t *directory, const ts_backend_t *backend)
+{
     if (directory->view == NULL) {
         return NULL;
     }
@@ -88,7 +94,8 @@
 }
 
 /* Whether a failure says something about the back end rather than about the request. */
-static bool is_backend_failure(ts_error_t error) {
+static bool is_backend_failure(ts_error_t error)
+{
     switch (error) {
     case TS_E_DRAINING:
     case TS_E_SHEDDING:
@@ -104,7 +111,8 @@
     }
 }
 
-static void learn_service(ts_replica_t *replica, double service_us, ts_time_us_t now_us) {
+static void learn_service(ts_replica_t *replica, double service_us, ts_time_us_t now_us)
+{
     replica->learned_us = now_us;
     replica->service_us =
         replica->service_us <= 0
@@ -113,7 +121,8 @@
 }
 
 void ts_directory_learn_censored(ts_directory_t *directory, ts_replica_t *replica,
-                                 ts_time_us_t age_us, ts_time_us_t now_us) {
+                                 ts_time_us_t age_us, ts_time_us_t now_us)
+{
     double service_us = (double)age_us - directory->usual_overhead_us;
     if (service_us > replica->service_us && replica->queue_length == 0) {
         learn_service(replica, service_us, now_us);
@@ -121,8 +130,8 @@
 }
 
 void ts_directory_learn(ts_directory_t *directory, ts_replica_t *replica,
-                        const ts_subreply_t *subreply, ts_time_us_t latency_us,
-                        ts_time_us_t now_us) {
+                        const ts_subreply_t *subreply, ts_time_us_t latency_us, ts_time_us_t now_us)
+{
     replica->slots_in_use = subreply->slots_in_use;
     replica->queue_length = subreply->queue_length;
     replica->hint_us = now_us;
@@ -146,7 +155,8 @@
 
 /* ---- silent peers ---- */
 
-static peer_record_t *find_peer(ts_directory_t *directory, uint64_t id) {
+static peer_record_t *find_peer(ts_directory_t *directory, uint64_t id)
+{
     peer_record_t *peer = g_hash_table_lookup(directory->peers, &id);
     if (peer == NULL) {
         peer = g_new0(peer_record_t, 1);
@@ -156,7 +166,8 @@
     return peer;
 }
 
-void ts_directory_note_sent(ts_directory_t *directory, uint64_t id, ts_time_us_t now_us) {
+void ts_directory_note_sent(ts_directory_t *directory, uint64_t id, ts_time_us_t now_us)
+{
     peer_record_t *peer = find_peer(directory, id);
     peer->out++;
     if (peer->silent_since_us == 0) {
@@ -164,18 +175,21 @@
     }
 }
 
-void ts_directory_note_heard(ts_directory_t *directory, uint64_t id) {
+void ts_directory_note_heard(ts_directory_t *directory, uint64_t id)
+{
     peer_record_t *peer = find_peer(directory, id);
     peer->silent_since_us = 0;
     peer->is_silent = false;
 }
 
-void ts_directory_note_ended(ts_directory_t *directory, uint64_t id) {
+void ts_directory_note_ended(ts_directory_t *directory, uint64_t id)
+{
     find_peer(directory, id)->out--;
 }
 
 GArray *ts_directory_find_silent(ts_directory_t *directory, ts_time_us_t bound_us,
-                                 ts_time_us_t now_us) {
+                                 ts_time_us_t now_us)
+{
     GArray *silent = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     GHashTableIter iterator;
     gpointer value = NULL;
@@ -193,7 +207,8 @@
 }
 
 /* Whether to keep away from a peer; now and then a silent one may be tried. */
-static bool is_to_be_avoided(ts_directory_t *directory, uint64_t id, ts_time_us_t now_us) {
+static bool is_to_be_avoided(ts_directory_t *directory, uint64_t id, ts_time_us_t now_us)
+{
     peer_record_t *peer = find_peer(directory, id);
     if (!peer->is_silent) {
         return false;
@@ -207,7 +222,8 @@
 
 /* What was learned of a replica fades towards what is usual. */
 static double faded_service(const ts_directory_t *directory, const ts_replica_t *replica,
-                            ts_time_us_t now_us) {
+                            ts_time_us_t now_us)
+{
     double usual = directory->usual_service_us;
     if (replica->service_us <= usual || usual <= 0) {
         return replica->service_us;
@@ -217,7 +233,8 @@
 }
 
 void ts_directory_describe(ts_directory_t *directory, const ts_backend_t *backend,
-                           ts_time_us_t now_us, ts_candidate_t *candidate) {
+                           ts_time_us_t now_us, ts_candidate_t *candidate)
+{
     const ts_replica_t *replica = ts_directory_replica(directory, backend);
     const ts_view_member_t *owner = ts_directory_owner(directory, backend);
     candidate->slots = backend->slots;
--- a/src/front/dispatch.c
+++ b/src/front/dispatch.c
@@ -16,7 +16,8 @@
     ts_time_us_t now_us;
 };
 
-ts_dispatch_t *ts_dispatch_begin(ts_query_t *query) {
+ts_dispatch_t *ts_dispatch_begin(ts_query_t *query)
+{
     ts_dispatch_t *dispatch = g_new0(ts_dispatch_t, 1);
     dispatch->query = query;
     dispatch->batches = g_array_new(FALSE, FALSE, sizeof(owner_batch_t));
@@ -24,7 +25,8 @@
     return dispatch;
 }
 
-static GArray *find_batch(ts_dispatch_t *dispatch, uint64_t peer) {
+static GArray *find_batch(ts_dispatch_t *dispatch, uint64_t peer)
+{
     for (guint i = 0; i < dispatch->batches->len; i++) {
         owner_batch_t *batch = &g_array_index(dispatch->batches, owner_batch_t, i);
         if (batch->peer == peer) {
@@ -37,7 +39,8 @@
 }
 
 static ts_attempt_t *create_attempt(ts_dispatch_t *dispatch, uint32_t fragment,
-                                    ts_replica_t *replica, uint64_t peer) {
+                                    ts_replica_t *replica, uint64_t peer)
+{
     ts_front_t *front = dispatch->query->front;
     ts_attempt_t *attempt = g_new0(ts_attempt_t, 1);
     attempt->counter = front->counter++;
@@ -53,7 +56,8 @@
 }
 
 ts_error_t ts_dispatch_add(ts_dispatch_t *dispatch, uint32_t index, uint32_t rank,
-                           uint64_t wanted_snapshot, bool is_hedge) {
+                           uint64_t wanted_snapshot, bool is_hedge)
+{
     ts_query_t *query = dispatch->query;
     ts_fragment_t *fragment = &query->fragments[index];
     const ts_backend_t *backend = &query->declarations->backends[fragment->replicas[rank]];
@@ -81,7 +85,8 @@
     return TS_OK;
 }
 
-static void send_batch(const ts_dispatch_t *dispatch, const owner_batch_t *batch) {
+static void send_batch(const ts_dispatch_t *dispatch, const owner_batch_t *batch)
+{
     ts_front_t *front = dispatch->query->front;
     ts_subrequests_message_t *message =
         ts_subrequests_message(batch->peer, dispatch->query->work, batch->parts->len);
@@ -93,7 +98,8 @@
     ts_task_send(is_local ? front->broker : front->mesh, &message->head);
 }
 
-void ts_dispatch_send(ts_dispatch_t *dispatch) {
+void ts_dispatch_send(ts_dispatch_t *dispatch)
+{
     for (guint i = 0; i < dispatch->batches->len; i++) {
         owner_batch_t *batch = &g_array_index(dispatch->batches, owner_batch_t, i);
         send_batch(dispatch, batch);
@@ -103,7 +109,8 @@
     g_free(dispatch);
 }
 
-static void forget_attempt(ts_fragment_t *fragment, const ts_attempt_t *attempt) {
+static void forget_attempt(ts_fragment_t *fragment, const ts_attempt_t *attempt)
+{
     for (uint32_t i = 0; i < fragment->attempts_out; i++) {
         if (fragment->attempts[i] == attempt) {
             fragment->attempts[i] = fragment->attempts[--fragment->attempts_out];
@@ -113,7 +120,8 @@
 }
 
 /* What is cancelled unanswered has taken at least its age. */
-static void learn_from_cancelled(const ts_attempt_t *attempt) {
+static void learn_from_cancelled(const ts_attempt_t *attempt)
+{
     ts_time_us_t now_us = ts_clock_now_us();
     ts_time_us_t age_us = now_us - attempt->sent_us;
     ts_directory_learn_censored(attempt->query->front->directory, attempt->replica, age_us, now_us);
@@ -122,7 +130,8 @@
     }
 }
 
-void ts_attempt_end(ts_attempt_t *attempt, bool cancel) {
+void ts_attempt_end(ts_attempt_t *attempt, bool cancel)
+{
     ts_front_t *front = attempt->query->front;
     forget_attempt(&attempt->query->fragments[attempt->fragment], attempt);
     attempt->replica->in_flight--;
--- a/src/front/front.c
+++ b/src/front/front.c
@@ -23,7 +23,8 @@
 #define SILENCE_SAMPLES 64U
 #define SILENCE_CHECK_MS 20
 
-ts_kind_stats_t *ts_front_kind_stats(ts_front_t *front, const char *kind) {
+ts_kind_stats_t *ts_front_kind_stats(ts_front_t *front, const char *kind)
+{
     ts_kind_stats_t *stats = g_hash_table_lookup(front->kinds, kind);
     if (stats == NULL) {
         stats = g_new0(ts_kind_stats_t, 1);
@@ -35,7 +36,8 @@
     return stats;
 }
 
-uint64_t ts_front_random(ts_front_t *front) {
+uint64_t ts_front_random(ts_front_t *front)
+{
     /* xorshift64*: good enough to spread load, never used for secrets */
     front->random ^= front->random >> 12;
     front->random ^= front->random << 25;
@@ -43,7 +45,8 @@
     return front->random * 2685821657736338717ULL;
 }
 
-ts_error_t ts_front_readiness(const ts_front_t *front) {
+ts_error_t ts_front_readiness(const ts_front_t *front)
+{
     if (front->stopping) {
         return TS_E_STOPPING;
     }
@@ -51,18 +54,21 @@
     return front->declarations != NULL && has_view ? TS_OK : TS_E_NOT_READY;
 }
 
-ts_declarations_t *ts_front_declarations(const ts_front_t *front) {
+ts_declarations_t *ts_front_declarations(const ts_front_t *front)
+{
     return front->declarations;
 }
 
-void ts_query_request_clear(ts_query_request_t *request) {
+void ts_query_request_clear(ts_query_request_t *request)
+{
     g_free(request->id);
     g_free(request->kind);
     g_free(request->text);
     g_free(request->key);
 }
 
-static ts_work_t *create_work(const ts_query_t *query) {
+static ts_work_t *create_work(const ts_query_t *query)
+{
     const ts_query_request_t *request = &query->request;
     ts_work_t *work = g_new0(ts_work_t, 1);
     work->references = 1;
@@ -81,7 +87,8 @@
 
 /* Checks that need the declarations; those of form were made by the caller interface. */
 static ts_error_t check_request(ts_front_t *front, const ts_query_request_t *request,
-                                const ts_selector_t **found) {
+                                const ts_selector_t **found)
+{
     ts_error_t readiness = ts_front_readiness(front);
     if (readiness != TS_OK) {
         return readiness;
@@ -113,7 +120,8 @@
 }
 
 static void refuse_request(ts_query_request_t *request, ts_error_t error,
-                           ts_answer_callback_t callback, void *context) {
+                           ts_answer_callback_t callback, void *context)
+{
     ts_answer_t answer = {
         .id = request->id,
         /* Of a repeat only its owner can say that it was not run before. */
@@ -128,7 +136,8 @@
 }
 
 static ts_query_t *create_query(ts_front_t *front, const ts_query_request_t *request,
-                                const ts_selector_t *selector) {
+                                const ts_selector_t *selector)
+{
     ts_query_t *query = g_new0(ts_query_t, 1);
     query->front = front;
     query->request = *request;
@@ -146,7 +155,8 @@
 }
 
 ts_query_t *ts_front_submit(ts_front_t *front, ts_query_request_t *request,
-                            ts_answer_callback_t callback, void *context) {
+                            ts_answer_callback_t callback, void *context)
+{
     const ts_selector_t *selector = NULL;
     ts_count(TS_COUNTER_QUERIES, 1);
     ts_error_t error = check_request(front, request, &selector);
@@ -163,11 +173,13 @@
     return query->finished ? NULL : query;
 }
 
-void ts_front_abandon(ts_query_t *query) {
+void ts_front_abandon(ts_query_t *query)
+{
     ts_query_abandon(query);
 }
 
-static void take_subreply(ts_front_t *front, ts_subreply_t *subreply) {
+static void take_subreply(ts_front_t *front, ts_subreply_t *subreply)
+{
     ts_count(TS_COUNTER_SUBREPLIES, 1);
     ts_attempt_t *attempt = g_hash_table_lookup(front->attempts, &subreply->counter);
     if (attempt == NULL) {
@@ -182,7 +194,8 @@
  * Fails what is out at a node that is lost or silent. An unrepeatable request waits on after a
  * silence: its owner may still answer, and nobody else may be asked.
  */
-static void fail_attempts_at(ts_front_t *front, uint64_t peer, bool also_unrepeatable) {
+static void fail_attempts_at(ts_front_t *front, uint64_t peer, bool also_unrepeatable)
+{
     GArray *lost = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     GHashTableIter iterator;
     gpointer value = NULL;
@@ -209,7 +222,8 @@
  * How long a node may answer nothing: well above what the kinds' subrequests take as measured, so
  * that slow searchers are not taken for a silent node; long while a kind is not measured yet.
  */
-static ts_time_us_t silence_bound_us(const ts_front_t *front) {
+static ts_time_us_t silence_bound_us(const ts_front_t *front)
+{
     ts_time_us_t bound_us = SILENCE_LEAST_US;
     GHashTableIter iterator;
     gpointer value = NULL;
@@ -223,7 +237,8 @@
     return bound_us;
 }
 
-static void check_silence(ts_timer_t *timer) {
+static void check_silence(ts_timer_t *timer)
+{
     ts_front_t *front = timer->data;
     if (g_hash_table_size(front->attempts) == 0) {
         ts_timer_stop(timer); /* nothing is out */
@@ -238,26 +253,30 @@
     g_array_free(silent, TRUE);
 }
 
-void ts_front_watch_silence(ts_front_t *front) {
+void ts_front_watch_silence(ts_front_t *front)
+{
     if (!front->silence.is_active) {
         ts_timer_start(&front->silence, SILENCE_CHECK_MS, SILENCE_CHECK_MS);
     }
 }
 
-static void take_declarations(ts_front_t *front, ts_declarations_t *declarations) {
+static void take_declarations(ts_front_t *front, ts_declarations_t *declarations)
+{
     ts_declarations_unref(front->declarations);
     front->declarations = ts_declarations_ref(declarations);
 }
 
 /* Says once that queries are taken now. */
-static void note_readiness(ts_front_t *front) {
+static void note_readiness(ts_front_t *front)
+{
     if (!front->has_been_ready && ts_front_readiness(front) == TS_OK) {
         front->has_been_ready = true;
         ts_log(TS_EVENT_READY, "declarations version %" PRIu64, front->declarations->version);
     }
 }
 
-static void handle_message(void *state, ts_message_t *message) {
+static void handle_message(void *state, ts_message_t *message)
+{
     ts_front_t *front = state;
     switch (message->type) {
     case TS_MESSAGE_SUBREPLIES:
@@ -281,7 +300,8 @@
 static void check_silence(ts_timer_t *timer);
 static void stop_taking(ts_timer_t *timer);
 
-static ts_error_t open_front(ts_node_t *node) {
+static ts_error_t open_front(ts_node_t *node)
+{
     ts_front_t *front = g_new0(ts_front_t, 1);
     ts_node_set_state(node, "front", front);
     front->node = node;
@@ -298,7 +318,8 @@
     return TS_OK;
 }
 
-static ts_error_t start_front(ts_node_t *node) {
+static ts_error_t start_front(ts_node_t *node)
+{
     ts_front_t *front = ts_node_state(node, "front");
     front->broker = ts_task_find(node->tasks, "broker");
     front->mesh = ts_task_find(node->tasks, "mesh");
@@ -315,7 +336,8 @@
     return TS_OK;
 }
 
-static void stop_taking(ts_timer_t *timer) {
+static void stop_taking(ts_timer_t *timer)
+{
     ts_front_t *front = timer->data;
     const ts_plugin_t *plugin = NULL;
     front->stopping = true;
@@ -325,7 +347,8 @@
 }
 
 /* Not ready any more, but still serving until callers and balancers have noticed. */
-static void stop_front(ts_node_t *node) {
+static void stop_front(ts_node_t *node)
+{
     ts_front_t *front = ts_node_state(node, "front");
     const ts_plugin_t *plugin = NULL;
     while ((plugin = ts_plugin_next(TS_PLUGIN_CALLER_API, plugin)) != NULL) {
@@ -334,12 +357,14 @@
     ts_timer_start(&front->lame_duck, LAME_DUCK_MS, 0);
 }
 
-static bool is_front_idle(ts_node_t *node) {
+static bool is_front_idle(ts_node_t *node)
+{
     const ts_front_t *front = ts_node_state(node, "front");
     return front->stopping && g_hash_table_size(front->queries) == 0;
 }
 
-static void describe_front(ts_node_t *node, json_t *status) {
+static void describe_front(ts_node_t *node, json_t *status)
+{
     const ts_front_t *front = ts_node_state(node, "front");
     json_object_set_new(status, "ready",
                         json_boolean(ts_front_readiness(front) == TS_OK && !node->stopping));
@@ -348,7 +373,8 @@
                         json_integer(g_hash_table_size(front->queries)));
 }
 
-static void close_front(ts_node_t *node) {
+static void close_front(ts_node_t *node)
+{
     ts_front_t *front = ts_node_state(node, "front");
     GList *queries = g_hash_table_get_keys(front->queries);
     for (GList *item = queries; item != NULL; item = item->next) {
--- a/src/front/merge.c
+++ b/src/front/merge.c
@@ -5,7 +5,8 @@
 #include "front_internal.h"
 #include "tealspar/counters.h"
 
-static int compare_hits(const void *left_pointer, const void *right_pointer) {
+static int compare_hits(const void *left_pointer, const void *right_pointer)
+{
     const ts_hit_t *left = left_pointer;
     const ts_hit_t *right = right_pointer;
     if (left->score != right->score) {
@@ -14,7 +15,8 @@
     return strcmp(left->id, right->id);
 }
 
-static const ts_subreply_t *find_answer(const ts_fragment_t *fragment, uint64_t snapshot) {
+static const ts_subreply_t *find_answer(const ts_fragment_t *fragment, uint64_t snapshot)
+{
     for (uint32_t i = 0; i < fragment->answers_count; i++) {
         if (fragment->answers[i].snapshot == snapshot) {
             return &fragment->answers[i];
@@ -24,7 +26,8 @@
 }
 
 /* Counts coverage by group from the answers that are in this snapshot. */
-static GArray *count_coverage(const ts_query_t *query, uint64_t snapshot, ts_answer_t *answer) {
+static GArray *count_coverage(const ts_query_t *query, uint64_t snapshot, ts_answer_t *answer)
+{
     GArray *groups = g_array_new(FALSE, TRUE, sizeof(ts_group_coverage_t));
     uint32_t last_group = UINT32_MAX;
     for (uint32_t i = 0; i < query->fragment_count; i++) {
@@ -48,7 +51,8 @@
 }
 
 /* Collects the hits of a snapshot, best first; the array only borrows the texts. */
-static GArray *collect_hits(const ts_query_t *query, uint64_t snapshot, uint64_t *total) {
+static GArray *collect_hits(const ts_query_t *query, uint64_t snapshot, uint64_t *total)
+{
     GArray *hits = g_array_new(FALSE, FALSE, sizeof(ts_hit_t));
     for (uint32_t i = 0; i < query->fragment_count; i++) {
         const ts_subreply_t *found = find_answer(&query->fragments[i], snapshot);
@@ -61,13 +65,15 @@
     return hits;
 }
 
-static void deliver(ts_query_t *query, ts_answer_t *answer) {
+static void deliver(ts_query_t *query, ts_answer_t *answer)
+{
     answer->id = query->request.id;
     answer->took_us = ts_clock_now_us() - query->started_us;
     query->callback(query->context, answer);
 }
 
-void ts_query_deliver_answer(ts_query_t *query, uint64_t snapshot) {
+void ts_query_deliver_answer(ts_query_t *query, uint64_t snapshot)
+{
     ts_answer_t answer = {.outcome = TS_OUTCOME_ANSWERED, .snapshot = snapshot};
     GArray *groups = count_coverage(query, snapshot, &answer);
     GArray *hits = collect_hits(query, snapshot, &answer.total);
@@ -83,7 +89,8 @@
 }
 
 void ts_query_deliver_failure(ts_query_t *query, ts_outcome_t outcome, ts_error_t error,
-                              uint64_t snapshot, uint32_t retry_after_ms) {
+                              uint64_t snapshot, uint32_t retry_after_ms)
+{
     ts_answer_t answer = {.outcome = outcome, .error = error, .retry_after_ms = retry_after_ms};
     GArray *groups = count_coverage(query, snapshot, &answer);
     ts_count(outcome == TS_OUTCOME_REFUSED ? TS_COUNTER_REFUSED : TS_COUNTER_UNKNOWN, 1);
--- a/src/front/query.c
+++ b/src/front/query.c
@@ -16,7 +16,8 @@
 /* Fewer than TS_ATTEMPTS_MAX: the rest is kept for hedges and for repeats in another snapshot. */
 #define RETRIES_MAX 3U
 
-static void free_query(ts_timer_t *timer) {
+static void free_query(ts_timer_t *timer)
+{
     ts_query_t *query = timer->data;
     for (uint32_t i = 0; i < query->fragment_count; i++) {
         for (uint32_t j = 0; j < query->fragments[i].answers_count; j++) {
@@ -34,7 +35,8 @@
  * Cancels what is out and frees the query on the loop's next turn. An unrepeatable request is not
  * cancelled: its owner keeps the outcome for a repeat of the same id.
  */
-static void end_query(ts_query_t *query) {
+static void end_query(ts_query_t *query)
+{
     bool cancel = !query->work->unrepeatable;
     query->finished = true;
     for (uint32_t i = 0; i < query->fragment_count; i++) {
@@ -47,22 +49,26 @@
     ts_timer_close(&query->timer, free_query);
 }
 
-void ts_query_discard(ts_query_t *query) {
+void ts_query_discard(ts_query_t *query)
+{
     free_query(&query->timer);
 }
 
-void ts_query_abandon(ts_query_t *query) {
+void ts_query_abandon(ts_query_t *query)
+{
     ts_count(TS_COUNTER_ABANDONED, 1);
     end_query(query);
 }
 
 /* ---- which snapshot ---- */
 
-static bool may_ask_again(const ts_fragment_t *fragment) {
+static bool may_ask_again(const ts_fragment_t *fragment)
+{
     return fragment->state != TS_FRAGMENT_FAILED && fragment->attempts_made < TS_ATTEMPTS_MAX;
 }
 
-static ts_snapshot_choice_t choose_snapshot(const ts_query_t *query) {
+static ts_snapshot_choice_t choose_snapshot(const ts_query_t *query)
+{
     ts_shard_versions_t *versions = g_new0(ts_shard_versions_t, query->fragment_count);
     for (uint32_t i = 0; i < query->fragment_count; i++) {
         const ts_fragment_t *fragment = &query->fragments[i];
@@ -78,7 +84,8 @@
 }
 
 /* The snapshot that most shards can be had in, by what was last heard of their replicas. */
-static uint64_t guess_snapshot(const ts_query_t *query) {
+static uint64_t guess_snapshot(const ts_query_t *query)
+{
     ts_shard_versions_t *versions = g_new0(ts_shard_versions_t, query->fragment_count);
     for (uint32_t i = 0; i < query->fragment_count; i++) {
         const ts_fragment_t *fragment = &query->fragments[i];
@@ -94,7 +101,8 @@
     return snapshot;
 }
 
-static bool has_answer(const ts_fragment_t *fragment, uint64_t snapshot) {
+static bool has_answer(const ts_fragment_t *fragment, uint64_t snapshot)
+{
     for (uint32_t i = 0; i < fragment->answers_count; i++) {
         if (fragment->answers[i].snapshot == snapshot) {
             return true;
@@ -106,7 +114,8 @@
 /* ---- which replica ---- */
 
 static uint32_t describe_replicas(const ts_query_t *query, const ts_fragment_t *fragment,
-                                  ts_candidate_t *candidates) {
+                                  ts_candidate_t *candidates)
+{
     ts_time_us_t now_us = ts_clock_now_us();
     uint32_t count = MIN(fragment->replica_count, CANDIDATES_MAX);
     for (uint32_t i = 0; i < count; i++) {
@@ -119,7 +128,8 @@
 }
 
 static int choose_replica(const ts_query_t *query, const ts_fragment_t *fragment,
-                          uint64_t wanted_snapshot) {
+                          uint64_t wanted_snapshot)
+{
     if (query->work->unrepeatable) {
         return (int)ts_route_replica_of_id(query->declarations, fragment->replicas,
                                            fragment->replica_count, query->request.id);
@@ -134,14 +144,16 @@
     return query->front->policy->choose(&input);
 }
 
-static void fail_fragment(ts_fragment_t *fragment, ts_error_t error) {
+static void fail_fragment(ts_fragment_t *fragment, ts_error_t error)
+{
     fragment->error = error;
     fragment->state = fragment->answers_count > 0 ? TS_FRAGMENT_ANSWERED : TS_FRAGMENT_FAILED;
 }
 
 /* Sends one attempt for a fragment; a fragment that cannot be sent fails or waits. */
 static void send_fragment(ts_dispatch_t *dispatch, ts_query_t *query, uint32_t index,
-                          uint64_t wanted_snapshot, bool is_hedge) {
+                          uint64_t wanted_snapshot, bool is_hedge)
+{
     ts_fragment_t *fragment = &query->fragments[index];
     int rank = choose_replica(query, fragment, wanted_snapshot);
     ts_error_t error =
@@ -154,19 +166,22 @@
 
 /* ---- what is due ---- */
 
-static ts_time_us_t hedge_age(const ts_query_t *query) {
+static ts_time_us_t hedge_age(const ts_query_t *query)
+{
     ts_hedge_input_t input = {query->selector, &query->stats->latencies, query->span_us};
     return query->front->policy->hedge_after_us(&input);
 }
 
-static bool may_hedge(const ts_query_t *query, const ts_fragment_t *fragment) {
+static bool may_hedge(const ts_query_t *query, const ts_fragment_t *fragment)
+{
     return fragment->state == TS_FRAGMENT_WAITING && fragment->attempts_out == 1 &&
            !fragment->hedged && fragment->replica_count > 1 &&
            fragment->attempts_made < TS_ATTEMPTS_MAX && !query->work->unrepeatable;
 }
 
 static void send_due_hedges(ts_dispatch_t *dispatch, ts_query_t *query, uint64_t snapshot,
-                            ts_time_us_t now_us) {
+                            ts_time_us_t now_us)
+{
     ts_time_us_t age = hedge_age(query);
     if (age == TS_HEDGE_NEVER) {
         return;
@@ -187,7 +202,8 @@
 }
 
 static void send_due_retries(ts_dispatch_t *dispatch, ts_query_t *query, uint64_t snapshot,
-                             ts_time_us_t now_us) {
+                             ts_time_us_t now_us)
+{
     for (uint32_t i = 0; i < query->fragment_count; i++) {
         ts_fragment_t *fragment = &query->fragments[i];
         if (fragment->state != TS_FRAGMENT_BACKOFF || fragment->retry_at_us > now_us) {
@@ -204,7 +220,8 @@
 }
 
 /* Asks the shards again that answered from another snapshot than the chosen one. */
-static void send_snapshot_repeats(ts_dispatch_t *dispatch, ts_query_t *query, uint64_t snapshot) {
+static void send_snapshot_repeats(ts_dispatch_t *dispatch, ts_query_t *query, uint64_t snapshot)
+{
     for (uint32_t i = 0; i < query->fragment_count; i++) {
         ts_fragment_t *fragment = &query->fragments[i];
         bool is_denied = fragment->denied[0] == snapshot || fragment->denied[1] == snapshot;
@@ -220,7 +237,8 @@
 /* ---- when to stop ---- */
 
 static ts_stop_input_t describe_wait(const ts_query_t *query, const ts_snapshot_choice_t *choice,
-                                     ts_time_us_t now_us) {
+                                     ts_time_us_t now_us)
+{
     ts_stop_input_t input = {
         .selector = query->selector,
         .latencies = &query->stats->latencies,
@@ -234,7 +252,8 @@
 }
 
 /* The failure that explains a query without enough coverage: the first fragment's own. */
-static const ts_fragment_t *find_failure(const ts_query_t *query) {
+static const ts_fragment_t *find_failure(const ts_query_t *query)
+{
     for (uint32_t i = 0; i < query->fragment_count; i++) {
         if (query->fragments[i].error != TS_OK) {
             return &query->fragments[i];
@@ -243,7 +262,8 @@
     return NULL;
 }
 
-static bool may_have_run(const ts_query_t *query) {
+static bool may_have_run(const ts_query_t *query)
+{
     for (uint32_t i = 0; i < query->fragment_count; i++) {
         const ts_fragment_t *fragment = &query->fragments[i];
         if (fragment->ran || fragment->attempts_out > 0 || fragment->answers_count > 0) {
@@ -254,7 +274,8 @@
 }
 
 /* Whether the error was given by the owner after it looked the id up in its table. */
-static bool is_vouched(ts_error_t error) {
+static bool is_vouched(ts_error_t error)
+{
     switch (error) {
     case TS_E_QUEUE_FULL:
     case TS_E_CANNOT_FINISH:
@@ -270,7 +291,8 @@
 }
 
 static void finish_without_answer(ts_query_t *query, const ts_snapshot_choice_t *choice,
-                                  ts_stop_t stop) {
+                                  ts_stop_t stop)
+{
     const ts_fragment_t *failure = find_failure(query);
     bool ran = may_have_run(query);
     ts_error_t error = failure != NULL ? failure->error : TS_E_DEADLINE;
@@ -283,7 +305,8 @@
                              choice->snapshot, MAX(after_ms, LEAST_RETRY_AFTER_MS));
 }
 
-static void finish_query(ts_query_t *query, const ts_snapshot_choice_t *choice, ts_stop_t stop) {
+static void finish_query(ts_query_t *query, const ts_snapshot_choice_t *choice, ts_stop_t stop)
+{
     uint32_t least = ts_route_least_shards(query->selector, query->fragment_count);
     bool is_enough = choice->covered > 0 && choice->covered >= least;
     const ts_fragment_t *failure = is_enough ? NULL : find_failure(query);
@@ -300,11 +323,13 @@
 
 static void step_query(ts_query_t *query);
 
-static void on_timer(ts_timer_t *timer) {
+static void on_timer(ts_timer_t *timer)
+{
     step_query(timer->data);
 }
 
-static ts_time_us_t earliest_event(const ts_query_t *query, const ts_stop_input_t *wait) {
+static ts_time_us_t earliest_event(const ts_query_t *query, const ts_stop_input_t *wait)
+{
     ts_time_us_t due = query->started_us + query->span_us;
     ts_time_us_t stop_check = query->front->policy->stop_check_us(wait);
     if (stop_check > wait->elapsed_us) {
@@ -322,14 +347,16 @@
     return due;
 }
 
-static void arm_timer(ts_query_t *query, const ts_stop_input_t *wait, ts_time_us_t now_us) {
+static void arm_timer(ts_query_t *query, const ts_stop_input_t *wait, ts_time_us_t now_us)
+{
     ts_time_us_t due = earliest_event(query, wait);
     ts_time_us_t left = due > now_us ? due - now_us : 0;
     /* Rounded up, so that the event is due when the timer fires. */
     ts_timer_start(&query->timer, (left + TS_US_PER_MS - 1) / TS_US_PER_MS, 0);
 }
 
-static void step_query(ts_query_t *query) {
+static void step_query(ts_query_t *query)
+{
     ts_time_us_t now_us = ts_clock_now_us();
     ts_dispatch_t *dispatch = ts_dispatch_begin(query);
     ts_snapshot_choice_t choice = choose_snapshot(query);
@@ -351,7 +378,8 @@
 
 /* ---- replies ---- */
 
-static void keep_answer(ts_fragment_t *fragment, ts_subreply_t *subreply) {
+static void keep_answer(ts_fragment_t *fragment, ts_subreply_t *subreply)
+{
     if (has_answer(fragment, subreply->snapshot) ||
         fragment->answers_count == TS_SHARD_ANSWERS_MAX) {
         return;
@@ -361,7 +389,8 @@
     subreply->hits_count = 0;
 }
 
-static void note_denial(ts_fragment_t *fragment, uint64_t wanted, uint64_t given) {
+static void note_denial(ts_fragment_t *fragment, uint64_t wanted, uint64_t given)
+{
     if (wanted == 0 || wanted == given) {
         return;
     }
@@ -373,7 +402,8 @@
 }
 
 static void take_answer(ts_query_t *query, ts_fragment_t *fragment, ts_subreply_t *subreply,
-                        ts_time_us_t latency_us, uint64_t wanted) {
+                        ts_time_us_t latency_us, uint64_t wanted)
+{
     if (query->stats->latencies.total >= LATENCY_SAMPLES_MAX) {
         ts_histogram_decay(&query->stats->latencies);
     }
@@ -387,20 +417,22 @@
     }
 }
 
-static bool may_retry(const ts_query_t *query, const ts_fragment_t *fragment) {
+static bool may_retry(const ts_query_t *query, const ts_fragment_t *fragment)
+{
     return query->front->policy->retries && !query->work->unrepeatable &&
            fragment->attempts_made < RETRIES_MAX && fragment->answers_count == 0;
 }
 
 /* Whether some replica of the fragment has not been asked yet. */
-static bool has_fresh_replica(const ts_fragment_t *fragment) {
+static bool has_fresh_replica(const ts_fragment_t *fragment)
+{
     uint64_t all =
         fragment->replica_count >= 64 ? UINT64_MAX : (1ULL << fragment->replica_count) - 1;
     return (fragment->tried & all) != all;
 }
 
-static void take_failure(ts_query_t *query, ts_fragment_t *fragment,
-                         const ts_subreply_t *subreply) {
+static void take_failure(ts_query_t *query, ts_fragment_t *fragment, const ts_subreply_t *subreply)
+{
     fragment->error = subreply->error;
     fragment->retry_after_ms = MAX(fragment->retry_after_ms, subreply->retry_after_ms);
     fragment->ran |= subreply->run != TS_RUN_NOT;
@@ -418,7 +450,8 @@
     fragment->retry_at_us = ts_clock_now_us() + pause;
 }
 
-void ts_query_take(ts_attempt_t *attempt, ts_subreply_t *subreply) {
+void ts_query_take(ts_attempt_t *attempt, ts_subreply_t *subreply)
+{
     ts_query_t *query = attempt->query;
     ts_fragment_t *fragment = &query->fragments[attempt->fragment];
     ts_time_us_t now_us = ts_clock_now_us();
@@ -436,7 +469,8 @@
 
 /* ---- the start ---- */
 
-static void plan_fragment(ts_query_t *query, uint32_t index, uint32_t reach_index) {
+static void plan_fragment(ts_query_t *query, uint32_t index, uint32_t reach_index)
+{
     const ts_selector_t *selector = query->selector;
     ts_fragment_t *fragment = &query->fragments[index];
     uint32_t begin = selector->replicas_begin[reach_index];
@@ -445,7 +479,8 @@
     fragment->replica_count = selector->replicas_begin[reach_index + 1] - begin;
 }
 
-static void plan_query(ts_query_t *query) {
+static void plan_query(ts_query_t *query)
+{
     const ts_selector_t *selector = query->selector;
     bool is_by_key = selector->route == TS_ROUTE_KEY;
     query->fragment_count = is_by_key ? 1 : selector->reach_count;
@@ -458,7 +493,8 @@
     }
 }
 
-void ts_query_start(ts_query_t *query) {
+void ts_query_start(ts_query_t *query)
+{
     plan_query(query);
     ts_timer_init(&query->timer, query->front->node->runtime, on_timer, query);
     ts_budget_earn(&query->stats->hedges, query->selector->hedge_percent, query->fragment_count);
--- a/src/http/http_message.c
+++ b/src/http/http_message.c
@@ -8,22 +8,26 @@
 #define TEXT_KEPT_MAX 4096
 #define BODY_KEPT_MAX 16384
 
-static ts_http_message_t *message_of(http_parser *parser) {
+static ts_http_message_t *message_of(http_parser *parser)
+{
     return parser->data;
 }
 
-static int refuse(ts_http_message_t *message, ts_error_t error) {
+static int refuse(ts_http_message_t *message, ts_error_t error)
+{
     message->error = error;
     return 1;
 }
 
-static int read_target(http_parser *parser, const char *bytes, size_t length) {
+static int read_target(http_parser *parser, const char *bytes, size_t length)
+{
     g_string_append_len(message_of(parser)->target, bytes, (gssize)length);
     return 0;
 }
 
 /* A field's name: texts are kept one after another, each with its NUL. */
-static int read_field_name(http_parser *parser, const char *bytes, size_t length) {
+static int read_field_name(http_parser *parser, const char *bytes, size_t length)
+{
     ts_http_message_t *message = message_of(parser);
     if (memchr(bytes, ' ', length) != NULL) {
         return refuse(message, TS_E_BAD_REQUEST);
@@ -40,7 +44,8 @@
     return 0;
 }
 
-static int read_field_value(http_parser *parser, const char *bytes, size_t length) {
+static int read_field_value(http_parser *parser, const char *bytes, size_t length)
+{
     ts_http_message_t *message = message_of(parser);
     if (message->fields->len == 0) {
         return refuse(message, TS_E_BAD_REQUEST);
@@ -59,7 +64,8 @@
     return 0;
 }
 
-static int end_head(http_parser *parser) {
+static int end_head(http_parser *parser)
+{
     ts_http_message_t *message = message_of(parser);
     message->is_head_complete = true;
     for (guint i = 0; i < message->fields->len; i++) {
@@ -75,7 +81,8 @@
     return message->answers_head ? 1 : 0;
 }
 
-static int read_body(http_parser *parser, const char *bytes, size_t length) {
+static int read_body(http_parser *parser, const char *bytes, size_t length)
+{
     ts_http_message_t *message = message_of(parser);
     if (message->body->len + length > message->body_max) {
         return refuse(message, TS_E_TOO_LARGE);
@@ -84,7 +91,8 @@
     return 0;
 }
 
-static int end_message(http_parser *parser) {
+static int end_message(http_parser *parser)
+{
     ts_http_message_t *message = message_of(parser);
     message->is_complete = true;
     message->keeps_alive = http_should_keep_alive(parser) != 0;
@@ -101,7 +109,8 @@
     .on_message_complete = end_message,
 };
 
-static void begin(ts_http_message_t *message) {
+static void begin(ts_http_message_t *message)
+{
     http_parser_init(&message->parser, message->is_request ? HTTP_REQUEST : HTTP_RESPONSE);
     message->parser.data = message;
     message->head_bytes = 0;
@@ -119,7 +128,8 @@
 }
 
 void ts_http_message_init(ts_http_message_t *message, bool is_request, size_t head_max,
-                          size_t body_max) {
+                          size_t body_max)
+{
     message->is_request = is_request;
     message->answers_head = false;
     message->head_max = head_max;
@@ -132,7 +142,8 @@
 }
 
 /* Empties a buffer, and gives its memory back when one message made it large. */
-static GString *empty_buffer(GString *buffer, size_t kept_max) {
+static GString *empty_buffer(GString *buffer, size_t kept_max)
+{
     if (buffer->allocated_len > kept_max) {
         g_string_free(buffer, TRUE);
         return g_string_new(NULL);
@@ -141,7 +152,8 @@
     return buffer;
 }
 
-void ts_http_message_reset(ts_http_message_t *message) {
+void ts_http_message_reset(ts_http_message_t *message)
+{
     message->target = empty_buffer(message->target, TEXT_KEPT_MAX);
     message->text = empty_buffer(message->text, TEXT_KEPT_MAX);
     message->body = empty_buffer(message->body, BODY_KEPT_MAX);
@@ -149,7 +161,8 @@
     begin(message);
 }
 
-void ts_http_message_clear(ts_http_message_t *message) {
+void ts_http_message_clear(ts_http_message_t *message)
+{
     g_string_free(message->target, TRUE);
     g_string_free(message->text, TRUE);
     g_string_free(message->body, TRUE);
@@ -160,7 +173,8 @@
  * Follows the lines of a head byte by byte, up to the empty line that ends it: their ends must be
  * CR LF, as a bare LF reads differently in different programs. The parser takes both.
  */
-static void scan_head(ts_http_message_t *message, const char *bytes, size_t length) {
+static void scan_head(ts_http_message_t *message, const char *bytes, size_t length)
+{
     for (size_t i = 0; i < length && !message->is_head_scanned; i++) {
         message->head_bytes++;
         if (bytes[i] != '\n') {
@@ -180,7 +194,8 @@
 }
 
 /* Checks the bytes of the head that were just read. */
-static void check_head(ts_http_message_t *message, const char *bytes, size_t length) {
+static void check_head(ts_http_message_t *message, const char *bytes, size_t length)
+{
     scan_head(message, bytes, length);
     if (message->is_request && message->has_bare_line_end) {
         message->error = TS_E_BAD_REQUEST;
@@ -190,12 +205,14 @@
     }
 }
 
-static bool is_interim(const ts_http_message_t *message) {
+static bool is_interim(const ts_http_message_t *message)
+{
     return message->is_complete && !message->is_request &&
            message->parser.status_code <= INTERIM_STATUS_MAX;
 }
 
-size_t ts_http_message_feed(ts_http_message_t *message, const char *bytes, size_t length) {
+size_t ts_http_message_feed(ts_http_message_t *message, const char *bytes, size_t length)
+{
     size_t used = 0;
     while (used < length && !message->is_complete && message->error == TS_OK) {
         bool was_in_head = !message->is_head_complete;
@@ -218,7 +235,8 @@
     return used;
 }
 
-void ts_http_message_finish(ts_http_message_t *message) {
+void ts_http_message_finish(ts_http_message_t *message)
+{
     if (message->is_complete || message->error != TS_OK) {
         return;
     }
@@ -228,7 +246,8 @@
     }
 }
 
-const char *ts_http_message_find(const ts_http_message_t *message, const char *name) {
+const char *ts_http_message_find(const ts_http_message_t *message, const char *name)
+{
     for (guint i = 0; i < message->fields->len; i++) {
         const ts_http_field_t *field = &g_array_index(message->fields, ts_http_field_t, i);
         if (strcasecmp(ts_http_message_text(message, field->name), name) == 0) {
@@ -238,7 +257,8 @@
     return NULL;
 }
 
-unsigned ts_http_message_count(const ts_http_message_t *message, const char *name) {
+unsigned ts_http_message_count(const ts_http_message_t *message, const char *name)
+{
     unsigned count = 0;
     for (guint i = 0; i < message->fields->len; i++) {
         const ts_http_field_t *field = &g_array_index(message->fields, ts_http_field_t, i);
@@ -248,7 +268,8 @@
 }
 
 /* Whether a comma-separated list holds a word, letter case aside. */
-static bool list_holds(const char *list, const char *word) {
+static bool list_holds(const char *list, const char *word)
+{
     size_t length = strlen(word);
     while (*list != '\0') {
         list += strspn(list, ", \t");
@@ -261,7 +282,8 @@
     return false;
 }
 
-static bool is_named_by_connection(const ts_http_message_t *message, const char *name) {
+static bool is_named_by_connection(const ts_http_message_t *message, const char *name)
+{
     for (guint i = 0; i < message->fields->len; i++) {
         const ts_http_field_t *field = &g_array_index(message->fields, ts_http_field_t, i);
         if (strcasecmp(ts_http_message_text(message, field->name), "Connection") == 0 &&
@@ -272,7 +294,8 @@
     return false;
 }
 
-bool ts_http_message_is_hop_field(const ts_http_message_t *message, const char *name) {
+bool ts_http_message_is_hop_field(const ts_http_message_t *message, const char *name)
+{
     static const char *const hop_fields[] = {"Connection",
                                              "Keep-Alive",
                                              "Proxy-Connection",
--- a/src/http/stream_end.c
+++ b/src/http/stream_end.c
@@ -3,7 +3,8 @@
 
 #include <sys/socket.h>
 
-bool ts_stream_ended_in_order(const uv_stream_t *stream) {
+bool ts_stream_ended_in_order(const uv_stream_t *stream)
+{
     uv_os_fd_t descriptor = -1;
     char byte = 0;
     if (uv_fileno((const uv_handle_t *)stream, &descriptor) != 0) {
--- a/src/kernel/address.c
+++ b/src/kernel/address.c
@@ -8,7 +8,8 @@
 
 #define MAX_PORT 65535
 
-static ts_error_t parse_port(const char *text, int *port) {
+static ts_error_t parse_port(const char *text, int *port)
+{
     guint64 value = 0;
     if (!g_ascii_string_to_unsigned(text, 10, 1, MAX_PORT, &value, NULL)) {
         return TS_E_ADDRESS;
@@ -17,7 +18,8 @@
     return TS_OK;
 }
 
-ts_error_t ts_address_parse(const char *text, struct sockaddr_storage *address) {
+ts_error_t ts_address_parse(const char *text, struct sockaddr_storage *address)
+{
     char host[TS_ADDRESS_TEXT_MAX];
     int port = 0;
     const char *colon = text == NULL ? NULL : strrchr(text, ':');
@@ -41,7 +43,8 @@
     return status == 0 ? TS_OK : TS_E_ADDRESS;
 }
 
-socklen_t ts_address_length(const struct sockaddr_storage *address) {
+socklen_t ts_address_length(const struct sockaddr_storage *address)
+{
     return address->ss_family == AF_INET6 ? sizeof(struct sockaddr_in6)
                                           : sizeof(struct sockaddr_in);
 }
--- a/src/kernel/clock.c
+++ b/src/kernel/clock.c
@@ -12,19 +12,22 @@
 static ts_time_us_t (*source_now_us)(void);
 static int64_t (*source_wall_ms)(void);
 
-void ts_clock_set_source(ts_time_us_t (*now_us)(void), int64_t (*wall_ms)(void)) {
+void ts_clock_set_source(ts_time_us_t (*now_us)(void), int64_t (*wall_ms)(void))
+{
     source_now_us = now_us;
     source_wall_ms = wall_ms;
 }
 
-ts_time_us_t ts_clock_now_us(void) {
+ts_time_us_t ts_clock_now_us(void)
+{
     if (source_now_us != NULL) {
         return source_now_us();
     }
     return uv_hrtime() / NS_PER_US;
 }
 
-int64_t ts_clock_wall_ms(void) {
+int64_t ts_clock_wall_ms(void)
+{
     if (source_wall_ms != NULL) {
         return source_wall_ms();
     }
--- a/src/kernel/counters.c
+++ b/src/kernel/counters.c
@@ -26,35 +26,42 @@
 static int64_t error_values[MAX_ERROR_NUMBER];
 static ts_histogram_t histograms[TS_HISTOGRAM_COUNT];
 
-void ts_count(ts_counter_t counter, int64_t amount) {
+void ts_count(ts_counter_t counter, int64_t amount)
+{
     counter_values[counter] += amount;
 }
 
-void ts_gauge_set(ts_counter_t counter, int64_t value) {
+void ts_gauge_set(ts_counter_t counter, int64_t value)
+{
     counter_values[counter] = value;
 }
 
-int64_t ts_counter_value(ts_counter_t counter) {
+int64_t ts_counter_value(ts_counter_t counter)
+{
     return counter_values[counter];
 }
 
-void ts_count_error(ts_error_t error) {
+void ts_count_error(ts_error_t error)
+{
     int number = abs((int)error);
     if (number < MAX_ERROR_NUMBER) {
         error_values[number]++;
     }
 }
 
-int64_t ts_error_count(ts_error_t error) {
+int64_t ts_error_count(ts_error_t error)
+{
     int number = abs((int)error);
     return number < MAX_ERROR_NUMBER ? error_values[number] : 0;
 }
 
-void ts_observe_us(ts_histogram_id_t histogram, ts_time_us_t span_us) {
+void ts_observe_us(ts_histogram_id_t histogram, ts_time_us_t span_us)
+{
     ts_histogram_add(&histograms[histogram], span_us);
 }
 
-static void write_histogram(GString *out, const counter_row_t *row, const ts_histogram_t *h) {
+static void write_histogram(GString *out, const counter_row_t *row, const ts_histogram_t *h)
+{
     g_string_append_printf(out, "# HELP tealspar_%s %s\n# TYPE tealspar_%s histogram\n", row->name,
                            row->description, row->name);
     uint64_t seen = 0;
@@ -73,14 +80,16 @@
                            (double)h->sum_us / US_PER_S_DOUBLE, row->name, h->total);
 }
 
-static void write_error_line(GString *out, ts_error_t error) {
+static void write_error_line(GString *out, ts_error_t error)
+{
     if (ts_error_count(error) != 0) {
         g_string_append_printf(out, "tealspar_errors_total{type=\"%s\"} %" PRId64 "\n",
                                ts_error_name(error), ts_error_count(error));
     }
 }
 
-void ts_counters_write_prometheus(GString *out) {
+void ts_counters_write_prometheus(GString *out)
+{
     for (int i = 0; i < TS_COUNTER_COUNT; i++) {
         const counter_row_t *row = &counter_rows[i];
         g_string_append_printf(out, "# HELP tealspar_%s %s\n# TYPE tealspar_%s %s\n", row->name,
@@ -97,14 +106,16 @@
     }
 }
 
-static void write_rows(GString *out, const counter_row_t *rows, size_t count) {
+static void write_rows(GString *out, const counter_row_t *rows, size_t count)
+{
     for (size_t i = 0; i < count; i++) {
         g_string_append_printf(out, "| `tealspar_%s` | %s | %s |\n", rows[i].name, rows[i].type,
                                rows[i].description);
     }
 }
 
-void ts_counters_write_markdown(GString *out) {
+void ts_counters_write_markdown(GString *out)
+{
     g_string_append(out, "| counter | type | meaning |\n| --- | --- | --- |\n");
     write_rows(out, counter_rows, TS_COUNTER_COUNT);
     write_rows(out, histogram_rows, TS_HISTOGRAM_COUNT);
--- a/src/kernel/error.c
+++ b/src/kernel/error.c
@@ -1,7 +1,8 @@
 /** Names and texts of the typed errors. */
 #include "tealspar/error.h"
 
-const char *ts_error_name(ts_error_t error) {
+const char *ts_error_name(ts_error_t error)
+{
     switch (error) {
     case TS_OK:
         return "ok";
@@ -14,7 +15,8 @@
     return "unknown";
 }
 
-const char *ts_error_text(ts_error_t error) {
+const char *ts_error_text(ts_error_t error)
+{
     switch (error) {
     case TS_OK:
         return "success";
--- a/src/kernel/histogram.c
+++ b/src/kernel/histogram.c
@@ -3,7 +3,8 @@
 
 #include <math.h>
 
-uint32_t ts_histogram_bucket(ts_time_us_t value_us) {
+uint32_t ts_histogram_bucket(ts_time_us_t value_us)
+{
     if (value_us < TS_HISTOGRAM_SUB_COUNT) {
         return (uint32_t)value_us;
     }
@@ -14,7 +15,8 @@
     return bucket < TS_HISTOGRAM_BUCKETS ? bucket : TS_HISTOGRAM_BUCKETS - 1;
 }
 
-ts_time_us_t ts_histogram_upper_us(uint32_t bucket) {
+ts_time_us_t ts_histogram_upper_us(uint32_t bucket)
+{
     if (bucket < TS_HISTOGRAM_SUB_COUNT) {
         return bucket;
     }
@@ -23,13 +25,15 @@
     return ((sub + 1) << shift) - 1;
 }
 
-void ts_histogram_add(ts_histogram_t *histogram, ts_time_us_t value_us) {
+void ts_histogram_add(ts_histogram_t *histogram, ts_time_us_t value_us)
+{
     histogram->buckets[ts_histogram_bucket(value_us)]++;
     histogram->total++;
     histogram->sum_us += value_us;
 }
 
-ts_time_us_t ts_histogram_quantile(const ts_histogram_t *histogram, double quantile) {
+ts_time_us_t ts_histogram_quantile(const ts_histogram_t *histogram, double quantile)
+{
     if (histogram->total == 0) {
         return 0;
     }
@@ -49,7 +53,8 @@
     return ts_histogram_upper_us(last);
 }
 
-void ts_histogram_decay(ts_histogram_t *histogram) {
+void ts_histogram_decay(ts_histogram_t *histogram)
+{
     uint64_t total = 0;
     for (uint32_t i = 0; i < TS_HISTOGRAM_BUCKETS; i++) {
         histogram->buckets[i] /= 2;
