--- a/src/kernel/http_client.c
+++ b/src/kernel/http_client.c
@@ -36,7 +36,8 @@
     uv_timer_t postponed; /* runs the callback of a call that ended at once */
 };
 
-static void free_pool(ts_http_pool_t *pool) {
+static void free_pool(ts_http_pool_t *pool)
+{
     h2o_socketpool_dispose(&pool->sockets);
     h2o_timeout_dispose(pool->loop, &pool->io_timeout);
     g_free(pool->host);
@@ -44,7 +45,8 @@
 }
 
 ts_error_t ts_http_pool_open(ts_http_pool_t **opened, uv_loop_t *loop, const char *address,
-                             size_t connections) {
+                             size_t connections)
+{
     struct sockaddr_storage parsed;
     ts_error_t error = ts_address_parse(address, &parsed);
     if (error != TS_OK) {
@@ -63,18 +65,21 @@
     return TS_OK;
 }
 
-void ts_http_pool_close(ts_http_pool_t *pool) {
+void ts_http_pool_close(ts_http_pool_t *pool)
+{
     pool->closing = true;
     if (pool->in_use == 0) {
         free_pool(pool);
     }
 }
 
-unsigned ts_http_pool_in_use(const ts_http_pool_t *pool) {
+unsigned ts_http_pool_in_use(const ts_http_pool_t *pool)
+{
     return pool->in_use;
 }
 
-static void free_call(ts_http_call_t *call) {
+static void free_call(ts_http_call_t *call)
+{
     ts_http_pool_t *pool = call->pool;
     g_string_free(call->request, TRUE);
     g_string_free(call->body, TRUE);
@@ -85,7 +90,8 @@
     }
 }
 
-static void finish_call(ts_http_call_t *call, ts_error_t error) {
+static void finish_call(ts_http_call_t *call, ts_error_t error)
+{
     if (call->starting) {
         call->ended_at_start = true;
         call->start_error = error;
@@ -96,16 +102,19 @@
     free_call(call);
 }
 
-static void finish_postponed_closed(uv_handle_t *handle) {
+static void finish_postponed_closed(uv_handle_t *handle)
+{
     ts_http_call_t *call = handle->data;
     finish_call(call, call->start_error);
 }
 
-static void finish_postponed(uv_timer_t *timer) {
+static void finish_postponed(uv_timer_t *timer)
+{
     uv_close((uv_handle_t *)timer, finish_postponed_closed);
 }
 
-static int on_body(h2o_http1client_t *client, const char *error) {
+static int on_body(h2o_http1client_t *client, const char *error)
+{
     ts_http_call_t *call = client->data;
     if (error != NULL && error != h2o_http1client_error_is_eos) {
         finish_call(call, TS_E_IO);
@@ -122,7 +131,8 @@
 
 static h2o_http1client_body_cb on_head(h2o_http1client_t *client, const char *error, int minor,
                                        int status, h2o_iovec_t message, h2o_header_t *headers,
-                                       size_t header_count, int received) {
+                                       size_t header_count, int received)
+{
     ts_http_call_t *call = client->data;
     call->status = status;
     if (error == h2o_http1client_error_is_eos) {
@@ -138,7 +148,8 @@
 
 static h2o_http1client_head_cb on_connect(h2o_http1client_t *client, const char *error,
                                           h2o_iovec_t **buffers, size_t *buffer_count,
-                                          int *method_is_head) {
+                                          int *method_is_head)
+{
     ts_http_call_t *call = client->data;
     if (error != NULL) {
         finish_call(call, TS_E_CONNECT);
@@ -151,7 +162,8 @@
     return on_head;
 }
 
-static GString *format_request(const ts_http_pool_t *pool, const ts_http_send_t *send) {
+static GString *format_request(const ts_http_pool_t *pool, const ts_http_send_t *send)
+{
     GString *text = g_string_sized_new(256 + send->body_length);
     g_string_append_printf(text, "%s %s HTTP/1.1\r\nhost: %s\r\nconnection: keep-alive\r\n",
                            send->method, send->path, pool->host);
@@ -170,7 +182,8 @@
 }
 
 ts_http_call_t *ts_http_call(ts_http_pool_t *pool, const ts_http_send_t *send, ts_http_done_t done,
-                             void *context) {
+                             void *context)
+{
     ts_http_call_t *call = g_new0(ts_http_call_t, 1);
     call->pool = pool;
     call->done = done;
@@ -190,11 +203,13 @@
     return call;
 }
 
-static void free_postponed(uv_handle_t *handle) {
+static void free_postponed(uv_handle_t *handle)
+{
     free_call(handle->data);
 }
 
-void ts_http_cancel(ts_http_call_t *call) {
+void ts_http_cancel(ts_http_call_t *call)
+{
     if (call->ended_at_start) {
         uv_close((uv_handle_t *)&call->postponed, free_postponed);
         return;
--- a/src/kernel/http_fetch.c
+++ b/src/kernel/http_fetch.c
@@ -9,7 +9,8 @@
     bool is_done;
 } fetch_t;
 
-static void take_result(void *context, const ts_http_result_t *result) {
+static void take_result(void *context, const ts_http_result_t *result)
+{
     fetch_t *fetch = context;
     fetch->reply.error = result->error;
     fetch->reply.status = result->status;
@@ -19,12 +20,14 @@
     uv_stop(fetch->loop);
 }
 
-static void take_timeout(uv_timer_t *timer) {
+static void take_timeout(uv_timer_t *timer)
+{
     uv_stop(timer->loop);
 }
 
 ts_http_reply_copy_t ts_http_fetch(const char *address, const char *method, const char *path,
-                                   const char *body, unsigned timeout_ms) {
+                                   const char *body, unsigned timeout_ms)
+{
     /* h2o keeps timers in the loop that it never gives back: the loop lives as long as the process.
      */
     static uv_loop_t *loop;
--- a/src/kernel/http_server.c
+++ b/src/kernel/http_server.c
@@ -54,7 +54,8 @@
 static GHashTable *watched_sockets;
 
 /* Runs when h2o frees the request: after the reply, or because the caller closed. */
-static void dispose_exchange(void *pointer) {
+static void dispose_exchange(void *pointer)
+{
     ts_http_exchange_t *exchange = pointer;
     if (exchange->socket != NULL) {
         g_hash_table_remove(watched_sockets, exchange->socket);
@@ -65,7 +66,8 @@
     }
 }
 
-static int handle_request(h2o_handler_t *super, h2o_req_t *request) {
+static int handle_request(h2o_handler_t *super, h2o_req_t *request)
+{
     ts_http_server_t *server = ((server_handler_t *)super)->server;
     ts_http_exchange_t *exchange =
         h2o_mem_alloc_shared(&request->pool, sizeof(*exchange), dispose_exchange);
@@ -95,7 +97,8 @@
  * While an exchange is watched, this callback reads instead; h2o sets its own again for the next
  * request. Early bytes of a next request simply stay in the socket's input buffer.
  */
-static void notice_close(h2o_socket_t *socket, const char *error) {
+static void notice_close(h2o_socket_t *socket, const char *error)
+{
     if (error == NULL) {
         return;
     }
@@ -111,7 +114,8 @@
     ts_http_reply(exchange, HTTP_CLIENT_CLOSED, "text/plain", "", 0, 0);
 }
 
-void ts_http_watch(ts_http_exchange_t *exchange, ts_http_abandoned_t abandoned, void *context) {
+void ts_http_watch(ts_http_exchange_t *exchange, ts_http_abandoned_t abandoned, void *context)
+{
     exchange->abandoned = abandoned;
     exchange->abandoned_context = context;
     h2o_req_t *request = exchange->request;
@@ -126,7 +130,8 @@
     h2o_socket_read_start(exchange->socket, notice_close);
 }
 
-bool ts_http_header(ts_http_exchange_t *exchange, const char *name, char *value, size_t size) {
+bool ts_http_header(ts_http_exchange_t *exchange, const char *name, char *value, size_t size)
+{
     h2o_headers_t *headers = &exchange->request->headers;
     ssize_t index = h2o_find_header_by_str(headers, name, strlen(name), -1);
     if (index == -1) {
@@ -139,7 +144,8 @@
     return true;
 }
 
-static void add_retry_after(h2o_req_t *request, unsigned retry_after_ms) {
+static void add_retry_after(h2o_req_t *request, unsigned retry_after_ms)
+{
     if (retry_after_ms == 0) {
         return;
     }
@@ -151,7 +157,8 @@
 }
 
 void ts_http_reply(ts_http_exchange_t *exchange, int status, const char *content_type,
-                   const char *body, size_t length, unsigned retry_after_ms) {
+                   const char *body, size_t length, unsigned retry_after_ms)
+{
     h2o_req_t *request = exchange->request;
     exchange->replied = true;
     if (exchange->socket != NULL) {
@@ -170,7 +177,8 @@
     h2o_send_inline(request, body, length);
 }
 
-void ts_http_abort(ts_http_exchange_t *exchange) {
+void ts_http_abort(ts_http_exchange_t *exchange)
+{
     h2o_req_t *request = exchange->request;
     h2o_socket_t *socket = request->conn->callbacks->get_socket(request->conn);
     request->http1_is_persistent = 0;
@@ -178,13 +186,15 @@
     ts_http_reply(exchange, HTTP_CLIENT_CLOSED, "text/plain", "", 0, 0);
 }
 
-static void free_connection(uv_handle_t *handle) {
+static void free_connection(uv_handle_t *handle)
+{
     connection_t *connection = (connection_t *)handle;
     connection->server->connections--;
     free(connection);
 }
 
-static void accept_connection(uv_stream_t *listener, int status) {
+static void accept_connection(uv_stream_t *listener, int status)
+{
     ts_http_server_t *server = (ts_http_server_t *)listener;
     if (status != 0) {
         return;
@@ -203,7 +213,8 @@
     h2o_accept(&server->accept, socket);
 }
 
-static void configure_server(ts_http_server_t *server, uv_loop_t *loop) {
+static void configure_server(ts_http_server_t *server, uv_loop_t *loop)
+{
     h2o_config_init(&server->config);
     server->config.server_name = h2o_iovec_init(H2O_STRLIT("tealspar"));
     /* h2o reads one byte more than our limit so that our own 413 is the answer. */
@@ -224,7 +235,8 @@
 
 ts_error_t ts_http_server_open(ts_http_server_t **opened, uv_loop_t *loop, const char *address,
                                const ts_http_limits_t *limits, ts_http_handler_t handler,
-                               void *context) {
+                               void *context)
+{
     struct sockaddr_storage parsed;
     ts_error_t error = ts_address_parse(address, &parsed);
     if (error != TS_OK) {
@@ -248,21 +260,25 @@
     return TS_OK;
 }
 
-void ts_http_server_leave(ts_http_server_t *server) {
+void ts_http_server_leave(ts_http_server_t *server)
+{
     server->draining = true;
 }
 
-void ts_http_server_drain(ts_http_server_t *server) {
+void ts_http_server_drain(ts_http_server_t *server)
+{
     server->draining = true;
     ts_http_server_close(server);
     h2o_context_request_shutdown(&server->context);
 }
 
-unsigned ts_http_server_connections(const ts_http_server_t *server) {
+unsigned ts_http_server_connections(const ts_http_server_t *server)
+{
     return server->connections;
 }
 
-void ts_http_server_close(ts_http_server_t *server) {
+void ts_http_server_close(ts_http_server_t *server)
+{
     if (!uv_is_closing((uv_handle_t *)&server->listener)) {
         uv_close((uv_handle_t *)&server->listener, NULL);
     }
--- a/src/kernel/messages.c
+++ b/src/kernel/messages.c
@@ -3,12 +3,14 @@
 
 #include "tealspar/declarations.h"
 
-ts_work_t *ts_work_ref(ts_work_t *work) {
+ts_work_t *ts_work_ref(ts_work_t *work)
+{
     work->references++;
     return work;
 }
 
-void ts_work_unref(ts_work_t *work) {
+void ts_work_unref(ts_work_t *work)
+{
     if (work == NULL || --work->references > 0) {
         return;
     }
@@ -19,7 +21,8 @@
     g_free(work);
 }
 
-void ts_subreply_clear(ts_subreply_t *subreply) {
+void ts_subreply_clear(ts_subreply_t *subreply)
+{
     for (size_t i = 0; i < subreply->hits_count; i++) {
         g_free(subreply->hits[i].id);
         g_free(subreply->hits[i].text);
@@ -29,13 +32,14 @@
     subreply->hits_count = 0;
 }
 
-static void destroy_subrequests(ts_message_t *message) {
+static void destroy_subrequests(ts_message_t *message)
+{
     ts_work_unref(((ts_subrequests_message_t *)message)->work);
     g_free(message);
 }
 
-ts_subrequests_message_t *ts_subrequests_message(uint64_t peer, ts_work_t *work,
-                                                 size_t parts_count) {
+ts_subrequests_message_t *ts_subrequests_message(uint64_t peer, ts_work_t *work, size_t parts_count)
+{
     ts_subrequests_message_t *message =
         g_malloc0(sizeof(*message) + parts_count * sizeof(ts_part_t));
     message->head.type = TS_MESSAGE_SUBREQUESTS;
@@ -46,12 +50,14 @@
     return message;
 }
 
-static void destroy_subreply(ts_message_t *message) {
+static void destroy_subreply(ts_message_t *message)
+{
     ts_subreply_clear(&((ts_subreply_message_t *)message)->subreply);
     g_free(message);
 }
 
-ts_subreply_message_t *ts_subreply_message(uint64_t peer) {
+ts_subreply_message_t *ts_subreply_message(uint64_t peer)
+{
     ts_subreply_message_t *message = g_new0(ts_subreply_message_t, 1);
     message->head.type = TS_MESSAGE_SUBREPLIES;
     message->head.destroy = destroy_subreply;
@@ -59,11 +65,13 @@
     return message;
 }
 
-static void destroy_plain(ts_message_t *message) {
+static void destroy_plain(ts_message_t *message)
+{
     g_free(message);
 }
 
-ts_cancel_message_t *ts_cancel_message(uint64_t peer, uint64_t counter) {
+ts_cancel_message_t *ts_cancel_message(uint64_t peer, uint64_t counter)
+{
     ts_cancel_message_t *message = g_new0(ts_cancel_message_t, 1);
     message->head.type = TS_MESSAGE_CANCEL;
     message->head.destroy = destroy_plain;
@@ -72,7 +80,8 @@
     return message;
 }
 
-static void destroy_gossip(ts_message_t *message) {
+static void destroy_gossip(ts_message_t *message)
+{
     ts_gossip_message_t *gossip = (ts_gossip_message_t *)message;
     g_free(gossip->peer_name);
     g_free(gossip->peer_address);
@@ -81,7 +90,8 @@
 }
 
 ts_gossip_message_t *ts_gossip_message(const char *peer_name, const char *peer_address,
-                                       const uint8_t *bytes, size_t length) {
+                                       const uint8_t *bytes, size_t length)
+{
     ts_gossip_message_t *message = g_new0(ts_gossip_message_t, 1);
     message->head.type = TS_MESSAGE_GOSSIP;
     message->head.destroy = destroy_gossip;
@@ -92,12 +102,14 @@
     return message;
 }
 
-static void destroy_peer(ts_message_t *message) {
+static void destroy_peer(ts_message_t *message)
+{
     g_free(((ts_peer_message_t *)message)->name);
     g_free(message);
 }
 
-ts_peer_message_t *ts_peer_message(uint64_t peer, const char *name) {
+ts_peer_message_t *ts_peer_message(uint64_t peer, const char *name)
+{
     ts_peer_message_t *message = g_new0(ts_peer_message_t, 1);
     message->head.type = TS_MESSAGE_PEER_LOST;
     message->head.destroy = destroy_peer;
@@ -106,7 +118,8 @@
     return message;
 }
 
-static void free_machine(gpointer pointer) {
+static void free_machine(gpointer pointer)
+{
     ts_machine_t *machine = pointer;
     g_free(machine->name);
     g_free(machine->address);
@@ -114,12 +127,14 @@
     g_free(machine);
 }
 
-static void destroy_machines(ts_message_t *message) {
+static void destroy_machines(ts_message_t *message)
+{
     g_ptr_array_free(((ts_machines_message_t *)message)->machines, TRUE);
     g_free(message);
 }
 
-ts_machines_message_t *ts_machines_message(void) {
+ts_machines_message_t *ts_machines_message(void)
+{
     ts_machines_message_t *message = g_new0(ts_machines_message_t, 1);
     message->head.type = TS_MESSAGE_MACHINES;
     message->head.destroy = destroy_machines;
@@ -128,7 +143,8 @@
 }
 
 void ts_machines_message_add(ts_machines_message_t *message, const char *name, const char *address,
-                             const char *zone, bool leaving) {
+                             const char *zone, bool leaving)
+{
     ts_machine_t *machine = g_new0(ts_machine_t, 1);
     machine->name = g_strdup(name);
     machine->address = g_strdup(address);
@@ -137,7 +153,8 @@
     g_ptr_array_add(message->machines, machine);
 }
 
-static void destroy_document(ts_message_t *message) {
+static void destroy_document(ts_message_t *message)
+{
     ts_document_message_t *document = (ts_document_message_t *)message;
     g_free(document->peer_name);
     g_free(document->peer_address);
@@ -145,7 +162,8 @@
     g_free(document);
 }
 
-ts_document_message_t *ts_document_message(const char *peer_name, const char *peer_address) {
+ts_document_message_t *ts_document_message(const char *peer_name, const char *peer_address)
+{
     ts_document_message_t *message = g_new0(ts_document_message_t, 1);
     message->head.type = TS_MESSAGE_DOCUMENT;
     message->head.destroy = destroy_document;
@@ -154,12 +172,14 @@
     return message;
 }
 
-static void destroy_declarations(ts_message_t *message) {
+static void destroy_declarations(ts_message_t *message)
+{
     ts_declarations_unref(((ts_declarations_message_t *)message)->declarations);
     g_free(message);
 }
 
-ts_declarations_message_t *ts_declarations_message(ts_declarations_t *declarations) {
+ts_declarations_message_t *ts_declarations_message(ts_declarations_t *declarations)
+{
     ts_declarations_message_t *message = g_new0(ts_declarations_message_t, 1);
     message->head.type = TS_MESSAGE_DECLARATIONS;
     message->head.destroy = destroy_declarations;
@@ -167,12 +187,14 @@
     return message;
 }
 
-static void destroy_view(ts_message_t *message) {
+static void destroy_view(ts_message_t *message)
+{
     ts_view_unref(((ts_view_message_t *)message)->view);
     g_free(message);
 }
 
-ts_view_message_t *ts_view_message(ts_view_t *view) {
+ts_view_message_t *ts_view_message(ts_view_t *view)
+{
     ts_view_message_t *message = g_new0(ts_view_message_t, 1);
     message->head.type = TS_MESSAGE_VIEW;
     message->head.destroy = destroy_view;
--- a/src/kernel/node.c
+++ b/src/kernel/node.c
@@ -32,7 +32,8 @@
 
 static running_t running;
 
-static ts_error_t check_open_files(void) {
+static ts_error_t check_open_files(void)
+{
     struct rlimit limit;
     if (getrlimit(RLIMIT_NOFILE, &limit) != 0) {
         return TS_E_LIMIT;
@@ -48,7 +49,8 @@
     return TS_OK;
 }
 
-bool ts_node_is_idle(ts_node_t *node) {
+bool ts_node_is_idle(ts_node_t *node)
+{
     const ts_plugin_t *plugin = NULL;
     while ((plugin = ts_plugin_next(TS_PLUGIN_TASK, plugin)) != NULL) {
         const ts_task_ops_t *ops = plugin->ops;
@@ -59,7 +61,8 @@
     return true;
 }
 
-void ts_node_leave(ts_node_t *node) {
+void ts_node_leave(ts_node_t *node)
+{
     const ts_plugin_t *plugin = NULL;
     node->stopping = true;
     while ((plugin = ts_plugin_next(TS_PLUGIN_TASK, plugin)) != NULL) {
@@ -70,16 +73,19 @@
     }
 }
 
-void *ts_node_state(const ts_node_t *node, const char *task) {
+void *ts_node_state(const ts_node_t *node, const char *task)
+{
     return g_hash_table_lookup(node->states, task);
 }
 
-void ts_node_set_state(ts_node_t *node, const char *task, void *state) {
+void ts_node_set_state(ts_node_t *node, const char *task, void *state)
+{
     g_hash_table_insert(node->states, (gpointer)task, state);
 }
 
 void ts_node_init(ts_node_t *node, ts_runtime_t *runtime, const ts_settings_t *settings,
-                  uint64_t incarnation) {
+                  uint64_t incarnation)
+{
     node->runtime = runtime;
     node->tasks = ts_tasks_create(runtime);
     node->states = g_hash_table_new(g_str_hash, g_str_equal);
@@ -89,7 +95,8 @@
     node->platform = "http";
 }
 
-void ts_node_close(ts_node_t *node) {
+void ts_node_close(ts_node_t *node)
+{
     const ts_plugin_t *plugin = NULL;
     ts_tasks_destroy(node->tasks); /* first, as what is in mailboxes refers to the states */
     while ((plugin = ts_plugin_next(TS_PLUGIN_TASK, plugin)) != NULL) {
@@ -101,7 +108,8 @@
     g_hash_table_destroy(node->states);
 }
 
-static void check_stop(uv_timer_t *timer) {
+static void check_stop(uv_timer_t *timer)
+{
     ts_time_us_t now_us = ts_clock_now_us();
     if (!ts_node_is_idle(&running.node)) {
         running.idle_since_us = 0;
@@ -116,7 +124,8 @@
     }
 }
 
-static void begin_stop(uv_signal_t *handle, int signal_number) {
+static void begin_stop(uv_signal_t *handle, int signal_number)
+{
     if (running.node.stopping) {
         uv_stop(&running.loop); /* a second signal ends at once */
         return;
@@ -127,7 +136,8 @@
     uv_timer_start(&running.stop_check, check_stop, STOP_CHECK_MS, STOP_CHECK_MS);
 }
 
-static void check_stall(uv_timer_t *timer) {
+static void check_stall(uv_timer_t *timer)
+{
     ts_time_us_t now_us = ts_clock_now_us();
     ts_time_us_t late_us = now_us - running.stall_seen_us;
     running.stall_seen_us = now_us;
@@ -139,7 +149,8 @@
 }
 
 /* Calls one operation of every task, in order, until one fails. */
-static ts_error_t call_tasks(ts_node_t *node, bool opens) {
+static ts_error_t call_tasks(ts_node_t *node, bool opens)
+{
     const ts_plugin_t *plugin = NULL;
     while ((plugin = ts_plugin_next(TS_PLUGIN_TASK, plugin)) != NULL) {
         const ts_task_ops_t *ops = plugin->ops;
@@ -153,12 +164,14 @@
     return TS_OK;
 }
 
-ts_error_t ts_node_start(ts_node_t *node) {
+ts_error_t ts_node_start(ts_node_t *node)
+{
     ts_error_t error = call_tasks(node, true);
     return error == TS_OK ? call_tasks(node, false) : error;
 }
 
-static void watch_signals(void) {
+static void watch_signals(void)
+{
     signal(SIGPIPE, SIG_IGN);
     uv_signal_init(&running.loop, &running.terminate);
     uv_signal_init(&running.loop, &running.interrupt);
@@ -170,7 +183,8 @@
     uv_timer_start(&running.stall_check, check_stall, STALL_CHECK_MS, STALL_CHECK_MS);
 }
 
-ts_error_t ts_node_run(const ts_settings_t *settings) {
+ts_error_t ts_node_run(const ts_settings_t *settings)
+{
     ts_error_t error = check_open_files();
     if (error != TS_OK) {
         return error;
@@ -193,7 +207,8 @@
     return TS_OK;
 }
 
-json_t *ts_node_status(ts_node_t *node) {
+json_t *ts_node_status(ts_node_t *node)
+{
     json_t *status = json_object();
     json_object_set_new(status, "name", json_string(node->settings->name));
     json_object_set_new(status, "cluster", json_string(node->settings->cluster));
--- a/src/kernel/plugin.c
+++ b/src/kernel/plugin.c
@@ -5,14 +5,16 @@
 
 static ts_plugin_t *registered;
 
-static int compare_plugins(const ts_plugin_t *left, const ts_plugin_t *right) {
+static int compare_plugins(const ts_plugin_t *left, const ts_plugin_t *right)
+{
     if (left->order != right->order) {
         return left->order - right->order;
     }
     return strcmp(left->name, right->name);
 }
 
-void ts_plugin_register(ts_plugin_t *plugin) {
+void ts_plugin_register(ts_plugin_t *plugin)
+{
     ts_plugin_t **place = &registered;
     while (*place != NULL && compare_plugins(*place, plugin) < 0) {
         place = &(*place)->next;
@@ -21,7 +23,8 @@
     *place = plugin;
 }
 
-const ts_plugin_t *ts_plugin_next(ts_plugin_kind_t kind, const ts_plugin_t *previous) {
+const ts_plugin_t *ts_plugin_next(ts_plugin_kind_t kind, const ts_plugin_t *previous)
+{
     const ts_plugin_t *plugin = previous == NULL ? registered : previous->next;
     while (plugin != NULL && plugin->kind != kind) {
         plugin = plugin->next;
@@ -29,7 +32,8 @@
     return plugin;
 }
 
-const void *ts_plugin_find(ts_plugin_kind_t kind, const char *name) {
+const void *ts_plugin_find(ts_plugin_kind_t kind, const char *name)
+{
     const ts_plugin_t *plugin = NULL;
     while ((plugin = ts_plugin_next(kind, plugin)) != NULL) {
         if (strcmp(plugin->name, name) == 0) {
--- a/src/kernel/runtime_uv.c
+++ b/src/kernel/runtime_uv.c
@@ -3,33 +3,39 @@
 
 #include <glib.h>
 
-static void on_timer(uv_timer_t *handle) {
+static void on_timer(uv_timer_t *handle)
+{
     ts_timer_t *timer = handle->data;
     timer->is_active = timer->repeat_ms > 0;
     timer->fired(timer);
 }
 
-static void on_closed(uv_handle_t *handle) {
+static void on_closed(uv_handle_t *handle)
+{
     ts_timer_t *timer = handle->data;
     if (timer->closed != NULL) {
         timer->closed(timer);
     }
 }
 
-static void init_timer(ts_timer_t *timer) {
+static void init_timer(ts_timer_t *timer)
+{
     uv_timer_init(((ts_runtime_uv_t *)timer->runtime)->loop, &timer->uv);
     timer->uv.data = timer;
 }
 
-static void start_timer(ts_timer_t *timer, uint64_t after_ms) {
+static void start_timer(ts_timer_t *timer, uint64_t after_ms)
+{
     uv_timer_start(&timer->uv, on_timer, after_ms, timer->repeat_ms);
 }
 
-static void stop_timer(ts_timer_t *timer) {
+static void stop_timer(ts_timer_t *timer)
+{
     uv_timer_stop(&timer->uv);
 }
 
-static void close_timer(ts_timer_t *timer) {
+static void close_timer(ts_timer_t *timer)
+{
     uv_close((uv_handle_t *)&timer->uv, on_closed);
 }
 
@@ -41,12 +47,14 @@
     void *context;
 } pool_work_t;
 
-static void run_pool_work(uv_work_t *request) {
+static void run_pool_work(uv_work_t *request)
+{
     const pool_work_t *work = (const pool_work_t *)request;
     work->run(work->context);
 }
 
-static void finish_pool_work(uv_work_t *request, int status) {
+static void finish_pool_work(uv_work_t *request, int status)
+{
     pool_work_t *work = (pool_work_t *)request;
     work->done(work->context);
     g_free(work);
@@ -54,7 +62,8 @@
 
 /* The loop ends with the process, so nothing is ever dropped. */
 static void queue_work(ts_runtime_t *runtime, void (*run)(void *context),
-                       void (*done)(void *context), void (*drop)(void *context), void *context) {
+                       void (*done)(void *context), void (*drop)(void *context), void *context)
+{
     pool_work_t *work = g_new0(pool_work_t, 1);
     work->run = run;
     work->done = done;
@@ -63,18 +72,21 @@
                   finish_pool_work);
 }
 
-static void wake(ts_runtime_t *runtime) {
+static void wake(ts_runtime_t *runtime)
+{
     uv_async_send(&((ts_runtime_uv_t *)runtime)->wake_up);
 }
 
-static void drain(uv_async_t *handle) {
+static void drain(uv_async_t *handle)
+{
     const ts_runtime_uv_t *runtime = handle->data;
     if (runtime->tasks != NULL && ts_tasks_drain(runtime->tasks)) {
         uv_async_send(handle);
     }
 }
 
-void ts_runtime_uv_open(ts_runtime_uv_t *runtime, uv_loop_t *loop) {
+void ts_runtime_uv_open(ts_runtime_uv_t *runtime, uv_loop_t *loop)
+{
     static const ts_runtime_ops_t ops = {init_timer,  start_timer, stop_timer,
                                          close_timer, queue_work,  wake};
     runtime->super.ops = &ops;
@@ -84,6 +96,7 @@
     runtime->wake_up.data = runtime;
 }
 
-void ts_runtime_uv_serve(ts_runtime_uv_t *runtime, ts_tasks_t *tasks) {
+void ts_runtime_uv_serve(ts_runtime_uv_t *runtime, ts_tasks_t *tasks)
+{
     runtime->tasks = tasks;
 }
--- a/src/kernel/task.c
+++ b/src/kernel/task.c
@@ -24,13 +24,15 @@
 /* A round delivers at most this many messages a task, so that no task starves the sockets. */
 #define MESSAGES_PER_ROUND 256
 
-ts_tasks_t *ts_tasks_create(ts_runtime_t *runtime) {
+ts_tasks_t *ts_tasks_create(ts_runtime_t *runtime)
+{
     ts_tasks_t *tasks = g_new0(ts_tasks_t, 1);
     tasks->runtime = runtime;
     return tasks;
 }
 
-static ts_message_t *take_message(ts_task_t *task) {
+static ts_message_t *take_message(ts_task_t *task)
+{
     uv_mutex_lock(&task->lock);
     ts_message_t *message = task->head;
     if (message != NULL) {
@@ -43,7 +45,8 @@
     return message;
 }
 
-static int handle_messages(ts_task_t *task) {
+static int handle_messages(ts_task_t *task)
+{
     for (int i = 0; i < MESSAGES_PER_ROUND; i++) {
         ts_message_t *message = take_message(task);
         if (message == NULL) {
@@ -58,7 +61,8 @@
 }
 
 /* Returns whether more may be waiting. */
-static bool drain_task(ts_task_t *task) {
+static bool drain_task(ts_task_t *task)
+{
     int handled = handle_messages(task);
     if (handled > 0 && task->drained != NULL) {
         task->drained(task->state);
@@ -66,7 +70,8 @@
     return handled == MESSAGES_PER_ROUND;
 }
 
-bool ts_tasks_drain(ts_tasks_t *tasks) {
+bool ts_tasks_drain(ts_tasks_t *tasks)
+{
     bool more = false;
     for (ts_task_t *task = tasks->first; task != NULL; task = task->next) {
         more |= drain_task(task);
@@ -75,7 +80,8 @@
 }
 
 ts_task_t *ts_task_create(ts_tasks_t *tasks, const char *name, ts_task_handler_t handler,
-                          void *state) {
+                          void *state)
+{
     ts_task_t *task = g_new0(ts_task_t, 1);
     task->tasks = tasks;
     task->name = name;
@@ -88,7 +94,8 @@
     return task;
 }
 
-static void destroy_task(ts_task_t *task) {
+static void destroy_task(ts_task_t *task)
+{
     ts_message_t *message = NULL;
     while ((message = take_message(task)) != NULL) {
         message->destroy(message);
@@ -97,7 +104,8 @@
     g_free(task);
 }
 
-void ts_tasks_destroy(ts_tasks_t *tasks) {
+void ts_tasks_destroy(ts_tasks_t *tasks)
+{
     while (tasks->first != NULL) {
         ts_task_t *task = tasks->first;
         tasks->first = task->next;
@@ -106,7 +114,8 @@
     g_free(tasks);
 }
 
-void ts_task_send(ts_task_t *task, ts_message_t *message) {
+void ts_task_send(ts_task_t *task, ts_message_t *message)
+{
     message->next = NULL;
     uv_mutex_lock(&task->lock);
     bool was_empty = task->head == NULL;
@@ -118,11 +127,13 @@
     }
 }
 
-void ts_task_on_drained(ts_task_t *task, void (*drained)(void *state)) {
+void ts_task_on_drained(ts_task_t *task, void (*drained)(void *state))
+{
     task->drained = drained;
 }
 
-ts_task_t *ts_task_find(const ts_tasks_t *tasks, const char *name) {
+ts_task_t *ts_task_find(const ts_tasks_t *tasks, const char *name)
+{
     for (ts_task_t *task = tasks->first; task != NULL; task = task->next) {
         if (strcmp(task->name, name) == 0) {
             return task;
--- a/src/observe/line_writer.c
+++ b/src/observe/line_writer.c
@@ -28,7 +28,8 @@
     uint64_t dropped_told;
 };
 
-ts_line_writer_t *ts_line_writer_create(int descriptor, uint32_t lines_max, uint32_t bytes_max) {
+ts_line_writer_t *ts_line_writer_create(int descriptor, uint32_t lines_max, uint32_t bytes_max)
+{
     ts_line_writer_t *writer = g_new0(ts_line_writer_t, 1);
     writer->descriptor = descriptor;
     writer->lines_max = lines_max;
@@ -37,12 +38,14 @@
     return writer;
 }
 
-void ts_line_writer_free(ts_line_writer_t *writer) {
+void ts_line_writer_free(ts_line_writer_t *writer)
+{
     g_string_free(writer->waiting, TRUE);
     g_free(writer);
 }
 
-static void begin_second(ts_line_writer_t *writer, ts_time_us_t now_us) {
+static void begin_second(ts_line_writer_t *writer, ts_time_us_t now_us)
+{
     if (now_us - writer->second_us >= TS_US_PER_S) {
         writer->second_us = now_us;
         writer->lines = 0;
@@ -52,20 +55,23 @@
 }
 
 /* Whether a share (in tenths) of the budget and of the buffer still holds the line. */
-static bool has_room(const ts_line_writer_t *writer, size_t length, uint32_t tenths) {
+static bool has_room(const ts_line_writer_t *writer, size_t length, uint32_t tenths)
+{
     size_t waiting = writer->waiting->len - writer->written + length;
     return writer->lines < (uint64_t)writer->lines_max * tenths / 10 &&
            writer->bytes + length < (uint64_t)writer->bytes_max * tenths / 10 &&
            waiting < (uint64_t)BUFFER_MAX * tenths / 10;
 }
 
-bool ts_line_writer_takes_sample(ts_line_writer_t *writer, ts_time_us_t now_us) {
+bool ts_line_writer_takes_sample(ts_line_writer_t *writer, ts_time_us_t now_us)
+{
     begin_second(writer, now_us);
     return writer->samples < SAMPLES_PER_S;
 }
 
 bool ts_line_writer_add(ts_line_writer_t *writer, ts_line_rank_t rank, const char *line,
-                        size_t length, ts_time_us_t now_us) {
+                        size_t length, ts_time_us_t now_us)
+{
     static const uint32_t tenths[] = {5, 9, 10};
     bool is_sampled_out = rank == TS_LINE_SAMPLE && !ts_line_writer_takes_sample(writer, now_us);
     begin_second(writer, now_us);
@@ -85,7 +91,8 @@
 }
 
 /* A pipe that polls as writable takes this much without blocking. */
-static bool write_some(ts_line_writer_t *writer) {
+static bool write_some(ts_line_writer_t *writer)
+{
     struct pollfd ready = {.fd = writer->descriptor, .events = POLLOUT};
     size_t left = writer->waiting->len - writer->written;
     if (left == 0 || poll(&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0) {
@@ -100,7 +107,8 @@
     return true;
 }
 
-void ts_line_writer_flush_batch(ts_line_writer_t *writer, ts_time_us_t now_us) {
+void ts_line_writer_flush_batch(ts_line_writer_t *writer, ts_time_us_t now_us)
+{
     size_t left = writer->waiting->len - writer->written;
     if (left >= BATCH_BYTES || (left > 0 && now_us - writer->flushed_us >= BATCH_US)) {
         writer->flushed_us = now_us;
@@ -108,7 +116,8 @@
     }
 }
 
-void ts_line_writer_flush(ts_line_writer_t *writer) {
+void ts_line_writer_flush(ts_line_writer_t *writer)
+{
     while (write_some(writer)) {
     }
     if (writer->written == writer->waiting->len) {
@@ -120,11 +129,13 @@
     }
 }
 
-bool ts_line_writer_has_dropped(const ts_line_writer_t *writer) {
+bool ts_line_writer_has_dropped(const ts_line_writer_t *writer)
+{
     return writer->dropped > writer->dropped_told;
 }
 
-uint64_t ts_line_writer_take_dropped(ts_line_writer_t *writer) {
+uint64_t ts_line_writer_take_dropped(ts_line_writer_t *writer)
+{
     uint64_t dropped = writer->dropped - writer->dropped_told;
     writer->dropped_told = writer->dropped;
     return dropped;
--- a/src/observe/log.c
+++ b/src/observe/log.c
@@ -28,7 +28,8 @@
 static ts_line_writer_t *log_writer;
 static gboolean is_flushed_by_loop; /* a loop calls ts_log_flush */
 
-static const char *name_level(GLogLevelFlags level) {
+static const char *name_level(GLogLevelFlags level)
+{
     switch (level & G_LOG_LEVEL_MASK) {
     case G_LOG_LEVEL_ERROR:
     case G_LOG_LEVEL_CRITICAL:
@@ -44,7 +45,8 @@
     }
 }
 
-static const char *find_field(const GLogField *fields, gsize count, const char *key) {
+static const char *find_field(const GLogField *fields, gsize count, const char *key)
+{
     for (gsize i = 0; i < count; i++) {
         if (strcmp(fields[i].key, key) == 0) {
             return fields[i].value;
@@ -53,7 +55,8 @@
     return "";
 }
 
-static void append_escaped(GString *out, const char *text, size_t length) {
+static void append_escaped(GString *out, const char *text, size_t length)
+{
     for (size_t i = 0; i < length; i++) {
         unsigned char byte = (unsigned char)text[i];
         if (byte == '"' || byte == '\\') {
@@ -68,13 +71,15 @@
 }
 
 /* Whether a value is written without quotes. */
-static gboolean is_number(const char *text, size_t length) {
+static gboolean is_number(const char *text, size_t length)
+{
     size_t digits = strspn(text, "0123456789");
     return length > 0 && digits >= length && length < 16 && (text[0] != '0' || length == 1);
 }
 
 static void append_field(GString *out, const char *name, size_t name_length, const char *value,
-                         size_t length) {
+                         size_t length)
+{
     g_string_append(out, ",\"");
     append_escaped(out, name, name_length);
     g_string_append(out, "\":");
@@ -88,7 +93,8 @@
 }
 
 /* Whether a text is made of "name=value" words. */
-static gboolean is_fields(const char *text) {
+static gboolean is_fields(const char *text)
+{
     while (*text != '\0') {
         size_t name = strspn(text, "abcdefghijklmnopqrstuvwxyz_");
         if (name == 0 || text[name] != '=') {
@@ -100,7 +106,8 @@
     return TRUE;
 }
 
-static void append_details(GString *out, const char *detail) {
+static void append_details(GString *out, const char *detail)
+{
     if (!is_fields(detail)) {
         append_field(out, "detail", strlen("detail"), detail, strlen(detail));
         return;
@@ -115,7 +122,8 @@
     }
 }
 
-static void format_line(GString *out, GLogLevelFlags level, const char *event, const char *detail) {
+static void format_line(GString *out, GLogLevelFlags level, const char *event, const char *detail)
+{
     const char *node = log_node == NULL ? "-" : log_node;
     if (log_format == TS_LOG_TEXT) {
         g_string_append_printf(out, "%" PRId64 " %s %s %s: %s", ts_clock_wall_ms(),
@@ -130,7 +138,8 @@
     g_string_append_c(out, '}');
 }
 
-static ts_line_rank_t rank_of(GLogLevelFlags level, const char *event) {
+static ts_line_rank_t rank_of(GLogLevelFlags level, const char *event)
+{
     if ((level & G_LOG_LEVEL_MASK) <= G_LOG_LEVEL_MESSAGE) {
         return TS_LINE_NEEDED;
     }
@@ -138,7 +147,8 @@
                                                                       : TS_LINE_DETAIL;
 }
 
-static void add_line(GLogLevelFlags level, const char *event, const char *detail) {
+static void add_line(GLogLevelFlags level, const char *event, const char *detail)
+{
     GString *line = g_string_sized_new(256);
     format_line(line, level, event, detail);
     if (ts_line_writer_add(log_writer, rank_of(level, event), line->str, line->len,
@@ -151,7 +161,8 @@
 }
 
 static GLogWriterOutput write_line(GLogLevelFlags level, const GLogField *fields, gsize count,
-                                   gpointer data) {
+                                   gpointer data)
+{
     /* GLib orders levels by bit: a more severe level is a lower bit. */
     if ((level & G_LOG_LEVEL_MASK) > log_minimum) {
         return G_LOG_WRITER_HANDLED;
@@ -164,7 +175,8 @@
     return G_LOG_WRITER_HANDLED;
 }
 
-void ts_log_flush(void) {
+void ts_log_flush(void)
+{
     static ts_time_us_t told_us;
     ts_time_us_t now_us = ts_clock_now_us();
     is_flushed_by_loop = TRUE;
@@ -178,13 +190,15 @@
     ts_line_writer_flush_batch(log_writer, now_us);
 }
 
-void ts_log_close(void) {
+void ts_log_close(void)
+{
     if (log_writer != NULL) {
         ts_line_writer_flush(log_writer);
     }
 }
 
-gboolean ts_log_is_wanted(ts_event_t event) {
+gboolean ts_log_is_wanted(ts_event_t event)
+{
     if (event == TS_EVENT_REQUEST_DONE && log_writer != NULL &&
         !ts_line_writer_takes_sample(log_writer, ts_clock_now_us())) {
         return FALSE;
@@ -192,7 +206,8 @@
     return (event_rows[event].level & G_LOG_LEVEL_MASK) <= log_minimum;
 }
 
-void ts_log_open(const char *node, ts_log_format_t format, GLogLevelFlags minimum) {
+void ts_log_open(const char *node, ts_log_format_t format, GLogLevelFlags minimum)
+{
     static gboolean installed = FALSE;
     g_free(log_node);
     log_node = g_strdup(node);
@@ -207,7 +222,8 @@
     }
 }
 
-void ts_log(ts_event_t event, const char *format, ...) {
+void ts_log(ts_event_t event, const char *format, ...)
+{
     if (!ts_log_is_wanted(event)) {
         return;
     }
--- a/src/peers/peer_link.c
+++ b/src/peers/peer_link.c
@@ -35,7 +35,8 @@
 };
 
 /* On nng's threads. */
-static void on_received(void *data) {
+static void on_received(void *data)
+{
     ts_peer_link_t *link = data;
     if (nng_aio_result(link->receive) != 0) {
         return; /* the socket is closed */
@@ -45,7 +46,8 @@
     nng_recv_aio(link->receiver, link->receive);
 }
 
-static void take_arrived(uv_async_t *wake) {
+static void take_arrived(uv_async_t *wake)
+{
     ts_peer_link_t *link = wake->data;
     nng_msg *message = NULL;
     while ((message = g_async_queue_try_pop(link->arrived)) != NULL) {
@@ -56,7 +58,8 @@
     }
 }
 
-static void close_peer(peer_t *peer) {
+static void close_peer(peer_t *peer)
+{
     if (peer->is_open) {
         peer->is_open = false;
         nng_close(peer->socket);
@@ -64,14 +67,16 @@
     }
 }
 
-static void free_peer(gpointer data) {
+static void free_peer(gpointer data)
+{
     peer_t *peer = data;
     close_peer(peer);
     g_free(peer->address);
     g_free(peer);
 }
 
-static bool open_peer(const ts_peer_link_t *link, peer_t *peer) {
+static bool open_peer(const ts_peer_link_t *link, peer_t *peer)
+{
     if (peer->is_open) {
         return true;
     }
@@ -93,7 +98,8 @@
     return true;
 }
 
-static peer_t *find_peer(ts_peer_link_t *link, const char *address) {
+static peer_t *find_peer(ts_peer_link_t *link, const char *address)
+{
     peer_t *peer = g_hash_table_lookup(link->peers, address);
     if (peer == NULL) {
         peer = g_new0(peer_t, 1);
@@ -104,7 +110,8 @@
 }
 
 void ts_peer_link_send(ts_peer_link_t *link, const char *address, const uint8_t *bytes,
-                       size_t length) {
+                       size_t length)
+{
     peer_t *peer = find_peer(link, address);
     nng_msg *message = NULL;
     peer->used_us = ts_clock_now_us();
@@ -121,20 +128,24 @@
     ts_count(TS_COUNTER_MESH_BYTES_SENT, (int64_t)length);
 }
 
-void ts_peer_link_reset(ts_peer_link_t *link, const char *address) {
+void ts_peer_link_reset(ts_peer_link_t *link, const char *address)
+{
     g_hash_table_remove(link->peers, address);
 }
 
-static gboolean is_idle(gpointer key, gpointer value, gpointer now_us) {
+static gboolean is_idle(gpointer key, gpointer value, gpointer now_us)
+{
     return *(const ts_time_us_t *)now_us - ((const peer_t *)value)->used_us > IDLE_CLOSE_US;
 }
 
-void ts_peer_link_sweep(ts_peer_link_t *link, ts_time_us_t now_us) {
+void ts_peer_link_sweep(ts_peer_link_t *link, ts_time_us_t now_us)
+{
     g_hash_table_foreach_remove(link->peers, is_idle, &now_us);
 }
 
 ts_peer_link_t *ts_peer_link_open(uv_loop_t *loop, const char *address, ts_peer_received_t received,
-                                  void *context) {
+                                  void *context)
+{
     ts_peer_link_t *link = g_new0(ts_peer_link_t, 1);
     link->local_ip = g_strndup(address, (gsize)(strrchr(address, ':') - address));
     link->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
--- a/src/peers/peers.c
+++ b/src/peers/peers.c
@@ -51,13 +51,15 @@
     unsigned asked_times;
 };
 
-static bool is_watcher(const ts_peers_t *peers) {
+static bool is_watcher(const ts_peers_t *peers)
+{
     return peers->own_place == 0;
 }
 
 /* -- Sending ----------------------------------------------------------------------------------- */
 
-static void send_frame(ts_peers_t *peers, const char *address, TsPeer__Frame *frame) {
+static void send_frame(ts_peers_t *peers, const char *address, TsPeer__Frame *frame)
+{
     const ts_gateway_settings_t *settings = peers->gateway->settings;
     if (peers->is_mute) {
         return;
@@ -73,7 +75,8 @@
 }
 
 /* To this node's children in the zone's tree. */
-static void send_to_children(ts_peers_t *peers, TsPeer__Frame *frame) {
+static void send_to_children(ts_peers_t *peers, TsPeer__Frame *frame)
+{
     guint begin = peers->own_place * BEACON_CHILDREN + 1;
     for (guint i = begin; i < begin + BEACON_CHILDREN && i < peers->zone_order->len; i++) {
         const ts_view_member_t *member = g_ptr_array_index(peers->zone_order, i);
@@ -82,7 +85,8 @@
 }
 
 /* To a few nodes of this zone, drawn at random; to all when there are few. */
-static void send_to_some(ts_peers_t *peers, TsPeer__Frame *frame) {
+static void send_to_some(ts_peers_t *peers, TsPeer__Frame *frame)
+{
     guint count = peers->zone_order->len;
     guint begin = count == 0 ? 0 : ts_gateway_random(peers->gateway) % count;
     for (guint i = 0, sent = 0; i < count && sent < SUSPICION_FANOUT; i++) {
@@ -94,14 +98,16 @@
     }
 }
 
-static uint32_t age_ms(const ts_peers_t *peers) {
+static uint32_t age_ms(const ts_peers_t *peers)
+{
     ts_time_us_t confirmed_us = ts_store_mirror_confirmed_us(peers->mirror);
     ts_time_us_t age_us = confirmed_us == 0 ? 0 : ts_clock_now_us() - confirmed_us;
     ts_time_us_t age = age_us / TS_US_PER_MS;
     return confirmed_us == 0 || age > UINT32_MAX ? UINT32_MAX : (uint32_t)age;
 }
 
-static void send_beacon(ts_peers_t *peers) {
+static void send_beacon(ts_peers_t *peers)
+{
     TsPeer__Beacon beacon = TS_PEER__BEACON__INIT;
     TsPeer__Frame frame = TS_PEER__FRAME__INIT;
     beacon.revision = ts_store_mirror_revision(peers->mirror);
@@ -112,7 +118,8 @@
     send_to_children(peers, &frame);
 }
 
-static void send_pull(ts_peers_t *peers, const char *address, uint64_t after) {
+static void send_pull(ts_peers_t *peers, const char *address, uint64_t after)
+{
     TsPeer__Pull pull = TS_PEER__PULL__INIT;
     TsPeer__Frame frame = TS_PEER__FRAME__INIT;
     pull.after = after;
@@ -120,7 +127,8 @@
     send_frame(peers, address, &frame);
 }
 
-static void send_changes(ts_peers_t *peers, const char *address, uint64_t after) {
+static void send_changes(ts_peers_t *peers, const char *address, uint64_t after)
+{
     bool is_whole = false;
     GPtrArray *list = ts_store_mirror_changes(peers->mirror, after, &is_whole);
     TsPeer__Entry *rows = g_new0(TsPeer__Entry, list->len + 1);
@@ -152,13 +160,15 @@
 /* -- Receiving --------------------------------------------------------------------------------- */
 
 /* When something of that age was confirmed, on this node's clock. */
-static ts_time_us_t confirmed_at(uint32_t age) {
+static ts_time_us_t confirmed_at(uint32_t age)
+{
     ts_time_us_t now_us = ts_clock_now_us();
     ts_time_us_t age_us = (ts_time_us_t)age * TS_US_PER_MS;
     return age_us < now_us ? now_us - age_us : 0;
 }
 
-static void pull_from(ts_peers_t *peers, const char *address, uint64_t after) {
+static void pull_from(ts_peers_t *peers, const char *address, uint64_t after)
+{
     ts_time_us_t now_us = ts_clock_now_us();
     if (now_us - peers->pulled_us > PULL_AGAIN_US) {
         peers->pulled_us = now_us;
@@ -167,13 +177,15 @@
 }
 
 /* Whether this node knows nothing although the service had time to answer. */
-static bool is_in_need(const ts_peers_t *peers) {
+static bool is_in_need(const ts_peers_t *peers)
+{
     return ts_store_mirror_is_empty(peers->mirror) &&
            ts_clock_now_us() - peers->gateway->opened_us > ASK_FIRST_US;
 }
 
 /* Passes on what is known now to this node's children, if it is news since the last time. */
-static void pass_on(ts_peers_t *peers) {
+static void pass_on(ts_peers_t *peers)
+{
     ts_time_us_t confirmed_us = ts_store_mirror_confirmed_us(peers->mirror);
     bool is_news = ts_store_mirror_revision(peers->mirror) > peers->passed_on_revision ||
                    confirmed_us > peers->passed_on_us + BEACON_NEWER_US;
@@ -182,7 +194,8 @@
     }
 }
 
-static void take_beacon(ts_peers_t *peers, const TsPeer__Frame *frame) {
+static void take_beacon(ts_peers_t *peers, const TsPeer__Frame *frame)
+{
     uint64_t own = ts_store_mirror_revision(peers->mirror);
     if (!ts_store_mirror_is_primed(peers->mirror)) {
         if (is_in_need(peers)) {
@@ -196,13 +209,15 @@
     }
 }
 
-static void take_pull(ts_peers_t *peers, const TsPeer__Frame *frame) {
+static void take_pull(ts_peers_t *peers, const TsPeer__Frame *frame)
+{
     if (ts_store_mirror_is_primed(peers->mirror)) {
         send_changes(peers, frame->address, frame->pull->after);
     }
 }
 
-static GPtrArray *read_entries(const ts_peers_t *peers, const TsPeer__Changes *changes) {
+static GPtrArray *read_entries(const ts_peers_t *peers, const TsPeer__Changes *changes)
+{
     ts_store_page_t *page = ts_store_page_create();
     for (size_t i = 0; i < changes->n_entries; i++) {
         const TsPeer__Entry *row = changes->entries[i];
@@ -219,7 +234,8 @@
     return entries;
 }
 
-static void take_changes(ts_peers_t *peers, const TsPeer__Changes *changes) {
+static void take_changes(ts_peers_t *peers, const TsPeer__Changes *changes)
+{
     bool is_news = changes->revision >= ts_store_mirror_revision(peers->mirror);
     if (!changes->is_whole && !ts_store_mirror_is_primed(peers->mirror)) {
         return;
@@ -241,14 +257,16 @@
     g_ptr_array_unref(entries);
 }
 
-static void take_suspicion(ts_peers_t *peers, const TsPeer__Suspicion *suspicion) {
+static void take_suspicion(ts_peers_t *peers, const TsPeer__Suspicion *suspicion)
+{
     ts_instance_t *instance = ts_registry_instance(peers->gateway->registry, suspicion->instance);
     if (instance != NULL) {
         ts_instance_hear_suspicion(instance, suspicion->suspected, ts_clock_now_us());
     }
 }
 
-static void take_frame(void *context, const uint8_t *bytes, size_t length) {
+static void take_frame(void *context, const uint8_t *bytes, size_t length)
+{
     ts_peers_t *peers = context;
     TsPeer__Frame *frame = ts_peer__frame__unpack(NULL, length, bytes);
     if (frame == NULL || frame->protocol != PROTOCOL) {
@@ -281,7 +299,8 @@
 /* -- Membership -------------------------------------------------------------------------------- */
 
 static void send_gossip(void *context, const char *name, const char *address, const uint8_t *bytes,
-                        size_t length) {
+                        size_t length)
+{
     TsPeer__Frame frame = TS_PEER__FRAME__INIT;
     frame.gossip.data = (uint8_t *)bytes;
     frame.gossip.len = length;
@@ -291,7 +310,8 @@
 
 /* A peer has a newer configuration; asked for only if the zone's watcher is not heard. */
 static void hear_config(void *context, const char *name, const char *address, uint64_t version,
-                        uint64_t digest) {
+                        uint64_t digest)
+{
     ts_peers_t *peers = context;
     const ts_traffic_t *traffic = peers->gateway->traffic;
     if (traffic == NULL || version > traffic->version) {
@@ -302,7 +322,8 @@
 }
 
 /* Live ones first, then by rendezvous weight; the same view gives the same order everywhere. */
-static gint compare_members(gconstpointer left, gconstpointer right) {
+static gint compare_members(gconstpointer left, gconstpointer right)
+{
     const ts_view_member_t *a = *(ts_view_member_t *const *)left;
     const ts_view_member_t *b = *(ts_view_member_t *const *)right;
     bool a_is_live = a->state == TS_MEMBER_LIVE;
@@ -315,7 +336,8 @@
     return (a_weight < b_weight) - (a_weight > b_weight);
 }
 
-static void order_zone(ts_peers_t *peers) {
+static void order_zone(ts_peers_t *peers)
+{
     const char *zone = peers->gateway->settings->zone;
     g_ptr_array_set_size(peers->zone_order, 0);
     for (size_t i = 0; i < peers->view->count; i++) {
@@ -332,7 +354,8 @@
     }
 }
 
-static void change_view(void *context) {
+static void change_view(void *context)
+{
     ts_peers_t *peers = context;
     ts_view_unref(peers->view);
     peers->view = ts_membership_view(peers->membership);
@@ -343,23 +366,27 @@
 }
 
 static void log_member(void *context, const char *name, ts_member_state_t old,
-                       ts_member_state_t state) {
+                       ts_member_state_t state)
+{
     ts_log(TS_EVENT_MEMBER_STATE, "peer=%s before=%s state=%s", name, ts_member_state_name(old),
            ts_member_state_name(state));
 }
 
 /* -- Time -------------------------------------------------------------------------------------- */
 
-bool ts_peers_is_relied_on(const ts_peers_t *peers) {
+bool ts_peers_is_relied_on(const ts_peers_t *peers)
+{
     return peers->zone_order->len > 1 && is_watcher(peers);
 }
 
-bool ts_peers_should_watch(const ts_peers_t *peers, ts_time_us_t now_us) {
+bool ts_peers_should_watch(const ts_peers_t *peers, ts_time_us_t now_us)
+{
     ts_time_us_t confirmed_us = ts_store_mirror_confirmed_us(peers->mirror);
     return is_watcher(peers) || confirmed_us == 0 || now_us - confirmed_us > CONFIRMED_MAX_US;
 }
 
-void ts_peers_announce(ts_peers_t *peers) {
+void ts_peers_announce(ts_peers_t *peers)
+{
     const ts_traffic_t *traffic = peers->gateway->traffic;
     if (traffic != NULL) {
         ts_membership_set_config(peers->membership, traffic->version, 0);
@@ -370,7 +397,8 @@
 }
 
 /* Somebody else, drawn at random: of this zone and of all zones in turn. */
-static const ts_view_member_t *choose_to_ask(ts_peers_t *peers) {
+static const ts_view_member_t *choose_to_ask(ts_peers_t *peers)
+{
     bool in_zone = peers->asked_times++ % 2 == 0 && peers->zone_order->len > 1;
     size_t count = in_zone ? peers->zone_order->len : peers->view->count;
     size_t begin = ts_gateway_random(peers->gateway) % count;
@@ -385,7 +413,8 @@
     return NULL;
 }
 
-void ts_peers_ask_around(ts_peers_t *peers) {
+void ts_peers_ask_around(ts_peers_t *peers)
+{
     ts_time_us_t now_us = ts_clock_now_us();
     if (now_us - peers->asked_us < ASK_AROUND_US) {
         return;
@@ -398,7 +427,8 @@
     }
 }
 
-static void tick(uv_timer_t *timer) {
+static void tick(uv_timer_t *timer)
+{
     ts_peers_t *peers = timer->data;
     ts_membership_tick(peers->membership, ts_clock_now_us());
     if (is_in_need(peers)) {
@@ -410,7 +440,8 @@
     }
 }
 
-void ts_peers_tell_suspicion(ts_peers_t *peers, const char *instance, bool suspected) {
+void ts_peers_tell_suspicion(ts_peers_t *peers, const char *instance, bool suspected)
+{
     TsPeer__Suspicion suspicion = TS_PEER__SUSPICION__INIT;
     TsPeer__Frame frame = TS_PEER__FRAME__INIT;
     suspicion.instance = (char *)instance;
@@ -419,24 +450,29 @@
     send_to_some(peers, &frame);
 }
 
-unsigned ts_peers_count(const ts_peers_t *peers) {
+unsigned ts_peers_count(const ts_peers_t *peers)
+{
     return (unsigned)peers->view->count;
 }
 
-void ts_peers_set_mute(ts_peers_t *peers, bool is_mute) {
+void ts_peers_set_mute(ts_peers_t *peers, bool is_mute)
+{
     peers->is_mute = is_mute;
 }
 
-void ts_peers_leave(ts_peers_t *peers) {
+void ts_peers_leave(ts_peers_t *peers)
+{
     ts_membership_leave(peers->membership, ts_clock_now_us());
 }
 
-void ts_peers_sweep(ts_peers_t *peers, ts_time_us_t now_us) {
+void ts_peers_sweep(ts_peers_t *peers, ts_time_us_t now_us)
+{
     ts_peer_link_sweep(peers->link, now_us);
 }
 
 /* Seeds are asked by address alone; their names come with their answers. */
-static void add_seeds(ts_peers_t *peers) {
+static void add_seeds(ts_peers_t *peers)
+{
     const ts_gateway_settings_t *settings = peers->gateway->settings;
     ts_membership_begin_machines(peers->membership);
     for (unsigned i = 0; i < settings->seeds_count; i++) {
@@ -448,7 +484,8 @@
     ts_membership_end_machines(peers->membership);
 }
 
-ts_peers_t *ts_peers_open(ts_gateway_t *gateway, ts_store_mirror_t *mirror) {
+ts_peers_t *ts_peers_open(ts_gateway_t *gateway, ts_store_mirror_t *mirror)
+{
     static const ts_membership_ops_t ops = {send_gossip, hear_config, change_view, log_member};
     const ts_gateway_settings_t *settings = gateway->settings;
     ts_peers_t *peers = g_new0(ts_peers_t, 1);
--- a/src/proto/wire.c
+++ b/src/proto/wire.c
@@ -17,13 +17,15 @@
 };
 
 /* protobuf-c wants char pointers that are never NULL in required places. */
-static char *text_or_empty(char *text) {
+static char *text_or_empty(char *text)
+{
     return text == NULL ? (char *)protobuf_c_empty_string : text;
 }
 
 /* ---- building ---- */
 
-static TsWire__Part *build_part(const ts_part_t *part) {
+static TsWire__Part *build_part(const ts_part_t *part)
+{
     TsWire__Part *wire = g_new(TsWire__Part, 1);
     ts_wire__part__init(wire);
     wire->counter = part->counter;
@@ -33,7 +35,8 @@
     return wire;
 }
 
-static void add_subrequests(ts_wire_frame_t *frame, const ts_subrequests_message_t *message) {
+static void add_subrequests(ts_wire_frame_t *frame, const ts_subrequests_message_t *message)
+{
     ts_time_us_t now_us = ts_clock_now_us();
     const ts_work_t *work = message->work;
     if (work->deadline_us <= now_us) {
@@ -59,7 +62,8 @@
     g_ptr_array_add(frame->subrequests, wire);
 }
 
-static void add_subreply(ts_wire_frame_t *frame, const ts_subreply_t *subreply) {
+static void add_subreply(ts_wire_frame_t *frame, const ts_subreply_t *subreply)
+{
     TsWire__Subreply *wire = g_new(TsWire__Subreply, 1);
     ts_wire__subreply__init(wire);
     wire->counter = subreply->counter;
@@ -88,12 +92,14 @@
     g_ptr_array_add(frame->subreplies, wire);
 }
 
-static void add_gossip(ts_wire_frame_t *frame, const ts_gossip_message_t *message) {
+static void add_gossip(ts_wire_frame_t *frame, const ts_gossip_message_t *message)
+{
     ProtobufCBinaryData data = {message->length, message->bytes};
     g_array_append_val(frame->gossips, data);
 }
 
-static void add_document(ts_wire_frame_t *frame, const ts_document_message_t *message) {
+static void add_document(ts_wire_frame_t *frame, const ts_document_message_t *message)
+{
     TsWire__Document *wire = g_new(TsWire__Document, 1);
     ts_wire__document__init(wire);
     wire->wanted = message->wanted;
@@ -103,7 +109,8 @@
     g_ptr_array_add(frame->documents, wire);
 }
 
-static void add_message(ts_wire_frame_t *frame, const ts_message_t *message) {
+static void add_message(ts_wire_frame_t *frame, const ts_message_t *message)
+{
     switch (message->type) {
     case TS_MESSAGE_SUBREQUESTS:
         add_subrequests(frame, (const ts_subrequests_message_t *)message);
@@ -125,7 +132,8 @@
     }
 }
 
-static void attach_lists(ts_wire_frame_t *frame) {
+static void attach_lists(ts_wire_frame_t *frame)
+{
     frame->frame.n_subrequests = frame->subrequests->len;
     frame->frame.subrequests = (TsWire__Subrequests **)frame->subrequests->pdata;
     frame->frame.n_subreplies = frame->subreplies->len;
@@ -139,7 +147,8 @@
 }
 
 ts_wire_frame_t *ts_wire_frame_build(const ts_wire_identity_t *identity,
-                                     ts_message_t *const *messages, size_t count) {
+                                     ts_message_t *const *messages, size_t count)
+{
     ts_wire_frame_t *frame = g_new0(ts_wire_frame_t, 1);
     ts_wire__frame__init(&frame->frame);
     frame->subrequests = g_ptr_array_new();
@@ -159,15 +168,18 @@
     return frame;
 }
 
-size_t ts_wire_frame_size(const ts_wire_frame_t *frame) {
+size_t ts_wire_frame_size(const ts_wire_frame_t *frame)
+{
     return ts_wire__frame__get_packed_size(&frame->frame);
 }
 
-void ts_wire_frame_pack(const ts_wire_frame_t *frame, uint8_t *bytes) {
+void ts_wire_frame_pack(const ts_wire_frame_t *frame, uint8_t *bytes)
+{
     ts_wire__frame__pack(&frame->frame, bytes);
 }
 
-static void free_subrequests(gpointer pointer, gpointer data) {
+static void free_subrequests(gpointer pointer, gpointer data)
+{
     TsWire__Subrequests *wire = pointer;
     for (size_t i = 0; i < wire->n_parts; i++) {
         g_free(wire->parts[i]);
@@ -176,7 +188,8 @@
     g_free(wire);
 }
 
-static void free_subreply(gpointer pointer, gpointer data) {
+static void free_subreply(gpointer pointer, gpointer data)
+{
     TsWire__Subreply *wire = pointer;
     if (wire->n_hits > 0) {
         g_free(wire->hits[0]); /* the rows are one block */
@@ -185,11 +198,13 @@
     g_free(wire);
 }
 
-static void free_document(gpointer pointer, gpointer data) {
+static void free_document(gpointer pointer, gpointer data)
+{
     g_free(pointer);
 }
 
-void ts_wire_frame_free(ts_wire_frame_t *frame) {
+void ts_wire_frame_free(ts_wire_frame_t *frame)
+{
     g_ptr_array_foreach(frame->subrequests, free_subrequests, NULL);
     g_ptr_array_foreach(frame->subreplies, free_subreply, NULL);
     g_ptr_array_foreach(frame->documents, free_document, NULL);
@@ -203,12 +218,14 @@
 
 /* ---- unpacking ---- */
 
-static char *copy_text(const char *text) {
+static char *copy_text(const char *text)
+{
     return text == NULL || *text == '\0' ? NULL : g_strdup(text);
 }
 
 static void deliver_subrequests(const TsWire__Subrequests *wire, uint64_t peer,
-                                ts_wire_receiver_t receiver, void *context) {
+                                ts_wire_receiver_t receiver, void *context)
+{
     ts_work_t *work = g_new0(ts_work_t, 1);
     work->references = 1;
     work->request_id = g_strdup(wire->request_id);
@@ -233,7 +250,8 @@
 }
 
 static void deliver_subreply(const TsWire__Subreply *wire, uint64_t peer,
-                             ts_wire_receiver_t receiver, void *context) {
+                             ts_wire_receiver_t receiver, void *context)
+{
     ts_subreply_message_t *message = ts_subreply_message(peer);
     ts_subreply_t *subreply = &message->subreply;
     subreply->counter = wire->counter;
@@ -257,14 +275,16 @@
 }
 
 static void deliver_gossip(const TsWire__Frame *frame, const ProtobufCBinaryData *data,
-                           ts_wire_receiver_t receiver, void *context) {
+                           ts_wire_receiver_t receiver, void *context)
+{
     ts_gossip_message_t *message =
         ts_gossip_message(frame->sender, frame->sender_address, data->data, data->len);
     receiver(context, &message->head);
 }
 
 static void deliver_document(const TsWire__Frame *frame, const TsWire__Document *wire,
-                             ts_wire_receiver_t receiver, void *context) {
+                             ts_wire_receiver_t receiver, void *context)
+{
     ts_document_message_t *message = ts_document_message(frame->sender, frame->sender_address);
     message->wanted = wire->wanted;
     message->version = wire->version;
@@ -275,13 +295,15 @@
     receiver(context, &message->head);
 }
 
-static bool is_acceptable(const ts_wire_identity_t *identity, const TsWire__Frame *frame) {
+static bool is_acceptable(const ts_wire_identity_t *identity, const TsWire__Frame *frame)
+{
     return frame->protocol == TS_PROTOCOL && strcmp(frame->cluster, identity->cluster) == 0 &&
            frame->sender[0] != '\0' && strcmp(frame->sender, identity->name) != 0;
 }
 
 ts_error_t ts_wire_frame_unpack(const ts_wire_identity_t *identity, const uint8_t *bytes,
-                                size_t length, ts_wire_receiver_t receiver, void *context) {
+                                size_t length, ts_wire_receiver_t receiver, void *context)
+{
     TsWire__Frame *frame = ts_wire__frame__unpack(NULL, length, bytes);
     if (frame == NULL) {
         return TS_E_PROTOCOL;
--- a/src/registry/instance_health.c
+++ b/src/registry/instance_health.c
@@ -28,14 +28,16 @@
 #define AVOID_MAX_US (2 * TS_US_PER_S)
 #define AVOID_REFUSED_US (60 * TS_US_PER_MS)
 
-static void lower_limit(ts_instance_t *instance, double factor, ts_time_us_t now_us) {
+static void lower_limit(ts_instance_t *instance, double factor, ts_time_us_t now_us)
+{
     double present = instance->limit > 0 ? instance->limit : instance->in_flight;
     instance->limit = MAX(present * factor, LIMIT_LEAST);
     instance->limited_us = now_us;
 }
 
 static void adapt_limit(ts_instance_t *instance, ts_time_us_t now_us, double span_us,
-                        double typical_us) {
+                        double typical_us)
+{
     double settled_us = LIMIT_SETTLES_RATIO * typical_us;
     bool is_settled = (double)(now_us - instance->limited_us) > settled_us;
     if (span_us > OVERLOADED_RATIO * typical_us) {
@@ -48,7 +50,8 @@
     }
 }
 
-static void note_span(ts_instance_t *instance, double ratio) {
+static void note_span(ts_instance_t *instance, double ratio)
+{
     if (ratio < SLOW_RATIO) {
         instance->slowness += SLOWNESS_STEP * (ratio - instance->slowness);
     } else if (instance->slowness < SLOWNESS_MAX) {
@@ -57,7 +60,8 @@
 }
 
 void ts_instance_note_answer(ts_instance_t *instance, ts_time_us_t now_us, double span_us,
-                             double typical_us) {
+                             double typical_us)
+{
     instance->answered_us = now_us;
     instance->failures = 0;
     instance->avoid_until_us = 0;
@@ -76,7 +80,8 @@
     }
 }
 
-void ts_instance_note_overdue(ts_instance_t *instance, ts_time_us_t sent_us, ts_time_us_t now_us) {
+void ts_instance_note_overdue(ts_instance_t *instance, ts_time_us_t sent_us, ts_time_us_t now_us)
+{
     if (instance->suspected_us != 0 || instance->answered_us > sent_us) {
         return;
     }
@@ -89,7 +94,8 @@
            (unsigned long)((now_us - sent_us) / TS_US_PER_MS));
 }
 
-void ts_instance_hear_suspicion(ts_instance_t *instance, bool suspected, ts_time_us_t now_us) {
+void ts_instance_hear_suspicion(ts_instance_t *instance, bool suspected, ts_time_us_t now_us)
+{
     bool answered_lately =
         instance->answered_us != 0 && now_us - instance->answered_us < HEARD_AFTER_US;
     if (suspected && instance->suspected_us == 0 && !answered_lately) {
@@ -102,13 +108,15 @@
     }
 }
 
-void ts_instance_note_failure(ts_instance_t *instance, ts_time_us_t now_us) {
+void ts_instance_note_failure(ts_instance_t *instance, ts_time_us_t now_us)
+{
     ts_time_us_t pause_us = AVOID_FIRST_US << (instance->failures < 3 ? instance->failures : 3);
     instance->failures++;
     instance->avoid_until_us = now_us + (pause_us < AVOID_MAX_US ? pause_us : AVOID_MAX_US);
 }
 
-void ts_instance_note_refusal(ts_instance_t *instance, ts_time_us_t now_us) {
+void ts_instance_note_refusal(ts_instance_t *instance, ts_time_us_t now_us)
+{
     instance->answered_us = now_us;
     instance->avoid_until_us = now_us + AVOID_REFUSED_US;
     lower_limit(instance, LIMIT_FALL_REFUSED, now_us);
--- a/src/registry/registry.c
+++ b/src/registry/registry.c
@@ -19,7 +19,8 @@
     void *told_context;
 };
 
-void ts_instance_record_clear(ts_instance_record_t *record) {
+void ts_instance_record_clear(ts_instance_record_t *record)
+{
     g_free(record->id);
     g_free(record->service);
     g_free(record->address);
@@ -27,14 +28,16 @@
     memset(record, 0, sizeof(*record));
 }
 
-static void free_service(gpointer data) {
+static void free_service(gpointer data)
+{
     ts_service_t *service = data;
     g_ptr_array_unref(service->instances);
     g_free(service->name);
     g_free(service);
 }
 
-static void free_instance(gpointer data) {
+static void free_instance(gpointer data)
+{
     ts_instance_t *instance = data;
     g_queue_clear(&instance->idle);
     g_free(instance->id);
@@ -42,11 +45,13 @@
     g_free(instance);
 }
 
-static const char *find_region(const ts_registry_t *registry, const char *zone) {
+static const char *find_region(const ts_registry_t *registry, const char *zone)
+{
     return registry->zones == NULL ? NULL : g_hash_table_lookup(registry->zones, zone);
 }
 
-ts_registry_t *ts_registry_create(const char *zone, GHashTable *zones) {
+ts_registry_t *ts_registry_create(const char *zone, GHashTable *zones)
+{
     ts_registry_t *registry = g_new0(ts_registry_t, 1);
     registry->zone = g_strdup(zone);
     registry->zones = zones;
@@ -55,14 +60,16 @@
     return registry;
 }
 
-void ts_registry_destroy(ts_registry_t *registry) {
+void ts_registry_destroy(ts_registry_t *registry)
+{
     g_hash_table_destroy(registry->services);
     g_hash_table_destroy(registry->instances);
     g_free(registry->zone);
     g_free(registry);
 }
 
-ts_service_t *ts_registry_service(ts_registry_t *registry, const char *name) {
+ts_service_t *ts_registry_service(ts_registry_t *registry, const char *name)
+{
     ts_service_t *service = g_hash_table_lookup(registry->services, name);
     if (service == NULL) {
         service = g_new0(ts_service_t, 1);
@@ -74,7 +81,8 @@
     return service;
 }
 
-static ts_distance_t measure_distance(const ts_registry_t *registry, const char *zone) {
+static ts_distance_t measure_distance(const ts_registry_t *registry, const char *zone)
+{
     if (strcmp(zone, registry->zone) == 0) {
         return TS_DISTANCE_ZONE;
     }
@@ -85,7 +93,8 @@
     return is_near ? TS_DISTANCE_REGION : TS_DISTANCE_FAR;
 }
 
-static ts_instance_t *add_instance(ts_registry_t *registry, const ts_instance_record_t *record) {
+static ts_instance_t *add_instance(ts_registry_t *registry, const ts_instance_record_t *record)
+{
     ts_instance_t *instance = g_new0(ts_instance_t, 1);
     instance->id = g_strdup(record->id);
     instance->zone = g_strdup(record->zone);
@@ -98,12 +107,14 @@
     return instance;
 }
 
-static void log_state(const ts_instance_t *instance, const char *state) {
+static void log_state(const ts_instance_t *instance, const char *state)
+{
     ts_log(TS_EVENT_BACKEND_STATE, "instance=%s service=%s zone=%s state=%s", instance->id,
            instance->service->name, instance->zone, state);
 }
 
-static void set_draining(ts_instance_t *instance, bool is_draining, ts_time_us_t now_us) {
+static void set_draining(ts_instance_t *instance, bool is_draining, ts_time_us_t now_us)
+{
     if (instance->is_draining == is_draining) {
         return;
     }
@@ -113,7 +124,8 @@
 }
 
 bool ts_registry_update(ts_registry_t *registry, const ts_instance_record_t *record,
-                        ts_time_us_t now_us) {
+                        ts_time_us_t now_us)
+{
     struct sockaddr_storage address;
     if (ts_address_parse(record->address, &address) != TS_OK) {
         ts_count_error(TS_E_ADDRESS);
@@ -137,7 +149,8 @@
     return is_new;
 }
 
-static void unlist(ts_instance_t *instance, ts_time_us_t now_us) {
+static void unlist(ts_instance_t *instance, ts_time_us_t now_us)
+{
     if (!instance->is_listed) {
         return;
     }
@@ -148,14 +161,16 @@
     log_state(instance, "gone");
 }
 
-void ts_registry_remove(ts_registry_t *registry, const char *id, ts_time_us_t now_us) {
+void ts_registry_remove(ts_registry_t *registry, const char *id, ts_time_us_t now_us)
+{
     ts_instance_t *instance = g_hash_table_lookup(registry->instances, id);
     if (instance != NULL) {
         unlist(instance, now_us);
     }
 }
 
-void ts_registry_keep_only(ts_registry_t *registry, GHashTable *ids, ts_time_us_t now_us) {
+void ts_registry_keep_only(ts_registry_t *registry, GHashTable *ids, ts_time_us_t now_us)
+{
     GHashTableIter iterator;
     gpointer instance = NULL;
     g_hash_table_iter_init(&iterator, registry->instances);
@@ -166,7 +181,8 @@
     }
 }
 
-void ts_registry_sweep(ts_registry_t *registry, ts_time_us_t now_us) {
+void ts_registry_sweep(ts_registry_t *registry, ts_time_us_t now_us)
+{
     GHashTableIter iterator;
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, registry->instances);
@@ -181,28 +197,32 @@
     }
 }
 
-ts_instance_t *ts_registry_instance(const ts_registry_t *registry, const char *id) {
+ts_instance_t *ts_registry_instance(const ts_registry_t *registry, const char *id)
+{
     return g_hash_table_lookup(registry->instances, id);
 }
 
-void ts_registry_on_suspected(ts_registry_t *registry, ts_registry_suspected_t told,
-                              void *context) {
+void ts_registry_on_suspected(ts_registry_t *registry, ts_registry_suspected_t told, void *context)
+{
     registry->told = told;
     registry->told_context = context;
 }
 
-void ts_registry_tell_suspected(const ts_instance_t *instance, bool suspected) {
+void ts_registry_tell_suspected(const ts_instance_t *instance, bool suspected)
+{
     const ts_registry_t *registry = instance->service->registry;
     if (registry->told != NULL) {
         registry->told(registry->told_context, instance, suspected);
     }
 }
 
-void ts_registry_each_service(ts_registry_t *registry, GHFunc visit, void *context) {
+void ts_registry_each_service(ts_registry_t *registry, GHFunc visit, void *context)
+{
     g_hash_table_foreach(registry->services, visit, context);
 }
 
-unsigned ts_registry_listed(const ts_registry_t *registry) {
+unsigned ts_registry_listed(const ts_registry_t *registry)
+{
     GHashTableIter iterator;
     gpointer instance = NULL;
     unsigned count = 0;
--- a/src/route/admission.c
+++ b/src/route/admission.c
@@ -6,12 +6,14 @@
 #define AGING_US 25000.0
 
 bool ts_admission_has_slot(uint32_t slots, uint32_t slots_in_use, uint32_t kind_in_use,
-                           uint32_t share_percent) {
+                           uint32_t share_percent)
+{
     uint32_t share = (slots * share_percent + PERCENT - 1) / PERCENT;
     return slots_in_use < slots && kind_in_use < share;
 }
 
-ts_admission_t ts_admission_decide(const ts_admission_input_t *input, ts_error_t *error) {
+ts_admission_t ts_admission_decide(const ts_admission_input_t *input, ts_error_t *error)
+{
     *error = TS_OK;
     if (input->left_us == 0) {
         *error = TS_E_PAST_DEADLINE;
@@ -35,6 +37,7 @@
     return TS_ADMIT_QUEUE;
 }
 
-double ts_admission_rank(uint32_t priority, ts_time_us_t waited_us) {
+double ts_admission_rank(uint32_t priority, ts_time_us_t waited_us)
+{
     return priority + (double)waited_us / AGING_US;
 }
--- a/src/route/policy_adaptive.c
+++ b/src/route/policy_adaptive.c
@@ -29,7 +29,8 @@
 #define GAIN_QUANTILE 0.99
 #define GAIN_PATIENCE 2.0
 
-static double score_candidate(const ts_candidate_t *candidate, uint64_t wanted_snapshot) {
+static double score_candidate(const ts_candidate_t *candidate, uint64_t wanted_snapshot)
+{
     double service = candidate->service_us > 0 ? candidate->service_us : DEFAULT_SERVICE_US;
     double fading = exp2(-(double)candidate->hint_age_us / HINT_HALF_LIFE_US);
     double remote_load = (candidate->slots_in_use + candidate->queue_length) * fading;
@@ -44,7 +45,8 @@
     return score;
 }
 
-static int choose_replica(const ts_choice_input_t *input) {
+static int choose_replica(const ts_choice_input_t *input)
+{
     int best = TS_CHOOSE_NONE;
     double best_score = INFINITY;
     uint64_t random = input->random;
@@ -60,7 +62,8 @@
     return best;
 }
 
-static ts_time_us_t hedge_after(const ts_hedge_input_t *input) {
+static ts_time_us_t hedge_after(const ts_hedge_input_t *input)
+{
     const ts_selector_t *selector = input->selector;
     if (selector->unrepeatable || selector->hedge_percent <= 0) {
         return TS_HEDGE_NEVER;
@@ -73,7 +76,8 @@
     return after < HEDGE_LEAST_US ? HEDGE_LEAST_US : after;
 }
 
-static ts_time_us_t gain_wait(const ts_stop_input_t *input) {
+static ts_time_us_t gain_wait(const ts_stop_input_t *input)
+{
     if (input->latencies->total < HEDGE_LEAST_SAMPLES) {
         return input->deadline_span_us;
     }
@@ -81,7 +85,8 @@
     return wait < (double)input->deadline_span_us ? (ts_time_us_t)wait : input->deadline_span_us;
 }
 
-static ts_stop_t decide_stop(const ts_stop_input_t *input) {
+static ts_stop_t decide_stop(const ts_stop_input_t *input)
+{
     ts_stop_t common = ts_route_stop_common(input);
     if (common != TS_STOP_WAIT) {
         return common;
@@ -96,7 +101,8 @@
     return input->elapsed_us >= gain_wait(input) ? TS_STOP_ENOUGH : TS_STOP_WAIT;
 }
 
-static ts_time_us_t next_stop_check(const ts_stop_input_t *input) {
+static ts_time_us_t next_stop_check(const ts_stop_input_t *input)
+{
     return input->selector->wait == TS_WAIT_GAIN ? gain_wait(input) : input->deadline_span_us;
 }
 
--- a/src/route/policy_baselines.c
+++ b/src/route/policy_baselines.c
@@ -4,7 +4,8 @@
 #define FIXED_HEDGE_US 20000
 #define CANDIDATES_MAX 64
 
-static int choose_random(const ts_choice_input_t *input) {
+static int choose_random(const ts_choice_input_t *input)
+{
     size_t fresh[CANDIDATES_MAX];
     size_t fresh_count = 0;
     for (size_t i = 0; i < input->count && fresh_count < CANDIDATES_MAX; i++) {
@@ -18,15 +19,18 @@
     return (int)fresh[(input->random >> 32) % fresh_count];
 }
 
-static ts_time_us_t never_hedge(const ts_hedge_input_t *input) {
+static ts_time_us_t never_hedge(const ts_hedge_input_t *input)
+{
     return TS_HEDGE_NEVER;
 }
 
-static ts_time_us_t hedge_at_fixed_age(const ts_hedge_input_t *input) {
+static ts_time_us_t hedge_at_fixed_age(const ts_hedge_input_t *input)
+{
     return input->selector->unrepeatable ? TS_HEDGE_NEVER : FIXED_HEDGE_US;
 }
 
-static ts_time_us_t check_at_deadline(const ts_stop_input_t *input) {
+static ts_time_us_t check_at_deadline(const ts_stop_input_t *input)
+{
     return input->deadline_span_us;
 }
 
--- a/src/route/quantile.c
+++ b/src/route/quantile.c
@@ -5,13 +5,15 @@
 #define STEP_FIRST 0.3
 #define STEP_LAST 0.03
 
-void ts_quantile_init(ts_quantile_t *quantile, double target, double guess_us) {
+void ts_quantile_init(ts_quantile_t *quantile, double target, double guess_us)
+{
     quantile->target = target;
     quantile->value_us = guess_us;
     quantile->count = 0;
 }
 
-void ts_quantile_add(ts_quantile_t *quantile, double value_us) {
+void ts_quantile_add(ts_quantile_t *quantile, double value_us)
+{
     if (quantile->value_us <= 0) {
         quantile->value_us = value_us;
     }
--- a/src/route/records.c
+++ b/src/route/records.c
@@ -11,32 +11,38 @@
     uint64_t low;
 } record_t;
 
-static bool is_less(const record_t *left, const record_t *right) {
+static bool is_less(const record_t *left, const record_t *right)
+{
     return left->high != right->high ? left->high < right->high : left->low < right->low;
 }
 
-static record_t read_record(const char *bytes) {
+static record_t read_record(const char *bytes)
+{
     uint64_t halves[2];
     memcpy(halves, bytes, sizeof(halves));
     return (record_t){GUINT64_FROM_BE(halves[0]), GUINT64_FROM_BE(halves[1])};
 }
 
-static record_t *record_at(ts_top_records_t *records, size_t index) {
+static record_t *record_at(ts_top_records_t *records, size_t index)
+{
     return &g_array_index(records->heap, record_t, index);
 }
 
-static void swap(record_t *left, record_t *right) {
+static void swap(record_t *left, record_t *right)
+{
     record_t kept = *left;
     *left = *right;
     *right = kept;
 }
 
-void ts_top_records_init(ts_top_records_t *records, size_t top) {
+void ts_top_records_init(ts_top_records_t *records, size_t top)
+{
     records->heap = g_array_new(FALSE, FALSE, sizeof(record_t));
     records->top = top;
 }
 
-static void sift_up(ts_top_records_t *records, size_t index) {
+static void sift_up(ts_top_records_t *records, size_t index)
+{
     while (index > 0) {
         size_t parent = (index - 1) / 2;
         if (!is_less(record_at(records, index), record_at(records, parent))) {
@@ -47,7 +53,8 @@
     }
 }
 
-static void sift_down(ts_top_records_t *records) {
+static void sift_down(ts_top_records_t *records)
+{
     size_t index = 0;
     for (;;) {
         size_t least = index;
@@ -65,7 +72,8 @@
     }
 }
 
-static void add_record(ts_top_records_t *records, const record_t *record) {
+static void add_record(ts_top_records_t *records, const record_t *record)
+{
     if (records->heap->len < records->top) {
         g_array_append_vals(records->heap, record, 1);
         sift_up(records, records->heap->len - 1);
@@ -77,18 +85,21 @@
     }
 }
 
-void ts_top_records_add(ts_top_records_t *records, const char *bytes, size_t length) {
+void ts_top_records_add(ts_top_records_t *records, const char *bytes, size_t length)
+{
     for (size_t at = 0; at + TS_RECORD_BYTES <= length; at += TS_RECORD_BYTES) {
         record_t record = read_record(bytes + at);
         add_record(records, &record);
     }
 }
 
-static gint compare_falling(gconstpointer left, gconstpointer right) {
+static gint compare_falling(gconstpointer left, gconstpointer right)
+{
     return is_less(left, right) - is_less(right, left);
 }
 
-void ts_top_records_finish(ts_top_records_t *records, GString *out) {
+void ts_top_records_finish(ts_top_records_t *records, GString *out)
+{
     g_array_sort(records->heap, compare_falling);
     for (guint i = 0; i < records->heap->len; i++) {
         const record_t *record = record_at(records, i);
--- a/src/route/replica.c
+++ b/src/route/replica.c
@@ -19,36 +19,43 @@
 #define TIE_SHARE 0.04
 #define RANDOM_RANGE 1024U
 
-double ts_replica_travel_us(const ts_instance_t *instance) {
+double ts_replica_travel_us(const ts_instance_t *instance)
+{
     return travel_us[instance->distance];
 }
 
-double ts_replica_travel_most_us(void) {
+double ts_replica_travel_most_us(void)
+{
     return travel_us[TS_DISTANCE_FAR];
 }
 
-bool ts_replica_is_usable(const ts_instance_t *instance, const ts_replica_input_t *input) {
+bool ts_replica_is_usable(const ts_instance_t *instance, const ts_replica_input_t *input)
+{
     bool is_leaving = instance->is_draining || !instance->is_listed;
     return !is_leaving || input->now_us - instance->left_us < input->drain_us;
 }
 
-static double current_slowness(const ts_instance_t *instance, ts_time_us_t now_us) {
+static double current_slowness(const ts_instance_t *instance, ts_time_us_t now_us)
+{
     double age_us = (double)(now_us - instance->slowness_at_us);
     return 1 + (instance->slowness - 1) * exp2(-age_us / SLOWNESS_HALF_LIFE_US);
 }
 
 /* Share of a service time that new work waits for what this node has there already. */
-static double queue_factor(const ts_instance_t *instance) {
+static double queue_factor(const ts_instance_t *instance)
+{
     double slots = instance->slots > 0 ? instance->slots : 1;
     double load = instance->in_flight / slots;
     return load < 1 ? load * load / 2 : load;
 }
 
-static bool is_due_for_trial(const ts_instance_t *instance, ts_time_us_t now_us) {
+static bool is_due_for_trial(const ts_instance_t *instance, ts_time_us_t now_us)
+{
     return now_us - instance->tried_us > RETRY_SUSPECTED_US;
 }
 
-double ts_replica_cost(const ts_instance_t *instance, const ts_replica_input_t *input) {
+double ts_replica_cost(const ts_instance_t *instance, const ts_replica_input_t *input)
+{
     double work_us = input->work_us * current_slowness(instance, input->now_us);
     if (instance->warm_at_us > input->now_us) {
         work_us *= WARMUP_FACTOR;
@@ -66,7 +73,8 @@
     return cost_us;
 }
 
-bool ts_replica_is_full(const ts_instance_t *instance, const ts_replica_input_t *input) {
+bool ts_replica_is_full(const ts_instance_t *instance, const ts_replica_input_t *input)
+{
     /* Whatever was learned, the nodes together may fill the instance's slots and queue as much. */
     double slots_share = SLOTS_FILLED * instance->slots / (double)input->nodes;
     double least = MAX(ceil(slots_share), 1);
@@ -75,7 +83,8 @@
     return instance->in_flight >= MIN(learned, input->connections_max);
 }
 
-static bool is_among(const ts_instance_t *instance, ts_instance_t *const *tried, unsigned count) {
+static bool is_among(const ts_instance_t *instance, ts_instance_t *const *tried, unsigned count)
+{
     for (unsigned i = 0; i < count; i++) {
         if (tried[i] == instance) {
             return true;
@@ -85,7 +94,8 @@
 }
 
 ts_instance_t *ts_replica_choose(const ts_service_t *service, const ts_replica_input_t *input,
-                                 ts_instance_t *const *tried, unsigned tried_count) {
+                                 ts_instance_t *const *tried, unsigned tried_count)
+{
     ts_instance_t *best = NULL;
     double best_cost_us = 0;
     uint32_t random = input->random;
@@ -109,7 +119,8 @@
     return best;
 }
 
-bool ts_replica_is_any_free(const ts_service_t *service, const ts_replica_input_t *input) {
+bool ts_replica_is_any_free(const ts_service_t *service, const ts_replica_input_t *input)
+{
     for (guint i = 0; i < service->instances->len; i++) {
         const ts_instance_t *instance = g_ptr_array_index(service->instances, i);
         if (ts_replica_is_usable(instance, input) && !ts_replica_is_full(instance, input) &&
@@ -121,7 +132,8 @@
 }
 
 bool ts_replica_is_worth_waiting(const ts_service_t *service, const ts_replica_input_t *input,
-                                 ts_instance_t *const *tried, unsigned tried_count) {
+                                 ts_instance_t *const *tried, unsigned tried_count)
+{
     for (guint i = 0; i < service->instances->len; i++) {
         const ts_instance_t *instance = g_ptr_array_index(service->instances, i);
         if (ts_replica_is_usable(instance, input) && !is_among(instance, tried, tried_count) &&
--- a/src/route/retry_budget.c
+++ b/src/route/retry_budget.c
@@ -7,13 +7,15 @@
 #define SAFETY 0.85
 #define EXTRA_SLICES (TS_RETRY_BUDGET_SLICES + 1)
 
-static void clear_slice(ts_retry_budget_t *budget, uint64_t slice) {
+static void clear_slice(ts_retry_budget_t *budget, uint64_t slice)
+{
     budget->requests[slice % TS_RETRY_BUDGET_SLICES] = 0;
     budget->extras[slice % EXTRA_SLICES] = 0;
 }
 
 static void move_on(ts_retry_budget_t *budget, const ts_retry_budget_rule_t *rule,
-                    ts_time_us_t now_us) {
+                    ts_time_us_t now_us)
+{
     uint64_t slice = now_us / (rule->window_us / TS_RETRY_BUDGET_SLICES);
     if (slice - budget->slice > EXTRA_SLICES) {
         uint64_t kept = slice;
@@ -27,13 +29,15 @@
 }
 
 void ts_retry_budget_count_request(ts_retry_budget_t *budget, const ts_retry_budget_rule_t *rule,
-                                   ts_time_us_t now_us) {
+                                   ts_time_us_t now_us)
+{
     move_on(budget, rule, now_us);
     budget->requests[budget->slice % TS_RETRY_BUDGET_SLICES]++;
 }
 
 bool ts_retry_budget_take(ts_retry_budget_t *budget, const ts_retry_budget_rule_t *rule,
-                          ts_time_us_t now_us) {
+                          ts_time_us_t now_us)
+{
     uint32_t requests = 0;
     uint32_t extras = 0;
     move_on(budget, rule, now_us);
@@ -50,7 +54,8 @@
     return true;
 }
 
-void ts_retry_budget_return(ts_retry_budget_t *budget) {
+void ts_retry_budget_return(ts_retry_budget_t *budget)
+{
     uint32_t *extras = &budget->extras[budget->slice % EXTRA_SLICES];
     if (*extras > 0) {
         (*extras)--;
--- a/src/route/route.c
+++ b/src/route/route.c
@@ -13,15 +13,18 @@
 #define PASS_RISE 0.006
 #define RANDOM_SCALE 18446744073709551616.0
 
-double ts_route_coverage_percent(uint32_t covered, uint32_t shards) {
+double ts_route_coverage_percent(uint32_t covered, uint32_t shards)
+{
     return shards == 0 ? 0.0 : PERCENT * covered / shards;
 }
 
-uint32_t ts_route_least_shards(const ts_selector_t *selector, uint32_t shards) {
+uint32_t ts_route_least_shards(const ts_selector_t *selector, uint32_t shards)
+{
     return (uint32_t)ceil(selector->least_coverage_percent * shards / PERCENT - ROUNDING);
 }
 
-ts_stop_t ts_route_stop_common(const ts_stop_input_t *input) {
+ts_stop_t ts_route_stop_common(const ts_stop_input_t *input)
+{
     if (input->covered == input->shards) {
         return TS_STOP_COMPLETE;
     }
@@ -38,19 +41,22 @@
     return TS_STOP_WAIT;
 }
 
-void ts_budget_init(ts_budget_t *budget, double burst) {
+void ts_budget_init(ts_budget_t *budget, double burst)
+{
     budget->tokens = burst;
     budget->burst = burst;
 }
 
-void ts_budget_earn(ts_budget_t *budget, double percent, uint32_t sent) {
+void ts_budget_earn(ts_budget_t *budget, double percent, uint32_t sent)
+{
     budget->tokens += percent * sent / PERCENT;
     if (budget->tokens > budget->burst) {
         budget->tokens = budget->burst;
     }
 }
 
-bool ts_budget_spend(ts_budget_t *budget) {
+bool ts_budget_spend(ts_budget_t *budget)
+{
     if (budget->tokens < 1.0) {
         return false;
     }
@@ -58,20 +64,24 @@
     return true;
 }
 
-void ts_pass_init(ts_pass_t *pass) {
+void ts_pass_init(ts_pass_t *pass)
+{
     pass->part = 1.0;
 }
 
-bool ts_pass_admits(const ts_pass_t *pass, uint64_t random) {
+bool ts_pass_admits(const ts_pass_t *pass, uint64_t random)
+{
     return pass->part >= 1.0 || (double)random / RANDOM_SCALE < pass->part;
 }
 
-void ts_pass_learn(ts_pass_t *pass, bool has_failed_for_overload) {
+void ts_pass_learn(ts_pass_t *pass, bool has_failed_for_overload)
+{
     pass->part = has_failed_for_overload ? pass->part * (1.0 - PASS_FALL) : pass->part + PASS_RISE;
     pass->part = fmin(fmax(pass->part, TS_PASS_LEAST), 1.0);
 }
 
-bool ts_route_is_overload(ts_error_t error) {
+bool ts_route_is_overload(ts_error_t error)
+{
     switch (error) {
     case TS_E_QUEUE_FULL:
     case TS_E_CANNOT_FINISH:
@@ -84,7 +94,8 @@
     }
 }
 
-static bool contains(const uint64_t *snapshots, uint64_t snapshot) {
+static bool contains(const uint64_t *snapshots, uint64_t snapshot)
+{
     for (int i = 0; i < TS_SHARD_ANSWERS_MAX; i++) {
         if (snapshots[i] == snapshot) {
             return true;
@@ -94,7 +105,8 @@
 }
 
 static ts_snapshot_choice_t weigh_snapshot(const ts_shard_versions_t *shards, size_t count,
-                                           uint64_t snapshot) {
+                                           uint64_t snapshot)
+{
     ts_snapshot_choice_t choice = {snapshot, 0, 0};
     for (size_t i = 0; i < count; i++) {
         if (contains(shards[i].answered, snapshot)) {
@@ -106,7 +118,8 @@
     return choice;
 }
 
-static bool is_better(const ts_snapshot_choice_t *left, const ts_snapshot_choice_t *right) {
+static bool is_better(const ts_snapshot_choice_t *left, const ts_snapshot_choice_t *right)
+{
     uint32_t left_reach = left->covered + left->possible;
     uint32_t right_reach = right->covered + right->possible;
     if (left_reach != right_reach) {
@@ -119,7 +132,8 @@
 }
 
 /* Lists the distinct versions answered; returns how many. */
-static size_t list_snapshots(const ts_shard_versions_t *shards, size_t count, uint64_t *found) {
+static size_t list_snapshots(const ts_shard_versions_t *shards, size_t count, uint64_t *found)
+{
     size_t found_count = 0;
     for (size_t i = 0; i < count; i++) {
         for (int j = 0; j < TS_SHARD_ANSWERS_MAX; j++) {
@@ -136,7 +150,8 @@
     return found_count;
 }
 
-ts_snapshot_choice_t ts_route_choose_snapshot(const ts_shard_versions_t *shards, size_t count) {
+ts_snapshot_choice_t ts_route_choose_snapshot(const ts_shard_versions_t *shards, size_t count)
+{
     uint64_t snapshots[TS_SNAPSHOTS_MAX];
     size_t snapshot_count = list_snapshots(shards, count, snapshots);
     ts_snapshot_choice_t best = weigh_snapshot(shards, count, UINT64_MAX);
@@ -151,7 +166,8 @@
 }
 
 uint32_t ts_route_shard_of_key(const ts_declarations_t *declarations, const ts_selector_t *selector,
-                               const char *key) {
+                               const char *key)
+{
     uint64_t key_hash = ts_hash_text(key);
     uint64_t best_weight = 0;
     uint32_t best = 0;
@@ -166,7 +182,8 @@
 }
 
 uint32_t ts_route_replica_of_id(const ts_declarations_t *declarations, const uint32_t *replicas,
-                                uint32_t count, const char *request_id) {
+                                uint32_t count, const char *request_id)
+{
     uint64_t id_hash = ts_hash_text(request_id);
     uint64_t best_weight = 0;
     uint32_t best = 0;
--- a/src/route/route_state.c
+++ b/src/route/route_state.c
@@ -11,7 +11,8 @@
 /* An unfinished send counts as this much longer than the present estimate. */
 #define OVERDUE_FACTOR 2.0
 
-ts_route_state_t *ts_route_state_create(uint32_t aim_ms) {
+ts_route_state_t *ts_route_state_create(uint32_t aim_ms)
+{
     ts_route_state_t *state = g_new0(ts_route_state_t, 1);
     double aim_us = (aim_ms > 0 ? aim_ms : AIM_DEFAULT_MS) * US_PER_MS;
     ts_quantile_init(&state->typical, TYPICAL_QUANTILE, aim_us / TYPICAL_GUESS_DIVISOR);
@@ -20,7 +21,8 @@
     return state;
 }
 
-void ts_route_state_free(ts_route_state_t *state) {
+void ts_route_state_free(ts_route_state_t *state)
+{
     for (int i = 0; i < TS_OUTCOME_COUNT; i++) {
         g_free(state->latencies[i]);
     }
@@ -28,28 +30,33 @@
     g_free(state);
 }
 
-void ts_route_state_note(ts_route_state_t *state, double span_us) {
+void ts_route_state_note(ts_route_state_t *state, double span_us)
+{
     ts_quantile_add(&state->typical, span_us);
     ts_quantile_add(&state->overdue, span_us);
 }
 
-void ts_route_state_note_overdue(ts_route_state_t *state) {
+void ts_route_state_note_overdue(ts_route_state_t *state)
+{
     ts_quantile_add(&state->overdue, state->overdue.value_us * OVERDUE_FACTOR);
 }
 
-const char *ts_route_outcome_name(ts_outcome_t outcome) {
+const char *ts_route_outcome_name(ts_outcome_t outcome)
+{
     static const char *const names[] = {"ok", "partial", "refused", "failed", "left"};
     return names[outcome];
 }
 
-void ts_route_state_count(ts_route_state_t *state, ts_outcome_t outcome, ts_time_us_t span_us) {
+void ts_route_state_count(ts_route_state_t *state, ts_outcome_t outcome, ts_time_us_t span_us)
+{
     if (state->latencies[outcome] == NULL) {
         state->latencies[outcome] = g_new0(ts_histogram_t, 1);
     }
     ts_histogram_add(state->latencies[outcome], span_us);
 }
 
-static double *find_credit(ts_route_state_t *state, const char *service) {
+static double *find_credit(ts_route_state_t *state, const char *service)
+{
     double *credit = g_hash_table_lookup(state->credits, service);
     if (credit == NULL) {
         credit = g_new0(double, 1);
@@ -58,7 +65,8 @@
     return credit;
 }
 
-const char *ts_route_state_next_target(ts_route_state_t *state, const ts_traffic_route_t *route) {
+const char *ts_route_state_next_target(ts_route_state_t *state, const ts_traffic_route_t *route)
+{
     const ts_target_t *best = NULL;
     double best_credit = 0;
     double total = 0;
--- a/src/upstream/outgoing.c
+++ b/src/upstream/outgoing.c
@@ -1,12 +1,14 @@
 /** What is sent to back ends: shared by all sends of one request. */
 #include "tealspar/upstream.h"
 
-ts_outgoing_t *ts_outgoing_ref(ts_outgoing_t *outgoing) {
+ts_outgoing_t *ts_outgoing_ref(ts_outgoing_t *outgoing)
+{
     outgoing->references++;
     return outgoing;
 }
 
-void ts_outgoing_unref(ts_outgoing_t *outgoing) {
+void ts_outgoing_unref(ts_outgoing_t *outgoing)
+{
     if (--outgoing->references > 0) {
         return;
     }
--- a/src/upstream/upstream.c
+++ b/src/upstream/upstream.c
@@ -67,7 +67,8 @@
 
 /* -- Exchanges --------------------------------------------------------------------------------- */
 
-static void unlink_exchange(ts_exchange_t *exchange) {
+static void unlink_exchange(ts_exchange_t *exchange)
+{
     ts_upstream_t *upstream = exchange->upstream;
     if (exchange->previous != NULL) {
         exchange->previous->next = exchange->next;
@@ -83,7 +84,8 @@
 }
 
 /* Takes the exchange off its connection and frees it. */
-static void free_exchange(ts_exchange_t *exchange) {
+static void free_exchange(ts_exchange_t *exchange)
+{
     unlink_exchange(exchange);
     exchange->instance->in_flight--;
     if (exchange->connection != NULL) {
@@ -94,7 +96,8 @@
 }
 
 /* Tells the owner, if there is one still, and frees the exchange. */
-static void end_exchange(ts_exchange_t *exchange, ts_exchange_result_t *result) {
+static void end_exchange(ts_exchange_t *exchange, ts_exchange_result_t *result)
+{
     ts_time_us_t now_us = ts_clock_now_us();
     result->span_us = exchange->sent_us == 0 ? 0 : now_us - exchange->sent_us;
     if (result->error == TS_OK && result->run == TS_RUN_DONE) {
@@ -110,7 +113,8 @@
 }
 
 /* The exchange fails with its connection. */
-static void fail_exchange(ts_exchange_t *exchange, ts_error_t error) {
+static void fail_exchange(ts_exchange_t *exchange, ts_error_t error)
+{
     ts_connection_t *connection = exchange->connection;
     ts_exchange_result_t result = {error, exchange->sent_us == 0 ? TS_RUN_NOT : TS_RUN_MAYBE, NULL,
                                    0};
@@ -122,7 +126,8 @@
     end_exchange(exchange, &result);
 }
 
-static void check_exchanges(uv_timer_t *timer) {
+static void check_exchanges(uv_timer_t *timer)
+{
     ts_upstream_t *upstream = timer->data;
     ts_time_us_t now_us = ts_clock_now_us();
     ts_exchange_t *next = NULL;
@@ -148,7 +153,8 @@
     }
 }
 
-void ts_exchange_cancel(ts_exchange_t *exchange) {
+void ts_exchange_cancel(ts_exchange_t *exchange)
+{
     ts_connection_t *connection = exchange->connection;
     exchange->done = NULL;
     if (connection != NULL) {
@@ -159,7 +165,8 @@
     free_exchange(exchange);
 }
 
-void ts_exchange_release(ts_exchange_t *exchange, ts_time_us_t until_us) {
+void ts_exchange_release(ts_exchange_t *exchange, ts_time_us_t until_us)
+{
     exchange->done = NULL;
     exchange->owner = NULL;
     if (until_us < exchange->until_us) {
@@ -167,31 +174,36 @@
     }
 }
 
-ts_time_us_t ts_exchange_sent_us(const ts_exchange_t *exchange) {
+ts_time_us_t ts_exchange_sent_us(const ts_exchange_t *exchange)
+{
     return exchange->sent_us;
 }
 
-ts_instance_t *ts_exchange_instance(const ts_exchange_t *exchange) {
+ts_instance_t *ts_exchange_instance(const ts_exchange_t *exchange)
+{
     return exchange->instance;
 }
 
 /* -- Connections ------------------------------------------------------------------------------- */
 
-static void free_connection(uv_handle_t *handle) {
+static void free_connection(uv_handle_t *handle)
+{
     ts_connection_t *connection = handle->data;
     ts_http_message_clear(&connection->answer);
     g_string_free(connection->sending, TRUE);
     g_free(connection);
 }
 
-static void leave_idle(ts_connection_t *connection) {
+static void leave_idle(ts_connection_t *connection)
+{
     if (connection->is_idle) {
         g_queue_unlink(&connection->instance->idle, &connection->place);
         connection->is_idle = false;
     }
 }
 
-static void close_connection(ts_connection_t *connection) {
+static void close_connection(ts_connection_t *connection)
+{
     if (connection->is_closing) {
         return;
     }
@@ -201,7 +213,8 @@
     uv_close((uv_handle_t *)&connection->socket, free_connection);
 }
 
-static void write_done(uv_write_t *request, int status) {
+static void write_done(uv_write_t *request, int status)
+{
     ts_connection_t *connection = request->data;
     if (status < 0 && status != UV_ECANCELED && connection->exchange != NULL) {
         fail_exchange(connection->exchange, TS_E_IO);
@@ -209,7 +222,8 @@
 }
 
 /* Composes the bytes: the shared head, what is left of the time, and whom we expect there. */
-static void compose(ts_connection_t *connection, ts_time_us_t now_us) {
+static void compose(ts_connection_t *connection, ts_time_us_t now_us)
+{
     const ts_outgoing_t *outgoing = connection->exchange->outgoing;
     const ts_header_names_t *names = &connection->upstream->dialect->headers;
     uint64_t left_ms =
@@ -229,13 +243,15 @@
  * Nothing of the request left: the next turn of the loop reports it, as the caller of
  * ts_upstream_send does not expect the end of an exchange that it has not been given yet.
  */
-static void fail_soon(ts_exchange_t *exchange) {
+static void fail_soon(ts_exchange_t *exchange)
+{
     exchange->sent_us = 0;
     exchange->is_unsendable = true;
     uv_timer_start(&exchange->upstream->tick, check_exchanges, 0, TICK_MS);
 }
 
-static void write_request(ts_connection_t *connection) {
+static void write_request(ts_connection_t *connection)
+{
     ts_exchange_t *exchange = connection->exchange;
     exchange->sent_us = ts_clock_now_us();
     compose(connection, exchange->sent_us);
@@ -261,7 +277,8 @@
     }
 }
 
-static void connected(uv_connect_t *request, int status) {
+static void connected(uv_connect_t *request, int status)
+{
     ts_connection_t *connection = request->data;
     if (connection->is_closing) {
         return;
@@ -284,7 +301,8 @@
     }
 }
 
-static ts_connection_t *open_connection(ts_upstream_t *upstream, ts_instance_t *instance) {
+static ts_connection_t *open_connection(ts_upstream_t *upstream, ts_instance_t *instance)
+{
     ts_connection_t *connection = g_new0(ts_connection_t, 1);
     connection->upstream = upstream;
     connection->instance = instance;
@@ -302,7 +320,8 @@
     return connection;
 }
 
-static ts_connection_t *take_idle(ts_instance_t *instance, bool is_repeatable) {
+static ts_connection_t *take_idle(ts_instance_t *instance, bool is_repeatable)
+{
     ts_time_us_t now_us = ts_clock_now_us();
     while (instance->idle.length > 0) {
         ts_connection_t *connection = instance->idle.head->data;
@@ -321,8 +340,8 @@
 }
 
 static ts_exchange_t *create_exchange(ts_upstream_t *upstream, ts_instance_t *instance,
-                                      ts_outgoing_t *outgoing, ts_exchange_done_t done,
-                                      void *owner) {
+                                      ts_outgoing_t *outgoing, ts_exchange_done_t done, void *owner)
+{
     ts_exchange_t *exchange = g_new0(ts_exchange_t, 1);
     exchange->upstream = upstream;
     exchange->instance = instance;
@@ -344,7 +363,8 @@
 
 ts_exchange_t *ts_upstream_send(ts_upstream_t *upstream, ts_instance_t *instance,
                                 ts_outgoing_t *outgoing, double typical_us, ts_exchange_done_t done,
-                                void *owner) {
+                                void *owner)
+{
     ts_exchange_t *exchange = create_exchange(upstream, instance, outgoing, done, owner);
     exchange->typical_us = typical_us;
     ts_connection_t *connection = take_idle(instance, outgoing->is_repeatable);
@@ -369,13 +389,15 @@
 
 /* -- Answers ----------------------------------------------------------------------------------- */
 
-static void allocate(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer) {
+static void allocate(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
     static char bytes[65536]; /* one loop, and each read is used up at once */
     *buffer = uv_buf_init(bytes, sizeof(bytes));
 }
 
 /* How long the back end lets the connection rest, by its Keep-Alive field. */
-static ts_time_us_t read_rest(const ts_http_message_t *answer) {
+static ts_time_us_t read_rest(const ts_http_message_t *answer)
+{
     const char *value = ts_http_message_find(answer, "Keep-Alive");
     const char *timeout = value == NULL ? NULL : strcasestr(value, "timeout=");
     if (timeout == NULL) {
@@ -386,13 +408,15 @@
 }
 
 /* Whether the request was run, as the answer tells it. */
-static ts_run_t read_run(const ts_upstream_t *upstream, const ts_http_message_t *answer) {
+static ts_run_t read_run(const ts_upstream_t *upstream, const ts_http_message_t *answer)
+{
     bool says_not = ts_http_message_find(answer, upstream->dialect->headers.not_executed) != NULL;
     return says_not || answer->parser.status_code == STATUS_MISDIRECTED ? TS_RUN_NOT : TS_RUN_DONE;
 }
 
 /* Whether the answer is one to this request: another's may come in its place. */
-static bool is_own_answer(const ts_exchange_t *exchange, const ts_http_message_t *answer) {
+static bool is_own_answer(const ts_exchange_t *exchange, const ts_http_message_t *answer)
+{
     const char *wanted = exchange->outgoing->request_id;
     if (wanted == NULL) {
         return true;
@@ -406,7 +430,8 @@
 }
 
 /* Success must carry the searcher's signature and its own bytes. */
-static bool is_usable(const ts_upstream_t *upstream, const ts_http_message_t *answer) {
+static bool is_usable(const ts_upstream_t *upstream, const ts_http_message_t *answer)
+{
     unsigned status = answer->parser.status_code;
     if (status < STATUS_SUCCESS_FIRST || status > STATUS_SUCCESS_LAST) {
         return true;
@@ -415,7 +440,8 @@
            ts_http_message_find(answer, "Content-Encoding") == NULL;
 }
 
-static void rest(ts_connection_t *connection) {
+static void rest(ts_connection_t *connection)
+{
     connection->rested_us = ts_clock_now_us();
     connection->rest_us = read_rest(&connection->answer);
     if (connection->rest_us == 0 || connection->instance->is_draining) {
@@ -427,7 +453,8 @@
 }
 
 /* One whole answer is in; `has_extra`: further bytes came with it. */
-static void end_answer(ts_connection_t *connection, bool has_extra) {
+static void end_answer(ts_connection_t *connection, bool has_extra)
+{
     ts_exchange_t *exchange = connection->exchange;
     const ts_http_message_t *answer = &connection->answer;
     if (!is_own_answer(exchange, answer) || !is_usable(connection->upstream, answer)) {
@@ -448,7 +475,8 @@
     }
 }
 
-static void read_end(ts_connection_t *connection, ssize_t status) {
+static void read_end(ts_connection_t *connection, ssize_t status)
+{
     ts_exchange_t *exchange = connection->exchange;
     if (exchange == NULL) {
         close_connection(connection);
@@ -464,7 +492,8 @@
     fail_exchange(exchange, TS_E_IO);
 }
 
-static void read_bytes(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer) {
+static void read_bytes(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
+{
     ts_connection_t *connection = stream->data;
     if (length == 0 || connection->is_closing) {
         return;
@@ -486,13 +515,15 @@
     }
 }
 
-static void begin_reading(ts_connection_t *connection) {
+static void begin_reading(ts_connection_t *connection)
+{
     uv_read_start((uv_stream_t *)&connection->socket, allocate, read_bytes);
 }
 
 /* -- Life -------------------------------------------------------------------------------------- */
 
-ts_upstream_t *ts_upstream_create(uv_loop_t *loop, const ts_dialect_t *dialect) {
+ts_upstream_t *ts_upstream_create(uv_loop_t *loop, const ts_dialect_t *dialect)
+{
     ts_upstream_t *upstream = g_new0(ts_upstream_t, 1);
     upstream->loop = loop;
     upstream->dialect = dialect;
@@ -501,7 +532,8 @@
     return upstream;
 }
 
-void ts_upstream_sweep(ts_upstream_t *upstream, ts_instance_t *instance, ts_time_us_t now_us) {
+void ts_upstream_sweep(ts_upstream_t *upstream, ts_instance_t *instance, ts_time_us_t now_us)
+{
     GList *link = instance->idle.head;
     while (link != NULL) {
         ts_connection_t *connection = link->data;
--- a/tests/broker/test_idempotency.c
+++ b/tests/broker/test_idempotency.c
@@ -5,12 +5,14 @@
 
 #define KEEP_US 1000
 
-static ts_work_t make_work(const char *id, const char *key) {
+static ts_work_t make_work(const char *id, const char *key)
+{
     ts_work_t work = {.references = 1, .request_id = (char *)id, .kind = "k", .key = (char *)key};
     return work;
 }
 
-static void test_runs_once_and_replays(void **state) {
+static void test_runs_once_and_replays(void **state)
+{
     ts_idempotency_t *table = ts_idempotency_create(KEEP_US);
     ts_work_t work = make_work("a", "1");
     assert_int_equal(ts_idempotency_admit(table, &work, 0), TS_IDEMPOTENCY_RUN);
@@ -27,7 +29,8 @@
     ts_idempotency_destroy(table);
 }
 
-static void test_other_request_under_one_id(void **state) {
+static void test_other_request_under_one_id(void **state)
+{
     ts_idempotency_t *table = ts_idempotency_create(KEEP_US);
     ts_work_t first = make_work("a", "1");
     ts_work_t second = make_work("a", "2");
@@ -36,7 +39,8 @@
     ts_idempotency_destroy(table);
 }
 
-static void test_release_and_expiry(void **state) {
+static void test_release_and_expiry(void **state)
+{
     ts_idempotency_t *table = ts_idempotency_create(KEEP_US);
     ts_work_t work = make_work("a", "1");
     assert_int_equal(ts_idempotency_admit(table, &work, 0), TS_IDEMPOTENCY_RUN);
@@ -49,7 +53,8 @@
     ts_idempotency_destroy(table);
 }
 
-int main(void) {
+int main(void)
+{
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_runs_once_and_replays),
         cmocka_unit_test(test_other_request_under_one_id),
--- a/tests/config/test_declarations.c
+++ b/tests/config/test_declarations.c
@@ -3,7 +3,8 @@
 
 #include <string.h>
 
-static void test_plans_reach_and_replicas(void **state) {
+static void test_plans_reach_and_replicas(void **state)
+{
     ts_declarations_t *declarations = test_load(test_declarations_text);
     const ts_selector_t *all = ts_declarations_selector(declarations, "all");
     assert_int_equal(all->reach_count, 3);
@@ -56,7 +57,8 @@
     {"connections: 10", "connections: 3", "backends[0].connections", "not between"},
 };
 
-static void test_refuses_with_place_and_reason(void **state) {
+static void test_refuses_with_place_and_reason(void **state)
+{
     for (size_t i = 0; i < G_N_ELEMENTS(refusals); i++) {
         char *text = test_replace(test_declarations_text, refusals[i].from, refusals[i].to);
         char *lines = test_load_refused(text);
@@ -68,7 +70,8 @@
     }
 }
 
-static void test_names_the_line(void **state) {
+static void test_names_the_line(void **state)
+{
     char *text = test_replace(test_declarations_text, "'127.0.0.1:1003'", "'x:1'");
     char *lines = test_load_refused(text);
     assert_non_null(strstr(lines, "file:11: backends[2].address"));
@@ -76,7 +79,8 @@
     g_free(text);
 }
 
-static void test_refuses_what_is_no_document(void **state) {
+static void test_refuses_what_is_no_document(void **state)
+{
     static const char *const texts[] = {
         "", "just text", "[1, 2]", "version: [", "version: 1\n", "a: &x [*x]", "\x01\x02"};
     for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
@@ -84,7 +88,8 @@
     }
 }
 
-int main(void) {
+int main(void)
+{
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_plans_reach_and_replicas),
         cmocka_unit_test(test_refuses_with_place_and_reason),
--- a/tests/control/test_membership.c
+++ b/tests/control/test_membership.c
@@ -7,7 +7,8 @@
 
 #define SECOND 1000U
 
-static lab_hollow_t *start_fleet(unsigned nodes, double drop_percent, uint64_t seed) {
+static lab_hollow_t *start_fleet(unsigned nodes, double drop_percent, uint64_t seed)
+{
     lab_hollow_config_t config = {
         .nodes = nodes, .zones = 3, .delay_ms = 3, .drop_percent = drop_percent, .seed = seed};
     lab_hollow_t *fleet = lab_hollow_create(&config);
@@ -19,7 +20,8 @@
     return fleet;
 }
 
-static void test_death_is_known_everywhere(void **state) {
+static void test_death_is_known_everywhere(void **state)
+{
     for (uint64_t seed = 1; seed <= 5; seed++) {
         lab_hollow_t *fleet = start_fleet(30, 0, seed);
         lab_hollow_kill(fleet, 7);
@@ -34,7 +36,8 @@
     }
 }
 
-static void test_pauses_and_loss_kill_nobody(void **state) {
+static void test_pauses_and_loss_kill_nobody(void **state)
+{
     for (uint64_t seed = 1; seed <= 5; seed++) {
         lab_hollow_t *fleet = start_fleet(30, 5, seed);
         for (unsigned i = 0; i < 20; i++) {
@@ -46,7 +49,8 @@
     }
 }
 
-static void test_long_pause_is_refuted_afterwards(void **state) {
+static void test_long_pause_is_refuted_afterwards(void **state)
+{
     lab_hollow_t *fleet = start_fleet(20, 0, 3);
     lab_hollow_pause(fleet, 4, 30 * SECOND);
     lab_hollow_run(fleet, 25 * SECOND);
@@ -56,7 +60,8 @@
     lab_hollow_destroy(fleet);
 }
 
-static void test_cut_zone_loses_others_and_heals(void **state) {
+static void test_cut_zone_loses_others_and_heals(void **state)
+{
     lab_hollow_t *fleet = start_fleet(24, 0, 9);
     lab_hollow_cut(fleet, 1, true);
     lab_hollow_run(fleet, 60 * SECOND);
@@ -74,7 +79,8 @@
     lab_hollow_destroy(fleet);
 }
 
-static void test_minority_of_a_zone_has_no_quorum(void **state) {
+static void test_minority_of_a_zone_has_no_quorum(void **state)
+{
     lab_hollow_t *fleet = start_fleet(15, 0, 2); /* zone 0: nodes 0, 3, 6, 9, 12 */
     lab_hollow_kill(fleet, 3);
     lab_hollow_kill(fleet, 6);
@@ -90,7 +96,8 @@
     lab_hollow_destroy(fleet);
 }
 
-static void test_configuration_reaches_all(void **state) {
+static void test_configuration_reaches_all(void **state)
+{
     lab_hollow_t *fleet = start_fleet(60, 10, 5);
     lab_hollow_configure(fleet, 3, 4);
     lab_hollow_run(fleet, 13 * SECOND);
@@ -99,7 +106,8 @@
 }
 
 /* Owners: everywhere the same on the same view, spread evenly, and moved only where needed. */
-static void test_ownership_moves_little(void **state) {
+static void test_ownership_moves_little(void **state)
+{
     ts_view_t *before = ts_view_create(10);
     ts_view_t *after = ts_view_create(10);
     for (int i = 0; i < 10; i++) {
@@ -124,7 +132,8 @@
     ts_view_unref(after);
 }
 
-static void test_other_zone_owns_only_without_nodes(void **state) {
+static void test_other_zone_owns_only_without_nodes(void **state)
+{
     ts_view_t *view = ts_view_create(2);
     ts_view_add(view, "a", "", "north", 1, TS_MEMBER_DEAD, false);
     ts_view_add(view, "b", "", "south", 1, TS_MEMBER_SUSPECT, false);
@@ -136,7 +145,8 @@
     ts_view_unref(empty);
 }
 
-int main(void) {
+int main(void)
+{
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_death_is_known_everywhere),
         cmocka_unit_test(test_pauses_and_loss_kill_nobody),
--- a/tests/front/test_caller_http.c
+++ b/tests/front/test_caller_http.c
@@ -22,7 +22,8 @@
 
 /* ---- a node of its own, on a loopback network of its own ---- */
 
-static char *program_path(void) {
+static char *program_path(void)
+{
     char *self = g_file_read_link("/proc/self/exe", NULL);
     char *tests = g_path_get_dirname(self);
     char *path = g_build_filename(tests, "..", "tealspar", NULL);
@@ -31,7 +32,8 @@
     return path;
 }
 
-static int connect_caller(void) {
+static int connect_caller(void)
+{
     int fd = socket(AF_INET, SOCK_STREAM, 0);
     struct sockaddr_in address = {.sin_family = AF_INET, .sin_port = htons(CALLERS_PORT)};
     inet_pton(AF_INET, host, &address.sin_addr);
@@ -42,7 +44,8 @@
     return fd;
 }
 
-static int start_node(void **state) {
+static int start_node(void **state)
+{
     char *program = program_path();
     folder = g_dir_make_tmp("tealspar-XXXXXX", NULL);
     char *settings = g_build_filename(folder, "node.yaml", NULL);
@@ -72,7 +75,8 @@
     return 0;
 }
 
-static int stop_node(void **state) {
+static int stop_node(void **state)
+{
     int status = 0;
     kill(node, SIGTERM);
     waitpid(node, &status, 0);
@@ -82,7 +86,8 @@
 /* ---- talking ---- */
 
 /* Reads until `wanted` stands in the reply, the peer closes, or the wait is over. */
-static void read_reply(int fd, char *reply, const char *wanted) {
+static void read_reply(int fd, char *reply, const char *wanted)
+{
     size_t length = 0;
     struct pollfd item = {.fd = fd, .events = POLLIN};
     reply[0] = '\0';
@@ -97,7 +102,8 @@
     }
 }
 
-static void expect(const char *request, size_t length, const char *wanted) {
+static void expect(const char *request, size_t length, const char *wanted)
+{
     char reply[REPLY_SIZE];
     int fd = connect_caller();
     assert_true(fd >= 0);
@@ -109,24 +115,28 @@
     close(fd);
 }
 
-static char *make_post(const char *path, const char *body) {
+static char *make_post(const char *path, const char *body)
+{
     return g_strdup_printf("POST %s HTTP/1.1\r\nhost: x\r\ncontent-length: %zu\r\n\r\n%s", path,
                            strlen(body), body);
 }
 
-static void expect_post(const char *path, const char *body, const char *wanted) {
+static void expect_post(const char *path, const char *body, const char *wanted)
+{
     char *request = make_post(path, body);
     expect(request, strlen(request), wanted);
     g_free(request);
 }
 
-static void expect_alive(void) {
+static void expect_alive(void)
+{
     expect_post("/v1/query", "{\"kind\":\"k\",\"text\":\"t\"}", "\"error\":\"not_ready\"");
 }
 
 /* ---- tests ---- */
 
-static void test_refusals_are_typed(void **state) {
+static void test_refusals_are_typed(void **state)
+{
     expect_post("/v1/query", "{\"kind\":\"k\",\"text\":\"t\"}", "\"ran\":false");
     expect_post("/v1/query", "{\"kind\":\"k\",\"text\":\"t\"}", "retry-after: 1");
     expect_post("/v1/query", "{\"kind\":", "HTTP/1.1 400");
@@ -136,7 +146,8 @@
     expect(get, strlen(get), "HTTP/1.1 405");
 }
 
-static void test_large_bodies_are_refused(void **state) {
+static void test_large_bodies_are_refused(void **state)
+{
     char *body = g_strnfill(70000, 'a');
     expect_post("/v1/query", body, "HTTP/1.1 413");
     const char *huge = "POST /v1/query HTTP/1.1\r\nhost: x\r\ncontent-length: 99999999\r\n\r\n";
@@ -145,7 +156,8 @@
     expect_alive();
 }
 
-static void test_garbage_harms_nobody(void **state) {
+static void test_garbage_harms_nobody(void **state)
+{
     GRand *random = g_rand_new_with_seed(5);
     for (int i = 0; i < 200; i++) {
         char bytes[512];
@@ -165,7 +177,8 @@
     expect_alive();
 }
 
-static void test_long_headers_are_cut_off(void **state) {
+static void test_long_headers_are_cut_off(void **state)
+{
     char *value = g_strnfill(300000, 'h');
     char *request =
         g_strdup_printf("POST /v1/query HTTP/1.1\r\nhost: x\r\nlong: %s\r\n\r\n", value);
@@ -180,7 +193,8 @@
     expect_alive();
 }
 
-static void test_slow_callers_hold_up_nobody(void **state) {
+static void test_slow_callers_hold_up_nobody(void **state)
+{
     int slow[FLOOD];
     const char *begin =
         "POST /v1/query HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n\r\n{\"kind\"";
@@ -199,7 +213,8 @@
     expect_alive();
 }
 
-static void test_pipelined_requests_are_answered_in_order(void **state) {
+static void test_pipelined_requests_are_answered_in_order(void **state)
+{
     char *first = make_post("/v1/query", "{\"id\":\"one\",\"kind\":\"k\",\"text\":\"t\"}");
     char *second = make_post("/v1/query", "{\"id\":\"two\",\"kind\":\"k\",\"text\":\"t\"}");
     char *both = g_strconcat(first, second, NULL);
@@ -218,7 +233,8 @@
     g_free(first);
 }
 
-int main(void) {
+int main(void)
+{
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_refusals_are_typed),
         cmocka_unit_test(test_large_bodies_are_refused),
--- a/tests/front/test_caller_json.c
+++ b/tests/front/test_caller_json.c
@@ -6,19 +6,22 @@
 #include "../../src/front/caller_json.h"
 #include "tealspar/front.h"
 
-static ts_error_t read_text(const char *text, ts_query_request_t *request) {
+static ts_error_t read_text(const char *text, ts_query_request_t *request)
+{
     const char *detail = NULL;
     return ts_caller_json_read(text, strlen(text), request, &detail);
 }
 
-static void clear(ts_query_request_t *request) {
+static void clear(ts_query_request_t *request)
+{
     g_free(request->id);
     g_free(request->kind);
     g_free(request->text);
     g_free(request->key);
 }
 
-static void test_reads_all_keys(void **state) {
+static void test_reads_all_keys(void **state)
+{
     ts_query_request_t request;
     assert_int_equal(read_text("{\"id\":\"i\",\"kind\":\"k\",\"text\":\"t\",\"key\":\"y\","
                                "\"offset\":3,\"limit\":7,\"deadline_ms\":50,"
@@ -35,7 +38,8 @@
     clear(&request);
 }
 
-static void test_refuses_bad_bodies(void **state) {
+static void test_refuses_bad_bodies(void **state)
+{
     static const char *const bodies[] = {
         "",
         "{",
@@ -65,7 +69,8 @@
     }
 }
 
-static void test_refuses_deep_nesting(void **state) {
+static void test_refuses_deep_nesting(void **state)
+{
     GString *text = g_string_new("{\"kind\":\"k\",\"text\":");
     for (int i = 0; i < 30000; i++) {
         g_string_append_c(text, '[');
@@ -75,7 +80,8 @@
     g_string_free(text, TRUE);
 }
 
-static void test_words_the_outcomes(void **state) {
+static void test_words_the_outcomes(void **state)
+{
     ts_answer_t refused = {.id = "i", .outcome = TS_OUTCOME_REFUSED, .error = TS_E_OVERLOAD};
     char *text = ts_caller_json_write(&refused, NULL);
     assert_non_null(strstr(text, "\"outcome\":\"refused\""));
@@ -88,7 +94,8 @@
     free(text);
 }
 
-int main(void) {
+int main(void)
+{
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_reads_all_keys),
         cmocka_unit_test(test_refuses_bad_bodies),
--- a/tests/front/test_front.c
+++ b/tests/front/test_front.c
@@ -10,7 +10,8 @@
 #define SETTLE_US (9ULL * TS_US_PER_S)
 #define SERVICE_MS 300.0
 
-static char *make_declarations(void) {
+static char *make_declarations(void)
+{
     GString *text = g_string_new("version: 1\nzones:\n  - {name: north, region: land}\n"
                                  "  - {name: south, region: land}\ngroups:\n");
     g_string_append_printf(text, "  - {name: one, labels: [service=a], shards: %u}\nbackends:\n",
@@ -29,7 +30,8 @@
     return g_string_free(text, FALSE);
 }
 
-static lab_sim_t *start_sim(const char *declarations) {
+static lab_sim_t *start_sim(const char *declarations)
+{
     static const lab_sim_observer_t nobody = {0};
     lab_sim_config_t config = {.declarations = declarations,
                                .nodes_per_zone = 1,
@@ -44,19 +46,22 @@
     return sim;
 }
 
-static void count_answer(void *context, const ts_answer_t *answer) {
+static void count_answer(void *context, const ts_answer_t *answer)
+{
     assert_int_equal(answer->outcome, TS_OUTCOME_ANSWERED);
     assert_int_equal(answer->covered, SHARDS);
     (*(unsigned *)context)++;
 }
 
-static ts_query_t *submit(lab_sim_t *sim, unsigned *answers) {
+static ts_query_t *submit(lab_sim_t *sim, unsigned *answers)
+{
     ts_query_request_t request = {
         .id = g_strdup("q"), .kind = g_strdup("all"), .text = g_strdup("t"), .limit = 10};
     return ts_front_submit(lab_sim_front(sim, 0), &request, count_answer, answers);
 }
 
-static void test_an_abandoned_query_is_cancelled_everywhere(void **state) {
+static void test_an_abandoned_query_is_cancelled_everywhere(void **state)
+{
     char *declarations = make_declarations();
     lab_sim_t *sim = start_sim(declarations);
     unsigned answers = 0;
@@ -75,7 +80,8 @@
 }
 
 /* Once doubled all work: a node whose searchers take 300 ms was taken for a silent one. */
-static void test_slow_searchers_are_no_silent_node(void **state) {
+static void test_slow_searchers_are_no_silent_node(void **state)
+{
     char *declarations = make_declarations();
     lab_sim_t *sim = start_sim(declarations);
     unsigned answers = 0;
@@ -90,7 +96,8 @@
     g_free(declarations);
 }
 
-int main(void) {
+int main(void)
+{
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_an_abandoned_query_is_cancelled_everywhere),
         cmocka_unit_test(test_slow_searchers_are_no_silent_node),
--- a/tests/gateway/test_callers.c
+++ b/tests/gateway/test_callers.c
@@ -5,14 +5,16 @@
 
 #define HEAD "Host: h.example\r\nX-Request-Id: r\r\nX-Deadline-Ms: 1000\r\n"
 
-static world_t *open_world(lab_searcher_t **searcher) {
+static world_t *open_world(lab_searcher_t **searcher)
+{
     world_t *world = world_open(NULL);
     *searcher = world_add_searcher(world, "i-1", "a", "z1");
     world_configure(world, 1, ROUTE_ONE("one", "/p/", "idempotent", "a", 1500));
     return world;
 }
 
-static unsigned status_of(world_t *world, const char *bytes) {
+static unsigned status_of(world_t *world, const char *bytes)
+{
     visit_t *visit = visit_open(world, world->callers_port);
     visit_send(visit, bytes);
     unsigned status = visit_await(world, visit);
@@ -21,7 +23,8 @@
 }
 
 /* Requests that two readers could read differently are refused, and reach no searcher. */
-static void test_ambiguous_requests_are_refused(void **state) {
+static void test_ambiguous_requests_are_refused(void **state)
+{
     static const char *const requests[] = {
         "POST /p/x HTTP/1.1\r\n" HEAD "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
         "POST /p/x HTTP/1.1\r\n" HEAD "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
@@ -49,7 +52,8 @@
     assert_int_equal(searcher->runs, 0);
 }
 
-static void test_limits(void **state) {
+static void test_limits(void **state)
+{
     lab_searcher_t *searcher = NULL;
     world_t *world = open_world(&searcher);
     char *filler = g_strnfill(5000, 'a');
@@ -69,7 +73,8 @@
     g_free(large_body);
 }
 
-static void test_head_that_dawdles(void **state) {
+static void test_head_that_dawdles(void **state)
+{
     lab_searcher_t *searcher = NULL;
     world_t *world = open_world(&searcher);
     visit_t *visit = visit_open(world, world->callers_port);
@@ -81,7 +86,8 @@
     assert_int_equal(visit->answer.parser.status_code, 408);
 }
 
-static void test_requests_in_a_row_on_one_connection(void **state) {
+static void test_requests_in_a_row_on_one_connection(void **state)
+{
     lab_searcher_t *searcher = NULL;
     world_t *world = open_world(&searcher);
     visit_t *visit = visit_open(world, world->callers_port);
@@ -95,7 +101,8 @@
     assert_false(visit->is_ended);
 }
 
-static void test_expect_is_answered(void **state) {
+static void test_expect_is_answered(void **state)
+{
     lab_searcher_t *searcher = NULL;
     world_t *world = open_world(&searcher);
     visit_t *visit = visit_open(world, world->callers_port);
@@ -108,7 +115,8 @@
     assert_null(strstr(g_ptr_array_index(searcher->heads, 0), "\r\nExpect:"));
 }
 
-static void test_readiness(void **state) {
+static void test_readiness(void **state)
+{
     world_t *world = world_open(NULL);
     visit_t *visit = visit_open(world, world->ready_port);
     visit_send(visit, "GET /api/readiness HTTP/1.1\r\nHost: x\r\n\r\n");
@@ -122,7 +130,8 @@
 }
 
 /* A reload replaces every text of the settings; nothing may still point at the old ones. */
-static void test_reload_keeps_distances(void **state) {
+static void test_reload_keeps_distances(void **state)
+{
     lab_searcher_t *searcher = NULL;
     world_t *world = open_world(&searcher);
     const char *text = "name: test\nzone: z1\ndialect: platform\ncallers: 127.0.0.1:1\n"
@@ -144,7 +153,8 @@
     g_free(settings);
 }
 
-static void test_leaving_ends_connections_after_answers(void **state) {
+static void test_leaving_ends_connections_after_answers(void **state)
+{
     lab_searcher_t *searcher = NULL;
     world_t *world = open_world(&searcher);
     searcher->delay_ms = 100;
@@ -160,7 +170,8 @@
     assert_string_equal(ts_http_message_find(&late->answer, "Connection"), "close");
 }
 
-int main(void) {
+int main(void)
+{
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_ambiguous_requests_are_refused),
         cmocka_unit_test(test_limits),
--- a/tests/gateway/test_churn.c
+++ b/tests/gateway/test_churn.c
@@ -15,7 +15,8 @@
 
 static ts_time_us_t clock_offset_us;
 
-static ts_time_us_t shifted_now_us(void) {
+static ts_time_us_t shifted_now_us(void)
+{
     return uv_hrtime() / 1000ULL + clock_offset_us;
 }
 
@@ -26,12 +27,14 @@
     unsigned made;
 } churn_t;
 
-static const char *service_name(unsigned index) {
+static const char *service_name(unsigned index)
+{
     static const char *const names[SERVICES] = {"a", "b", "c"};
     return names[index % SERVICES];
 }
 
-static void add_searcher(churn_t *churn, unsigned service) {
+static void add_searcher(churn_t *churn, unsigned service)
+{
     char id[16];
     g_snprintf(id, sizeof(id), "i-%u", churn->made);
     const char *zone = churn->made % 3 == 0 ? "z2" : "z1";
@@ -40,7 +43,8 @@
     g_ptr_array_add(churn->searchers, searcher);
 }
 
-static void remove_searcher(churn_t *churn) {
+static void remove_searcher(churn_t *churn)
+{
     guint index = (guint)g_rand_int_range(churn->random, 0, (gint32)churn->searchers->len);
     lab_searcher_t *searcher = g_ptr_array_index(churn->searchers, index);
     char *key = g_strdup_printf("servers/%s", searcher->id);
@@ -54,7 +58,8 @@
     add_searcher(churn, (unsigned)g_rand_int(churn->random));
 }
 
-static void misbehave(churn_t *churn) {
+static void misbehave(churn_t *churn)
+{
     for (guint i = 0; i < churn->searchers->len; i++) {
         lab_searcher_t *searcher = g_ptr_array_index(churn->searchers, i);
         bool is_good = g_rand_int_range(churn->random, 0, 3) > 0;
@@ -65,7 +70,8 @@
     }
 }
 
-static void send_requests(churn_t *churn, visit_t **visits) {
+static void send_requests(churn_t *churn, visit_t **visits)
+{
     for (int i = 0; i < REQUESTS; i++) {
         char text[200];
         visits[i] = visit_open(churn->world, churn->world->callers_port);
@@ -78,7 +84,8 @@
 }
 
 /* Some callers leave, the others wait for their answers. */
-static void end_requests(churn_t *churn, visit_t **visits) {
+static void end_requests(churn_t *churn, visit_t **visits)
+{
     world_run_ms(churn->world, (unsigned)g_rand_int_range(churn->random, 1, 60));
     for (int i = 0; i < REQUESTS; i++) {
         if (g_rand_int_range(churn->random, 0, 4) > 0) {
@@ -88,7 +95,8 @@
     }
 }
 
-static void run_churn(uint32_t seed) {
+static void run_churn(uint32_t seed)
+{
     churn_t churn = {.world = world_open(NULL),
                      .random = g_rand_new_with_seed(seed),
                      .searchers = g_ptr_array_new()};
@@ -121,7 +129,8 @@
     g_ptr_array_unref(churn.searchers);
 }
 
-static void test_churn(void **state) {
+static void test_churn(void **state)
+{
     ts_clock_set_source(shifted_now_us, NULL);
     for (uint32_t seed = 1; seed <= 3; seed++) {
         run_churn(seed);
@@ -129,7 +138,8 @@
     ts_clock_set_source(NULL, NULL);
 }
 
-int main(void) {
+int main(void)
+{
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_churn),
     };
--- a/tests/gateway/test_forwarding.c
+++ b/tests/gateway/test_forwarding.c
@@ -3,7 +3,8 @@
 
 #include <string.h>
 
-static world_t *open_one(const char *kind, lab_searcher_t **first, lab_searcher_t **second) {
+static world_t *open_one(const char *kind, lab_searcher_t **first, lab_searcher_t **second)
+{
     world_t *world = world_open(NULL);
     *first = world_add_searcher(world, "i-1", "a", "z1");
     if (second != NULL) {
@@ -19,11 +20,13 @@
     return world;
 }
 
-static void assert_body(const visit_t *visit, const char *expected) {
+static void assert_body(const visit_t *visit, const char *expected)
+{
     assert_string_equal(visit->answer.body->str, expected);
 }
 
-static void test_request_passes_unchanged(void **state) {
+static void test_request_passes_unchanged(void **state)
+{
     lab_searcher_t *searcher = NULL;
     world_t *world = open_one("idempotent", &searcher, NULL);
     visit_t *visit = visit_open(world, world->callers_port);
@@ -48,7 +51,8 @@
     assert_body(visit, "0123456789abcdef");
 }
 
-static void test_deadline_is_the_shorter_of_two(void **state) {
+static void test_deadline_is_the_shorter_of_two(void **state)
+{
     lab_searcher_t *searcher = NULL;
     unsigned status = 0;
     world_t *world = open_one("idempotent", &searcher, NULL);
@@ -59,7 +63,8 @@
     g_free(left);
 }
 
-static void test_unknown_route_and_no_configuration(void **state) {
+static void test_unknown_route_and_no_configuration(void **state)
+{
     unsigned status = 0;
     world_t *world = world_open(NULL);
     visit_t *early = visit_get(world, "/p/x", "r1", 1000, &status);
@@ -71,7 +76,8 @@
 }
 
 /* Each way of spoiling an answer leads to another instance, and never to a wrong body. */
-static void check_retried(lab_behaviour_t behaviour) {
+static void check_retried(lab_behaviour_t behaviour)
+{
     lab_searcher_t *first = NULL;
     lab_searcher_t *second = NULL;
     unsigned status = 0;
@@ -85,37 +91,47 @@
     assert_true(second->runs == 1);
 }
 
-static void test_broken_off(void **state) {
+static void test_broken_off(void **state)
+{
     check_retried(LAB_BREAKS_OFF);
 }
 /* libuv reports a reset as an end of stream when it comes with a short read (found on the bench).
  */
-static void test_unframed_answer_that_is_reset(void **state) {
+static void test_unframed_answer_that_is_reset(void **state)
+{
     check_retried(LAB_UNFRAMED_RESET);
 }
-static void test_foreign_id(void **state) {
+static void test_foreign_id(void **state)
+{
     check_retried(LAB_FOREIGN_ID);
 }
-static void test_unsigned(void **state) {
+static void test_unsigned(void **state)
+{
     check_retried(LAB_UNSIGNED);
 }
-static void test_encoded(void **state) {
+static void test_encoded(void **state)
+{
     check_retried(LAB_ENCODED);
 }
-static void test_garbage(void **state) {
+static void test_garbage(void **state)
+{
     check_retried(LAB_GARBAGE);
 }
-static void test_shedding(void **state) {
+static void test_shedding(void **state)
+{
     check_retried(LAB_SHEDS);
 }
-static void test_failing(void **state) {
+static void test_failing(void **state)
+{
     check_retried(LAB_FAILS);
 }
-static void test_silent(void **state) {
+static void test_silent(void **state)
+{
     check_retried(LAB_HANGS);
 }
 
-static void test_unframed_answer_is_whole(void **state) {
+static void test_unframed_answer_is_whole(void **state)
+{
     lab_searcher_t *searcher = NULL;
     unsigned status = 0;
     world_t *world = open_one("idempotent", &searcher, NULL);
@@ -125,7 +141,8 @@
     assert_body(visit, "0123456789abcdef");
 }
 
-static void test_surplus_answer_goes_to_nobody(void **state) {
+static void test_surplus_answer_goes_to_nobody(void **state)
+{
     lab_searcher_t *searcher = NULL;
     unsigned status = 0;
     world_t *world = open_one("idempotent", &searcher, NULL);
@@ -140,7 +157,8 @@
     assert_int_equal(searcher->connections, 5);
 }
 
-static void test_connection_is_used_again(void **state) {
+static void test_connection_is_used_again(void **state)
+{
     lab_searcher_t *searcher = NULL;
     unsigned status = 0;
     world_t *world = open_one("idempotent", &searcher, NULL);
@@ -151,7 +169,8 @@
     assert_int_equal(searcher->connections, 1);
 }
 
-static void test_connection_closed_while_idle(void **state) {
+static void test_connection_closed_while_idle(void **state)
+{
     lab_searcher_t *searcher = NULL;
     unsigned status = 0;
     world_t *world = open_one("non_idempotent", &searcher, NULL);
@@ -164,7 +183,8 @@
     assert_int_equal(searcher->runs, 5);
 }
 
-static void test_unrepeatable_runs_once(void **state) {
+static void test_unrepeatable_runs_once(void **state)
+{
     lab_searcher_t *first = NULL;
     lab_searcher_t *second = NULL;
     unsigned status = 0;
@@ -175,7 +195,8 @@
     assert_int_equal(first->runs + second->runs, 1);
 }
 
-static void test_unrepeatable_goes_on_after_a_refusal(void **state) {
+static void test_unrepeatable_goes_on_after_a_refusal(void **state)
+{
     lab_searcher_t *first = NULL;
     lab_searcher_t *second = NULL;
     unsigned status = 0;
@@ -187,7 +208,8 @@
     assert_int_equal(second->runs, 1);
 }
 
-static void test_unrepeatable_is_not_hedged(void **state) {
+static void test_unrepeatable_is_not_hedged(void **state)
+{
     lab_searcher_t *first = NULL;
     lab_searcher_t *second = NULL;
     unsigned status = 0;
@@ -198,7 +220,8 @@
     assert_int_equal(second->runs, 0);
 }
 
-static void test_refused_everywhere_says_when_to_come_back(void **state) {
+static void test_refused_everywhere_says_when_to_come_back(void **state)
+{
     lab_searcher_t *first = NULL;
     unsigned status = 0;
     world_t *world = open_one("idempotent", &first, NULL);
@@ -209,7 +232,8 @@
     assert_null(ts_http_message_find(&visit->answer, "X-Server-Stamp"));
 }
 
-static void test_final_answer_at_the_routes_timeout(void **state) {
+static void test_final_answer_at_the_routes_timeout(void **state)
+{
     lab_searcher_t *first = NULL;
     unsigned status = 0;
     world_t *world = open_one("idempotent", &first, NULL);
@@ -221,7 +245,8 @@
     assert_true(span_ms >= 1400 && span_ms < 2000);
 }
 
-static void test_caller_that_leaves_is_cancelled(void **state) {
+static void test_caller_that_leaves_is_cancelled(void **state)
+{
     lab_searcher_t *first = NULL;
     world_t *world = open_one("idempotent", &first, NULL);
     first->delay_ms = 1200;
@@ -235,7 +260,8 @@
     assert_int_equal(world->gateway.requests, 0);
 }
 
-static void test_address_used_by_another_instance(void **state) {
+static void test_address_used_by_another_instance(void **state)
+{
     lab_searcher_t *first = NULL;
     lab_searcher_t *second = NULL;
     unsigned status = 0;
@@ -253,7 +279,8 @@
  * The connections that this node may have to an instance are never passed. What cannot be begun
  * within a fifth of the aim is refused, early and with the time to come back, and does not run.
  */
-static void test_full_instance_is_not_overrun(void **state) {
+static void test_full_instance_is_not_overrun(void **state)
+{
     lab_searcher_t *searcher = NULL;
     world_t *world = open_one("idempotent", &searcher, NULL);
     searcher->delay_ms = 60;
@@ -277,7 +304,8 @@
     assert_int_equal(searcher->runs, answered);
 }
 
-static void test_draining_gets_no_new_work(void **state) {
+static void test_draining_gets_no_new_work(void **state)
+{
     lab_searcher_t *first = NULL;
     lab_searcher_t *second = NULL;
     unsigned status = 0;
@@ -292,7 +320,8 @@
     assert_int_equal(second->runs, 4);
 }
 
-int main(void) {
+int main(void)
+{
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_request_passes_unchanged),
         cmocka_unit_test(test_deadline_is_the_shorter_of_two),
--- a/tests/gateway/test_gathering.c
+++ b/tests/gateway/test_gathering.c
@@ -9,7 +9,8 @@
     lab_searcher_t *far[3];
 } shards_t;
 
-static shards_t open_shards(const char *least) {
+static shards_t open_shards(const char *least)
+{
     static const char *const services[] = {"a", "b", "c"};
     shards_t shards = {.world = world_open(NULL)};
     for (int i = 0; i < 3; i++) {
@@ -30,7 +31,8 @@
     return shards;
 }
 
-static unsigned count_signatures(const visit_t *visit) {
+static unsigned count_signatures(const visit_t *visit)
+{
     const char *list = ts_http_message_find(&visit->answer, "X-Part-Stamps");
     char **items = g_strsplit(list, ",", -1);
     unsigned count = g_strv_length(items);
@@ -38,11 +40,13 @@
     return count;
 }
 
-static const char *missing(const visit_t *visit) {
+static const char *missing(const visit_t *visit)
+{
     return ts_http_message_find(&visit->answer, "X-Missing-Parts");
 }
 
-static void test_greatest_records_of_all_parts(void **state) {
+static void test_greatest_records_of_all_parts(void **state)
+{
     shards_t shards = open_shards("0.9");
     unsigned status = 0;
     g_string_assign(shards.near[0]->body, "aaaaaaaaaaaaaaaazzzzzzzzzzzzzzzzrest");
@@ -56,7 +60,8 @@
     assert_string_equal(missing(visit), "0");
 }
 
-static void test_pausing_searcher_is_hedged(void **state) {
+static void test_pausing_searcher_is_hedged(void **state)
+{
     shards_t shards = open_shards("0.9");
     unsigned status = 0;
     shards.near[1]->behaviour = LAB_HANGS;
@@ -72,7 +77,8 @@
     assert_int_equal(shards.near[1]->runs, runs);
 }
 
-static void test_part_left_out_at_the_aim(void **state) {
+static void test_part_left_out_at_the_aim(void **state)
+{
     shards_t shards = open_shards("0.6");
     unsigned status = 0;
     shards.near[2]->behaviour = LAB_HANGS;
@@ -86,7 +92,8 @@
     assert_true(span_ms < 300);
 }
 
-static void test_no_success_below_the_least_coverage(void **state) {
+static void test_no_success_below_the_least_coverage(void **state)
+{
     shards_t shards = open_shards("0.9");
     unsigned status = 0;
     shards.near[2]->behaviour = LAB_FAILS;
@@ -96,7 +103,8 @@
     assert_null(ts_http_message_find(&visit->answer, "X-Part-Stamps"));
 }
 
-static void test_failure_is_no_part(void **state) {
+static void test_failure_is_no_part(void **state)
+{
     shards_t shards = open_shards("0.6");
     unsigned status = 0;
     shards.near[0]->behaviour = LAB_FAILS;
@@ -107,7 +115,8 @@
     assert_int_equal(count_signatures(visit), 2);
 }
 
-static void test_shard_without_a_searcher(void **state) {
+static void test_shard_without_a_searcher(void **state)
+{
     world_t *world = world_open(NULL);
     unsigned status = 0;
     world_add_searcher(world, "n-a", "a", "z1");
@@ -119,7 +128,8 @@
 }
 
 /* A request keeps the shards of the version it began with. */
-static void test_version_is_pinned(void **state) {
+static void test_version_is_pinned(void **state)
+{
     shards_t shards = open_shards("0.9");
     for (int i = 0; i < 3; i++) {
         shards.near[i]->delay_ms = 150;
@@ -134,7 +144,8 @@
     assert_int_equal(count_signatures(visit), 3);
 }
 
-int main(void) {
+int main(void)
+{
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_greatest_records_of_all_parts),
         cmocka_unit_test(test_pausing_searcher_is_hedged),
--- a/tests/gateway/test_peers.c
+++ b/tests/gateway/test_peers.c
@@ -13,7 +13,8 @@
 } fleet_t;
 
 /* Three nodes in z1 and one in z2, all with the store, which has version 1 and one back end. */
-static fleet_t open_fleet(void) {
+static fleet_t open_fleet(void)
+{
     fleet_t fleet = {.world = world_open(NULL)};
     world_add_searcher(fleet.world, "i-1", "a", "z1");
     world_configure(fleet.world, 1, ROUTE_A);
@@ -34,7 +35,8 @@
     return fleet;
 }
 
-static ts_gateway_t *watcher_of(const fleet_t *fleet) {
+static ts_gateway_t *watcher_of(const fleet_t *fleet)
+{
     for (int i = 0; i < 3; i++) {
         if (ts_peers_is_relied_on(fleet->nodes[i]->peers)) {
             return fleet->nodes[i];
@@ -43,7 +45,8 @@
     return NULL;
 }
 
-static void test_one_watcher_a_zone(void **state) {
+static void test_one_watcher_a_zone(void **state)
+{
     fleet_t fleet = open_fleet();
     unsigned watchers = 0;
     for (int i = 0; i < NODES; i++) {
@@ -53,7 +56,8 @@
     assert_int_equal(watchers, 2);
 }
 
-static void test_change_reaches_all_within_the_bound(void **state) {
+static void test_change_reaches_all_within_the_bound(void **state)
+{
     fleet_t fleet = open_fleet();
     ts_time_us_t begun_us = ts_clock_now_us();
     world_configure(fleet.world, 2, ROUTE_A);
@@ -67,7 +71,8 @@
     }
 }
 
-static void test_start_while_the_store_is_silent(void **state) {
+static void test_start_while_the_store_is_silent(void **state)
+{
     fleet_t fleet = open_fleet();
     lab_store_set_mode(fleet.world->store, LAB_STORE_SILENT);
     ts_gateway_t *late = world_add_gateway(fleet.world, "late", "z2", world_next_port(),
@@ -78,7 +83,8 @@
 }
 
 /* The service refuses one node while it serves the others. */
-static void test_refused_node_follows_its_peers(void **state) {
+static void test_refused_node_follows_its_peers(void **state)
+{
     fleet_t fleet = open_fleet();
     ts_gateway_t *refused =
         world_add_gateway(fleet.world, "m", "z2", world_next_port(), fleet.ports[0], 0);
@@ -92,7 +98,8 @@
     }
 }
 
-static void test_watcher_that_leaves_is_replaced(void **state) {
+static void test_watcher_that_leaves_is_replaced(void **state)
+{
     fleet_t fleet = open_fleet();
     ts_gateway_t *watcher = watcher_of(&fleet);
     assert_non_null(watcher);
@@ -103,7 +110,8 @@
 }
 
 /* A watcher that says nothing more: the others ask the service themselves, within the bound. */
-static void test_silent_watcher_is_not_waited_for(void **state) {
+static void test_silent_watcher_is_not_waited_for(void **state)
+{
     fleet_t fleet = open_fleet();
     ts_gateway_t *watcher = watcher_of(&fleet);
     assert_non_null(watcher);
@@ -117,7 +125,8 @@
     assert_true(ts_clock_now_us() - begun_us < 3000 * TS_US_PER_MS);
 }
 
-static void test_suspicion_is_shared_in_the_zone(void **state) {
+static void test_suspicion_is_shared_in_the_zone(void **state)
+{
     fleet_t fleet = open_fleet();
     ts_instance_t *own = ts_registry_instance(fleet.nodes[0]->registry, "i-1");
     ts_instance_t *theirs = ts_registry_instance(fleet.nodes[1]->registry, "i-1");
@@ -136,7 +145,8 @@
     assert_true(theirs->suspected_us == 0);
 }
 
-static void test_limits_are_divided_by_the_most_nodes_seen(void **state) {
+static void test_limits_are_divided_by_the_most_nodes_seen(void **state)
+{
     fleet_t fleet = open_fleet();
     assert_true(fleet.nodes[0]->nodes > NODES); /* young, hence unsure: the smaller share */
     for (int i = 0; i < 600 && fleet.nodes[0]->nodes > NODES; i++) {
@@ -158,7 +168,8 @@
 }
 
 /* More nodes than one tells by itself: what is known goes down a tree. */
-static void test_large_zone_is_told_down_a_tree(void **state) {
+static void test_large_zone_is_told_down_a_tree(void **state)
+{
     enum { MANY = 24 };
     world_t *world = world_open(NULL);
     ts_gateway_t *nodes[MANY];
@@ -191,7 +202,8 @@
     assert_true(ts_clock_now_us() - begun_us < 2500 * TS_US_PER_MS);
 }
 
-int main(void) {
+int main(void)
+{
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_one_watcher_a_zone),
         cmocka_unit_test(test_change_reaches_all_within_the_bound),
--- a/tests/gateway/test_store_watch.c
+++ b/tests/gateway/test_store_watch.c
@@ -5,7 +5,8 @@
 
 #define ROUTE_A ROUTE_ONE("one", "/p/", "idempotent", "a", 1500)
 
-static void test_list_by_pages(void **state) {
+static void test_list_by_pages(void **state)
+{
     world_t *world = world_open(NULL);
     lab_store_set_page(world->store, 2);
     for (int i = 0; i < 5; i++) {
@@ -23,7 +24,8 @@
     assert_int_equal(world->gateway.traffic->version, 3);
 }
 
-static void test_entry_that_goes(void **state) {
+static void test_entry_that_goes(void **state)
+{
     world_t *world = world_open(NULL);
     world_add_searcher(world, "i-1", "a", "z1");
     world_add_searcher(world, "i-2", "a", "z1");
@@ -32,7 +34,8 @@
     assert_int_equal(ts_registry_listed(world->gateway.registry), 1);
 }
 
-static void test_forgotten_history(void **state) {
+static void test_forgotten_history(void **state)
+{
     world_t *world = world_open(NULL);
     world_add_searcher(world, "i-1", "a", "z1");
     world_add_searcher(world, "i-2", "a", "z1");
@@ -48,7 +51,8 @@
     assert_int_equal(ts_registry_listed(world->gateway.registry), 1);
 }
 
-static void test_older_version_is_ignored(void **state) {
+static void test_older_version_is_ignored(void **state)
+{
     world_t *world = world_open(NULL);
     world_configure(world, 5, ROUTE_A);
     lab_store_put(world->store, "op/config", "{\"version\":4,\"routes\":[],\"services\":[]}");
@@ -56,7 +60,8 @@
     assert_int_equal(world->gateway.traffic->version, 5);
 }
 
-static void test_invalid_document_is_refused_whole(void **state) {
+static void test_invalid_document_is_refused_whole(void **state)
+{
     static const char *const documents[] = {
         "{",
         "[]",
@@ -76,7 +81,8 @@
     }
 }
 
-static void test_store_that_refuses(void **state) {
+static void test_store_that_refuses(void **state)
+{
     world_t *world = world_open(NULL);
     world_configure(world, 1, ROUTE_A);
     lab_store_set_mode(world->store, LAB_STORE_THROTTLED);
@@ -90,7 +96,8 @@
 }
 
 /* A wait that a silent service swallowed is given up soon after the service is back. */
-static void test_swallowed_watch(void **state) {
+static void test_swallowed_watch(void **state)
+{
     world_t *world = world_open(NULL);
     world_configure(world, 1, ROUTE_A);
     world_run_ms(world, 1500); /* a call waits now */
@@ -103,7 +110,8 @@
     assert_int_equal(world->gateway.traffic->version, 2);
 }
 
-static void test_calls_on_a_calm_day_are_few(void **state) {
+static void test_calls_on_a_calm_day_are_few(void **state)
+{
     world_t *world = world_open(NULL);
     world_configure(world, 1, ROUTE_A);
     unsigned calls = lab_store_calls(world->store);
@@ -111,7 +119,8 @@
     assert_true(lab_store_calls(world->store) - calls <= 2);
 }
 
-int main(void) {
+int main(void)
+{
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_list_by_pages),
         cmocka_unit_test(test_entry_that_goes),
--- a/tests/gateway/world.c
+++ b/tests/gateway/world.c
@@ -10,7 +10,8 @@
 #define WAIT_MS 5000
 
 /* A free port, by the kernel's choice: several test programs run at once. */
-unsigned world_next_port(void) {
+unsigned world_next_port(void)
+{
     struct sockaddr_in address = {.sin_family = AF_INET};
     socklen_t length = sizeof(address);
     int descriptor = socket(AF_INET, SOCK_STREAM, 0);
@@ -21,7 +22,8 @@
     return ntohs(address.sin_port);
 }
 
-world_t *world_open(const char *settings) {
+world_t *world_open(const char *settings)
+{
     world_t *world = g_new0(world_t, 1);
     ts_log_open("test", TS_LOG_TEXT, G_LOG_LEVEL_CRITICAL);
     uv_loop_init(&world->loop);
@@ -52,7 +54,8 @@
 }
 
 ts_gateway_t *world_add_gateway(world_t *world, const char *name, const char *zone,
-                                unsigned peers_port, unsigned seed_port, unsigned store_port) {
+                                unsigned peers_port, unsigned seed_port, unsigned store_port)
+{
     ts_gateway_t *gateway = g_new0(ts_gateway_t, 1);
     char *text = g_strdup_printf("name: %s\nzone: %s\ndialect: platform\n"
                                  "callers: 127.0.0.1:%u\nready: 127.0.0.1:%u\n"
@@ -73,7 +76,8 @@
 }
 
 bool world_await_knowledge(world_t *world, const ts_gateway_t *gateway, uint64_t version,
-                           unsigned listed) {
+                           unsigned listed)
+{
     for (int i = 0; i < WAIT_MS / 10; i++) {
         if (gateway->traffic != NULL && gateway->traffic->version >= version &&
             ts_registry_listed(gateway->registry) == listed) {
@@ -84,7 +88,8 @@
     return false;
 }
 
-void world_configure(world_t *world, unsigned version, const char *routes) {
+void world_configure(world_t *world, unsigned version, const char *routes)
+{
     char *text = g_strdup_printf("{\"version\":%u,\"routes\":[%s],\"services\":[],\"limits\":"
                                  "{\"maxHeaderBytes\":4096,\"maxBodyBytes\":65536,"
                                  "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}",
@@ -94,7 +99,8 @@
     world_await_version(world, version);
 }
 
-void world_await_version(world_t *world, uint64_t version) {
+void world_await_version(world_t *world, uint64_t version)
+{
     for (int i = 0; i < WAIT_MS / 10; i++) {
         if (world->gateway.traffic != NULL && world->gateway.traffic->version >= version) {
             return;
@@ -103,7 +109,8 @@
     }
 }
 
-static void enter(world_t *world, const lab_searcher_t *searcher, bool is_draining) {
+static void enter(world_t *world, const lab_searcher_t *searcher, bool is_draining)
+{
     char *key = g_strdup_printf("servers/%s", searcher->id);
     char *entry = lab_searcher_entry(searcher, is_draining);
     lab_store_put(world->store, key, entry);
@@ -112,20 +119,23 @@
 }
 
 lab_searcher_t *world_enter_searcher(world_t *world, const char *id, const char *service,
-                                     const char *zone) {
+                                     const char *zone)
+{
     lab_searcher_t *searcher = lab_searcher_open(&world->loop, id, service, zone);
     enter(world, searcher, false);
     return searcher;
 }
 
 lab_searcher_t *world_add_searcher(world_t *world, const char *id, const char *service,
-                                   const char *zone) {
+                                   const char *zone)
+{
     lab_searcher_t *searcher = world_enter_searcher(world, id, service, zone);
     world_await_listed(world, ts_registry_listed(world->gateway.registry) + 1);
     return searcher;
 }
 
-void world_await_listed(world_t *world, unsigned listed) {
+void world_await_listed(world_t *world, unsigned listed)
+{
     for (int i = 0; i < WAIT_MS / 10; i++) {
         if (ts_registry_listed(world->gateway.registry) == listed) {
             return;
@@ -134,19 +144,23 @@
     }
 }
 
-void world_set_draining(world_t *world, const lab_searcher_t *searcher) {
+void world_set_draining(world_t *world, const lab_searcher_t *searcher)
+{
     enter(world, searcher, true);
 }
 
-static void stop_loop(uv_timer_t *timer) {
+static void stop_loop(uv_timer_t *timer)
+{
     uv_stop(timer->loop);
 }
 
-static void free_timer(uv_handle_t *handle) {
+static void free_timer(uv_handle_t *handle)
+{
     g_free(handle);
 }
 
-void world_run_ms(world_t *world, unsigned span_ms) {
+void world_run_ms(world_t *world, unsigned span_ms)
+{
     uv_timer_t *timer = g_new0(uv_timer_t, 1);
     uv_timer_init(&world->loop, timer);
     uv_timer_start(timer, stop_loop, span_ms, 0);
@@ -154,19 +168,22 @@
     uv_close((uv_handle_t *)timer, free_timer);
 }
 
-bool world_run_until(world_t *world, const unsigned *value, unsigned least) {
+bool world_run_until(world_t *world, const unsigned *value, unsigned least)
+{
     for (int i = 0; i < WAIT_MS / 5 && *value < least; i++) {
         world_run_ms(world, 5);
     }
     return *value >= least;
 }
 
-static void allocate(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer) {
+static void allocate(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
     static char bytes[65536];
     *buffer = uv_buf_init(bytes, sizeof(bytes));
 }
 
-static void read_bytes(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer) {
+static void read_bytes(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
+{
     visit_t *visit = stream->data;
     if (length < 0) {
         visit->is_ended = true;
@@ -177,13 +194,15 @@
     (void)ts_http_message_feed(&visit->answer, buffer->base, (size_t)length);
 }
 
-static void connected(uv_connect_t *request, int status) {
+static void connected(uv_connect_t *request, int status)
+{
     visit_t *visit = request->data;
     visit->is_open = status == 0;
     uv_read_start((uv_stream_t *)&visit->socket, allocate, read_bytes);
 }
 
-visit_t *visit_open(world_t *world, unsigned port) {
+visit_t *visit_open(world_t *world, unsigned port)
+{
     visit_t *visit = g_new0(visit_t, 1);
     struct sockaddr_in address;
     visit->received = g_string_new(NULL);
@@ -202,12 +221,14 @@
     return visit;
 }
 
-void visit_send(visit_t *visit, const char *bytes) {
+void visit_send(visit_t *visit, const char *bytes)
+{
     uv_buf_t buffer = uv_buf_init((char *)bytes, (unsigned)strlen(bytes));
     assert_int_equal(uv_try_write((uv_stream_t *)&visit->socket, &buffer, 1), (int)strlen(bytes));
 }
 
-unsigned visit_await(world_t *world, visit_t *visit) {
+unsigned visit_await(world_t *world, visit_t *visit)
+{
     if (visit->is_answer_taken) {
         ts_http_message_reset(&visit->answer);
     }
@@ -221,12 +242,14 @@
     return visit->answer.is_complete ? visit->answer.parser.status_code : 0;
 }
 
-void visit_close(visit_t *visit) {
+void visit_close(visit_t *visit)
+{
     uv_close((uv_handle_t *)&visit->socket, NULL);
 }
 
 visit_t *visit_get(world_t *world, const char *target, const char *id, unsigned deadline_ms,
-                   unsigned *status) {
+                   unsigned *status)
+{
     visit_t *visit = visit_open(world, world->callers_port);
     char *text = g_strdup_printf("GET %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %s\r\n"
                                  "X-Deadline-Ms: %u\r\n\r\n",
--- a/tests/integration/run_scenario.c
+++ b/tests/integration/run_scenario.c
@@ -16,7 +16,8 @@
 static const char *scenario_path;
 static const char *lab_path;
 
-static json_t *last_line_as_json(const char *text) {
+static json_t *last_line_as_json(const char *text)
+{
     char *copy = g_strchomp(g_strdup(text));
     const char *line = strrchr(copy, '\n');
     json_t *report = json_loads(line == NULL ? copy : line + 1, 0, NULL);
@@ -24,7 +25,8 @@
     return report;
 }
 
-static void test_scenario(void **state) {
+static void test_scenario(void **state)
+{
     char *name = g_path_get_basename(scenario_path);
     char *out = g_strdup_printf("lab-out/test-%s", name);
     char *arguments[] = {(char *)lab_path, "run", (char *)scenario_path, "--out", out, NULL};
@@ -40,7 +42,8 @@
     assert_true(json_integer_value(json_object_get(report, "answered")) > 0);
     const char *key = NULL;
     const json_t *value = NULL;
-    json_object_foreach(json_object_get(report, "violations"), key, value) {
+    json_object_foreach(json_object_get(report, "violations"), key, value)
+    {
         assert_int_equal(json_integer_value(value), 0);
     }
     json_decref(report);
@@ -50,7 +53,8 @@
     g_free(name);
 }
 
-int main(int argc, char **argv) {
+int main(int argc, char **argv)
+{
     if (argc != 3) {
         fprintf(stderr, "usage: run_scenario TEALSPAR-LAB SCENARIO\n");
         return 2;
--- a/tests/lab/test_checks.c
+++ b/tests/lab/test_checks.c
@@ -13,7 +13,8 @@
 
 /* ---- answers ---- */
 
-static json_t *make_answer(unsigned covered_claimed, uint64_t snapshot_of_second) {
+static json_t *make_answer(unsigned covered_claimed, uint64_t snapshot_of_second)
+{
     static const char *const shards[] = {"one/0", "one/1", "two/0"};
     json_t *hits = json_array();
     for (size_t i = 0; i < G_N_ELEMENTS(shards); i++) {
@@ -44,7 +45,8 @@
                      "hits", hits);
 }
 
-static lab_violations_t check(json_t *answer, const char *id, const char *text) {
+static lab_violations_t check(json_t *answer, const char *id, const char *text)
+{
     lab_violations_t violations = {0};
     lab_told_t told = {0};
     ts_declarations_t *declarations = test_load(test_declarations_text);
@@ -56,22 +58,26 @@
     return violations;
 }
 
-static void test_right_answer_passes(void **state) {
+static void test_right_answer_passes(void **state)
+{
     lab_violations_t violations = check(make_answer(3, SNAPSHOT), "q", QUERY);
     assert_int_equal(violations.mixed_snapshot, 0);
     assert_int_equal(violations.false_coverage, 0);
     assert_int_equal(violations.wrong_answer, 0);
 }
 
-static void test_mixed_snapshot_is_caught(void **state) {
+static void test_mixed_snapshot_is_caught(void **state)
+{
     assert_int_equal(check(make_answer(3, SNAPSHOT + 1), "q", QUERY).mixed_snapshot, 1);
 }
 
-static void test_false_coverage_is_caught(void **state) {
+static void test_false_coverage_is_caught(void **state)
+{
     assert_int_equal(check(make_answer(2, SNAPSHOT), "q", QUERY).false_coverage, 1);
 }
 
-static void test_wrong_answers_are_caught(void **state) {
+static void test_wrong_answers_are_caught(void **state)
+{
     assert_int_equal(check(make_answer(3, SNAPSHOT), "another", QUERY).wrong_answer, 1);
     assert_int_equal(check(make_answer(3, SNAPSHOT), "q", "other text").wrong_answer, 1);
     json_t *incomplete = make_answer(3, SNAPSHOT);
@@ -83,7 +89,8 @@
 /* ---- journals ---- */
 
 static lab_verdict_t judge(const char *searchers, const char *callers, int64_t stop_ms,
-                           int64_t kill_ms) {
+                           int64_t kill_ms)
+{
     char *directory = g_dir_make_tmp("tealspar-XXXXXX", NULL);
     char *searcher_path = g_build_filename(directory, "searchers-z.journal", NULL);
     char *caller_path = g_build_filename(directory, "load.journal", NULL);
@@ -109,7 +116,8 @@
     return verdict;
 }
 
-static void test_clean_journals_pass(void **state) {
+static void test_clean_journals_pass(void **state)
+{
     lab_verdict_t verdict =
         judge("100000 b run q1 s 1 1\n100000 b run q2 s 1 0\n100000 b run q2 s 1 0\n"
               "100000 b after_leave q2 - 0 2900\n",
@@ -121,7 +129,8 @@
     assert_int_equal(verdict.searcher_requests, 3);
 }
 
-static void test_planted_journals_are_caught(void **state) {
+static void test_planted_journals_are_caught(void **state)
+{
     assert_int_equal(judge("1 b run q1 s 1 1\n2 c run q1 s 1 1\n", "", 1, 0).ran_twice, 1);
     assert_int_equal(
         judge("1 b run q1 s 1 0\n", "2 5 k q1 refused overload 0 0 0 0\n", 1, 0).ran_though_refused,
@@ -133,7 +142,8 @@
     assert_int_equal(judge("", lost, 99000, 99500).cut_by_stop, 0); /* the kill's account */
 }
 
-int main(void) {
+int main(void)
+{
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_right_answer_passes),
         cmocka_unit_test(test_mixed_snapshot_is_caught),
--- a/tests/lab/test_fuzz.c
+++ b/tests/lab/test_fuzz.c
@@ -10,7 +10,8 @@
 #define ACTIONS 400
 #define PLANTED_SEEDS "150"
 
-static void test_fixed_seeds_hold_every_promise(void **state) {
+static void test_fixed_seeds_hold_every_promise(void **state)
+{
     uint64_t answered = 0;
     for (uint64_t seed = 1; seed <= SEEDS; seed++) {
         GArray *actions = lab_fuzz_draw(seed, ACTIONS);
@@ -25,7 +26,8 @@
 }
 
 /* Seeds that once found something, each with its cause (docs/FAILURES.md, 15 and 16). */
-static void test_seeds_that_failed_once(void **state) {
+static void test_seeds_that_failed_once(void **state)
+{
     static const uint64_t seeds[] = {
         31380,   /* a node that stood still counted that time as listening to its peers */
         8675332, /* a node took the old document before it knew whom to listen to */
@@ -40,7 +42,8 @@
     }
 }
 
-static void test_a_seed_replays_exactly(void **state) {
+static void test_a_seed_replays_exactly(void **state)
+{
     GArray *actions = lab_fuzz_draw(11, ACTIONS);
     lab_finding_t first = lab_fuzz_run(11, actions);
     lab_finding_t second = lab_fuzz_run(11, actions);
@@ -51,7 +54,8 @@
 }
 
 /* Runs the fuzzer with a planted bug; returns its exit code. */
-static int fuzz_planted(const char *bug) {
+static int fuzz_planted(const char *bug)
+{
     char *self = g_file_read_link("/proc/self/exe", NULL);
     char *tests = g_path_get_dirname(self);
     char *program = g_build_filename(tests, "..", "fuzz_planted", NULL);
@@ -67,7 +71,8 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
-static void test_planted_bugs_are_found(void **state) {
+static void test_planted_bugs_are_found(void **state)
+{
     static const char *const bugs[] = {"idempotency", "fence",   "quorum",  "foreign",
                                        "stall",       "drained", "refusal", "version"};
     for (size_t i = 0; i < G_N_ELEMENTS(bugs); i++) {
@@ -78,7 +83,8 @@
     assert_int_equal(fuzz_planted("none"), 0);
 }
 
-int main(void) {
+int main(void)
+{
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_fixed_seeds_hold_every_promise),
         cmocka_unit_test(test_seeds_that_failed_once),
--- a/tests/observe/test_line_writer.c
+++ b/tests/observe/test_line_writer.c
@@ -9,12 +9,14 @@
 
 #define LINE "0123456789012345678901234567890123456789"
 
-static void open_pipe(int ends[2]) {
+static void open_pipe(int ends[2])
+{
     assert_int_equal(pipe(ends), 0);
     assert_int_equal(fcntl(ends[0], F_SETFL, O_NONBLOCK), 0);
 }
 
-static size_t drain(int descriptor) {
+static size_t drain(int descriptor)
+{
     static char bytes[65536];
     size_t total = 0;
     ssize_t count = 0;
@@ -24,7 +26,8 @@
     return total;
 }
 
-static void test_stalled_reader_blocks_nothing(void **state) {
+static void test_stalled_reader_blocks_nothing(void **state)
+{
     int ends[2];
     open_pipe(ends);
     ts_line_writer_t *writer = ts_line_writer_create(ends[1], 1000000, 1U << 30);
@@ -46,7 +49,8 @@
     ts_line_writer_free(writer);
 }
 
-static void test_what_went_wrong_is_kept_first(void **state) {
+static void test_what_went_wrong_is_kept_first(void **state)
+{
     int ends[2];
     open_pipe(ends);
     ts_line_writer_t *writer = ts_line_writer_create(ends[1], 100, 1U << 20);
@@ -70,7 +74,8 @@
     ts_line_writer_free(writer);
 }
 
-int main(void) {
+int main(void)
+{
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_stalled_reader_blocks_nothing),
         cmocka_unit_test(test_what_went_wrong_is_kept_first),
--- a/tests/peers/test_peer_link.c
+++ b/tests/peers/test_peer_link.c
@@ -12,13 +12,15 @@
 
 static unsigned received;
 
-static void take(void *context, const uint8_t *bytes, size_t length) {
+static void take(void *context, const uint8_t *bytes, size_t length)
+{
     assert_int_equal(length, 5);
     assert_memory_equal(bytes, "hello", 5);
     received++;
 }
 
-static char *free_address(void) {
+static char *free_address(void)
+{
     struct sockaddr_in address = {.sin_family = AF_INET};
     socklen_t length = sizeof(address);
     int descriptor = socket(AF_INET, SOCK_STREAM, 0);
@@ -29,11 +31,13 @@
     return g_strdup_printf("127.0.0.1:%u", ntohs(address.sin_port));
 }
 
-static void stop_loop(uv_timer_t *timer) {
+static void stop_loop(uv_timer_t *timer)
+{
     uv_stop(timer->loop);
 }
 
-static void run_ms(uv_loop_t *loop, uint64_t span_ms) {
+static void run_ms(uv_loop_t *loop, uint64_t span_ms)
+{
     uv_timer_t timer;
     uv_timer_init(loop, &timer);
     uv_timer_start(&timer, stop_loop, span_ms, 0);
@@ -42,7 +46,8 @@
     uv_run(loop, UV_RUN_NOWAIT);
 }
 
-static void test_messages_arrive_and_connections_end(void **state) {
+static void test_messages_arrive_and_connections_end(void **state)
+{
     uv_loop_t loop;
     uv_loop_init(&loop);
     char *here = free_address();
@@ -76,7 +81,8 @@
     g_free(nowhere);
 }
 
-int main(void) {
+int main(void)
+{
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_messages_arrive_and_connections_end),
     };
--- a/tests/platform/test_documents.c
+++ b/tests/platform/test_documents.c
@@ -6,13 +6,15 @@
 #include "tealspar/dialect.h"
 #include "tealspar/plugin.h"
 
-static const ts_dialect_t *platform(void) {
+static const ts_dialect_t *platform(void)
+{
     const ts_dialect_t *dialect = ts_plugin_find(TS_PLUGIN_DIALECT, "platform");
     assert_non_null(dialect);
     return dialect;
 }
 
-static ts_traffic_t *read_document(const char *text, char **reasons) {
+static ts_traffic_t *read_document(const char *text, char **reasons)
+{
     ts_problems_t problems;
     ts_problems_init(&problems);
     ts_traffic_t *traffic = platform()->read_traffic(text, strlen(text), &problems);
@@ -24,7 +26,8 @@
 #define ROUTE(fields) "{\"name\":\"r\",\"host\":\"H.Example\",\"pathPrefix\":\"/a/\"," fields "}"
 #define DOCUMENT(routes) "{\"version\":7,\"routes\":[" routes "],\"services\":[]}"
 
-static void test_longest_prefix_of_the_host(void **state) {
+static void test_longest_prefix_of_the_host(void **state)
+{
     char *reasons = NULL;
     ts_traffic_t *traffic = read_document(
         DOCUMENT(ROUTE("\"service\":\"short\"") ",{\"name\":\"l\",\"host\":\"h.example\","
@@ -40,7 +43,8 @@
     g_free(reasons);
 }
 
-static void test_fields_of_a_gather(void **state) {
+static void test_fields_of_a_gather(void **state)
+{
     char *reasons = NULL;
     ts_traffic_t *traffic = read_document(
         DOCUMENT(ROUTE("\"routeType\":\"idempotent\",\"timeoutMs\":2000,\"targetLatencyMs\":120,"
@@ -62,7 +66,8 @@
     g_free(reasons);
 }
 
-static void test_what_is_refused_is_named(void **state) {
+static void test_what_is_refused_is_named(void **state)
+{
     static const struct {
         const char *text;
         const char *reason;
@@ -89,7 +94,8 @@
     }
 }
 
-static void test_page_with_changes(void **state) {
+static void test_page_with_changes(void **state)
+{
     const char *text =
         "{\"events\":[{\"privateKey\":\"servers/i-1\",\"value\":\"e30=\",\"revision\":4},"
         "{\"privateKey\":\"servers/i-2\",\"revision\":5,\"gone\":true},"
@@ -112,7 +118,8 @@
     ts_store_page_free(page);
 }
 
-static void test_pages_that_are_none(void **state) {
+static void test_pages_that_are_none(void **state)
+{
     static const char *const texts[] = {"",
                                         "{",
                                         "null",
@@ -126,7 +133,8 @@
     }
 }
 
-int main(void) {
+int main(void)
+{
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_longest_prefix_of_the_host),
         cmocka_unit_test(test_fields_of_a_gather),
--- a/tests/proto/test_wire.c
+++ b/tests/proto/test_wire.c
@@ -13,13 +13,15 @@
     size_t count;
 } inbox_t;
 
-static void take(void *context, ts_message_t *message) {
+static void take(void *context, ts_message_t *message)
+{
     inbox_t *inbox = context;
     assert_true(inbox->count < G_N_ELEMENTS(inbox->messages));
     inbox->messages[inbox->count++] = message;
 }
 
-static void empty(inbox_t *inbox) {
+static void empty(inbox_t *inbox)
+{
     for (size_t i = 0; i < inbox->count; i++) {
         inbox->messages[i]->destroy(inbox->messages[i]);
     }
@@ -27,7 +29,8 @@
 }
 
 static uint8_t *pack(const ts_wire_identity_t *identity, ts_message_t **messages, size_t count,
-                     size_t *length) {
+                     size_t *length)
+{
     ts_wire_frame_t *frame = ts_wire_frame_build(identity, messages, count);
     *length = ts_wire_frame_size(frame);
     uint8_t *bytes = g_malloc(*length);
@@ -36,7 +39,8 @@
     return bytes;
 }
 
-static ts_work_t *make_work(void) {
+static ts_work_t *make_work(void)
+{
     ts_work_t *work = g_new0(ts_work_t, 1);
     work->references = 1;
     work->request_id = g_strdup("id");
@@ -47,7 +51,8 @@
     return work;
 }
 
-static ts_message_t *make_subrequests(void) {
+static ts_message_t *make_subrequests(void)
+{
     ts_work_t *work = make_work();
     ts_subrequests_message_t *message = ts_subrequests_message(1, work, 2);
     message->parts[1].counter = 77;
@@ -56,7 +61,8 @@
     return &message->head;
 }
 
-static ts_message_t *make_subreply(void) {
+static ts_message_t *make_subreply(void)
+{
     ts_subreply_message_t *message = ts_subreply_message(1);
     message->subreply.counter = 42;
     message->subreply.error = TS_E_QUEUE_FULL;
@@ -69,7 +75,8 @@
     return &message->head;
 }
 
-static void test_round_trip(void **state) {
+static void test_round_trip(void **state)
+{
     ts_message_t *messages[] = {make_subrequests(), make_subreply(),
                                 &ts_cancel_message(1, 43)->head,
                                 &ts_gossip_message("beta", "x", (const uint8_t *)"abc", 3)->head};
@@ -99,7 +106,8 @@
     }
 }
 
-static void test_late_work_is_not_sent(void **state) {
+static void test_late_work_is_not_sent(void **state)
+{
     ts_work_t *work = make_work();
     work->deadline_us = 1;
     ts_message_t *message = &ts_subrequests_message(1, work, 1)->head;
@@ -113,7 +121,8 @@
     ts_work_unref(work);
 }
 
-static void test_strangers_are_refused(void **state) {
+static void test_strangers_are_refused(void **state)
+{
     ts_message_t *message = &ts_cancel_message(1, 1)->head;
     ts_wire_identity_t other_cluster = sender;
     ts_wire_identity_t nameless = sender;
@@ -135,7 +144,8 @@
 }
 
 /* Random damage must never crash; what is still a frame may be delivered. */
-static void test_damage_does_no_harm(void **state) {
+static void test_damage_does_no_harm(void **state)
+{
     ts_message_t *messages[] = {make_subrequests(), make_subreply()};
     size_t length = 0;
     uint8_t *good = pack(&sender, messages, 2, &length);
@@ -158,7 +168,8 @@
     messages[1]->destroy(messages[1]);
 }
 
-int main(void) {
+int main(void)
+{
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_round_trip),
         cmocka_unit_test(test_late_work_is_not_sent),
--- a/tests/route/test_decision.c
+++ b/tests/route/test_decision.c
@@ -6,12 +6,14 @@
 #include "tealspar/admission.h"
 #include "tealspar/route.h"
 
-static const ts_policy_t *adaptive(void) {
+static const ts_policy_t *adaptive(void)
+{
     return ts_plugin_find(TS_PLUGIN_POLICY, "adaptive");
 }
 
 static ts_stop_t stop_at(ts_wait_rule_t wait, uint32_t covered, uint32_t possible,
-                         ts_time_us_t elapsed_us) {
+                         ts_time_us_t elapsed_us)
+{
     static ts_histogram_t latencies;
     ts_selector_t selector = {.wait = wait, .least_coverage_percent = 80};
     if (latencies.total == 0) {
@@ -23,7 +25,8 @@
     return adaptive()->stop(&input);
 }
 
-static void test_stop_rules(void **state) {
+static void test_stop_rules(void **state)
+{
     assert_int_equal(stop_at(TS_WAIT_DEADLINE, 10, 0, 1), TS_STOP_COMPLETE);
     assert_int_equal(stop_at(TS_WAIT_DEADLINE, 9, 1, 50000), TS_STOP_WAIT);
     assert_int_equal(stop_at(TS_WAIT_DEADLINE, 9, 1, 100000), TS_STOP_DEADLINE);
@@ -36,7 +39,8 @@
     assert_int_equal(stop_at(TS_WAIT_GAIN, 7, 3, 20000), TS_STOP_WAIT);
 }
 
-static void test_least_shards_rounds_up_but_not_over(void **state) {
+static void test_least_shards_rounds_up_but_not_over(void **state)
+{
     ts_selector_t selector = {.least_coverage_percent = 99.9};
     assert_int_equal(ts_route_least_shards(&selector, 1000), 999);
     selector.least_coverage_percent = 91;
@@ -45,12 +49,14 @@
     assert_int_equal(ts_route_least_shards(&selector, 10), 0);
 }
 
-static int choose(ts_candidate_t *candidates, size_t count, uint64_t wanted) {
+static int choose(ts_candidate_t *candidates, size_t count, uint64_t wanted)
+{
     ts_choice_input_t input = {candidates, count, wanted, 12345};
     return adaptive()->choose(&input);
 }
 
-static void test_choice_prefers_expected_finish(void **state) {
+static void test_choice_prefers_expected_finish(void **state)
+{
     ts_candidate_t candidates[2] = {{.slots = 4, .service_us = 2000, .same_zone = true},
                                     {.slots = 4, .service_us = 2000, .same_zone = true}};
     candidates[0].slots_in_use = 4;
@@ -66,7 +72,8 @@
     assert_int_equal(choose(candidates, 0, 0), TS_CHOOSE_NONE);
 }
 
-static void test_choice_prefers_wanted_snapshot(void **state) {
+static void test_choice_prefers_wanted_snapshot(void **state)
+{
     ts_candidate_t candidates[2] = {
         {.slots = 4, .service_us = 1000, .same_zone = true, .snapshot = 1},
         {.slots = 4, .service_us = 9000, .same_zone = true, .snapshot = 2}};
@@ -74,7 +81,8 @@
     assert_int_equal(choose(candidates, 2, 2), 1);
 }
 
-static void test_never_hedges_unrepeatable(void **state) {
+static void test_never_hedges_unrepeatable(void **state)
+{
     ts_histogram_t latencies = {0};
     ts_selector_t selector = {.hedge_percent = 5, .unrepeatable = true};
     ts_hedge_input_t input = {&selector, &latencies, 100000};
@@ -83,7 +91,8 @@
     assert_true(fixed->hedge_after_us(&input) == TS_HEDGE_NEVER);
 }
 
-static void test_budget(void **state) {
+static void test_budget(void **state)
+{
     ts_budget_t budget;
     ts_budget_init(&budget, 2);
     assert_true(ts_budget_spend(&budget));
@@ -98,7 +107,8 @@
     assert_false(ts_budget_spend(&budget));
 }
 
-static void test_pass_falls_under_overload_and_recovers(void **state) {
+static void test_pass_falls_under_overload_and_recovers(void **state)
+{
     ts_pass_t pass;
     ts_pass_init(&pass);
     assert_true(ts_pass_admits(&pass, UINT64_MAX));
@@ -116,7 +126,8 @@
     assert_false(ts_route_is_overload(TS_E_PEER_LOST));
 }
 
-static void test_admission(void **state) {
+static void test_admission(void **state)
+{
     ts_error_t error = TS_OK;
     ts_admission_input_t input = {.slots = 5,
                                   .kind_share_percent = 80,
@@ -138,12 +149,14 @@
     assert_int_equal(error, TS_E_PAST_DEADLINE);
 }
 
-static void test_waiting_raises_the_rank(void **state) {
+static void test_waiting_raises_the_rank(void **state)
+{
     assert_true(ts_admission_rank(9, 0) > ts_admission_rank(3, 0));
     assert_true(ts_admission_rank(3, 1000000) > ts_admission_rank(9, 0));
 }
 
-static void test_key_routing_moves_little(void **state) {
+static void test_key_routing_moves_little(void **state)
+{
     ts_declarations_t *before = test_load(test_declarations_text);
     char *text = test_replace(test_declarations_text, "labels: [service=a], shards: 2",
                               "labels: [service=a], shards: 3");
@@ -164,7 +177,8 @@
     g_free(text);
 }
 
-int main(void) {
+int main(void)
+{
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_stop_rules),
         cmocka_unit_test(test_least_shards_rounds_up_but_not_over),
--- a/tests/route/test_gateway_decisions.c
+++ b/tests/route/test_gateway_decisions.c
@@ -14,7 +14,8 @@
 #define MS TS_US_PER_MS
 
 /* In any window the extras of one node stay within ratio x requests + its share of the slack. */
-static void test_budget_holds_in_every_window(void **state) {
+static void test_budget_holds_in_every_window(void **state)
+{
     const ts_retry_budget_rule_t rule = {0.2, 2, 10 * TS_US_PER_S};
     ts_retry_budget_t budget = {0};
     GRand *random = g_rand_new_with_seed(11);
@@ -45,7 +46,8 @@
     g_rand_free(random);
 }
 
-static void test_budget_starts_with_its_share_only(void **state) {
+static void test_budget_starts_with_its_share_only(void **state)
+{
     const ts_retry_budget_rule_t rule = {0.2, 2, 10 * TS_US_PER_S};
     ts_retry_budget_t budget = {0};
     ts_time_us_t now_us = 100 * TS_US_PER_S;
@@ -56,7 +58,8 @@
     assert_true(ts_retry_budget_take(&budget, &rule, now_us));
 }
 
-static void test_quantile_follows(void **state) {
+static void test_quantile_follows(void **state)
+{
     ts_quantile_t quantile;
     GRand *random = g_rand_new_with_seed(3);
     ts_quantile_init(&quantile, 0.9, 50000);
@@ -67,7 +70,8 @@
     g_rand_free(random);
 }
 
-static void test_split_follows_weights(void **state) {
+static void test_split_follows_weights(void **state)
+{
     ts_traffic_t *traffic = ts_traffic_create(1);
     ts_traffic_route_t *route = ts_traffic_add_route(traffic);
     route->kind = TS_TARGET_SPLIT;
@@ -89,12 +93,14 @@
     ts_traffic_unref(traffic);
 }
 
-static gint compare_falling(gconstpointer left, gconstpointer right) {
+static gint compare_falling(gconstpointer left, gconstpointer right)
+{
     return memcmp(*(char *const *)right, *(char *const *)left, TS_RECORD_BYTES);
 }
 
 /* Against sorting everything. */
-static void test_records_agree_with_a_full_sort(void **state) {
+static void test_records_agree_with_a_full_sort(void **state)
+{
     GRand *random = g_rand_new_with_seed(5);
     for (int round = 0; round < 300; round++) {
         GPtrArray *all = g_ptr_array_new_with_free_func(g_free);
@@ -134,7 +140,8 @@
 
 /* -- Replica ----------------------------------------------------------------------------------- */
 
-static ts_instance_t *add(ts_registry_t *registry, const char *id, const char *zone) {
+static ts_instance_t *add(ts_registry_t *registry, const char *id, const char *zone)
+{
     ts_instance_record_t record = {
         g_strdup(id), g_strdup("s"), g_strdup("127.0.0.1:80"), g_strdup(zone), 4, false, 0};
     ts_registry_update(registry, &record, 1);
@@ -143,7 +150,8 @@
     return g_ptr_array_index(service->instances, service->instances->len - 1);
 }
 
-static GHashTable *two_regions(void) {
+static GHashTable *two_regions(void)
+{
     GHashTable *zones = g_hash_table_new(g_str_hash, g_str_equal);
     g_hash_table_insert(zones, "z1", "r1");
     g_hash_table_insert(zones, "z2", "r1");
@@ -151,12 +159,14 @@
     return zones;
 }
 
-static ts_instance_t *choose(ts_registry_t *registry, ts_time_us_t now_us) {
+static ts_instance_t *choose(ts_registry_t *registry, ts_time_us_t now_us)
+{
     ts_replica_input_t input = {20000, now_us, 2000 * MS, 20, 4, 17};
     return ts_replica_choose(ts_registry_service(registry, "s"), &input, NULL, 0);
 }
 
-static void test_replica_prefers_near_and_free(void **state) {
+static void test_replica_prefers_near_and_free(void **state)
+{
     ts_registry_t *registry = ts_registry_create("z1", two_regions());
     ts_instance_t *far = add(registry, "far", "z3");
     ts_instance_t *near = add(registry, "near", "z1");
@@ -170,7 +180,8 @@
     assert_ptr_equal(choose(registry, now_us), far);
 }
 
-static void test_suspected_until_it_answers(void **state) {
+static void test_suspected_until_it_answers(void **state)
+{
     ts_registry_t *registry = ts_registry_create("z1", two_regions());
     ts_instance_t *near = add(registry, "near", "z1");
     ts_instance_t *far = add(registry, "far", "z3");
@@ -188,7 +199,8 @@
 }
 
 /* A pause makes one or two answers late; a slow instance makes all of them late. */
-static void test_slow_is_told_from_paused(void **state) {
+static void test_slow_is_told_from_paused(void **state)
+{
     ts_registry_t *registry = ts_registry_create("z1", two_regions());
     ts_instance_t *near = add(registry, "near", "z1");
     ts_instance_t *far = add(registry, "far", "z3");
@@ -203,7 +215,8 @@
 }
 
 /* The limit falls with late answers and refusals, rises again, and leaves the slots' share free. */
-static void test_limit_is_learned(void **state) {
+static void test_limit_is_learned(void **state)
+{
     ts_registry_t *registry = ts_registry_create("z1", two_regions());
     ts_instance_t *near = add(registry, "near", "z1");
     ts_replica_input_t input = {20000, 100 * TS_US_PER_S, 2000 * MS, 20, 4, 17};
@@ -230,7 +243,8 @@
     assert_true(ts_replica_is_full(near, &input));
 }
 
-static void test_leaving_takes_nothing_after_the_bound(void **state) {
+static void test_leaving_takes_nothing_after_the_bound(void **state)
+{
     ts_registry_t *registry = ts_registry_create("z1", two_regions());
     ts_instance_t *near = add(registry, "near", "z1");
     ts_time_us_t now_us = 100 * TS_US_PER_S;
@@ -242,7 +256,8 @@
 }
 
 /* A request that waits for long may still name whom it asked (a crash on the bench, fresh-ab50). */
-static void test_remembered_instance_is_not_forgotten(void **state) {
+static void test_remembered_instance_is_not_forgotten(void **state)
+{
     ts_registry_t *registry = ts_registry_create("z1", two_regions());
     ts_instance_t *near = add(registry, "near", "z1");
     near->references = 1;
@@ -254,7 +269,8 @@
     assert_null(ts_registry_instance(registry, "near"));
 }
 
-int main(void) {
+int main(void)
+{
     ts_log_open("test", TS_LOG_TEXT, G_LOG_LEVEL_CRITICAL);
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_budget_holds_in_every_window),
--- a/tests/route/test_snapshot.c
+++ b/tests/route/test_snapshot.c
@@ -7,12 +7,14 @@
 #define SHARDS_MAX 12
 #define VERSIONS 3
 
-static bool has(const uint64_t *list, uint64_t value) {
+static bool has(const uint64_t *list, uint64_t value)
+{
     return list[0] == value || list[1] == value;
 }
 
 /* The oracle: try every version, count, keep the best. */
-static ts_snapshot_choice_t choose_plainly(const ts_shard_versions_t *shards, size_t count) {
+static ts_snapshot_choice_t choose_plainly(const ts_shard_versions_t *shards, size_t count)
+{
     ts_snapshot_choice_t best = {0, 0, 0};
     for (uint64_t version = 1; version <= VERSIONS; version++) {
         ts_snapshot_choice_t choice = {version, 0, 0};
@@ -32,7 +34,8 @@
     return best;
 }
 
-static void test_agrees_with_oracle(void **state) {
+static void test_agrees_with_oracle(void **state)
+{
     GRand *random = g_rand_new_with_seed(7);
     for (int i = 0; i < CASES; i++) {
         ts_shard_versions_t shards[SHARDS_MAX] = {0};
@@ -54,7 +57,8 @@
     g_rand_free(random);
 }
 
-static void test_nothing_answered(void **state) {
+static void test_nothing_answered(void **state)
+{
     ts_shard_versions_t shards[2] = {{.open = true}, {.open = false}};
     ts_snapshot_choice_t choice = ts_route_choose_snapshot(shards, 2);
     assert_int_equal(choice.snapshot, 0);
@@ -62,7 +66,8 @@
     assert_int_equal(choice.possible, 1);
 }
 
-int main(void) {
+int main(void)
+{
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_agrees_with_oracle),
         cmocka_unit_test(test_nothing_answered),
--- a/tests/test_support.c
+++ b/tests/test_support.c
@@ -26,7 +26,8 @@
     "  - {kind: keyed, groups: [service=a], route: key, wait: deadline, deadline_ms: 100, "
     "least_coverage_percent: 100, unrepeatable: true}\n";
 
-ts_declarations_t *test_load(const char *text) {
+ts_declarations_t *test_load(const char *text)
+{
     ts_problems_t problems;
     ts_problems_init(&problems);
     ts_declarations_t *declarations = ts_declarations_load(text, strlen(text), &problems);
@@ -36,7 +37,8 @@
     return declarations;
 }
 
-char *test_load_refused(const char *text) {
+char *test_load_refused(const char *text)
+{
     ts_problems_t problems;
     ts_problems_init(&problems);
     assert_null(ts_declarations_load(text, strlen(text), &problems));
@@ -46,7 +48,8 @@
     return lines;
 }
 
-char *test_replace(const char *text, const char *from, const char *to) {
+char *test_replace(const char *text, const char *from, const char *to)
+{
     char **parts = g_strsplit(text, from, -1);
     assert_true(g_strv_length(parts) > 1);
     char *result = g_strjoinv(to, parts);
