A send that never reached a back end costs no budget; scripted tests of the gateway

Budgets count arrivals beyond the first. Ruled out: the attempts of the route (2; those parts had used none). Change: a part counts its sends that left or may still leave; while there is none the next send is free, and what was paid for a send that never left is given back.

--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -24,6 +24,8 @@
     ts_instance_t *tried[TS_SENDS_MAX];     /**< whom they went to */
     unsigned sends;                         /**< number of the two above */
     unsigned attempts;                      /**< sends that run, ran or may have run */
+    unsigned arrivals;                      /**< sends that left, or may still leave */
+    unsigned paid;                          /**< of these, the ones the budget was charged for */
     bool was_overdue;                       /**< the latest send was counted as overdue */
     bool may_have_run;
     bool was_refused;         /**< some searcher said that it was full */
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -100,6 +100,7 @@
     part->tried[part->sends] = instance;
     instance->references++;
     part->attempts++;
+    part->arrivals++;
     request->sends++;
     part->was_overdue = false;
     part->next_try_us = 0;
@@ -159,6 +160,33 @@
            (route->is_repeatable || !part->may_have_run);
 }
 
+/*
+ * Only arrivals beyond the first count against the budget: while no send has left, or may still
+ * leave, the next one is free.
+ */
+static bool take_budget(ts_request_part_t *part, ts_time_us_t now_us)
+{
+    if (part->arrivals == 0) {
+        return true;
+    }
+    ts_gateway_t *gateway = part->request->gateway;
+    if (!ts_retry_budget_take(&part->service->budget, &gateway->rule, now_us)) {
+        return false;
+    }
+    part->paid++;
+    return true;
+}
+
+/* A send never left: gives back what was paid for more than the arrivals that remain. */
+static void return_arrival(ts_request_part_t *part)
+{
+    part->arrivals--;
+    if (part->paid > 0 && part->paid >= part->arrivals) {
+        part->paid--;
+        ts_retry_budget_return(&part->service->budget);
+    }
+}
+
 /* One more send, if an instance, the route and the budget allow it. */
 static bool send_again(ts_request_part_t *part, ts_time_us_t now_us, double cost_max_us,
                        const char *reason)
@@ -166,13 +194,12 @@
     if (!may_send_again(part)) {
         return false;
     }
-    ts_gateway_t *gateway = part->request->gateway;
     ts_replica_input_t input = choice_input(part, now_us);
     ts_instance_t *instance = ts_replica_choose(part->service, &input, part->tried, part->sends);
     if (instance == NULL || ts_replica_cost(instance, &input) > cost_max_us) {
         return false;
     }
-    if (!ts_retry_budget_take(&part->service->budget, &gateway->rule, now_us)) {
+    if (!take_budget(part, now_us)) {
         ts_count(TS_COUNTER_RETRIES_DENIED, 1);
         log_decision(part, TS_EVENT_PART_DENIED, "budget", instance, now_us);
         return false;
@@ -327,9 +354,7 @@
 static void take_unsent(ts_request_part_t *part, const ts_instance_t *instance)
 {
     part->attempts--;
-    if (part->sends > 1) {
-        ts_retry_budget_return(&part->service->budget);
-    }
+    return_arrival(part);
     try_elsewhere(part);
 }
 
--- a/tests/gateway/world.c
+++ b/tests/gateway/world.c
@@ -36,12 +36,14 @@
     world->callers_port = world_next_port();
     world->ready_port = world_next_port();
     world->store_port = store_port;
+    bool has_budget = settings != NULL && strstr(settings, "retry_ratio") != NULL;
     char *text = g_strdup_printf("name: test\nzone: z1\ndialect: platform\n"
                                  "callers: 127.0.0.1:%u\nready: 127.0.0.1:%u\n"
                                  "store: 127.0.0.1:%u\n"
                                  "zones: [{zone: z1, region: r1}, {zone: z2, region: r2}]\n"
-                                 "retry_ratio: 0.2\nretry_slack: 600\n%s",
+                                 "%s%s\n",
                                  world->callers_port, world->ready_port, store_port,
+                                 has_budget ? "" : "retry_ratio: 0.2\nretry_slack: 600\n",
                                  settings == NULL ? "" : settings);
     ts_problems_t problems;
     ts_problems_init(&problems);
@@ -134,6 +136,13 @@
     return searcher;
 }
 
+void world_enter_existing(world_t *world, const lab_searcher_t *searcher)
+{
+    unsigned listed = ts_registry_listed(world->gateway.registry);
+    enter(world, searcher, false);
+    world_await_listed(world, listed + 1);
+}
+
 void world_await_listed(world_t *world, unsigned listed)
 {
     for (int i = 0; i < WAIT_MS / 10; i++) {
--- a/tests/gateway/world.h
+++ b/tests/gateway/world.h
@@ -53,6 +53,8 @@
 /** The same, without waiting until the gateway knows it. */
 lab_searcher_t *world_enter_searcher(world_t *world, const char *id, const char *service,
                                      const char *zone);
+/** Enters a searcher that the test opened itself, and waits until the gateway knows it. */
+void world_enter_existing(world_t *world, const lab_searcher_t *searcher);
 void world_set_draining(world_t *world, const lab_searcher_t *searcher);
 /** Runs the loop for a span. */
 void world_run_ms(world_t *world, unsigned span_ms);
--- /dev/null
+++ b/tests/scripted/run_script.c
@@ -0,0 +1,303 @@
+/**
+ * Plays a script against a gateway with stand-ins and compares what it prints with what is
+ * expected: `run_script FILE.script`, expected in FILE.expected. TS_SCRIPT_WRITE=1 writes that file
+ * anew. Each command is echoed behind "> "; times never appear in the output.
+ *
+ *   settings TEXT                 further settings, before `open`; "\n" ends a line
+ *   open                          the store and the gateway
+ *   searcher ID SERVICE ZONE      a searcher, entered in the store
+ *   absent ID SERVICE ZONE        an entry whose port nobody listens on
+ *   drain ID                      its entry says that it drains
+ *   behave ID WORD                see `behaviours` below
+ *   delay ID MS                   how long it works on a request
+ *   configure VERSION ROUTE...    one NAME:SERVICE, NAME:a,b,c@COVERAGE or NAME:SERVICE! each,
+ * served at /NAME/; "!" marks requests that may run once only get NAME ID                   a
+ * request; prints what the caller gets begin TAG NAME ID / end TAG   the same in two steps runs ID
+ * how many requests the searcher ran connections ID                how many connections it accepted
+ *   runs_of SERVICE               over all searchers of the service
+ *   wait MS                       lets time pass
+ */
+#include "../gateway/world.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define WORDS_MAX 24
+#define DEADLINE_MS 2000
+
+typedef struct script {
+    world_t *world;
+    char *settings;
+    GHashTable *searchers; // id -> lab_searcher_t
+    GHashTable *visits;    // tag -> visit_t
+    GString *out;
+} script_t;
+
+typedef void (*command_fn)(script_t *s, char **words, guint n);
+
+static const char *script_path;
+
+static const struct {
+    const char *word;
+    lab_behaviour_t behaviour;
+} behaviours[] = {
+    {"answers", LAB_ANSWERS},     {"sheds", LAB_SHEDS},           {"fails", LAB_FAILS},
+    {"hangs", LAB_HANGS},         {"breaks_off", LAB_BREAKS_OFF}, {"garbage", LAB_GARBAGE},
+    {"twice", LAB_ANSWERS_TWICE},
+};
+
+static lab_searcher_t *find_searcher(script_t *s, const char *id)
+{
+    lab_searcher_t *searcher = g_hash_table_lookup(s->searchers, id);
+    assert_non_null(searcher);
+    return searcher;
+}
+
+static void add_settings(script_t *s, char **words, guint n)
+{
+    char *text = g_strjoinv(" ", words + 1);
+    g_free(s->settings);
+    s->settings = g_strcompress(text);
+    g_free(text);
+}
+
+static void open_world(script_t *s, char **words, guint n)
+{
+    s->world = world_open(s->settings);
+}
+
+static void add_searcher(script_t *s, char **words, guint n)
+{
+    lab_searcher_t *searcher = world_add_searcher(s->world, words[1], words[2], words[3]);
+    g_hash_table_insert(s->searchers, g_strdup(words[1]), searcher);
+}
+
+static void add_absent(script_t *s, char **words, guint n)
+{
+    lab_searcher_t *searcher = lab_searcher_open(&s->world->loop, words[1], words[2], words[3]);
+    g_hash_table_insert(s->searchers, g_strdup(words[1]), searcher);
+    uv_close((uv_handle_t *)&searcher->socket, NULL);
+    world_enter_existing(s->world, searcher);
+}
+
+static void drain(script_t *s, char **words, guint n)
+{
+    world_set_draining(s->world, find_searcher(s, words[1]));
+    world_run_ms(s->world, 1200);
+}
+
+static void set_behaviour(script_t *s, char **words, guint n)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(behaviours); i++) {
+        if (strcmp(behaviours[i].word, words[2]) == 0) {
+            find_searcher(s, words[1])->behaviour = behaviours[i].behaviour;
+            return;
+        }
+    }
+    fail_msg("no such behaviour: %s", words[2]);
+}
+
+static void set_delay(script_t *s, char **words, guint n)
+{
+    find_searcher(s, words[1])->delay_ms = (unsigned)atoi(words[2]);
+}
+
+// NAME:SERVICE, NAME:SERVICE! or NAME:a,b@COVERAGE as the JSON of a route.
+static char *compose_route(const char *word)
+{
+    char **halves = g_strsplit(word, ":", 2);
+    char **reach = g_strsplit(halves[1], "@", 2);
+    bool once = g_str_has_suffix(reach[0], "!");
+    if (once)
+        reach[0][strlen(reach[0]) - 1] = '\0';
+    GString *target = g_string_new(NULL);
+    if (reach[1] == NULL) {
+        g_string_printf(target, "\"service\":\"%s\"", reach[0]);
+    } else {
+        char **shards = g_strsplit(reach[0], ",", 0);
+        char *list = g_strjoinv("\",\"", shards);
+        g_string_printf(target, "\"gather\":[\"%s\"],\"topK\":3,\"minCoverage\":%s", list,
+                        reach[1]);
+        g_free(list);
+        g_strfreev(shards);
+    }
+    char *text =
+        g_strdup_printf("{\"name\":\"%s\",\"host\":\"h.example\",\"pathPrefix\":\"/%s/\","
+                        "\"routeType\":\"%s\",\"timeoutMs\":1500,\"targetLatencyMs\":200,"
+                        "\"priority\":1,%s,\"maxAttempts\":2}",
+                        halves[0], halves[0], once ? "non_idempotent" : "idempotent", target->str);
+    g_string_free(target, TRUE);
+    g_strfreev(reach);
+    g_strfreev(halves);
+    return text;
+}
+
+static void configure(script_t *s, char **words, guint n)
+{
+    GString *routes = g_string_new(NULL);
+    for (guint i = 2; i < n; i++) {
+        char *route = compose_route(words[i]);
+        g_string_append_printf(routes, "%s%s", i > 2 ? "," : "", route);
+        g_free(route);
+    }
+    world_configure(s->world, (unsigned)atoi(words[1]), routes->str);
+    g_string_free(routes, TRUE);
+}
+
+static visit_t *begin_visit(script_t *s, const char *name, const char *id)
+{
+    visit_t *visit = visit_open(s->world, s->world->callers_port);
+    char *text = g_strdup_printf("GET /%s/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %s\r\n"
+                                 "X-Deadline-Ms: %u\r\n\r\n",
+                                 name, id, DEADLINE_MS);
+    visit_send(visit, text);
+    g_free(text);
+    return visit;
+}
+
+static void print_field(script_t *s, const visit_t *visit, const char *name, bool with_value)
+{
+    const char *value = ts_http_message_find(&visit->answer, name);
+    if (value != NULL)
+        g_string_append_printf(s->out, " %s%s%s", name, with_value ? "=" : "",
+                               with_value ? value : "");
+}
+
+static void end_visit(script_t *s, visit_t *visit)
+{
+    unsigned status = visit_await(s->world, visit);
+    g_string_append_printf(s->out, "status %u", status);
+    print_field(s, visit, "X-Missing-Parts", true);
+    print_field(s, visit, "Retry-After", false);
+    g_string_append_c(s->out, '\n');
+    visit_close(visit);
+}
+
+static void get(script_t *s, char **words, guint n)
+{
+    end_visit(s, begin_visit(s, words[1], words[2]));
+}
+
+static void begin(script_t *s, char **words, guint n)
+{
+    g_hash_table_insert(s->visits, g_strdup(words[1]), begin_visit(s, words[2], words[3]));
+}
+
+static void end(script_t *s, char **words, guint n)
+{
+    end_visit(s, g_hash_table_lookup(s->visits, words[1]));
+}
+
+static void print_runs(script_t *s, char **words, guint n)
+{
+    g_string_append_printf(s->out, "%u\n", find_searcher(s, words[1])->runs);
+}
+
+static void print_connections(script_t *s, char **words, guint n)
+{
+    g_string_append_printf(s->out, "%u\n", find_searcher(s, words[1])->connections);
+}
+
+static void print_runs_of(script_t *s, char **words, guint n)
+{
+    GHashTableIter it;
+    gpointer value = NULL;
+    unsigned runs = 0;
+    g_hash_table_iter_init(&it, s->searchers);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const lab_searcher_t *searcher = value;
+        runs += strcmp(searcher->service, words[1]) == 0 ? searcher->runs : 0;
+    }
+    g_string_append_printf(s->out, "%u\n", runs);
+}
+
+static void pass_time(script_t *s, char **words, guint n)
+{
+    world_run_ms(s->world, (unsigned)atoi(words[1]));
+}
+
+static const struct {
+    const char *name;
+    guint words; // with the command itself, at least
+    command_fn run;
+} commands[] = {
+    {"settings", 2, add_settings},
+    {"open", 1, open_world},
+    {"searcher", 4, add_searcher},
+    {"absent", 4, add_absent},
+    {"drain", 2, drain},
+    {"behave", 3, set_behaviour},
+    {"delay", 3, set_delay},
+    {"configure", 3, configure},
+    {"get", 3, get},
+    {"begin", 4, begin},
+    {"end", 2, end},
+    {"runs", 2, print_runs},
+    {"connections", 2, print_connections},
+    {"runs_of", 2, print_runs_of},
+    {"wait", 2, pass_time},
+};
+
+static void run_line(script_t *s, const char *line)
+{
+    char **words = g_strsplit(line, " ", WORDS_MAX);
+    guint n = g_strv_length(words);
+    g_string_append_printf(s->out, "> %s\n", line);
+    for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+        if (strcmp(commands[i].name, words[0]) == 0) {
+            assert_true(n >= commands[i].words);
+            commands[i].run(s, words, n);
+            g_strfreev(words);
+            return;
+        }
+    }
+    fail_msg("no such command: %s", line);
+}
+
+static char *play(const char *path)
+{
+    char *text = NULL;
+    assert_true(g_file_get_contents(path, &text, NULL, NULL));
+    char **lines = g_strsplit(text, "\n", 0);
+    script_t s = {.searchers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
+                  .visits = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
+                  .out = g_string_new(NULL)};
+    for (guint i = 0; lines[i] != NULL; i++) {
+        if (lines[i][0] == '#')
+            g_string_append_printf(s.out, "%s\n", lines[i]);
+        else if (lines[i][0] != '\0')
+            run_line(&s, lines[i]);
+    }
+    g_strfreev(lines);
+    g_free(text);
+    return g_string_free(s.out, FALSE);
+}
+
+static void test_script(void **state)
+{
+    char *stem = g_strndup(script_path, strlen(script_path) - strlen(".script"));
+    char *expected_path = g_strdup_printf("%s.expected", stem);
+    char *printed = play(script_path);
+    if (g_getenv("TS_SCRIPT_WRITE") != NULL)
+        assert_true(g_file_set_contents(expected_path, printed, -1, NULL));
+    char *expected = NULL;
+    assert_true(g_file_get_contents(expected_path, &expected, NULL, NULL));
+    assert_string_equal(printed, expected);
+    g_free(expected);
+    g_free(printed);
+    g_free(expected_path);
+    g_free(stem);
+}
+
+int main(int argc, char **argv)
+{
+    if (argc != 2 || !g_str_has_suffix(argv[1], ".script")) {
+        fprintf(stderr, "usage: run_script FILE.script\n");
+        return 2;
+    }
+    script_path = argv[1];
+    char *name = g_path_get_basename(argv[1]);
+    const struct CMUnitTest tests[] = {{name, test_script, NULL, NULL, NULL}};
+    return cmocka_run_group_tests_name("scripted", tests, NULL, NULL);
+}
