Resting connections are dealt out over the fleet; resets are learned from

Found by counting the events of all gateways by 4 s: part_failed io and connect rise together with the resets. Change: each node works out its place in an order that all nodes share (its region first, rendezvous weight after) and keeps so many resting connections as the order deals it, two thirds of the limit over all; others are closed after use. A young node assumes eight nodes a zone. A connection that is reset before its first answer turns the node away for 60 ms and lowers its limit there; a rested one that is reset teaches how long that instance remembers connections (believed for 10 s). A trap met on the way: asking the socket twice whether a stream ended in order takes the reset off it; the test of an unframed answer that is reset showed it.

--- a/include/tealspar/peers.h
+++ b/include/tealspar/peers.h
@@ -21,6 +21,11 @@
 void ts_peers_ask_around(ts_peers_t *peers);
 /** Tells the zone that a back end has something overdue, or has answered again. */
 void ts_peers_tell_suspicion(ts_peers_t *peers, const char *instance, bool suspected);
+/**
+ * This node's place in the order of the nodes that keep connections to an instance: nodes of its
+ * region come first, then the others, each by rendezvous weight.
+ */
+unsigned ts_peers_place(const ts_peers_t *peers, const ts_instance_t *instance);
 /** Nodes believed live, this one included. */
 unsigned ts_peers_count(const ts_peers_t *peers);
 /** For tests: sends nothing more, as a process that stands still would. */
--- a/include/tealspar/registry.h
+++ b/include/tealspar/registry.h
@@ -65,8 +65,12 @@
     ts_time_us_t avoid_until_us; /**< after a failed connection or a refusal */
     uint32_t failures;           /**< in a row */
     /* Its connections; see tealspar/upstream.h. */
-    GQueue idle;          /**< of ts_connection_t, the last used first */
-    uint32_t connections; /**< open ones, idle and busy */
+    GQueue idle;              /**< of ts_connection_t, the last used first */
+    uint32_t connections;     /**< open ones, idle and busy */
+    uint32_t kept_max;        /**< connections this node may keep while they rest */
+    ts_time_us_t kept_at_us;  /**< when `kept_max` was worked out */
+    ts_time_us_t rest_max_us; /**< it forgot connections that rested this long; 0: not known to */
+    ts_time_us_t rest_max_until_us; /**< until when that is believed */
 } ts_instance_t;
 
 /** Priorities whose refusals are told apart; less urgent ones count as the last. */
@@ -115,6 +119,15 @@
 void ts_instance_hear_suspicion(ts_instance_t *instance, bool suspected, ts_time_us_t now_us);
 /** A connection or a request failed. */
 void ts_instance_note_failure(ts_instance_t *instance, ts_time_us_t now_us);
+/**
+ * A connection that had rested for `rest_us` was reset at the next request: the instance forgets
+ * connections sooner than it says.
+ */
+void ts_instance_note_forgotten(ts_instance_t *instance, ts_time_us_t rest_us, ts_time_us_t now_us);
+/** How long a connection to it may rest at most. */
+ts_time_us_t ts_instance_rest_max_us(const ts_instance_t *instance, ts_time_us_t now_us);
+/** It reset a connection before its first answer, as it does over its limit of connections. */
+void ts_instance_note_turned_away(ts_instance_t *instance, ts_time_us_t now_us);
 /** It refused a request without running it. */
 void ts_instance_note_refusal(ts_instance_t *instance, ts_time_us_t now_us);
 
--- a/include/tealspar/upstream.h
+++ b/include/tealspar/upstream.h
@@ -44,7 +44,12 @@
 typedef void (*ts_exchange_done_t)(ts_exchange_t *exchange, const ts_exchange_result_t *result,
                                    void *owner);
 
+/** How many connections to the instance this node may keep while they rest. */
+typedef uint32_t (*ts_upstream_kept_t)(void *ctx, ts_instance_t *instance, ts_time_us_t now_us);
+
 ts_upstream_t *ts_upstream_create(uv_loop_t *loop, const ts_dialect_t *dialect);
+/** Who decides how many connections are kept; without it none is closed for being too many. */
+void ts_upstream_on_rest(ts_upstream_t *upstream, ts_upstream_kept_t kept, void *ctx);
 /**
  * Sends a request to an instance, on an idle connection or a new one. `typical_us` is what such a
  * request takes from here, to judge the instance by; 0: not known.
--- a/lab/standin_searcher.c
+++ b/lab/standin_searcher.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "../platform/names.h"
+#include "tealspar/clock.h"
 #include "tealspar/http_message.h"
 
 #define HEAD_MAX 65536
@@ -17,7 +18,8 @@
     lab_searcher_t *searcher;
     ts_http_message_t request;
     GString *answer;
-    unsigned handles; /* open ones */
+    unsigned handles;      /* open ones */
+    ts_time_us_t heard_us; /* when the last bytes came or an answer left */
     bool is_working;
     bool is_closing;
 } visitor_t;
@@ -38,6 +40,7 @@
         return;
     }
     visitor->is_closing = true;
+    visitor->searcher->open--;
     visitor->searcher->closed_early += visitor->is_working;
     if (resets) {
         uv_tcp_close_reset(&visitor->socket, handle_closed);
@@ -51,6 +54,7 @@
 {
     uv_buf_t buffer = uv_buf_init(visitor->answer->str, (unsigned)visitor->answer->len);
     (void)uv_try_write((uv_stream_t *)&visitor->socket, &buffer, 1);
+    visitor->heard_us = ts_clock_now_us();
 }
 
 static void append_head(visitor_t *visitor, unsigned status, const char *id, const char *extra)
@@ -207,6 +211,13 @@
     *buffer = uv_buf_init(bytes, sizeof(bytes));
 }
 
+static bool has_forgotten(const visitor_t *visitor)
+{
+    unsigned forgets_ms = visitor->searcher->forgets_ms;
+    ts_time_us_t rest_us = ts_clock_now_us() - visitor->heard_us;
+    return forgets_ms > 0 && rest_us > forgets_ms * TS_US_PER_MS;
+}
+
 static void read_bytes(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
 {
     visitor_t *visitor = stream->data;
@@ -214,6 +225,12 @@
         close_visitor(visitor, false);
         return;
     }
+    if (has_forgotten(visitor)) {
+        visitor->searcher->resets++;
+        close_visitor(visitor, true);
+        return;
+    }
+    visitor->heard_us = ts_clock_now_us();
     (void)ts_http_message_feed(&visitor->request, buffer->base, (size_t)length);
     if (visitor->request.is_complete) {
         take_request(visitor);
@@ -225,6 +242,8 @@
     visitor_t *visitor = g_new0(visitor_t, 1);
     visitor->searcher = server->data;
     visitor->searcher->connections++;
+    visitor->searcher->open++;
+    visitor->heard_us = ts_clock_now_us();
     visitor->answer = g_string_new(NULL);
     visitor->handles = 2;
     ts_http_message_init(&visitor->request, true, HEAD_MAX, BODY_MAX);
@@ -236,6 +255,12 @@
         close_visitor(visitor, false);
         return;
     }
+    const lab_searcher_t *searcher = visitor->searcher;
+    if (searcher->connections_max > 0 && searcher->open > searcher->connections_max) {
+        visitor->searcher->resets++;
+        close_visitor(visitor, true);
+        return;
+    }
     uv_read_start((uv_stream_t *)&visitor->socket, allocate, read_bytes);
 }
 
--- a/lab/standin_searcher.h
+++ b/lab/standin_searcher.h
@@ -32,13 +32,17 @@
     char *zone;
     unsigned port;
     lab_behaviour_t behaviour;
-    unsigned delay_ms;     /**< before it answers */
-    GString *body;         /**< of its answers */
-    unsigned runs;         /**< requests it ran */
-    unsigned misdirected;  /**< requests meant for another */
-    unsigned connections;  /**< accepted so far */
-    unsigned closed_early; /**< connections that ended while it worked */
-    GPtrArray *heads;      /**< texts of the requests it got: target, fields, body */
+    unsigned delay_ms;   /**< before it answers */
+    unsigned forgets_ms; /**< connections that rest longer are reset at the next bytes; 0: none */
+    unsigned connections_max; /**< more at once are reset; 0: any number */
+    GString *body;            /**< of its answers */
+    unsigned runs;            /**< requests it ran */
+    unsigned misdirected;     /**< requests meant for another */
+    unsigned connections;     /**< accepted so far */
+    unsigned open;            /**< connections open now */
+    unsigned resets;          /**< connections reset for the two reasons above */
+    unsigned closed_early;    /**< connections that ended while it worked */
+    GPtrArray *heads;         /**< texts of the requests it got: target, fields, body */
 } lab_searcher_t;
 
 /** Listens on a free port of 127.0.0.1. Lives as long as the loop. */
--- a/src/edge/gateway.c
+++ b/src/edge/gateway.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "tealspar/connection_share.h"
 #include "tealspar/counters.h"
 #include "tealspar/log.h"
 #include "tealspar/peers.h"
@@ -20,8 +21,14 @@
  * that are there may not be known yet.
  */
 #define NODES_LEAST 4U
-#define NODES_UNSURE 12U
+#define NODES_UNSURE_A_ZONE 8U
+#define NODES_UNSURE_LEAST 12U
 #define UNSURE_US (5 * TS_US_PER_S)
+/* How long a share of connections holds before it is worked out again. */
+#define KEPT_VALID_YOUNG_US (500 * TS_US_PER_MS)
+#define KEPT_VALID_US (4 * TS_US_PER_S)
+/* Connections kept to an instance that does not tell how many it takes. */
+#define KEPT_DEFAULT 4U
 
 uint32_t ts_gateway_random(ts_gateway_t *gateway)
 {
@@ -143,8 +150,10 @@
 {
     /* Nodes that are down come back with full rights: the most that were seen counts. */
     gateway->nodes_seen = MAX(MAX(gateway->nodes_seen, nodes), NODES_LEAST);
+    unsigned unsure = NODES_UNSURE_A_ZONE * gateway->settings->zones_count;
+    unsure = MAX(unsure, NODES_UNSURE_LEAST);
     bool is_young = ts_clock_now_us() - gateway->opened_us < UNSURE_US;
-    gateway->nodes = is_young ? MAX(gateway->nodes_seen, NODES_UNSURE) : gateway->nodes_seen;
+    gateway->nodes = is_young ? MAX(gateway->nodes_seen, unsure) : gateway->nodes_seen;
     gateway->rule.slack_share = gateway->settings->retry_slack / (SLACK_DIVISOR * gateway->nodes);
 }
 
@@ -174,6 +183,22 @@
     ts_peers_tell_suspicion(gateway->peers, instance->id, suspected);
 }
 
+/* How many resting connections to an instance this node keeps; worked out now and then. */
+static uint32_t kept_connections(void *ctx, ts_instance_t *instance, ts_time_us_t now_us)
+{
+    const ts_gateway_t *gateway = ctx;
+    bool is_young = now_us - gateway->opened_us < 2 * UNSURE_US;
+    ts_time_us_t valid_us = is_young ? KEPT_VALID_YOUNG_US : KEPT_VALID_US;
+    if (instance->kept_at_us == 0 || now_us - instance->kept_at_us > valid_us) {
+        uint32_t most = instance->service->connections_max;
+        unsigned place = gateway->peers == NULL ? 0 : ts_peers_place(gateway->peers, instance);
+        instance->kept_max =
+            most == 0 ? KEPT_DEFAULT : ts_connection_share(most, gateway->nodes, place);
+        instance->kept_at_us = now_us;
+    }
+    return instance->kept_max;
+}
+
 ts_error_t ts_gateway_open(ts_gateway_t *gateway, uv_loop_t *loop, ts_gateway_settings_t *settings)
 {
     gateway->loop = loop;
@@ -187,6 +212,7 @@
     apply_settings(gateway);
     gateway->registry = ts_registry_create(settings->zone, gateway->zones);
     gateway->upstream = ts_upstream_create(loop, gateway->dialect);
+    ts_upstream_on_rest(gateway->upstream, kept_connections, gateway);
     gateway->mirror = ts_store_mirror_create(gateway);
     gateway->store = ts_store_watch_create(gateway);
     ts_error_t error = open_listeners(gateway);
--- a/src/peers/peers.c
+++ b/src/peers/peers.c
@@ -372,6 +372,41 @@
            ts_member_state_name(state));
 }
 
+/* -- Places --------------------------------------------------------------------------------- */
+
+typedef struct claim {
+    bool is_near;
+    uint64_t weight;
+} claim_t;
+
+static claim_t claim_of(const ts_peers_t *peers, const ts_view_member_t *member, const char *region,
+                        uint64_t instance)
+{
+    const char *own = g_hash_table_lookup(peers->gateway->zones, member->zone);
+    bool is_near = own != NULL && region != NULL && strcmp(own, region) == 0;
+    return (claim_t){is_near, ts_hash_mix(member->id, instance)};
+}
+
+static bool comes_before(claim_t a, claim_t b)
+{
+    return a.is_near != b.is_near ? a.is_near : a.weight > b.weight;
+}
+
+unsigned ts_peers_place(const ts_peers_t *peers, const ts_instance_t *instance)
+{
+    const char *region = g_hash_table_lookup(peers->gateway->zones, instance->zone);
+    uint64_t id = ts_hash_text(instance->id);
+    claim_t own = {false, 0};
+    unsigned place = 0;
+    for (size_t i = 0; i < peers->view->count; i++) {
+        if (peers->view->members[i].is_self)
+            own = claim_of(peers, &peers->view->members[i], region, id);
+    }
+    for (size_t i = 0; i < peers->view->count; i++)
+        place += comes_before(claim_of(peers, &peers->view->members[i], region, id), own);
+    return place;
+}
+
 /* -- Time -------------------------------------------------------------------------------------- */
 
 bool ts_peers_is_relied_on(const ts_peers_t *peers)
--- a/src/registry/instance_health.c
+++ b/src/registry/instance_health.c
@@ -27,6 +27,10 @@
 #define AVOID_FIRST_US (300 * TS_US_PER_MS)
 #define AVOID_MAX_US (2 * TS_US_PER_S)
 #define AVOID_REFUSED_US (60 * TS_US_PER_MS)
+/* A reset after less rest than this says nothing about how long connections are remembered. */
+#define FORGOTTEN_REST_LEAST_US (100 * TS_US_PER_MS)
+#define FORGOTTEN_REST_SHARE 0.7
+#define FORGOTTEN_BELIEVED_US (10 * TS_US_PER_S)
 
 static void lower_limit(ts_instance_t *instance, double factor, ts_time_us_t now_us)
 {
@@ -121,3 +125,29 @@
     instance->avoid_until_us = now_us + AVOID_REFUSED_US;
     lower_limit(instance, LIMIT_FALL_REFUSED, now_us);
 }
+
+void ts_instance_note_forgotten(ts_instance_t *instance, ts_time_us_t rest_us, ts_time_us_t now_us)
+{
+    if (rest_us < FORGOTTEN_REST_LEAST_US)
+        return;
+    ts_time_us_t most_us = (ts_time_us_t)(FORGOTTEN_REST_SHARE * (double)rest_us);
+    bool is_new = now_us >= instance->rest_max_until_us;
+    if (is_new || most_us < instance->rest_max_us)
+        instance->rest_max_us = most_us;
+    instance->rest_max_until_us = now_us + FORGOTTEN_BELIEVED_US;
+    if (is_new)
+        ts_log(TS_EVENT_BACKEND_STATE, "instance=%s service=%s zone=%s state=forgets rest_ms=%lu",
+               instance->id, instance->service->name, instance->zone,
+               (unsigned long)(rest_us / TS_US_PER_MS));
+}
+
+ts_time_us_t ts_instance_rest_max_us(const ts_instance_t *instance, ts_time_us_t now_us)
+{
+    return now_us < instance->rest_max_until_us ? instance->rest_max_us : UINT64_MAX;
+}
+
+void ts_instance_note_turned_away(ts_instance_t *instance, ts_time_us_t now_us)
+{
+    instance->avoid_until_us = now_us + AVOID_REFUSED_US;
+    lower_limit(instance, LIMIT_FALL_REFUSED, now_us);
+}
--- a/src/upstream/upstream.c
+++ b/src/upstream/upstream.c
@@ -15,6 +15,8 @@
 /* Rest allowed when the back end does not tell, and the margin kept when it does. */
 #define REST_DEFAULT_US (4 * TS_US_PER_S)
 #define REST_MARGIN_US (700 * TS_US_PER_MS)
+/* A reset this soon after the sending comes of the connection, not of the request. */
+#define RESET_PROMPT_US (60 * TS_US_PER_MS)
 #define TICK_MS 50
 #define STATUS_MISDIRECTED 421
 #define STATUS_SUCCESS_FIRST 200
@@ -29,11 +31,10 @@
     ts_exchange_t *exchange; /**< the one it carries, or NULL */
     GList place;             /**< in the instance's idle queue */
     ts_http_message_t answer;
-    ts_time_us_t opened_us;
-    ts_time_us_t rested_us; /**< since when it rests */
-    ts_time_us_t rest_us;   /**< how long it may rest */
-    GString *sending;       /**< bytes on their way */
-    bool is_up;
+    ts_time_us_t rested_us;     /**< since when it rests; 0: it has carried no answer yet */
+    ts_time_us_t rest_taken_us; /**< how long it had rested when the request was sent */
+    ts_time_us_t rest_us;       /**< how long it may rest */
+    GString *sending;           /**< bytes on their way */
     bool is_idle;
     bool is_closing;
 } ts_connection_t;
@@ -59,6 +60,8 @@
     const ts_dialect_t *dialect;
     uv_timer_t tick; /**< runs while there are exchanges */
     ts_exchange_t *exchanges;
+    ts_upstream_kept_t kept; /* NULL: all connections are kept */
+    void *kept_ctx;
 };
 
 static void close_connection(ts_connection_t *connection);
@@ -112,6 +115,20 @@
     free_exchange(exchange);
 }
 
+/* What a connection that was reset without an answer says of its instance. */
+static void note_reset(const ts_connection_t *connection)
+{
+    ts_time_us_t now_us = ts_clock_now_us();
+    const ts_exchange_t *exchange = connection->exchange;
+    bool is_prompt = now_us - exchange->sent_us < RESET_PROMPT_US;
+    if (exchange->sent_us == 0 || !is_prompt || connection->answer.has_begun)
+        return; /* it was at work, or had begun to answer */
+    if (connection->rested_us == 0)
+        ts_instance_note_turned_away(connection->instance, now_us);
+    else
+        ts_instance_note_forgotten(connection->instance, connection->rest_taken_us, now_us);
+}
+
 /* The exchange fails with its connection. */
 static void fail_exchange(ts_exchange_t *exchange, ts_error_t error)
 {
@@ -294,7 +311,6 @@
         }
         return;
     }
-    connection->is_up = true;
     begin_reading(connection);
     if (exchange != NULL) {
         write_request(connection);
@@ -307,7 +323,6 @@
     connection->upstream = upstream;
     connection->instance = instance;
     connection->place.data = connection;
-    connection->opened_us = ts_clock_now_us();
     connection->rest_us = REST_DEFAULT_US;
     connection->sending = g_string_new(NULL);
     ts_http_message_init(&connection->answer, false, ANSWER_HEAD_MAX, ANSWER_BODY_MAX);
@@ -326,7 +341,8 @@
     while (instance->idle.length > 0) {
         ts_connection_t *connection = instance->idle.head->data;
         ts_time_us_t rest_us = now_us - connection->rested_us;
-        if (rest_us > connection->rest_us) {
+        ts_time_us_t most_us = ts_instance_rest_max_us(instance, now_us);
+        if (rest_us > MIN(connection->rest_us, most_us)) {
             close_connection(connection);
             continue;
         }
@@ -334,6 +350,7 @@
             return NULL;
         }
         leave_idle(connection);
+        connection->rest_taken_us = rest_us;
         return connection;
     }
     return NULL;
@@ -440,6 +457,18 @@
            ts_http_message_find(answer, "Content-Encoding") == NULL;
 }
 
+/* Closes what rests beyond this node's share, the longest at rest first. */
+static void close_surplus(const ts_upstream_t *upstream, ts_instance_t *instance,
+                          ts_time_us_t now_us)
+{
+    if (upstream->kept == NULL)
+        return;
+    uint32_t kept = upstream->kept(upstream->kept_ctx, instance, now_us);
+    while (instance->idle.length > kept) {
+        close_connection(instance->idle.tail->data);
+    }
+}
+
 static void rest(ts_connection_t *connection)
 {
     connection->rested_us = ts_clock_now_us();
@@ -450,6 +479,7 @@
     }
     connection->is_idle = true;
     g_queue_push_head_link(&connection->instance->idle, &connection->place);
+    close_surplus(connection->upstream, connection->instance, connection->rested_us);
 }
 
 /* One whole answer is in; `has_extra`: further bytes came with it. */
@@ -482,12 +512,17 @@
         close_connection(connection);
         return;
     }
-    if (status == UV_EOF && ts_stream_ended_in_order((uv_stream_t *)&connection->socket)) {
+    /* Asked once: the question takes a reset off the socket. */
+    bool is_in_order =
+        status == UV_EOF && ts_stream_ended_in_order((uv_stream_t *)&connection->socket);
+    if (is_in_order) {
         ts_http_message_finish(&connection->answer);
         if (connection->answer.is_complete) {
             end_answer(connection, true);
             return;
         }
+    } else {
+        note_reset(connection);
     }
     fail_exchange(exchange, TS_E_IO);
 }
@@ -532,6 +567,12 @@
     return upstream;
 }
 
+void ts_upstream_on_rest(ts_upstream_t *upstream, ts_upstream_kept_t kept, void *ctx)
+{
+    upstream->kept = kept;
+    upstream->kept_ctx = ctx;
+}
+
 void ts_upstream_sweep(ts_upstream_t *upstream, ts_instance_t *instance, ts_time_us_t now_us)
 {
     GList *link = instance->idle.head;
@@ -543,4 +584,5 @@
             close_connection(connection);
         }
     }
+    close_surplus(upstream, instance, now_us);
 }
--- a/tests/gateway/test_peers.c
+++ b/tests/gateway/test_peers.c
@@ -167,6 +167,25 @@
     assert_int_equal(fleet.nodes[0]->nodes, 5); /* one that is down comes back with full rights */
 }
 
+/* The nodes agree on an order for each instance, those of its region first. */
+static void test_places_at_an_instance(void **state)
+{
+    fleet_t fleet = open_fleet();
+    world_enter_searcher(fleet.world, "i-2", "a", "z2");
+    for (int i = 0; i < NODES; i++)
+        assert_true(world_await_knowledge(fleet.world, fleet.nodes[i], 1, 2));
+    unsigned seen = 0;
+    for (int i = 0; i < NODES; i++) {
+        const ts_gateway_t *node = fleet.nodes[i];
+        unsigned near = ts_peers_place(node->peers, ts_registry_instance(node->registry, "i-1"));
+        unsigned far = ts_peers_place(node->peers, ts_registry_instance(node->registry, "i-2"));
+        seen |= 1U << near;
+        assert_true(i < 3 ? near < 3 : near == 3); /* three nodes stand in the region of i-1 */
+        assert_true(i < 3 ? far > 0 : far == 0);
+    }
+    assert_int_equal(seen, (1U << NODES) - 1);
+}
+
 /* More nodes than one tells by itself: what is known goes down a tree. */
 static void test_large_zone_is_told_down_a_tree(void **state)
 {
@@ -212,6 +231,7 @@
         cmocka_unit_test(test_watcher_that_leaves_is_replaced),
         cmocka_unit_test(test_silent_watcher_is_not_waited_for),
         cmocka_unit_test(test_suspicion_is_shared_in_the_zone),
+        cmocka_unit_test(test_places_at_an_instance),
         cmocka_unit_test(test_large_zone_is_told_down_a_tree),
         cmocka_unit_test(test_limits_are_divided_by_the_most_nodes_seen),
     };
--- a/tests/route/test_gateway_decisions.c
+++ b/tests/route/test_gateway_decisions.c
@@ -4,6 +4,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "tealspar/connection_share.h"
 #include "tealspar/log.h"
 #include "tealspar/quantile.h"
 #include "tealspar/records.h"
@@ -269,6 +270,24 @@
     assert_null(ts_registry_instance(registry, "near"));
 }
 
+/* What all nodes keep together stays within two thirds of the limit, and nothing of that is lost.
+ */
+static void test_connection_shares_add_up(void **state)
+{
+    static const unsigned limits[] = {1, 2, 41, 67, 76, 110, 480};
+    for (size_t i = 0; i < G_N_ELEMENTS(limits); i++) {
+        for (unsigned nodes = 1; nodes <= 120; nodes++) {
+            uint32_t sum = 0;
+            for (unsigned place = 0; place < nodes; place++) {
+                uint32_t share = ts_connection_share(limits[i], nodes, place);
+                assert_true(place == 0 || share <= ts_connection_share(limits[i], nodes, 0));
+                sum += share;
+            }
+            assert_int_equal(sum, limits[i] * 2 / 3);
+        }
+    }
+}
+
 int main(void)
 {
     ts_log_open("test", TS_LOG_TEXT, G_LOG_LEVEL_CRITICAL);
@@ -283,6 +302,7 @@
         cmocka_unit_test(test_slow_is_told_from_paused),
         cmocka_unit_test(test_limit_is_learned),
         cmocka_unit_test(test_remembered_instance_is_not_forgotten),
+        cmocka_unit_test(test_connection_shares_add_up),
         cmocka_unit_test(test_leaving_takes_nothing_after_the_bound),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/scripted/run_script.c
+++ b/tests/scripted/run_script.c
@@ -10,6 +10,9 @@
  *   drain ID                      its entry says that it drains
  *   behave ID WORD                see `behaviours` below
  *   delay ID MS                   how long it works on a request
+ *   forget ID MS                  it resets connections that rested longer at the next request
+ *   limit ID N                    it resets connections beyond so many
+ *   resets ID                     how many connections it reset for these two reasons
  *   configure VERSION ROUTE...    one NAME:SERVICE, NAME:a,b,c@COVERAGE or NAME:SERVICE! each,
  * served at /NAME/; "!" marks requests that may run once only get NAME ID                   a
  * request; prints what the caller gets begin TAG NAME ID / end TAG   the same in two steps runs ID
@@ -103,6 +106,16 @@
     find_searcher(s, words[1])->delay_ms = (unsigned)atoi(words[2]);
 }
 
+static void set_forgets(script_t *s, char **words, guint n)
+{
+    find_searcher(s, words[1])->forgets_ms = (unsigned)atoi(words[2]);
+}
+
+static void set_limit(script_t *s, char **words, guint n)
+{
+    find_searcher(s, words[1])->connections_max = (unsigned)atoi(words[2]);
+}
+
 // NAME:SERVICE, NAME:SERVICE! or NAME:a,b@COVERAGE as the JSON of a route.
 static char *compose_route(const char *word)
 {
@@ -199,6 +212,11 @@
     g_string_append_printf(s->out, "%u\n", find_searcher(s, words[1])->connections);
 }
 
+static void print_resets(script_t *s, char **words, guint n)
+{
+    g_string_append_printf(s->out, "%u\n", find_searcher(s, words[1])->resets);
+}
+
 static void print_runs_of(script_t *s, char **words, guint n)
 {
     GHashTableIter it;
@@ -233,6 +251,9 @@
     {"get", 3, get},
     {"begin", 4, begin},
     {"end", 2, end},
+    {"forget", 3, set_forgets},
+    {"limit", 3, set_limit},
+    {"resets", 2, print_resets},
     {"runs", 2, print_runs},
     {"connections", 2, print_connections},
     {"runs_of", 2, print_runs_of},
