Late answers of one pause count once, faded beliefs stay faded, the region hears of suspicions

Change: late answers whose spans overlap count once; a second sign within 1.5 s weighs more (1.6 instead of 1.25); what was believed fades before something is added; sightings go to 16 nodes of the zone and to one node of each other zone of the region, which tells its own; a node that sends an instance 40 requests a second or more tells nobody, as the others learn it as fast.

--- a/include/tealspar/registry.h
+++ b/include/tealspar/registry.h
@@ -52,18 +52,21 @@
     ts_time_us_t left_us;    /**< when it began to drain or left the list */
     ts_time_us_t warm_at_us; /**< until then it is slow from its start */
     /* What this node measured. */
-    uint32_t references;         /**< requests that remember it, answered or not */
-    uint32_t in_flight;          /**< requests of this node that it has */
-    double limit;                /**< how many it may have, as learned; 0: nothing learned */
-    ts_time_us_t limited_us;     /**< when `limit` was last lowered */
-    double slowness;             /**< its answer times against its service's; 1: the same */
-    ts_time_us_t slowness_at_us; /**< when `slowness` was last moved */
-    ts_time_us_t answered_us;    /**< when its last answer came; 0: never */
-    ts_time_us_t suspected_us;   /**< since when something is overdue; 0: not suspected */
-    bool is_suspected_by_peer;   /**< the suspicion was heard, not found here */
-    ts_time_us_t tried_us;       /**< last request sent to it while suspected */
-    ts_time_us_t avoid_until_us; /**< after a failed connection or a refusal */
-    uint32_t failures;           /**< in a row */
+    uint32_t references;          /**< requests that remember it, answered or not */
+    uint32_t in_flight;           /**< requests of this node that it has */
+    double limit;                 /**< how many it may have, as learned; 0: nothing learned */
+    ts_time_us_t limited_us;      /**< when `limit` was last lowered */
+    double slowness;              /**< its answer times against its service's; 1: the same */
+    ts_time_us_t slowness_at_us;  /**< when `slowness` was last moved */
+    ts_time_us_t slow_seen_us;    /**< end of the last late answer that moved it */
+    double sent_rate;             /**< requests a second this node sends it, fading */
+    ts_time_us_t sent_rate_at_us; /**< when `sent_rate` was last moved */
+    ts_time_us_t answered_us;     /**< when its last answer came; 0: never */
+    ts_time_us_t suspected_us;    /**< since when something is overdue; 0: not suspected */
+    bool is_suspected_by_peer;    /**< the suspicion was heard, not found here */
+    ts_time_us_t tried_us;        /**< last request sent to it while suspected */
+    ts_time_us_t avoid_until_us;  /**< after a failed connection or a refusal */
+    uint32_t failures;            /**< in a row */
     /* Its connections; see tealspar/upstream.h. */
     GQueue idle;              /**< of ts_connection_t, the last used first */
     uint32_t connections;     /**< open ones, idle and busy */
@@ -101,10 +104,22 @@
 void ts_registry_sweep(ts_registry_t *registry, ts_time_us_t now_us);
 /** An instance by its id, or NULL. */
 ts_instance_t *ts_registry_instance(const ts_registry_t *registry, const char *id);
-/** Called when this node begins to suspect an instance, and when one it suspected answers. */
-typedef void (*ts_registry_suspected_t)(void *context, const ts_instance_t *instance,
-                                        bool suspected);
-void ts_registry_on_suspected(ts_registry_t *registry, ts_registry_suspected_t told, void *context);
+/** What a node has just seen of an instance. */
+typedef enum ts_sighting_kind {
+    TS_SIGHTING_SUSPECTED, /**< something is overdue there */
+    TS_SIGHTING_ANSWERS,   /**< it was suspected and has answered */
+    TS_SIGHTING_SLOW       /**< it answered much later than usual */
+} ts_sighting_kind_t;
+
+typedef struct ts_sighting {
+    ts_sighting_kind_t kind;
+    ts_time_us_t span_us; /**< of the late answer; only with TS_SIGHTING_SLOW */
+} ts_sighting_t;
+
+/** Called with what this node sees that others should know. */
+typedef void (*ts_registry_seen_t)(void *ctx, const ts_instance_t *instance,
+                                   const ts_sighting_t *sighting);
+void ts_registry_on_sighting(ts_registry_t *registry, ts_registry_seen_t seen, void *ctx);
 /** Calls `visit(name, service, context)` for every service. */
 void ts_registry_each_service(ts_registry_t *registry, GHFunc visit, void *context);
 /** Number of instances that discovery names. */
@@ -115,8 +130,12 @@
                              double typical_us);
 /** A request sent at `sent_us` is overdue: the instance is suspected if it said nothing since. */
 void ts_instance_note_overdue(ts_instance_t *instance, ts_time_us_t sent_us, ts_time_us_t now_us);
-/** Another node of the zone suspects the instance, or has had an answer from it again. */
-void ts_instance_hear_suspicion(ts_instance_t *instance, bool suspected, ts_time_us_t now_us);
+/** Another node of the region has seen something of the instance. */
+void ts_instance_hear(ts_instance_t *instance, const ts_sighting_t *sighting, ts_time_us_t now_us);
+/** A request is sent to it. */
+void ts_instance_note_sent(ts_instance_t *instance, ts_time_us_t now_us);
+/** Its answer times against its service's, as believed now: 1 the same, more is slower. */
+double ts_instance_slowness(const ts_instance_t *instance, ts_time_us_t now_us);
 /** A connection or a request failed. */
 void ts_instance_note_failure(ts_instance_t *instance, ts_time_us_t now_us);
 /**
@@ -132,6 +151,6 @@
 void ts_instance_note_refusal(ts_instance_t *instance, ts_time_us_t now_us);
 
 /** Tells the listener of the registry; for the modules of the registry. */
-void ts_registry_tell_suspected(const ts_instance_t *instance, bool suspected);
+void ts_registry_tell(const ts_instance_t *instance, const ts_sighting_t *sighting);
 
 #endif
--- a/src/edge/gateway.c
+++ b/src/edge/gateway.c
@@ -177,10 +177,10 @@
     ts_store_watch_reload(gateway->store);
 }
 
-static void tell_suspicion(void *context, const ts_instance_t *instance, bool suspected)
+static void tell_peers(void *ctx, const ts_instance_t *instance, const ts_sighting_t *sighting)
 {
-    const ts_gateway_t *gateway = context;
-    ts_peers_tell_suspicion(gateway->peers, instance->id, suspected);
+    const ts_gateway_t *gateway = ctx;
+    ts_peers_tell(gateway->peers, instance->id, sighting);
 }
 
 /* How many resting connections to an instance this node keeps; worked out now and then. */
@@ -218,7 +218,7 @@
     ts_error_t error = open_listeners(gateway);
     if (error == TS_OK && settings->peers != NULL) {
         gateway->peers = ts_peers_open(gateway, gateway->mirror);
-        ts_registry_on_suspected(gateway->registry, tell_suspicion, gateway);
+        ts_registry_on_sighting(gateway->registry, tell_peers, gateway);
         error = gateway->peers == NULL ? TS_E_LISTEN : TS_OK;
     }
     if (error == TS_OK) {
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -98,6 +98,7 @@
     double typical_us = request->state->typical.value_us;
     double travel_us = ts_replica_travel_us(instance);
     part->tried[part->sends] = instance;
+    ts_instance_note_sent(instance, now_us);
     instance->references++;
     part->attempts++;
     part->arrivals++;
--- a/src/peers/peers.c
+++ b/src/peers/peers.c
@@ -25,8 +25,8 @@
 #define BEACON_CHILDREN 16U
 /* A beacon is passed on only if it confirms what was last passed on this much later. */
 #define BEACON_NEWER_US (100 * TS_US_PER_MS)
-/* A suspicion is told to so many nodes of the zone. */
-#define SUSPICION_FANOUT 8U
+/* What is seen of a back end is told to so many nodes of the zone. */
+#define SIGHTING_FANOUT 16U
 
 struct ts_peers {
     ts_gateway_t *gateway;
@@ -89,7 +89,7 @@
 {
     guint count = peers->zone_order->len;
     guint begin = count == 0 ? 0 : ts_gateway_random(peers->gateway) % count;
-    for (guint i = 0, sent = 0; i < count && sent < SUSPICION_FANOUT; i++) {
+    for (guint i = 0, sent = 0; i < count && sent < SIGHTING_FANOUT; i++) {
         const ts_view_member_t *member = g_ptr_array_index(peers->zone_order, (begin + i) % count);
         if (!member->is_self) {
             send_frame(peers, member->address, frame);
@@ -257,11 +257,19 @@
     g_ptr_array_unref(entries);
 }
 
-static void take_suspicion(ts_peers_t *peers, const TsPeer__Suspicion *suspicion)
+static void send_sighting(ts_peers_t *peers, TsPeer__Sighting *sighting);
+
+static void take_sighting(ts_peers_t *peers, TsPeer__Sighting *row)
 {
-    ts_instance_t *instance = ts_registry_instance(peers->gateway->registry, suspicion->instance);
-    if (instance != NULL) {
-        ts_instance_hear_suspicion(instance, suspicion->suspected, ts_clock_now_us());
+    ts_instance_t *instance = ts_registry_instance(peers->gateway->registry, row->instance);
+    ts_sighting_kind_t kind = row->suspected ? TS_SIGHTING_SUSPECTED : TS_SIGHTING_ANSWERS;
+    kind = row->slow_span_ms > 0 ? TS_SIGHTING_SLOW : kind;
+    ts_sighting_t sighting = {kind, row->slow_span_ms * TS_US_PER_MS};
+    if (instance != NULL)
+        ts_instance_hear(instance, &sighting, ts_clock_now_us());
+    if (row->relay) {
+        row->relay = false;
+        send_sighting(peers, row);
     }
 }
 
@@ -290,8 +298,8 @@
     if (frame->changes != NULL) {
         take_changes(peers, frame->changes);
     }
-    if (frame->suspicion != NULL) {
-        take_suspicion(peers, frame->suspicion);
+    if (frame->sighting != NULL) {
+        take_sighting(peers, frame->sighting);
     }
     ts_peer__frame__free_unpacked(frame, NULL);
 }
@@ -475,16 +483,47 @@
     }
 }
 
-void ts_peers_tell_suspicion(ts_peers_t *peers, const char *instance, bool suspected)
+/* To some nodes of this zone. */
+static void send_sighting(ts_peers_t *peers, TsPeer__Sighting *sighting)
 {
-    TsPeer__Suspicion suspicion = TS_PEER__SUSPICION__INIT;
     TsPeer__Frame frame = TS_PEER__FRAME__INIT;
-    suspicion.instance = (char *)instance;
-    suspicion.suspected = suspected;
-    frame.suspicion = &suspicion;
+    frame.sighting = sighting;
     send_to_some(peers, &frame);
 }
 
+/* One node of each other zone of the region, drawn at random, tells its own zone. */
+static void send_to_region(ts_peers_t *peers, TsPeer__Sighting *sighting)
+{
+    const ts_gateway_t *gateway = peers->gateway;
+    const char *region = g_hash_table_lookup(gateway->zones, gateway->settings->zone);
+    GHashTable *done = g_hash_table_new(g_str_hash, g_str_equal);
+    size_t begin = ts_gateway_random(peers->gateway) % peers->view->count;
+    TsPeer__Frame frame = TS_PEER__FRAME__INIT;
+    frame.sighting = sighting;
+    sighting->relay = true;
+    g_hash_table_add(done, gateway->settings->zone);
+    for (size_t i = 0; i < peers->view->count && region != NULL; i++) {
+        const ts_view_member_t *member = &peers->view->members[(begin + i) % peers->view->count];
+        const char *theirs = g_hash_table_lookup(gateway->zones, member->zone);
+        bool is_near = theirs != NULL && strcmp(theirs, region) == 0;
+        if (is_near && member->state == TS_MEMBER_LIVE && g_hash_table_add(done, member->zone))
+            send_frame(peers, member->address, &frame);
+    }
+    sighting->relay = false;
+    g_hash_table_unref(done);
+}
+
+void ts_peers_tell(ts_peers_t *peers, const char *instance, const ts_sighting_t *sighting)
+{
+    TsPeer__Sighting row = TS_PEER__SIGHTING__INIT;
+    ts_time_us_t span_ms = sighting->span_us / TS_US_PER_MS;
+    row.instance = (char *)instance;
+    row.suspected = sighting->kind == TS_SIGHTING_SUSPECTED;
+    row.slow_span_ms = sighting->kind == TS_SIGHTING_SLOW ? (uint32_t)MAX(span_ms, 1) : 0;
+    send_sighting(peers, &row);
+    send_to_region(peers, &row);
+}
+
 unsigned ts_peers_count(const ts_peers_t *peers)
 {
     return (unsigned)peers->view->count;
--- a/src/registry/instance_health.c
+++ b/src/registry/instance_health.c
@@ -1,4 +1,6 @@
 /** What a node learns of an instance from the requests it sends there. */
+#include <math.h>
+
 #include "tealspar/counters.h"
 #include "tealspar/log.h"
 #include "tealspar/registry.h"
@@ -7,6 +9,15 @@
  * few hundred milliseconds must not count as more than one slow answer. */
 #define SLOW_RATIO 2.0
 #define SLOWNESS_RISE 1.25
+/* A second sign this soon after another one weighs more: pauses come seconds apart. */
+#define SLOWNESS_RISE_GOING_ON 1.6
+#define GOES_ON_US (1500 * TS_US_PER_MS)
+/* Other nodes are told of answers that took this many times the typical. */
+#define TELL_RATIO 300.0
+/* A node that sends an instance more requests a second than this tells nobody of it. */
+#define TELL_RATE_MAX 40.0
+#define RATE_HALF_LIFE_US ((double)TS_US_PER_S)
+#define RATE_STEP 0.693 /* ln 2 a half-life: a steady rate settles at itself */
 #define SLOWNESS_STEP 0.1
 #define SLOWNESS_MAX 12.0
 /* What a peer says weighs less than an answer that this node had just now. */
@@ -54,15 +65,62 @@
     }
 }
 
-static void note_span(ts_instance_t *instance, double ratio)
+/* What was believed fades before something new is added to it. */
+static void move_slowness(ts_instance_t *instance, double slowness, ts_time_us_t now_us)
+{
+    instance->slowness = MIN(slowness, SLOWNESS_MAX);
+    instance->slowness_at_us = now_us;
+}
+
+/*
+ * A late answer counts once for all requests that were out at the same time: when an instance
+ * pauses, they all come late together, and that is one sign and not many.
+ */
+static bool take_late_answer(ts_instance_t *instance, ts_time_us_t span_us, ts_time_us_t now_us)
+{
+    if (now_us - span_us < instance->slow_seen_us)
+        return false;
+    bool goes_on = instance->slow_seen_us != 0 && now_us - instance->slow_seen_us < GOES_ON_US;
+    double rise = goes_on ? SLOWNESS_RISE_GOING_ON : SLOWNESS_RISE;
+    instance->slow_seen_us = now_us;
+    move_slowness(instance, ts_instance_slowness(instance, now_us) * rise, now_us);
+    return true;
+}
+
+/* Nodes that ask an instance often learn of it sooner by themselves than from others. */
+static bool is_worth_telling(const ts_instance_t *instance)
+{
+    return instance->sent_rate < TELL_RATE_MAX;
+}
+
+static void note_span(ts_instance_t *instance, double span_us, double ratio, ts_time_us_t now_us)
 {
     if (ratio < SLOW_RATIO) {
-        instance->slowness += SLOWNESS_STEP * (ratio - instance->slowness);
-    } else if (instance->slowness < SLOWNESS_MAX) {
-        instance->slowness *= SLOWNESS_RISE;
+        double slowness = ts_instance_slowness(instance, now_us);
+        move_slowness(instance, slowness + SLOWNESS_STEP * (ratio - slowness), now_us);
+        return;
+    }
+    bool is_taken = take_late_answer(instance, (ts_time_us_t)span_us, now_us);
+    if (is_taken && ratio >= TELL_RATIO && is_worth_telling(instance)) {
+        ts_sighting_t sighting = {TS_SIGHTING_SLOW, (ts_time_us_t)span_us};
+        ts_registry_tell(instance, &sighting);
     }
 }
 
+void ts_instance_note_sent(ts_instance_t *instance, ts_time_us_t now_us)
+{
+    double age_us = (double)(now_us - instance->sent_rate_at_us);
+    instance->sent_rate = instance->sent_rate * exp2(-age_us / RATE_HALF_LIFE_US) + RATE_STEP;
+    instance->sent_rate_at_us = now_us;
+}
+
+static void tell_suspected(const ts_instance_t *instance, bool is_suspected)
+{
+    ts_sighting_t sighting = {is_suspected ? TS_SIGHTING_SUSPECTED : TS_SIGHTING_ANSWERS, 0};
+    if (is_worth_telling(instance))
+        ts_registry_tell(instance, &sighting);
+}
+
 void ts_instance_note_answer(ts_instance_t *instance, ts_time_us_t now_us, double span_us,
                              double typical_us)
 {
@@ -74,13 +132,12 @@
                (unsigned long)((now_us - instance->suspected_us) / TS_US_PER_MS));
         instance->suspected_us = 0;
         if (!instance->is_suspected_by_peer) {
-            ts_registry_tell_suspected(instance, false);
+            tell_suspected(instance, false);
         }
     }
     if (typical_us > 0) {
-        note_span(instance, span_us / typical_us);
+        note_span(instance, span_us, span_us / typical_us, now_us);
         adapt_limit(instance, now_us, span_us, typical_us);
-        instance->slowness_at_us = now_us;
     }
 }
 
@@ -92,23 +149,37 @@
     instance->suspected_us = now_us;
     instance->is_suspected_by_peer = false;
     instance->tried_us = now_us;
-    ts_registry_tell_suspected(instance, true);
+    tell_suspected(instance, true);
     ts_count(TS_COUNTER_INSTANCES_SUSPECTED, 1);
     ts_log(TS_EVENT_BACKEND_SUSPECT, "instance=%s state=suspected overdue_ms=%lu", instance->id,
            (unsigned long)((now_us - sent_us) / TS_US_PER_MS));
 }
 
-void ts_instance_hear_suspicion(ts_instance_t *instance, bool suspected, ts_time_us_t now_us)
+static void hear_suspected(ts_instance_t *instance, ts_time_us_t now_us)
 {
     bool answered_lately =
         instance->answered_us != 0 && now_us - instance->answered_us < HEARD_AFTER_US;
-    if (suspected && instance->suspected_us == 0 && !answered_lately) {
-        instance->suspected_us = now_us;
-        instance->is_suspected_by_peer = true;
-        instance->tried_us = now_us;
-    } else if (!suspected && instance->is_suspected_by_peer) {
-        instance->suspected_us = 0;
+    if (instance->suspected_us != 0 || answered_lately)
+        return;
+    instance->suspected_us = now_us;
+    instance->is_suspected_by_peer = true;
+    instance->tried_us = now_us;
+}
+
+void ts_instance_hear(ts_instance_t *instance, const ts_sighting_t *sighting, ts_time_us_t now_us)
+{
+    switch (sighting->kind) {
+    case TS_SIGHTING_SUSPECTED:
+        hear_suspected(instance, now_us);
+        break;
+    case TS_SIGHTING_ANSWERS:
+        if (instance->is_suspected_by_peer)
+            instance->suspected_us = 0;
         instance->is_suspected_by_peer = false;
+        break;
+    case TS_SIGHTING_SLOW:
+        (void)take_late_answer(instance, sighting->span_us, now_us);
+        break;
     }
 }
 
--- a/src/registry/registry.c
+++ b/src/registry/registry.c
@@ -15,8 +15,8 @@
     GHashTable *zones;
     GHashTable *services;  /**< name -> ts_service_t, owned */
     GHashTable *instances; /**< id -> ts_instance_t, owned */
-    ts_registry_suspected_t told;
-    void *told_context;
+    ts_registry_seen_t seen;
+    void *seen_ctx;
 };
 
 void ts_instance_record_clear(ts_instance_record_t *record)
@@ -202,18 +202,17 @@
     return g_hash_table_lookup(registry->instances, id);
 }
 
-void ts_registry_on_suspected(ts_registry_t *registry, ts_registry_suspected_t told, void *context)
+void ts_registry_on_sighting(ts_registry_t *registry, ts_registry_seen_t seen, void *ctx)
 {
-    registry->told = told;
-    registry->told_context = context;
+    registry->seen = seen;
+    registry->seen_ctx = ctx;
 }
 
-void ts_registry_tell_suspected(const ts_instance_t *instance, bool suspected)
+void ts_registry_tell(const ts_instance_t *instance, const ts_sighting_t *sighting)
 {
     const ts_registry_t *registry = instance->service->registry;
-    if (registry->told != NULL) {
-        registry->told(registry->told_context, instance, suspected);
-    }
+    if (registry->seen != NULL)
+        registry->seen(registry->seen_ctx, instance, sighting);
 }
 
 void ts_registry_each_service(ts_registry_t *registry, GHFunc visit, void *context)
--- a/src/route/replica.c
+++ b/src/route/replica.c
@@ -6,8 +6,6 @@
 
 /* Time there and back, by distance; links of the deployments so far. */
 static const double travel_us[TS_DISTANCE_COUNT] = {300, 2500, 25000};
-/* Beliefs about slowness fade with this half-life, so that an instance is tried again. */
-#define SLOWNESS_HALF_LIFE_US (4.0 * (double)TS_US_PER_S)
 #define SUSPECTED_COST_US 400000.0
 #define AVOIDED_COST_US 600000.0
 #define LEAVING_COST_US 1200000.0
@@ -35,12 +33,6 @@
     return !is_leaving || input->now_us - instance->left_us < input->drain_us;
 }
 
-static double current_slowness(const ts_instance_t *instance, ts_time_us_t now_us)
-{
-    double age_us = (double)(now_us - instance->slowness_at_us);
-    return 1 + (instance->slowness - 1) * exp2(-age_us / SLOWNESS_HALF_LIFE_US);
-}
-
 /* Share of a service time that new work waits for what this node has there already. */
 static double queue_factor(const ts_instance_t *instance)
 {
@@ -56,7 +48,7 @@
 
 double ts_replica_cost(const ts_instance_t *instance, const ts_replica_input_t *input)
 {
-    double work_us = input->work_us * current_slowness(instance, input->now_us);
+    double work_us = input->work_us * ts_instance_slowness(instance, input->now_us);
     if (instance->warm_at_us > input->now_us) {
         work_us *= WARMUP_FACTOR;
     }
