--- a/include/tealspar/registry.h
+++ b/include/tealspar/registry.h
@@ -59,9 +59,6 @@
     double slowness;              /**< its answer times against its service's; 1: the same */
     ts_time_us_t slowness_at_us;  /**< when `slowness` was last moved */
     ts_time_us_t slow_seen_us;    /**< end of the last late answer that moved it */
-    ts_time_us_t heard_slow_us;   /**< end of the last late answer at another node */
-    double heard_signs;           /**< late answers at other nodes, fading */
-    ts_time_us_t slow_until_us;   /**< others find it slow; believed until then */
     double sent_rate;             /**< requests a second this node sends it, fading */
     ts_time_us_t sent_rate_at_us; /**< when `sent_rate` was last moved */
     ts_time_us_t answered_us;     /**< when its last answer came; 0: never */
@@ -137,9 +134,7 @@
 void ts_instance_hear(ts_instance_t *instance, const ts_sighting_t *sighting, ts_time_us_t now_us);
 /** A request is sent to it. */
 void ts_instance_note_sent(ts_instance_t *instance, ts_time_us_t now_us);
-/** Its answer times here against its service's, faded to now: 1 the same, more is slower. */
-double ts_instance_own_slowness(const ts_instance_t *instance, ts_time_us_t now_us);
-/** The same with what other nodes find. */
+/** Its answer times against its service's, as believed now: 1 the same, more is slower. */
 double ts_instance_slowness(const ts_instance_t *instance, ts_time_us_t now_us);
 /** A connection or a request failed. */
 void ts_instance_note_failure(ts_instance_t *instance, ts_time_us_t now_us);
--- a/src/registry/instance_health.c
+++ b/src/registry/instance_health.c
@@ -12,11 +12,8 @@
 /* A second sign this soon after another one weighs more: pauses come seconds apart. */
 #define SLOWNESS_RISE_GOING_ON 1.6
 #define GOES_ON_US (1500 * TS_US_PER_MS)
-#define SIGNS_HALF_LIFE_US (700.0 * (double)TS_US_PER_MS)
-#define SIGNS_ENOUGH 3.0
-#define SLOW_HOLDS_US (3 * TS_US_PER_S)
 /* Other nodes are told of answers that took this many times the typical. */
-#define TELL_RATIO 3.0
+#define TELL_RATIO 300.0
 /* A node that sends an instance more requests a second than this tells nobody of it. */
 #define TELL_RATE_MAX 40.0
 #define RATE_HALF_LIFE_US ((double)TS_US_PER_S)
@@ -86,7 +83,7 @@
     bool goes_on = instance->slow_seen_us != 0 && now_us - instance->slow_seen_us < GOES_ON_US;
     double rise = goes_on ? SLOWNESS_RISE_GOING_ON : SLOWNESS_RISE;
     instance->slow_seen_us = now_us;
-    move_slowness(instance, ts_instance_own_slowness(instance, now_us) * rise, now_us);
+    move_slowness(instance, ts_instance_slowness(instance, now_us) * rise, now_us);
     return true;
 }
 
@@ -99,7 +96,7 @@
 static void note_span(ts_instance_t *instance, double span_us, double ratio, ts_time_us_t now_us)
 {
     if (ratio < SLOW_RATIO) {
-        double slowness = ts_instance_own_slowness(instance, now_us);
+        double slowness = ts_instance_slowness(instance, now_us);
         move_slowness(instance, slowness + SLOWNESS_STEP * (ratio - slowness), now_us);
         return;
     }
@@ -169,21 +166,6 @@
     instance->tried_us = now_us;
 }
 
-/*
- * Late answers at other nodes count once for one pause. One now and then is noise; several within
- * a second or so say that the instance is slow for everybody.
- */
-static void hear_late_answer(ts_instance_t *instance, ts_time_us_t span_us, ts_time_us_t now_us)
-{
-    if (now_us - span_us < instance->heard_slow_us)
-        return;
-    double age_us = (double)(now_us - instance->heard_slow_us);
-    instance->heard_signs = instance->heard_signs * exp2(-age_us / SIGNS_HALF_LIFE_US) + 1;
-    instance->heard_slow_us = now_us;
-    if (instance->heard_signs > SIGNS_ENOUGH)
-        instance->slow_until_us = now_us + SLOW_HOLDS_US;
-}
-
 void ts_instance_hear(ts_instance_t *instance, const ts_sighting_t *sighting, ts_time_us_t now_us)
 {
     switch (sighting->kind) {
@@ -196,7 +178,7 @@
         instance->is_suspected_by_peer = false;
         break;
     case TS_SIGHTING_SLOW:
-        hear_late_answer(instance, sighting->span_us, now_us);
+        (void)take_late_answer(instance, sighting->span_us, now_us);
         break;
     }
 }
--- a/src/route/slowness.c
+++ b/src/route/slowness.c
@@ -5,17 +5,9 @@
 
 /* Beliefs about slowness fade with this half-life, so that an instance is tried again. */
 #define SLOWNESS_HALF_LIFE_US (4.0 * (double)TS_US_PER_S)
-/* What an instance that others find slow is taken for at least. */
-#define HEARD_SLOWNESS 5.0
 
-double ts_instance_own_slowness(const ts_instance_t *instance, ts_time_us_t now_us)
+double ts_instance_slowness(const ts_instance_t *instance, ts_time_us_t now_us)
 {
     double age_us = (double)(now_us - instance->slowness_at_us);
     return 1 + (instance->slowness - 1) * exp2(-age_us / SLOWNESS_HALF_LIFE_US);
 }
-
-double ts_instance_slowness(const ts_instance_t *instance, ts_time_us_t now_us)
-{
-    double own = ts_instance_own_slowness(instance, now_us);
-    return now_us < instance->slow_until_us ? MAX(own, HEARD_SLOWNESS) : own;
-}
