--- a/include/tealspar/counters.h
+++ b/include/tealspar/counters.h
@@ -29,6 +29,8 @@
     X(HEDGES_DENIED, counter, "hedges_denied_total", "hedges not sent for want of budget")         \
     X(RETRIES, counter, "retries_total", "subrequests sent again after a failure")                 \
     X(RETRIES_DENIED, counter, "retries_denied_total", "retries not sent for want of budget")      \
+    X(EXTRAS_LENT, counter, "extra_sends_lent_total", "extra sends granted to other nodes")        \
+    X(EXTRAS_BORROWED, counter, "extra_sends_borrowed_total", "extra sends granted by others")     \
     X(SNAPSHOT_ASKED_AGAIN, counter, "snapshot_asked_again_total",                                 \
       "shards asked again because they answered from another snapshot")                            \
     X(PEERS_SILENT, counter, "peers_silent_total",                                                 \
--- a/include/tealspar/registry.h
+++ b/include/tealspar/registry.h
@@ -93,6 +93,8 @@
 void ts_registry_destroy(ts_registry_t *registry);
 /** The service of a name; made when it is new. */
 ts_service_t *ts_registry_service(ts_registry_t *registry, const char *name);
+/** The service of a name, or NULL. */
+ts_service_t *ts_registry_find_service(const ts_registry_t *registry, const char *name);
 /** Enters or changes an instance. Returns whether something that matters changed. */
 bool ts_registry_update(ts_registry_t *registry, const ts_instance_record_t *record,
                         ts_time_us_t now_us);
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -28,6 +28,7 @@
     unsigned paid;                          /**< of these, the ones the budget was charged for */
     bool was_overdue;                       /**< the latest send was counted as overdue */
     bool may_have_run;
+    bool was_denied;          /**< the budget had no further send for it */
     bool was_refused;         /**< some searcher said that it was full */
     ts_time_us_t overdue_us;  /**< when the latest send is overdue; 0: none is out */
     ts_time_us_t second_us;   /**< when a second send is worth its cost */
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -4,6 +4,7 @@
 #include "request.h"
 #include "tealspar/counters.h"
 #include "tealspar/log.h"
+#include "tealspar/peers.h"
 #include "tealspar/replica.h"
 
 /* Between two looks for an instance when none is there, or the budget holds nothing. */
@@ -189,6 +190,19 @@
     }
 }
 
+/* The budget holds no further send: others may lend one, and the part looks again soon. */
+static void note_denied(ts_request_part_t *part, const ts_instance_t *instance, ts_time_us_t now_us)
+{
+    ts_gateway_t *gateway = part->request->gateway;
+    if (gateway->peers != NULL)
+        ts_peers_ask_loan(gateway->peers, part->service, now_us);
+    if (part->was_denied)
+        return;
+    part->was_denied = true;
+    ts_count(TS_COUNTER_RETRIES_DENIED, 1);
+    log_decision(part, TS_EVENT_PART_DENIED, "budget", instance, now_us);
+}
+
 /* One more send, if an instance, the route and the budget allow it. */
 static bool send_again(ts_request_part_t *part, ts_time_us_t now_us, double cost_max_us,
                        const char *reason)
@@ -202,8 +216,7 @@
         return false;
     }
     if (!take_budget(part, now_us)) {
-        ts_count(TS_COUNTER_RETRIES_DENIED, 1);
-        log_decision(part, TS_EVENT_PART_DENIED, "budget", instance, now_us);
+        note_denied(part, instance, now_us);
         return false;
     }
     log_decision(part, TS_EVENT_PART_SENT_AGAIN, reason, instance, now_us);
--- a/src/peers/peers.c
+++ b/src/peers/peers.c
@@ -28,6 +28,11 @@
 /* What is seen of a back end is told to so many nodes of the zone. */
 #define SIGHTING_FANOUT 16U
 
+/* Of extra sends: how many nodes are asked at once, how often, and what each gives at most. */
+#define LOAN_ASKED 2U
+#define LOAN_ASK_US (20 * TS_US_PER_MS)
+#define LOAN_MOST 2U
+
 struct ts_peers {
     ts_gateway_t *gateway;
     ts_store_mirror_t *mirror;
@@ -273,6 +278,53 @@
     }
 }
 
+/* -- Loans of extra sends ---------------------------------------------------------------------- */
+
+static void send_loan(ts_peers_t *peers, const char *address, const char *service, uint32_t granted)
+{
+    TsPeer__Loan loan = TS_PEER__LOAN__INIT;
+    TsPeer__Frame frame = TS_PEER__FRAME__INIT;
+    loan.service = (char *)service;
+    loan.granted = granted;
+    frame.loan = &loan;
+    send_frame(peers, address, &frame);
+}
+
+static void take_loan(ts_peers_t *peers, const char *address, const TsPeer__Loan *loan)
+{
+    ts_gateway_t *gateway = peers->gateway;
+    ts_service_t *service = ts_registry_find_service(gateway->registry, loan->service);
+    ts_time_us_t now_us = ts_clock_now_us();
+    if (service == NULL)
+        return;
+    if (loan->granted > 0) {
+        ts_count(TS_COUNTER_EXTRAS_BORROWED, loan->granted);
+        ts_retry_budget_borrow(&service->budget, loan->granted, now_us);
+        return;
+    }
+    uint32_t granted = ts_retry_budget_lend(&service->budget, &gateway->rule, LOAN_MOST, now_us);
+    if (granted > 0) {
+        ts_count(TS_COUNTER_EXTRAS_LENT, granted);
+        send_loan(peers, address, loan->service, granted);
+    }
+}
+
+void ts_peers_ask_loan(ts_peers_t *peers, ts_service_t *service, ts_time_us_t now_us)
+{
+    size_t count = peers->view->count;
+    size_t begin = ts_gateway_random(peers->gateway) % count;
+    if (now_us - service->budget.asked_us < LOAN_ASK_US)
+        return;
+    service->budget.asked_us = now_us;
+    for (size_t i = 0, asked = 0; i < count && asked < LOAN_ASKED; i++) {
+        const ts_view_member_t *member = &peers->view->members[(begin + i) % count];
+        if (member->is_self || member->state != TS_MEMBER_LIVE)
+            continue;
+        send_loan(peers, member->address, service->name, 0);
+        asked++;
+    }
+}
+
 static void take_frame(void *context, const uint8_t *bytes, size_t length)
 {
     ts_peers_t *peers = context;
@@ -301,6 +353,9 @@
     if (frame->sighting != NULL) {
         take_sighting(peers, frame->sighting);
     }
+    if (frame->loan != NULL) {
+        take_loan(peers, frame->address, frame->loan);
+    }
     ts_peer__frame__free_unpacked(frame, NULL);
 }
 
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -7,471 +7,831 @@
 #endif
 
 #include "peer.pb-c.h"
-void ts_peer__beacon__init(TsPeer__Beacon *message)
+void   ts_peer__beacon__init
+                     (TsPeer__Beacon         *message)
 {
-    static const TsPeer__Beacon init_value = TS_PEER__BEACON__INIT;
-    *message = init_value;
+  static const TsPeer__Beacon init_value = TS_PEER__BEACON__INIT;
+  *message = init_value;
 }
-size_t ts_peer__beacon__get_packed_size(const TsPeer__Beacon *message)
+size_t ts_peer__beacon__get_packed_size
+                     (const TsPeer__Beacon *message)
 {
-    assert(message->base.descriptor == &ts_peer__beacon__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &ts_peer__beacon__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t ts_peer__beacon__pack(const TsPeer__Beacon *message, uint8_t *out)
+size_t ts_peer__beacon__pack
+                     (const TsPeer__Beacon *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &ts_peer__beacon__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &ts_peer__beacon__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t ts_peer__beacon__pack_to_buffer(const TsPeer__Beacon *message, ProtobufCBuffer *buffer)
+size_t ts_peer__beacon__pack_to_buffer
+                     (const TsPeer__Beacon *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &ts_peer__beacon__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &ts_peer__beacon__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-TsPeer__Beacon *ts_peer__beacon__unpack(ProtobufCAllocator *allocator, size_t len,
-                                        const uint8_t *data)
+TsPeer__Beacon *
+       ts_peer__beacon__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (TsPeer__Beacon *)protobuf_c_message_unpack(&ts_peer__beacon__descriptor, allocator, len,
-                                                       data);
+  return (TsPeer__Beacon *)
+     protobuf_c_message_unpack (&ts_peer__beacon__descriptor,
+                                allocator, len, data);
 }
-void ts_peer__beacon__free_unpacked(TsPeer__Beacon *message, ProtobufCAllocator *allocator)
+void   ts_peer__beacon__free_unpacked
+                     (TsPeer__Beacon *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &ts_peer__beacon__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ts_peer__beacon__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void ts_peer__pull__init(TsPeer__Pull *message)
+void   ts_peer__pull__init
+                     (TsPeer__Pull         *message)
 {
-    static const TsPeer__Pull init_value = TS_PEER__PULL__INIT;
-    *message = init_value;
+  static const TsPeer__Pull init_value = TS_PEER__PULL__INIT;
+  *message = init_value;
 }
-size_t ts_peer__pull__get_packed_size(const TsPeer__Pull *message)
+size_t ts_peer__pull__get_packed_size
+                     (const TsPeer__Pull *message)
 {
-    assert(message->base.descriptor == &ts_peer__pull__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &ts_peer__pull__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t ts_peer__pull__pack(const TsPeer__Pull *message, uint8_t *out)
+size_t ts_peer__pull__pack
+                     (const TsPeer__Pull *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &ts_peer__pull__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &ts_peer__pull__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t ts_peer__pull__pack_to_buffer(const TsPeer__Pull *message, ProtobufCBuffer *buffer)
+size_t ts_peer__pull__pack_to_buffer
+                     (const TsPeer__Pull *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &ts_peer__pull__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &ts_peer__pull__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-TsPeer__Pull *ts_peer__pull__unpack(ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+TsPeer__Pull *
+       ts_peer__pull__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (TsPeer__Pull *)protobuf_c_message_unpack(&ts_peer__pull__descriptor, allocator, len,
-                                                     data);
+  return (TsPeer__Pull *)
+     protobuf_c_message_unpack (&ts_peer__pull__descriptor,
+                                allocator, len, data);
 }
-void ts_peer__pull__free_unpacked(TsPeer__Pull *message, ProtobufCAllocator *allocator)
+void   ts_peer__pull__free_unpacked
+                     (TsPeer__Pull *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &ts_peer__pull__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ts_peer__pull__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void ts_peer__entry__init(TsPeer__Entry *message)
+void   ts_peer__entry__init
+                     (TsPeer__Entry         *message)
 {
-    static const TsPeer__Entry init_value = TS_PEER__ENTRY__INIT;
-    *message = init_value;
+  static const TsPeer__Entry init_value = TS_PEER__ENTRY__INIT;
+  *message = init_value;
 }
-size_t ts_peer__entry__get_packed_size(const TsPeer__Entry *message)
+size_t ts_peer__entry__get_packed_size
+                     (const TsPeer__Entry *message)
 {
-    assert(message->base.descriptor == &ts_peer__entry__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &ts_peer__entry__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t ts_peer__entry__pack(const TsPeer__Entry *message, uint8_t *out)
+size_t ts_peer__entry__pack
+                     (const TsPeer__Entry *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &ts_peer__entry__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &ts_peer__entry__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t ts_peer__entry__pack_to_buffer(const TsPeer__Entry *message, ProtobufCBuffer *buffer)
+size_t ts_peer__entry__pack_to_buffer
+                     (const TsPeer__Entry *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &ts_peer__entry__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &ts_peer__entry__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-TsPeer__Entry *ts_peer__entry__unpack(ProtobufCAllocator *allocator, size_t len,
-                                      const uint8_t *data)
+TsPeer__Entry *
+       ts_peer__entry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (TsPeer__Entry *)protobuf_c_message_unpack(&ts_peer__entry__descriptor, allocator, len,
-                                                      data);
+  return (TsPeer__Entry *)
+     protobuf_c_message_unpack (&ts_peer__entry__descriptor,
+                                allocator, len, data);
 }
-void ts_peer__entry__free_unpacked(TsPeer__Entry *message, ProtobufCAllocator *allocator)
+void   ts_peer__entry__free_unpacked
+                     (TsPeer__Entry *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &ts_peer__entry__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ts_peer__entry__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void ts_peer__changes__init(TsPeer__Changes *message)
+void   ts_peer__changes__init
+                     (TsPeer__Changes         *message)
 {
-    static const TsPeer__Changes init_value = TS_PEER__CHANGES__INIT;
-    *message = init_value;
+  static const TsPeer__Changes init_value = TS_PEER__CHANGES__INIT;
+  *message = init_value;
 }
-size_t ts_peer__changes__get_packed_size(const TsPeer__Changes *message)
+size_t ts_peer__changes__get_packed_size
+                     (const TsPeer__Changes *message)
 {
-    assert(message->base.descriptor == &ts_peer__changes__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &ts_peer__changes__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t ts_peer__changes__pack(const TsPeer__Changes *message, uint8_t *out)
+size_t ts_peer__changes__pack
+                     (const TsPeer__Changes *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &ts_peer__changes__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &ts_peer__changes__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t ts_peer__changes__pack_to_buffer(const TsPeer__Changes *message, ProtobufCBuffer *buffer)
+size_t ts_peer__changes__pack_to_buffer
+                     (const TsPeer__Changes *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &ts_peer__changes__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &ts_peer__changes__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-TsPeer__Changes *ts_peer__changes__unpack(ProtobufCAllocator *allocator, size_t len,
-                                          const uint8_t *data)
+TsPeer__Changes *
+       ts_peer__changes__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (TsPeer__Changes *)protobuf_c_message_unpack(&ts_peer__changes__descriptor, allocator,
-                                                        len, data);
+  return (TsPeer__Changes *)
+     protobuf_c_message_unpack (&ts_peer__changes__descriptor,
+                                allocator, len, data);
 }
-void ts_peer__changes__free_unpacked(TsPeer__Changes *message, ProtobufCAllocator *allocator)
+void   ts_peer__changes__free_unpacked
+                     (TsPeer__Changes *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &ts_peer__changes__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ts_peer__changes__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void ts_peer__sighting__init(TsPeer__Sighting *message)
+void   ts_peer__sighting__init
+                     (TsPeer__Sighting         *message)
 {
-    static const TsPeer__Sighting init_value = TS_PEER__SIGHTING__INIT;
-    *message = init_value;
+  static const TsPeer__Sighting init_value = TS_PEER__SIGHTING__INIT;
+  *message = init_value;
 }
-size_t ts_peer__sighting__get_packed_size(const TsPeer__Sighting *message)
+size_t ts_peer__sighting__get_packed_size
+                     (const TsPeer__Sighting *message)
 {
-    assert(message->base.descriptor == &ts_peer__sighting__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &ts_peer__sighting__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t ts_peer__sighting__pack(const TsPeer__Sighting *message, uint8_t *out)
+size_t ts_peer__sighting__pack
+                     (const TsPeer__Sighting *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &ts_peer__sighting__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &ts_peer__sighting__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t ts_peer__sighting__pack_to_buffer(const TsPeer__Sighting *message, ProtobufCBuffer *buffer)
+size_t ts_peer__sighting__pack_to_buffer
+                     (const TsPeer__Sighting *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &ts_peer__sighting__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &ts_peer__sighting__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-TsPeer__Sighting *ts_peer__sighting__unpack(ProtobufCAllocator *allocator, size_t len,
-                                            const uint8_t *data)
+TsPeer__Sighting *
+       ts_peer__sighting__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (TsPeer__Sighting *)protobuf_c_message_unpack(&ts_peer__sighting__descriptor, allocator,
-                                                         len, data);
+  return (TsPeer__Sighting *)
+     protobuf_c_message_unpack (&ts_peer__sighting__descriptor,
+                                allocator, len, data);
 }
-void ts_peer__sighting__free_unpacked(TsPeer__Sighting *message, ProtobufCAllocator *allocator)
+void   ts_peer__sighting__free_unpacked
+                     (TsPeer__Sighting *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &ts_peer__sighting__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ts_peer__sighting__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void ts_peer__frame__init(TsPeer__Frame *message)
+void   ts_peer__loan__init
+                     (TsPeer__Loan         *message)
 {
-    static const TsPeer__Frame init_value = TS_PEER__FRAME__INIT;
-    *message = init_value;
+  static const TsPeer__Loan init_value = TS_PEER__LOAN__INIT;
+  *message = init_value;
 }
-size_t ts_peer__frame__get_packed_size(const TsPeer__Frame *message)
+size_t ts_peer__loan__get_packed_size
+                     (const TsPeer__Loan *message)
 {
-    assert(message->base.descriptor == &ts_peer__frame__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &ts_peer__loan__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t ts_peer__frame__pack(const TsPeer__Frame *message, uint8_t *out)
+size_t ts_peer__loan__pack
+                     (const TsPeer__Loan *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &ts_peer__frame__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &ts_peer__loan__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t ts_peer__frame__pack_to_buffer(const TsPeer__Frame *message, ProtobufCBuffer *buffer)
+size_t ts_peer__loan__pack_to_buffer
+                     (const TsPeer__Loan *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &ts_peer__frame__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &ts_peer__loan__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-TsPeer__Frame *ts_peer__frame__unpack(ProtobufCAllocator *allocator, size_t len,
-                                      const uint8_t *data)
+TsPeer__Loan *
+       ts_peer__loan__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (TsPeer__Frame *)protobuf_c_message_unpack(&ts_peer__frame__descriptor, allocator, len,
-                                                      data);
+  return (TsPeer__Loan *)
+     protobuf_c_message_unpack (&ts_peer__loan__descriptor,
+                                allocator, len, data);
 }
-void ts_peer__frame__free_unpacked(TsPeer__Frame *message, ProtobufCAllocator *allocator)
+void   ts_peer__loan__free_unpacked
+                     (TsPeer__Loan *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &ts_peer__frame__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ts_peer__loan__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor ts_peer__beacon__field_descriptors[2] = {
-    {
-        "revision", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(TsPeer__Beacon, revision), NULL, NULL, 0,               /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "age_ms", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(TsPeer__Beacon, age_ms), NULL, NULL, 0,               /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
+void   ts_peer__frame__init
+                     (TsPeer__Frame         *message)
+{
+  static const TsPeer__Frame init_value = TS_PEER__FRAME__INIT;
+  *message = init_value;
+}
+size_t ts_peer__frame__get_packed_size
+                     (const TsPeer__Frame *message)
+{
+  assert(message->base.descriptor == &ts_peer__frame__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ts_peer__frame__pack
+                     (const TsPeer__Frame *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ts_peer__frame__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ts_peer__frame__pack_to_buffer
+                     (const TsPeer__Frame *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ts_peer__frame__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+TsPeer__Frame *
+       ts_peer__frame__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (TsPeer__Frame *)
+     protobuf_c_message_unpack (&ts_peer__frame__descriptor,
+                                allocator, len, data);
+}
+void   ts_peer__frame__free_unpacked
+                     (TsPeer__Frame *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ts_peer__frame__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor ts_peer__beacon__field_descriptors[2] =
+{
+  {
+    "revision",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Beacon, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Beacon, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ts_peer__beacon__field_indices_by_name[] = {
-    1, /* field[1] = age_ms */
-    0, /* field[0] = revision */
+  1,   /* field[1] = age_ms */
+  0,   /* field[0] = revision */
 };
-static const ProtobufCIntRange ts_peer__beacon__number_ranges[1 + 1] = {{1, 0}, {0, 2}};
-const ProtobufCMessageDescriptor ts_peer__beacon__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "ts_peer.Beacon",
-    "Beacon",
-    "TsPeer__Beacon",
-    "ts_peer",
-    sizeof(TsPeer__Beacon),
-    2,
-    ts_peer__beacon__field_descriptors,
-    ts_peer__beacon__field_indices_by_name,
+static const ProtobufCIntRange ts_peer__beacon__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor ts_peer__beacon__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ts_peer.Beacon",
+  "Beacon",
+  "TsPeer__Beacon",
+  "ts_peer",
+  sizeof(TsPeer__Beacon),
+  2,
+  ts_peer__beacon__field_descriptors,
+  ts_peer__beacon__field_indices_by_name,
+  1,  ts_peer__beacon__number_ranges,
+  (ProtobufCMessageInit) ts_peer__beacon__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ts_peer__pull__field_descriptors[1] =
+{
+  {
+    "after",
     1,
-    ts_peer__beacon__number_ranges,
-    (ProtobufCMessageInit)ts_peer__beacon__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Pull, after),
     NULL,
     NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor ts_peer__pull__field_descriptors[1] = {
-    {
-        "after", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(TsPeer__Pull, after), NULL, NULL, 0,                 /* flags */
-        0, NULL, NULL                                                 /* reserved1,reserved2, etc */
-    },
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ts_peer__pull__field_indices_by_name[] = {
-    0, /* field[0] = after */
+  0,   /* field[0] = after */
 };
-static const ProtobufCIntRange ts_peer__pull__number_ranges[1 + 1] = {{1, 0}, {0, 1}};
-const ProtobufCMessageDescriptor ts_peer__pull__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "ts_peer.Pull",
-    "Pull",
-    "TsPeer__Pull",
-    "ts_peer",
-    sizeof(TsPeer__Pull),
-    1,
-    ts_peer__pull__field_descriptors,
-    ts_peer__pull__field_indices_by_name,
+static const ProtobufCIntRange ts_peer__pull__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor ts_peer__pull__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ts_peer.Pull",
+  "Pull",
+  "TsPeer__Pull",
+  "ts_peer",
+  sizeof(TsPeer__Pull),
+  1,
+  ts_peer__pull__field_descriptors,
+  ts_peer__pull__field_indices_by_name,
+  1,  ts_peer__pull__number_ranges,
+  (ProtobufCMessageInit) ts_peer__pull__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ts_peer__entry__field_descriptors[4] =
+{
+  {
+    "key",
     1,
-    ts_peer__pull__number_ranges,
-    (ProtobufCMessageInit)ts_peer__pull__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Entry, key),
     NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Entry, revision),
     NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor ts_peer__entry__field_descriptors[4] = {
-    {
-        "key", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0,      /* quantifier_offset */
-        offsetof(TsPeer__Entry, key), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "revision", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(TsPeer__Entry, revision), NULL, NULL, 0,                /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "gone", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-        offsetof(TsPeer__Entry, gone), NULL, NULL, 0,              /* flags */
-        0, NULL, NULL                                              /* reserved1,reserved2, etc */
-    },
-    {
-        "value", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES, 0, /* quantifier_offset */
-        offsetof(TsPeer__Entry, value), NULL, NULL, 0,               /* flags */
-        0, NULL, NULL                                                /* reserved1,reserved2, etc */
-    },
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gone",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Entry, gone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Entry, value),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ts_peer__entry__field_indices_by_name[] = {
-    2, /* field[2] = gone */
-    0, /* field[0] = key */
-    1, /* field[1] = revision */
-    3, /* field[3] = value */
+  2,   /* field[2] = gone */
+  0,   /* field[0] = key */
+  1,   /* field[1] = revision */
+  3,   /* field[3] = value */
 };
-static const ProtobufCIntRange ts_peer__entry__number_ranges[1 + 1] = {{1, 0}, {0, 4}};
-const ProtobufCMessageDescriptor ts_peer__entry__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "ts_peer.Entry",
-    "Entry",
-    "TsPeer__Entry",
-    "ts_peer",
-    sizeof(TsPeer__Entry),
-    4,
-    ts_peer__entry__field_descriptors,
-    ts_peer__entry__field_indices_by_name,
+static const ProtobufCIntRange ts_peer__entry__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor ts_peer__entry__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ts_peer.Entry",
+  "Entry",
+  "TsPeer__Entry",
+  "ts_peer",
+  sizeof(TsPeer__Entry),
+  4,
+  ts_peer__entry__field_descriptors,
+  ts_peer__entry__field_indices_by_name,
+  1,  ts_peer__entry__number_ranges,
+  (ProtobufCMessageInit) ts_peer__entry__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ts_peer__changes__field_descriptors[4] =
+{
+  {
+    "revision",
     1,
-    ts_peer__entry__number_ranges,
-    (ProtobufCMessageInit)ts_peer__entry__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Changes, revision),
     NULL,
     NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor ts_peer__changes__field_descriptors[4] = {
-    {
-        "revision", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(TsPeer__Changes, revision), NULL, NULL, 0,              /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "age_ms", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(TsPeer__Changes, age_ms), NULL, NULL, 0,              /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "is_whole", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-        offsetof(TsPeer__Changes, is_whole), NULL, NULL, 0,            /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "entries", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-        offsetof(TsPeer__Changes, n_entries), offsetof(TsPeer__Changes, entries),
-        &ts_peer__entry__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL                         /* reserved1,reserved2, etc */
-    },
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Changes, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_whole",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Changes, is_whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entries",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(TsPeer__Changes, n_entries),
+    offsetof(TsPeer__Changes, entries),
+    &ts_peer__entry__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ts_peer__changes__field_indices_by_name[] = {
-    1, /* field[1] = age_ms */
-    3, /* field[3] = entries */
-    2, /* field[2] = is_whole */
-    0, /* field[0] = revision */
+  1,   /* field[1] = age_ms */
+  3,   /* field[3] = entries */
+  2,   /* field[2] = is_whole */
+  0,   /* field[0] = revision */
 };
-static const ProtobufCIntRange ts_peer__changes__number_ranges[1 + 1] = {{1, 0}, {0, 4}};
-const ProtobufCMessageDescriptor ts_peer__changes__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "ts_peer.Changes",
-    "Changes",
-    "TsPeer__Changes",
-    "ts_peer",
-    sizeof(TsPeer__Changes),
-    4,
-    ts_peer__changes__field_descriptors,
-    ts_peer__changes__field_indices_by_name,
+static const ProtobufCIntRange ts_peer__changes__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor ts_peer__changes__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ts_peer.Changes",
+  "Changes",
+  "TsPeer__Changes",
+  "ts_peer",
+  sizeof(TsPeer__Changes),
+  4,
+  ts_peer__changes__field_descriptors,
+  ts_peer__changes__field_indices_by_name,
+  1,  ts_peer__changes__number_ranges,
+  (ProtobufCMessageInit) ts_peer__changes__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ts_peer__sighting__field_descriptors[4] =
+{
+  {
+    "instance",
     1,
-    ts_peer__changes__number_ranges,
-    (ProtobufCMessageInit)ts_peer__changes__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Sighting, instance),
     NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "suspected",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Sighting, suspected),
     NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor ts_peer__sighting__field_descriptors[4] = {
-    {
-        "instance", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-        offsetof(TsPeer__Sighting, instance), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "suspected", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-        offsetof(TsPeer__Sighting, suspected), NULL, NULL, 0,           /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "slow_span_ms", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(TsPeer__Sighting, slow_span_ms), NULL, NULL, 0,             /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "relay", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-        offsetof(TsPeer__Sighting, relay), NULL, NULL, 0,           /* flags */
-        0, NULL, NULL                                               /* reserved1,reserved2, etc */
-    },
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slow_span_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Sighting, slow_span_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relay",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Sighting, relay),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ts_peer__sighting__field_indices_by_name[] = {
-    0, /* field[0] = instance */
-    3, /* field[3] = relay */
-    2, /* field[2] = slow_span_ms */
-    1, /* field[1] = suspected */
+  0,   /* field[0] = instance */
+  3,   /* field[3] = relay */
+  2,   /* field[2] = slow_span_ms */
+  1,   /* field[1] = suspected */
 };
-static const ProtobufCIntRange ts_peer__sighting__number_ranges[1 + 1] = {{1, 0}, {0, 4}};
-const ProtobufCMessageDescriptor ts_peer__sighting__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "ts_peer.Sighting",
-    "Sighting",
-    "TsPeer__Sighting",
-    "ts_peer",
-    sizeof(TsPeer__Sighting),
-    4,
-    ts_peer__sighting__field_descriptors,
-    ts_peer__sighting__field_indices_by_name,
+static const ProtobufCIntRange ts_peer__sighting__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor ts_peer__sighting__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ts_peer.Sighting",
+  "Sighting",
+  "TsPeer__Sighting",
+  "ts_peer",
+  sizeof(TsPeer__Sighting),
+  4,
+  ts_peer__sighting__field_descriptors,
+  ts_peer__sighting__field_indices_by_name,
+  1,  ts_peer__sighting__number_ranges,
+  (ProtobufCMessageInit) ts_peer__sighting__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ts_peer__loan__field_descriptors[2] =
+{
+  {
+    "service",
     1,
-    ts_peer__sighting__number_ranges,
-    (ProtobufCMessageInit)ts_peer__sighting__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Loan, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Loan, granted),
     NULL,
     NULL,
-    NULL /* reserved[123] */
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const ProtobufCFieldDescriptor ts_peer__frame__field_descriptors[8] = {
-    {
-        "protocol", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(TsPeer__Frame, protocol), NULL, NULL, 0,                /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "name", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0,      /* quantifier_offset */
-        offsetof(TsPeer__Frame, name), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "address", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0,      /* quantifier_offset */
-        offsetof(TsPeer__Frame, address), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "gossip", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES, 0, /* quantifier_offset */
-        offsetof(TsPeer__Frame, gossip), NULL, NULL, 0,               /* flags */
-        0, NULL, NULL                                                 /* reserved1,reserved2, etc */
-    },
-    {
-        "beacon", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE, 0, /* quantifier_offset */
-        offsetof(TsPeer__Frame, beacon), &ts_peer__beacon__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "pull", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE, 0,       /* quantifier_offset */
-        offsetof(TsPeer__Frame, pull), &ts_peer__pull__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "changes", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE, 0, /* quantifier_offset */
-        offsetof(TsPeer__Frame, changes), &ts_peer__changes__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "sighting", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE, 0, /* quantifier_offset */
-        offsetof(TsPeer__Frame, sighting), &ts_peer__sighting__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
+static const unsigned ts_peer__loan__field_indices_by_name[] = {
+  1,   /* field[1] = granted */
+  0,   /* field[0] = service */
 };
-static const unsigned ts_peer__frame__field_indices_by_name[] = {
-    2, /* field[2] = address */
-    4, /* field[4] = beacon */
-    6, /* field[6] = changes */
-    3, /* field[3] = gossip */
-    1, /* field[1] = name */
-    0, /* field[0] = protocol */
-    5, /* field[5] = pull */
-    7, /* field[7] = sighting */
+static const ProtobufCIntRange ts_peer__loan__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
 };
-static const ProtobufCIntRange ts_peer__frame__number_ranges[1 + 1] = {{1, 0}, {0, 8}};
-const ProtobufCMessageDescriptor ts_peer__frame__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "ts_peer.Frame",
-    "Frame",
-    "TsPeer__Frame",
-    "ts_peer",
-    sizeof(TsPeer__Frame),
-    8,
-    ts_peer__frame__field_descriptors,
-    ts_peer__frame__field_indices_by_name,
+const ProtobufCMessageDescriptor ts_peer__loan__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ts_peer.Loan",
+  "Loan",
+  "TsPeer__Loan",
+  "ts_peer",
+  sizeof(TsPeer__Loan),
+  2,
+  ts_peer__loan__field_descriptors,
+  ts_peer__loan__field_indices_by_name,
+  1,  ts_peer__loan__number_ranges,
+  (ProtobufCMessageInit) ts_peer__loan__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ts_peer__frame__field_descriptors[9] =
+{
+  {
+    "protocol",
     1,
-    ts_peer__frame__number_ranges,
-    (ProtobufCMessageInit)ts_peer__frame__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Frame, protocol),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "name",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Frame, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Frame, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gossip",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Frame, gossip),
     NULL,
     NULL,
-    NULL /* reserved[123] */
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "beacon",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Frame, beacon),
+    &ts_peer__beacon__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pull",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Frame, pull),
+    &ts_peer__pull__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "changes",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Frame, changes),
+    &ts_peer__changes__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sighting",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Frame, sighting),
+    &ts_peer__sighting__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loan",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Frame, loan),
+    &ts_peer__loan__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ts_peer__frame__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  4,   /* field[4] = beacon */
+  6,   /* field[6] = changes */
+  3,   /* field[3] = gossip */
+  8,   /* field[8] = loan */
+  1,   /* field[1] = name */
+  0,   /* field[0] = protocol */
+  5,   /* field[5] = pull */
+  7,   /* field[7] = sighting */
+};
+static const ProtobufCIntRange ts_peer__frame__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor ts_peer__frame__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ts_peer.Frame",
+  "Frame",
+  "TsPeer__Frame",
+  "ts_peer",
+  sizeof(TsPeer__Frame),
+  9,
+  ts_peer__frame__field_descriptors,
+  ts_peer__frame__field_indices_by_name,
+  1,  ts_peer__frame__number_ranges,
+  (ProtobufCMessageInit) ts_peer__frame__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct TsPeer__Entry TsPeer__Entry;
 typedef struct TsPeer__Changes TsPeer__Changes;
 typedef struct TsPeer__Sighting TsPeer__Sighting;
+typedef struct TsPeer__Loan TsPeer__Loan;
 typedef struct TsPeer__Frame TsPeer__Frame;
 
 
@@ -126,6 +127,23 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
+/*
+ * Extra sends to a service: asked for, or given from what the sender might have sent itself.
+ */
+struct  TsPeer__Loan
+{
+  ProtobufCMessage base;
+  char *service;
+  /*
+   * zero: the sender asks
+   */
+  uint32_t granted;
+};
+#define TS_PEER__LOAN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ts_peer__loan__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 struct  TsPeer__Frame
 {
   ProtobufCMessage base;
@@ -149,10 +167,11 @@
   TsPeer__Pull *pull;
   TsPeer__Changes *changes;
   TsPeer__Sighting *sighting;
+  TsPeer__Loan *loan;
 };
 #define TS_PEER__FRAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ts_peer__frame__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, NULL, NULL, NULL, NULL }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, NULL, NULL, NULL, NULL, NULL }
 
 
 /* TsPeer__Beacon methods */
@@ -250,6 +269,25 @@
 void   ts_peer__sighting__free_unpacked
                      (TsPeer__Sighting *message,
                       ProtobufCAllocator *allocator);
+/* TsPeer__Loan methods */
+void   ts_peer__loan__init
+                     (TsPeer__Loan         *message);
+size_t ts_peer__loan__get_packed_size
+                     (const TsPeer__Loan   *message);
+size_t ts_peer__loan__pack
+                     (const TsPeer__Loan   *message,
+                      uint8_t             *out);
+size_t ts_peer__loan__pack_to_buffer
+                     (const TsPeer__Loan   *message,
+                      ProtobufCBuffer     *buffer);
+TsPeer__Loan *
+       ts_peer__loan__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ts_peer__loan__free_unpacked
+                     (TsPeer__Loan *message,
+                      ProtobufCAllocator *allocator);
 /* TsPeer__Frame methods */
 void   ts_peer__frame__init
                      (TsPeer__Frame         *message);
@@ -286,6 +324,9 @@
 typedef void (*TsPeer__Sighting_Closure)
                  (const TsPeer__Sighting *message,
                   void *closure_data);
+typedef void (*TsPeer__Loan_Closure)
+                 (const TsPeer__Loan *message,
+                  void *closure_data);
 typedef void (*TsPeer__Frame_Closure)
                  (const TsPeer__Frame *message,
                   void *closure_data);
@@ -300,6 +341,7 @@
 extern const ProtobufCMessageDescriptor ts_peer__entry__descriptor;
 extern const ProtobufCMessageDescriptor ts_peer__changes__descriptor;
 extern const ProtobufCMessageDescriptor ts_peer__sighting__descriptor;
+extern const ProtobufCMessageDescriptor ts_peer__loan__descriptor;
 extern const ProtobufCMessageDescriptor ts_peer__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/registry/registry.c
+++ b/src/registry/registry.c
@@ -68,6 +68,11 @@
     g_free(registry);
 }
 
+ts_service_t *ts_registry_find_service(const ts_registry_t *registry, const char *name)
+{
+    return g_hash_table_lookup(registry->services, name);
+}
+
 ts_service_t *ts_registry_service(ts_registry_t *registry, const char *name)
 {
     ts_service_t *service = g_hash_table_lookup(registry->services, name);
--- a/tests/route/test_gateway_decisions.c
+++ b/tests/route/test_gateway_decisions.c
@@ -59,6 +59,40 @@
     assert_true(ts_retry_budget_take(&budget, &rule, now_us));
 }
 
+/* Whatever is lent and borrowed, the sends of two nodes together stay within both their budgets. */
+static void test_loans_do_not_add_to_the_fleet(void **state)
+{
+    const ts_retry_budget_rule_t rule = {0.2, 5, 10 * TS_US_PER_S};
+    ts_retry_budget_t nodes[2] = {0};
+    ts_time_us_t now_us = 100 * TS_US_PER_S;
+    unsigned taken = 0;
+    for (int i = 0; i < 100; i++) { /* the first asks whenever it has none left */
+        now_us += 10 * MS;
+        if (ts_retry_budget_take(&nodes[0], &rule, now_us)) {
+            taken++;
+            continue;
+        }
+        uint32_t granted = ts_retry_budget_lend(&nodes[1], &rule, 2, now_us);
+        ts_retry_budget_borrow(&nodes[0], granted, now_us);
+    }
+    assert_int_equal(taken, 9); /* its five and four: the lender keeps one */
+    assert_true(ts_retry_budget_take(&nodes[1], &rule, now_us));
+    assert_false(ts_retry_budget_take(&nodes[1], &rule, now_us));
+}
+
+static void test_loan_is_void_after_a_moment(void **state)
+{
+    const ts_retry_budget_rule_t rule = {0, 0, 10 * TS_US_PER_S};
+    ts_retry_budget_t budget = {0};
+    ts_time_us_t now_us = 100 * TS_US_PER_S;
+    ts_retry_budget_borrow(&budget, 2, now_us);
+    assert_true(ts_retry_budget_take(&budget, &rule, now_us + 100 * MS));
+    assert_false(ts_retry_budget_take(&budget, &rule, now_us + 400 * MS));
+    ts_retry_budget_borrow(&budget, 1, now_us + 500 * MS); /* what was void does not come back */
+    assert_true(ts_retry_budget_take(&budget, &rule, now_us + 600 * MS));
+    assert_false(ts_retry_budget_take(&budget, &rule, now_us + 600 * MS));
+}
+
 static void test_quantile_follows(void **state)
 {
     ts_quantile_t quantile;
@@ -345,6 +379,8 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_budget_holds_in_every_window),
         cmocka_unit_test(test_budget_starts_with_its_share_only),
+        cmocka_unit_test(test_loans_do_not_add_to_the_fleet),
+        cmocka_unit_test(test_loan_is_void_after_a_moment),
         cmocka_unit_test(test_quantile_follows),
         cmocka_unit_test(test_overdue_is_not_the_slow_ones),
         cmocka_unit_test(test_split_follows_weights),
