The fault proxy's links stand by themselves, for the soak to use

lab/link.c is the part of lab/fault_proxy.c that holds, delays and resets bytes, with the question how a link behaves asked through callbacks with a context; fault_proxy.c keeps zones, settings and its control address.

--- a/lab/fault_proxy.c
+++ b/lab/fault_proxy.c
@@ -10,8 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "tealspar/address.h"
-#include "tealspar/clock.h"
+#include "link.h"
 #include "tealspar/command.h"
 #include "tealspar/http_server.h"
 #include "tealspar/plugin.h"
@@ -20,21 +19,17 @@
 #define TABLE_SIZE 3
 #define TEXT_MAX 200
 #define LIST_MAX 1000
-#define BACKLOG 128
-#define CHUNK_SIZE 65536
 #define BODY_BYTES_MAX 4096
 #define REQUEST_TIMEOUT_MS 5000
 #define CONNECTIONS_MAX 64
 
-typedef enum link_mode { MODE_PASS, MODE_BLACKHOLE, MODE_RESET, MODE_HALF_OPEN } link_mode_t;
-
 typedef struct link {
     char *name;
     char *zone;
     char *region;
     char *listen; /* what the node advertises */
     char *target; /* where the node listens */
-    uv_tcp_t listener;
+    lab_link_t *link;
 } link_t;
 
 typedef struct proxy_settings {
@@ -66,315 +61,78 @@
 static const cyaml_schema_value_t settings_schema = {
     CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, proxy_settings_t, settings_fields)};
 
-/* Bytes on their way, due at a time. */
-typedef struct chunk {
-    ts_time_us_t due_us;
-    size_t length;
-    char bytes[];
-} chunk_t;
-
-typedef struct connection connection_t;
-
-/* One direction of a connection. */
-typedef struct direction {
-    connection_t *connection;
-    uv_tcp_t *from;
-    uv_tcp_t *to;
-    GQueue *chunks;           /* of chunk_t */
-    ts_time_us_t last_due_us; /* bytes of a connection never overtake each other */
-    bool is_forward;          /* from the dialling node to the listening one */
-} direction_t;
-
-struct connection {
-    uv_tcp_t client; /* the dialling node */
-    uv_tcp_t server; /* the listening node */
-    uv_timer_t timer;
-    uv_connect_t connect;
-    const link_t *source; /* NULL when the dialling end is no known node */
-    const link_t *link;
-    direction_t forward;
-    direction_t backward;
-    unsigned open_handles;
-    bool is_closing;
-};
-
 static struct proxy {
     uv_loop_t *loop;
     proxy_settings_t *settings;
-    GPtrArray *connections;
-    GHashTable *modes; /* zone -> link_mode_t */
+    GHashTable *modes; /* zone -> lab_link_mode_t */
     ts_http_server_t *control;
 } proxy;
 
-static link_mode_t mode_of(const char *zone)
+static lab_link_mode_t mode_of(const char *zone)
 {
     gpointer mode = g_hash_table_lookup(proxy.modes, zone);
     if (mode == NULL) {
         mode = g_hash_table_lookup(proxy.modes, "*");
     }
-    return (link_mode_t)GPOINTER_TO_INT(mode);
-}
-
-static bool crosses_zones(const connection_t *connection)
-{
-    return connection->source != NULL &&
-           strcmp(connection->source->zone, connection->link->zone) != 0;
-}
-
-static link_mode_t mode_between(const connection_t *connection)
-{
-    if (!crosses_zones(connection)) {
-        return MODE_PASS;
-    }
-    link_mode_t mode = mode_of(connection->source->zone);
-    return mode != MODE_PASS ? mode : mode_of(connection->link->zone);
-}
-
-static double delay_ms(const connection_t *connection)
-{
-    if (!crosses_zones(connection)) {
-        return 0;
-    }
-    bool crosses_regions = strcmp(connection->source->region, connection->link->region) != 0;
-    double delay =
-        crosses_regions ? proxy.settings->region_delay_ms : proxy.settings->zone_delay_ms;
-    return delay + proxy.settings->jitter_ms * g_random_double();
-}
-
-static bool is_held(const direction_t *direction)
-{
-    link_mode_t mode = mode_between(direction->connection);
-    return mode == MODE_BLACKHOLE || (mode == MODE_HALF_OPEN && direction->is_forward);
-}
-
-/* ---- closing ---- */
-
-static void free_when_closed(uv_handle_t *handle)
-{
-    connection_t *connection = handle->data;
-    if (--connection->open_handles > 0) {
-        return;
-    }
-    g_queue_free_full(connection->forward.chunks, g_free);
-    g_queue_free_full(connection->backward.chunks, g_free);
-    g_free(connection);
-}
-
-static void close_connection(connection_t *connection)
-{
-    if (connection->is_closing) {
-        return;
-    }
-    connection->is_closing = true;
-    g_ptr_array_remove_fast(proxy.connections, connection);
-    uv_close((uv_handle_t *)&connection->client, free_when_closed);
-    uv_close((uv_handle_t *)&connection->server, free_when_closed);
-    uv_close((uv_handle_t *)&connection->timer, free_when_closed);
-}
-
-/* ---- forwarding ---- */
-
-typedef struct write_request {
-    uv_write_t write;
-    chunk_t *chunk;
-} write_request_t;
-
-static void on_written(uv_write_t *write, int status)
-{
-    write_request_t *request = (write_request_t *)write;
-    g_free(request->chunk);
-    g_free(request);
-}
-
-static void send_due_chunks(direction_t *direction, ts_time_us_t now_us)
-{
-    while (!is_held(direction) && !g_queue_is_empty(direction->chunks)) {
-        chunk_t *chunk = g_queue_peek_head(direction->chunks);
-        if (chunk->due_us > now_us) {
-            return;
-        }
-        g_queue_pop_head(direction->chunks);
-        write_request_t *request = g_new0(write_request_t, 1);
-        request->chunk = chunk;
-        uv_buf_t buffer = uv_buf_init(chunk->bytes, (unsigned)chunk->length);
-        if (uv_write(&request->write, (uv_stream_t *)direction->to, &buffer, 1, on_written) != 0) {
-            g_free(chunk);
-            g_free(request);
-            close_connection(direction->connection);
-            return;
-        }
-    }
-}
-
-static void arm_timer(connection_t *connection);
-
-static void on_timer(uv_timer_t *timer)
-{
-    connection_t *connection = timer->data;
-    ts_time_us_t now_us = ts_clock_now_us();
-    send_due_chunks(&connection->forward, now_us);
-    if (!connection->is_closing) {
-        send_due_chunks(&connection->backward, now_us);
-    }
-    if (!connection->is_closing) {
-        arm_timer(connection);
-    }
-}
-
-static void arm_timer(connection_t *connection)
-{
-    ts_time_us_t due_us = UINT64_MAX;
-    const direction_t *directions[] = {&connection->forward, &connection->backward};
-    for (size_t i = 0; i < G_N_ELEMENTS(directions); i++) {
-        if (!is_held(directions[i]) && !g_queue_is_empty(directions[i]->chunks)) {
-            const chunk_t *chunk = g_queue_peek_head(directions[i]->chunks);
-            due_us = MIN(due_us, chunk->due_us);
-        }
-    }
-    if (due_us == UINT64_MAX) {
-        return;
-    }
-    ts_time_us_t now_us = ts_clock_now_us();
-    ts_time_us_t left_us = due_us > now_us ? due_us - now_us : 0;
-    uv_timer_start(&connection->timer, on_timer, left_us / TS_US_PER_MS, 0);
-}
-
-static void allocate(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
-{
-    static char bytes[CHUNK_SIZE];
-    *buffer = uv_buf_init(bytes, sizeof(bytes));
-}
-
-static void take_bytes(direction_t *direction, const char *bytes, size_t length)
-{
-    connection_t *connection = direction->connection;
-    chunk_t *chunk = g_malloc(sizeof(*chunk) + length);
-    chunk->due_us = ts_clock_now_us() + (ts_time_us_t)(delay_ms(connection) * (double)TS_US_PER_MS);
-    chunk->due_us = MAX(chunk->due_us, direction->last_due_us);
-    direction->last_due_us = chunk->due_us;
-    chunk->length = length;
-    memcpy(chunk->bytes, bytes, length);
-    g_queue_push_tail(direction->chunks, chunk);
-    send_due_chunks(direction, ts_clock_now_us());
-    if (!connection->is_closing) {
-        arm_timer(connection);
-    }
+    return (lab_link_mode_t)GPOINTER_TO_INT(mode);
 }
 
-static void on_client_read(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
+/* The link of the node that dials from an address; NULL when it is no known node. */
+static const link_t *find_source(const char *address)
 {
-    connection_t *connection = stream->data;
-    if (length < 0) {
-        close_connection(connection);
-    } else if (length > 0) {
-        take_bytes(&connection->forward, buffer->base, (size_t)length);
-    }
-}
-
-static void on_server_read(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
-{
-    connection_t *connection = stream->data;
-    if (length < 0) {
-        close_connection(connection);
-    } else if (length > 0) {
-        take_bytes(&connection->backward, buffer->base, (size_t)length);
-    }
-}
-
-/* ---- accepting ---- */
-
-static const link_t *find_source(const uv_tcp_t *client)
-{
-    struct sockaddr_storage address;
-    int length = sizeof(address);
-    char text[TS_ADDRESS_TEXT_MAX];
-    uv_tcp_getpeername(client, (struct sockaddr *)&address, &length);
-    uv_ip4_name((struct sockaddr_in *)&address, text, sizeof(text));
-    size_t text_length = strlen(text);
+    size_t length = strlen(address);
     for (unsigned i = 0; i < proxy.settings->links_count; i++) {
         const link_t *link = &proxy.settings->links[i];
-        if (strncmp(link->target, text, text_length) == 0 && link->target[text_length] == ':') {
+        if (strncmp(link->target, address, length) == 0 && link->target[length] == ':') {
             return link;
         }
     }
     return NULL;
 }
 
-static void on_connected(uv_connect_t *connect, int status)
+static bool crosses_zones(const link_t *source, const link_t *link)
 {
-    connection_t *connection = connect->data;
-    if (status != 0 || connection->is_closing) {
-        close_connection(connection);
-        return;
-    }
-    uv_read_start((uv_stream_t *)&connection->client, allocate, on_client_read);
-    uv_read_start((uv_stream_t *)&connection->server, allocate, on_server_read);
+    return source != NULL && strcmp(source->zone, link->zone) != 0;
 }
 
-static void open_direction(direction_t *direction, connection_t *connection, uv_tcp_t *from,
-                           uv_tcp_t *to, bool is_forward)
+static lab_link_mode_t mode_between(void *ctx, const char *address)
 {
-    direction->connection = connection;
-    direction->from = from;
-    direction->to = to;
-    direction->chunks = g_queue_new();
-    direction->is_forward = is_forward;
+    const link_t *link = ctx;
+    const link_t *source = find_source(address);
+    if (!crosses_zones(source, link)) {
+        return LAB_LINK_PASS;
+    }
+    lab_link_mode_t mode = mode_of(source->zone);
+    return mode != LAB_LINK_PASS ? mode : mode_of(link->zone);
 }
 
-static void on_accept(uv_stream_t *listener, int status)
+static double delay_between(void *ctx, const char *address)
 {
-    connection_t *connection = g_new0(connection_t, 1);
-    struct sockaddr_storage target;
-    connection->link = listener->data;
-    connection->open_handles = 3;
-    uv_tcp_init(proxy.loop, &connection->client);
-    uv_tcp_init(proxy.loop, &connection->server);
-    uv_timer_init(proxy.loop, &connection->timer);
-    connection->client.data = connection;
-    connection->server.data = connection;
-    connection->timer.data = connection;
-    connection->connect.data = connection;
-    open_direction(&connection->forward, connection, &connection->client, &connection->server,
-                   true);
-    open_direction(&connection->backward, connection, &connection->server, &connection->client,
-                   false);
-    g_ptr_array_add(proxy.connections, connection);
-    if (uv_accept(listener, (uv_stream_t *)&connection->client) != 0) {
-        close_connection(connection);
-        return;
-    }
-    connection->source = find_source(&connection->client);
-    uv_tcp_nodelay(&connection->client, 1);
-    uv_tcp_nodelay(&connection->server, 1);
-    ts_address_parse(connection->link->target, &target);
-    if (mode_between(connection) == MODE_RESET ||
-        uv_tcp_connect(&connection->connect, &connection->server, (struct sockaddr *)&target,
-                       on_connected) != 0) {
-        close_connection(connection);
+    const link_t *link = ctx;
+    const link_t *source = find_source(address);
+    if (!crosses_zones(source, link)) {
+        return 0;
     }
+    bool crosses_regions = strcmp(source->region, link->region) != 0;
+    double delay =
+        crosses_regions ? proxy.settings->region_delay_ms : proxy.settings->zone_delay_ms;
+    return delay + proxy.settings->jitter_ms * g_random_double();
 }
 
+static const lab_link_ops_t link_ops = {mode_between, delay_between};
+
 static bool open_link(link_t *link)
 {
-    struct sockaddr_storage address;
-    uv_tcp_init(proxy.loop, &link->listener);
-    link->listener.data = link;
-    return ts_address_parse(link->listen, &address) == TS_OK &&
-           uv_tcp_bind(&link->listener, (struct sockaddr *)&address, 0) == 0 &&
-           uv_listen((uv_stream_t *)&link->listener, BACKLOG, on_accept) == 0;
+    link->link = lab_link_open(proxy.loop, link->listen, link->target, &link_ops, link);
+    return link->link != NULL;
 }
 
 /* ---- control ---- */
 
 static void apply_modes(void)
 {
-    for (guint i = proxy.connections->len; i > 0; i--) {
-        connection_t *connection = g_ptr_array_index(proxy.connections, i - 1);
-        if (mode_between(connection) == MODE_RESET) {
-            close_connection(connection);
-        } else {
-            arm_timer(connection);
-        }
+    for (unsigned i = 0; i < proxy.settings->links_count; i++) {
+        lab_link_mode_changed(proxy.settings->links[i].link);
     }
 }
 
@@ -405,7 +163,6 @@
     uv_signal_t terminate;
     ts_http_limits_t limits = {BODY_BYTES_MAX, REQUEST_TIMEOUT_MS, CONNECTIONS_MAX};
     proxy.loop = uv_default_loop();
-    proxy.connections = g_ptr_array_new();
     proxy.modes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     signal(SIGPIPE, SIG_IGN);
     for (unsigned i = 0; i < proxy.settings->links_count; i++) {
