Gateways may advertise another address than they listen on; the stand-in searcher asks its test

For the soak: the links between gateways pass a proxy, so a gateway is reached elsewhere than where it listens, as behind address translation (setting `advertised`, optional, checked). The stand-in searcher calls back for the body of an answer and when a request has come, and its signature names the request, so that a check can tell whose it is.

--- a/include/tealspar/gateway_settings.h
+++ b/include/tealspar/gateway_settings.h
@@ -23,12 +23,13 @@
 typedef struct ts_gateway_settings {
     char *name;
     char *zone;
-    char *dialect; /**< name of the plug-in that speaks the deployment's dialect */
-    char *callers; /**< "IP:port" for callers */
-    char *ready;   /**< "IP:port" where readiness is asked */
-    char *metrics; /**< "IP:port" for counters; absent: none */
-    char *peers;   /**< "IP:port" for other gateways; absent: this one is alone */
-    char **seeds;  /**< where some other gateways may be reached at the start */
+    char *dialect;    /**< name of the plug-in that speaks the deployment's dialect */
+    char *callers;    /**< "IP:port" for callers */
+    char *ready;      /**< "IP:port" where readiness is asked */
+    char *metrics;    /**< "IP:port" for counters; absent: none */
+    char *peers;      /**< "IP:port" for other gateways; absent: this one is alone */
+    char *advertised; /**< "IP:port" where others reach `peers`, if not there itself */
+    char **seeds;     /**< where some other gateways may be reached at the start */
     unsigned seeds_count;
     char *store; /**< "IP:port" of the configuration service */
     ts_zone_setting_t *zones;
@@ -46,6 +47,8 @@
 /** Loads settings from a text. NULL with problems listed. */
 ts_gateway_settings_t *ts_gateway_settings_load(const char *text, size_t length,
                                                 ts_problems_t *problems);
+/** Where other gateways reach this one; NULL when it is alone. */
+const char *ts_gateway_settings_reached_at(const ts_gateway_settings_t *settings);
 void ts_gateway_settings_free(ts_gateway_settings_t *settings);
 
 #endif
--- a/lab/standin_searcher.c
+++ b/lab/standin_searcher.c
@@ -11,6 +11,8 @@
 #define HEAD_MAX 65536
 #define BODY_MAX (1U << 20)
 #define BACKLOG 64
+/* Bytes that an answer which is broken off lacks. */
+#define HALF_BROKEN 8
 
 typedef struct visitor {
     uv_tcp_t socket;
@@ -63,45 +65,59 @@
                            NAME_REQUEST_ID, id, extra);
 }
 
+/* The body of the answer to a request, for the caller to free. */
+static GString *compose_body(lab_searcher_t *searcher, const char *id)
+{
+    GString *body = g_string_new_len(searcher->body->str, (gssize)searcher->body->len);
+    if (searcher->ops != NULL && searcher->ops->compose != NULL) {
+        g_string_truncate(body, 0);
+        searcher->ops->compose(searcher->ctx, searcher, id, body);
+    }
+    return body;
+}
+
 static void append_whole(visitor_t *visitor, unsigned status, const char *id, const char *extra)
 {
-    const lab_searcher_t *searcher = visitor->searcher;
-    char *fields = g_strdup_printf("%s: sig.%s.%u\r\n%sContent-Length: %zu\r\n\r\n", NAME_SIGNATURE,
-                                   searcher->id, searcher->runs, extra, searcher->body->len);
+    lab_searcher_t *searcher = visitor->searcher;
+    GString *body = compose_body(searcher, id);
+    char *fields =
+        g_strdup_printf("%s: sig.%s.%u.%s\r\n%sContent-Length: %zu\r\n\r\n", NAME_SIGNATURE,
+                        searcher->id, searcher->runs, id, extra, body->len);
     append_head(visitor, status, id, fields);
-    g_string_append_len(visitor->answer, searcher->body->str, (gssize)searcher->body->len);
+    g_string_append_len(visitor->answer, body->str, (gssize)body->len);
+    g_string_free(body, TRUE);
     g_free(fields);
 }
 
-/* An answer that ends with its connection. */
-static void append_unframed(visitor_t *visitor, const char *id, size_t length)
+/* An answer that ends with its connection; half of it or the whole. */
+static void append_unframed(visitor_t *visitor, const char *id, bool is_whole)
 {
-    const lab_searcher_t *searcher = visitor->searcher;
-    char *fields =
-        g_strdup_printf("%s: sig.%s.%u\r\n\r\n", NAME_SIGNATURE, searcher->id, searcher->runs);
+    lab_searcher_t *searcher = visitor->searcher;
+    GString *body = compose_body(searcher, id);
+    char *fields = g_strdup_printf("%s: sig.%s.%u.%s\r\n\r\n", NAME_SIGNATURE, searcher->id,
+                                   searcher->runs, id);
     append_head(visitor, 200, id, fields);
-    g_string_append_len(visitor->answer, searcher->body->str, (gssize)length);
+    g_string_append_len(visitor->answer, body->str, (gssize)(is_whole ? body->len : body->len / 2));
+    g_string_free(body, TRUE);
     g_free(fields);
 }
 
 static void misbehave(visitor_t *visitor, const char *id)
 {
-    const lab_searcher_t *searcher = visitor->searcher;
-    size_t half = searcher->body->len / 2;
-    switch (searcher->behaviour) {
+    switch (visitor->searcher->behaviour) {
     case LAB_BREAKS_OFF:
         append_whole(visitor, 200, id, "");
-        g_string_truncate(visitor->answer, visitor->answer->len - half);
+        g_string_truncate(visitor->answer, visitor->answer->len - HALF_BROKEN);
         send_bytes(visitor);
         close_visitor(visitor, true);
         break;
     case LAB_UNFRAMED:
-        append_unframed(visitor, id, searcher->body->len);
+        append_unframed(visitor, id, true);
         send_bytes(visitor);
         close_visitor(visitor, false);
         break;
     case LAB_UNFRAMED_RESET:
-        append_unframed(visitor, id, half);
+        append_unframed(visitor, id, false);
         send_bytes(visitor);
         close_visitor(visitor, true);
         break;
@@ -195,7 +211,11 @@
         ts_http_message_reset(&visitor->request);
         return;
     }
-    remember(visitor);
+    if (searcher->ops == NULL)
+        remember(visitor);
+    else if (searcher->ops->arrived != NULL)
+        searcher->ops->arrived(searcher->ctx, searcher,
+                               ts_http_message_find(&visitor->request, NAME_REQUEST_ID));
     searcher->runs++;
     visitor->is_working = true;
     if (searcher->delay_ms == 0) {
--- a/lab/standin_searcher.h
+++ b/lab/standin_searcher.h
@@ -25,6 +25,17 @@
     LAB_CLOSES_AFTER    /**< a whole answer, then closes although it did not say so */
 } lab_behaviour_t;
 
+struct lab_searcher;
+
+/** What a test may want to decide itself; each may be NULL. */
+typedef struct lab_searcher_ops {
+    /** A request meant for it has come; called before it runs. */
+    void (*arrived)(void *ctx, struct lab_searcher *searcher, const char *request_id);
+    /** Composes the body of the answer to a request. */
+    void (*compose)(void *ctx, struct lab_searcher *searcher, const char *request_id,
+                    GString *body);
+} lab_searcher_ops_t;
+
 typedef struct lab_searcher {
     uv_tcp_t socket;
     char *id;
@@ -42,7 +53,9 @@
     unsigned open;            /**< connections open now */
     unsigned resets;          /**< connections reset for the two reasons above */
     unsigned closed_early;    /**< connections that ended while it worked */
-    GPtrArray *heads;         /**< texts of the requests it got: target, fields, body */
+    GPtrArray *heads; /**< texts of the requests it got: target, fields, body; not with ops */
+    const lab_searcher_ops_t *ops; /**< NULL: `body` for every request */
+    void *ctx;
 } lab_searcher_t;
 
 /** Listens on a free port of 127.0.0.1. Lives as long as the loop. */
--- a/src/config/gateway_settings.c
+++ b/src/config/gateway_settings.c
@@ -44,6 +44,7 @@
     TEXT_FIELD(ready, REQUIRED),
     TEXT_FIELD(metrics, OPTIONAL),
     TEXT_FIELD(peers, OPTIONAL),
+    TEXT_FIELD(advertised, OPTIONAL),
     CYAML_FIELD_SEQUENCE("seeds", OPTIONAL, ts_gateway_settings_t, seeds, &text_schema, 0,
                          SEEDS_MAX),
     TEXT_FIELD(store, REQUIRED),
@@ -79,6 +80,7 @@
     check_address(problems, "ready", settings->ready);
     check_address(problems, "metrics", settings->metrics);
     check_address(problems, "peers", settings->peers);
+    check_address(problems, "advertised", settings->advertised);
     check_address(problems, "store", settings->store);
     for (unsigned i = 0; i < settings->seeds_count; i++) {
         check_address(problems, "seeds", settings->seeds[i]);
@@ -122,6 +124,11 @@
     return settings;
 }
 
+const char *ts_gateway_settings_reached_at(const ts_gateway_settings_t *settings)
+{
+    return settings->advertised != NULL ? settings->advertised : settings->peers;
+}
+
 void ts_gateway_settings_free(ts_gateway_settings_t *settings)
 {
     ts_yaml_free(&settings_schema, settings);
--- a/src/peers/peers.c
+++ b/src/peers/peers.c
@@ -71,7 +71,7 @@
     }
     frame->protocol = PROTOCOL;
     frame->name = settings->name;
-    frame->address = settings->peers;
+    frame->address = (char *)ts_gateway_settings_reached_at(settings);
     size_t length = ts_peer__frame__get_packed_size(frame);
     uint8_t *bytes = g_malloc(length);
     ts_peer__frame__pack(frame, bytes);
@@ -605,7 +605,7 @@
     const ts_gateway_settings_t *settings = peers->gateway->settings;
     ts_membership_begin_machines(peers->membership);
     for (unsigned i = 0; i < settings->seeds_count; i++) {
-        if (strcmp(settings->seeds[i], settings->peers) != 0) {
+        if (strcmp(settings->seeds[i], ts_gateway_settings_reached_at(settings)) != 0) {
             ts_membership_add_machine(peers->membership, settings->seeds[i], settings->seeds[i],
                                       "");
         }
@@ -621,7 +621,7 @@
     uint64_t incarnation = (uint64_t)ts_clock_wall_ms();
     ts_membership_config_t config = {
         .name = settings->name,
-        .address = settings->peers,
+        .address = ts_gateway_settings_reached_at(settings),
         .zone = settings->zone,
         .incarnation = incarnation,
         .seed = ts_hash_mix(ts_hash_text(settings->name), incarnation),
