--- a/lab/link.c
+++ b/lab/link.c
@@ -6,6 +6,7 @@
 
 #include "tealspar/address.h"
 #include "tealspar/clock.h"
+#include "tealspar/stream_end.h"
 
 #define BACKLOG 128
 #define CHUNK_SIZE 65536
@@ -36,6 +37,7 @@
     uv_tcp_t *to;
     GQueue *chunks;           /* of chunk_t */
     ts_time_us_t last_due_us; /* bytes of a connection never overtake each other */
+    bool is_ended;            /* nothing more comes: the connection ends once all is sent */
     bool is_forward;          /* from the dialling node to the listening one */
 } direction_t;
 
@@ -73,18 +75,28 @@
     g_free(connection);
 }
 
-static void close_connection(connection_t *connection)
+static void close_socket(uv_tcp_t *socket, bool resets)
+{
+    if (!resets || uv_tcp_close_reset(socket, free_when_closed) != 0)
+        uv_close((uv_handle_t *)socket, free_when_closed);
+}
+
+static void end_connection(connection_t *connection, bool resets)
 {
-    if (connection->is_closing) {
+    if (connection->is_closing)
         return;
-    }
     connection->is_closing = true;
     g_ptr_array_remove_fast(connection->link->connections, connection);
-    uv_close((uv_handle_t *)&connection->client, free_when_closed);
-    uv_close((uv_handle_t *)&connection->server, free_when_closed);
+    close_socket(&connection->client, resets);
+    close_socket(&connection->server, resets);
     uv_close((uv_handle_t *)&connection->timer, free_when_closed);
 }
 
+static void close_connection(connection_t *connection)
+{
+    end_connection(connection, false);
+}
+
 /* ---- forwarding ---- */
 
 typedef struct write_request {
@@ -121,6 +133,13 @@
 
 static void arm_timer(connection_t *connection);
 
+/* Ends the connection when its last bytes are on their way. */
+static void end_if_sent(direction_t *direction)
+{
+    if (direction->is_ended && g_queue_is_empty(direction->chunks))
+        close_connection(direction->connection);
+}
+
 static void on_timer(uv_timer_t *timer)
 {
     connection_t *connection = timer->data;
@@ -175,24 +194,34 @@
     }
 }
 
-static void on_client_read(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
+/* The other side ended: in order, then once what it sent has passed; else at once, and so here. */
+static void take_end(direction_t *direction)
 {
-    connection_t *connection = stream->data;
-    if (length < 0) {
-        close_connection(connection);
-    } else if (length > 0) {
-        take_bytes(&connection->forward, buffer->base, (size_t)length);
+    if (!ts_stream_ended_in_order((const uv_stream_t *)direction->from)) {
+        end_connection(direction->connection, true);
+        return;
     }
+    direction->is_ended = true;
+    uv_read_stop((uv_stream_t *)direction->from);
+    end_if_sent(direction);
+}
+
+static void take_read(direction_t *direction, ssize_t length, const uv_buf_t *buffer)
+{
+    if (length < 0)
+        take_end(direction);
+    else if (length > 0)
+        take_bytes(direction, buffer->base, (size_t)length);
+}
+
+static void on_client_read(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
+{
+    take_read(&((connection_t *)stream->data)->forward, length, buffer);
 }
 
 static void on_server_read(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
 {
-    connection_t *connection = stream->data;
-    if (length < 0) {
-        close_connection(connection);
-    } else if (length > 0) {
-        take_bytes(&connection->backward, buffer->base, (size_t)length);
-    }
+    take_read(&((connection_t *)stream->data)->backward, length, buffer);
 }
 
 /* ---- accepting ---- */
--- /dev/null
+++ b/lab/soak.c
@@ -0,0 +1,245 @@
+/** `tealspar-lab soak`: real gateways under random faults; prints one JSON object last. */
+#include "soak.h"
+
+#include <glib/gstdio.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <string.h>
+
+#include "tealspar/command.h"
+#include "tealspar/log.h"
+#include "tealspar/plugin.h"
+
+#define TABLE_SIZE 10
+#define ERRORS_MAX 8
+#define SECONDS_DEFAULT 60
+#define NODES_DEFAULT 5
+#define STOP_WAIT_MS 8000
+// After the last fault: until everything is asked of the gateways again, and how often.
+#define READY_MS 8000
+#define RECOVER_MS 12000
+#define RECOVER_REQUESTS 100
+#define RECOVER_SHARE 0.98
+#define LOOK_MS 100
+#define RETRY_RATIO 0.2
+#define RETRY_SLACK 60
+#define WINDOW_US (10 * TS_US_PER_S)
+
+static unsigned recovered;
+static unsigned recovery_answers;
+
+void soak_say(soak_t *s, const char *format, ...)
+{
+    va_list arguments;
+    va_start(arguments, format);
+    fprintf(s->timeline, "%9.3f ", (double)(ts_clock_now_us() - s->begun_us) / TS_US_PER_S);
+    vfprintf(s->timeline, format, arguments);
+    fprintf(s->timeline, "\n");
+    fflush(s->timeline);
+    va_end(arguments);
+}
+
+void soak_broken(soak_t *s, const char *promise, const char *format, ...)
+{
+    va_list arguments;
+    va_start(arguments, format);
+    char *text = g_strdup_vprintf(format, arguments);
+    va_end(arguments);
+    s->promises_broken++;
+    guint count = GPOINTER_TO_UINT(g_hash_table_lookup(s->broken, promise)) + 1;
+    g_hash_table_insert(s->broken, g_strdup(promise), GUINT_TO_POINTER(count));
+    soak_say(s, "BROKEN %s: %s", promise, text);
+    fprintf(stderr, "BROKEN %s: %s\n", promise, text);
+    g_free(text);
+}
+
+static void stop_loop(uv_timer_t *timer)
+{
+    uv_stop(timer->loop);
+}
+
+static void run_ms(soak_t *s, uint64_t span_ms)
+{
+    uv_timer_t timer;
+    uv_timer_init(&s->loop, &timer);
+    uv_timer_start(&timer, stop_loop, span_ms, 0);
+    uv_run(&s->loop, UV_RUN_DEFAULT);
+    uv_close((uv_handle_t *)&timer, NULL);
+    uv_run(&s->loop, UV_RUN_NOWAIT);
+}
+
+// Waits until no node is down, paused or stopping, and no link or store is spoiled.
+static bool await_calm(soak_t *s)
+{
+    for (unsigned waited = 0; waited < READY_MS; waited += LOOK_MS) {
+        bool is_calm = s->store_faults == 0;
+        for (unsigned i = 0; i < s->options.nodes; i++) {
+            const soak_node_t *node = &s->nodes[i];
+            is_calm &= node->is_running && node->faults == 0 && !node->is_stopping;
+        }
+        if (is_calm)
+            return true;
+        run_ms(s, LOOK_MS);
+    }
+    return false;
+}
+
+static void note_recovered(soak_t *s, unsigned status)
+{
+    recovery_answers++;
+    recovered += status == 200;
+}
+
+// Once faults have ended every gateway must serve again.
+static void check_recovery(soak_t *s)
+{
+    if (!await_calm(s)) {
+        soak_broken(s, "HARNESS", "faults did not end");
+        return;
+    }
+    run_ms(s, RECOVER_MS);
+    for (unsigned i = 0; i < RECOVER_REQUESTS; i++) {
+        soak_ask(s, &s->nodes[i % s->options.nodes], note_recovered);
+        run_ms(s, LOOK_MS / 5);
+    }
+    for (unsigned waited = 0; waited < READY_MS && recovery_answers < RECOVER_REQUESTS;
+         waited += LOOK_MS)
+        run_ms(s, LOOK_MS);
+    if (recovered < RECOVER_SHARE * RECOVER_REQUESTS)
+        soak_broken(s, "RECOVER", "%u of %d requests served after the faults", recovered,
+                    RECOVER_REQUESTS);
+}
+
+static void check_budgets(soak_t *s)
+{
+    for (unsigned i = 0; i < SOAK_SERVICES; i++) {
+        double excess = soak_budget_excess(&s->budgets[i], WINDOW_US, RETRY_RATIO, RETRY_SLACK);
+        if (excess > 0)
+            soak_broken(s, "BUDGET", "service %s got %.0f arrivals too many in ten seconds",
+                        soak_service_name(i), excess);
+    }
+}
+
+// Ends the gateways that this soak started, and only those.
+static void stop_nodes(soak_t *s)
+{
+    for (unsigned i = 0; i < s->options.nodes; i++)
+        soak_node_signal(&s->nodes[i], SIGTERM);
+    for (unsigned waited = 0; waited < STOP_WAIT_MS; waited += LOOK_MS) {
+        unsigned running = 0;
+        for (unsigned i = 0; i < s->options.nodes; i++)
+            running += s->nodes[i].is_running;
+        if (running == 0)
+            return;
+        run_ms(s, LOOK_MS);
+    }
+    for (unsigned i = 0; i < s->options.nodes; i++) {
+        if (s->nodes[i].is_running)
+            soak_broken(s, "STOP", "%s did not stop", s->nodes[i].name);
+        soak_node_signal(&s->nodes[i], SIGKILL);
+    }
+    run_ms(s, LOOK_MS);
+}
+
+static void print_report(const soak_t *s)
+{
+    GHashTableIter it;
+    gpointer promise = NULL;
+    gpointer count = NULL;
+    json_t *broken = json_object();
+    g_hash_table_iter_init(&it, s->broken);
+    while (g_hash_table_iter_next(&it, &promise, &count))
+        json_object_set_new(broken, promise, json_integer(GPOINTER_TO_UINT(count)));
+    json_t *report = json_pack(
+        "{s:I, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:o}", "seed",
+        (json_int_t)s->options.seed, "seconds", (int)s->options.seconds, "gateways",
+        (int)s->options.nodes, "faults", (int)s->faults_begun, "versions", (int)s->version,
+        "searchers", (int)s->searchers_made, "requests", (int)s->asked, "ok", (int)s->answered[2],
+        "refused_or_failed", (int)s->answered[5], "no_answer", (int)s->answered[0],
+        "promises_broken", (int)s->promises_broken, "broken", broken);
+    char *text = json_dumps(report, JSON_COMPACT);
+    printf("%s\n", text);
+    g_free(text);
+    json_decref(report);
+}
+
+static bool open_timeline(soak_t *s)
+{
+    char *path = g_strdup_printf("%s/timeline.log", s->options.directory);
+    g_mkdir_with_parents(s->options.directory, 0755);
+    s->timeline = fopen(path, "w");
+    if (s->timeline == NULL)
+        fprintf(stderr, "soak: cannot write %s\n", path);
+    g_free(path);
+    return s->timeline != NULL;
+}
+
+static int run_soak(const soak_options_t *options)
+{
+    static soak_t s;
+    s.options = *options;
+    s.random = g_rand_new_with_seed((guint32)(options->seed ^ options->seed >> 32));
+    s.records = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    s.instances = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    s.broken = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    s.begun_us = ts_clock_now_us();
+    signal(SIGPIPE, SIG_IGN);
+    ts_log_open("soak", TS_LOG_TEXT, G_LOG_LEVEL_CRITICAL);
+    uv_loop_init(&s.loop);
+    if (!open_timeline(&s) || !soak_world_open(&s)) {
+        fprintf(stderr, "soak: cannot set up\n");
+        return TS_EXIT_USAGE;
+    }
+    run_ms(&s, RECOVER_MS / 4);
+    soak_callers_start(&s);
+    if (!options->is_calm)
+        soak_faults_start(&s);
+    run_ms(&s, (uint64_t)options->seconds * 1000);
+    s.is_draining = true;
+    check_recovery(&s);
+    check_budgets(&s);
+    stop_nodes(&s);
+    print_report(&s);
+    fclose(s.timeline);
+    return s.promises_broken == 0 ? TS_EXIT_OK : TS_EXIT_FAILURE;
+}
+
+static int run(int argc, char **argv)
+{
+    struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
+    struct arg_int *seconds = arg_int0(NULL, "seconds", "N", "how long faults go on (60)");
+    struct arg_str *seed = arg_str0(NULL, "seed", "N", "of requests and faults (drawn)");
+    struct arg_int *nodes = arg_int0(NULL, "gateways", "N", "3 to 8 (5)");
+    struct arg_file *program = arg_file1(NULL, "program", "FILE", "the program tealspar");
+    struct arg_file *skewed =
+        arg_file0(NULL, "skewed-program", "FILE", "the same with a time of day that is off");
+    struct arg_file *directory = arg_file1(NULL, "directory", "DIR", "for logs and the timeline");
+    struct arg_lit *calm = arg_lit0(NULL, "calm", "no faults");
+    struct arg_lit *plant =
+        arg_lit0(NULL, "plant", "tell gateways neither drains nor versions: checks must fail");
+    struct arg_end *end = arg_end(ERRORS_MAX);
+    void *table[TABLE_SIZE] = {help,   seconds,   seed, nodes, program,
+                               skewed, directory, calm, plant, end};
+    int exit_code = TS_EXIT_OK;
+    if (ts_command_parse(argc, argv, table, TABLE_SIZE, "gateways under random faults",
+                         &exit_code)) {
+        soak_options_t options = {
+            .seconds = seconds->count > 0 ? (unsigned)seconds->ival[0] : SECONDS_DEFAULT,
+            .seed = seed->count > 0 ? g_ascii_strtoull(seed->sval[0], NULL, 10) : g_random_int(),
+            .nodes = nodes->count > 0 ? (unsigned)CLAMP(nodes->ival[0], 3, SOAK_NODES_MAX)
+                                      : NODES_DEFAULT,
+            .program = program->filename[0],
+            .skewed_program = skewed->count > 0 ? skewed->filename[0] : NULL,
+            .directory = directory->filename[0],
+            .is_calm = calm->count > 0,
+            .is_planted = plant->count > 0};
+        exit_code = run_soak(&options);
+    }
+    arg_freetable(table, TABLE_SIZE);
+    return exit_code;
+}
+
+static const ts_command_t command = {run};
+TS_REGISTER_PLUGIN(lab_command_soak, TS_PLUGIN_COMMAND, "soak", 9, &command,
+                   "gateways as processes under random faults")
--- /dev/null
+++ b/lab/soak.h
@@ -0,0 +1,166 @@
+/**
+ * The soak: real gateway processes between stand-ins, under random faults, with the promises of the
+ * platform's pages checked from what callers and back ends see. Types shared by its modules:
+ *
+ *   soak.c          the command: sets up, runs, judges, reports
+ *   soak_world.c    links, searchers, configuration, gateway processes
+ *   soak_faults.c   which faults there are, when they begin and end
+ *   soak_caller.c   callers' requests and what is found in their answers
+ *   soak_check.c    pure checks of answers and budgets
+ */
+#ifndef LAB_SOAK_H
+#define LAB_SOAK_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <uv.h>
+
+#include "link.h"
+#include "soak_check.h"
+#include "standin_searcher.h"
+#include "standin_store.h"
+#include "tealspar/clock.h"
+
+#define SOAK_NODES_MAX 8
+#define SOAK_SERVICES 8
+// Replicas of each service, and shards in each of the two sets that a configuration may name.
+#define SOAK_REPLICAS 2
+#define SOAK_SHARDS 3
+
+typedef struct soak soak_t;
+
+// A link with the behaviour that is in force.
+typedef struct soak_link {
+    lab_link_t *link;
+    lab_link_mode_t mode;
+    double delay_ms;
+    char *address; // where the link listens, "IP:port"
+} soak_link_t;
+
+// A searcher behind its link.
+typedef struct soak_searcher {
+    soak_t *soak;
+    lab_searcher_t *searcher;
+    soak_link_t link;
+    unsigned service;
+    unsigned replica;
+    ts_time_us_t drained_us; // when the store took that it drains; 0: it does not
+    bool is_faulty;
+} soak_searcher_t;
+
+typedef struct soak_node {
+    soak_t *soak;
+    char *name;
+    char *zone;
+    char *ip;
+    char *settings_path;
+    char *log_path;
+    unsigned callers_port;
+    unsigned ready_port;
+    unsigned peers_port;
+    soak_link_t store;
+    soak_link_t peers;
+    uv_process_t process;
+    bool is_running;
+    bool is_paused;
+    bool is_stopping;        // SIGTERM was sent
+    bool ends_on_purpose;    // it was told to end, or killed
+    int clock_skew_ms;       // of the next start
+    unsigned life;           // starts so far
+    unsigned faults;         // in force at present
+    ts_time_us_t touched_us; // when a fault last began or ended
+    ts_time_us_t term_us;
+    uint64_t version_seen; // newest configuration seen at work in this life
+} soak_node_t;
+
+// What is known of a request id.
+typedef struct soak_record {
+    soak_node_t *node;
+    unsigned runs; // at searchers
+    bool is_repeatable;
+    bool was_refused;  // its caller was told that it has not run and never will
+    uint64_t services; // bit set of the services that it has reached
+} soak_record_t;
+
+typedef struct soak_options {
+    unsigned seconds;
+    uint64_t seed;
+    unsigned nodes;
+    const char *program;
+    const char *skewed_program; // the same with a time of day that is off; NULL: none
+    const char *directory;
+    bool is_calm;    // no faults
+    bool is_planted; // drains and versions are not told, retries count as doubled runs: the checks
+                     // must see
+} soak_options_t;
+
+struct soak {
+    uv_loop_t loop;
+    soak_options_t options;
+    GRand *random;
+    FILE *timeline;
+    ts_time_us_t begun_us;
+    lab_store_t *store;
+    unsigned store_port;
+    unsigned store_faults;
+    ts_time_us_t store_touched_us;
+    soak_node_t nodes[SOAK_NODES_MAX];
+    soak_searcher_t *searchers[SOAK_SERVICES][SOAK_REPLICAS];
+    unsigned searchers_made;
+    uint64_t version;        // newest configuration
+    ts_time_us_t version_us; // when the store took it
+    GHashTable *instances;   // instance id -> name of its service
+    GHashTable *records;     // request id -> soak_record_t
+    soak_budget_log_t budgets[SOAK_SERVICES];
+    unsigned asked;
+    unsigned answered[6]; // by hundreds of the status; 0: no answer
+    unsigned promises_broken;
+    GHashTable *broken; // name of a promise -> count
+    unsigned requests_open;
+    unsigned faults_begun;
+    bool is_draining; // no new faults or requests
+};
+
+// -- soak.c
+/** Says and counts that a promise was broken. */
+void soak_broken(soak_t *s, const char *promise, const char *format, ...)
+    __attribute__((format(printf, 3, 4)));
+/** One line of the timeline. */
+void soak_say(soak_t *s, const char *format, ...) __attribute__((format(printf, 2, 3)));
+
+// -- soak_world.c
+bool soak_world_open(soak_t *s);
+bool soak_node_start(soak_node_t *node);
+void soak_node_signal(soak_node_t *node, int number);
+/** A new configuration: other shards, other services, other marker routes. */
+void soak_configure(soak_t *s);
+/** The searcher drains; another takes its place, at a new address. */
+void soak_replace_searcher(soak_t *s, unsigned service, unsigned replica);
+void soak_set_link(soak_link_t *link, lab_link_mode_t mode, double delay_ms);
+/**
+ * Whether the node and the store were free of faults for the platform's `contactMs` before now,
+ * so that promises with a bound in time hold there.
+ */
+bool soak_in_touch(const soak_node_t *node, ts_time_us_t now_us);
+/** A fault of the node or of its links begins or ends. */
+void soak_touch(soak_node_t *node, int faults);
+/** Name of a service: "a" and so on. */
+const char *soak_service_name(unsigned service);
+/** Services that version `version` gathers over, SOAK_SHARDS from the first on. */
+unsigned soak_first_shard(uint64_t version);
+/** The service that forwarded requests go to. */
+unsigned soak_forward_service(uint64_t version);
+
+// -- soak_faults.c
+/** Begins faults at random times until the soak drains; ends them all then. */
+void soak_faults_start(soak_t *s);
+
+// -- soak_caller.c
+/** Sends requests at random until the soak drains. */
+void soak_callers_start(soak_t *s);
+/** A request, now; `on_done` (may be NULL) is told its status, 0 without an answer. */
+typedef void (*soak_done_t)(soak_t *s, unsigned status);
+void soak_ask(soak_t *s, soak_node_t *node, soak_done_t on_done);
+
+#endif
--- /dev/null
+++ b/lab/soak_check.c
@@ -0,0 +1,106 @@
+/** Pure checks of the soak. */
+#include "soak_check.h"
+
+#include <string.h>
+
+#include "tealspar/hash.h"
+#include "tealspar/records.h"
+
+void soak_compose_body(const char *service, const char *request_id, GString *body)
+{
+    uint64_t seed = ts_hash_mix(ts_hash_text(service), ts_hash_text(request_id));
+    for (uint64_t i = 0; i < SOAK_RECORDS; i++) {
+        uint64_t halves[2] = {ts_hash_mix(seed, i), ts_hash_mix(i + 1, seed)};
+        // Some records are equal in different services: every equal one counts.
+        if (i == 0)
+            halves[0] = halves[1] = ts_hash_text(request_id);
+        g_string_append_len(body, (const char *)halves, sizeof(halves));
+    }
+}
+
+static gint compare_falling(gconstpointer left, gconstpointer right)
+{
+    return memcmp(right, left, TS_RECORD_BYTES);
+}
+
+static bool is_top(const GString *records, const char *body, size_t length)
+{
+    size_t n = records->len / TS_RECORD_BYTES;
+    size_t wanted = MIN(n, SOAK_TOP) * TS_RECORD_BYTES;
+    qsort(records->str, n, TS_RECORD_BYTES, compare_falling);
+    return length == wanted && memcmp(records->str, body, wanted) == 0;
+}
+
+// "sig.ID.RUN.REQUEST" -> the instance's id, if it is for this request.
+static char *read_signature(const char *text, const char *request_id)
+{
+    char **words = g_strsplit(text, ".", 4);
+    bool is_right = g_strv_length(words) == 4 && strcmp(words[0], "sig") == 0 &&
+                    strcmp(words[3], request_id) == 0;
+    char *id = is_right ? g_strdup(words[1]) : NULL;
+    g_strfreev(words);
+    return id;
+}
+
+// Adds one part; returns what is wrong with it, or NULL.
+static const char *add_part(const char *signature, const soak_gathered_t *answer,
+                            soak_service_of_t service_of, void *ctx, uint64_t *services,
+                            GString *records)
+{
+    char *id = read_signature(signature, answer->request_id);
+    if (id == NULL)
+        return "a signature for another request";
+    const char *service = service_of(ctx, id);
+    g_free(id);
+    if (service == NULL)
+        return "a signature of an unknown instance";
+    uint64_t bit = 1ULL << (service[0] - 'a');
+    if ((*services & bit) != 0)
+        return "two signatures of one service";
+    *services |= bit;
+    soak_compose_body(service, answer->request_id, records);
+    return NULL;
+}
+
+const char *soak_check_gathered(const soak_gathered_t *answer, soak_service_of_t service_of,
+                                void *ctx, uint64_t *services)
+{
+    const char *wrong = NULL;
+    GString *records = g_string_new(NULL);
+    char **signatures = g_strsplit(answer->signatures, ",", 0);
+    *services = 0;
+    for (guint i = 0; signatures[i] != NULL && wrong == NULL; i++)
+        wrong = add_part(g_strstrip(signatures[i]), answer, service_of, ctx, services, records);
+    if (wrong == NULL && !is_top(records, answer->body, answer->body_length))
+        wrong = "records that are not the greatest of its parts";
+    g_strfreev(signatures);
+    g_string_free(records, TRUE);
+    return wrong;
+}
+
+static unsigned count_between(const GArray *times, ts_time_us_t begin_us, ts_time_us_t end_us)
+{
+    unsigned n = 0;
+    for (guint i = 0; i < times->len; i++) {
+        ts_time_us_t at_us = g_array_index(times, ts_time_us_t, i);
+        n += at_us >= begin_us && at_us < end_us;
+    }
+    return n;
+}
+
+double soak_budget_excess(const soak_budget_log_t *log, ts_time_us_t window_us, double ratio,
+                          double slack)
+{
+    double worst = -slack;
+    for (guint i = 0; i < log->extras->len; i++) {
+        ts_time_us_t begin_us = g_array_index(log->extras, ts_time_us_t, i);
+        ts_time_us_t end_us = begin_us + window_us;
+        unsigned asked = count_between(log->requests, begin_us, end_us);
+        asked = MAX(asked, count_between(log->requests, begin_us - window_us, begin_us));
+        asked = MAX(asked,
+                    count_between(log->requests, begin_us - window_us / 2, end_us - window_us / 2));
+        double excess = count_between(log->extras, begin_us, end_us) - ratio * asked - slack;
+        worst = MAX(worst, excess);
+    }
+    return worst;
+}
--- /dev/null
+++ b/lab/soak_faults.c
@@ -0,0 +1,387 @@
+/** The faults of the soak: what each does, and when they come. */
+#include "soak.h"
+
+#include <signal.h>
+#include <string.h>
+
+#define GAP_MIN_MS 150
+#define GAP_MAX_MS 1500
+#define LAST_MIN_MS 200
+#define LAST_MAX_MS 4000
+#define DOWN_MIN_MS 100
+#define DOWN_MAX_MS 1500
+#define DELAY_MAX_MS 400
+#define SKEW_MAX_MS 20000
+// At the most so many gateways are down, paused or stopping by faults on single ones.
+#define NODES_HIT_MAX 2
+#define STOP_CHECK_MS 100
+
+typedef struct fault fault_t;
+
+typedef struct fault_kind {
+    const char *name;
+    unsigned weight;
+    bool (*begin)(fault_t *fault); // false: there is nothing it could hit now
+    void (*end)(fault_t *fault);   // NULL: it is over at once
+} fault_kind_t;
+
+struct fault {
+    soak_t *s;
+    const fault_kind_t *kind;
+    soak_node_t *node;
+    soak_searcher_t *searcher;
+    soak_link_t *link;
+    uv_timer_t timer;
+};
+
+static gint32 draw(soak_t *s, gint32 begin, gint32 end)
+{
+    return g_rand_int_range(s->random, begin, end);
+}
+
+// -- Gateways
+
+static unsigned nodes_hit(const soak_t *s)
+{
+    unsigned n = 0;
+    for (unsigned i = 0; i < s->options.nodes; i++) {
+        const soak_node_t *node = &s->nodes[i];
+        n += !node->is_running || node->is_paused || node->is_stopping;
+    }
+    return n;
+}
+
+static bool choose_node(fault_t *fault)
+{
+    soak_t *s = fault->s;
+    soak_node_t *node = &s->nodes[draw(s, 0, (gint32)s->options.nodes)];
+    bool is_whole = node->is_running && !node->is_paused && !node->is_stopping;
+    if (!is_whole || nodes_hit(s) >= NODES_HIT_MAX)
+        return false;
+    fault->node = node;
+    return true;
+}
+
+static bool pause_node(fault_t *fault)
+{
+    if (!choose_node(fault))
+        return false;
+    fault->node->is_paused = true;
+    soak_touch(fault->node, 1);
+    soak_node_signal(fault->node, SIGSTOP);
+    return true;
+}
+
+static void resume_node(fault_t *fault)
+{
+    soak_node_signal(fault->node, SIGCONT);
+    fault->node->is_paused = false;
+    soak_touch(fault->node, -1);
+}
+
+static bool kill_node(fault_t *fault)
+{
+    if (!choose_node(fault))
+        return false;
+    soak_touch(fault->node, 1);
+    soak_node_signal(fault->node, SIGKILL);
+    return true;
+}
+
+static void restart_node(fault_t *fault)
+{
+    soak_node_start(fault->node);
+    soak_touch(fault->node, -1);
+}
+
+static bool skew_clock(fault_t *fault)
+{
+    if (fault->s->options.skewed_program == NULL || !kill_node(fault))
+        return false;
+    fault->node->clock_skew_ms = draw(fault->s, -SKEW_MAX_MS, SKEW_MAX_MS);
+    return true;
+}
+
+static bool kill_all(fault_t *fault)
+{
+    soak_t *s = fault->s;
+    if (nodes_hit(s) > 0)
+        return false;
+    for (unsigned i = 0; i < s->options.nodes; i++) {
+        soak_touch(&s->nodes[i], 1);
+        soak_node_signal(&s->nodes[i], SIGKILL);
+    }
+    return true;
+}
+
+static void restart_all(fault_t *fault)
+{
+    soak_t *s = fault->s;
+    for (unsigned i = 0; i < s->options.nodes; i++) {
+        soak_node_start(&s->nodes[i]);
+        soak_touch(&s->nodes[i], -1);
+    }
+}
+
+// A planned stop is no fault: what the gateway holds must be answered.
+static bool stop_node(fault_t *fault)
+{
+    if (!choose_node(fault))
+        return false;
+    soak_node_signal(fault->node, SIGTERM);
+    return true;
+}
+
+static void start_again(fault_t *fault);
+
+static void wait_for_stop(uv_timer_t *timer)
+{
+    start_again(timer->data);
+}
+
+static void free_fault(uv_handle_t *handle)
+{
+    g_free(handle->data);
+}
+
+static void start_again(fault_t *fault)
+{
+    if (fault->node->is_running) {
+        uv_timer_start(&fault->timer, wait_for_stop, STOP_CHECK_MS, 0);
+        return;
+    }
+    soak_node_start(fault->node);
+    uv_close((uv_handle_t *)&fault->timer, free_fault);
+}
+
+static bool hang_up(fault_t *fault)
+{
+    if (!choose_node(fault))
+        return false;
+    soak_node_signal(fault->node, SIGHUP);
+    return true;
+}
+
+// -- Links
+
+static bool spoil_link(fault_t *fault, soak_link_t *link)
+{
+    static const lab_link_mode_t modes[] = {LAB_LINK_PASS, LAB_LINK_SILENT, LAB_LINK_RESET,
+                                            LAB_LINK_HALF_OPEN, LAB_LINK_DEAF};
+    static const char *const names[] = {"delay", "silent", "reset", "half open", "deaf"};
+    gint32 mode = draw(fault->s, 0, G_N_ELEMENTS(modes));
+    if (link->mode != LAB_LINK_PASS || link->delay_ms > 0)
+        return false;
+    fault->link = link;
+    soak_say(fault->s, "link %s: %s", link->address, names[mode]);
+    soak_set_link(link, modes[mode], mode == 0 ? draw(fault->s, 5, DELAY_MAX_MS) : 0);
+    return true;
+}
+
+static void mend_link(fault_t *fault)
+{
+    soak_set_link(fault->link, LAB_LINK_PASS, 0);
+    soak_say(fault->s, "link %s: well", fault->link->address);
+}
+
+static bool spoil_node_link(fault_t *fault)
+{
+    soak_t *s = fault->s;
+    soak_node_t *node = &s->nodes[draw(s, 0, (gint32)s->options.nodes)];
+    if (!spoil_link(fault, draw(s, 0, 2) == 0 ? &node->store : &node->peers))
+        return false;
+    fault->node = node;
+    soak_touch(node, 1);
+    return true;
+}
+
+static void mend_node_link(fault_t *fault)
+{
+    mend_link(fault);
+    soak_touch(fault->node, -1);
+}
+
+static soak_searcher_t *choose_searcher(soak_t *s)
+{
+    unsigned service = (unsigned)draw(s, 0, SOAK_SERVICES);
+    return s->searchers[service][draw(s, 0, SOAK_REPLICAS)];
+}
+
+static bool spoil_searcher_link(fault_t *fault)
+{
+    return spoil_link(fault, &choose_searcher(fault->s)->link);
+}
+
+// -- Searchers
+
+static bool misbehave(fault_t *fault)
+{
+    static const lab_behaviour_t behaviours[] = {
+        LAB_SHEDS,    LAB_FAILS,          LAB_HANGS,         LAB_BREAKS_OFF,
+        LAB_UNFRAMED, LAB_UNFRAMED_RESET, LAB_ANSWERS_TWICE, LAB_FOREIGN_ID,
+        LAB_UNSIGNED, LAB_ENCODED,        LAB_GARBAGE,       LAB_CLOSES_AFTER};
+    soak_searcher_t *own = choose_searcher(fault->s);
+    if (own->is_faulty)
+        return false;
+    own->is_faulty = true;
+    own->searcher->behaviour = behaviours[draw(fault->s, 0, G_N_ELEMENTS(behaviours))];
+    soak_say(fault->s, "%s behaves by %d", own->searcher->id, own->searcher->behaviour);
+    fault->searcher = own;
+    return true;
+}
+
+static bool slow_down(fault_t *fault)
+{
+    soak_searcher_t *own = choose_searcher(fault->s);
+    if (own->is_faulty)
+        return false;
+    own->is_faulty = true;
+    own->searcher->delay_ms = (unsigned)draw(fault->s, 30, DELAY_MAX_MS);
+    own->searcher->forgets_ms = draw(fault->s, 0, 2) == 0 ? 200 : 0;
+    own->searcher->connections_max = draw(fault->s, 0, 2) == 0 ? 4 : 0;
+    soak_say(fault->s, "%s takes %u ms", own->searcher->id, own->searcher->delay_ms);
+    fault->searcher = own;
+    return true;
+}
+
+static void cure_searcher(fault_t *fault)
+{
+    lab_searcher_t *searcher = fault->searcher->searcher;
+    searcher->behaviour = LAB_ANSWERS;
+    searcher->delay_ms = 5;
+    searcher->forgets_ms = 0;
+    searcher->connections_max = 0;
+    fault->searcher->is_faulty = false;
+    soak_say(fault->s, "%s is well", searcher->id);
+}
+
+static bool replace(fault_t *fault)
+{
+    soak_t *s = fault->s;
+    soak_replace_searcher(s, (unsigned)draw(s, 0, SOAK_SERVICES),
+                          (unsigned)draw(s, 0, SOAK_REPLICAS));
+    return true;
+}
+
+// -- Store and configuration
+
+static void touch_store(soak_t *s, int faults)
+{
+    s->store_faults = (unsigned)((int)s->store_faults + faults);
+    s->store_touched_us = ts_clock_now_us();
+}
+
+static bool spoil_store(fault_t *fault)
+{
+    static const lab_store_mode_t modes[] = {LAB_STORE_BUSY, LAB_STORE_THROTTLED, LAB_STORE_SILENT};
+    gint32 mode = draw(fault->s, 0, G_N_ELEMENTS(modes));
+    if (fault->s->store_faults > 0)
+        return false;
+    touch_store(fault->s, 1);
+    lab_store_set_mode(fault->s->store, modes[mode]);
+    soak_say(fault->s, "store: mode %d", modes[mode]);
+    return true;
+}
+
+static void mend_store(fault_t *fault)
+{
+    lab_store_set_mode(fault->s->store, LAB_STORE_NORMAL);
+    touch_store(fault->s, -1);
+    soak_say(fault->s, "store: well");
+}
+
+static bool forget_history(fault_t *fault)
+{
+    lab_store_forget(fault->s->store);
+    fault->s->store_touched_us = ts_clock_now_us();
+    soak_say(fault->s, "store: history forgotten");
+    return true;
+}
+
+static bool configure(fault_t *fault)
+{
+    soak_configure(fault->s);
+    return true;
+}
+
+// -- Drawing
+
+static const fault_kind_t kinds[] = {
+    {"pause", 4, pause_node, resume_node},
+    {"kill", 3, kill_node, restart_node},
+    {"clock", 2, skew_clock, restart_node},
+    {"kill all", 1, kill_all, restart_all},
+    {"stop", 3, stop_node, start_again},
+    {"hang up", 2, hang_up, NULL},
+    {"node's link", 5, spoil_node_link, mend_node_link},
+    {"searcher's link", 6, spoil_searcher_link, mend_link},
+    {"misbehaviour", 8, misbehave, cure_searcher},
+    {"slowness", 5, slow_down, cure_searcher},
+    {"replacement", 4, replace, NULL},
+    {"store", 2, spoil_store, mend_store},
+    {"history", 1, forget_history, NULL},
+    {"configuration", 5, configure, NULL},
+};
+
+static const fault_kind_t *draw_kind(soak_t *s)
+{
+    unsigned total = 0;
+    for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++)
+        total += kinds[i].weight;
+    unsigned at = (unsigned)draw(s, 0, (gint32)total);
+    size_t i = 0;
+    for (; at >= kinds[i].weight; i++)
+        at -= kinds[i].weight;
+    return &kinds[i];
+}
+
+static void end_fault(uv_timer_t *timer)
+{
+    fault_t *fault = timer->data;
+    fault->kind->end(fault);
+    if (fault->kind->end != start_again)
+        uv_close((uv_handle_t *)timer, free_fault);
+}
+
+static bool is_end_of_down(const fault_kind_t *kind)
+{
+    return kind->end == restart_node || kind->end == restart_all || kind->end == start_again;
+}
+
+static void begin_fault(soak_t *s)
+{
+    fault_t *fault = g_new0(fault_t, 1);
+    fault->s = s;
+    fault->kind = draw_kind(s);
+    if (!fault->kind->begin(fault)) {
+        g_free(fault);
+        return;
+    }
+    s->faults_begun++;
+    if (fault->kind->end == NULL) {
+        g_free(fault);
+        return;
+    }
+    uint64_t last_ms = (uint64_t)(is_end_of_down(fault->kind) ? draw(s, DOWN_MIN_MS, DOWN_MAX_MS)
+                                                              : draw(s, LAST_MIN_MS, LAST_MAX_MS));
+    uv_timer_init(&s->loop, &fault->timer);
+    fault->timer.data = fault;
+    uv_timer_start(&fault->timer, end_fault, last_ms, 0);
+}
+
+static void next_fault(uv_timer_t *timer)
+{
+    soak_t *s = timer->data;
+    if (s->is_draining)
+        return;
+    begin_fault(s);
+    uv_timer_start(timer, next_fault, (uint64_t)draw(s, GAP_MIN_MS, GAP_MAX_MS), 0);
+}
+
+void soak_faults_start(soak_t *s)
+{
+    static uv_timer_t timer;
+    uv_timer_init(&s->loop, &timer);
+    timer.data = s;
+    uv_timer_start(&timer, next_fault, GAP_MAX_MS, 0);
+}
--- /dev/null
+++ b/lab/soak_world.c
@@ -0,0 +1,363 @@
+/** The soak's world: links, searchers, configuration, and gateways as processes of their own. */
+#include "soak.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "../platform/names.h"
+
+// The platform's bounds that the soak plays with.
+#define CONTACT_US (5 * TS_US_PER_S)
+#define RETRY_RATIO 0.2
+#define RETRY_SLACK 60
+#define DRAIN_MS 3000
+#define GRACE_MS 6000
+#define ZONES 2
+#define ROUTE_TIMEOUT_MS 1500
+
+const char *soak_service_name(unsigned service)
+{
+    static const char *const names[SOAK_SERVICES] = {"a", "b", "c", "d", "e", "f", "g", "h"};
+    return names[service];
+}
+
+unsigned soak_first_shard(uint64_t version)
+{
+    return version / 3 % 2 == 0 ? 0 : SOAK_SHARDS;
+}
+
+unsigned soak_forward_service(uint64_t version)
+{
+    return 2 * SOAK_SHARDS + (unsigned)(version % 2);
+}
+
+// -- Links
+
+static lab_link_mode_t mode_of(void *ctx, const char *source)
+{
+    return ((const soak_link_t *)ctx)->mode;
+}
+
+static double delay_of(void *ctx, const char *source)
+{
+    return ((const soak_link_t *)ctx)->delay_ms;
+}
+
+static const lab_link_ops_t link_ops = {mode_of, delay_of};
+
+void soak_set_link(soak_link_t *link, lab_link_mode_t mode, double delay_ms)
+{
+    link->mode = mode;
+    link->delay_ms = delay_ms;
+    lab_link_mode_changed(link->link);
+}
+
+// A free port by the kernel's choice.
+static unsigned find_port(const char *ip)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    socklen_t length = sizeof(address);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    inet_pton(AF_INET, ip, &address.sin_addr);
+    bind(fd, (const struct sockaddr *)&address, length);
+    getsockname(fd, (struct sockaddr *)&address, &length);
+    close(fd);
+    return ntohs(address.sin_port);
+}
+
+static bool open_link(soak_t *s, soak_link_t *link, const char *ip, unsigned target_port)
+{
+    char *target = g_strdup_printf("%s:%u", ip, target_port);
+    for (int i = 0; i < 20 && link->link == NULL; i++) {
+        g_free(link->address);
+        link->address = g_strdup_printf("%s:%u", ip, find_port(ip));
+        link->link = lab_link_open(&s->loop, link->address, target, &link_ops, link);
+    }
+    g_free(target);
+    return link->link != NULL;
+}
+
+// -- Searchers
+
+// A request has come: it is noted whose it is, and what it says of the sender.
+static void note_arrival(void *ctx, lab_searcher_t *searcher, const char *request_id, bool runs)
+{
+    soak_searcher_t *own = ctx;
+    soak_t *s = own->soak;
+    ts_time_us_t now_us = ts_clock_now_us();
+    soak_record_t *record = request_id == NULL ? NULL : g_hash_table_lookup(s->records, request_id);
+    if (record == NULL) {
+        soak_broken(s, "UNASKED", "%s got request %s that nobody sent", searcher->id,
+                    request_id == NULL ? "without an id" : request_id);
+        return;
+    }
+    record->runs += runs;
+    if (runs && record->runs > 1 && !record->is_repeatable)
+        soak_broken(s, "TWICE", "request %s of %s ran again at %s", request_id, record->node->name,
+                    searcher->id);
+    if (runs && record->was_refused && !record->is_repeatable)
+        soak_broken(s, "REFUSED", "request %s ran at %s after its refusal", request_id,
+                    searcher->id);
+    uint64_t bit = 1ULL << own->service;
+    if ((record->services & bit) != 0)
+        g_array_append_val(s->budgets[own->service].extras, now_us);
+    record->services |= bit;
+    ts_time_us_t drain_us = DRAIN_MS * TS_US_PER_MS;
+    if (own->drained_us != 0 && now_us - own->drained_us > drain_us &&
+        soak_in_touch(record->node, now_us))
+        soak_broken(s, "DRAIN", "request %s reached %s %lu ms after it began to drain", request_id,
+                    searcher->id, (unsigned long)((now_us - own->drained_us) / TS_US_PER_MS));
+}
+
+static void compose(void *ctx, lab_searcher_t *searcher, const char *request_id, GString *body)
+{
+    soak_compose_body(searcher->service, request_id, body);
+}
+
+static const lab_searcher_ops_t searcher_ops = {note_arrival, compose};
+
+static void enter_searcher(soak_t *s, const soak_searcher_t *own, bool is_draining)
+{
+    char *key = g_strdup_printf(KEY_INSTANCES "%s", own->searcher->id);
+    char *entry =
+        g_strdup_printf("{\"%s\":\"%s\",\"%s\":\"%s\",\"%s\":\"%s\",\"%s\":4,"
+                        "\"%s\":\"%s\",\"%s\":0}",
+                        FIELD_SERVICE, own->searcher->service, FIELD_ADDRESS, own->link.address,
+                        FIELD_ZONE, own->searcher->zone, FIELD_SLOTS, FIELD_STATE,
+                        is_draining ? WORD_DRAINING : "ready", FIELD_WARMUP_MS);
+    lab_store_put(s->store, key, entry);
+    g_free(entry);
+    g_free(key);
+}
+
+static bool add_searcher(soak_t *s, unsigned service, unsigned replica)
+{
+    soak_searcher_t *own = g_new0(soak_searcher_t, 1);
+    char id[32];
+    char zone[8];
+    g_snprintf(id, sizeof(id), "i-%u", ++s->searchers_made);
+    g_snprintf(zone, sizeof(zone), "z%u", replica % ZONES + 1);
+    own->soak = s;
+    own->service = service;
+    own->replica = replica;
+    own->searcher = lab_searcher_open(&s->loop, id, soak_service_name(service), zone);
+    own->searcher->ops = &searcher_ops;
+    own->searcher->ctx = own;
+    own->searcher->delay_ms = 5;
+    s->searchers[service][replica] = own;
+    g_hash_table_insert(s->instances, g_strdup(id), (gpointer)soak_service_name(service));
+    if (!open_link(s, &own->link, "127.0.0.1", own->searcher->port))
+        return false;
+    enter_searcher(s, own, false);
+    return true;
+}
+
+void soak_replace_searcher(soak_t *s, unsigned service, unsigned replica)
+{
+    soak_searcher_t *old = s->searchers[service][replica];
+    if (!add_searcher(s, service, replica))
+        return;
+    old->drained_us = ts_clock_now_us();
+    if (!s->options.is_planted)
+        enter_searcher(s, old, true);
+    soak_say(s, "%s drains, %s takes its place in service %s", old->searcher->id,
+             s->searchers[service][replica]->searcher->id, soak_service_name(service));
+}
+
+// -- Configuration
+
+static void append_route(GString *out, const char *name, const char *prefix, bool is_repeatable,
+                         const char *target)
+{
+    g_string_append_printf(out,
+                           "%s{\"%s\":\"%s\",\"%s\":\"h.example\",\"%s\":\"%s\",\"%s\":\"%s\","
+                           "\"%s\":%u,\"%s\":200,\"%s\":1,\"%s\":2,%s}",
+                           out->len > 0 ? "," : "", FIELD_NAME, name, FIELD_HOST, FIELD_PREFIX,
+                           prefix, FIELD_KIND, is_repeatable ? WORD_REPEATABLE : "non_idempotent",
+                           FIELD_TIMEOUT_MS, ROUTE_TIMEOUT_MS, FIELD_AIM_MS, FIELD_PRIORITY,
+                           FIELD_ATTEMPTS, target);
+}
+
+static char *compose_routes(uint64_t version)
+{
+    GString *out = g_string_new(NULL);
+    unsigned first = soak_first_shard(version);
+    char *service = g_strdup_printf("\"%s\":\"%s\"", FIELD_SERVICE,
+                                    soak_service_name(soak_forward_service(version)));
+    char *shards =
+        g_strdup_printf("\"%s\":[\"%s\",\"%s\",\"%s\"],\"%s\":%d,\"%s\":0.6", FIELD_GATHER,
+                        soak_service_name(first), soak_service_name(first + 1),
+                        soak_service_name(first + 2), FIELD_TOP, SOAK_TOP, FIELD_COVERAGE);
+    char *marker = g_strdup_printf("/v%lu/", (unsigned long)version);
+    append_route(out, "forward", "/forward/", true, service);
+    append_route(out, "once", "/once/", false, service);
+    append_route(out, "all", "/all/", true, shards);
+    append_route(out, marker, marker, true, service);
+    g_free(marker);
+    g_free(shards);
+    g_free(service);
+    return g_string_free(out, FALSE);
+}
+
+void soak_configure(soak_t *s)
+{
+    s->version++;
+    s->version_us = ts_clock_now_us();
+    char *routes = compose_routes(s->version);
+    char *text = g_strdup_printf("{\"%s\":%lu,\"%s\":[%s],\"%s\":[],\"%s\":{\"%s\":8192,"
+                                 "\"%s\":65536,\"%s\":3000,\"%s\":15000}}",
+                                 FIELD_VERSION, (unsigned long)s->version, FIELD_ROUTES, routes,
+                                 FIELD_SERVICES, FIELD_LIMITS, FIELD_HEAD_BYTES, FIELD_BODY_BYTES,
+                                 FIELD_HEAD_MS, FIELD_IDLE_MS);
+    if (!s->options.is_planted || s->version == 1)
+        lab_store_put(s->store, KEY_CONFIG, text);
+    soak_say(s, "version %lu", (unsigned long)s->version);
+    g_free(text);
+    g_free(routes);
+}
+
+// -- Gateways
+
+bool soak_in_touch(const soak_node_t *node, ts_time_us_t now_us)
+{
+    const soak_t *s = node->soak;
+    return node->is_running && node->faults == 0 && s->store_faults == 0 && !node->is_stopping &&
+           now_us - node->touched_us > CONTACT_US && now_us - s->store_touched_us > CONTACT_US;
+}
+
+void soak_touch(soak_node_t *node, int faults)
+{
+    node->faults = (unsigned)((int)node->faults + faults);
+    node->touched_us = ts_clock_now_us();
+}
+
+static void node_ended(uv_process_t *process, int64_t status, int signal_number)
+{
+    soak_node_t *node = process->data;
+    soak_t *s = node->soak;
+    ts_time_us_t now_us = ts_clock_now_us();
+    node->is_running = false;
+    node->touched_us = now_us;
+    soak_say(s, "%s ended: status %d, signal %d", node->name, (int)status, signal_number);
+    if (!node->ends_on_purpose)
+        soak_broken(s, "ENDED", "%s ended by itself: status %d, signal %d", node->name, (int)status,
+                    signal_number);
+    if (node->is_stopping && (status != 0 || now_us - node->term_us > GRACE_MS * TS_US_PER_MS))
+        soak_broken(s, "STOP", "%s stopped with status %d after %lu ms", node->name, (int)status,
+                    (unsigned long)((now_us - node->term_us) / TS_US_PER_MS));
+    uv_close((uv_handle_t *)process, NULL);
+}
+
+static void write_settings(const soak_node_t *node)
+{
+    const soak_t *s = node->soak;
+    GString *seeds = g_string_new(NULL);
+    for (unsigned i = 0; i < MIN(s->options.nodes, 3); i++)
+        g_string_append_printf(seeds, "%s'%s'", i > 0 ? ", " : "", s->nodes[i].peers.address);
+    char *text = g_strdup_printf(
+        "name: %s\nzone: %s\ndialect: platform\ncallers: %s:%u\nready: %s:%u\npeers: %s:%u\n"
+        "advertised: %s\nseeds: [%s]\nstore: %s\n"
+        "zones: [{zone: z1, region: r1}, {zone: z2, region: r2}]\n"
+        "drain_ms: %d\ngrace_ms: %d\nretry_ratio: %.1f\nretry_slack: %d\n"
+        "log_format: json\nlog_level: info\n",
+        node->name, node->zone, node->ip, node->callers_port, node->ip, node->ready_port, node->ip,
+        node->peers_port, node->peers.address, seeds->str, node->store.address, DRAIN_MS, GRACE_MS,
+        RETRY_RATIO, RETRY_SLACK);
+    g_file_set_contents(node->settings_path, text, -1, NULL);
+    g_free(text);
+    g_string_free(seeds, TRUE);
+}
+
+bool soak_node_start(soak_node_t *node)
+{
+    const soak_options_t *options = &node->soak->options;
+    bool is_skewed = node->clock_skew_ms != 0 && options->skewed_program != NULL;
+    char *program = (char *)(is_skewed ? options->skewed_program : options->program);
+    char *arguments[] = {program, "gateway", "-s", node->settings_path, NULL};
+    char skew[48];
+    g_snprintf(skew, sizeof(skew), "LAB_CLOCK_SKEW_MS=%d", node->clock_skew_ms);
+    char *environment[] = {skew, NULL};
+    int log = open(node->log_path, O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0644);
+    uv_stdio_container_t stdio[3] = {{.flags = UV_IGNORE},
+                                     {.flags = UV_INHERIT_FD, .data.fd = log},
+                                     {.flags = UV_INHERIT_FD, .data.fd = log}};
+    uv_process_options_t spawn = {.file = program,
+                                  .args = arguments,
+                                  .env = environment,
+                                  .exit_cb = node_ended,
+                                  .stdio_count = 3,
+                                  .stdio = stdio};
+    node->process.data = node;
+    int status = uv_spawn(&node->soak->loop, &node->process, &spawn);
+    close(log);
+    node->is_running = status == 0;
+    node->is_paused = false;
+    node->is_stopping = false;
+    node->ends_on_purpose = false;
+    node->version_seen = 0;
+    node->life++;
+    node->touched_us = ts_clock_now_us();
+    soak_say(node->soak, "%s starts, life %u, skew %d ms", node->name, node->life,
+             node->clock_skew_ms);
+    return node->is_running;
+}
+
+void soak_node_signal(soak_node_t *node, int number)
+{
+    if (!node->is_running)
+        return;
+    soak_say(node->soak, "%s gets signal %d", node->name, number);
+    node->ends_on_purpose |= number == SIGKILL || number == SIGTERM;
+    if (number == SIGTERM) {
+        node->is_stopping = true;
+        node->term_us = ts_clock_now_us();
+    }
+    uv_process_kill(&node->process, number);
+}
+
+static bool open_node(soak_t *s, unsigned i)
+{
+    soak_node_t *node = &s->nodes[i];
+    node->soak = s;
+    node->name = g_strdup_printf("n%u", i);
+    node->zone = g_strdup_printf("z%u", i % ZONES + 1);
+    node->ip = g_strdup_printf("127.77.%d.%u", getpid() % 250 + 1, i + 1);
+    node->settings_path = g_strdup_printf("%s/%s.yaml", s->options.directory, node->name);
+    node->log_path = g_strdup_printf("%s/%s.log", s->options.directory, node->name);
+    node->callers_port = find_port(node->ip);
+    node->ready_port = find_port(node->ip);
+    node->peers_port = find_port(node->ip);
+    return open_link(s, &node->store, "127.0.0.1", s->store_port) &&
+           open_link(s, &node->peers, node->ip, node->peers_port);
+}
+
+static bool open_store(soak_t *s)
+{
+    for (int i = 0; i < 20 && s->store == NULL; i++) {
+        s->store_port = find_port("127.0.0.1");
+        s->store = lab_store_open(&s->loop, s->store_port);
+    }
+    return s->store != NULL;
+}
+
+bool soak_world_open(soak_t *s)
+{
+    bool is_open = open_store(s);
+    for (unsigned i = 0; i < SOAK_SERVICES && is_open; i++) {
+        s->budgets[i].requests = g_array_new(FALSE, FALSE, sizeof(ts_time_us_t));
+        s->budgets[i].extras = g_array_new(FALSE, FALSE, sizeof(ts_time_us_t));
+        for (unsigned j = 0; j < SOAK_REPLICAS && is_open; j++)
+            is_open = add_searcher(s, i, j);
+    }
+    for (unsigned i = 0; i < s->options.nodes && is_open; i++)
+        is_open = open_node(s, i);
+    soak_configure(s);
+    for (unsigned i = 0; i < s->options.nodes && is_open; i++) {
+        write_settings(&s->nodes[i]);
+        is_open = soak_node_start(&s->nodes[i]);
+    }
+    return is_open;
+}
--- a/lab/standin_searcher.c
+++ b/lab/standin_searcher.c
@@ -22,6 +22,7 @@
     GString *answer;
     unsigned handles;      /* open ones */
     ts_time_us_t heard_us; /* when the last bytes came or an answer left */
+    bool is_refused;       /* the request under way is not run */
     bool is_working;
     bool is_closing;
 } visitor_t;
@@ -130,6 +131,15 @@
     }
 }
 
+/* Whether a request is refused was decided when it came; the rest as the searcher is now. */
+static lab_behaviour_t behaviour_for(const visitor_t *visitor)
+{
+    if (visitor->is_refused)
+        return LAB_SHEDS;
+    lab_behaviour_t behaviour = visitor->searcher->behaviour;
+    return behaviour == LAB_SHEDS ? LAB_ANSWERS : behaviour;
+}
+
 static void answer(visitor_t *visitor)
 {
     lab_searcher_t *searcher = visitor->searcher;
@@ -137,13 +147,12 @@
     id = id == NULL ? "" : id;
     g_string_truncate(visitor->answer, 0);
     visitor->is_working = false;
-    switch (searcher->behaviour) {
+    switch (behaviour_for(visitor)) {
     case LAB_ANSWERS:
     case LAB_CLOSES_AFTER:
         append_whole(visitor, 200, id, "");
         break;
     case LAB_SHEDS:
-        searcher->runs--;
         append_head(visitor, 503, id, NAME_NOT_EXECUTED ": 1\r\nContent-Length: 0\r\n\r\n");
         break;
     case LAB_FAILS:
@@ -211,12 +220,14 @@
         ts_http_message_reset(&visitor->request);
         return;
     }
+    visitor->is_refused = searcher->behaviour == LAB_SHEDS;
     if (searcher->ops == NULL)
         remember(visitor);
     else if (searcher->ops->arrived != NULL)
         searcher->ops->arrived(searcher->ctx, searcher,
-                               ts_http_message_find(&visitor->request, NAME_REQUEST_ID));
-    searcher->runs++;
+                               ts_http_message_find(&visitor->request, NAME_REQUEST_ID),
+                               !visitor->is_refused);
+    searcher->runs += !visitor->is_refused;
     visitor->is_working = true;
     if (searcher->delay_ms == 0) {
         answer(visitor);
--- a/lab/standin_searcher.h
+++ b/lab/standin_searcher.h
@@ -29,8 +29,8 @@
 
 /** What a test may want to decide itself; each may be NULL. */
 typedef struct lab_searcher_ops {
-    /** A request meant for it has come; called before it runs. */
-    void (*arrived)(void *ctx, struct lab_searcher *searcher, const char *request_id);
+    /** A request meant for it has come; it runs now, or is refused and never will. */
+    void (*arrived)(void *ctx, struct lab_searcher *searcher, const char *request_id, bool runs);
     /** Composes the body of the answer to a request. */
     void (*compose)(void *ctx, struct lab_searcher *searcher, const char *request_id,
                     GString *body);
--- /dev/null
+++ b/tests/lab/test_soak_checks.c
@@ -0,0 +1,97 @@
+/** The soak's checks: each must catch what is planted for it, and pass what is right. */
+#include "../test_support.h"
+
+#include <string.h>
+
+#include "soak_check.h"
+#include "tealspar/records.h"
+
+#define SECOND TS_US_PER_S
+
+static const char *service_of(void *ctx, const char *id)
+{
+    static const char *const names[] = {"a", "b", "c"};
+    return id[0] >= '1' && id[0] <= '3' ? names[id[0] - '1'] : NULL;
+}
+
+static gint compare_falling(gconstpointer left, gconstpointer right)
+{
+    return memcmp(right, left, TS_RECORD_BYTES);
+}
+
+/* What a gateway should bring for parts of services a and b. */
+static GString *right_body(const char *request_id)
+{
+    GString *body = g_string_new(NULL);
+    soak_compose_body("a", request_id, body);
+    soak_compose_body("b", request_id, body);
+    qsort(body->str, body->len / TS_RECORD_BYTES, TS_RECORD_BYTES, compare_falling);
+    g_string_truncate(body, SOAK_TOP * TS_RECORD_BYTES);
+    return body;
+}
+
+static const char *check(const char *signatures, const GString *body)
+{
+    soak_gathered_t answer = {"r7", signatures, 1, body->str, body->len};
+    uint64_t services = 0;
+    const char *wrong = soak_check_gathered(&answer, service_of, NULL, &services);
+    if (wrong == NULL)
+        assert_int_equal(services, 3);
+    return wrong;
+}
+
+static void test_right_answer_passes(void **state)
+{
+    GString *body = right_body("r7");
+    assert_null(check("sig.1.5.r7, sig.2.9.r7", body));
+    assert_null(check("sig.2.9.r7,sig.1.5.r7", body));
+    g_string_free(body, TRUE);
+}
+
+static void test_wrong_answers_are_seen(void **state)
+{
+    GString *body = right_body("r7");
+    assert_non_null(check("sig.1.5.r7,sig.2.9.r8", body)); /* another request's part */
+    assert_non_null(check("sig.1.5.r7,sig.1.6.r7", body)); /* one service twice */
+    assert_non_null(check("sig.1.5.r7,sig.9.9.r7", body)); /* nobody's */
+    assert_non_null(check("sig.1.5.r7,sig.3.9.r7", body)); /* records of a part that is not named */
+    assert_non_null(check("sig.1.5.r7", body));
+    body->str[3] ^= 1;
+    assert_non_null(check("sig.1.5.r7,sig.2.9.r7", body));
+    body->str[3] ^= 1;
+    g_string_truncate(body, body->len - TS_RECORD_BYTES);
+    assert_non_null(check("sig.1.5.r7,sig.2.9.r7", body));
+    g_string_free(body, TRUE);
+}
+
+static void add(GArray *times, unsigned count, ts_time_us_t begin_us, ts_time_us_t step_us)
+{
+    for (unsigned i = 0; i < count; i++) {
+        ts_time_us_t at_us = begin_us + i * step_us;
+        g_array_append_val(times, at_us);
+    }
+}
+
+static void test_budget_in_sliding_windows(void **state)
+{
+    soak_budget_log_t log = {g_array_new(FALSE, FALSE, sizeof(ts_time_us_t)),
+                             g_array_new(FALSE, FALSE, sizeof(ts_time_us_t))};
+    add(log.requests, 100, 100 * SECOND, SECOND / 10); /* ten a second for ten seconds */
+    add(log.extras, 24, 105 * SECOND, SECOND / 5);
+    assert_true(soak_budget_excess(&log, 10 * SECOND, 0.2, 5) <= 0);
+    assert_true(soak_budget_excess(&log, 10 * SECOND, 0.2, 3) > 0);
+    add(log.extras, 10, 130 * SECOND, SECOND / 100); /* long after the last request */
+    assert_true(soak_budget_excess(&log, 10 * SECOND, 0.2, 9) > 0);
+    g_array_unref(log.requests);
+    g_array_unref(log.extras);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_right_answer_passes),
+        cmocka_unit_test(test_wrong_answers_are_seen),
+        cmocka_unit_test(test_budget_in_sliding_windows),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
