peers.c in modules by job; places are worked out when the fleet changes

Each gateway worked out its place among all nodes for each of 414 instances every 0.5 to 4 s, two table look-ups a node each time. Change: the members' regions are kept beside the view as interned texts; a place is worked out again only when the view or the number of nodes changed, at most every 0.5 s an instance, and only for instances with resting connections. src/peers is split by job: store (beacons, pulls, changes), sightings, loans, places; nothing else changes there. Sends are counted by distance.

--- a/include/tealspar/counters.h
+++ b/include/tealspar/counters.h
@@ -76,6 +76,8 @@
     X(REQUESTS_FAILED, counter, "requests_failed_total", "requests that may have run and failed")  \
     X(REQUESTS_LEFT, counter, "requests_left_total", "requests whose caller left first")           \
     X(SENDS, counter, "sends_total", "requests and parts sent to back ends")                       \
+    X(SENDS_REGION, counter, "sends_region_total", "of these, to other zones of the region")       \
+    X(SENDS_FAR, counter, "sends_far_total", "of these, to other regions")                         \
     X(SEND_FAILURES, counter, "send_failures_total", "sends without a usable answer")              \
     X(CONNECTS, counter, "connects_total", "connections opened to back ends")                      \
     X(CONNECTS_FAILED, counter, "connects_failed_total", "connections that did not come up")       \
--- a/include/tealspar/peers.h
+++ b/include/tealspar/peers.h
@@ -26,6 +26,8 @@
  * region come first, then the others, each by rendezvous weight.
  */
 unsigned ts_peers_place(const ts_peers_t *peers, const ts_instance_t *instance);
+/** Grows whenever the fleet or its places may have changed. */
+uint64_t ts_peers_changes(const ts_peers_t *peers);
 /** Asks others for extra sends to a service, as this node has none left. */
 void ts_peers_ask_loan(ts_peers_t *peers, ts_service_t *service, ts_time_us_t now_us);
 /** Nodes believed live, this one included. */
--- a/include/tealspar/registry.h
+++ b/include/tealspar/registry.h
@@ -72,6 +72,7 @@
     uint32_t connections;     /**< open ones, idle and busy */
     uint32_t kept_max;        /**< connections this node may keep while they rest */
     ts_time_us_t kept_at_us;  /**< when `kept_max` was worked out */
+    uint64_t kept_basis;      /**< of what fleet */
     ts_time_us_t rest_max_us; /**< it forgot connections that rested this long; 0: not known to */
     ts_time_us_t rest_max_until_us; /**< until when that is believed */
 } ts_instance_t;
--- a/src/edge/gateway.c
+++ b/src/edge/gateway.c
@@ -24,9 +24,9 @@
 #define NODES_UNSURE_A_ZONE 8U
 #define NODES_UNSURE_LEAST 12U
 #define UNSURE_US (5 * TS_US_PER_S)
-/* How long a share of connections holds before it is worked out again. */
-#define KEPT_VALID_YOUNG_US (500 * TS_US_PER_MS)
-#define KEPT_VALID_US (4 * TS_US_PER_S)
+/* A share of connections is not worked out more often than this. */
+#define KEPT_VALID_US (500 * TS_US_PER_MS)
+#define BASIS_NODES_BITS 24
 /* Connections kept to an instance that does not tell how many it takes. */
 #define KEPT_DEFAULT 4U
 
@@ -183,19 +183,22 @@
     ts_peers_tell(gateway->peers, instance->id, sighting);
 }
 
-/* How many resting connections to an instance this node keeps; worked out now and then. */
+/* How many resting connections to an instance this node keeps; worked out when the fleet changes.
+ */
 static uint32_t kept_connections(void *ctx, ts_instance_t *instance, ts_time_us_t now_us)
 {
     const ts_gateway_t *gateway = ctx;
-    bool is_young = now_us - gateway->opened_us < 2 * UNSURE_US;
-    ts_time_us_t valid_us = is_young ? KEPT_VALID_YOUNG_US : KEPT_VALID_US;
-    if (instance->kept_at_us == 0 || now_us - instance->kept_at_us > valid_us) {
-        uint32_t most = instance->service->connections_max;
-        unsigned place = gateway->peers == NULL ? 0 : ts_peers_place(gateway->peers, instance);
-        instance->kept_max =
-            most == 0 ? KEPT_DEFAULT : ts_connection_share(most, gateway->nodes, place);
-        instance->kept_at_us = now_us;
-    }
+    uint64_t changes = gateway->peers == NULL ? 0 : ts_peers_changes(gateway->peers);
+    uint64_t basis = (changes << BASIS_NODES_BITS) + gateway->nodes;
+    bool is_settled = now_us - instance->kept_at_us < KEPT_VALID_US;
+    if (instance->kept_at_us != 0 && (instance->kept_basis == basis || is_settled))
+        return instance->kept_max;
+    uint32_t most = instance->service->connections_max;
+    unsigned place = gateway->peers == NULL ? 0 : ts_peers_place(gateway->peers, instance);
+    instance->kept_max =
+        most == 0 ? KEPT_DEFAULT : ts_connection_share(most, gateway->nodes, place);
+    instance->kept_at_us = now_us;
+    instance->kept_basis = basis;
     return instance->kept_max;
 }
 
--- /dev/null
+++ b/src/peers/peers_internal.h
@@ -0,0 +1,62 @@
+/** What the modules of this folder share; see tealspar/peers.h for what they are for. */
+#ifndef TEALSPAR_PEERS_INTERNAL_H
+#define TEALSPAR_PEERS_INTERNAL_H
+
+#include "peer.pb-c.h"
+#include "tealspar/membership.h"
+#include "tealspar/peer_link.h"
+#include "tealspar/peers.h"
+
+struct ts_peers {
+    ts_gateway_t *gateway;
+    ts_store_mirror_t *mirror;
+    ts_membership_t *membership;
+    ts_peer_link_t *link;
+    ts_view_t *view;
+    uint64_t changes;   /**< of the view so far */
+    GPtrArray *regions; /**< of the members of the view in its order; interned texts or NULL */
+    uv_timer_t timer;
+    /*
+     * Members of this node's zone that are not dead, in the view, by rendezvous weight, the live
+     * before others: the first is the zone's watcher, the children of the node at `i` stand from
+     * BEACON_CHILDREN x i + 1 on.
+     */
+    GPtrArray *zone_order;
+    guint own_place;           /* of this node in the order */
+    ts_time_us_t passed_on_us; /* what the last beacon that was passed on confirmed */
+    uint64_t passed_on_revision;
+    unsigned ticks;
+    bool is_mute;           /**< sends nothing; see ts_peers_set_mute */
+    ts_time_us_t pulled_us; /* when changes were last asked for */
+    ts_time_us_t asked_us;  /* when somebody was last asked for everything */
+    unsigned asked_times;
+};
+
+// -- peers.c
+/** Sends a frame to a peer; fills in who it is from. */
+void ts_peers_send(ts_peers_t *peers, const char *address, TsPeer__Frame *frame);
+/** Whether this node follows the configuration service for its zone. */
+bool ts_peers_is_watcher(const ts_peers_t *peers);
+
+// -- peers_store.c: what the configuration service said, passed on
+void ts_peers_send_beacon(ts_peers_t *peers);
+void ts_peers_take_beacon(ts_peers_t *peers, const TsPeer__Frame *frame);
+void ts_peers_take_pull(ts_peers_t *peers, const TsPeer__Frame *frame);
+void ts_peers_take_changes(ts_peers_t *peers, const TsPeer__Changes *changes);
+/** A peer has a newer configuration; asked for only if the zone's watcher is not heard. */
+void ts_peers_hear_config(void *context, const char *name, const char *address, uint64_t version,
+                          uint64_t digest);
+/** Whether this node knows nothing although the service had time to answer. */
+bool ts_peers_is_in_need(const ts_peers_t *peers);
+
+// -- peers_sightings.c
+void ts_peers_take_sighting(ts_peers_t *peers, TsPeer__Sighting *row);
+
+// -- peers_loans.c
+void ts_peers_take_loan(ts_peers_t *peers, const char *address, const TsPeer__Loan *loan);
+
+// -- peers_place.c
+/** Works out anew in which region each member of the view stands. */
+void ts_peers_locate_members(ts_peers_t *peers);
+
+#endif
--- /dev/null
+++ b/src/peers/peers_store.c
@@ -0,0 +1,253 @@
+/** What the zone's watcher read from the configuration service, and how it goes round. */
+#include <string.h>
+
+#include "peers_internal.h"
+#include "tealspar/counters.h"
+
+/* What a watcher knows is older than this: each node follows the service itself. */
+#define CONFIRMED_MAX_US (1500 * TS_US_PER_MS)
+/* A pull that was not answered is asked again after this. */
+#define PULL_AGAIN_US (300 * TS_US_PER_MS)
+/* While nothing is known, somebody is asked this often, once the service had time to answer. */
+#define ASK_AROUND_US (500 * TS_US_PER_MS)
+#define ASK_FIRST_US (400 * TS_US_PER_MS)
+/* A beacon goes down a tree of the zone's nodes, so that no node sends more than this many. */
+#define BEACON_CHILDREN 16U
+/* A beacon is passed on only if it confirms what was last passed on this much later. */
+#define BEACON_NEWER_US (100 * TS_US_PER_MS)
+
+/* To this node's children in the zone's tree. */
+static void send_to_children(ts_peers_t *peers, TsPeer__Frame *frame)
+{
+    guint begin = peers->own_place * BEACON_CHILDREN + 1;
+    for (guint i = begin; i < begin + BEACON_CHILDREN && i < peers->zone_order->len; i++) {
+        const ts_view_member_t *member = g_ptr_array_index(peers->zone_order, i);
+        ts_peers_send(peers, member->address, frame);
+    }
+}
+
+static uint32_t age_ms(const ts_peers_t *peers)
+{
+    ts_time_us_t confirmed_us = ts_store_mirror_confirmed_us(peers->mirror);
+    ts_time_us_t age_us = confirmed_us == 0 ? 0 : ts_clock_now_us() - confirmed_us;
+    ts_time_us_t age = age_us / TS_US_PER_MS;
+    return confirmed_us == 0 || age > UINT32_MAX ? UINT32_MAX : (uint32_t)age;
+}
+
+void ts_peers_send_beacon(ts_peers_t *peers)
+{
+    TsPeer__Beacon beacon = TS_PEER__BEACON__INIT;
+    TsPeer__Frame frame = TS_PEER__FRAME__INIT;
+    beacon.revision = ts_store_mirror_revision(peers->mirror);
+    beacon.age_ms = age_ms(peers);
+    frame.beacon = &beacon;
+    peers->passed_on_us = ts_store_mirror_confirmed_us(peers->mirror);
+    peers->passed_on_revision = beacon.revision;
+    send_to_children(peers, &frame);
+}
+
+static void send_pull(ts_peers_t *peers, const char *address, uint64_t after)
+{
+    TsPeer__Pull pull = TS_PEER__PULL__INIT;
+    TsPeer__Frame frame = TS_PEER__FRAME__INIT;
+    pull.after = after;
+    frame.pull = &pull;
+    ts_peers_send(peers, address, &frame);
+}
+
+static void send_changes(ts_peers_t *peers, const char *address, uint64_t after)
+{
+    bool is_whole = false;
+    GPtrArray *list = ts_store_mirror_changes(peers->mirror, after, &is_whole);
+    TsPeer__Entry *rows = g_new0(TsPeer__Entry, list->len + 1);
+    TsPeer__Entry **pointers = g_new0(TsPeer__Entry *, list->len + 1);
+    for (guint i = 0; i < list->len; i++) {
+        const ts_store_entry_t *entry = g_ptr_array_index(list, i);
+        ts_peer__entry__init(&rows[i]);
+        rows[i].key = entry->key;
+        rows[i].revision = entry->revision;
+        rows[i].gone = entry->is_gone;
+        rows[i].value.data = (uint8_t *)entry->value;
+        rows[i].value.len = entry->length;
+        pointers[i] = &rows[i];
+    }
+    TsPeer__Changes changes = TS_PEER__CHANGES__INIT;
+    TsPeer__Frame frame = TS_PEER__FRAME__INIT;
+    changes.revision = ts_store_mirror_revision(peers->mirror);
+    changes.age_ms = age_ms(peers);
+    changes.is_whole = is_whole;
+    changes.entries = pointers;
+    changes.n_entries = list->len;
+    frame.changes = &changes;
+    ts_peers_send(peers, address, &frame);
+    g_free(pointers);
+    g_free(rows);
+    g_ptr_array_unref(list);
+}
+
+/* When something of that age was confirmed, on this node's clock. */
+static ts_time_us_t confirmed_at(uint32_t age)
+{
+    ts_time_us_t now_us = ts_clock_now_us();
+    ts_time_us_t age_us = (ts_time_us_t)age * TS_US_PER_MS;
+    return age_us < now_us ? now_us - age_us : 0;
+}
+
+/* -- Receiving --------------------------------------------------------------------------------- */
+
+static void pull_from(ts_peers_t *peers, const char *address, uint64_t after)
+{
+    ts_time_us_t now_us = ts_clock_now_us();
+    if (now_us - peers->pulled_us > PULL_AGAIN_US) {
+        peers->pulled_us = now_us;
+        send_pull(peers, address, after);
+    }
+}
+
+bool ts_peers_is_in_need(const ts_peers_t *peers)
+{
+    return ts_store_mirror_is_empty(peers->mirror) &&
+           ts_clock_now_us() - peers->gateway->opened_us > ASK_FIRST_US;
+}
+
+/* Passes on what is known now to this node's children, if it is news since the last time. */
+static void pass_on(ts_peers_t *peers)
+{
+    ts_time_us_t confirmed_us = ts_store_mirror_confirmed_us(peers->mirror);
+    bool is_news = ts_store_mirror_revision(peers->mirror) > peers->passed_on_revision ||
+                   confirmed_us > peers->passed_on_us + BEACON_NEWER_US;
+    if (is_news && !ts_peers_is_watcher(peers)) {
+        ts_peers_send_beacon(peers);
+    }
+}
+
+void ts_peers_take_beacon(ts_peers_t *peers, const TsPeer__Frame *frame)
+{
+    uint64_t own = ts_store_mirror_revision(peers->mirror);
+    if (!ts_store_mirror_is_primed(peers->mirror)) {
+        if (ts_peers_is_in_need(peers)) {
+            pull_from(peers, frame->address, 0);
+        }
+    } else if (frame->beacon->revision > own) {
+        pull_from(peers, frame->address, own);
+    } else if (frame->beacon->revision == own) {
+        ts_store_mirror_confirm(peers->mirror, confirmed_at(frame->beacon->age_ms));
+        pass_on(peers);
+    }
+}
+
+void ts_peers_take_pull(ts_peers_t *peers, const TsPeer__Frame *frame)
+{
+    if (ts_store_mirror_is_primed(peers->mirror)) {
+        send_changes(peers, frame->address, frame->pull->after);
+    }
+}
+
+static GPtrArray *read_entries(const ts_peers_t *peers, const TsPeer__Changes *changes)
+{
+    ts_store_page_t *page = ts_store_page_create();
+    for (size_t i = 0; i < changes->n_entries; i++) {
+        const TsPeer__Entry *row = changes->entries[i];
+        ts_store_entry_t *entry = ts_store_page_add(page);
+        entry->key = g_strdup(row->key);
+        entry->revision = row->revision;
+        entry->is_gone = row->gone;
+        entry->length = row->value.len;
+        entry->value = row->gone ? NULL : g_strndup((const char *)row->value.data, row->value.len);
+        peers->gateway->dialect->name_entry(entry);
+    }
+    GPtrArray *entries = g_ptr_array_ref(page->entries);
+    ts_store_page_free(page);
+    return entries;
+}
+
+void ts_peers_take_changes(ts_peers_t *peers, const TsPeer__Changes *changes)
+{
+    bool is_news = changes->revision >= ts_store_mirror_revision(peers->mirror);
+    if (!changes->is_whole && !ts_store_mirror_is_primed(peers->mirror)) {
+        return;
+    }
+    GPtrArray *entries = read_entries(peers, changes);
+    ts_store_mirror_apply(peers->mirror, entries);
+    if (changes->is_whole && is_news) {
+        GHashTable *keys = g_hash_table_new(g_str_hash, g_str_equal);
+        for (guint i = 0; i < entries->len; i++) {
+            g_hash_table_add(keys, ((ts_store_entry_t *)g_ptr_array_index(entries, i))->key);
+        }
+        ts_store_mirror_keep_only(peers->mirror, keys, changes->revision);
+        g_hash_table_unref(keys);
+    }
+    ts_store_mirror_reach(peers->mirror, changes->revision, confirmed_at(changes->age_ms));
+    ts_count(TS_COUNTER_CONFIG_FROM_PEER, 1);
+    peers->pulled_us = 0;
+    pass_on(peers);
+    g_ptr_array_unref(entries);
+}
+
+void ts_peers_hear_config(void *context, const char *name, const char *address, uint64_t version,
+                          uint64_t digest)
+{
+    ts_peers_t *peers = context;
+    const ts_traffic_t *traffic = peers->gateway->traffic;
+    if (traffic == NULL || version > traffic->version) {
+        pull_from(peers, address,
+                  ts_store_mirror_is_primed(peers->mirror) ? ts_store_mirror_revision(peers->mirror)
+                                                           : 0);
+    }
+}
+
+/* -- Time -------------------------------------------------------------------------------------- */
+
+bool ts_peers_is_relied_on(const ts_peers_t *peers)
+{
+    return peers->zone_order->len > 1 && ts_peers_is_watcher(peers);
+}
+
+bool ts_peers_should_watch(const ts_peers_t *peers, ts_time_us_t now_us)
+{
+    ts_time_us_t confirmed_us = ts_store_mirror_confirmed_us(peers->mirror);
+    return ts_peers_is_watcher(peers) || confirmed_us == 0 ||
+           now_us - confirmed_us > CONFIRMED_MAX_US;
+}
+
+void ts_peers_announce(ts_peers_t *peers)
+{
+    const ts_traffic_t *traffic = peers->gateway->traffic;
+    if (traffic != NULL) {
+        ts_membership_set_config(peers->membership, traffic->version, 0);
+    }
+    if (ts_peers_is_watcher(peers)) {
+        ts_peers_send_beacon(peers);
+    }
+}
+
+/* Somebody else, drawn at random: of this zone and of all zones in turn. */
+static const ts_view_member_t *choose_to_ask(ts_peers_t *peers)
+{
+    bool in_zone = peers->asked_times++ % 2 == 0 && peers->zone_order->len > 1;
+    size_t count = in_zone ? peers->zone_order->len : peers->view->count;
+    size_t begin = ts_gateway_random(peers->gateway) % count;
+    for (size_t i = 0; i < count; i++) {
+        size_t place = (begin + i) % count;
+        const ts_view_member_t *member =
+            in_zone ? g_ptr_array_index(peers->zone_order, place) : &peers->view->members[place];
+        if (!member->is_self) {
+            return member;
+        }
+    }
+    return NULL;
+}
+
+void ts_peers_ask_around(ts_peers_t *peers)
+{
+    ts_time_us_t now_us = ts_clock_now_us();
+    if (now_us - peers->asked_us < ASK_AROUND_US) {
+        return;
+    }
+    const ts_view_member_t *member = choose_to_ask(peers);
+    if (member != NULL) {
+        peers->asked_us = now_us;
+        bool is_primed = ts_store_mirror_is_primed(peers->mirror);
+        send_pull(peers, member->address, is_primed ? ts_store_mirror_revision(peers->mirror) : 0);
+    }
+}
--- a/src/upstream/upstream.c
+++ b/src/upstream/upstream.c
@@ -274,6 +274,8 @@
     compose(connection, exchange->sent_us);
     connection->answer.answers_head = exchange->outgoing->is_head_method;
     ts_count(TS_COUNTER_SENDS, 1);
+    ts_count(TS_COUNTER_SENDS_REGION, connection->instance->distance == TS_DISTANCE_REGION);
+    ts_count(TS_COUNTER_SENDS_FAR, connection->instance->distance == TS_DISTANCE_FAR);
     uv_buf_t buffer = uv_buf_init(connection->sending->str, (unsigned)connection->sending->len);
     int sent = uv_try_write((uv_stream_t *)&connection->socket, &buffer, 1);
     if (sent == (int)buffer.len) {
@@ -461,7 +463,7 @@
 static void close_surplus(const ts_upstream_t *upstream, ts_instance_t *instance,
                           ts_time_us_t now_us)
 {
-    if (upstream->kept == NULL)
+    if (upstream->kept == NULL || instance->idle.length == 0)
         return;
     uint32_t kept = upstream->kept(upstream->kept_ctx, instance, now_us);
     while (instance->idle.length > kept) {
