Other gateways are told of a silent instance only when most late answers have come

A send is overdue at the 90th percentile, so one in ten was, most of them answered a few milliseconds later; all were told, and others went elsewhere for nothing. Change: the gateway itself suspects at the same time as before; others are told three quarters of that time later, if there is still no answer, and that it answers again only if they were told. Test: test_suspicion_is_shared_in_the_zone now asserts that nothing is told at first, then told, then taken back; the change before told at once.

--- a/include/tealspar/registry.h
+++ b/include/tealspar/registry.h
@@ -63,6 +63,7 @@
     ts_time_us_t sent_rate_at_us; /**< when `sent_rate` was last moved */
     ts_time_us_t answered_us;     /**< when its last answer came; 0: never */
     ts_time_us_t suspected_us;    /**< since when something is overdue; 0: not suspected */
+    bool is_suspicion_told;       /**< other nodes were told of the suspicion */
     bool is_suspected_by_peer;    /**< the suspicion was heard, not found here */
     ts_time_us_t tried_us;        /**< last request sent to it while suspected */
     ts_time_us_t avoid_until_us;  /**< after a failed connection or a refusal */
@@ -133,6 +134,8 @@
                              double typical_us);
 /** A request sent at `sent_us` is overdue: the instance is suspected if it said nothing since. */
 void ts_instance_note_overdue(ts_instance_t *instance, ts_time_us_t sent_us, ts_time_us_t now_us);
+/** If the instance is still suspected by this node, the others are told. */
+void ts_instance_tell_overdue(ts_instance_t *instance);
 /** Another node of the region has seen something of the instance. */
 void ts_instance_hear(ts_instance_t *instance, const ts_sighting_t *sighting, ts_time_us_t now_us);
 /** A request is sent to it. */
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -32,6 +32,7 @@
     bool was_refused;         /**< some searcher said that it was full */
     ts_time_us_t overdue_us;  /**< when the latest send is overdue; 0: none is out */
     ts_time_us_t second_us;   /**< when a second send is worth its cost */
+    ts_time_us_t tell_us;     /**< when others are told that its instance is silent; 0: not */
     ts_time_us_t next_try_us; /**< when to look for an instance again; 0: not waiting */
     /* The answer. */
     unsigned status;
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -15,6 +15,8 @@
 #define SECOND_SEND_SAFETY 1.5
 /* The baseline 'fixed-hedge' sends again after this part of the aim. */
 #define FIXED_HEDGE_DIVISOR 5
+/* Others are told of a silent instance this part of the usual time later. */
+#define TELL_LATER 0.75
 #define CONNECTIONS_DEFAULT 4U
 #define CONNECTIONS_MIN 2U
 /* Thirds of an instance's connections that the fleet uses: it takes fewer while its queue is long.
@@ -63,6 +65,7 @@
     part->state = state;
     part->overdue_us = 0;
     part->next_try_us = 0;
+    part->tell_us = 0;
     part->request->parts_in += state == TS_PART_IN;
     part->request->parts_lost += state == TS_PART_LOST;
 }
@@ -240,6 +243,8 @@
     if (!part->was_overdue && policy == TS_LATE_ADAPTIVE) {
         part->was_overdue = true;
         ts_route_state_note_overdue(part->request->state);
+        part->tell_us =
+            now_us + (ts_time_us_t)(TELL_LATER * ts_route_state_overdue_us(part->request->state));
         ts_instance_note_overdue(ts_exchange_instance(latest), sent_us == 0 ? now_us : sent_us,
                                  now_us);
     }
@@ -257,6 +262,15 @@
     }
 }
 
+/* Others are told of an instance that is still silent when most late answers have come. */
+static void tell_overdue(const ts_request_part_t *part)
+{
+    for (unsigned i = 0; i < part->sends; i++) {
+        if (part->exchanges[i] != NULL)
+            ts_instance_tell_overdue(ts_exchange_instance(part->exchanges[i]));
+    }
+}
+
 void ts_part_check(ts_request_part_t *part, ts_time_us_t now_us)
 {
     if (part->state != TS_PART_OPEN) {
@@ -265,6 +279,10 @@
     if (part->overdue_us != 0 && now_us >= part->overdue_us) {
         check_overdue(part, now_us);
     }
+    if (part->tell_us != 0 && now_us >= part->tell_us) {
+        part->tell_us = 0;
+        tell_overdue(part);
+    }
     if (part->next_try_us == 0 || now_us < part->next_try_us) {
         return;
     }
@@ -277,15 +295,17 @@
     }
 }
 
+/* The earlier of two times, of which 0 means never. */
+static ts_time_us_t earlier(ts_time_us_t a, ts_time_us_t b)
+{
+    return a == 0 || b == 0 ? a + b : MIN(a, b);
+}
+
 ts_time_us_t ts_part_due_us(const ts_request_part_t *part)
 {
-    if (part->state != TS_PART_OPEN) {
+    if (part->state != TS_PART_OPEN)
         return 0;
-    }
-    if (part->overdue_us == 0 || part->next_try_us == 0) {
-        return part->overdue_us + part->next_try_us;
-    }
-    return part->overdue_us < part->next_try_us ? part->overdue_us : part->next_try_us;
+    return earlier(earlier(part->overdue_us, part->next_try_us), part->tell_us);
 }
 
 /* Keeps the fields of an answer that go on to the caller. */
--- a/src/registry/instance_health.c
+++ b/src/registry/instance_health.c
@@ -131,9 +131,9 @@
         ts_log(TS_EVENT_BACKEND_SUSPECT, "instance=%s state=answers after_ms=%lu", instance->id,
                (unsigned long)((now_us - instance->suspected_us) / TS_US_PER_MS));
         instance->suspected_us = 0;
-        if (!instance->is_suspected_by_peer) {
+        if (instance->is_suspicion_told)
             tell_suspected(instance, false);
-        }
+        instance->is_suspicion_told = false;
     }
     if (typical_us > 0) {
         note_span(instance, span_us, span_us / typical_us, now_us);
@@ -149,12 +149,21 @@
     instance->suspected_us = now_us;
     instance->is_suspected_by_peer = false;
     instance->tried_us = now_us;
-    tell_suspected(instance, true);
+    instance->is_suspicion_told = false;
     ts_count(TS_COUNTER_INSTANCES_SUSPECTED, 1);
     ts_log(TS_EVENT_BACKEND_SUSPECT, "instance=%s state=suspected overdue_ms=%lu", instance->id,
            (unsigned long)((now_us - sent_us) / TS_US_PER_MS));
 }
 
+void ts_instance_tell_overdue(ts_instance_t *instance)
+{
+    bool is_own = instance->suspected_us != 0 && !instance->is_suspected_by_peer;
+    if (!is_own || instance->is_suspicion_told)
+        return;
+    instance->is_suspicion_told = true;
+    tell_suspected(instance, true);
+}
+
 static void hear_suspected(ts_instance_t *instance, ts_time_us_t now_us)
 {
     bool answered_lately =
--- a/tests/gateway/test_peers.c
+++ b/tests/gateway/test_peers.c
@@ -133,6 +133,9 @@
     ts_instance_t *far = ts_registry_instance(fleet.nodes[3]->registry, "i-1");
     ts_time_us_t now_us = ts_clock_now_us();
     ts_instance_note_overdue(own, now_us - 50 * TS_US_PER_MS, now_us);
+    world_run_ms(fleet.world, 100);
+    assert_true(theirs->suspected_us == 0); /* most late answers come soon: not told yet */
+    ts_instance_tell_overdue(own);
     for (int i = 0; i < 100 && theirs->suspected_us == 0; i++) {
         world_run_ms(fleet.world, 5);
     }
