Four fifths of the slack of extra sends are used once the fleet has been known for a while

Change: half while the view has grown in the last 15 s, four fifths after; the most nodes ever seen still divide it. Test: the share of the slack grows after the view has rested, and stays below the even share.

--- a/include/tealspar/gateway.h
+++ b/include/tealspar/gateway.h
@@ -28,9 +28,10 @@
     ts_upstream_t *upstream;
     ts_store_mirror_t *mirror;
     ts_store_watch_t *store;
-    ts_peers_t *peers;   /**< NULL: this node is alone */
-    unsigned nodes;      /**< among which limits are divided */
-    unsigned nodes_seen; /**< the most that were live at once */
+    ts_peers_t *peers;     /**< NULL: this node is alone */
+    unsigned nodes;        /**< among which limits are divided */
+    unsigned nodes_seen;   /**< the most that were live at once */
+    ts_time_us_t grown_us; /**< when `nodes_seen` last grew */
     ts_time_us_t opened_us;
     ts_listener_t *callers;
     ts_listener_t *ready;
--- a/src/edge/gateway.c
+++ b/src/edge/gateway.c
@@ -14,8 +14,13 @@
 #define STATUS_OK 200
 #define STATUS_NOT_FOUND 404
 #define STATUS_UNAVAILABLE 503
-/* A node takes this part of its share of the slack, as others may count fewer nodes than it. */
-#define SLACK_DIVISOR 2.0
+/*
+ * A node takes this part of its even share of the slack: half while it is not sure how many nodes
+ * there are, as others may count fewer than it, and more once it has known the fleet for a while.
+ */
+#define SLACK_PART_UNSURE 0.5
+#define SLACK_PART_SURE 0.8
+#define SURE_US (15 * TS_US_PER_S)
 /*
  * Limits are divided among at least this many nodes; among more while the node is young, as those
  * that are there may not be known yet.
@@ -149,12 +154,16 @@
 void ts_gateway_set_nodes(ts_gateway_t *gateway, unsigned nodes)
 {
     /* Nodes that are down come back with full rights: the most that were seen counts. */
+    if (nodes > gateway->nodes_seen)
+        gateway->grown_us = ts_clock_now_us();
     gateway->nodes_seen = MAX(MAX(gateway->nodes_seen, nodes), NODES_LEAST);
     unsigned unsure = NODES_UNSURE_A_ZONE * gateway->settings->zones_count;
     unsure = MAX(unsure, NODES_UNSURE_LEAST);
     bool is_young = ts_clock_now_us() - gateway->opened_us < UNSURE_US;
     gateway->nodes = is_young ? MAX(gateway->nodes_seen, unsure) : gateway->nodes_seen;
-    gateway->rule.slack_share = gateway->settings->retry_slack / (SLACK_DIVISOR * gateway->nodes);
+    bool is_sure = ts_clock_now_us() - gateway->grown_us > SURE_US;
+    double part = is_sure ? SLACK_PART_SURE : SLACK_PART_UNSURE;
+    gateway->rule.slack_share = part * gateway->settings->retry_slack / gateway->nodes;
 }
 
 static void apply_settings(ts_gateway_t *gateway)
@@ -207,6 +216,7 @@
     gateway->loop = loop;
     gateway->settings = settings;
     gateway->opened_us = ts_clock_now_us();
+    gateway->grown_us = gateway->opened_us;
     gateway->dialect = ts_plugin_find(TS_PLUGIN_DIALECT, settings->dialect);
     gateway->zones = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     gateway->route_states =
--- a/tests/gateway/test_peers.c
+++ b/tests/gateway/test_peers.c
@@ -158,7 +158,11 @@
     }
     double share = fleet.nodes[0]->rule.slack_share;
     assert_int_equal(fleet.nodes[0]->nodes, NODES);
-    assert_true(share <= 60.0 / NODES);
+    assert_true(share <= 0.5 * 60.0 / NODES); /* the fleet grew lately */
+    fleet.nodes[0]->grown_us -= 60 * TS_US_PER_S;
+    ts_gateway_sweep(fleet.nodes[0]);
+    assert_true(fleet.nodes[0]->rule.slack_share > share);
+    assert_true(fleet.nodes[0]->rule.slack_share < 60.0 / NODES);
     world_add_gateway(fleet.world, "m5", "z2", world_next_port(), fleet.ports[0],
                       fleet.world->store_port);
     for (int i = 0; i < 300 && fleet.nodes[0]->nodes < 5; i++) {
