A denied part takes a loan that comes later; refusals for want of back ends say when these return

A part of a gathered request whose send failed and whose second was denied by the budget was lost at once, although a loan was on its way: it now looks again every 15 ms while other parts are out anyway and enough of them, and holds up nothing. A request refused because a service has no back ends at all (the configuration service lost their entries) is told to come back after 1.2 s, when they enter themselves again, instead of 0.4 s. Test: loan_comes_later (one part missing before, none after). The soak stops what it started when it is told to end. Lint: a return value looked at.

--- a/lab/soak.c
+++ b/lab/soak.c
@@ -5,6 +5,7 @@
 #include <jansson.h>
 #include <signal.h>
 #include <stdarg.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "tealspar/command.h"
@@ -59,6 +60,28 @@
     uv_stop(timer->loop);
 }
 
+// Told to end: what was started is stopped, and the soak has failed.
+static void interrupt(uv_signal_t *handle, int number)
+{
+    soak_t *s = handle->data;
+    soak_broken(s, "HARNESS", "interrupted by signal %d", number);
+    for (unsigned i = 0; i < s->options.nodes; i++)
+        soak_node_signal(&s->nodes[i], SIGKILL);
+    uv_run(&s->loop, UV_RUN_NOWAIT);
+    exit(TS_EXIT_FAILURE);
+}
+
+static void watch_signals(soak_t *s)
+{
+    static uv_signal_t handles[2];
+    static const int numbers[] = {SIGTERM, SIGINT};
+    for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
+        uv_signal_init(&s->loop, &handles[i]);
+        handles[i].data = s;
+        uv_signal_start(&handles[i], interrupt, numbers[i]);
+    }
+}
+
 static void run_ms(soak_t *s, uint64_t span_ms)
 {
     uv_timer_t timer;
@@ -187,6 +210,7 @@
     signal(SIGPIPE, SIG_IGN);
     ts_log_open("soak", TS_LOG_TEXT, G_LOG_LEVEL_CRITICAL);
     uv_loop_init(&s.loop);
+    watch_signals(&s);
     if (!open_timeline(&s) || !soak_world_open(&s)) {
         fprintf(stderr, "soak: cannot set up\n");
         return TS_EXIT_USAGE;
--- a/lab/soak_world.c
+++ b/lab/soak_world.c
@@ -62,10 +62,10 @@
     socklen_t length = sizeof(address);
     int fd = socket(AF_INET, SOCK_STREAM, 0);
     inet_pton(AF_INET, ip, &address.sin_addr);
-    bind(fd, (const struct sockaddr *)&address, length);
-    getsockname(fd, (struct sockaddr *)&address, &length);
+    bool is_bound = bind(fd, (const struct sockaddr *)&address, length) == 0 &&
+                    getsockname(fd, (struct sockaddr *)&address, &length) == 0;
     close(fd);
-    return ntohs(address.sin_port);
+    return is_bound ? ntohs(address.sin_port) : 0;
 }
 
 static bool open_link(soak_t *s, soak_link_t *link, const char *ip, unsigned target_port)
--- a/src/edge/answer.c
+++ b/src/edge/answer.c
@@ -12,6 +12,8 @@
 #define STATUS_UNAVAILABLE 503
 #define STATUS_GATEWAY_TIMEOUT 504
 #define RETRY_AFTER_MS 150
+/* Back ends that the registry lost enter themselves again at their next sign of life. */
+#define NO_INSTANCE_RETRY_MS 1200
 #define OVERLOAD_RETRY_MS 400
 /* Later still by the share of requests that are refused at present. */
 #define OVERLOAD_RETRY_MORE_MS 1200
@@ -157,12 +159,24 @@
     return error == TS_E_DEADLINE ? STATUS_GATEWAY_TIMEOUT : STATUS_BAD_GATEWAY;
 }
 
+/* Whether some service of the request has no instance at all, as after a service that lost them. */
+static bool lacks_instances(const ts_request_t *request)
+{
+    for (unsigned i = 0; i < request->parts_count; i++) {
+        if (request->parts[i].service->instances->len == 0)
+            return true;
+    }
+    return false;
+}
+
 /* When a caller may come back: later, and spread out, when there is more work than can be done. */
 static uint32_t retry_after_ms(const ts_request_t *request, ts_error_t error)
 {
     if (error != TS_E_OVERLOAD) {
         return RETRY_AFTER_MS;
     }
+    if (lacks_instances(request))
+        return NO_INSTANCE_RETRY_MS + ts_gateway_random(request->gateway) % RETRY_AFTER_MS;
     unsigned priority = MIN(request->route->priority, TS_PRIORITIES - 1);
     double refused = request->parts[0].service->refused[priority];
     return OVERLOAD_RETRY_MS + ts_gateway_random(request->gateway) % OVERLOAD_RETRY_MS +
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -262,6 +262,34 @@
     }
 }
 
+/*
+ * A denied part may still get a loan. The request does not wait for it alone: enough others must be
+ * in or under way, so that it holds nothing up.
+ */
+static bool may_wait_for_budget(const ts_request_part_t *part)
+{
+    const ts_request_t *request = part->request;
+    unsigned others = request->parts_count - request->parts_lost - 1;
+    return part->was_denied && others >= ts_request_parts_needed(request) &&
+           request->parts_in < others;
+}
+
+/* Nothing is out and nothing can be sent now: the part looks again soon, or is lost. */
+static void wait_or_lose(ts_request_part_t *part, ts_time_us_t now_us)
+{
+    ts_replica_input_t input = choice_input(part, now_us);
+    bool is_worth_waiting =
+        ts_replica_is_worth_waiting(part->service, &input, part->tried, part->sends);
+    part->overdue_us = 0;
+    if (may_send_again(part) && (is_worth_waiting || may_wait_for_budget(part))) {
+        part->next_try_us = now_us + LOOK_AGAIN_US;
+        return;
+    }
+    log_decision(part, TS_EVENT_PART_LOST, "no_send_left", NULL, now_us);
+    ts_count(TS_COUNTER_PARTS_LOST, 1);
+    set_state(part, TS_PART_LOST);
+}
+
 /* Others are told of an instance that is still silent when most late answers have come. */
 static void tell_overdue(const ts_request_part_t *part)
 {
@@ -289,7 +317,7 @@
     if (part->sends == 0) {
         ts_part_send_first(part);
     } else if (!send_again(part, now_us, G_MAXDOUBLE, "failed")) {
-        part->next_try_us = now_us + LOOK_AGAIN_US;
+        wait_or_lose(part, now_us);
     } else {
         ts_count(TS_COUNTER_RETRIES, 1);
     }
@@ -352,16 +380,7 @@
         ts_count(TS_COUNTER_RETRIES, 1);
         return;
     }
-    part->overdue_us = 0;
-    ts_replica_input_t input = choice_input(part, now_us);
-    if (may_send_again(part) &&
-        ts_replica_is_worth_waiting(part->service, &input, part->tried, part->sends)) {
-        part->next_try_us = now_us + LOOK_AGAIN_US;
-        return;
-    }
-    log_decision(part, TS_EVENT_PART_LOST, "no_send_left", NULL, now_us);
-    ts_count(TS_COUNTER_PARTS_LOST, 1);
-    set_state(part, TS_PART_LOST);
+    wait_or_lose(part, now_us);
 }
 
 /* What an answer that is not a success means for the part. */
--- a/tests/scripted/run_script.c
+++ b/tests/scripted/run_script.c
@@ -18,6 +18,7 @@
  * request; prints what the caller gets begin TAG NAME ID / end TAG   the same in two steps runs ID
  * how many requests the searcher ran connections ID                how many connections it accepted
  *   runs_of SERVICE               over all searchers of the service
+ *   borrow SERVICE N              another gateway grants extra sends
  *   wait MS                       lets time pass
  */
 #include "../gateway/world.h"
@@ -230,6 +231,12 @@
     g_string_append_printf(s->out, "%u\n", runs);
 }
 
+static void borrow(script_t *s, char **words, guint n)
+{
+    ts_service_t *service = ts_registry_service(s->world->gateway.registry, words[1]);
+    ts_retry_budget_borrow(&service->budget, (uint32_t)atoi(words[2]), ts_clock_now_us());
+}
+
 static void pass_time(script_t *s, char **words, guint n)
 {
     world_run_ms(s->world, (unsigned)atoi(words[1]));
@@ -258,6 +265,7 @@
     {"connections", 2, print_connections},
     {"runs_of", 2, print_runs_of},
     {"wait", 2, pass_time},
+    {"borrow", 3, borrow},
 };
 
 static void run_line(script_t *s, const char *line)
