--- a/lab/sim.c
+++ b/lab/sim.c
@@ -349,11 +349,6 @@
     sim->nodes[node].is_isolated = is_isolated;
 }
 
-unsigned lab_sim_node_count(const lab_sim_t *sim)
-{
-    return sim->node_count;
-}
-
 bool lab_sim_is_running(const lab_sim_t *sim, unsigned node)
 {
     return sim->nodes[node].is_running;
--- a/lab/sim.h
+++ b/lab/sim.h
@@ -64,7 +64,6 @@
 /** Fresh random bits of the simulation's own stream. */
 uint64_t lab_sim_random(lab_sim_t *sim);
 
-unsigned lab_sim_node_count(const lab_sim_t *sim);
 bool lab_sim_is_running(const lab_sim_t *sim, unsigned node);
 /** Calls `fire` at a virtual time. */
 void lab_sim_at(lab_sim_t *sim, ts_time_us_t at_us, void (*fire)(void *context), void *context);
@@ -87,7 +86,6 @@
     LAB_SIM_SHEDDING,
     LAB_SIM_DEAD
 } lab_sim_searcher_state_t;
-unsigned lab_sim_searcher_count(const lab_sim_t *sim);
 void lab_sim_set_searcher(lab_sim_t *sim, unsigned searcher, lab_sim_searcher_state_t state);
 void lab_sim_slow_searcher(lab_sim_t *sim, unsigned searcher, double factor);
 void lab_sim_set_snapshot(lab_sim_t *sim, unsigned searcher, uint64_t snapshot, bool keep_previous);
--- a/lab/sim_world.c
+++ b/lab/sim_world.c
@@ -346,11 +346,6 @@
 
 /* ---- faults of searchers ---- */
 
-unsigned lab_sim_searcher_count(const lab_sim_t *sim)
-{
-    return sim->declarations->backends_count;
-}
-
 void lab_sim_set_searcher(lab_sim_t *sim, unsigned index, lab_sim_searcher_state_t state)
 {
     if (sim->searchers[index].state != state) {
