--- a/lab/soak.c
+++ b/lab/soak.c
@@ -12,7 +12,7 @@
 #include "tealspar/log.h"
 #include "tealspar/plugin.h"
 
-#define TABLE_SIZE 10
+#define TABLE_SIZE 11
 #define ERRORS_MAX 8
 #define SECONDS_DEFAULT 60
 #define NODES_DEFAULT 5
@@ -23,6 +23,7 @@
 #define RECOVER_REQUESTS 100
 #define RECOVER_SHARE 0.98
 #define LOOK_MS 100
+#define REPORT_DIGITS 4
 #define RETRY_RATIO 0.2
 #define RETRY_SLACK 60
 #define WINDOW_US (10 * TS_US_PER_S)
@@ -165,6 +166,21 @@
     run_ms(s, LOOK_MS);
 }
 
+static gint compare_times(gconstpointer left, gconstpointer right)
+{
+    const ts_time_us_t a = *(const ts_time_us_t *)left;
+    const ts_time_us_t b = *(const ts_time_us_t *)right;
+    return (a > b) - (a < b);
+}
+
+// A quantile of the latencies, which are sorted, in milliseconds.
+static double latency_ms(const soak_t *s, double share)
+{
+    guint n = s->latencies->len;
+    guint at = n == 0 ? 0 : MIN((guint)(share * n), n - 1);
+    return n == 0 ? 0 : (double)g_array_index(s->latencies, ts_time_us_t, at) / TS_US_PER_MS;
+}
+
 static void print_report(const soak_t *s)
 {
     GHashTableIter it;
@@ -181,7 +197,10 @@
         "searchers", (int)s->searchers_made, "requests", (int)s->asked, "ok", (int)s->answered[2],
         "refused_or_failed", (int)s->answered[5], "no_answer", (int)s->answered[0],
         "promises_broken", (int)s->promises_broken, "broken", broken);
-    char *text = json_dumps(report, JSON_COMPACT);
+    g_array_sort(s->latencies, compare_times);
+    json_object_set_new(report, "p50_ms", json_real(latency_ms(s, 0.5)));
+    json_object_set_new(report, "p99_ms", json_real(latency_ms(s, 0.99)));
+    char *text = json_dumps(report, JSON_COMPACT | JSON_REAL_PRECISION(REPORT_DIGITS));
     printf("%s\n", text);
     g_free(text);
     json_decref(report);
@@ -206,6 +225,7 @@
     s.records = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     s.instances = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     s.broken = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    s.latencies = g_array_new(FALSE, FALSE, sizeof(ts_time_us_t));
     s.begun_us = ts_clock_now_us();
     signal(SIGPIPE, SIG_IGN);
     ts_log_open("soak", TS_LOG_TEXT, G_LOG_LEVEL_CRITICAL);
@@ -242,9 +262,11 @@
     struct arg_lit *calm = arg_lit0(NULL, "calm", "no faults");
     struct arg_lit *plant =
         arg_lit0(NULL, "plant", "tell gateways neither drains nor versions: checks must fail");
+    struct arg_lit *stalled =
+        arg_lit0(NULL, "stalled-logs", "nobody reads what the gateways write");
     struct arg_end *end = arg_end(ERRORS_MAX);
-    void *table[TABLE_SIZE] = {help,   seconds,   seed, nodes, program,
-                               skewed, directory, calm, plant, end};
+    void *table[TABLE_SIZE] = {help,      seconds, seed,  nodes,   program, skewed,
+                               directory, calm,    plant, stalled, end};
     int exit_code = TS_EXIT_OK;
     if (ts_command_parse(argc, argv, table, TABLE_SIZE, "gateways under random faults",
                          &exit_code)) {
@@ -257,7 +279,8 @@
             .skewed_program = skewed->count > 0 ? skewed->filename[0] : NULL,
             .directory = directory->filename[0],
             .is_calm = calm->count > 0,
-            .is_planted = plant->count > 0};
+            .is_planted = plant->count > 0,
+            .is_log_stalled = stalled->count > 0};
         exit_code = run_soak(&options);
     }
     arg_freetable(table, TABLE_SIZE);
--- a/lab/soak.h
+++ b/lab/soak.h
@@ -90,7 +90,8 @@
     const char *program;
     const char *skewed_program; // the same with a time of day that is off; NULL: none
     const char *directory;
-    bool is_calm;    // no faults
+    bool is_calm;        // no faults
+    bool is_log_stalled; // gateways write their lines into pipes that nobody reads
     bool is_planted; // drains and versions are not told, retries count as doubled runs: the checks
                      // must see
 } soak_options_t;
@@ -115,6 +116,7 @@
     soak_budget_log_t budgets[SOAK_SERVICES];
     unsigned asked;
     unsigned answered[6]; // by hundreds of the status; 0: no answer
+    GArray *latencies;    // of ts_time_us_t, of requests answered with success
     unsigned promises_broken;
     GHashTable *broken; // name of a promise -> count
     unsigned requests_open;
--- a/lab/soak_caller.c
+++ b/lab/soak_caller.c
@@ -55,7 +55,10 @@
     soak_t *s = visit->s;
     visit->is_over = true;
     s->requests_open--;
+    ts_time_us_t span_us = ts_clock_now_us() - visit->sent_us;
     s->answered[status / 100 < 6 ? status / 100 : 0]++;
+    if (status == 200)
+        g_array_append_val(s->latencies, span_us);
     if (visit->on_done != NULL)
         visit->on_done(s, status);
     uv_close((uv_handle_t *)&visit->socket, handle_closed);
--- a/lab/soak_world.c
+++ b/lab/soak_world.c
@@ -15,6 +15,8 @@
 #define RETRY_SLACK 60
 #define DRAIN_MS 3000
 #define GRACE_MS 6000
+// What a pipe that nobody reads holds: a few lines.
+#define STALLED_BYTES 4096
 #define ZONES 2
 #define ROUTE_TIMEOUT_MS 1500
 
@@ -271,6 +273,16 @@
     g_string_free(seeds, TRUE);
 }
 
+// The writing end of a pipe that nobody reads; the other end stays open.
+static int open_stalled(void)
+{
+    int ends[2] = {-1, -1};
+    if (pipe2(ends, O_CLOEXEC) != 0)
+        return -1;
+    (void)fcntl(ends[1], F_SETPIPE_SZ, STALLED_BYTES);
+    return ends[1];
+}
+
 bool soak_node_start(soak_node_t *node)
 {
     const soak_options_t *options = &node->soak->options;
@@ -280,7 +292,9 @@
     char skew[48];
     g_snprintf(skew, sizeof(skew), "LAB_CLOCK_SKEW_MS=%d", node->clock_skew_ms);
     char *environment[] = {skew, NULL};
-    int log = open(node->log_path, O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0644);
+    int log = options->is_log_stalled
+                  ? open_stalled()
+                  : open(node->log_path, O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0644);
     uv_stdio_container_t stdio[3] = {{.flags = UV_IGNORE},
                                      {.flags = UV_INHERIT_FD, .data.fd = log},
                                      {.flags = UV_INHERIT_FD, .data.fd = log}};
