--- a/tests/scripted/run_script.c
+++ b/tests/scripted/run_script.c
@@ -23,6 +23,8 @@
  */
 #include "../gateway/world.h"
 
+#include "../../platform/names.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -170,20 +172,27 @@
     return visit;
 }
 
-static void print_field(script_t *s, const visit_t *visit, const char *name, bool with_value)
+static void print_missing(script_t *s, const visit_t *visit)
+{
+    const char *value = ts_http_message_find(&visit->answer, NAME_MISSING_PARTS);
+    if (value != NULL)
+        g_string_append_printf(s->out, " missing %s", value);
+}
+
+// In whole seconds, as the time to come back is spread.
+static void print_retry_after(script_t *s, const visit_t *visit)
 {
-    const char *value = ts_http_message_find(&visit->answer, name);
+    const char *value = ts_http_message_find(&visit->answer, NAME_RETRY_AFTER);
     if (value != NULL)
-        g_string_append_printf(s->out, " %s%s%s", name, with_value ? "=" : "",
-                               with_value ? value : "");
+        g_string_append_printf(s->out, " retry after %d s and more", atoi(value));
 }
 
 static void end_visit(script_t *s, visit_t *visit)
 {
     unsigned status = visit_await(s->world, visit);
     g_string_append_printf(s->out, "status %u", status);
-    print_field(s, visit, "X-Missing-Parts", true);
-    print_field(s, visit, "Retry-After", false);
+    print_missing(s, visit);
+    print_retry_after(s, visit);
     g_string_append_c(s->out, '\n');
     visit_close(visit);
 }
