--- a/src/proto/tealspar.pb-c.c
+++ b/src/proto/tealspar.pb-c.c
@@ -7,783 +7,1265 @@
 #endif
 
 #include "tealspar.pb-c.h"
-void ts_wire__hit__init(TsWire__Hit *message)
+void   ts_wire__hit__init
+                     (TsWire__Hit         *message)
 {
-    static const TsWire__Hit init_value = TS_WIRE__HIT__INIT;
-    *message = init_value;
+  static const TsWire__Hit init_value = TS_WIRE__HIT__INIT;
+  *message = init_value;
 }
-size_t ts_wire__hit__get_packed_size(const TsWire__Hit *message)
+size_t ts_wire__hit__get_packed_size
+                     (const TsWire__Hit *message)
 {
-    assert(message->base.descriptor == &ts_wire__hit__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &ts_wire__hit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t ts_wire__hit__pack(const TsWire__Hit *message, uint8_t *out)
+size_t ts_wire__hit__pack
+                     (const TsWire__Hit *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &ts_wire__hit__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &ts_wire__hit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t ts_wire__hit__pack_to_buffer(const TsWire__Hit *message, ProtobufCBuffer *buffer)
+size_t ts_wire__hit__pack_to_buffer
+                     (const TsWire__Hit *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &ts_wire__hit__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &ts_wire__hit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-TsWire__Hit *ts_wire__hit__unpack(ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+TsWire__Hit *
+       ts_wire__hit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (TsWire__Hit *)protobuf_c_message_unpack(&ts_wire__hit__descriptor, allocator, len,
-                                                    data);
+  return (TsWire__Hit *)
+     protobuf_c_message_unpack (&ts_wire__hit__descriptor,
+                                allocator, len, data);
 }
-void ts_wire__hit__free_unpacked(TsWire__Hit *message, ProtobufCAllocator *allocator)
+void   ts_wire__hit__free_unpacked
+                     (TsWire__Hit *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &ts_wire__hit__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ts_wire__hit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void ts_wire__part__init(TsWire__Part *message)
+void   ts_wire__part__init
+                     (TsWire__Part         *message)
 {
-    static const TsWire__Part init_value = TS_WIRE__PART__INIT;
-    *message = init_value;
+  static const TsWire__Part init_value = TS_WIRE__PART__INIT;
+  *message = init_value;
 }
-size_t ts_wire__part__get_packed_size(const TsWire__Part *message)
+size_t ts_wire__part__get_packed_size
+                     (const TsWire__Part *message)
 {
-    assert(message->base.descriptor == &ts_wire__part__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &ts_wire__part__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t ts_wire__part__pack(const TsWire__Part *message, uint8_t *out)
+size_t ts_wire__part__pack
+                     (const TsWire__Part *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &ts_wire__part__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &ts_wire__part__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t ts_wire__part__pack_to_buffer(const TsWire__Part *message, ProtobufCBuffer *buffer)
+size_t ts_wire__part__pack_to_buffer
+                     (const TsWire__Part *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &ts_wire__part__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &ts_wire__part__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-TsWire__Part *ts_wire__part__unpack(ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+TsWire__Part *
+       ts_wire__part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (TsWire__Part *)protobuf_c_message_unpack(&ts_wire__part__descriptor, allocator, len,
-                                                     data);
+  return (TsWire__Part *)
+     protobuf_c_message_unpack (&ts_wire__part__descriptor,
+                                allocator, len, data);
 }
-void ts_wire__part__free_unpacked(TsWire__Part *message, ProtobufCAllocator *allocator)
+void   ts_wire__part__free_unpacked
+                     (TsWire__Part *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &ts_wire__part__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ts_wire__part__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void ts_wire__subrequests__init(TsWire__Subrequests *message)
+void   ts_wire__subrequests__init
+                     (TsWire__Subrequests         *message)
 {
-    static const TsWire__Subrequests init_value = TS_WIRE__SUBREQUESTS__INIT;
-    *message = init_value;
+  static const TsWire__Subrequests init_value = TS_WIRE__SUBREQUESTS__INIT;
+  *message = init_value;
 }
-size_t ts_wire__subrequests__get_packed_size(const TsWire__Subrequests *message)
+size_t ts_wire__subrequests__get_packed_size
+                     (const TsWire__Subrequests *message)
 {
-    assert(message->base.descriptor == &ts_wire__subrequests__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &ts_wire__subrequests__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t ts_wire__subrequests__pack(const TsWire__Subrequests *message, uint8_t *out)
+size_t ts_wire__subrequests__pack
+                     (const TsWire__Subrequests *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &ts_wire__subrequests__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &ts_wire__subrequests__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t ts_wire__subrequests__pack_to_buffer(const TsWire__Subrequests *message,
-                                            ProtobufCBuffer *buffer)
+size_t ts_wire__subrequests__pack_to_buffer
+                     (const TsWire__Subrequests *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &ts_wire__subrequests__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &ts_wire__subrequests__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-TsWire__Subrequests *ts_wire__subrequests__unpack(ProtobufCAllocator *allocator, size_t len,
-                                                  const uint8_t *data)
+TsWire__Subrequests *
+       ts_wire__subrequests__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (TsWire__Subrequests *)protobuf_c_message_unpack(&ts_wire__subrequests__descriptor,
-                                                            allocator, len, data);
+  return (TsWire__Subrequests *)
+     protobuf_c_message_unpack (&ts_wire__subrequests__descriptor,
+                                allocator, len, data);
 }
-void ts_wire__subrequests__free_unpacked(TsWire__Subrequests *message,
-                                         ProtobufCAllocator *allocator)
+void   ts_wire__subrequests__free_unpacked
+                     (TsWire__Subrequests *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &ts_wire__subrequests__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ts_wire__subrequests__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void ts_wire__subreply__init(TsWire__Subreply *message)
+void   ts_wire__subreply__init
+                     (TsWire__Subreply         *message)
 {
-    static const TsWire__Subreply init_value = TS_WIRE__SUBREPLY__INIT;
-    *message = init_value;
+  static const TsWire__Subreply init_value = TS_WIRE__SUBREPLY__INIT;
+  *message = init_value;
 }
-size_t ts_wire__subreply__get_packed_size(const TsWire__Subreply *message)
+size_t ts_wire__subreply__get_packed_size
+                     (const TsWire__Subreply *message)
 {
-    assert(message->base.descriptor == &ts_wire__subreply__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &ts_wire__subreply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t ts_wire__subreply__pack(const TsWire__Subreply *message, uint8_t *out)
+size_t ts_wire__subreply__pack
+                     (const TsWire__Subreply *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &ts_wire__subreply__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &ts_wire__subreply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t ts_wire__subreply__pack_to_buffer(const TsWire__Subreply *message, ProtobufCBuffer *buffer)
+size_t ts_wire__subreply__pack_to_buffer
+                     (const TsWire__Subreply *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &ts_wire__subreply__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &ts_wire__subreply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-TsWire__Subreply *ts_wire__subreply__unpack(ProtobufCAllocator *allocator, size_t len,
-                                            const uint8_t *data)
+TsWire__Subreply *
+       ts_wire__subreply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (TsWire__Subreply *)protobuf_c_message_unpack(&ts_wire__subreply__descriptor, allocator,
-                                                         len, data);
+  return (TsWire__Subreply *)
+     protobuf_c_message_unpack (&ts_wire__subreply__descriptor,
+                                allocator, len, data);
 }
-void ts_wire__subreply__free_unpacked(TsWire__Subreply *message, ProtobufCAllocator *allocator)
+void   ts_wire__subreply__free_unpacked
+                     (TsWire__Subreply *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &ts_wire__subreply__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ts_wire__subreply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void ts_wire__member__init(TsWire__Member *message)
+void   ts_wire__member__init
+                     (TsWire__Member         *message)
 {
-    static const TsWire__Member init_value = TS_WIRE__MEMBER__INIT;
-    *message = init_value;
+  static const TsWire__Member init_value = TS_WIRE__MEMBER__INIT;
+  *message = init_value;
 }
-size_t ts_wire__member__get_packed_size(const TsWire__Member *message)
+size_t ts_wire__member__get_packed_size
+                     (const TsWire__Member *message)
 {
-    assert(message->base.descriptor == &ts_wire__member__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &ts_wire__member__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t ts_wire__member__pack(const TsWire__Member *message, uint8_t *out)
+size_t ts_wire__member__pack
+                     (const TsWire__Member *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &ts_wire__member__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &ts_wire__member__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t ts_wire__member__pack_to_buffer(const TsWire__Member *message, ProtobufCBuffer *buffer)
+size_t ts_wire__member__pack_to_buffer
+                     (const TsWire__Member *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &ts_wire__member__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &ts_wire__member__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-TsWire__Member *ts_wire__member__unpack(ProtobufCAllocator *allocator, size_t len,
-                                        const uint8_t *data)
+TsWire__Member *
+       ts_wire__member__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (TsWire__Member *)protobuf_c_message_unpack(&ts_wire__member__descriptor, allocator, len,
-                                                       data);
+  return (TsWire__Member *)
+     protobuf_c_message_unpack (&ts_wire__member__descriptor,
+                                allocator, len, data);
 }
-void ts_wire__member__free_unpacked(TsWire__Member *message, ProtobufCAllocator *allocator)
+void   ts_wire__member__free_unpacked
+                     (TsWire__Member *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &ts_wire__member__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ts_wire__member__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void ts_wire__gossip__init(TsWire__Gossip *message)
+void   ts_wire__gossip__init
+                     (TsWire__Gossip         *message)
 {
-    static const TsWire__Gossip init_value = TS_WIRE__GOSSIP__INIT;
-    *message = init_value;
+  static const TsWire__Gossip init_value = TS_WIRE__GOSSIP__INIT;
+  *message = init_value;
 }
-size_t ts_wire__gossip__get_packed_size(const TsWire__Gossip *message)
+size_t ts_wire__gossip__get_packed_size
+                     (const TsWire__Gossip *message)
 {
-    assert(message->base.descriptor == &ts_wire__gossip__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &ts_wire__gossip__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t ts_wire__gossip__pack(const TsWire__Gossip *message, uint8_t *out)
+size_t ts_wire__gossip__pack
+                     (const TsWire__Gossip *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &ts_wire__gossip__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &ts_wire__gossip__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t ts_wire__gossip__pack_to_buffer(const TsWire__Gossip *message, ProtobufCBuffer *buffer)
+size_t ts_wire__gossip__pack_to_buffer
+                     (const TsWire__Gossip *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &ts_wire__gossip__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &ts_wire__gossip__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-TsWire__Gossip *ts_wire__gossip__unpack(ProtobufCAllocator *allocator, size_t len,
-                                        const uint8_t *data)
+TsWire__Gossip *
+       ts_wire__gossip__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (TsWire__Gossip *)protobuf_c_message_unpack(&ts_wire__gossip__descriptor, allocator, len,
-                                                       data);
+  return (TsWire__Gossip *)
+     protobuf_c_message_unpack (&ts_wire__gossip__descriptor,
+                                allocator, len, data);
 }
-void ts_wire__gossip__free_unpacked(TsWire__Gossip *message, ProtobufCAllocator *allocator)
+void   ts_wire__gossip__free_unpacked
+                     (TsWire__Gossip *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &ts_wire__gossip__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ts_wire__gossip__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void ts_wire__document__init(TsWire__Document *message)
+void   ts_wire__document__init
+                     (TsWire__Document         *message)
 {
-    static const TsWire__Document init_value = TS_WIRE__DOCUMENT__INIT;
-    *message = init_value;
+  static const TsWire__Document init_value = TS_WIRE__DOCUMENT__INIT;
+  *message = init_value;
 }
-size_t ts_wire__document__get_packed_size(const TsWire__Document *message)
+size_t ts_wire__document__get_packed_size
+                     (const TsWire__Document *message)
 {
-    assert(message->base.descriptor == &ts_wire__document__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &ts_wire__document__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t ts_wire__document__pack(const TsWire__Document *message, uint8_t *out)
+size_t ts_wire__document__pack
+                     (const TsWire__Document *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &ts_wire__document__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &ts_wire__document__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t ts_wire__document__pack_to_buffer(const TsWire__Document *message, ProtobufCBuffer *buffer)
+size_t ts_wire__document__pack_to_buffer
+                     (const TsWire__Document *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &ts_wire__document__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &ts_wire__document__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-TsWire__Document *ts_wire__document__unpack(ProtobufCAllocator *allocator, size_t len,
-                                            const uint8_t *data)
+TsWire__Document *
+       ts_wire__document__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (TsWire__Document *)protobuf_c_message_unpack(&ts_wire__document__descriptor, allocator,
-                                                         len, data);
+  return (TsWire__Document *)
+     protobuf_c_message_unpack (&ts_wire__document__descriptor,
+                                allocator, len, data);
 }
-void ts_wire__document__free_unpacked(TsWire__Document *message, ProtobufCAllocator *allocator)
+void   ts_wire__document__free_unpacked
+                     (TsWire__Document *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &ts_wire__document__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ts_wire__document__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void ts_wire__frame__init(TsWire__Frame *message)
+void   ts_wire__frame__init
+                     (TsWire__Frame         *message)
 {
-    static const TsWire__Frame init_value = TS_WIRE__FRAME__INIT;
-    *message = init_value;
+  static const TsWire__Frame init_value = TS_WIRE__FRAME__INIT;
+  *message = init_value;
 }
-size_t ts_wire__frame__get_packed_size(const TsWire__Frame *message)
+size_t ts_wire__frame__get_packed_size
+                     (const TsWire__Frame *message)
 {
-    assert(message->base.descriptor == &ts_wire__frame__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &ts_wire__frame__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t ts_wire__frame__pack(const TsWire__Frame *message, uint8_t *out)
+size_t ts_wire__frame__pack
+                     (const TsWire__Frame *message,
+                      uint8_t       *out)
 {
-    assert(message->base.descriptor == &ts_wire__frame__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &ts_wire__frame__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t ts_wire__frame__pack_to_buffer(const TsWire__Frame *message, ProtobufCBuffer *buffer)
+size_t ts_wire__frame__pack_to_buffer
+                     (const TsWire__Frame *message,
+                      ProtobufCBuffer *buffer)
 {
-    assert(message->base.descriptor == &ts_wire__frame__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &ts_wire__frame__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-TsWire__Frame *ts_wire__frame__unpack(ProtobufCAllocator *allocator, size_t len,
-                                      const uint8_t *data)
+TsWire__Frame *
+       ts_wire__frame__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-    return (TsWire__Frame *)protobuf_c_message_unpack(&ts_wire__frame__descriptor, allocator, len,
-                                                      data);
+  return (TsWire__Frame *)
+     protobuf_c_message_unpack (&ts_wire__frame__descriptor,
+                                allocator, len, data);
 }
-void ts_wire__frame__free_unpacked(TsWire__Frame *message, ProtobufCAllocator *allocator)
+void   ts_wire__frame__free_unpacked
+                     (TsWire__Frame *message,
+                      ProtobufCAllocator *allocator)
 {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &ts_wire__frame__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ts_wire__frame__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor ts_wire__hit__field_descriptors[3] = {
-    {
-        "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0,    /* quantifier_offset */
-        offsetof(TsWire__Hit, id), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL                                                 /* reserved1,reserved2, etc */
-    },
-    {
-        "score", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_DOUBLE, 0, /* quantifier_offset */
-        offsetof(TsWire__Hit, score), NULL, NULL, 0,                  /* flags */
-        0, NULL, NULL                                                 /* reserved1,reserved2, etc */
-    },
-    {
-        "text", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0,    /* quantifier_offset */
-        offsetof(TsWire__Hit, text), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
+static const ProtobufCFieldDescriptor ts_wire__hit__field_descriptors[3] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Hit, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "score",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Hit, score),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Hit, text),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ts_wire__hit__field_indices_by_name[] = {
-    0, /* field[0] = id */
-    1, /* field[1] = score */
-    2, /* field[2] = text */
-};
-static const ProtobufCIntRange ts_wire__hit__number_ranges[1 + 1] = {{1, 0}, {0, 3}};
-const ProtobufCMessageDescriptor ts_wire__hit__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "ts_wire.Hit",
-    "Hit",
-    "TsWire__Hit",
-    "ts_wire",
-    sizeof(TsWire__Hit),
-    3,
-    ts_wire__hit__field_descriptors,
-    ts_wire__hit__field_indices_by_name,
+  0,   /* field[0] = id */
+  1,   /* field[1] = score */
+  2,   /* field[2] = text */
+};
+static const ProtobufCIntRange ts_wire__hit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor ts_wire__hit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ts_wire.Hit",
+  "Hit",
+  "TsWire__Hit",
+  "ts_wire",
+  sizeof(TsWire__Hit),
+  3,
+  ts_wire__hit__field_descriptors,
+  ts_wire__hit__field_indices_by_name,
+  1,  ts_wire__hit__number_ranges,
+  (ProtobufCMessageInit) ts_wire__hit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ts_wire__part__field_descriptors[4] =
+{
+  {
+    "counter",
     1,
-    ts_wire__hit__number_ranges,
-    (ProtobufCMessageInit)ts_wire__hit__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor ts_wire__part__field_descriptors[4] = {
-    {
-        "counter", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(TsWire__Part, counter), NULL, NULL, 0,                 /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "backend", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(TsWire__Part, backend), NULL, NULL, 0,                 /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "shard", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(TsWire__Part, shard), NULL, NULL, 0,                 /* flags */
-        0, NULL, NULL                                                 /* reserved1,reserved2, etc */
-    },
-    {
-        "wanted_snapshot", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-        0,                                                      /* quantifier_offset */
-        offsetof(TsWire__Part, wanted_snapshot), NULL, NULL, 0, /* flags */
-        0, NULL, NULL                                           /* reserved1,reserved2, etc */
-    },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Part, counter),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "backend",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Part, backend),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shard",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Part, shard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wanted_snapshot",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Part, wanted_snapshot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ts_wire__part__field_indices_by_name[] = {
-    1, /* field[1] = backend */
-    0, /* field[0] = counter */
-    2, /* field[2] = shard */
-    3, /* field[3] = wanted_snapshot */
-};
-static const ProtobufCIntRange ts_wire__part__number_ranges[1 + 1] = {{1, 0}, {0, 4}};
-const ProtobufCMessageDescriptor ts_wire__part__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "ts_wire.Part",
-    "Part",
-    "TsWire__Part",
-    "ts_wire",
-    sizeof(TsWire__Part),
-    4,
-    ts_wire__part__field_descriptors,
-    ts_wire__part__field_indices_by_name,
+  1,   /* field[1] = backend */
+  0,   /* field[0] = counter */
+  2,   /* field[2] = shard */
+  3,   /* field[3] = wanted_snapshot */
+};
+static const ProtobufCIntRange ts_wire__part__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor ts_wire__part__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ts_wire.Part",
+  "Part",
+  "TsWire__Part",
+  "ts_wire",
+  sizeof(TsWire__Part),
+  4,
+  ts_wire__part__field_descriptors,
+  ts_wire__part__field_indices_by_name,
+  1,  ts_wire__part__number_ranges,
+  (ProtobufCMessageInit) ts_wire__part__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ts_wire__subrequests__field_descriptors[11] =
+{
+  {
+    "request_id",
     1,
-    ts_wire__part__number_ranges,
-    (ProtobufCMessageInit)ts_wire__part__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor ts_wire__subrequests__field_descriptors[11] = {
-    {
-        "request_id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-        offsetof(TsWire__Subrequests, request_id), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "kind", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-        offsetof(TsWire__Subrequests, kind), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "text", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-        offsetof(TsWire__Subrequests, text), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "key", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-        offsetof(TsWire__Subrequests, key), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "limit", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(TsWire__Subrequests, limit), NULL, NULL, 0,          /* flags */
-        0, NULL, NULL                                                 /* reserved1,reserved2, etc */
-    },
-    {
-        "deadline_left_us", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-        0,                                                              /* quantifier_offset */
-        offsetof(TsWire__Subrequests, deadline_left_us), NULL, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "unrepeatable", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-        offsetof(TsWire__Subrequests, unrepeatable), NULL, NULL, 0,        /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "issued_at_ms", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64, 0, /* quantifier_offset */
-        offsetof(TsWire__Subrequests, issued_at_ms), NULL, NULL, 0,         /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "priority", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(TsWire__Subrequests, priority), NULL, NULL, 0,          /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "slot_share_percent", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-        0,                                                                /* quantifier_offset */
-        offsetof(TsWire__Subrequests, slot_share_percent), NULL, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "parts", 11, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-        offsetof(TsWire__Subrequests, n_parts), offsetof(TsWire__Subrequests, parts),
-        &ts_wire__part__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL                        /* reserved1,reserved2, etc */
-    },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Subrequests, request_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Subrequests, kind),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Subrequests, text),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Subrequests, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Subrequests, limit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deadline_left_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Subrequests, deadline_left_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unrepeatable",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Subrequests, unrepeatable),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "issued_at_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Subrequests, issued_at_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Subrequests, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slot_share_percent",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Subrequests, slot_share_percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parts",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(TsWire__Subrequests, n_parts),
+    offsetof(TsWire__Subrequests, parts),
+    &ts_wire__part__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ts_wire__subrequests__field_indices_by_name[] = {
-    5,  /* field[5] = deadline_left_us */
-    7,  /* field[7] = issued_at_ms */
-    3,  /* field[3] = key */
-    1,  /* field[1] = kind */
-    4,  /* field[4] = limit */
-    10, /* field[10] = parts */
-    8,  /* field[8] = priority */
-    0,  /* field[0] = request_id */
-    9,  /* field[9] = slot_share_percent */
-    2,  /* field[2] = text */
-    6,  /* field[6] = unrepeatable */
-};
-static const ProtobufCIntRange ts_wire__subrequests__number_ranges[1 + 1] = {{1, 0}, {0, 11}};
-const ProtobufCMessageDescriptor ts_wire__subrequests__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "ts_wire.Subrequests",
-    "Subrequests",
-    "TsWire__Subrequests",
-    "ts_wire",
-    sizeof(TsWire__Subrequests),
-    11,
-    ts_wire__subrequests__field_descriptors,
-    ts_wire__subrequests__field_indices_by_name,
+  5,   /* field[5] = deadline_left_us */
+  7,   /* field[7] = issued_at_ms */
+  3,   /* field[3] = key */
+  1,   /* field[1] = kind */
+  4,   /* field[4] = limit */
+  10,   /* field[10] = parts */
+  8,   /* field[8] = priority */
+  0,   /* field[0] = request_id */
+  9,   /* field[9] = slot_share_percent */
+  2,   /* field[2] = text */
+  6,   /* field[6] = unrepeatable */
+};
+static const ProtobufCIntRange ts_wire__subrequests__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor ts_wire__subrequests__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ts_wire.Subrequests",
+  "Subrequests",
+  "TsWire__Subrequests",
+  "ts_wire",
+  sizeof(TsWire__Subrequests),
+  11,
+  ts_wire__subrequests__field_descriptors,
+  ts_wire__subrequests__field_indices_by_name,
+  1,  ts_wire__subrequests__number_ranges,
+  (ProtobufCMessageInit) ts_wire__subrequests__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ts_wire__subreply__field_descriptors[11] =
+{
+  {
+    "counter",
     1,
-    ts_wire__subrequests__number_ranges,
-    (ProtobufCMessageInit)ts_wire__subrequests__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor ts_wire__subreply__field_descriptors[11] = {
-    {
-        "counter", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(TsWire__Subreply, counter), NULL, NULL, 0,             /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "error", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_SINT32, 0, /* quantifier_offset */
-        offsetof(TsWire__Subreply, error), NULL, NULL, 0,             /* flags */
-        0, NULL, NULL                                                 /* reserved1,reserved2, etc */
-    },
-    {
-        "run", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(TsWire__Subreply, run), NULL, NULL, 0,             /* flags */
-        0, NULL, NULL                                               /* reserved1,reserved2, etc */
-    },
-    {
-        "snapshot", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(TsWire__Subreply, snapshot), NULL, NULL, 0,             /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "total", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(TsWire__Subreply, total), NULL, NULL, 0,             /* flags */
-        0, NULL, NULL                                                 /* reserved1,reserved2, etc */
-    },
-    {
-        "hits", 6, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-        offsetof(TsWire__Subreply, n_hits), offsetof(TsWire__Subreply, hits),
-        &ts_wire__hit__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL                       /* reserved1,reserved2, etc */
-    },
-    {
-        "service_us", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(TsWire__Subreply, service_us), NULL, NULL, 0,             /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "queue_us", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(TsWire__Subreply, queue_us), NULL, NULL, 0,             /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "slots_in_use", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(TsWire__Subreply, slots_in_use), NULL, NULL, 0,             /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "queue_length", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-        0,                                                       /* quantifier_offset */
-        offsetof(TsWire__Subreply, queue_length), NULL, NULL, 0, /* flags */
-        0, NULL, NULL                                            /* reserved1,reserved2, etc */
-    },
-    {
-        "retry_after_ms", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-        0,                                                         /* quantifier_offset */
-        offsetof(TsWire__Subreply, retry_after_ms), NULL, NULL, 0, /* flags */
-        0, NULL, NULL                                              /* reserved1,reserved2, etc */
-    },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Subreply, counter),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "error",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Subreply, error),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Subreply, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "snapshot",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Subreply, snapshot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "total",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Subreply, total),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hits",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(TsWire__Subreply, n_hits),
+    offsetof(TsWire__Subreply, hits),
+    &ts_wire__hit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service_us",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Subreply, service_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queue_us",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Subreply, queue_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots_in_use",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Subreply, slots_in_use),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queue_length",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Subreply, queue_length),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Subreply, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ts_wire__subreply__field_indices_by_name[] = {
-    0,  /* field[0] = counter */
-    1,  /* field[1] = error */
-    5,  /* field[5] = hits */
-    9,  /* field[9] = queue_length */
-    7,  /* field[7] = queue_us */
-    10, /* field[10] = retry_after_ms */
-    2,  /* field[2] = run */
-    6,  /* field[6] = service_us */
-    8,  /* field[8] = slots_in_use */
-    3,  /* field[3] = snapshot */
-    4,  /* field[4] = total */
-};
-static const ProtobufCIntRange ts_wire__subreply__number_ranges[1 + 1] = {{1, 0}, {0, 11}};
-const ProtobufCMessageDescriptor ts_wire__subreply__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "ts_wire.Subreply",
-    "Subreply",
-    "TsWire__Subreply",
-    "ts_wire",
-    sizeof(TsWire__Subreply),
-    11,
-    ts_wire__subreply__field_descriptors,
-    ts_wire__subreply__field_indices_by_name,
+  0,   /* field[0] = counter */
+  1,   /* field[1] = error */
+  5,   /* field[5] = hits */
+  9,   /* field[9] = queue_length */
+  7,   /* field[7] = queue_us */
+  10,   /* field[10] = retry_after_ms */
+  2,   /* field[2] = run */
+  6,   /* field[6] = service_us */
+  8,   /* field[8] = slots_in_use */
+  3,   /* field[3] = snapshot */
+  4,   /* field[4] = total */
+};
+static const ProtobufCIntRange ts_wire__subreply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor ts_wire__subreply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ts_wire.Subreply",
+  "Subreply",
+  "TsWire__Subreply",
+  "ts_wire",
+  sizeof(TsWire__Subreply),
+  11,
+  ts_wire__subreply__field_descriptors,
+  ts_wire__subreply__field_indices_by_name,
+  1,  ts_wire__subreply__number_ranges,
+  (ProtobufCMessageInit) ts_wire__subreply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ts_wire__member__field_descriptors[5] =
+{
+  {
+    "name",
     1,
-    ts_wire__subreply__number_ranges,
-    (ProtobufCMessageInit)ts_wire__subreply__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor ts_wire__member__field_descriptors[5] = {
-    {
-        "name", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0,       /* quantifier_offset */
-        offsetof(TsWire__Member, name), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "address", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-        offsetof(TsWire__Member, address), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "zone", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0,       /* quantifier_offset */
-        offsetof(TsWire__Member, zone), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "incarnation", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(TsWire__Member, incarnation), NULL, NULL, 0,               /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "state", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(TsWire__Member, state), NULL, NULL, 0,               /* flags */
-        0, NULL, NULL                                                 /* reserved1,reserved2, etc */
-    },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Member, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Member, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Member, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Member, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Member, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ts_wire__member__field_indices_by_name[] = {
-    1, /* field[1] = address */
-    3, /* field[3] = incarnation */
-    0, /* field[0] = name */
-    4, /* field[4] = state */
-    2, /* field[2] = zone */
-};
-static const ProtobufCIntRange ts_wire__member__number_ranges[1 + 1] = {{1, 0}, {0, 5}};
-const ProtobufCMessageDescriptor ts_wire__member__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "ts_wire.Member",
-    "Member",
-    "TsWire__Member",
-    "ts_wire",
-    sizeof(TsWire__Member),
-    5,
-    ts_wire__member__field_descriptors,
-    ts_wire__member__field_indices_by_name,
+  1,   /* field[1] = address */
+  3,   /* field[3] = incarnation */
+  0,   /* field[0] = name */
+  4,   /* field[4] = state */
+  2,   /* field[2] = zone */
+};
+static const ProtobufCIntRange ts_wire__member__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor ts_wire__member__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ts_wire.Member",
+  "Member",
+  "TsWire__Member",
+  "ts_wire",
+  sizeof(TsWire__Member),
+  5,
+  ts_wire__member__field_descriptors,
+  ts_wire__member__field_indices_by_name,
+  1,  ts_wire__member__number_ranges,
+  (ProtobufCMessageInit) ts_wire__member__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ts_wire__gossip__field_descriptors[7] =
+{
+  {
+    "type",
     1,
-    ts_wire__member__number_ranges,
-    (ProtobufCMessageInit)ts_wire__member__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor ts_wire__gossip__field_descriptors[7] = {
-    {
-        "type", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(TsWire__Gossip, type), NULL, NULL, 0,               /* flags */
-        0, NULL, NULL                                                /* reserved1,reserved2, etc */
-    },
-    {
-        "sequence", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(TsWire__Gossip, sequence), NULL, NULL, 0,               /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "target", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0,       /* quantifier_offset */
-        offsetof(TsWire__Gossip, target), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "members", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-        offsetof(TsWire__Gossip, n_members), offsetof(TsWire__Gossip, members),
-        &ts_wire__member__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL                          /* reserved1,reserved2, etc */
-    },
-    {
-        "config_version", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-        0,                                                       /* quantifier_offset */
-        offsetof(TsWire__Gossip, config_version), NULL, NULL, 0, /* flags */
-        0, NULL, NULL                                            /* reserved1,reserved2, etc */
-    },
-    {
-        "config_digest", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-        0,                                                      /* quantifier_offset */
-        offsetof(TsWire__Gossip, config_digest), NULL, NULL, 0, /* flags */
-        0, NULL, NULL                                           /* reserved1,reserved2, etc */
-    },
-    {
-        "view_digest", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(TsWire__Gossip, view_digest), NULL, NULL, 0,               /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Gossip, type),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Gossip, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Gossip, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(TsWire__Gossip, n_members),
+    offsetof(TsWire__Gossip, members),
+    &ts_wire__member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_version",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Gossip, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_digest",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Gossip, config_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "view_digest",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Gossip, view_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ts_wire__gossip__field_indices_by_name[] = {
-    5, /* field[5] = config_digest */
-    4, /* field[4] = config_version */
-    3, /* field[3] = members */
-    1, /* field[1] = sequence */
-    2, /* field[2] = target */
-    0, /* field[0] = type */
-    6, /* field[6] = view_digest */
-};
-static const ProtobufCIntRange ts_wire__gossip__number_ranges[1 + 1] = {{1, 0}, {0, 7}};
-const ProtobufCMessageDescriptor ts_wire__gossip__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "ts_wire.Gossip",
-    "Gossip",
-    "TsWire__Gossip",
-    "ts_wire",
-    sizeof(TsWire__Gossip),
-    7,
-    ts_wire__gossip__field_descriptors,
-    ts_wire__gossip__field_indices_by_name,
+  5,   /* field[5] = config_digest */
+  4,   /* field[4] = config_version */
+  3,   /* field[3] = members */
+  1,   /* field[1] = sequence */
+  2,   /* field[2] = target */
+  0,   /* field[0] = type */
+  6,   /* field[6] = view_digest */
+};
+static const ProtobufCIntRange ts_wire__gossip__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor ts_wire__gossip__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ts_wire.Gossip",
+  "Gossip",
+  "TsWire__Gossip",
+  "ts_wire",
+  sizeof(TsWire__Gossip),
+  7,
+  ts_wire__gossip__field_descriptors,
+  ts_wire__gossip__field_indices_by_name,
+  1,  ts_wire__gossip__number_ranges,
+  (ProtobufCMessageInit) ts_wire__gossip__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ts_wire__document__field_descriptors[3] =
+{
+  {
+    "wanted",
     1,
-    ts_wire__gossip__number_ranges,
-    (ProtobufCMessageInit)ts_wire__gossip__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor ts_wire__document__field_descriptors[3] = {
-    {
-        "wanted", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-        offsetof(TsWire__Document, wanted), NULL, NULL, 0,           /* flags */
-        0, NULL, NULL                                                /* reserved1,reserved2, etc */
-    },
-    {
-        "version", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(TsWire__Document, version), NULL, NULL, 0,             /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "content", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES, 0, /* quantifier_offset */
-        offsetof(TsWire__Document, content), NULL, NULL, 0,            /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Document, wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Document, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "content",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Document, content),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ts_wire__document__field_indices_by_name[] = {
-    2, /* field[2] = content */
-    1, /* field[1] = version */
-    0, /* field[0] = wanted */
-};
-static const ProtobufCIntRange ts_wire__document__number_ranges[1 + 1] = {{1, 0}, {0, 3}};
-const ProtobufCMessageDescriptor ts_wire__document__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "ts_wire.Document",
-    "Document",
-    "TsWire__Document",
-    "ts_wire",
-    sizeof(TsWire__Document),
-    3,
-    ts_wire__document__field_descriptors,
-    ts_wire__document__field_indices_by_name,
-    1,
-    ts_wire__document__number_ranges,
-    (ProtobufCMessageInit)ts_wire__document__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor ts_wire__frame__field_descriptors[10] = {
-    {
-        "protocol", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(TsWire__Frame, protocol), NULL, NULL, 0,                /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "cluster", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0,      /* quantifier_offset */
-        offsetof(TsWire__Frame, cluster), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "sender", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0,      /* quantifier_offset */
-        offsetof(TsWire__Frame, sender), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "sender_address", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-        0, /* quantifier_offset */
-        offsetof(TsWire__Frame, sender_address), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "incarnation", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(TsWire__Frame, incarnation), NULL, NULL, 0,                /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "subrequests", 6, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-        offsetof(TsWire__Frame, n_subrequests), offsetof(TsWire__Frame, subrequests),
-        &ts_wire__subrequests__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL                               /* reserved1,reserved2, etc */
-    },
-    {
-        "subreplies", 7, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-        offsetof(TsWire__Frame, n_subreplies), offsetof(TsWire__Frame, subreplies),
-        &ts_wire__subreply__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL                            /* reserved1,reserved2, etc */
-    },
-    {
-        "cancels", 8, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_UINT64,
-        offsetof(TsWire__Frame, n_cancels), offsetof(TsWire__Frame, cancels), NULL, NULL,
-        0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-        0, NULL, NULL                     /* reserved1,reserved2, etc */
-    },
-    {
-        "gossips", 9, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_BYTES,
-        offsetof(TsWire__Frame, n_gossips), offsetof(TsWire__Frame, gossips), NULL, NULL,
-        0,            /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "documents", 10, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-        offsetof(TsWire__Frame, n_documents), offsetof(TsWire__Frame, documents),
-        &ts_wire__document__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL                            /* reserved1,reserved2, etc */
-    },
+  2,   /* field[2] = content */
+  1,   /* field[1] = version */
+  0,   /* field[0] = wanted */
 };
-static const unsigned ts_wire__frame__field_indices_by_name[] = {
-    7, /* field[7] = cancels */
-    1, /* field[1] = cluster */
-    9, /* field[9] = documents */
-    8, /* field[8] = gossips */
-    4, /* field[4] = incarnation */
-    0, /* field[0] = protocol */
-    2, /* field[2] = sender */
-    3, /* field[3] = sender_address */
-    6, /* field[6] = subreplies */
-    5, /* field[5] = subrequests */
-};
-static const ProtobufCIntRange ts_wire__frame__number_ranges[1 + 1] = {{1, 0}, {0, 10}};
-const ProtobufCMessageDescriptor ts_wire__frame__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "ts_wire.Frame",
-    "Frame",
-    "TsWire__Frame",
-    "ts_wire",
-    sizeof(TsWire__Frame),
-    10,
-    ts_wire__frame__field_descriptors,
-    ts_wire__frame__field_indices_by_name,
+static const ProtobufCIntRange ts_wire__document__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor ts_wire__document__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ts_wire.Document",
+  "Document",
+  "TsWire__Document",
+  "ts_wire",
+  sizeof(TsWire__Document),
+  3,
+  ts_wire__document__field_descriptors,
+  ts_wire__document__field_indices_by_name,
+  1,  ts_wire__document__number_ranges,
+  (ProtobufCMessageInit) ts_wire__document__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ts_wire__frame__field_descriptors[10] =
+{
+  {
+    "protocol",
     1,
-    ts_wire__frame__number_ranges,
-    (ProtobufCMessageInit)ts_wire__frame__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Frame, protocol),
     NULL,
     NULL,
-    NULL /* reserved[123] */
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cluster",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Frame, cluster),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sender",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Frame, sender),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sender_address",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Frame, sender_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TsWire__Frame, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "subrequests",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(TsWire__Frame, n_subrequests),
+    offsetof(TsWire__Frame, subrequests),
+    &ts_wire__subrequests__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "subreplies",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(TsWire__Frame, n_subreplies),
+    offsetof(TsWire__Frame, subreplies),
+    &ts_wire__subreply__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cancels",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(TsWire__Frame, n_cancels),
+    offsetof(TsWire__Frame, cancels),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gossips",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(TsWire__Frame, n_gossips),
+    offsetof(TsWire__Frame, gossips),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "documents",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(TsWire__Frame, n_documents),
+    offsetof(TsWire__Frame, documents),
+    &ts_wire__document__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ts_wire__frame__field_indices_by_name[] = {
+  7,   /* field[7] = cancels */
+  1,   /* field[1] = cluster */
+  9,   /* field[9] = documents */
+  8,   /* field[8] = gossips */
+  4,   /* field[4] = incarnation */
+  0,   /* field[0] = protocol */
+  2,   /* field[2] = sender */
+  3,   /* field[3] = sender_address */
+  6,   /* field[6] = subreplies */
+  5,   /* field[5] = subrequests */
+};
+static const ProtobufCIntRange ts_wire__frame__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor ts_wire__frame__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ts_wire.Frame",
+  "Frame",
+  "TsWire__Frame",
+  "ts_wire",
+  sizeof(TsWire__Frame),
+  10,
+  ts_wire__frame__field_descriptors,
+  ts_wire__frame__field_indices_by_name,
+  1,  ts_wire__frame__number_ranges,
+  (ProtobufCMessageInit) ts_wire__frame__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
