A late answer weighs the same whether or not others came shortly before

Change: the heavier weight of a second sign within 1.5 s is gone; overlapping late answers still count once.

--- a/src/registry/instance_health.c
+++ b/src/registry/instance_health.c
@@ -9,9 +9,6 @@
  * few hundred milliseconds must not count as more than one slow answer. */
 #define SLOW_RATIO 2.0
 #define SLOWNESS_RISE 1.25
-/* A second sign this soon after another one weighs more: pauses come seconds apart. */
-#define SLOWNESS_RISE_GOING_ON 1.6
-#define GOES_ON_US (1500 * TS_US_PER_MS)
 /* Other nodes are told of answers that took this many times the typical. */
 #define TELL_RATIO 300.0
 /* A node that sends an instance more requests a second than this tells nobody of it. */
@@ -80,10 +77,8 @@
 {
     if (now_us - span_us < instance->slow_seen_us)
         return false;
-    bool goes_on = instance->slow_seen_us != 0 && now_us - instance->slow_seen_us < GOES_ON_US;
-    double rise = goes_on ? SLOWNESS_RISE_GOING_ON : SLOWNESS_RISE;
     instance->slow_seen_us = now_us;
-    move_slowness(instance, ts_instance_slowness(instance, now_us) * rise, now_us);
+    move_slowness(instance, ts_instance_slowness(instance, now_us) * SLOWNESS_RISE, now_us);
     return true;
 }
 
