A starting gateway holds requests for a moment instead of refusing them

Ruled out: waiting for the services' list (configuration and list come in one page).

Change: requests wait in src/edge/pending.c for up to a fortieth of the caller's patience (50 ms of 2 s), unless the last call of the service failed; then they are refused, and told to come back after three tenths of their patience, as nobody knows how long the silence lasts and clients heed up to a third.

Tests: start_holds_requests and start_refuses_in_time, both failing on the code before (503 at once; 0.9 s to come back).

--- a/include/tealspar/gateway.h
+++ b/include/tealspar/gateway.h
@@ -18,6 +18,7 @@
 typedef struct ts_store_watch ts_store_watch_t;
 typedef struct ts_store_mirror ts_store_mirror_t;
 typedef struct ts_peers ts_peers_t;
+typedef struct ts_pending ts_pending_t;
 
 typedef struct ts_gateway {
     uv_loop_t *loop;
@@ -29,6 +30,7 @@
     ts_store_mirror_t *mirror;
     ts_store_watch_t *store;
     ts_peers_t *peers;     /**< NULL: this node is alone */
+    ts_pending_t *pending; /**< requests that wait for the first configuration */
     unsigned nodes;        /**< among which limits are divided */
     unsigned nodes_seen;   /**< the most that were live at once */
     ts_time_us_t grown_us; /**< when `nodes_seen` last grew */
@@ -48,6 +50,8 @@
 ts_error_t ts_gateway_open(ts_gateway_t *gateway, uv_loop_t *loop, ts_gateway_settings_t *settings);
 /** Puts other settings in force; addresses that are listened on stay as they are. */
 void ts_gateway_set_settings(ts_gateway_t *gateway, ts_gateway_settings_t *settings);
+/** Whether it knows the configuration and the back ends, so that requests can begin. */
+bool ts_gateway_is_informed(const ts_gateway_t *gateway);
 /** Begins to leave: not ready any more, and every answer ends its connection. */
 void ts_gateway_leave(ts_gateway_t *gateway);
 /** Ends what rests too long and forgets what has left; call it every half second or so. */
--- a/include/tealspar/peer_link.h
+++ b/include/tealspar/peer_link.h
@@ -1,7 +1,7 @@
 /**
- * Bytes between gateways over nng: one bus socket to receive, one for each peer to send, dialled when
- * first needed and closed when idle. nng's threads reach the loop through a queue. Messages may be
- * lost, whenever a connection ends or a peer takes no more.
+ * Bytes between gateways over nng: one bus socket to receive, one for each peer to send, dialled
+ * when first needed and closed when idle. nng's threads reach the loop through a queue. Messages
+ * may be lost, whenever a connection ends or a peer takes no more.
  */
 #ifndef TEALSPAR_PEER_LINK_H
 #define TEALSPAR_PEER_LINK_H
--- a/src/control/store_watch.c
+++ b/src/control/store_watch.c
@@ -265,6 +265,11 @@
     uv_timer_start(&watch->probe_timer, probe, PROBE_MS, PROBE_MS);
 }
 
+bool ts_store_watch_is_lost(const ts_store_watch_t *watch)
+{
+    return watch->is_lost;
+}
+
 void ts_store_watch_reload(ts_store_watch_t *watch)
 {
     ts_store_client_set_address(watch->client, watch->gateway->settings->store);
--- a/src/edge/gateway.c
+++ b/src/edge/gateway.c
@@ -7,6 +7,7 @@
 #include "tealspar/counters.h"
 #include "tealspar/log.h"
 #include "tealspar/peers.h"
+#include "tealspar/pending.h"
 #include "tealspar/plugin.h"
 #include "tealspar/store_mirror.h"
 #include "tealspar/store_watch.h"
@@ -102,10 +103,14 @@
 
 static const ts_listener_ops_t caller_ops = {begin_request, abandon_request};
 
+bool ts_gateway_is_informed(const ts_gateway_t *gateway)
+{
+    return gateway->traffic != NULL && ts_store_mirror_is_primed(gateway->mirror);
+}
+
 static bool is_ready(const ts_gateway_t *gateway)
 {
-    return !gateway->is_stopping && gateway->traffic != NULL &&
-           ts_store_mirror_is_primed(gateway->mirror);
+    return !gateway->is_stopping && ts_gateway_is_informed(gateway);
 }
 
 static void answer_ready(ts_caller_t *caller, void *context)
@@ -228,6 +233,7 @@
     ts_upstream_on_rest(gateway->upstream, kept_connections, gateway);
     gateway->mirror = ts_store_mirror_create(gateway);
     gateway->store = ts_store_watch_create(gateway);
+    gateway->pending = ts_pending_create(gateway);
     ts_error_t error = open_listeners(gateway);
     if (error == TS_OK && settings->peers != NULL) {
         gateway->peers = ts_peers_open(gateway, gateway->mirror);
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -7,11 +7,10 @@
 #include <strings.h>
 
 #include "tealspar/counters.h"
+#include "tealspar/pending.h"
 
 #define STATUS_BAD_REQUEST 400
 #define STATUS_NOT_FOUND 404
-#define STATUS_UNAVAILABLE 503
-#define NOT_READY_RETRY_MS 900
 /* An answer must leave this long before the caller's deadline, or the route's end of patience. */
 #define DEADLINE_MARGIN_US (25 * TS_US_PER_MS)
 /*
@@ -106,13 +105,13 @@
     return given_ms < route->timeout_ms ? given_ms : route->timeout_ms;
 }
 
-static void set_times(ts_request_t *request, uint64_t patience_ms)
+static void set_times(ts_request_t *request, ts_time_us_t arrived_us, uint64_t patience_ms)
 {
     const ts_traffic_route_t *route = request->route;
     ts_time_us_t patience_us = patience_ms * TS_US_PER_MS;
     ts_time_us_t margin_us =
         patience_us > 4 * DEADLINE_MARGIN_US ? DEADLINE_MARGIN_US : patience_us / 4;
-    request->arrived_us = ts_clock_now_us();
+    request->arrived_us = arrived_us;
     request->deadline_us = request->arrived_us + patience_us - margin_us;
     request->outgoing->deadline_us = request->arrived_us + patience_us;
     ts_time_us_t aim_us = route->aim_ms * TS_US_PER_MS;
@@ -348,12 +347,16 @@
 }
 
 void ts_request_begin(ts_gateway_t *gateway, ts_caller_t *caller)
+{
+    if (ts_gateway_is_informed(gateway))
+        ts_request_begin_at(gateway, caller, ts_clock_now_us());
+    else
+        ts_pending_add(gateway->pending, caller);
+}
+
+void ts_request_begin_at(ts_gateway_t *gateway, ts_caller_t *caller, ts_time_us_t arrived_us)
 {
     const ts_http_message_t *message = ts_caller_message(caller);
-    if (gateway->traffic == NULL) {
-        ts_answer_error(gateway, caller, STATUS_UNAVAILABLE, TS_E_NOT_READY, NOT_READY_RETRY_MS);
-        return;
-    }
     const ts_traffic_route_t *route = find_route(gateway, message);
     if (route == NULL) {
         ts_answer_error(gateway, caller, STATUS_NOT_FOUND, TS_E_NOT_FOUND, 0);
@@ -365,16 +368,18 @@
     }
     ts_request_t *request = create_request(gateway, caller, route);
     ts_caller_set_request(caller, request);
-    set_times(request, read_patience_ms(gateway, message, route));
-    if (try_admit(request, request->arrived_us) && request->is_admitted) {
-        set_timer(request, request->arrived_us);
-    }
+    set_times(request, arrived_us, read_patience_ms(gateway, message, route));
+    ts_time_us_t now_us = ts_clock_now_us();
+    if (try_admit(request, now_us) && request->is_admitted)
+        set_timer(request, now_us);
 }
 
 void ts_request_abandon(ts_gateway_t *gateway, ts_caller_t *caller)
 {
     ts_request_t *request = ts_caller_request(caller);
-    if (request != NULL) {
+    if (request == NULL) {
+        (void)ts_pending_remove(gateway->pending, caller);
+    } else {
         ts_answer_left(request);
         end_request(request);
     }
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -74,6 +74,8 @@
 /** Nobody waits for the part's sends any more. */
 void ts_part_release(ts_request_part_t *part, ts_time_us_t until_us);
 void ts_part_clear(ts_request_part_t *part);
+/** Begins work on a request that came at `arrived_us`. */
+void ts_request_begin_at(ts_gateway_t *gateway, ts_caller_t *caller, ts_time_us_t arrived_us);
 /** A part changed its state: answers the request if that is decided now. */
 void ts_request_progress(ts_request_t *request);
 
--- a/tests/scripted/run_script.c
+++ b/tests/scripted/run_script.c
@@ -19,6 +19,7 @@
  * how many requests the searcher ran connections ID                how many connections it accepted
  *   runs_of SERVICE               over all searchers of the service
  *   borrow SERVICE N              another gateway grants extra sends
+ *   deadline MS                   how long callers wait from now on
  *   wait MS                       lets time pass
  */
 #include "../gateway/world.h"
@@ -30,13 +31,14 @@
 #include <string.h>
 
 #define WORDS_MAX 24
-#define DEADLINE_MS 2000
+#define DEADLINE_MS 2000U
 
 typedef struct script {
     world_t *world;
     char *settings;
     GHashTable *searchers; // id -> lab_searcher_t
     GHashTable *visits;    // tag -> visit_t
+    unsigned deadline_ms;  // of requests
     GString *out;
 } script_t;
 
@@ -166,7 +168,7 @@
     visit_t *visit = visit_open(s->world, s->world->callers_port);
     char *text = g_strdup_printf("GET /%s/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %s\r\n"
                                  "X-Deadline-Ms: %u\r\n\r\n",
-                                 name, id, DEADLINE_MS);
+                                 name, id, s->deadline_ms);
     visit_send(visit, text);
     g_free(text);
     return visit;
@@ -246,6 +248,11 @@
     ts_retry_budget_borrow(&service->budget, (uint32_t)atoi(words[2]), ts_clock_now_us());
 }
 
+static void set_deadline(script_t *s, char **words, guint n)
+{
+    s->deadline_ms = (unsigned)atoi(words[1]);
+}
+
 static void pass_time(script_t *s, char **words, guint n)
 {
     world_run_ms(s->world, (unsigned)atoi(words[1]));
@@ -273,6 +280,7 @@
     {"runs", 2, print_runs},
     {"connections", 2, print_connections},
     {"runs_of", 2, print_runs_of},
+    {"deadline", 2, set_deadline},
     {"wait", 2, pass_time},
     {"borrow", 3, borrow},
 };
@@ -300,6 +308,7 @@
     char **lines = g_strsplit(text, "\n", 0);
     script_t s = {.searchers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
                   .visits = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
+                  .deadline_ms = DEADLINE_MS,
                   .out = g_string_new(NULL)};
     for (guint i = 0; lines[i] != NULL; i++) {
         if (lines[i][0] == '#')
