A request that has returned waits longer for its beginning

Change: each route remembers how long its callers usually wait (the most seen, fading by 0.0005 a request). A request with less than 0.95 of that has been refused before, or has little time for another reason: it may wait for its beginning for half of the time it has left, where a new one has a fifth of its aim. A new one is still refused early, as it then earns more when it comes back. Nothing that was given up on is held: it waits for a slot and is sent as soon as one is there.

--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -18,6 +18,12 @@
  * enough for the caller to come back in time, and looked at this often.
  */
 #define ADMISSION_DIVISOR 5
+/*
+ * A caller that came back after a refusal seldom tries again: its request waits for up to this part
+ * of the time it has left. Less patience than is usual for the route tells it.
+ */
+#define ADMISSION_RETURNED_DIVISOR 2
+#define RETURNED_PATIENCE_SHARE 0.95
 #define ADMISSION_LOOK_US (6 * TS_US_PER_MS)
 /* Of the shares of refused requests: how fast they follow, and by how much one may lead. */
 #define REFUSED_STEP 0.03
@@ -96,19 +102,35 @@
     return outgoing;
 }
 
-/* Time the caller gives, in milliseconds; the route's timeout when it gives none. */
-static uint64_t read_patience_ms(const ts_gateway_t *gateway, const ts_http_message_t *message,
-                                 const ts_traffic_route_t *route)
+/* Time the caller gives, in milliseconds; the longest there is when it gives none. */
+static uint64_t read_patience_ms(const ts_gateway_t *gateway, const ts_http_message_t *message)
 {
     const char *text = ts_http_message_find(message, gateway->dialect->headers.deadline_ms);
     uint64_t given_ms = text == NULL ? DEADLINE_MAX_MS : strtoull(text, NULL, 10);
-    return given_ms < route->timeout_ms ? given_ms : route->timeout_ms;
+    return MIN(given_ms, DEADLINE_MAX_MS);
+}
+
+/* Whether the caller has less time than usual, as after a refusal; notes what it has. */
+static bool has_returned(ts_route_state_t *state, ts_time_us_t patience_us)
+{
+    ts_route_state_note_patience(state, patience_us);
+    double usual_us = (double)ts_route_state_patience_us(state);
+    return (double)patience_us < RETURNED_PATIENCE_SHARE * usual_us;
+}
+
+/* How long the request may wait for its beginning. */
+static ts_time_us_t admission_span_us(const ts_request_t *request)
+{
+    if (request->has_returned)
+        return (request->deadline_us - request->arrived_us) / ADMISSION_RETURNED_DIVISOR;
+    return (request->stop_us - request->arrived_us) / ADMISSION_DIVISOR;
 }
 
 static void set_times(ts_request_t *request, ts_time_us_t arrived_us, uint64_t patience_ms)
 {
     const ts_traffic_route_t *route = request->route;
-    ts_time_us_t patience_us = patience_ms * TS_US_PER_MS;
+    request->has_returned = has_returned(request->state, patience_ms * TS_US_PER_MS);
+    ts_time_us_t patience_us = MIN(patience_ms, route->timeout_ms) * TS_US_PER_MS;
     ts_time_us_t margin_us =
         patience_us > 4 * DEADLINE_MARGIN_US ? DEADLINE_MARGIN_US : patience_us / 4;
     request->arrived_us = arrived_us;
@@ -121,8 +143,7 @@
         request->stop_us > request->deadline_us) {
         request->stop_us = request->deadline_us;
     }
-    request->admit_by_us =
-        request->arrived_us + (request->stop_us - request->arrived_us) / ADMISSION_DIVISOR;
+    request->admit_by_us = request->arrived_us + admission_span_us(request);
 }
 
 static void set_part(ts_request_t *request, unsigned index, const char *service)
@@ -368,7 +389,7 @@
     }
     ts_request_t *request = create_request(gateway, caller, route);
     ts_caller_set_request(caller, request);
-    set_times(request, arrived_us, read_patience_ms(gateway, message, route));
+    set_times(request, arrived_us, read_patience_ms(gateway, message));
     ts_time_us_t now_us = ts_clock_now_us();
     if (try_admit(request, now_us) && request->is_admitted)
         set_timer(request, now_us);
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -53,6 +53,7 @@
     ts_time_us_t deadline_us; /**< the final answer leaves by then */
     ts_time_us_t admit_by_us; /**< refused if it could not be begun by then */
     bool is_admitted;         /**< its parts are sent */
+    bool has_returned;        /**< its caller has less time than usual, as after a refusal */
     ts_time_us_t stop_us;     /**< gathered: what is in by then is enough, if coverage allows */
     unsigned parts_count;
     unsigned parts_in;
