Refusals for overload say which services could not take their part, and why

The logs told that a request was refused, not what it waited for. 'part_blocked' lines name each service that could not take its part: back ends listed, leaving, full, avoided, what this gateway has there, its share of connections.

--- a/include/tealspar/replica.h
+++ b/include/tealspar/replica.h
@@ -27,6 +27,16 @@
 bool ts_replica_is_usable(const ts_instance_t *instance, const ts_replica_input_t *input);
 /** Whether some instance of the service could take a request at once, and is believed well. */
 bool ts_replica_is_any_free(const ts_service_t *service, const ts_replica_input_t *input);
+/** Why instances of a service cannot take a request at once; each counts under its first reason. */
+typedef struct ts_replica_census {
+    unsigned listed;
+    unsigned leaving;   /**< drains or left, for too long */
+    unsigned full;      /**< has as many requests of this node as it may */
+    unsigned avoided;   /**< failed or refused a moment ago */
+    unsigned in_flight; /**< requests of this node at all of them */
+} ts_replica_census_t;
+
+ts_replica_census_t ts_replica_count(const ts_service_t *service, const ts_replica_input_t *input);
 /** Whether this node has as many requests there as it may: by connections, and by what was learned.
  */
 bool ts_replica_is_full(const ts_instance_t *instance, const ts_replica_input_t *input);
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -259,6 +259,12 @@
     return false;
 }
 
+static void log_blocked(const ts_request_t *request, ts_time_us_t now_us)
+{
+    for (unsigned i = 0; i < request->parts_count; i++)
+        ts_part_log_blocked(&request->parts[i], now_us);
+}
+
 /* Begins the request if it can be begun, or refuses it when its time to begin is over. */
 static bool try_admit(ts_request_t *request, ts_time_us_t now_us)
 {
@@ -272,6 +278,7 @@
     }
     if (now_us >= request->admit_by_us) {
         note_admission(request, true);
+        log_blocked(request, now_us);
         fail(request, TS_E_OVERLOAD);
         return true;
     }
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -64,6 +64,8 @@
 
 /** Whether no instance of the part's service could take it at once. */
 bool ts_part_is_blocked(const ts_request_part_t *part, ts_time_us_t now_us);
+/** Says why the part's service could not take it, if so. */
+void ts_part_log_blocked(const ts_request_part_t *part, ts_time_us_t now_us);
 /** Sends the part to the best instance, or notes that none is there. */
 void ts_part_send_first(ts_request_part_t *part);
 /** Does what is due for the part: a second send, another look for an instance. */
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -146,6 +146,19 @@
     return !ts_replica_is_any_free(part->service, &input);
 }
 
+void ts_part_log_blocked(const ts_request_part_t *part, ts_time_us_t now_us)
+{
+    if (!ts_log_is_wanted(TS_EVENT_PART_BLOCKED) || !ts_part_is_blocked(part, now_us))
+        return;
+    ts_replica_input_t input = choice_input(part, now_us);
+    ts_replica_census_t census = ts_replica_count(part->service, &input);
+    ts_log(TS_EVENT_PART_BLOCKED,
+           "request=%s service=%s listed=%u leaving=%u full=%u avoided=%u in_flight=%u "
+           "connections_max=%u",
+           part->request->outgoing->request_id, part->service->name, census.listed, census.leaving,
+           census.full, census.avoided, census.in_flight, input.connections_max);
+}
+
 void ts_part_send_first(ts_request_part_t *part)
 {
     ts_time_us_t now_us = ts_clock_now_us();
--- a/src/route/replica.c
+++ b/src/route/replica.c
@@ -128,6 +128,22 @@
     return false;
 }
 
+ts_replica_census_t ts_replica_count(const ts_service_t *service, const ts_replica_input_t *input)
+{
+    ts_replica_census_t census = {.listed = service->instances->len};
+    for (guint i = 0; i < service->instances->len; i++) {
+        const ts_instance_t *instance = g_ptr_array_index(service->instances, i);
+        census.in_flight += instance->in_flight;
+        if (!ts_replica_is_usable(instance, input))
+            census.leaving++;
+        else if (ts_replica_is_full(instance, input))
+            census.full++;
+        else if (instance->avoid_until_us > input->now_us)
+            census.avoided++;
+    }
+    return census;
+}
+
 bool ts_replica_is_worth_waiting(const ts_service_t *service, const ts_replica_input_t *input,
                                  ts_instance_t *const *tried, unsigned tried_count)
 {
