A part that its request can do without leaves a scarce service to others

Change: a request that waits for its beginning marks the services that block it (again every 6 ms); an unsent part of a request that has enough others in or under way looks on only while nobody has marked its service for 15 ms.

--- a/include/tealspar/registry.h
+++ b/include/tealspar/registry.h
@@ -86,6 +86,7 @@
     GPtrArray *instances; /**< of ts_instance_t */
     ts_retry_budget_t budget;
     uint32_t connections_max;      /**< that one instance takes from all callers; 0: not told */
+    ts_time_us_t wanted_us;        /**< when a request last could not begin for want of it */
     double refused[TS_PRIORITIES]; /**< share of late requests that were refused, by priority */
     ts_registry_t *registry;
 };
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -259,6 +259,12 @@
     return false;
 }
 
+static void note_wanted(const ts_request_t *request, ts_time_us_t now_us)
+{
+    for (unsigned i = 0; i < request->parts_count; i++)
+        ts_part_note_wanted(&request->parts[i], now_us);
+}
+
 static void log_blocked(const ts_request_t *request, ts_time_us_t now_us)
 {
     for (unsigned i = 0; i < request->parts_count; i++)
@@ -271,11 +277,11 @@
     if (!is_behind_urgent(request) && can_begin(request, now_us)) {
         request->is_admitted = true;
         note_admission(request, false);
-        for (unsigned i = 0; i < request->parts_count; i++) {
+        for (unsigned i = 0; i < request->parts_count; i++)
             ts_part_send_first(&request->parts[i]);
-        }
         return true;
     }
+    note_wanted(request, now_us);
     if (now_us >= request->admit_by_us) {
         note_admission(request, true);
         log_blocked(request, now_us);
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -64,6 +64,8 @@
 
 /** Whether no instance of the part's service could take it at once. */
 bool ts_part_is_blocked(const ts_request_part_t *part, ts_time_us_t now_us);
+/** Notes that a request cannot begin for want of the part's service, if that is so. */
+void ts_part_note_wanted(const ts_request_part_t *part, ts_time_us_t now_us);
 /** Says why the part's service could not take it, if so. */
 void ts_part_log_blocked(const ts_request_part_t *part, ts_time_us_t now_us);
 /** Sends the part to the best instance, or notes that none is there. */
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -7,6 +7,8 @@
 #include "tealspar/peers.h"
 #include "tealspar/replica.h"
 
+/* A service is scarce while requests wait for it to begin; they look more often than this. */
+#define SCARCE_US (15 * TS_US_PER_MS)
 /* Between two looks for an instance when none is there, or the budget holds nothing. */
 #define LOOK_AGAIN_US (15 * TS_US_PER_MS)
 /* A second send is not worth it on an instance as doubtful as this. */
@@ -146,6 +148,30 @@
     return !ts_replica_is_any_free(part->service, &input);
 }
 
+void ts_part_note_wanted(const ts_request_part_t *part, ts_time_us_t now_us)
+{
+    if (ts_part_is_blocked(part, now_us))
+        part->service->wanted_us = now_us;
+}
+
+static bool is_scarce(const ts_request_part_t *part, ts_time_us_t now_us)
+{
+    return part->service->wanted_us != 0 && now_us - part->service->wanted_us < SCARCE_US;
+}
+
+/* Whether the request can succeed with the parts that are in or under way beside this one. */
+static bool is_dispensable(const ts_request_part_t *part)
+{
+    const ts_request_t *request = part->request;
+    unsigned others = 0;
+    for (unsigned i = 0; i < request->parts_count; i++) {
+        const ts_request_part_t *other = &request->parts[i];
+        bool is_under_way = other->state == TS_PART_OPEN && other->sends > 0;
+        others += other != part && (other->state == TS_PART_IN || is_under_way);
+    }
+    return others >= ts_request_parts_needed(request);
+}
+
 void ts_part_log_blocked(const ts_request_part_t *part, ts_time_us_t now_us)
 {
     if (!ts_log_is_wanted(TS_EVENT_PART_BLOCKED) || !ts_part_is_blocked(part, now_us))
@@ -327,7 +353,9 @@
     if (part->next_try_us == 0 || now_us < part->next_try_us) {
         return;
     }
-    if (part->sends == 0) {
+    if (part->sends == 0 && is_scarce(part, now_us) && is_dispensable(part)) {
+        part->next_try_us = now_us + LOOK_AGAIN_US; // left to requests that cannot do without it
+    } else if (part->sends == 0) {
         ts_part_send_first(part);
     } else if (!send_again(part, now_us, G_MAXDOUBLE, "failed")) {
         wait_or_lose(part, now_us);
