Travel to a zone is measured from the making of connections

Cause: 300 us, 2.5 ms and 25 ms by distance were the links of the first deployments. On a scratch site made from Košnica with 6 ms between zones and 30 ms between regions, one way, a second send is reckoned to take 35 ms less than it does, sends to other regions are overdue before they can answer, and first sends go there too readily.

Change: src/route/travel.c keeps a low quantile (25 in 100) of the time that connections to a zone's back ends take to be made, one a zone; the constants are first guesses. Seen on that site: 0.5 ms within the zone, 62 to 64 ms to others (30 ms one way).

Test: test_travel_is_measured (does not compile without the change; the choice it ends with needs the measured times).

--- a/include/tealspar/registry.h
+++ b/include/tealspar/registry.h
@@ -15,14 +15,7 @@
 #include "tealspar/clock.h"
 #include "tealspar/error.h"
 #include "tealspar/retry_budget.h"
-
-/** How far a back end stands from this node. */
-typedef enum ts_distance {
-    TS_DISTANCE_ZONE,   /**< the same zone */
-    TS_DISTANCE_REGION, /**< another zone of the same region */
-    TS_DISTANCE_FAR,    /**< another region */
-    TS_DISTANCE_COUNT
-} ts_distance_t;
+#include "tealspar/travel.h"
 
 /** What discovery says of an instance. */
 typedef struct ts_instance_record {
@@ -46,6 +39,7 @@
     struct sockaddr_storage address;
     char *zone;
     ts_distance_t distance;
+    ts_travel_t *travel; /**< to its zone; owned by the registry */
     uint32_t slots;
     bool is_draining;
     bool is_listed;          /**< discovery names it now */
@@ -107,6 +101,12 @@
 void ts_registry_keep_only(ts_registry_t *registry, GHashTable *ids, ts_time_us_t now_us);
 /** Frees instances that have left and that nothing refers to; call it now and then. */
 void ts_registry_sweep(ts_registry_t *registry, ts_time_us_t now_us);
+/** A connection to the instance was made in this time. */
+void ts_registry_note_travel(ts_registry_t *registry, const ts_instance_t *instance,
+                             ts_time_us_t span_us);
+/** The shortest and the longest travel to a zone that back ends stand in, in microseconds. */
+double ts_registry_travel_least_us(const ts_registry_t *registry);
+double ts_registry_travel_most_us(const ts_registry_t *registry);
 /** An instance by its id, or NULL. */
 ts_instance_t *ts_registry_instance(const ts_registry_t *registry, const char *id);
 /** What a node has just seen of an instance. */
--- a/include/tealspar/replica.h
+++ b/include/tealspar/replica.h
@@ -17,12 +17,6 @@
     uint32_t random;          /**< breaks ties */
 } ts_replica_input_t;
 
-/** Time to an instance and back, without its work, in microseconds. */
-double ts_replica_travel_us(const ts_instance_t *instance);
-/** The same to an instance of the own zone. */
-double ts_replica_travel_least_us(void);
-/** The longest such time. */
-double ts_replica_travel_most_us(void);
 /** Whether an instance may be sent new work at all. */
 bool ts_replica_is_usable(const ts_instance_t *instance, const ts_replica_input_t *input);
 /** Whether some instance of the service could take a request at once, and is believed well. */
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -82,9 +82,9 @@
     if (request->gateway->settings->policy != TS_LATE_ADAPTIVE) {
         return overdue_us;
     }
-    ts_time_us_t need_us =
-        (ts_time_us_t)(SECOND_SEND_SAFETY *
-                       (ts_route_state_overdue_us(request->state) + ts_replica_travel_most_us()));
+    ts_time_us_t need_us = (ts_time_us_t)(SECOND_SEND_SAFETY *
+                                          (ts_route_state_overdue_us(request->state) +
+                                           ts_registry_travel_most_us(request->gateway->registry)));
     ts_time_us_t latest_us = request->stop_us > need_us ? request->stop_us - need_us : 0;
     return latest_us > overdue_us ? latest_us : overdue_us;
 }
@@ -103,7 +103,7 @@
 {
     ts_request_t *request = part->request;
     double typical_us = request->state->typical.value_us;
-    double travel_us = ts_replica_travel_us(instance);
+    double travel_us = ts_travel_us(instance->travel);
     part->tried[part->sends] = instance;
     ts_instance_note_sent(instance, now_us);
     instance->references++;
@@ -466,7 +466,8 @@
                          const ts_instance_t *instance)
 {
     if (instance->distance != TS_DISTANCE_FAR) {
-        double extra_us = ts_replica_travel_us(instance) - ts_replica_travel_least_us();
+        double extra_us = ts_travel_us(instance->travel) -
+                          ts_registry_travel_least_us(part->request->gateway->registry);
         double span_us = MAX((double)result->span_us - extra_us, 1);
         ts_route_state_note(part->request->state, span_us);
     }
--- a/src/registry/registry.c
+++ b/src/registry/registry.c
@@ -15,6 +15,9 @@
     GHashTable *zones;
     GHashTable *services;  /**< name -> ts_service_t, owned */
     GHashTable *instances; /**< id -> ts_instance_t, owned */
+    GHashTable *travels;   /**< zone -> ts_travel_t, owned */
+    double travel_least_us;
+    double travel_most_us;
     ts_registry_seen_t seen;
     void *seen_ctx;
 };
@@ -57,6 +60,7 @@
     registry->zones = zones;
     registry->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_service);
     registry->instances = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_instance);
+    registry->travels = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return registry;
 }
 
@@ -64,6 +68,7 @@
 {
     g_hash_table_destroy(registry->services);
     g_hash_table_destroy(registry->instances);
+    g_hash_table_destroy(registry->travels);
     g_free(registry->zone);
     g_free(registry);
 }
@@ -98,12 +103,60 @@
     return is_near ? TS_DISTANCE_REGION : TS_DISTANCE_FAR;
 }
 
+/* -- Travel ------------------------------------------------------------------------------------ */
+
+static void find_travel_bounds(ts_registry_t *registry)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    registry->travel_least_us = G_MAXDOUBLE;
+    registry->travel_most_us = 0;
+    g_hash_table_iter_init(&iterator, registry->travels);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        double travel_us = ts_travel_us(value);
+        registry->travel_least_us = MIN(registry->travel_least_us, travel_us);
+        registry->travel_most_us = MAX(registry->travel_most_us, travel_us);
+    }
+}
+
+static ts_travel_t *find_travel(ts_registry_t *registry, const char *zone, ts_distance_t distance)
+{
+    ts_travel_t *travel = g_hash_table_lookup(registry->travels, zone);
+    if (travel == NULL) {
+        travel = g_new0(ts_travel_t, 1);
+        ts_travel_init(travel, distance);
+        g_hash_table_insert(registry->travels, g_strdup(zone), travel);
+        find_travel_bounds(registry);
+    }
+    return travel;
+}
+
+void ts_registry_note_travel(ts_registry_t *registry, const ts_instance_t *instance,
+                             ts_time_us_t span_us)
+{
+    ts_travel_note(instance->travel, span_us);
+    find_travel_bounds(registry);
+}
+
+double ts_registry_travel_least_us(const ts_registry_t *registry)
+{
+    return registry->travel_least_us;
+}
+
+double ts_registry_travel_most_us(const ts_registry_t *registry)
+{
+    return registry->travel_most_us;
+}
+
+/* -- Instances --------------------------------------------------------------------------------- */
+
 static ts_instance_t *add_instance(ts_registry_t *registry, const ts_instance_record_t *record)
 {
     ts_instance_t *instance = g_new0(ts_instance_t, 1);
     instance->id = g_strdup(record->id);
     instance->zone = g_strdup(record->zone);
     instance->distance = measure_distance(registry, record->zone);
+    instance->travel = find_travel(registry, record->zone, instance->distance);
     instance->slowness = 1;
     g_queue_init(&instance->idle);
     instance->service = ts_registry_service(registry, record->service);
--- a/src/route/replica.c
+++ b/src/route/replica.c
@@ -4,8 +4,6 @@
 #include <glib.h>
 #include <math.h>
 
-/* Time there and back, by distance; links of the deployments so far. */
-static const double travel_us[TS_DISTANCE_COUNT] = {300, 2500, 25000};
 #define SUSPECTED_COST_US 400000.0
 #define AVOIDED_COST_US 600000.0
 #define LEAVING_COST_US 1200000.0
@@ -17,21 +15,6 @@
 #define TIE_SHARE 0.04
 #define RANDOM_RANGE 1024U
 
-double ts_replica_travel_us(const ts_instance_t *instance)
-{
-    return travel_us[instance->distance];
-}
-
-double ts_replica_travel_least_us(void)
-{
-    return travel_us[TS_DISTANCE_ZONE];
-}
-
-double ts_replica_travel_most_us(void)
-{
-    return travel_us[TS_DISTANCE_FAR];
-}
-
 bool ts_replica_is_usable(const ts_instance_t *instance, const ts_replica_input_t *input)
 {
     bool is_leaving = instance->is_draining || !instance->is_listed;
@@ -57,7 +40,7 @@
     if (instance->warm_at_us > input->now_us) {
         work_us *= WARMUP_FACTOR;
     }
-    double cost_us = travel_us[instance->distance] + work_us * (1 + queue_factor(instance));
+    double cost_us = ts_travel_us(instance->travel) + work_us * (1 + queue_factor(instance));
     if (instance->suspected_us != 0 && !is_due_for_trial(instance, input->now_us)) {
         cost_us += SUSPECTED_COST_US;
     }
--- a/src/upstream/upstream.c
+++ b/src/upstream/upstream.c
@@ -315,6 +315,8 @@
     }
     begin_reading(connection);
     if (exchange != NULL) {
+        ts_registry_note_travel(connection->instance->service->registry, connection->instance,
+                                ts_clock_now_us() - exchange->begun_us);
         write_request(connection);
     }
 }
--- a/tests/route/test_gateway_decisions.c
+++ b/tests/route/test_gateway_decisions.c
@@ -231,6 +231,27 @@
     assert_ptr_equal(choose(registry, now_us), far);
 }
 
+// A long link is learned from connections, in spite of some that waited for a busy back end.
+static void test_travel_is_measured(void **state)
+{
+    ts_registry_t *registry = ts_registry_create("z1", two_regions());
+    ts_instance_t *near = add(registry, "near", "z1");
+    ts_instance_t *next = add(registry, "next", "z2");
+    ts_instance_t *far = add(registry, "far", "z3");
+    ts_time_us_t now_us = 100 * TS_US_PER_S;
+    assert_true(ts_registry_travel_most_us(registry) < 30 * MS);
+    for (int i = 0; i < 200; i++) {
+        ts_registry_note_travel(registry, near, i % 5 == 0 ? 40 * MS : MS / 2);
+        ts_registry_note_travel(registry, next, i % 5 == 0 ? 90 * MS : 60 * MS);
+        ts_registry_note_travel(registry, far, 10 * MS);
+    }
+    assert_true(ts_registry_travel_least_us(registry) < MS);
+    assert_true(ts_travel_us(next->travel) > 50 * MS && ts_travel_us(next->travel) < 70 * MS);
+    assert_true(ts_registry_travel_most_us(registry) > 50 * MS);
+    near->in_flight = 12;
+    assert_ptr_equal(choose(registry, now_us), far); // the zone of the same region is further
+}
+
 static void test_suspected_until_it_answers(void **state)
 {
     ts_registry_t *registry = ts_registry_create("z1", two_regions());
@@ -386,6 +407,7 @@
         cmocka_unit_test(test_split_follows_weights),
         cmocka_unit_test(test_records_agree_with_a_full_sort),
         cmocka_unit_test(test_replica_prefers_near_and_free),
+        cmocka_unit_test(test_travel_is_measured),
         cmocka_unit_test(test_suspected_until_it_answers),
         cmocka_unit_test(test_slow_is_told_from_paused),
         cmocka_unit_test(test_faded_slowness_stays_faded),
