While nothing is known a silent service is asked again after 0.3 s, not 2.5 s

The service answers again at 37.2 s (now seen: first answer 37.28 s), but every gateway waits for its first list, which was swallowed, until 39.36 to 39.7 s: 1,300 refusals with 'not_ready', 583 requests unserved. Found in the log by platform_lost lines 2.5 s after each start. Ruled out: callers told to come back too early, as the other gateways knew nothing either.

Change: a list while nothing is known is given up after 0.3 s, then 0.45 s and so on up to 2.5 s, so that a slow service is still heard.

Test: test_swallowed_first_list, failing before.

--- a/src/control/store_watch.c
+++ b/src/control/store_watch.c
@@ -12,6 +12,12 @@
 #define STATUS_OK 200
 #define STATUS_GONE 410
 #define LIST_TIMEOUT_MS 2500
+/*
+ * While nothing is known, a silent service is asked again after less: it may have swallowed the
+ * call and be back already. Each time that was too short for a slow service, it gets longer.
+ */
+#define FIRST_TIMEOUT_MS 300
+#define FIRST_TIMEOUT_GROWTH 1.5
 /*
  * A wait for changes; silence past it and its margin means that the service is not heard. A call
  * that a silent service has swallowed is noticed within their sum, which must lie below the time
@@ -41,7 +47,8 @@
     char *list_after;       /**< last key of the pages so far; NULL at the beginning */
     GHashTable *listed;     /**< ids of instances on the pages so far */
     uint32_t backoff_ms;
-    ts_time_us_t called_us; /**< when the call under way began */
+    uint32_t first_timeout_ms; /**< of a list while nothing is known */
+    ts_time_us_t called_us;    /**< when the call under way began */
     ts_store_client_t *prober;
     uv_timer_t probe_timer;
     ts_time_us_t probed_us; /**< when the probe under way began */
@@ -147,6 +154,15 @@
     watch->backoff_ms = MIN(watch->backoff_ms * BACKOFF_GROWTH, most_ms);
 }
 
+static uint32_t list_timeout_ms(ts_store_watch_t *watch)
+{
+    if (ts_store_mirror_is_primed(watch->gateway->mirror))
+        return LIST_TIMEOUT_MS;
+    uint32_t timeout_ms = watch->first_timeout_ms;
+    watch->first_timeout_ms = MIN((uint32_t)(timeout_ms * FIRST_TIMEOUT_GROWTH), LIST_TIMEOUT_MS);
+    return timeout_ms;
+}
+
 static void call_done(void *context, ts_error_t error, unsigned status, const char *body,
                       size_t length)
 {
@@ -202,7 +218,7 @@
             ? dialect->list_target(watch->list_after)
             : dialect->watch_target(ts_store_mirror_revision(watch->gateway->mirror), WATCH_MS);
     ts_store_client_get(watch->client, target,
-                        watch->is_listing ? LIST_TIMEOUT_MS : WATCH_MS + WATCH_MARGIN_MS);
+                        watch->is_listing ? list_timeout_ms(watch) : WATCH_MS + WATCH_MARGIN_MS);
     g_free(target);
 }
 
@@ -251,6 +267,7 @@
     watch->prober = ts_store_client_create(gateway->loop, address, probe_done, watch);
     watch->listed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     watch->backoff_ms = BACKOFF_FIRST_MS;
+    watch->first_timeout_ms = FIRST_TIMEOUT_MS;
     uv_timer_init(gateway->loop, &watch->pause);
     uv_timer_init(gateway->loop, &watch->probe_timer);
     watch->pause.data = watch;
--- a/tests/gateway/test_store_watch.c
+++ b/tests/gateway/test_store_watch.c
@@ -110,6 +110,21 @@
     assert_int_equal(world->gateway.traffic->version, 2);
 }
 
+// A gateway that starts while the service is silent knows the configuration soon after its return.
+static void test_swallowed_first_list(void **state)
+{
+    world_t *world = world_open(NULL);
+    world_configure(world, 1, ROUTE_A);
+    lab_store_set_mode(world->store, LAB_STORE_SILENT);
+    ts_gateway_t *late = world_add_gateway(world, "late", "z1", world_next_port(),
+                                           world_next_port(), world->store_port);
+    world_run_ms(world, 200);
+    assert_null(late->traffic);
+    lab_store_set_mode(world->store, LAB_STORE_NORMAL);
+    world_run_ms(world, 1500);
+    assert_non_null(late->traffic);
+}
+
 static void test_calls_on_a_calm_day_are_few(void **state)
 {
     world_t *world = world_open(NULL);
@@ -129,6 +144,7 @@
         cmocka_unit_test(test_invalid_document_is_refused_whole),
         cmocka_unit_test(test_store_that_refuses),
         cmocka_unit_test(test_swallowed_watch),
+        cmocka_unit_test(test_swallowed_first_list),
         cmocka_unit_test(test_calls_on_a_calm_day_are_few),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
