Instances that fail part of their requests are asked less

A failed answer was counted as a sign of life and taken for a quick one: it cleared what stood against the instance and lowered its slowness, so that a searcher that fails at once drew work.

Change: each instance has a fading share of failures (a quarter of each new verdict, half-life 4 s); its expected cost grows by that share of ten times the route's work. A failed answer's time says nothing about its slowness any more.

Test: test_failing_instance_is_left (the call is new; the choice it ends with needs the share).

--- a/include/tealspar/registry.h
+++ b/include/tealspar/registry.h
@@ -53,6 +53,8 @@
     double slowness;              /**< its answer times against its service's; 1: the same */
     ts_time_us_t slowness_at_us;  /**< when `slowness` was last moved */
     ts_time_us_t slow_seen_us;    /**< end of the last late answer that moved it */
+    double failing;               /**< share of its answers that are failures, as of then */
+    ts_time_us_t failing_at_us;   /**< when `failing` was last moved */
     double sent_rate;             /**< requests a second this node sends it, fading */
     ts_time_us_t sent_rate_at_us; /**< when `sent_rate` was last moved */
     ts_time_us_t answered_us;     /**< when its last answer came; 0: never */
@@ -143,6 +145,10 @@
 void ts_instance_note_sent(ts_instance_t *instance, ts_time_us_t now_us);
 /** Its answer times against its service's, as believed now: 1 the same, more is slower. */
 double ts_instance_slowness(const ts_instance_t *instance, ts_time_us_t now_us);
+/** It ran a request and answered with a failure of its own, or with success. */
+void ts_instance_note_verdict(ts_instance_t *instance, bool is_failure, ts_time_us_t now_us);
+/** Share of its answers that are failures, as believed now. */
+double ts_instance_failing(const ts_instance_t *instance, ts_time_us_t now_us);
 /** A connection or a request failed. */
 void ts_instance_note_failure(ts_instance_t *instance, ts_time_us_t now_us);
 /**
--- a/src/registry/instance_health.c
+++ b/src/registry/instance_health.c
@@ -17,6 +17,8 @@
 #define RATE_STEP 0.693 /* ln 2 a half-life: a steady rate settles at itself */
 #define SLOWNESS_STEP 0.1
 #define SLOWNESS_MAX 12.0
+/* Weight of one answer in the share of failures. */
+#define FAILING_STEP 0.25
 /* What a peer says weighs less than an answer that this node had just now. */
 #define HEARD_AFTER_US (15 * TS_US_PER_MS)
 /*
@@ -187,6 +189,13 @@
     }
 }
 
+void ts_instance_note_verdict(ts_instance_t *instance, bool is_failure, ts_time_us_t now_us)
+{
+    double failing = ts_instance_failing(instance, now_us);
+    instance->failing = failing + FAILING_STEP * ((is_failure ? 1.0 : 0.0) - failing);
+    instance->failing_at_us = now_us;
+}
+
 void ts_instance_note_failure(ts_instance_t *instance, ts_time_us_t now_us)
 {
     ts_time_us_t pause_us = AVOID_FIRST_US << (instance->failures < 3 ? instance->failures : 3);
--- a/src/route/replica.c
+++ b/src/route/replica.c
@@ -8,6 +8,8 @@
 #define AVOIDED_COST_US 600000.0
 #define LEAVING_COST_US 1200000.0
 #define WARMUP_FACTOR 1.6
+/* What a failed answer costs, in times of such a request: it is sent once more, from the budget. */
+#define FAILED_COST_RATIO 10.0
 /* A suspected instance is given one request after so long without an answer. */
 #define RETRY_SUSPECTED_US (1000 * TS_US_PER_MS)
 /* How often the nodes together fill an instance's slots when their limits are at the lowest. */
@@ -41,6 +43,7 @@
         work_us *= WARMUP_FACTOR;
     }
     double cost_us = ts_travel_us(instance->travel) + work_us * (1 + queue_factor(instance));
+    cost_us += ts_instance_failing(instance, input->now_us) * FAILED_COST_RATIO * input->work_us;
     if (instance->suspected_us != 0 && !is_due_for_trial(instance, input->now_us)) {
         cost_us += SUSPECTED_COST_US;
     }
--- a/src/route/slowness.c
+++ b/src/route/slowness.c
@@ -1,13 +1,20 @@
-/** How slow an instance is believed to be; what is learned of it is in src/registry. */
+/** How slow and how failing an instance is believed to be; that is learned in src/registry. */
 #include <math.h>
 
 #include "tealspar/registry.h"
 
 /* Beliefs about slowness fade with this half-life, so that an instance is tried again. */
 #define SLOWNESS_HALF_LIFE_US (4.0 * (double)TS_US_PER_S)
+#define FAILING_HALF_LIFE_US (4.0 * (double)TS_US_PER_S)
 
 double ts_instance_slowness(const ts_instance_t *instance, ts_time_us_t now_us)
 {
     double age_us = (double)(now_us - instance->slowness_at_us);
     return 1 + (instance->slowness - 1) * exp2(-age_us / SLOWNESS_HALF_LIFE_US);
 }
+
+double ts_instance_failing(const ts_instance_t *instance, ts_time_us_t now_us)
+{
+    double age_us = (double)(now_us - instance->failing_at_us);
+    return instance->failing * exp2(-age_us / FAILING_HALF_LIFE_US);
+}
--- a/src/upstream/upstream.c
+++ b/src/upstream/upstream.c
@@ -20,6 +20,7 @@
 #define TICK_MS 50
 #define STATUS_MISDIRECTED 421
 #define STATUS_SUCCESS_FIRST 200
+#define STATUS_SERVER_ERROR 500
 #define STATUS_SUCCESS_LAST 299
 
 typedef struct ts_connection {
@@ -104,8 +105,10 @@
     ts_time_us_t now_us = ts_clock_now_us();
     result->span_us = exchange->sent_us == 0 ? 0 : now_us - exchange->sent_us;
     if (result->error == TS_OK && result->run == TS_RUN_DONE) {
+        bool is_failure = result->answer->parser.status_code >= STATUS_SERVER_ERROR;
+        ts_instance_note_verdict(exchange->instance, is_failure, now_us);
         ts_instance_note_answer(exchange->instance, now_us, (double)result->span_us,
-                                exchange->typical_us);
+                                is_failure ? 0 : exchange->typical_us);
     } else if (result->error == TS_OK) {
         ts_instance_note_refusal(exchange->instance, now_us);
     }
--- a/tests/route/test_gateway_decisions.c
+++ b/tests/route/test_gateway_decisions.c
@@ -252,6 +252,21 @@
     assert_ptr_equal(choose(registry, now_us), far); // the zone of the same region is further
 }
 
+// An instance that fails part of its requests, however fast, is asked less, and again later.
+static void test_failing_instance_is_left(void **state)
+{
+    ts_registry_t *registry = ts_registry_create("z1", two_regions());
+    ts_instance_t *near = add(registry, "near", "z1");
+    ts_instance_t *far = add(registry, "far", "z3");
+    ts_time_us_t now_us = 100 * TS_US_PER_S;
+    for (int i = 0; i < 6; i++) {
+        ts_instance_note_verdict(near, i % 2 == 0, now_us);
+        ts_instance_note_verdict(far, false, now_us);
+    }
+    assert_ptr_equal(choose(registry, now_us), far);
+    assert_ptr_equal(choose(registry, now_us + 20 * TS_US_PER_S), near);
+}
+
 static void test_suspected_until_it_answers(void **state)
 {
     ts_registry_t *registry = ts_registry_create("z1", two_regions());
@@ -408,6 +423,7 @@
         cmocka_unit_test(test_records_agree_with_a_full_sort),
         cmocka_unit_test(test_replica_prefers_near_and_free),
         cmocka_unit_test(test_travel_is_measured),
+        cmocka_unit_test(test_failing_instance_is_left),
         cmocka_unit_test(test_suspected_until_it_answers),
         cmocka_unit_test(test_slow_is_told_from_paused),
         cmocka_unit_test(test_faded_slowness_stays_faded),
