--- a/include/tealspar/connection_share.h
+++ b/include/tealspar/connection_share.h
@@ -17,4 +17,11 @@
  */
 uint32_t ts_connection_share(uint32_t connections_max, unsigned nodes, unsigned place);
 
+/**
+ * How many connections to one instance a node may use at once: an even share, but two at least
+ * where the instance takes as many connections as there are nodes (few use two at the same time),
+ * else one.
+ */
+uint32_t ts_connections_in_use_max(uint32_t connections_max, unsigned nodes);
+
 #endif
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "request.h"
+#include "tealspar/connection_share.h"
 #include "tealspar/counters.h"
 #include "tealspar/log.h"
 #include "tealspar/peers.h"
@@ -20,10 +21,6 @@
 /* Others are told of a silent instance this part of the usual time later. */
 #define TELL_LATER 0.75
 #define CONNECTIONS_DEFAULT 4U
-#define CONNECTIONS_MIN 2U
-/* Thirds of an instance's connections that the fleet uses: it takes fewer while its queue is long.
- */
-#define CONNECTIONS_USED 2U
 #define STATUS_SERVER_ERROR 500
 #define STATUS_SUCCESS_FIRST 200
 #define STATUS_SUCCESS_LAST 299
@@ -38,8 +35,7 @@
     if (part->service->connections_max == 0) {
         return CONNECTIONS_DEFAULT;
     }
-    uint32_t share = part->service->connections_max * CONNECTIONS_USED / 3 / gateway->nodes;
-    return share < CONNECTIONS_MIN ? CONNECTIONS_MIN : share;
+    return ts_connections_in_use_max(part->service->connections_max, gateway->nodes);
 }
 
 static ts_replica_input_t choice_input(const ts_request_part_t *part, ts_time_us_t now_us)
--- a/tests/route/test_gateway_decisions.c
+++ b/tests/route/test_gateway_decisions.c
@@ -409,6 +409,14 @@
     }
 }
 
+static void test_connections_in_use(void **state)
+{
+    assert_int_equal(ts_connections_in_use_max(41, 9), 3);
+    assert_int_equal(ts_connections_in_use_max(31, 24), 2);
+    assert_int_equal(ts_connections_in_use_max(66, 67), 1); // two each would be twice too many
+    assert_int_equal(ts_connections_in_use_max(3, 1000), 1);
+}
+
 int main(void)
 {
     ts_log_open("test", TS_LOG_TEXT, G_LOG_LEVEL_CRITICAL);
@@ -431,6 +439,7 @@
         cmocka_unit_test(test_limit_is_learned),
         cmocka_unit_test(test_remembered_instance_is_not_forgotten),
         cmocka_unit_test(test_connection_shares_add_up),
+        cmocka_unit_test(test_connections_in_use),
         cmocka_unit_test(test_leaving_takes_nothing_after_the_bound),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
