--- a/include/tealspar/gateway_settings.h
+++ b/include/tealspar/gateway_settings.h
@@ -40,6 +40,7 @@
     uint32_t retry_window_ms;
     double retry_slack; /**< extra sends in a window beyond the ratio, over the fleet */
     ts_late_policy_t policy;
+    uint32_t without; /**< mechanisms that are switched off; bits of tealspar/mechanism.h */
     ts_log_format_t log_format;
     ts_log_level_t log_level;
 } ts_gateway_settings_t;
--- a/src/config/gateway_settings.c
+++ b/src/config/gateway_settings.c
@@ -2,6 +2,7 @@
 #include "tealspar/gateway_settings.h"
 
 #include "tealspar/address.h"
+#include "tealspar/mechanism.h"
 #include "tealspar/plugin.h"
 #include "tealspar/yaml_load.h"
 
@@ -32,6 +33,9 @@
 
 static const cyaml_strval_t policy_names[] = {
     {"adaptive", TS_LATE_ADAPTIVE}, {"fixed-hedge", TS_LATE_FIXED_HEDGE}, {"naive", TS_LATE_NAIVE}};
+#define MECHANISM_BIT(symbol, name, text) {name, 1U << TS_MECHANISM_##symbol},
+static const cyaml_strval_t mechanism_names[] = {TS_MECHANISM_TABLE(MECHANISM_BIT)};
+#undef MECHANISM_BIT
 static const cyaml_strval_t format_names[] = {{"text", TS_LOG_TEXT}, {"json", TS_LOG_JSON}};
 static const cyaml_strval_t level_names[] = {
     {"notice", TS_LEVEL_NOTICE}, {"warning", TS_LEVEL_WARNING}, {"info", TS_LEVEL_INFO}};
@@ -57,6 +61,8 @@
     CYAML_FIELD_FLOAT("retry_slack", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, retry_slack),
     CYAML_FIELD_ENUM("policy", CYAML_FLAG_STRICT | CYAML_FLAG_OPTIONAL, ts_gateway_settings_t,
                      policy, policy_names, CYAML_ARRAY_LEN(policy_names)),
+    CYAML_FIELD_FLAGS("without", CYAML_FLAG_STRICT | CYAML_FLAG_OPTIONAL, ts_gateway_settings_t,
+                      without, mechanism_names, CYAML_ARRAY_LEN(mechanism_names)),
     CYAML_FIELD_ENUM("log_format", CYAML_FLAG_STRICT | CYAML_FLAG_OPTIONAL, ts_gateway_settings_t,
                      log_format, format_names, CYAML_ARRAY_LEN(format_names)),
     CYAML_FIELD_ENUM("log_level", CYAML_FLAG_STRICT | CYAML_FLAG_OPTIONAL, ts_gateway_settings_t,
--- a/src/edge/gateway.c
+++ b/src/edge/gateway.c
@@ -6,6 +6,7 @@
 #include "tealspar/connection_share.h"
 #include "tealspar/counters.h"
 #include "tealspar/log.h"
+#include "tealspar/mechanism.h"
 #include "tealspar/peers.h"
 #include "tealspar/pending.h"
 #include "tealspar/plugin.h"
@@ -174,6 +175,7 @@
 static void apply_settings(ts_gateway_t *gateway)
 {
     const ts_gateway_settings_t *settings = gateway->settings;
+    ts_mechanisms_set_off(settings->without);
     gateway->rule.ratio = settings->retry_ratio;
     gateway->rule.window_us = settings->retry_window_ms * TS_US_PER_MS;
     ts_gateway_set_nodes(gateway, gateway->nodes_seen);
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -7,6 +7,7 @@
 #include <strings.h>
 
 #include "tealspar/counters.h"
+#include "tealspar/mechanism.h"
 #include "tealspar/pending.h"
 
 #define STATUS_BAD_REQUEST 400
@@ -121,7 +122,7 @@
 /* How long the request may wait for its beginning. */
 static ts_time_us_t admission_span_us(const ts_request_t *request)
 {
-    if (request->has_returned)
+    if (request->has_returned && ts_mechanism_is_on(TS_MECHANISM_RETURNED))
         return (request->deadline_us - request->arrived_us) / ADMISSION_RETURNED_DIVISOR;
     return (request->stop_us - request->arrived_us) / ADMISSION_DIVISOR;
 }
@@ -251,6 +252,8 @@
 {
     const double *refused = request->parts[0].service->refused;
     unsigned own = priority_of(request);
+    if (!ts_mechanism_is_on(TS_MECHANISM_PRIORITY))
+        return false;
     for (unsigned priority = 0; priority < own; priority++) {
         if (refused[priority] > refused[own] + REFUSED_MARGIN) {
             return true;
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -5,6 +5,7 @@
 #include "tealspar/connection_share.h"
 #include "tealspar/counters.h"
 #include "tealspar/log.h"
+#include "tealspar/mechanism.h"
 #include "tealspar/peers.h"
 #include "tealspar/replica.h"
 
@@ -75,7 +76,8 @@
 static ts_time_us_t second_send_us(const ts_request_part_t *part, ts_time_us_t overdue_us)
 {
     const ts_request_t *request = part->request;
-    if (request->gateway->settings->policy != TS_LATE_ADAPTIVE) {
+    bool is_patient = ts_mechanism_is_on(TS_MECHANISM_PATIENT_SECOND);
+    if (!is_patient || request->gateway->settings->policy != TS_LATE_ADAPTIVE) {
         return overdue_us;
     }
     ts_time_us_t need_us = (ts_time_us_t)(SECOND_SEND_SAFETY *
@@ -152,7 +154,8 @@
 
 static bool is_scarce(const ts_request_part_t *part, ts_time_us_t now_us)
 {
-    return part->service->wanted_us != 0 && now_us - part->service->wanted_us < SCARCE_US;
+    return ts_mechanism_is_on(TS_MECHANISM_SCARCE) && part->service->wanted_us != 0 &&
+           now_us - part->service->wanted_us < SCARCE_US;
 }
 
 /* Whether the request can succeed with the parts that are in or under way beside this one. */
@@ -283,7 +286,8 @@
         ts_instance_note_overdue(ts_exchange_instance(latest), sent_us == 0 ? now_us : sent_us,
                                  now_us);
     }
-    if (!part->request->route->is_repeatable) {
+    bool may_repeat = ts_mechanism_is_on(TS_MECHANISM_SECOND_SENDS);
+    if (!may_repeat || !part->request->route->is_repeatable) {
         return;
     }
     if (now_us < part->second_us) {
--- a/src/peers/peers_loans.c
+++ b/src/peers/peers_loans.c
@@ -1,6 +1,7 @@
 /** Loans of extra sends: a node whose budget is spent asks others for what they do not need. */
 #include "peers_internal.h"
 #include "tealspar/counters.h"
+#include "tealspar/mechanism.h"
 
 /* Of extra sends: how many nodes are asked at once, how often, and what each gives at most. */
 #define LOAN_ASKED 2U
@@ -42,7 +43,8 @@
 {
     size_t count = peers->view->count;
     size_t begin = ts_gateway_random(peers->gateway) % count;
-    if (now_us - service->budget.asked_us < LOAN_ASK_US)
+    bool is_off = !ts_mechanism_is_on(TS_MECHANISM_LOANS);
+    if (is_off || now_us - service->budget.asked_us < LOAN_ASK_US)
         return;
     service->budget.asked_us = now_us;
     for (size_t i = 0, asked = 0; i < count && asked < LOAN_ASKED; i++) {
--- a/src/registry/instance_health.c
+++ b/src/registry/instance_health.c
@@ -3,6 +3,7 @@
 
 #include "tealspar/counters.h"
 #include "tealspar/log.h"
+#include "tealspar/mechanism.h"
 #include "tealspar/registry.h"
 
 /* A span this many times the typical one is a sign of slowness, whatever its length: a pause of a
@@ -44,6 +45,8 @@
 
 static void lower_limit(ts_instance_t *instance, double factor, ts_time_us_t now_us)
 {
+    if (!ts_mechanism_is_on(TS_MECHANISM_LIMITS))
+        return;
     double present = instance->limit > 0 ? instance->limit : instance->in_flight;
     instance->limit = MAX(present * factor, LIMIT_LEAST);
     instance->limited_us = now_us;
@@ -77,7 +80,7 @@
  */
 static bool take_late_answer(ts_instance_t *instance, ts_time_us_t span_us, ts_time_us_t now_us)
 {
-    if (now_us - span_us < instance->slow_seen_us)
+    if (!ts_mechanism_is_on(TS_MECHANISM_LATE_SIGN) || now_us - span_us < instance->slow_seen_us)
         return false;
     instance->slow_seen_us = now_us;
     move_slowness(instance, ts_instance_slowness(instance, now_us) * SLOWNESS_RISE, now_us);
@@ -113,6 +116,8 @@
 
 static void tell_suspected(const ts_instance_t *instance, bool is_suspected)
 {
+    if (!ts_mechanism_is_on(TS_MECHANISM_SIGHTINGS))
+        return;
     ts_sighting_t sighting = {is_suspected ? TS_SIGHTING_SUSPECTED : TS_SIGHTING_ANSWERS, 0};
     if (is_worth_telling(instance))
         ts_registry_tell(instance, &sighting);
@@ -140,7 +145,8 @@
 
 void ts_instance_note_overdue(ts_instance_t *instance, ts_time_us_t sent_us, ts_time_us_t now_us)
 {
-    if (instance->suspected_us != 0 || instance->answered_us > sent_us) {
+    bool is_off = !ts_mechanism_is_on(TS_MECHANISM_SUSPICION);
+    if (is_off || instance->suspected_us != 0 || instance->answered_us > sent_us) {
         return;
     }
     instance->suspected_us = now_us;
@@ -194,6 +200,8 @@
     double failing = ts_instance_failing(instance, now_us);
     instance->failing = failing + FAILING_STEP * ((is_failure ? 1.0 : 0.0) - failing);
     instance->failing_at_us = now_us;
+    if (!ts_mechanism_is_on(TS_MECHANISM_FAILING))
+        instance->failing = 0;
 }
 
 void ts_instance_note_failure(ts_instance_t *instance, ts_time_us_t now_us)
@@ -212,7 +220,7 @@
 
 void ts_instance_note_forgotten(ts_instance_t *instance, ts_time_us_t rest_us, ts_time_us_t now_us)
 {
-    if (rest_us < FORGOTTEN_REST_LEAST_US)
+    if (rest_us < FORGOTTEN_REST_LEAST_US || !ts_mechanism_is_on(TS_MECHANISM_FORGOTTEN))
         return;
     ts_time_us_t most_us = (ts_time_us_t)(FORGOTTEN_REST_SHARE * (double)rest_us);
     bool is_new = now_us >= instance->rest_max_until_us;
--- a/src/registry/registry.c
+++ b/src/registry/registry.c
@@ -6,6 +6,7 @@
 #include "tealspar/address.h"
 #include "tealspar/counters.h"
 #include "tealspar/log.h"
+#include "tealspar/mechanism.h"
 
 /* One that has left is forgotten after this, when it has no connections. */
 #define FORGET_US (10 * TS_US_PER_S)
@@ -134,6 +135,8 @@
 void ts_registry_note_travel(ts_registry_t *registry, const ts_instance_t *instance,
                              ts_time_us_t span_us)
 {
+    if (!ts_mechanism_is_on(TS_MECHANISM_TRAVEL))
+        return;
     ts_travel_note(instance->travel, span_us);
     find_travel_bounds(registry);
 }
--- a/tests/config/test_gateway_settings.c
+++ b/tests/config/test_gateway_settings.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "tealspar/gateway_settings.h"
+#include "tealspar/mechanism.h"
 
 #define REQUIRED                                                                                   \
     "name: n1\nzone: z1\ndialect: platform\ncallers: 127.0.0.1:1\nready: 127.0.0.1:2\n"            \
@@ -50,12 +51,22 @@
     assert_null(load("no_such_key: 1\n"));
 }
 
+static void test_mechanisms_are_named(void **state)
+{
+    ts_gateway_settings_t *settings = load("without: [travel, loans]\n");
+    assert_non_null(settings);
+    assert_int_equal(settings->without, 1U << TS_MECHANISM_TRAVEL | 1U << TS_MECHANISM_LOANS);
+    ts_gateway_settings_free(settings);
+    assert_null(load("without: [nonsense]\n"));
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_defaults),
         cmocka_unit_test(test_where_it_is_reached),
         cmocka_unit_test(test_what_is_refused),
+        cmocka_unit_test(test_mechanisms_are_named),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
