Watchers wait longer for changes, and their probes notice a swallowed wait

Change: a watcher that others rely on waits for 8 s. A failed probe makes the wait doubtful, and the next answered one renews it; two answered probes in a row that see a newer revision while it waits renew it as well. A gateway that has just started listens to its peers for a second before it waits for changes itself. Lone gateways wait 2.5 s as before.

Test: test_swallowed_wait_of_a_watcher; its count of calls fails before.

--- a/include/tealspar/store_client.h
+++ b/include/tealspar/store_client.h
@@ -20,6 +20,8 @@
                                           ts_store_done_t done, void *context);
 /** Changes where the service is; a call under way fails with TS_E_CANCELLED. */
 void ts_store_client_set_address(ts_store_client_t *client, const char *address);
+/** Gives up the call under way, if there is one; `done` is not called for it. */
+void ts_store_client_abandon(ts_store_client_t *client);
 /** Begins a GET; no other may be under way. `done` is called once, never before this returns. */
 void ts_store_client_get(ts_store_client_t *client, const char *target, uint32_t timeout_ms);
 
--- a/src/control/store_client.c
+++ b/src/control/store_client.c
@@ -202,6 +202,15 @@
     }
 }
 
+void ts_store_client_abandon(ts_store_client_t *client)
+{
+    if (!client->is_calling)
+        return;
+    client->is_calling = false;
+    uv_timer_stop(&client->timeout);
+    drop_link(client);
+}
+
 void ts_store_client_get(ts_store_client_t *client, const char *target, uint32_t timeout_ms)
 {
     client->is_calling = true;
--- a/src/control/store_watch.c
+++ b/src/control/store_watch.c
@@ -25,6 +25,15 @@
  */
 #define WATCH_MS 2500
 #define WATCH_MARGIN_MS 1000
+/*
+ * A watcher that others rely on probes the service once a second anyway, at a tenth of the price:
+ * its wait may be longer, as the probes tell when it was swallowed. One that failed makes the wait
+ * doubtful; so many that see a newer revision while it waits show that it is deaf.
+ */
+#define WATCH_PROBED_MS 8000
+#define DEAF_PROBES 2
+/* A gateway that has just started listens to its peers for so long before it waits for changes. */
+#define SETTLE_US (1000 * TS_US_PER_MS)
 /* Changes that come close together are read by one call, as each call is priced. */
 #define BATCH_MS 700
 /* Between two looks of a node that leaves the service to the zone's watcher. */
@@ -53,6 +62,9 @@
     uv_timer_t probe_timer;
     ts_time_us_t probed_us; /**< when the probe under way began */
     bool is_probing;
+    bool is_long_wait;    /**< the call under way is one that probes watch over */
+    bool is_doubtful;     /**< a probe failed since it began */
+    unsigned behind_seen; /**< probes in a row that saw a newer revision meanwhile */
 };
 
 static void call_next(uv_timer_t *timer);
@@ -167,6 +179,7 @@
                       size_t length)
 {
     ts_store_watch_t *watch = context;
+    watch->is_long_wait = false;
     if (error != TS_OK) {
         take_failure(watch, ts_error_name(error));
         return;
@@ -203,27 +216,75 @@
            !ts_peers_should_watch(gateway->peers, ts_clock_now_us());
 }
 
+static bool is_relied_on(const ts_store_watch_t *watch)
+{
+    const ts_gateway_t *gateway = watch->gateway;
+    return gateway->peers != NULL && ts_peers_is_relied_on(gateway->peers);
+}
+
+/* Whether a peer may still tell that it follows the service for this node. */
+static bool may_settle(const ts_store_watch_t *watch)
+{
+    const ts_gateway_t *gateway = watch->gateway;
+    return gateway->peers != NULL && ts_store_mirror_is_primed(gateway->mirror) &&
+           ts_clock_now_us() - gateway->opened_us < SETTLE_US;
+}
+
+static void begin_wait(ts_store_watch_t *watch)
+{
+    uint32_t wait_ms = is_relied_on(watch) ? WATCH_PROBED_MS : WATCH_MS;
+    uint64_t revision = ts_store_mirror_revision(watch->gateway->mirror);
+    char *target = watch->gateway->dialect->watch_target(revision, wait_ms);
+    watch->is_long_wait = wait_ms > WATCH_MS;
+    watch->is_doubtful = false;
+    watch->behind_seen = 0;
+    ts_store_client_get(watch->client, target, wait_ms + WATCH_MARGIN_MS);
+    g_free(target);
+}
+
 static void call_next(uv_timer_t *timer)
 {
     ts_store_watch_t *watch = timer->data;
-    const ts_dialect_t *dialect = watch->gateway->dialect;
     if (may_rest(watch)) {
         watch->is_listing = false; /* a peer has given what the list would */
         pause_for(watch, REST_MS);
         return;
     }
+    if (!watch->is_listing && may_settle(watch)) {
+        pause_for(watch, REST_MS);
+        return;
+    }
     watch->called_us = ts_clock_now_us();
-    char *target =
-        watch->is_listing
-            ? dialect->list_target(watch->list_after)
-            : dialect->watch_target(ts_store_mirror_revision(watch->gateway->mirror), WATCH_MS);
-    ts_store_client_get(watch->client, target,
-                        watch->is_listing ? list_timeout_ms(watch) : WATCH_MS + WATCH_MARGIN_MS);
+    if (!watch->is_listing) {
+        begin_wait(watch);
+        return;
+    }
+    char *target = watch->gateway->dialect->list_target(watch->list_after);
+    ts_store_client_get(watch->client, target, list_timeout_ms(watch));
     g_free(target);
 }
 
 /* -- Probing ----------------------------------------------------------------------------------- */
 
+/* The service is heard, but the wait under way may not be: another one takes its place. */
+static void renew_wait(ts_store_watch_t *watch)
+{
+    ts_store_client_abandon(watch->client);
+    watch->is_long_wait = false;
+    pause_for(watch, 0);
+}
+
+/* What a probe that was answered says of the wait under way. */
+static void judge_wait(ts_store_watch_t *watch, bool is_behind)
+{
+    bool is_concerned = watch->is_long_wait && watch->called_us < watch->probed_us;
+    if (!is_concerned)
+        return;
+    watch->behind_seen = is_behind ? watch->behind_seen + 1 : 0;
+    if (watch->is_doubtful || watch->behind_seen >= DEAF_PROBES)
+        renew_wait(watch);
+}
+
 static void probe_done(void *context, ts_error_t error, unsigned status, const char *body,
                        size_t length)
 {
@@ -231,15 +292,18 @@
     ts_store_mirror_t *mirror = watch->gateway->mirror;
     watch->is_probing = false;
     if (error != TS_OK || status != STATUS_OK) {
+        watch->is_doubtful = true;
         return;
     }
     ts_store_page_t *page = ts_store_page_create();
-    bool is_current = watch->gateway->dialect->read_page(body, length, page) == TS_OK &&
-                      page->revision <= ts_store_mirror_revision(mirror);
+    bool is_read = watch->gateway->dialect->read_page(body, length, page) == TS_OK;
+    bool is_current = is_read && page->revision <= ts_store_mirror_revision(mirror);
     if (is_current && !watch->is_lost) {
         ts_store_mirror_confirm(mirror, watch->probed_us);
     }
     ts_store_page_free(page);
+    if (is_read)
+        judge_wait(watch, !is_current);
 }
 
 /* The zone's watcher makes sure, between changes, that the service is still heard. */
@@ -247,8 +311,8 @@
 {
     ts_store_watch_t *watch = timer->data;
     const ts_gateway_t *gateway = watch->gateway;
-    bool is_relied_on = gateway->peers != NULL && ts_peers_is_relied_on(gateway->peers);
-    if (watch->is_probing || !is_relied_on || !ts_store_mirror_is_primed(gateway->mirror)) {
+    bool is_needed = watch->is_long_wait || is_relied_on(watch);
+    if (watch->is_probing || !is_needed || !ts_store_mirror_is_primed(gateway->mirror)) {
         return;
     }
     watch->is_probing = true;
--- a/tests/gateway/test_peers.c
+++ b/tests/gateway/test_peers.c
@@ -71,6 +71,24 @@
     }
 }
 
+// A watcher's wait is long; its probes notice that a silent service has swallowed it.
+static void test_swallowed_wait_of_a_watcher(void **state)
+{
+    fleet_t fleet = open_fleet();
+    unsigned calls = lab_store_calls(fleet.world->store);
+    world_run_ms(fleet.world, 5000);
+    assert_true(lab_store_calls(fleet.world->store) - calls <=
+                2 * 6); // two watchers: probes, and a wait at most
+    lab_store_set_mode(fleet.world->store, LAB_STORE_SILENT);
+    lab_store_put(fleet.world->store, "op/config",
+                  "{\"version\":2,\"routes\":[" ROUTE_A "],\"services\":[]}");
+    world_run_ms(fleet.world, 300);
+    lab_store_set_mode(fleet.world->store, LAB_STORE_NORMAL);
+    world_run_ms(fleet.world, 4000);
+    for (int i = 0; i < NODES; i++)
+        assert_int_equal(fleet.nodes[i]->traffic->version, 2);
+}
+
 static void test_start_while_the_store_is_silent(void **state)
 {
     fleet_t fleet = open_fleet();
@@ -233,6 +251,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_one_watcher_a_zone),
         cmocka_unit_test(test_change_reaches_all_within_the_bound),
+        cmocka_unit_test(test_swallowed_wait_of_a_watcher),
         cmocka_unit_test(test_start_while_the_store_is_silent),
         cmocka_unit_test(test_refused_node_follows_its_peers),
         cmocka_unit_test(test_watcher_that_leaves_is_replaced),
