Sightings of late answers are removed; a connection's end is told from the next one's beginning

peer_link: nng tells of connections on its own threads; the end of an old connection might be told after the beginning of the next, and messages would then wait although the peer is connected. The connection's number tells them apart now.

--- a/include/tealspar/registry.h
+++ b/include/tealspar/registry.h
@@ -112,20 +112,14 @@
 /** An instance by its id, or NULL. */
 ts_instance_t *ts_registry_instance(const ts_registry_t *registry, const char *id);
 /** What a node has just seen of an instance. */
-typedef enum ts_sighting_kind {
+typedef enum ts_sighting {
     TS_SIGHTING_SUSPECTED, /**< something is overdue there */
-    TS_SIGHTING_ANSWERS,   /**< it was suspected and has answered */
-    TS_SIGHTING_SLOW       /**< it answered much later than usual */
-} ts_sighting_kind_t;
-
-typedef struct ts_sighting {
-    ts_sighting_kind_t kind;
-    ts_time_us_t span_us; /**< of the late answer; only with TS_SIGHTING_SLOW */
+    TS_SIGHTING_ANSWERS    /**< it was suspected and has answered */
 } ts_sighting_t;
 
 /** Called with what this node sees that others should know. */
 typedef void (*ts_registry_seen_t)(void *ctx, const ts_instance_t *instance,
-                                   const ts_sighting_t *sighting);
+                                   ts_sighting_t sighting);
 void ts_registry_on_sighting(ts_registry_t *registry, ts_registry_seen_t seen, void *ctx);
 /** Calls `visit(name, service, context)` for every service. */
 void ts_registry_each_service(ts_registry_t *registry, GHFunc visit, void *context);
@@ -140,7 +134,7 @@
 /** If the instance is still suspected by this node, the others are told. */
 void ts_instance_tell_overdue(ts_instance_t *instance);
 /** Another node of the region has seen something of the instance. */
-void ts_instance_hear(ts_instance_t *instance, const ts_sighting_t *sighting, ts_time_us_t now_us);
+void ts_instance_hear(ts_instance_t *instance, ts_sighting_t sighting, ts_time_us_t now_us);
 /** A request is sent to it. */
 void ts_instance_note_sent(ts_instance_t *instance, ts_time_us_t now_us);
 /** Its answer times against its service's, as believed now: 1 the same, more is slower. */
@@ -164,6 +158,6 @@
 void ts_instance_note_refusal(ts_instance_t *instance, ts_time_us_t now_us);
 
 /** Tells the listener of the registry; for the modules of the registry. */
-void ts_registry_tell(const ts_instance_t *instance, const ts_sighting_t *sighting);
+void ts_registry_tell(const ts_instance_t *instance, ts_sighting_t sighting);
 
 #endif
--- a/src/edge/gateway.c
+++ b/src/edge/gateway.c
@@ -193,7 +193,7 @@
     ts_store_watch_reload(gateway->store);
 }
 
-static void tell_peers(void *ctx, const ts_instance_t *instance, const ts_sighting_t *sighting)
+static void tell_peers(void *ctx, const ts_instance_t *instance, ts_sighting_t sighting)
 {
     const ts_gateway_t *gateway = ctx;
     ts_peers_tell(gateway->peers, instance->id, sighting);
--- a/src/peers/peer_link.c
+++ b/src/peers/peer_link.c
@@ -30,7 +30,7 @@
     nng_socket socket;
     uint32_t dial; /* which opening of a socket this is; names it on nng's threads */
     bool is_open;
-    bool is_connected;
+    int pipe;       /* nng's number of its connection; 0: it has none */
     GQueue waiting; /* of nng_msg, until it is connected */
     ts_time_us_t used_us;
 } peer_t;
@@ -46,6 +46,7 @@
     arrival_kind_t kind;
     nng_msg *message; /* owned; only with ARRIVAL_MESSAGE */
     uint32_t dial;    /* with the others */
+    int pipe;         /* which connection; the end of an old one may be told after a new one */
 } arrival_t;
 
 /* Context of a dial on nng's threads; lives as long as the link, which is as long as the process.
@@ -82,7 +83,7 @@
     if (nng_aio_result(link->receive) != 0) {
         return; /* the socket is closed */
     }
-    tell_loop(link, (arrival_t){ARRIVAL_MESSAGE, nng_aio_get_msg(link->receive), 0});
+    tell_loop(link, (arrival_t){ARRIVAL_MESSAGE, nng_aio_get_msg(link->receive), 0, 0});
     nng_recv_aio(link->receiver, link->receive);
 }
 
@@ -91,7 +92,7 @@
     dial_t *dial = data;
     bool is_up = event == NNG_PIPE_EV_ADD_POST;
     arrival_kind_t kind = is_up ? ARRIVAL_CONNECTED : ARRIVAL_DISCONNECTED;
-    tell_loop(dial->link, (arrival_t){kind, NULL, dial->id});
+    tell_loop(dial->link, (arrival_t){kind, NULL, dial->id, nng_pipe_id(pipe)});
 }
 
 /* -- Peers ------------------------------------------------------------------------------------- */
@@ -101,7 +102,7 @@
     if (!peer->is_open)
         return;
     peer->is_open = false;
-    peer->is_connected = false;
+    peer->pipe = 0;
     g_hash_table_remove(link->dials, GUINT_TO_POINTER(peer->dial));
     nng_close(peer->socket);
     ts_count(TS_COUNTER_MESH_PEERS, -1);
@@ -198,19 +199,22 @@
         return;
     }
     memcpy(nng_msg_body(message), bytes, length);
-    if (peer->is_connected)
+    if (peer->pipe != 0)
         send_now(peer, message);
     else
         let_wait(peer, message);
 }
 
-static void set_connected(ts_peer_link_t *link, uint32_t dial, bool is_connected)
+static void take_connection(ts_peer_link_t *link, const arrival_t *arrival)
 {
-    peer_t *peer = g_hash_table_lookup(link->dials, GUINT_TO_POINTER(dial));
+    peer_t *peer = g_hash_table_lookup(link->dials, GUINT_TO_POINTER(arrival->dial));
     if (peer == NULL)
         return; /* closed meanwhile */
-    peer->is_connected = is_connected;
-    while (is_connected && peer->waiting.length > 0)
+    if (arrival->kind == ARRIVAL_CONNECTED)
+        peer->pipe = arrival->pipe;
+    else if (peer->pipe == arrival->pipe)
+        peer->pipe = 0;
+    while (peer->pipe != 0 && peer->waiting.length > 0)
         send_now(peer, g_queue_pop_head(&peer->waiting));
 }
 
@@ -230,7 +234,7 @@
         if (arrival->kind == ARRIVAL_MESSAGE)
             take_message(link, arrival->message);
         else
-            set_connected(link, arrival->dial, arrival->kind == ARRIVAL_CONNECTED);
+            take_connection(link, arrival);
         g_free(arrival);
     }
 }
--- a/src/peers/peers_sightings.c
+++ b/src/peers/peers_sightings.c
@@ -53,24 +53,20 @@
 void ts_peers_take_sighting(ts_peers_t *peers, TsPeer__Sighting *row)
 {
     ts_instance_t *instance = ts_registry_instance(peers->gateway->registry, row->instance);
-    ts_sighting_kind_t kind = row->suspected ? TS_SIGHTING_SUSPECTED : TS_SIGHTING_ANSWERS;
-    kind = row->slow_span_ms > 0 ? TS_SIGHTING_SLOW : kind;
-    ts_sighting_t sighting = {kind, row->slow_span_ms * TS_US_PER_MS};
+    ts_sighting_t sighting = row->suspected ? TS_SIGHTING_SUSPECTED : TS_SIGHTING_ANSWERS;
     if (instance != NULL)
-        ts_instance_hear(instance, &sighting, ts_clock_now_us());
+        ts_instance_hear(instance, sighting, ts_clock_now_us());
     if (row->relay) {
         row->relay = false;
         send_sighting(peers, row);
     }
 }
 
-void ts_peers_tell(ts_peers_t *peers, const char *instance, const ts_sighting_t *sighting)
+void ts_peers_tell(ts_peers_t *peers, const char *instance, ts_sighting_t sighting)
 {
     TsPeer__Sighting row = TS_PEER__SIGHTING__INIT;
-    ts_time_us_t span_ms = sighting->span_us / TS_US_PER_MS;
     row.instance = (char *)instance;
-    row.suspected = sighting->kind == TS_SIGHTING_SUSPECTED;
-    row.slow_span_ms = sighting->kind == TS_SIGHTING_SLOW ? (uint32_t)MAX(span_ms, 1) : 0;
+    row.suspected = sighting == TS_SIGHTING_SUSPECTED;
     send_sighting(peers, &row);
     send_to_region(peers, &row);
 }
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -565,7 +565,7 @@
   (ProtobufCMessageInit) ts_peer__changes__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ts_peer__sighting__field_descriptors[4] =
+static const ProtobufCFieldDescriptor ts_peer__sighting__field_descriptors[3] =
 {
   {
     "instance",
@@ -591,18 +591,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "slow_span_ms",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(TsPeer__Sighting, slow_span_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "relay",
     4,
@@ -618,14 +606,14 @@
 };
 static const unsigned ts_peer__sighting__field_indices_by_name[] = {
   0,   /* field[0] = instance */
-  3,   /* field[3] = relay */
-  2,   /* field[2] = slow_span_ms */
+  2,   /* field[2] = relay */
   1,   /* field[1] = suspected */
 };
-static const ProtobufCIntRange ts_peer__sighting__number_ranges[1 + 1] =
+static const ProtobufCIntRange ts_peer__sighting__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 4, 2 },
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor ts_peer__sighting__descriptor =
 {
@@ -635,10 +623,10 @@
   "TsPeer__Sighting",
   "ts_peer",
   sizeof(TsPeer__Sighting),
-  4,
+  3,
   ts_peer__sighting__field_descriptors,
   ts_peer__sighting__field_indices_by_name,
-  1,  ts_peer__sighting__number_ranges,
+  2,  ts_peer__sighting__number_ranges,
   (ProtobufCMessageInit) ts_peer__sighting__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -105,18 +105,13 @@
 
 
 /*
- * What the sender has just seen of a back end: something is overdue, it has answered again, or it
- * answered much later than usual.
+ * What the sender has just seen of a back end: something is overdue, or it has answered again.
  */
 struct  TsPeer__Sighting
 {
   ProtobufCMessage base;
   char *instance;
   protobuf_c_boolean suspected;
-  /*
-   * how long the late answer took; zero: the sighting is none of one
-   */
-  uint32_t slow_span_ms;
   /*
    * the receiver is to tell its own zone
    */
@@ -124,7 +119,7 @@
 };
 #define TS_PEER__SIGHTING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ts_peer__sighting__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- a/src/registry/instance_health.c
+++ b/src/registry/instance_health.c
@@ -10,8 +10,6 @@
  * few hundred milliseconds must not count as more than one slow answer. */
 #define SLOW_RATIO 2.0
 #define SLOWNESS_RISE 1.25
-/* Other nodes are told of answers that took this many times the typical. */
-#define TELL_RATIO 300.0
 /* A node that sends an instance more requests a second than this tells nobody of it. */
 #define TELL_RATE_MAX 40.0
 #define RATE_HALF_LIFE_US ((double)TS_US_PER_S)
@@ -78,13 +76,12 @@
  * A late answer counts once for all requests that were out at the same time: when an instance
  * pauses, they all come late together, and that is one sign and not many.
  */
-static bool take_late_answer(ts_instance_t *instance, ts_time_us_t span_us, ts_time_us_t now_us)
+static void take_late_answer(ts_instance_t *instance, ts_time_us_t span_us, ts_time_us_t now_us)
 {
     if (!ts_mechanism_is_on(TS_MECHANISM_LATE_SIGN) || now_us - span_us < instance->slow_seen_us)
-        return false;
+        return;
     instance->slow_seen_us = now_us;
     move_slowness(instance, ts_instance_slowness(instance, now_us) * SLOWNESS_RISE, now_us);
-    return true;
 }
 
 /* Nodes that ask an instance often learn of it sooner by themselves than from others. */
@@ -100,11 +97,7 @@
         move_slowness(instance, slowness + SLOWNESS_STEP * (ratio - slowness), now_us);
         return;
     }
-    bool is_taken = take_late_answer(instance, (ts_time_us_t)span_us, now_us);
-    if (is_taken && ratio >= TELL_RATIO && is_worth_telling(instance)) {
-        ts_sighting_t sighting = {TS_SIGHTING_SLOW, (ts_time_us_t)span_us};
-        ts_registry_tell(instance, &sighting);
-    }
+    take_late_answer(instance, (ts_time_us_t)span_us, now_us);
 }
 
 void ts_instance_note_sent(ts_instance_t *instance, ts_time_us_t now_us)
@@ -118,9 +111,9 @@
 {
     if (!ts_mechanism_is_on(TS_MECHANISM_SIGHTINGS))
         return;
-    ts_sighting_t sighting = {is_suspected ? TS_SIGHTING_SUSPECTED : TS_SIGHTING_ANSWERS, 0};
+    ts_sighting_t sighting = is_suspected ? TS_SIGHTING_SUSPECTED : TS_SIGHTING_ANSWERS;
     if (is_worth_telling(instance))
-        ts_registry_tell(instance, &sighting);
+        ts_registry_tell(instance, sighting);
 }
 
 void ts_instance_note_answer(ts_instance_t *instance, ts_time_us_t now_us, double span_us,
@@ -178,9 +171,9 @@
     instance->tried_us = now_us;
 }
 
-void ts_instance_hear(ts_instance_t *instance, const ts_sighting_t *sighting, ts_time_us_t now_us)
+void ts_instance_hear(ts_instance_t *instance, ts_sighting_t sighting, ts_time_us_t now_us)
 {
-    switch (sighting->kind) {
+    switch (sighting) {
     case TS_SIGHTING_SUSPECTED:
         hear_suspected(instance, now_us);
         break;
@@ -189,9 +182,6 @@
             instance->suspected_us = 0;
         instance->is_suspected_by_peer = false;
         break;
-    case TS_SIGHTING_SLOW:
-        (void)take_late_answer(instance, sighting->span_us, now_us);
-        break;
     }
 }
 
--- a/src/registry/registry.c
+++ b/src/registry/registry.c
@@ -269,7 +269,7 @@
     registry->seen_ctx = ctx;
 }
 
-void ts_registry_tell(const ts_instance_t *instance, const ts_sighting_t *sighting)
+void ts_registry_tell(const ts_instance_t *instance, ts_sighting_t sighting)
 {
     const ts_registry_t *registry = instance->service->registry;
     if (registry->seen != NULL)
