Requests that returned wait less the more of their kind is refused

Late requests take the places of new ones, which then return late themselves.

Change: the part of the time left that it may wait falls with the share of its kind that is refused, to nothing at one half; then it waits like a new one.

Test: returned_request_under_overload, failing before.

--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -25,6 +25,12 @@
  */
 #define ADMISSION_RETURNED_DIVISOR 2
 #define RETURNED_PATIENCE_SHARE 0.95
+/*
+ * The more of its kind is refused the less it may wait, and not at all from this share on: when
+ * more comes than can be done for long, requests that are late already would take the place of
+ * others.
+ */
+#define RETURNED_REFUSED_MAX 0.5
 #define ADMISSION_LOOK_US (6 * TS_US_PER_MS)
 /* Of the shares of refused requests: how fast they follow, and by how much one may lead. */
 #define REFUSED_STEP 0.03
@@ -119,12 +125,21 @@
     return (double)patience_us < RETURNED_PATIENCE_SHARE * usual_us;
 }
 
+static unsigned priority_of(const ts_request_t *request)
+{
+    return MIN(request->route->priority, TS_PRIORITIES - 1);
+}
+
 /* How long the request may wait for its beginning. */
 static ts_time_us_t admission_span_us(const ts_request_t *request)
 {
-    if (request->has_returned && ts_mechanism_is_on(TS_MECHANISM_RETURNED))
-        return (request->deadline_us - request->arrived_us) / ADMISSION_RETURNED_DIVISOR;
-    return (request->stop_us - request->arrived_us) / ADMISSION_DIVISOR;
+    ts_time_us_t span_us = (request->stop_us - request->arrived_us) / ADMISSION_DIVISOR;
+    if (!request->has_returned || !ts_mechanism_is_on(TS_MECHANISM_RETURNED))
+        return span_us;
+    double refused = request->parts[0].service->refused[priority_of(request)];
+    double share = MAX(1 - refused / RETURNED_REFUSED_MAX, 0) / ADMISSION_RETURNED_DIVISOR;
+    ts_time_us_t left_us = request->deadline_us - request->arrived_us;
+    return MAX((ts_time_us_t)(share * (double)left_us), span_us);
 }
 
 static void set_times(ts_request_t *request, ts_time_us_t arrived_us, uint64_t patience_ms)
@@ -235,11 +250,6 @@
     return blocked <= may_miss;
 }
 
-static unsigned priority_of(const ts_request_t *request)
-{
-    return MIN(request->route->priority, TS_PRIORITIES - 1);
-}
-
 /* The services of a gather are shared by its routes: the first one keeps the account. */
 static void note_admission(const ts_request_t *request, bool was_refused)
 {
