Placement and evacuation: routes keep to their regions, evacuated zones get nothing

Ruled out: a filter on the registry (routes share services), refusing configurations with unknown regions (docs/CONSTRAINTS.md).

Change: one test of obstacles before every choice of an instance, the regions of the newest configuration, evacuations as entries of the mirror. Parts that are ruled out are left out before anything is sent; a request that cannot do without them is refused at once, not run.

--- a/include/tealspar/counters.h
+++ b/include/tealspar/counters.h
@@ -87,6 +87,8 @@
     X(STORE_FAILURES, counter, "store_failures_total", "failed calls to it")                       \
     X(CALLER_CONNECTIONS, gauge, "caller_connections", "open connections of callers")              \
     X(PARTS_LOST, counter, "parts_lost_total", "parts that no searcher answered")                  \
+    X(PARTS_EXCLUDED, counter, "parts_excluded_total",                                             \
+      "parts left out because no back end stands where they may be served")                        \
     X(CONFIG_CONFIRMED_AGE, gauge, "config_confirmed_age_milliseconds",                            \
       "time since the configuration service confirmed what this node knows")                       \
     X(INSTANCES_LISTED, gauge, "instances_listed", "back ends that discovery names")               \
--- a/include/tealspar/dialect.h
+++ b/include/tealspar/dialect.h
@@ -28,15 +28,16 @@
 /** What an entry of the configuration service is about. */
 typedef enum ts_store_kind {
     TS_STORE_OTHER,   /**< nothing of ours */
-    TS_STORE_TRAFFIC, /**< the configuration */
-    TS_STORE_INSTANCE /**< a back end */
+    TS_STORE_TRAFFIC,  /**< the configuration */
+    TS_STORE_INSTANCE, /**< a back end */
+    TS_STORE_EVACUATION /**< while it is there, back ends of a zone get nothing */
 } ts_store_kind_t;
 
 /** One entry as it was written, or the news that it is gone. */
 typedef struct ts_store_entry {
     ts_store_kind_t kind;
     char *key;
-    char *id;          /**< TS_STORE_INSTANCE: its id; otherwise NULL */
+    char *id;          /**< of the back end, or the zone's name; otherwise NULL */
     uint64_t revision; /**< of its last change */
     bool is_gone;
     char *value;   /**< the document; NULL when gone */
--- a/include/tealspar/log.h
+++ b/include/tealspar/log.h
@@ -21,6 +21,7 @@
     X(PLATFORM_BACK, MESSAGE, "platform_back")                                                     \
     X(MEMBER_STATE, MESSAGE, "member_state")                                                       \
     X(BACKEND_STATE, MESSAGE, "backend_state")                                                     \
+    X(ZONE_STATE, MESSAGE, "zone_state")                                                           \
     X(BACKEND_SUSPECT, MESSAGE, "backend_suspect")                                                 \
     X(REQUEST_DONE, INFO, "request_done")                                                          \
     X(REQUEST_PARTIAL, MESSAGE, "request_partial")                                                 \
--- a/include/tealspar/registry.h
+++ b/include/tealspar/registry.h
@@ -38,9 +38,11 @@
     ts_service_t *service; /**< owned by the registry, lives as long */
     struct sockaddr_storage address;
     char *zone;
+    const char *region; /**< of its zone, interned; NULL: the settings do not name it */
     ts_distance_t distance;
     ts_travel_t *travel; /**< to its zone; owned by the registry */
     uint32_t slots;
+    bool is_evacuated; /**< back ends of its zone are to get nothing */
     bool is_draining;
     bool is_listed;          /**< discovery names it now */
     ts_time_us_t left_us;    /**< when it began to drain or left the list */
@@ -82,6 +84,8 @@
     GPtrArray *instances; /**< of ts_instance_t */
     ts_retry_budget_t budget;
     uint32_t connections_max;      /**< that one instance takes from all callers; 0: not told */
+    ts_time_us_t warmup_us;        /**< how long an instance is slow from its start */
+    double warmup_rate;            /**< requests a second that it bears then; 0: no limit */
     ts_time_us_t wanted_us;        /**< when a request last could not begin for want of it */
     double refused[TS_PRIORITIES]; /**< share of late requests that were refused, by priority */
     ts_registry_t *registry;
@@ -99,6 +103,16 @@
                         ts_time_us_t now_us);
 /** Discovery no longer names the instance. */
 void ts_registry_remove(ts_registry_t *registry, const char *id, ts_time_us_t now_us);
+/**
+ * Back ends of a zone are to get nothing from now on, or again as before. Those that come back may
+ * have turned cold meanwhile: they count as such for their service's warm-up.
+ */
+void ts_registry_set_evacuated(ts_registry_t *registry, const char *zone, bool is_evacuated,
+                               ts_time_us_t now_us);
+/** Whether a zone is being evacuated. */
+bool ts_registry_is_evacuated(const ts_registry_t *registry, const char *zone);
+/** The settings name other zones or regions: every instance is placed anew. */
+void ts_registry_relocate(ts_registry_t *registry);
 /** Discovery was read whole: what is not in `ids` (a set of ids) is removed. */
 void ts_registry_keep_only(ts_registry_t *registry, GHashTable *ids, ts_time_us_t now_us);
 /** Frees instances that have left and that nothing refers to; call it now and then. */
--- a/include/tealspar/replica.h
+++ b/include/tealspar/replica.h
@@ -15,15 +15,30 @@
     uint32_t connections_max; /**< this node's connections to one instance */
     uint32_t nodes;           /**< among which an instance's slots are divided */
     uint32_t random;          /**< breaks ties */
+    const GPtrArray *regions; /**< where the request may be served, interned; NULL: anywhere */
 } ts_replica_input_t;
 
+/** What keeps new work from an instance, whatever it costs; the first that holds. */
+typedef enum ts_obstacle {
+    TS_OBSTACLE_NONE,
+    TS_OBSTACLE_PLACEMENT,  /**< it stands where the request may not be served */
+    TS_OBSTACLE_EVACUATION, /**< its zone is being evacuated */
+    TS_OBSTACLE_LEAVING,    /**< it has been draining or gone for too long */
+} ts_obstacle_t;
+
+ts_obstacle_t ts_replica_find_obstacle(const ts_instance_t *instance,
+                                       const ts_replica_input_t *input);
 /** Whether an instance may be sent new work at all. */
 bool ts_replica_is_usable(const ts_instance_t *instance, const ts_replica_input_t *input);
+/** Whether instances of the service are listed, and placement or evacuations rule out them all. */
+bool ts_replica_is_excluded(const ts_service_t *service, const ts_replica_input_t *input);
 /** Whether some instance of the service could take a request at once, and is believed well. */
 bool ts_replica_is_any_free(const ts_service_t *service, const ts_replica_input_t *input);
 /** Why instances of a service cannot take a request at once; each counts under its first reason. */
 typedef struct ts_replica_census {
     unsigned listed;
+    unsigned misplaced; /**< stands where the request may not be served */
+    unsigned evacuated; /**< its zone is being evacuated */
     unsigned leaving;   /**< drains or left, for too long */
     unsigned full;      /**< has as many requests of this node as it may */
     unsigned avoided;   /**< failed or refused a moment ago */
--- a/include/tealspar/traffic.h
+++ b/include/tealspar/traffic.h
@@ -31,6 +31,7 @@
     size_t prefix_length;
     ts_target_kind_t kind;
     GArray *targets;       /**< of ts_target_t */
+    GPtrArray *regions; /**< where its requests may be served, interned names; NULL: anywhere */
     bool is_repeatable;    /**< a request may run more than once */
     uint32_t attempts_max; /**< most searchers that one request (one part) may be sent to */
     uint32_t timeout_ms;   /**< longest time a request is held */
@@ -44,6 +45,8 @@
     char *name;
     char *health_path;
     uint32_t connections_max; /**< that one back end takes from all callers together */
+    uint32_t warmup_ms;       /**< how long a back end is slow from its start */
+    double warmup_rate;       /**< requests a second that it bears meanwhile; 0: no limit */
 } ts_traffic_service_t;
 
 /** Bounds on what callers may send. */
@@ -60,6 +63,7 @@
     ts_traffic_limits_t limits;
     GPtrArray *routes;    /**< of ts_traffic_route_t, owned */
     GHashTable *by_host;  /**< host -> GPtrArray of routes, longest prefix first */
+    GHashTable *by_name;  /**< name -> route */
     GHashTable *services; /**< name -> ts_traffic_service_t, owned */
 } ts_traffic_t;
 
@@ -70,8 +74,13 @@
 /** Adds an empty route; the reader fills it, then calls ts_traffic_finish. */
 ts_traffic_route_t *ts_traffic_add_route(ts_traffic_t *traffic);
 void ts_traffic_route_add_target(ts_traffic_route_t *route, const char *service, double weight);
-void ts_traffic_add_service(ts_traffic_t *traffic, const char *name, const char *health_path,
-                            uint32_t connections_max);
+/**
+ * Names one more region in which requests of the route may be served; without any, everywhere. NULL
+ * stands for one that cannot be read: the model does not pass then.
+ */
+void ts_traffic_route_allow_region(ts_traffic_route_t *route, const char *region);
+/** Adds a service with its name alone; the reader fills it. */
+ts_traffic_service_t *ts_traffic_add_service(ts_traffic_t *traffic, const char *name);
 /**
  * Checks the model as a whole and indexes it. Every contradiction is listed; returns TS_OK or
  * TS_E_INVALID. A model that does not pass is not used.
@@ -80,5 +89,7 @@
 /** The route of a host (a port is ignored) and a request target, or NULL. */
 const ts_traffic_route_t *ts_traffic_match(const ts_traffic_t *traffic, const char *host,
                                            const char *target);
+/** The route of a name, or NULL. */
+const ts_traffic_route_t *ts_traffic_find_route(const ts_traffic_t *traffic, const char *name);
 
 #endif
--- a/src/config/traffic.c
+++ b/src/config/traffic.c
@@ -22,6 +22,8 @@
     g_free(route->host);
     g_free(route->prefix);
     g_array_free(route->targets, TRUE);
+    if (route->regions != NULL)
+        g_ptr_array_unref(route->regions);
     g_free(route);
 }
 
@@ -43,6 +45,7 @@
     traffic->routes = g_ptr_array_new_with_free_func(free_route);
     traffic->by_host =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, (GDestroyNotify)g_ptr_array_unref);
+    traffic->by_name = g_hash_table_new(g_str_hash, g_str_equal);
     traffic->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_service);
     return traffic;
 }
@@ -59,6 +62,7 @@
         return;
     }
     g_hash_table_destroy(traffic->by_host);
+    g_hash_table_destroy(traffic->by_name);
     g_hash_table_destroy(traffic->services);
     g_ptr_array_unref(traffic->routes);
     g_free(traffic);
@@ -81,14 +85,19 @@
     g_array_append_val(route->targets, target);
 }
 
-void ts_traffic_add_service(ts_traffic_t *traffic, const char *name, const char *health_path,
-                            uint32_t connections_max)
+void ts_traffic_route_allow_region(ts_traffic_route_t *route, const char *region)
+{
+    if (route->regions == NULL)
+        route->regions = g_ptr_array_new();
+    g_ptr_array_add(route->regions, (gpointer)g_intern_string(region));
+}
+
+ts_traffic_service_t *ts_traffic_add_service(ts_traffic_t *traffic, const char *name)
 {
     ts_traffic_service_t *service = g_new0(ts_traffic_service_t, 1);
     service->name = g_strdup(name);
-    service->health_path = g_strdup(health_path);
-    service->connections_max = connections_max;
     g_hash_table_replace(traffic->services, service->name, service);
+    return service;
 }
 
 static bool has_target_twice(const ts_traffic_route_t *route)
@@ -104,6 +113,16 @@
     return false;
 }
 
+static bool has_unnamed_region(const ts_traffic_route_t *route)
+{
+    for (guint i = 0; i < route->regions->len; i++) {
+        const char *region = g_ptr_array_index(route->regions, i);
+        if (region == NULL || *region == '\0')
+            return true;
+    }
+    return false;
+}
+
 static const char *find_route_fault(const ts_traffic_route_t *route)
 {
     if (route->name == NULL || route->host == NULL || *route->host == '\0') {
@@ -125,6 +144,9 @@
     if (route->coverage_min < 0 || route->coverage_min > 1) {
         return "the least coverage must lie between 0 and 1";
     }
+    if (route->regions != NULL && has_unnamed_region(route)) {
+        return "the regions must be a list of names";
+    }
     if (route->timeout_ms == 0 || route->attempts_max == 0) {
         return "timeout and attempts must be above zero";
     }
@@ -146,6 +168,7 @@
         g_hash_table_insert(traffic->by_host, route->host, routes);
     }
     g_ptr_array_add(routes, route);
+    g_hash_table_insert(traffic->by_name, route->name, route);
 }
 
 ts_error_t ts_traffic_finish(ts_traffic_t *traffic, ts_problems_t *problems)
@@ -204,3 +227,8 @@
     }
     return NULL;
 }
+
+const ts_traffic_route_t *ts_traffic_find_route(const ts_traffic_t *traffic, const char *name)
+{
+    return g_hash_table_lookup(traffic->by_name, name);
+}
--- a/src/control/store_mirror.c
+++ b/src/control/store_mirror.c
@@ -82,6 +82,8 @@
 {
     if (entry->kind == TS_STORE_INSTANCE) {
         apply_instance(mirror, entry, now_us);
+    } else if (entry->kind == TS_STORE_EVACUATION) {
+        ts_registry_set_evacuated(mirror->gateway->registry, entry->id, !entry->is_gone, now_us);
     } else if (entry->kind == TS_STORE_TRAFFIC && !entry->is_gone) {
         apply_traffic(mirror, entry);
     }
--- a/src/edge/answer.c
+++ b/src/edge/answer.c
@@ -12,7 +12,8 @@
 #define STATUS_UNAVAILABLE 503
 #define STATUS_GATEWAY_TIMEOUT 504
 #define RETRY_AFTER_MS 150
-/* Back ends that the registry lost enter themselves again at their next sign of life. */
+/* Back ends that the registry lost enter themselves again at their next sign of life; where none is
+ * permitted, an evacuation may end or another back end come. */
 #define NO_INSTANCE_RETRY_MS 1200
 #define OVERLOAD_RETRY_MS 400
 /* Later still by the share of requests that are refused at present. */
@@ -172,10 +173,11 @@
 /* When a caller may come back: later, and spread out, when there is more work than can be done. */
 static uint32_t retry_after_ms(const ts_request_t *request, ts_error_t error)
 {
-    if (error != TS_E_OVERLOAD) {
+    bool waits_for_instances = error == TS_E_PLACEMENT || lacks_instances(request);
+    if (error != TS_E_OVERLOAD && error != TS_E_PLACEMENT) {
         return RETRY_AFTER_MS;
     }
-    if (lacks_instances(request))
+    if (waits_for_instances)
         return NO_INSTANCE_RETRY_MS + ts_gateway_random(request->gateway) % RETRY_AFTER_MS;
     unsigned priority = MIN(request->route->priority, TS_PRIORITIES - 1);
     double refused = request->parts[0].service->refused[priority];
--- a/src/edge/gateway.c
+++ b/src/edge/gateway.c
@@ -65,8 +65,10 @@
     g_hash_table_iter_init(&iterator, gateway->traffic->services);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const ts_traffic_service_t *service = value;
-        ts_registry_service(gateway->registry, service->name)->connections_max =
-            service->connections_max;
+        ts_service_t *known = ts_registry_service(gateway->registry, service->name);
+        known->connections_max = service->connections_max;
+        known->warmup_us = service->warmup_ms * TS_US_PER_MS;
+        known->warmup_rate = service->warmup_rate;
     }
 }
 
@@ -190,6 +192,7 @@
     ts_gateway_settings_free(gateway->settings);
     gateway->settings = settings;
     apply_settings(gateway);
+    ts_registry_relocate(gateway->registry);
     ts_store_watch_reload(gateway->store);
 }
 
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -51,6 +51,15 @@
     return needed < 1 ? 1 : (unsigned)needed;
 }
 
+const GPtrArray *ts_request_regions(const ts_request_t *request)
+{
+    const ts_traffic_t *newest = request->gateway->traffic;
+    const ts_traffic_route_t *route = NULL;
+    if (newest != request->traffic)
+        route = ts_traffic_find_route(newest, request->route->name);
+    return route != NULL ? route->regions : request->route->regions;
+}
+
 bool ts_request_may_have_run(const ts_request_t *request)
 {
     for (unsigned i = 0; i < request->parts_count; i++) {
@@ -245,7 +254,8 @@
     unsigned may_miss = request->parts_count - ts_request_parts_needed(request);
     unsigned blocked = 0;
     for (unsigned i = 0; i < request->parts_count && blocked <= may_miss; i++) {
-        blocked += ts_part_is_blocked(&request->parts[i], now_us);
+        const ts_request_part_t *part = &request->parts[i];
+        blocked += part->state == TS_PART_LOST || ts_part_is_blocked(part, now_us);
     }
     return blocked <= may_miss;
 }
@@ -284,14 +294,36 @@
         ts_part_log_blocked(&request->parts[i], now_us);
 }
 
+/*
+ * Parts that no permitted instance can answer are left out before anything is sent. Returns whether
+ * the request can still succeed; if not it is refused at once, as waiting would not help it.
+ */
+static bool leave_out_excluded(ts_request_t *request, ts_time_us_t now_us)
+{
+    unsigned may_miss = request->parts_count - ts_request_parts_needed(request);
+    for (unsigned i = 0; i < request->parts_count; i++) {
+        ts_request_part_t *part = &request->parts[i];
+        if (part->state == TS_PART_OPEN && ts_part_is_excluded(part, now_us))
+            ts_part_leave_out(part, now_us);
+    }
+    if (request->parts_lost <= may_miss)
+        return true;
+    fail(request, TS_E_PLACEMENT);
+    return false;
+}
+
 /* Begins the request if it can be begun, or refuses it when its time to begin is over. */
 static bool try_admit(ts_request_t *request, ts_time_us_t now_us)
 {
+    if (!leave_out_excluded(request, now_us))
+        return true;
     if (!is_behind_urgent(request) && can_begin(request, now_us)) {
         request->is_admitted = true;
         note_admission(request, false);
-        for (unsigned i = 0; i < request->parts_count; i++)
-            ts_part_send_first(&request->parts[i]);
+        for (unsigned i = 0; i < request->parts_count; i++) {
+            if (request->parts[i].state == TS_PART_OPEN)
+                ts_part_send_first(&request->parts[i]);
+        }
         return true;
     }
     note_wanted(request, now_us);
@@ -315,6 +347,10 @@
             return TS_E_OVERLOAD;
         }
     }
+    for (unsigned i = 0; i < request->parts_count; i++) {
+        if (request->parts[i].was_excluded)
+            return TS_E_PLACEMENT;
+    }
     return request->parts_count > 1 ? TS_E_COVERAGE : TS_E_NO_REPLICA;
 }
 
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -30,6 +30,7 @@
     bool may_have_run;
     bool was_denied;          /**< the budget had no further send for it */
     bool was_refused;         /**< some searcher said that it was full */
+    bool was_excluded;        /**< no instance stands where the request may be served */
     ts_time_us_t overdue_us;  /**< when the latest send is overdue; 0: none is out */
     ts_time_us_t second_us;   /**< when a second send is worth its cost */
     ts_time_us_t tell_us;     /**< when others are told that its instance is silent; 0: not */
@@ -62,6 +63,10 @@
     ts_request_part_t parts[];
 };
 
+/** Whether placement or evacuations rule out every instance of the part's service. */
+bool ts_part_is_excluded(const ts_request_part_t *part, ts_time_us_t now_us);
+/** The part goes without an answer, as it is excluded. */
+void ts_part_leave_out(ts_request_part_t *part, ts_time_us_t now_us);
 /** Whether no instance of the part's service could take it at once. */
 bool ts_part_is_blocked(const ts_request_part_t *part, ts_time_us_t now_us);
 /** Notes that a request cannot begin for want of the part's service, if that is so. */
@@ -94,6 +99,11 @@
                      uint32_t retry_after_ms);
 /** Parts that must be in for a success. */
 unsigned ts_request_parts_needed(const ts_request_t *request);
+/**
+ * Regions in which the request may be sent from now on (interned names; NULL: anywhere): those of
+ * its route in the newest configuration, as a narrower one also binds requests under way.
+ */
+const GPtrArray *ts_request_regions(const ts_request_t *request);
 /** Whether a searcher runs, ran or may have run some of the request. */
 bool ts_request_may_have_run(const ts_request_t *request);
 
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -47,7 +47,8 @@
                                 gateway->settings->drain_ms * TS_US_PER_MS / 2,
                                 connections_max(part),
                                 gateway->nodes,
-                                ts_gateway_random(gateway)};
+                                ts_gateway_random(gateway),
+                                ts_request_regions(part->request)};
 }
 
 static unsigned exchanges_out(const ts_request_part_t *part)
@@ -140,6 +141,12 @@
            (unsigned long)request->traffic->version);
 }
 
+bool ts_part_is_excluded(const ts_request_part_t *part, ts_time_us_t now_us)
+{
+    ts_replica_input_t input = choice_input(part, now_us);
+    return ts_replica_is_excluded(part->service, &input);
+}
+
 bool ts_part_is_blocked(const ts_request_part_t *part, ts_time_us_t now_us)
 {
     ts_replica_input_t input = choice_input(part, now_us);
@@ -178,10 +185,11 @@
     ts_replica_input_t input = choice_input(part, now_us);
     ts_replica_census_t census = ts_replica_count(part->service, &input);
     ts_log(TS_EVENT_PART_BLOCKED,
-           "request=%s service=%s listed=%u leaving=%u full=%u avoided=%u in_flight=%u "
-           "connections_max=%u",
-           part->request->outgoing->request_id, part->service->name, census.listed, census.leaving,
-           census.full, census.avoided, census.in_flight, input.connections_max);
+           "request=%s service=%s listed=%u misplaced=%u evacuated=%u leaving=%u full=%u "
+           "avoided=%u in_flight=%u connections_max=%u",
+           part->request->outgoing->request_id, part->service->name, census.listed,
+           census.misplaced, census.evacuated, census.leaving, census.full, census.avoided,
+           census.in_flight, input.connections_max);
 }
 
 void ts_part_send_first(ts_request_part_t *part)
@@ -196,6 +204,15 @@
     send_to(part, instance, now_us);
 }
 
+void ts_part_leave_out(ts_request_part_t *part, ts_time_us_t now_us)
+{
+    ts_part_log_blocked(part, now_us);
+    log_decision(part, TS_EVENT_PART_LOST, "not_permitted", NULL, now_us);
+    ts_count(TS_COUNTER_PARTS_EXCLUDED, 1);
+    part->was_excluded = true;
+    set_state(part, TS_PART_LOST);
+}
+
 /* Whether the route and the table of sends allow one more. */
 static bool may_send_again(const ts_request_part_t *part)
 {
--- a/src/registry/registry.c
+++ b/src/registry/registry.c
@@ -17,6 +17,7 @@
     GHashTable *services;  /**< name -> ts_service_t, owned */
     GHashTable *instances; /**< id -> ts_instance_t, owned */
     GHashTable *travels;   /**< zone -> ts_travel_t, owned */
+    GHashTable *evacuated; /**< set of zones whose back ends are to get nothing */
     double travel_least_us;
     double travel_most_us;
     ts_registry_seen_t seen;
@@ -61,6 +62,7 @@
     registry->zones = zones;
     registry->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_service);
     registry->instances = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_instance);
+    registry->evacuated = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     registry->travels = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return registry;
 }
@@ -70,6 +72,7 @@
     g_hash_table_destroy(registry->services);
     g_hash_table_destroy(registry->instances);
     g_hash_table_destroy(registry->travels);
+    g_hash_table_destroy(registry->evacuated);
     g_free(registry->zone);
     g_free(registry);
 }
@@ -153,12 +156,20 @@
 
 /* -- Instances --------------------------------------------------------------------------------- */
 
+static void locate(const ts_registry_t *registry, ts_instance_t *instance)
+{
+    const char *region = find_region(registry, instance->zone);
+    instance->region = region == NULL ? NULL : g_intern_string(region);
+    instance->distance = measure_distance(registry, instance->zone);
+}
+
 static ts_instance_t *add_instance(ts_registry_t *registry, const ts_instance_record_t *record)
 {
     ts_instance_t *instance = g_new0(ts_instance_t, 1);
     instance->id = g_strdup(record->id);
     instance->zone = g_strdup(record->zone);
-    instance->distance = measure_distance(registry, record->zone);
+    locate(registry, instance);
+    instance->is_evacuated = ts_registry_is_evacuated(registry, record->zone);
     instance->travel = find_travel(registry, record->zone, instance->distance);
     instance->slowness = 1;
     g_queue_init(&instance->idle);
@@ -210,6 +221,52 @@
     return is_new;
 }
 
+/* -- Evacuation and placement ------------------------------------------------------------------ */
+
+bool ts_registry_is_evacuated(const ts_registry_t *registry, const char *zone)
+{
+    return g_hash_table_contains(registry->evacuated, zone);
+}
+
+static void set_instance_evacuated(ts_instance_t *instance, bool is_evacuated, ts_time_us_t now_us)
+{
+    const ts_service_t *service = instance->service;
+    instance->is_evacuated = is_evacuated;
+    if (!is_evacuated && service->warmup_rate > 0)
+        instance->warm_at_us = MAX(instance->warm_at_us, now_us + service->warmup_us);
+}
+
+void ts_registry_set_evacuated(ts_registry_t *registry, const char *zone, bool is_evacuated,
+                               ts_time_us_t now_us)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    if (ts_registry_is_evacuated(registry, zone) == is_evacuated)
+        return;
+    if (is_evacuated)
+        g_hash_table_add(registry->evacuated, g_strdup(zone));
+    else
+        g_hash_table_remove(registry->evacuated, zone);
+    ts_log(TS_EVENT_ZONE_STATE, "zone=%s state=%s", zone, is_evacuated ? "evacuated" : "in_use");
+    g_hash_table_iter_init(&iterator, registry->instances);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        ts_instance_t *instance = value;
+        if (strcmp(instance->zone, zone) == 0)
+            set_instance_evacuated(instance, is_evacuated, now_us);
+    }
+}
+
+void ts_registry_relocate(ts_registry_t *registry)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, registry->instances);
+    while (g_hash_table_iter_next(&iterator, NULL, &value))
+        locate(registry, value);
+}
+
+/* -- Leaving ----------------------------------------------------------------------------------- */
+
 static void unlist(ts_instance_t *instance, ts_time_us_t now_us)
 {
     if (!instance->is_listed) {
--- a/src/route/replica.c
+++ b/src/route/replica.c
@@ -17,10 +17,44 @@
 #define TIE_SHARE 0.04
 #define RANDOM_RANGE 1024U
 
-bool ts_replica_is_usable(const ts_instance_t *instance, const ts_replica_input_t *input)
+static bool is_permitted(const ts_instance_t *instance, const GPtrArray *regions)
+{
+    for (guint i = 0; regions != NULL && i < regions->len; i++) {
+        if (g_ptr_array_index(regions, i) == instance->region)
+            return true;
+    }
+    return regions == NULL;
+}
+
+ts_obstacle_t ts_replica_find_obstacle(const ts_instance_t *instance,
+                                       const ts_replica_input_t *input)
 {
     bool is_leaving = instance->is_draining || !instance->is_listed;
-    return !is_leaving || input->now_us - instance->left_us < input->drain_us;
+    if (!is_permitted(instance, input->regions))
+        return TS_OBSTACLE_PLACEMENT;
+    if (instance->is_evacuated)
+        return TS_OBSTACLE_EVACUATION;
+    if (is_leaving && input->now_us - instance->left_us >= input->drain_us)
+        return TS_OBSTACLE_LEAVING;
+    return TS_OBSTACLE_NONE;
+}
+
+bool ts_replica_is_usable(const ts_instance_t *instance, const ts_replica_input_t *input)
+{
+    return ts_replica_find_obstacle(instance, input) == TS_OBSTACLE_NONE;
+}
+
+bool ts_replica_is_excluded(const ts_service_t *service, const ts_replica_input_t *input)
+{
+    bool has_listed = false;
+    for (guint i = 0; i < service->instances->len; i++) {
+        const ts_instance_t *instance = g_ptr_array_index(service->instances, i);
+        ts_obstacle_t obstacle = ts_replica_find_obstacle(instance, input);
+        if (obstacle != TS_OBSTACLE_PLACEMENT && obstacle != TS_OBSTACLE_EVACUATION)
+            return false;
+        has_listed |= instance->is_listed;
+    }
+    return has_listed;
 }
 
 /* Share of a service time that new work waits for what this node has there already. */
@@ -119,13 +153,15 @@
     ts_replica_census_t census = {.listed = service->instances->len};
     for (guint i = 0; i < service->instances->len; i++) {
         const ts_instance_t *instance = g_ptr_array_index(service->instances, i);
+        ts_obstacle_t obstacle = ts_replica_find_obstacle(instance, input);
+        bool is_usable = obstacle == TS_OBSTACLE_NONE;
+        bool is_full = is_usable && ts_replica_is_full(instance, input);
         census.in_flight += instance->in_flight;
-        if (!ts_replica_is_usable(instance, input))
-            census.leaving++;
-        else if (ts_replica_is_full(instance, input))
-            census.full++;
-        else if (instance->avoid_until_us > input->now_us)
-            census.avoided++;
+        census.misplaced += obstacle == TS_OBSTACLE_PLACEMENT;
+        census.evacuated += obstacle == TS_OBSTACLE_EVACUATION;
+        census.leaving += obstacle == TS_OBSTACLE_LEAVING;
+        census.full += is_full;
+        census.avoided += is_usable && !is_full && instance->avoid_until_us > input->now_us;
     }
     return census;
 }
--- a/tests/platform/test_documents.c
+++ b/tests/platform/test_documents.c
@@ -66,6 +66,30 @@
     g_free(reasons);
 }
 
+/* Where requests may be served, and what back ends bear at their start. */
+static void test_fields_of_places(void **state)
+{
+    char *reasons = NULL;
+    ts_traffic_t *traffic = read_document(
+        "{\"version\":7,\"routes\":[" ROUTE(
+            "\"service\":\"s\",\"allowedRegions\":[\"north\",\"south\"]") ","
+        "{\"name\":\"any\",\"host\":\"h\",\"pathPrefix\":\"/b/\",\"service\":\"s\","
+        "\"allowedRegions\":[]}],\"services\":[{\"name\":\"s\",\"warmupS\":2.5,"
+        "\"warmupPerS\":12.5}]}",
+        &reasons);
+    assert_non_null(traffic);
+    const ts_traffic_route_t *route = ts_traffic_find_route(traffic, "r");
+    assert_int_equal(route->regions->len, 2);
+    assert_ptr_equal(g_ptr_array_index(route->regions, 1), g_intern_string("south"));
+    assert_null(ts_traffic_find_route(traffic, "any")->regions);
+    assert_null(ts_traffic_find_route(traffic, "none"));
+    const ts_traffic_service_t *service = g_hash_table_lookup(traffic->services, "s");
+    assert_int_equal(service->warmup_ms, 2500);
+    assert_true(service->warmup_rate > 12.4 && service->warmup_rate < 12.6);
+    ts_traffic_unref(traffic);
+    g_free(reasons);
+}
+
 static void test_what_is_refused_is_named(void **state)
 {
     static const struct {
@@ -83,6 +107,8 @@
         {DOCUMENT(ROUTE("\"routeType\":\"idempotent\",\"gather\":[\"x\",\"x\"]")), "named twice"},
         {DOCUMENT(ROUTE("\"service\":\"s\",\"timeoutMs\":0")), "above zero"},
         {DOCUMENT(ROUTE("\"service\":\"s\",\"minCoverage\":1.5")), "between 0 and 1"},
+        {DOCUMENT(ROUTE("\"service\":\"s\",\"allowedRegions\":\"north\"")), "list of names"},
+        {DOCUMENT(ROUTE("\"service\":\"s\",\"allowedRegions\":[5]")), "list of names"},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         char *reasons = NULL;
@@ -138,6 +164,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_longest_prefix_of_the_host),
         cmocka_unit_test(test_fields_of_a_gather),
+        cmocka_unit_test(test_fields_of_places),
         cmocka_unit_test(test_what_is_refused_is_named),
         cmocka_unit_test(test_page_with_changes),
         cmocka_unit_test(test_pages_that_are_none),
--- a/tests/route/test_gateway_decisions.c
+++ b/tests/route/test_gateway_decisions.c
@@ -212,7 +212,7 @@
 
 static ts_instance_t *choose(ts_registry_t *registry, ts_time_us_t now_us)
 {
-    ts_replica_input_t input = {20000, now_us, 2000 * MS, 20, 4, 17};
+    ts_replica_input_t input = {20000, now_us, 2000 * MS, 20, 4, 17, NULL};
     return ts_replica_choose(ts_registry_service(registry, "s"), &input, NULL, 0);
 }
 
@@ -267,6 +267,50 @@
     assert_ptr_equal(choose(registry, now_us + 20 * TS_US_PER_S), near);
 }
 
+/* Only instances of the permitted regions are chosen, however busy or far they are. */
+static void test_placement_binds_the_choice(void **state)
+{
+    ts_registry_t *registry = ts_registry_create("z1", two_regions());
+    ts_instance_t *near = add(registry, "near", "z1");
+    ts_instance_t *far = add(registry, "far", "z3");
+    ts_instance_t *stray = add(registry, "stray", "z9"); /* of a zone that no setting names */
+    ts_service_t *service = ts_registry_service(registry, "s");
+    GPtrArray *regions = g_ptr_array_new();
+    g_ptr_array_add(regions, (gpointer)g_intern_string("r2"));
+    ts_replica_input_t input = {20000, 100 * TS_US_PER_S, 2000 * MS, 20, 4, 17, regions};
+    assert_ptr_equal(ts_replica_choose(service, &input, NULL, 0), far);
+    assert_int_equal(ts_replica_find_obstacle(near, &input), TS_OBSTACLE_PLACEMENT);
+    assert_int_equal(ts_replica_find_obstacle(stray, &input), TS_OBSTACLE_PLACEMENT);
+    assert_null(ts_replica_choose(service, &input, &far, 1)); /* nor when it is sent again */
+    far->in_flight = 20;
+    assert_null(ts_replica_choose(service, &input, NULL, 0));
+    assert_false(ts_replica_is_any_free(service, &input));
+    assert_false(ts_replica_is_excluded(service, &input)); /* full, not ruled out */
+    g_ptr_array_index(regions, 0) = (gpointer)g_intern_string("elsewhere");
+    assert_true(ts_replica_is_excluded(service, &input));
+    g_ptr_array_unref(regions);
+}
+
+/* A zone that is evacuated gets nothing, also by instances that come meanwhile, until the end. */
+static void test_evacuated_zone_gets_nothing(void **state)
+{
+    ts_registry_t *registry = ts_registry_create("z1", two_regions());
+    ts_instance_t *near = add(registry, "near", "z1");
+    ts_instance_t *far = add(registry, "far", "z3");
+    ts_time_us_t now_us = 100 * TS_US_PER_S;
+    ts_registry_service(registry, "s")->warmup_us = 3 * TS_US_PER_S;
+    ts_registry_service(registry, "s")->warmup_rate = 10;
+    ts_registry_set_evacuated(registry, "z1", true, now_us);
+    assert_ptr_equal(choose(registry, now_us), far);
+    const ts_instance_t *late = add(registry, "late", "z1");
+    assert_true(late->is_evacuated);
+    assert_ptr_equal(choose(registry, now_us), far);
+    ts_registry_set_evacuated(registry, "z1", false, now_us + 5 * TS_US_PER_S);
+    assert_false(near->is_evacuated);
+    assert_int_equal(near->warm_at_us, now_us + 8 * TS_US_PER_S); /* may have turned cold */
+    assert_false(ts_registry_is_evacuated(registry, "z1"));
+}
+
 static void test_suspected_until_it_answers(void **state)
 {
     ts_registry_t *registry = ts_registry_create("z1", two_regions());
@@ -341,7 +385,7 @@
 {
     ts_registry_t *registry = ts_registry_create("z1", two_regions());
     ts_instance_t *near = add(registry, "near", "z1");
-    ts_replica_input_t input = {20000, 100 * TS_US_PER_S, 2000 * MS, 20, 4, 17};
+    ts_replica_input_t input = {20000, 100 * TS_US_PER_S, 2000 * MS, 20, 4, 17, NULL};
     near->in_flight = 12;
     assert_false(ts_replica_is_full(near, &input));
     for (int i = 0; i < 20; i++) { /* late, one settled step after another */
@@ -432,6 +476,8 @@
         cmocka_unit_test(test_replica_prefers_near_and_free),
         cmocka_unit_test(test_travel_is_measured),
         cmocka_unit_test(test_failing_instance_is_left),
+        cmocka_unit_test(test_placement_binds_the_choice),
+        cmocka_unit_test(test_evacuated_zone_gets_nothing),
         cmocka_unit_test(test_suspected_until_it_answers),
         cmocka_unit_test(test_slow_is_told_from_paused),
         cmocka_unit_test(test_faded_slowness_stays_faded),
--- a/tests/scripted/run_script.c
+++ b/tests/scripted/run_script.c
@@ -14,9 +14,13 @@
  *   limit ID N                    it resets connections beyond so many
  *   resets ID                     how many connections it reset for these two reasons
  *   configure VERSION ROUTE...    one NAME:SERVICE, NAME:a,b,c@COVERAGE or NAME:SERVICE! each,
- * served at /NAME/; "!" marks requests that may run once only get NAME ID                   a
- * request; prints what the caller gets begin TAG NAME ID / end TAG   the same in two steps runs ID
- * how many requests the searcher ran connections ID                how many connections it accepted
+ *                                 served at /NAME/; "!" marks requests that may run once only;
+ *                                 "%REGION,..." at the end: where it may be served
+ *   evacuate ZONE / return ZONE   the operator empties a zone, or takes that back
+ *   get NAME ID                   a request; prints what the caller gets
+ *   begin TAG NAME ID / end TAG   the same in two steps
+ *   runs ID                       how many requests the searcher ran
+ *   connections ID                how many connections it accepted
  *   runs_of SERVICE               over all searchers of the service
  *   borrow SERVICE N              another gateway grants extra sends
  *   deadline MS                   how long callers wait from now on
@@ -32,6 +36,8 @@
 
 #define WORDS_MAX 24
 #define DEADLINE_MS 2000U
+/* By then the gateway knows what the store was told. */
+#define KNOWN_MS 1200
 
 typedef struct script {
     world_t *world;
@@ -92,7 +98,7 @@
 static void drain(script_t *s, char **words, guint n)
 {
     world_set_draining(s->world, find_searcher(s, words[1]));
-    world_run_ms(s->world, 1200);
+    world_run_ms(s->world, KNOWN_MS);
 }
 
 static void set_behaviour(script_t *s, char **words, guint n)
@@ -121,10 +127,26 @@
     find_searcher(s, words[1])->connections_max = (unsigned)atoi(words[2]);
 }
 
-// NAME:SERVICE, NAME:SERVICE! or NAME:a,b@COVERAGE as the JSON of a route.
+// REGION,... as the field of a route, or nothing.
+static char *compose_regions(const char *list)
+{
+    if (list == NULL)
+        return g_strdup("");
+    char **regions = g_strsplit(list, ",", 0);
+    char *names = g_strjoinv("\",\"", regions);
+    char *field = g_strdup_printf(",\"" FIELD_REGIONS "\":[\"%s\"]", names);
+    g_strfreev(regions);
+    g_free(names);
+    return field;
+}
+
+// NAME:SERVICE, NAME:SERVICE! or NAME:a,b@COVERAGE, each with or without %REGION, as the JSON of a
+// route.
 static char *compose_route(const char *word)
 {
-    char **halves = g_strsplit(word, ":", 2);
+    char **place = g_strsplit(word, "%", 2);
+    char *regions = compose_regions(place[1]);
+    char **halves = g_strsplit(place[0], ":", 2);
     char **reach = g_strsplit(halves[1], "@", 2);
     bool once = g_str_has_suffix(reach[0], "!");
     if (once)
@@ -143,8 +165,11 @@
     char *text =
         g_strdup_printf("{\"name\":\"%s\",\"host\":\"h.example\",\"pathPrefix\":\"/%s/\","
                         "\"routeType\":\"%s\",\"timeoutMs\":1500,\"targetLatencyMs\":200,"
-                        "\"priority\":1,%s,\"maxAttempts\":2}",
-                        halves[0], halves[0], once ? "non_idempotent" : "idempotent", target->str);
+                        "\"priority\":1,%s,\"maxAttempts\":2%s}",
+                        halves[0], halves[0], once ? "non_idempotent" : "idempotent", target->str,
+                        regions);
+    g_free(regions);
+    g_strfreev(place);
     g_string_free(target, TRUE);
     g_strfreev(reach);
     g_strfreev(halves);
@@ -163,6 +188,22 @@
     g_string_free(routes, TRUE);
 }
 
+static void evacuate(script_t *s, char **words, guint n)
+{
+    char *key = g_strdup_printf("%s%s", KEY_EVACUATIONS, words[1]);
+    lab_store_put(s->world->store, key, "{}");
+    g_free(key);
+    world_run_ms(s->world, KNOWN_MS);
+}
+
+static void end_evacuation(script_t *s, char **words, guint n)
+{
+    char *key = g_strdup_printf("%s%s", KEY_EVACUATIONS, words[1]);
+    lab_store_delete(s->world->store, key);
+    g_free(key);
+    world_run_ms(s->world, KNOWN_MS);
+}
+
 static visit_t *begin_visit(script_t *s, const char *name, const char *id)
 {
     visit_t *visit = visit_open(s->world, s->world->callers_port);
@@ -271,6 +312,8 @@
     {"behave", 3, set_behaviour},
     {"delay", 3, set_delay},
     {"configure", 3, configure},
+    {"evacuate", 2, evacuate},
+    {"return", 2, end_evacuation},
     {"get", 3, get},
     {"begin", 4, begin},
     {"end", 2, end},
