Slow start: a cold back end's rate is dealt out over the fleet

Cause: nothing bound what all gateways together send to an instance that has just started; a service may name the requests a second that a cold one bears.

Ruled out: a token of an owner (needs a hop and a quorum), even shares (below one request a second for each gateway they let all send at once).

Tests: shares sum below the bound at 1 to 1,000 nodes in right and in lonely views, the window in every second, the choice.

--- a/include/tealspar/gateway.h
+++ b/include/tealspar/gateway.h
@@ -41,6 +41,7 @@
     ts_traffic_t *traffic;       /**< in force; NULL until one is known */
     GHashTable *route_states;    /**< route name -> ts_route_state_t */
     ts_retry_budget_rule_t rule; /**< what may be sent beyond the first */
+    ts_cold_rule_t cold_rule;    /**< what cold back ends bear */
     unsigned requests;           /**< being worked on */
     uint32_t random;             /**< state of the cheap generator that breaks ties */
     bool is_stopping;
@@ -64,6 +65,9 @@
 void ts_gateway_set_traffic(ts_gateway_t *gateway, ts_traffic_t *traffic);
 /** The number of nodes believed live; limits are divided among them. */
 void ts_gateway_set_nodes(ts_gateway_t *gateway, unsigned nodes);
+/** Works out this node's shares of what cold instances of the service bear, when they are due. */
+void ts_gateway_share_cold(const ts_gateway_t *gateway, const ts_service_t *service,
+                           ts_time_us_t now_us);
 /** What is known of a route. */
 ts_route_state_t *ts_gateway_route_state(ts_gateway_t *gateway, const ts_traffic_route_t *route);
 /** A number to break ties with. */
--- a/include/tealspar/registry.h
+++ b/include/tealspar/registry.h
@@ -13,6 +13,7 @@
 #include <sys/socket.h>
 
 #include "tealspar/clock.h"
+#include "tealspar/cold_share.h"
 #include "tealspar/error.h"
 #include "tealspar/retry_budget.h"
 #include "tealspar/travel.h"
@@ -47,6 +48,8 @@
     bool is_listed;          /**< discovery names it now */
     ts_time_us_t left_us;    /**< when it began to drain or left the list */
     ts_time_us_t warm_at_us; /**< until then it is slow from its start */
+    ts_cold_window_t cold;   /**< what this node sent it, if its service limits cold ones */
+    ts_time_us_t cold_at_us; /**< when its share was worked out */
     /* What this node measured. */
     uint32_t references;          /**< requests that remember it, answered or not */
     uint32_t in_flight;           /**< requests of this node that it has */
@@ -149,6 +152,8 @@
 void ts_instance_tell_overdue(ts_instance_t *instance);
 /** Another node of the region has seen something of the instance. */
 void ts_instance_hear(ts_instance_t *instance, ts_sighting_t sighting, ts_time_us_t now_us);
+/** Whether it is cold, and all nodes together must stay within what it bears. */
+bool ts_instance_is_cold_bound(const ts_instance_t *instance, ts_time_us_t now_us);
 /** A request is sent to it. */
 void ts_instance_note_sent(ts_instance_t *instance, ts_time_us_t now_us);
 /** Its answer times against its service's, as believed now: 1 the same, more is slower. */
--- a/include/tealspar/replica.h
+++ b/include/tealspar/replica.h
@@ -46,7 +46,9 @@
 } ts_replica_census_t;
 
 ts_replica_census_t ts_replica_count(const ts_service_t *service, const ts_replica_input_t *input);
-/** Whether this node has as many requests there as it may: by connections, and by what was learned.
+/**
+ * Whether this node has as many requests there as it may: by connections, by what was learned, and
+ * by its share of what a cold one bears.
  */
 bool ts_replica_is_full(const ts_instance_t *instance, const ts_replica_input_t *input);
 /** Expected time to an answer in microseconds, with penalties for what is doubtful. */
--- a/src/config/gateway_settings.c
+++ b/src/config/gateway_settings.c
@@ -13,6 +13,7 @@
 #define DEFAULT_GRACE_MS 10000
 #define DEFAULT_WINDOW_MS 10000
 #define WINDOW_MIN_MS 100
+#define DEFAULT_WARMUP_OVERRUN 1.0
 
 #define REQUIRED CYAML_FLAG_POINTER
 #define OPTIONAL (CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL)
@@ -59,6 +60,8 @@
     CYAML_FIELD_FLOAT("retry_ratio", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, retry_ratio),
     NUMBER_FIELD(retry_window_ms),
     CYAML_FIELD_FLOAT("retry_slack", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, retry_slack),
+    CYAML_FIELD_FLOAT("warmup_overrun", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, warmup_overrun),
+    CYAML_FIELD_FLOAT("warmup_slack", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, warmup_slack),
     CYAML_FIELD_ENUM("policy", CYAML_FLAG_STRICT | CYAML_FLAG_OPTIONAL, ts_gateway_settings_t,
                      policy, policy_names, CYAML_ARRAY_LEN(policy_names)),
     CYAML_FIELD_FLAGS("without", CYAML_FLAG_STRICT | CYAML_FLAG_OPTIONAL, ts_gateway_settings_t,
@@ -98,6 +101,9 @@
     if (settings->retry_ratio < 0 || settings->retry_slack < 0) {
         ts_problems_add(problems, TS_E_INVALID, 0, "retry_ratio", "must not be below zero");
     }
+    if (settings->warmup_overrun < 0 || settings->warmup_slack < 0) {
+        ts_problems_add(problems, TS_E_INVALID, 0, "warmup_overrun", "must not be below zero");
+    }
     if (settings->retry_window_ms < WINDOW_MIN_MS) {
         ts_problems_add(problems, TS_E_INVALID, 0, "retry_window_ms", "must be %d or more",
                         WINDOW_MIN_MS);
@@ -122,6 +128,8 @@
     set_default(&settings->drain_ms, DEFAULT_DRAIN_MS);
     set_default(&settings->grace_ms, DEFAULT_GRACE_MS);
     set_default(&settings->retry_window_ms, DEFAULT_WINDOW_MS);
+    if (settings->warmup_overrun == 0)
+        settings->warmup_overrun = DEFAULT_WARMUP_OVERRUN;
     check_settings(settings, problems);
     if (ts_problems_count(problems) > 0) {
         ts_gateway_settings_free(settings);
--- a/src/edge/gateway.c
+++ b/src/edge/gateway.c
@@ -31,6 +31,8 @@
 #define NODES_UNSURE_A_ZONE 8U
 #define NODES_UNSURE_LEAST 12U
 #define UNSURE_US (5 * TS_US_PER_S)
+/* Of the most nodes that were seen live: so many must be in view for a place to be certain. */
+#define CERTAIN_SHARE 0.75
 /* A share of connections is not worked out more often than this. */
 #define KEPT_VALID_US (500 * TS_US_PER_MS)
 #define BASIS_NODES_BITS 24
@@ -179,6 +181,7 @@
     const ts_gateway_settings_t *settings = gateway->settings;
     ts_mechanisms_set_off(settings->without);
     gateway->rule.ratio = settings->retry_ratio;
+    gateway->cold_rule = (ts_cold_rule_t){settings->warmup_overrun, settings->warmup_slack};
     gateway->rule.window_us = settings->retry_window_ms * TS_US_PER_MS;
     ts_gateway_set_nodes(gateway, gateway->nodes_seen);
     for (unsigned i = 0; i < settings->zones_count; i++) {
@@ -221,6 +224,35 @@
     return instance->kept_max;
 }
 
+/*
+ * Whether the view of the fleet is one that others share: it has rested for a while, and not many
+ * have gone from it, as they would when this node is cut off.
+ */
+static bool is_fleet_certain(const ts_gateway_t *gateway, ts_time_us_t now_us)
+{
+    if (gateway->peers == NULL)
+        return true;
+    bool is_young = now_us - gateway->opened_us < UNSURE_US;
+    double seen = CERTAIN_SHARE * gateway->nodes_seen;
+    return !is_young && ts_peers_count(gateway->peers) >= seen;
+}
+
+void ts_gateway_share_cold(const ts_gateway_t *gateway, const ts_service_t *service,
+                           ts_time_us_t now_us)
+{
+    for (guint i = 0; i < service->instances->len; i++) {
+        ts_instance_t *instance = g_ptr_array_index(service->instances, i);
+        bool is_due = instance->cold_at_us == 0 || now_us - instance->cold_at_us > KEPT_VALID_US;
+        if (!is_due || !ts_instance_is_cold_bound(instance, now_us))
+            continue;
+        ts_fleet_place_t fleet = {gateway->nodes, 0, is_fleet_certain(gateway, now_us)};
+        if (gateway->peers != NULL)
+            fleet.place = ts_peers_place(gateway->peers, instance);
+        instance->cold.share = ts_cold_share(&gateway->cold_rule, service->warmup_rate, &fleet);
+        instance->cold_at_us = now_us;
+    }
+}
+
 ts_error_t ts_gateway_open(ts_gateway_t *gateway, uv_loop_t *loop, ts_gateway_settings_t *settings)
 {
     gateway->loop = loop;
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -42,6 +42,8 @@
 static ts_replica_input_t choice_input(const ts_request_part_t *part, ts_time_us_t now_us)
 {
     ts_gateway_t *gateway = part->request->gateway;
+    if (part->service->warmup_rate > 0)
+        ts_gateway_share_cold(gateway, part->service, now_us);
     return (ts_replica_input_t){part->request->state->typical.value_us,
                                 now_us,
                                 gateway->settings->drain_ms * TS_US_PER_MS / 2,
--- a/src/registry/instance_health.c
+++ b/src/registry/instance_health.c
@@ -105,6 +105,8 @@
     double age_us = (double)(now_us - instance->sent_rate_at_us);
     instance->sent_rate = instance->sent_rate * exp2(-age_us / RATE_HALF_LIFE_US) + RATE_STEP;
     instance->sent_rate_at_us = now_us;
+    if (instance->service->warmup_rate > 0)
+        ts_cold_window_note(&instance->cold, now_us);
 }
 
 static void tell_suspected(const ts_instance_t *instance, bool is_suspected)
--- a/src/route/replica.c
+++ b/src/route/replica.c
@@ -92,6 +92,9 @@
 
 bool ts_replica_is_full(const ts_instance_t *instance, const ts_replica_input_t *input)
 {
+    bool is_bound = ts_instance_is_cold_bound(instance, input->now_us);
+    if (is_bound && !ts_cold_window_has_room(&instance->cold, input->now_us))
+        return true;
     /* Whatever was learned, the nodes together may fill the instance's slots and queue as much. */
     double slots_share = SLOTS_FILLED * instance->slots / (double)input->nodes;
     double least = MAX(ceil(slots_share), 1);
--- a/src/route/slowness.c
+++ b/src/route/slowness.c
@@ -1,4 +1,4 @@
-/** How slow and how failing an instance is believed to be; that is learned in src/registry. */
+/** How slow, failing or cold an instance is believed to be; that is learned in src/registry. */
 #include <math.h>
 
 #include "tealspar/registry.h"
@@ -18,3 +18,8 @@
     double age_us = (double)(now_us - instance->failing_at_us);
     return instance->failing * exp2(-age_us / FAILING_HALF_LIFE_US);
 }
+
+bool ts_instance_is_cold_bound(const ts_instance_t *instance, ts_time_us_t now_us)
+{
+    return instance->service->warmup_rate > 0 && instance->warm_at_us > now_us;
+}
--- a/tests/route/test_gateway_decisions.c
+++ b/tests/route/test_gateway_decisions.c
@@ -311,6 +311,73 @@
     assert_false(ts_registry_is_evacuated(registry, "z1"));
 }
 
+/* Whatever nodes think of the fleet, together they stay within what a cold instance bears. */
+static void test_cold_shares_sum_to_less_than_the_bound(void **state)
+{
+    const ts_cold_rule_t rule = {1.5, 5};
+    static const unsigned sizes[] = {1, 3, 9, 95, 300, 1000};
+    static const double rates[] = {1, 8, 40, 400};
+    for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+        for (size_t j = 0; j < G_N_ELEMENTS(rates); j++) {
+            double bound = rates[j] * rule.overrun + rule.slack;
+            uint32_t sum = 0;
+            uint32_t sum_after_loss = 0;
+            for (unsigned place = 0; place < sizes[i]; place++) {
+                ts_fleet_place_t fleet = {sizes[i], place, true};
+                sum += ts_cold_share(&rule, rates[j], &fleet);
+                /* Each sees itself alone: all of them believe that they are the first. */
+                ts_fleet_place_t alone = {sizes[i], 0, false};
+                sum_after_loss += ts_cold_share(&rule, rates[j], &alone);
+            }
+            assert_true(sum <= bound && sum >= floor(bound) * 2 / 3 - 1);
+            assert_true(sum_after_loss <= bound);
+        }
+    }
+}
+
+/* A node keeps to its share in every second, however the requests fall. */
+static void test_cold_window_holds_in_every_second(void **state)
+{
+    GRand *random = g_rand_new_with_seed(23);
+    enum { SPAN_MS = 30000 };
+    static uint32_t sent[SPAN_MS];
+    ts_cold_window_t window = {.share = 3};
+    for (unsigned ms = 0; ms < SPAN_MS; ms++) {
+        ts_time_us_t now_us = 5 * TS_US_PER_S + (ts_time_us_t)ms * MS;
+        bool wants = g_rand_int_range(random, 0, 100) < ((ms / 4000) % 2 == 0 ? 50 : 1);
+        sent[ms] = wants && ts_cold_window_has_room(&window, now_us);
+        if (sent[ms])
+            ts_cold_window_note(&window, now_us);
+    }
+    uint32_t total = 0;
+    for (unsigned begin = 0; begin + 1000 <= SPAN_MS; begin++) {
+        uint32_t sum = 0;
+        for (unsigned ms = begin; ms < begin + 1000; ms++)
+            sum += sent[ms];
+        assert_true(sum <= window.share);
+        total += sent[begin];
+    }
+    assert_true(total > 30); /* and it is used */
+    g_rand_free(random);
+}
+
+static void test_cold_instance_takes_its_share(void **state)
+{
+    ts_registry_t *registry = ts_registry_create("z1", two_regions());
+    ts_instance_t *near = add(registry, "near", "z1");
+    ts_instance_t *far = add(registry, "far", "z3");
+    ts_time_us_t now_us = 100 * TS_US_PER_S;
+    near->service->warmup_rate = 10;
+    near->warm_at_us = now_us + 3 * TS_US_PER_S;
+    near->cold.share = 1;
+    assert_ptr_equal(choose(registry, now_us), near);
+    ts_instance_note_sent(near, now_us);
+    assert_ptr_equal(choose(registry, now_us + 900 * MS), far);
+    assert_ptr_equal(choose(registry, now_us + 1600 * MS), near);
+    ts_instance_note_sent(near, now_us + 1600 * MS);
+    assert_ptr_equal(choose(registry, now_us + 3100 * MS), near); /* warm again */
+}
+
 static void test_suspected_until_it_answers(void **state)
 {
     ts_registry_t *registry = ts_registry_create("z1", two_regions());
@@ -478,6 +545,9 @@
         cmocka_unit_test(test_failing_instance_is_left),
         cmocka_unit_test(test_placement_binds_the_choice),
         cmocka_unit_test(test_evacuated_zone_gets_nothing),
+        cmocka_unit_test(test_cold_shares_sum_to_less_than_the_bound),
+        cmocka_unit_test(test_cold_window_holds_in_every_second),
+        cmocka_unit_test(test_cold_instance_takes_its_share),
         cmocka_unit_test(test_suspected_until_it_answers),
         cmocka_unit_test(test_slow_is_told_from_paused),
         cmocka_unit_test(test_faded_slowness_stays_faded),
