Nodes begin at different places in the order of a weighted split

Cause: each gateway's first request of a split went to its heaviest service, so 95 gateways with one request each sent all of them there. A part's share must follow its weight over all gateways within 200 requests.

Ruled out: independent draws (0.03 off at 300 requests), one order for the fleet (needs agreement).

Change: a random number of turns is passed over at the first request. The test (95 nodes, one request each) fails without it.

--- a/include/tealspar/route_state.h
+++ b/include/tealspar/route_state.h
@@ -31,9 +31,15 @@
     double patience_us;    /**< what callers usually give, fading; 0: not known */
     ts_histogram_t *latencies[TS_OUTCOME_COUNT]; /**< NULL until the first such outcome */
     GHashTable *credits;                         /**< service -> double*, its turn in the split */
+    uint32_t turns_ahead; /**< turns of the split that are passed over before the first */
 } ts_route_state_t;
 
 ts_route_state_t *ts_route_state_create(uint32_t aim_ms);
+/**
+ * Where in the order of a split this node begins. Nodes that all begin at the same place would
+ * together send their first requests to the same service.
+ */
+void ts_route_state_set_phase(ts_route_state_t *state, uint32_t random);
 void ts_route_state_free(ts_route_state_t *state);
 /** A back end of the zone answered after this span. */
 void ts_route_state_note(ts_route_state_t *state, double span_us);
--- a/src/route/route_state.c
+++ b/src/route/route_state.c
@@ -15,6 +15,9 @@
 #define OVERDUE_TYPICAL_MAX 2.5
 /* With each request, so that a change of the callers' patience is noticed within some hundreds. */
 #define PATIENCE_FADES 0.9995
+/* Places in the order of a split where a node may begin: a split by hundredths repeats after these.
+ */
+#define PHASES 100U
 /* An unfinished send counts as this much longer than the present estimate. */
 #define OVERDUE_FACTOR 2.0
 
@@ -28,6 +31,11 @@
     return state;
 }
 
+void ts_route_state_set_phase(ts_route_state_t *state, uint32_t random)
+{
+    state->turns_ahead = random % PHASES;
+}
+
 void ts_route_state_free(ts_route_state_t *state)
 {
     for (int i = 0; i < TS_OUTCOME_COUNT; i++) {
@@ -88,7 +96,7 @@
     return credit;
 }
 
-const char *ts_route_state_next_target(ts_route_state_t *state, const ts_traffic_route_t *route)
+static const char *take_turn(ts_route_state_t *state, const ts_traffic_route_t *route)
 {
     const ts_target_t *best = NULL;
     double best_credit = 0;
@@ -109,3 +117,10 @@
     *find_credit(state, best->service) -= total;
     return best->service;
 }
+
+const char *ts_route_state_next_target(ts_route_state_t *state, const ts_traffic_route_t *route)
+{
+    for (; route->kind == TS_TARGET_SPLIT && state->turns_ahead > 0; state->turns_ahead--)
+        (void)take_turn(state, route);
+    return take_turn(state, route);
+}
--- a/tests/route/test_gateway_decisions.c
+++ b/tests/route/test_gateway_decisions.c
@@ -144,6 +144,29 @@
     ts_traffic_unref(traffic);
 }
 
+/* Many nodes with one request each keep to the weights together. */
+static void test_split_of_many_nodes_follows_weights(void **state)
+{
+    enum { NODES = 95, REQUESTS = 1 };
+    ts_traffic_t *traffic = ts_traffic_create(1);
+    ts_traffic_route_t *route = ts_traffic_add_route(traffic);
+    GRand *random = g_rand_new_with_seed(5);
+    unsigned firsts = 0;
+    route->kind = TS_TARGET_SPLIT;
+    ts_traffic_route_add_target(route, "a", 0.7);
+    ts_traffic_route_add_target(route, "b", 0.3);
+    for (int node = 0; node < NODES; node++) {
+        ts_route_state_t *route_state = ts_route_state_create(100);
+        ts_route_state_set_phase(route_state, g_rand_int(random));
+        for (int i = 0; i < REQUESTS; i++)
+            firsts += ts_route_state_next_target(route_state, route)[0] == 'a';
+        ts_route_state_free(route_state);
+    }
+    assert_true(fabs((double)firsts / (NODES * REQUESTS) - 0.7) < 0.1);
+    g_rand_free(random);
+    ts_traffic_unref(traffic);
+}
+
 static gint compare_falling(gconstpointer left, gconstpointer right)
 {
     return memcmp(*(char *const *)right, *(char *const *)left, TS_RECORD_BYTES);
@@ -539,6 +562,7 @@
         cmocka_unit_test(test_quantile_follows),
         cmocka_unit_test(test_overdue_is_not_the_slow_ones),
         cmocka_unit_test(test_split_follows_weights),
+        cmocka_unit_test(test_split_of_many_nodes_follows_weights),
         cmocka_unit_test(test_records_agree_with_a_full_sort),
         cmocka_unit_test(test_replica_prefers_near_and_free),
         cmocka_unit_test(test_travel_is_measured),
