Refusals count as evidence against an instance

A refusal left the instance as good as before after 60 ms, so that first sends went on going there, each refused one costing an arrival of the budget.

Ruled out: telling refusals of a full queue from others by load (one gateway's own is all that it sees; where all replicas refuse, all cost the same).

Test fails without it.

--- a/include/tealspar/registry.h
+++ b/include/tealspar/registry.h
@@ -158,7 +158,7 @@
 void ts_instance_note_sent(ts_instance_t *instance, ts_time_us_t now_us);
 /** Its answer times against its service's, as believed now: 1 the same, more is slower. */
 double ts_instance_slowness(const ts_instance_t *instance, ts_time_us_t now_us);
-/** It ran a request and answered with a failure of its own, or with success. */
+/** It answered with a failure of its own or refused, or with success. */
 void ts_instance_note_verdict(ts_instance_t *instance, bool is_failure, ts_time_us_t now_us);
 /** Share of its answers that are failures, as believed now. */
 double ts_instance_failing(const ts_instance_t *instance, ts_time_us_t now_us);
--- a/src/registry/instance_health.c
+++ b/src/registry/instance_health.c
@@ -207,6 +207,8 @@
 {
     instance->answered_us = now_us;
     instance->avoid_until_us = now_us + AVOID_REFUSED_US;
+    /* A refused request is sent once more from the budget, as a failed one is. */
+    ts_instance_note_verdict(instance, true, now_us);
     lower_limit(instance, LIMIT_FALL_REFUSED, now_us);
 }
 
--- a/tests/route/test_gateway_decisions.c
+++ b/tests/route/test_gateway_decisions.c
@@ -430,6 +430,24 @@
     assert_ptr_equal(choose(registry, now_us + 3100 * MS), near); /* warm again */
 }
 
+/* An idle instance that refuses part of its requests is asked less, and again later. */
+static void test_refusing_instance_is_left(void **state)
+{
+    ts_registry_t *registry = ts_registry_create("z1", two_regions());
+    ts_instance_t *near = add(registry, "near", "z1");
+    ts_instance_t *far = add(registry, "far", "z3");
+    ts_time_us_t now_us = 100 * TS_US_PER_S;
+    for (int i = 0; i < 6; i++) {
+        now_us += 500 * MS;
+        if (i % 2 == 0)
+            ts_instance_note_refusal(near, now_us);
+        else
+            ts_instance_note_verdict(near, false, now_us);
+    }
+    assert_ptr_equal(choose(registry, now_us + 100 * MS), far);
+    assert_ptr_equal(choose(registry, now_us + 20 * TS_US_PER_S), near);
+}
+
 static void test_suspected_until_it_answers(void **state)
 {
     ts_registry_t *registry = ts_registry_create("z1", two_regions());
@@ -603,6 +621,7 @@
         cmocka_unit_test(test_cold_shares_sum_to_less_than_the_bound),
         cmocka_unit_test(test_cold_window_holds_in_every_second),
         cmocka_unit_test(test_cold_instance_takes_its_share),
+        cmocka_unit_test(test_refusing_instance_is_left),
         cmocka_unit_test(test_suspected_until_it_answers),
         cmocka_unit_test(test_slow_is_told_from_paused),
         cmocka_unit_test(test_faded_slowness_stays_faded),
