Changes that come after a rest are read at once, only steady ones in batches

Ruled out: a second wait for configurations alone (6 watchers x a call in 8 s, and a second revision beside the mirror's).

Change: three calls may follow at once, one more is gained every 0.7 s.

--- a/src/control/store_watch.c
+++ b/src/control/store_watch.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "tealspar/call_pace.h"
 #include "tealspar/counters.h"
 #include "tealspar/log.h"
 #include "tealspar/peers.h"
@@ -34,8 +35,6 @@
 #define DEAF_PROBES 2
 /* A gateway that has just started listens to its peers for so long before it waits for changes. */
 #define SETTLE_US (1000 * TS_US_PER_MS)
-/* Changes that come close together are read by one call, as each call is priced. */
-#define BATCH_MS 700
 /* Between two looks of a node that leaves the service to the zone's watcher. */
 #define REST_MS 200
 /* Between two signs of life of the service while others rely on this node. */
@@ -55,6 +54,7 @@
     uint64_t list_revision; /**< of the first page of the list */
     char *list_after;       /**< last key of the pages so far; NULL at the beginning */
     GHashTable *listed;     /**< ids of instances on the pages so far */
+    ts_call_pace_t pace;
     uint32_t backoff_ms;
     uint32_t first_timeout_ms; /**< of a list while nothing is known */
     ts_time_us_t called_us;    /**< when the call under way began */
@@ -129,7 +129,7 @@
         return 0;
     }
     announce(watch);
-    return BATCH_MS;
+    return ts_call_pace_take(&watch->pace, ts_clock_now_us()) / TS_US_PER_MS;
 }
 
 static void note_heard(ts_store_watch_t *watch)
