What is announced while changes are on their way is asked for when they are in

Cause: a gateway that had asked for changes passed over announcements for 0.3 s; if the answer was older than the announcement it learned the rest with the next one, up to 0.5 s later at each level of the tree.

Change: the newest announcement is remembered and asked for as soon as the changes are in, unless they brought nothing new. Test changes_in_quick_succession fails without it.

--- a/src/peers/peers_internal.h
+++ b/src/peers/peers_internal.h
@@ -27,8 +27,10 @@
     uint64_t passed_on_revision;
     unsigned ticks;
     bool is_mute;           /**< sends nothing; see ts_peers_set_mute */
-    ts_time_us_t pulled_us; /* when changes were last asked for */
-    ts_time_us_t asked_us;  /* when somebody was last asked for everything */
+    ts_time_us_t pulled_us; /* when changes were last asked for; 0: and none are on their way */
+    uint64_t announced_revision; /**< the newest that a peer has announced */
+    char *announcer;             /**< address of that peer; NULL: nobody yet */
+    ts_time_us_t asked_us;       /* when somebody was last asked for everything */
     unsigned asked_times;
 };
 
--- a/src/peers/peers_store.c
+++ b/src/peers/peers_store.c
@@ -55,6 +55,25 @@
     ts_peers_send(peers, address, &frame);
 }
 
+/* Asks again at once when more was announced while the changes that came were on their way. */
+static void pull_rest(ts_peers_t *peers)
+{
+    uint64_t own = ts_store_mirror_revision(peers->mirror);
+    if (peers->announced_revision <= own || peers->announcer == NULL)
+        return;
+    peers->pulled_us = ts_clock_now_us();
+    send_pull(peers, peers->announcer, own);
+}
+
+static void note_announced(ts_peers_t *peers, const char *address, uint64_t revision)
+{
+    if (revision <= peers->announced_revision)
+        return;
+    peers->announced_revision = revision;
+    g_free(peers->announcer);
+    peers->announcer = g_strdup(address);
+}
+
 static void send_changes(ts_peers_t *peers, const char *address, uint64_t after)
 {
     bool is_whole = false;
@@ -129,6 +148,7 @@
             pull_from(peers, frame->address, 0);
         }
     } else if (frame->beacon->revision > own) {
+        note_announced(peers, frame->address, frame->beacon->revision);
         pull_from(peers, frame->address, own);
     } else if (frame->beacon->revision == own) {
         ts_store_mirror_confirm(peers->mirror, confirmed_at(frame->beacon->age_ms));
@@ -163,7 +183,8 @@
 
 void ts_peers_take_changes(ts_peers_t *peers, const TsPeer__Changes *changes)
 {
-    bool is_news = changes->revision >= ts_store_mirror_revision(peers->mirror);
+    uint64_t before = ts_store_mirror_revision(peers->mirror);
+    bool is_news = changes->revision >= before;
     if (!changes->is_whole && !ts_store_mirror_is_primed(peers->mirror)) {
         return;
     }
@@ -180,6 +201,8 @@
     ts_store_mirror_reach(peers->mirror, changes->revision, confirmed_at(changes->age_ms));
     ts_count(TS_COUNTER_CONFIG_FROM_PEER, 1);
     peers->pulled_us = 0;
+    if (changes->revision > before)
+        pull_rest(peers);
     pass_on(peers);
     g_ptr_array_unref(entries);
 }
--- a/tests/gateway/test_peers.c
+++ b/tests/gateway/test_peers.c
@@ -1,6 +1,7 @@
 /** Several gateways: who follows the store, and what they tell each other. */
 #include "world.h"
 
+#include "../../src/peers/peers_internal.h"
 #include "tealspar/peers.h"
 
 #define NODES 4
@@ -89,6 +90,42 @@
         assert_int_equal(fleet.nodes[i]->traffic->version, 2);
 }
 
+static void announce(ts_peers_t *peers, char *address, uint64_t revision)
+{
+    TsPeer__Beacon beacon = TS_PEER__BEACON__INIT;
+    TsPeer__Frame frame = TS_PEER__FRAME__INIT;
+    beacon.revision = revision;
+    frame.beacon = &beacon;
+    frame.address = address;
+    ts_peers_take_beacon(peers, &frame);
+}
+
+static void give_changes(ts_peers_t *peers, uint64_t revision)
+{
+    TsPeer__Changes changes = TS_PEER__CHANGES__INIT;
+    changes.revision = revision;
+    ts_peers_take_changes(peers, &changes);
+}
+
+/* What is announced while changes are on their way is asked for as soon as they are in. */
+static void test_changes_in_quick_succession(void **state)
+{
+    fleet_t fleet = open_fleet();
+    ts_gateway_t *watcher = watcher_of(&fleet);
+    ts_peers_t *peers = fleet.nodes[fleet.nodes[0] == watcher ? 1 : 0]->peers;
+    char address[32];
+    g_snprintf(address, sizeof(address), "127.0.0.1:%u", world_next_port()); /* nobody answers */
+    uint64_t own = ts_store_mirror_revision(peers->mirror);
+    announce(peers, address, own + 1);
+    announce(peers, address, own + 2);
+    give_changes(peers, own + 1);
+    assert_true(peers->pulled_us != 0); /* the second is on its way */
+    give_changes(peers, own + 1);
+    assert_true(peers->pulled_us == 0); /* a peer that has not got it is not asked over and over */
+    give_changes(peers, own + 2);
+    assert_true(peers->pulled_us == 0);
+}
+
 static void test_start_while_the_store_is_silent(void **state)
 {
     fleet_t fleet = open_fleet();
@@ -252,6 +289,7 @@
         cmocka_unit_test(test_one_watcher_a_zone),
         cmocka_unit_test(test_change_reaches_all_within_the_bound),
         cmocka_unit_test(test_swallowed_wait_of_a_watcher),
+        cmocka_unit_test(test_changes_in_quick_succession),
         cmocka_unit_test(test_start_while_the_store_is_silent),
         cmocka_unit_test(test_refused_node_follows_its_peers),
         cmocka_unit_test(test_watcher_that_leaves_is_replaced),
