Bytes between zones and regions are accounted by cause

Counted where bytes meet a socket; tealspar_bytes_total{cause,distance} on the metrics address. No change of behaviour.

--- a/include/tealspar/dialect.h
+++ b/include/tealspar/dialect.h
@@ -27,9 +27,9 @@
 
 /** What an entry of the configuration service is about. */
 typedef enum ts_store_kind {
-    TS_STORE_OTHER,   /**< nothing of ours */
-    TS_STORE_TRAFFIC,  /**< the configuration */
-    TS_STORE_INSTANCE, /**< a back end */
+    TS_STORE_OTHER,     /**< nothing of ours */
+    TS_STORE_TRAFFIC,   /**< the configuration */
+    TS_STORE_INSTANCE,  /**< a back end */
     TS_STORE_EVACUATION /**< while it is there, back ends of a zone get nothing */
 } ts_store_kind_t;
 
--- a/include/tealspar/error.h
+++ b/include/tealspar/error.h
@@ -45,8 +45,7 @@
     X(TS_E_COVERAGE, -54, "coverage_below_least", "too few shards answered in time")               \
     X(TS_E_OWNER_CHANGED, -55, "owner_changed", "an earlier owner may have run the request")       \
     X(TS_E_NO_QUORUM, -56, "no_quorum", "the node cannot hear a majority of its zone")             \
-    X(TS_E_PLACEMENT, -57, "not_permitted",                                                        \
-      "no back end stands where the request may be served")                                        \
+    X(TS_E_PLACEMENT, -57, "not_permitted", "no back end stands where the request may be served")  \
     X(TS_E_PROTOCOL, -60, "protocol", "a message from another node cannot be understood")
 
 #define TS_ERROR_ENUM(symbol, number, name, text) symbol = (number),
--- a/include/tealspar/traffic.h
+++ b/include/tealspar/traffic.h
@@ -31,7 +31,7 @@
     size_t prefix_length;
     ts_target_kind_t kind;
     GArray *targets;       /**< of ts_target_t */
-    GPtrArray *regions; /**< where its requests may be served, interned names; NULL: anywhere */
+    GPtrArray *regions;    /**< where its requests may be served, interned names; NULL: anywhere */
     bool is_repeatable;    /**< a request may run more than once */
     uint32_t attempts_max; /**< most searchers that one request (one part) may be sent to */
     uint32_t timeout_ms;   /**< longest time a request is held */
--- a/include/tealspar/upstream.h
+++ b/include/tealspar/upstream.h
@@ -50,13 +50,16 @@
 ts_upstream_t *ts_upstream_create(uv_loop_t *loop, const ts_dialect_t *dialect);
 /** Who decides how many connections are kept; without it none is closed for being too many. */
 void ts_upstream_on_rest(ts_upstream_t *upstream, ts_upstream_kept_t kept, void *ctx);
-/**
- * Sends a request to an instance, on an idle connection or a new one. `typical_us` is what such a
- * request takes from here, to judge the instance by; 0: not known.
- */
+/** What is known of a send beside its bytes. */
+typedef struct ts_send_terms {
+    double typical_us; /**< what such a request takes from here, to judge by; 0: not known */
+    bool is_repeat;    /**< another send of the request, or of the part, went before */
+} ts_send_terms_t;
+
+/** Sends a request to an instance, on an idle connection or a new one. */
 ts_exchange_t *ts_upstream_send(ts_upstream_t *upstream, ts_instance_t *instance,
-                                ts_outgoing_t *outgoing, double typical_us, ts_exchange_done_t done,
-                                void *owner);
+                                ts_outgoing_t *outgoing, const ts_send_terms_t *terms,
+                                ts_exchange_done_t done, void *owner);
 /** Ends an exchange at once by closing its connection; `done` is not called. */
 void ts_exchange_cancel(ts_exchange_t *exchange);
 /** Nobody waits any more: it may finish until `until_us`, then it is cancelled. */
--- a/src/edge/gateway_metrics.c
+++ b/src/edge/gateway_metrics.c
@@ -1,4 +1,5 @@
 /** The gateway's figures in the Prometheus text format. */
+#include "tealspar/byte_account.h"
 #include "tealspar/counters.h"
 #include "tealspar/gateway.h"
 #include "tealspar/store_mirror.h"
@@ -64,5 +65,6 @@
                  (int64_t)((ts_clock_now_us() - confirmed_us) / TS_US_PER_MS));
     ts_gauge_set(TS_COUNTER_INSTANCES_LISTED, ts_registry_listed(gateway->registry));
     ts_counters_write_prometheus(out);
+    ts_byte_account_write(out);
     write_routes(gateway, out);
 }
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -116,9 +116,9 @@
     part->overdue_us = now_us + overdue_after_us(request, travel_us);
     part->second_us = second_send_us(part, part->overdue_us);
     unsigned place = part->sends++;
-    part->exchanges[place] =
-        ts_upstream_send(request->gateway->upstream, instance, request->outgoing,
-                         typical_us + travel_us, part_done, part);
+    ts_send_terms_t terms = {typical_us + travel_us, place > 0};
+    part->exchanges[place] = ts_upstream_send(request->gateway->upstream, instance,
+                                              request->outgoing, &terms, part_done, part);
 }
 
 /* One line for a decision about the part: whom, why, and what was believed of it. */
--- a/src/peers/peers.c
+++ b/src/peers/peers.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "tealspar/byte_account.h"
 #include "tealspar/counters.h"
 #include "tealspar/hash.h"
 #include "tealspar/log.h"
@@ -19,6 +20,15 @@
 
 /* -- Sending ----------------------------------------------------------------------------------- */
 
+static ts_byte_cause_t cause_of(const TsPeer__Frame *frame)
+{
+    if (frame->sighting != NULL)
+        return TS_BYTES_SIGHTING;
+    if (frame->loan != NULL)
+        return TS_BYTES_LOAN;
+    return frame->gossip.len > 0 ? TS_BYTES_MEMBERSHIP : TS_BYTES_STORE;
+}
+
 void ts_peers_send(ts_peers_t *peers, const char *address, TsPeer__Frame *frame)
 {
     const ts_gateway_settings_t *settings = peers->gateway->settings;
@@ -32,6 +42,7 @@
     uint8_t *bytes = g_malloc(length);
     ts_peer__frame__pack(frame, bytes);
     ts_peer_link_send(peers->link, address, bytes, length);
+    ts_account_bytes(cause_of(frame), ts_peers_distance(peers, address), length);
     g_free(bytes);
 }
 
@@ -203,6 +214,7 @@
     peers->membership = ts_membership_create(&config, &ops, peers, ts_clock_now_us());
     peers->zone_order = g_ptr_array_new();
     peers->regions = g_ptr_array_new();
+    peers->distances = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     peers->view = ts_membership_view(peers->membership);
     order_zone(peers);
     ts_peers_locate_members(peers);
--- a/src/peers/peers_internal.h
+++ b/src/peers/peers_internal.h
@@ -13,8 +13,9 @@
     ts_membership_t *membership;
     ts_peer_link_t *link;
     ts_view_t *view;
-    uint64_t changes;   /**< of the view so far */
-    GPtrArray *regions; /**< of the members of the view in its order; interned texts or NULL */
+    uint64_t changes;      /**< of the view so far */
+    GPtrArray *regions;    /**< of the members of the view in its order; interned texts or NULL */
+    GHashTable *distances; /**< address of a member -> ts_distance_t as a pointer */
     uv_timer_t timer;
     /*
      * Members of this node's zone that are not dead, in the view, by rendezvous weight, the live
@@ -60,5 +61,7 @@
 // -- peers_place.c
 /** Works out anew in which region each member of the view stands. */
 void ts_peers_locate_members(ts_peers_t *peers);
+/** How far a member stands; far if the address is none of a member. */
+ts_distance_t ts_peers_distance(const ts_peers_t *peers, const char *address);
 
 #endif
--- a/src/upstream/upstream.c
+++ b/src/upstream/upstream.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "tealspar/byte_account.h"
 #include "tealspar/counters.h"
 #include "tealspar/stream_end.h"
 
@@ -52,6 +53,7 @@
     ts_time_us_t until_us; /**< cancelled after this */
     bool is_unsendable;    /**< its connection took nothing of it */
     double typical_us;     /**< what such a request takes; 0: not known */
+    ts_byte_cause_t cause; /**< what its bytes are for */
     ts_exchange_t *previous;
     ts_exchange_t *next;
 };
@@ -276,6 +278,7 @@
     exchange->sent_us = ts_clock_now_us();
     compose(connection, exchange->sent_us);
     connection->answer.answers_head = exchange->outgoing->is_head_method;
+    ts_account_bytes(exchange->cause, connection->instance->distance, connection->sending->len);
     ts_count(TS_COUNTER_SENDS, 1);
     ts_count(TS_COUNTER_SENDS_REGION, connection->instance->distance == TS_DISTANCE_REGION);
     ts_count(TS_COUNTER_SENDS_FAR, connection->instance->distance == TS_DISTANCE_FAR);
@@ -386,11 +389,12 @@
 }
 
 ts_exchange_t *ts_upstream_send(ts_upstream_t *upstream, ts_instance_t *instance,
-                                ts_outgoing_t *outgoing, double typical_us, ts_exchange_done_t done,
-                                void *owner)
+                                ts_outgoing_t *outgoing, const ts_send_terms_t *terms,
+                                ts_exchange_done_t done, void *owner)
 {
     ts_exchange_t *exchange = create_exchange(upstream, instance, outgoing, done, owner);
-    exchange->typical_us = typical_us;
+    exchange->typical_us = terms->typical_us;
+    exchange->cause = terms->is_repeat ? TS_BYTES_SECOND_SEND : TS_BYTES_FIRST_SEND;
     ts_connection_t *connection = take_idle(instance, outgoing->is_repeatable);
     bool is_new = connection == NULL;
     if (is_new) {
@@ -548,6 +552,7 @@
         close_connection(connection); /* bytes that belong to no request */
         return;
     }
+    ts_account_bytes(connection->exchange->cause, connection->instance->distance, (size_t)length);
     ts_http_message_t *answer = &connection->answer;
     size_t used = ts_http_message_feed(answer, buffer->base, (size_t)length);
     if (answer->error != TS_OK) {
