A newer configuration is not fetched from another zone while this zone's watcher brings it

Cause: gossip names the configuration in force, and whoever heard of a newer one asked the speaker for it at once.

Ruled out: taking the version out of gossip (a zone whose watcher is deaf learns of it there).

Change: from another zone it is asked for when it was first heard of 0.5 s ago and is still not there. Test fails without.

--- a/src/peers/peers_internal.h
+++ b/src/peers/peers_internal.h
@@ -31,6 +31,8 @@
     ts_time_us_t pulled_us; /* when changes were last asked for; 0: and none are on their way */
     uint64_t announced_revision; /**< the newest that a peer has announced */
     char *announcer;             /**< address of that peer; NULL: nobody yet */
+    uint64_t heard_version;      /* newest configuration that others spoke of */
+    ts_time_us_t heard_us;       /* when it was first heard of */
     ts_time_us_t asked_us;       /* when somebody was last asked for everything */
     unsigned asked_times;
 };
@@ -46,7 +48,7 @@
 void ts_peers_take_beacon(ts_peers_t *peers, const TsPeer__Frame *frame);
 void ts_peers_take_pull(ts_peers_t *peers, const TsPeer__Frame *frame);
 void ts_peers_take_changes(ts_peers_t *peers, const TsPeer__Changes *changes);
-/** A peer has a newer configuration; asked for only if the zone's watcher is not heard. */
+/** A peer speaks of a configuration; see HEARD_WAITS_US. */
 void ts_peers_hear_config(void *context, const char *name, const char *address, uint64_t version,
                           uint64_t digest);
 /** Whether this node knows nothing although the service had time to answer. */
--- a/src/peers/peers_store.c
+++ b/src/peers/peers_store.c
@@ -8,6 +8,12 @@
 #define CONFIRMED_MAX_US (1500 * TS_US_PER_MS)
 /* A pull that was not answered is asked again after this. */
 #define PULL_AGAIN_US (300 * TS_US_PER_MS)
+/*
+ * A newer configuration that a node of another zone speaks of is on its way from this zone's
+ * watcher; it is asked for over there, a whole document over a dear link, only if it has not come
+ * by then.
+ */
+#define HEARD_WAITS_US (500 * TS_US_PER_MS)
 /* While nothing is known, somebody is asked this often, once the service had time to answer. */
 #define ASK_AROUND_US (500 * TS_US_PER_MS)
 #define ASK_FIRST_US (400 * TS_US_PER_MS)
@@ -207,16 +213,29 @@
     g_ptr_array_unref(entries);
 }
 
+/* Whether a newer version has been heard of for so long that the zone's watcher must have missed
+ * it. */
+static bool is_overdue(ts_peers_t *peers, uint64_t version)
+{
+    ts_time_us_t now_us = ts_clock_now_us();
+    if (version > peers->heard_version) {
+        peers->heard_version = version;
+        peers->heard_us = now_us;
+    }
+    return now_us - peers->heard_us > HEARD_WAITS_US;
+}
+
 void ts_peers_hear_config(void *context, const char *name, const char *address, uint64_t version,
                           uint64_t digest)
 {
     ts_peers_t *peers = context;
     const ts_traffic_t *traffic = peers->gateway->traffic;
-    if (traffic == NULL || version > traffic->version) {
-        pull_from(peers, address,
-                  ts_store_mirror_is_primed(peers->mirror) ? ts_store_mirror_revision(peers->mirror)
-                                                           : 0);
-    }
+    bool is_primed = ts_store_mirror_is_primed(peers->mirror);
+    if (traffic != NULL && version <= traffic->version)
+        return;
+    bool is_near = ts_peers_distance(peers, address) == TS_DISTANCE_ZONE;
+    if (!is_primed || is_near || is_overdue(peers, version))
+        pull_from(peers, address, is_primed ? ts_store_mirror_revision(peers->mirror) : 0);
 }
 
 /* -- Time -------------------------------------------------------------------------------------- */
--- a/tests/gateway/test_peers.c
+++ b/tests/gateway/test_peers.c
@@ -126,6 +126,26 @@
     assert_true(peers->pulled_us == 0);
 }
 
+/* A node of another zone that speaks of a newer version is asked only if it does not come by
+ * itself. */
+static void test_newer_version_is_not_fetched_from_afar_at_once(void **state)
+{
+    fleet_t fleet = open_fleet();
+    ts_peers_t *peers = fleet.nodes[NODES - 1]->peers; /* of z2 */
+    char near[32];
+    char far[32];
+    g_snprintf(near, sizeof(near), "127.0.0.1:%u", fleet.ports[NODES - 1]);
+    g_snprintf(far, sizeof(far), "127.0.0.1:%u", fleet.ports[0]);
+    ts_peers_hear_config(peers, "n0", far, 2, 0);
+    assert_true(peers->pulled_us == 0);
+    peers->heard_us -= TS_US_PER_S;
+    ts_peers_hear_config(peers, "n0", far, 2, 0);
+    assert_true(peers->pulled_us != 0);
+    peers->pulled_us = 0;
+    ts_peers_hear_config(peers, "n3", near, 3, 0);
+    assert_true(peers->pulled_us != 0);
+}
+
 static void test_start_while_the_store_is_silent(void **state)
 {
     fleet_t fleet = open_fleet();
@@ -290,6 +310,7 @@
         cmocka_unit_test(test_change_reaches_all_within_the_bound),
         cmocka_unit_test(test_swallowed_wait_of_a_watcher),
         cmocka_unit_test(test_changes_in_quick_succession),
+        cmocka_unit_test(test_newer_version_is_not_fetched_from_afar_at_once),
         cmocka_unit_test(test_start_while_the_store_is_silent),
         cmocka_unit_test(test_refused_node_follows_its_peers),
         cmocka_unit_test(test_watcher_that_leaves_is_replaced),
