A starting gateway asks one seed at a time, not three

In a simulated fleet that starts at once the busiest sent 40, 242 and 2,156 kB in 14 s at 30, 95 and 300.

Ruled out, in the same simulation: introductions to some members of the own zone in place of the whole (379 kB, but views agree after 12.7 s instead of 8), fewer rumours to other zones (5.5 to 6.2 MB between zones instead of 7.0, nothing for the busiest).

Change: one is asked, from a random place on, the next one a tick later. Test seeds_share_the_joining fails without.

--- a/lab/hollow.c
+++ b/lab/hollow.c
@@ -24,6 +24,7 @@
     uint64_t wanted_version;
     uint64_t fetched_at_ms;
     unsigned tick_offset;
+    uint64_t sent_bytes;
 } hollow_node_t;
 
 /* A gossip on its way. */
@@ -37,7 +38,7 @@
 struct lab_hollow {
     lab_hollow_config_t config;
     hollow_node_t *nodes;
-    GHashTable *index_by_name; /* name -> index + 1 */
+    GHashTable *index_by_name; /* name or address -> index + 1 */
     GPtrArray *slots[SLOTS];   /* of letter_t, by the millisecond they arrive */
     bool *is_zone_cut;
     GRand *random;
@@ -79,7 +80,7 @@
 static void send_letter(void *context, const char *name, const char *address, const uint8_t *bytes,
                         size_t length)
 {
-    const hollow_node_t *node = context;
+    hollow_node_t *node = context;
     lab_hollow_t *fleet = node->fleet;
     unsigned to = GPOINTER_TO_UINT(g_hash_table_lookup(fleet->index_by_name, name));
     if (to == 0) {
@@ -88,6 +89,10 @@
     to--;
     fleet->report.messages++;
     fleet->report.bytes += length + LAB_MESSAGE_OVERHEAD_BYTES;
+    if (fleet->nodes[to].zone != node->zone)
+        fleet->report.zone_bytes += length + LAB_MESSAGE_OVERHEAD_BYTES;
+    node->sent_bytes += length + LAB_MESSAGE_OVERHEAD_BYTES;
+    fleet->report.busiest = MAX(fleet->report.busiest, node->sent_bytes);
     bool is_dropped = g_rand_double(fleet->random) * PERCENT < fleet->config.drop_percent;
     if (is_dropped || is_cut(fleet, node->index, to)) {
         return;
@@ -132,10 +137,15 @@
 
 static void tell_machines(lab_hollow_t *fleet, hollow_node_t *node)
 {
+    unsigned seeds = fleet->config.seeds;
     ts_membership_begin_machines(node->membership);
-    for (unsigned i = 0; i < fleet->config.nodes; i++) {
+    for (unsigned i = 0; i < (seeds > 0 ? seeds : fleet->config.nodes); i++) {
         const hollow_node_t *other = &fleet->nodes[i];
-        ts_membership_add_machine(node->membership, other->name, other->address, other->zone_name);
+        if (seeds == 0)
+            ts_membership_add_machine(node->membership, other->name, other->address,
+                                      other->zone_name);
+        else if (other != node)
+            ts_membership_add_machine(node->membership, other->address, other->address, "");
     }
     ts_membership_end_machines(node->membership);
 }
@@ -176,6 +186,7 @@
         node->zone_name = g_strdup_printf("zone-%u", node->zone);
         node->tick_offset = (unsigned)g_rand_int_range(fleet->random, 0, (int)TICK_MS);
         g_hash_table_insert(fleet->index_by_name, node->name, GUINT_TO_POINTER(i + 1));
+        g_hash_table_insert(fleet->index_by_name, node->address, GUINT_TO_POINTER(i + 1));
     }
     for (unsigned i = 0; i < config->nodes; i++) {
         start_node(fleet, &fleet->nodes[i]);
@@ -370,5 +381,7 @@
 void lab_hollow_reset_report(lab_hollow_t *fleet)
 {
     memset(&fleet->report, 0, sizeof(fleet->report));
+    for (unsigned i = 0; i < fleet->config.nodes; i++)
+        fleet->nodes[i].sent_bytes = 0;
     fleet->report_since_ms = fleet->now_ms;
 }
--- a/lab/hollow.h
+++ b/lab/hollow.h
@@ -22,12 +22,15 @@
     unsigned delay_ms;   /**< one way within a zone, at most; other zones add as much */
     double drop_percent; /**< of messages */
     uint64_t seed;
+    unsigned seeds; /**< nodes that a starting one knows, by address alone; 0: all, listed */
 } lab_hollow_config_t;
 
 /** What a fleet has cost and shown so far. */
 typedef struct lab_hollow_report {
     uint64_t messages;
     uint64_t bytes;        /**< with the overhead */
+    uint64_t zone_bytes;   /**< of these, between zones */
+    uint64_t busiest;      /**< bytes that the busiest node sent */
     uint64_t false_deaths; /**< a running node declared dead by a running node, once a pair */
     double seconds;        /**< virtual */
 } lab_hollow_report_t;
--- a/src/control/membership.c
+++ b/src/control/membership.c
@@ -13,8 +13,11 @@
 #define RUMOUR_SENDS_BASE 3.0
 #define RUMOUR_SENDS_PER_DECADE 3.0
 #define DEAD_RETRY_US (5ULL * TS_US_PER_S)
-#define JOIN_RETRY_US (500ULL * TS_US_PER_MS)
-#define JOIN_PEERS 3U
+/* One node is asked at a time: each answers with the whole fleet, so that more would make those
+ * that all starting nodes know the busiest of a large fleet. Another is asked with the next tick.
+ */
+#define JOIN_RETRY_US (250ULL * TS_US_PER_MS)
+#define JOIN_PEERS 1U
 #define SYNC_GAP_FIRST_US (1ULL * TS_US_PER_S)
 /* A tick that comes this late means that the process stood still: doubt oneself first. */
 #define STALL_BOUND_US (1000ULL * TS_US_PER_MS)
@@ -337,6 +340,7 @@
     m->random = config->seed | 1U;
     m->now_us = now_us;
     m->sync_gap_us = SYNC_GAP_FIRST_US;
+    m->rounds = (unsigned)ts_member_next_random(m); /* so that not all ask the same seed first */
     m->next_probe_us = now_us + ts_member_next_random(m) % TS_MEMBERSHIP_PERIOD_US;
     m->next_dead_retry_us = now_us + ts_member_next_random(m) % DEAD_RETRY_US;
     m->self = ts_member_add_member(m, config->name, config->address, config->zone);
--- a/tests/control/test_membership.c
+++ b/tests/control/test_membership.c
@@ -20,6 +20,27 @@
     return fleet;
 }
 
+/*
+ * All nodes start at once and know three of them: these do not have to answer everybody, and the
+ * views agree before callers come.
+ */
+static void test_seeds_share_the_joining(void **state)
+{
+    static const unsigned sizes[] = {30, 95, 300};
+    for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+        lab_hollow_config_t config = {
+            .nodes = sizes[i], .zones = 6, .delay_ms = 6, .seed = 3, .seeds = 3};
+        lab_hollow_t *fleet = lab_hollow_create(&config);
+        lab_hollow_run(fleet, 14 * SECOND);
+        assert_true(lab_hollow_is_converged(fleet));
+        lab_hollow_report_t report = lab_hollow_report(fleet);
+        double middle = (double)report.bytes / sizes[i];
+        assert_true((double)report.busiest < 8 * middle); /* asked by a third of all each */
+        assert_int_equal(report.false_deaths, 0);
+        lab_hollow_destroy(fleet);
+    }
+}
+
 static void test_death_is_known_everywhere(void **state)
 {
     for (uint64_t seed = 1; seed <= 5; seed++) {
@@ -148,6 +169,7 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_seeds_share_the_joining),
         cmocka_unit_test(test_death_is_known_everywhere),
         cmocka_unit_test(test_pauses_and_loss_kill_nobody),
         cmocka_unit_test(test_long_pause_is_refuted_afterwards),
