--- a/src/peers/peer_link.c
+++ b/src/peers/peer_link.c
@@ -23,7 +23,9 @@
 #define MESSAGE_BYTES_MAX (16UL * 1024UL * 1024UL)
 #define RECONNECT_LEAST_MS 100
 #define RECONNECT_MOST_MS 1000
-#define IDLE_CLOSE_US (30ULL * TS_US_PER_S)
+/* Longer than a round of the messages that go on between two nodes; a seed would keep a connection
+ * to each node that has ever asked it. */
+#define IDLE_CLOSE_US (8ULL * TS_US_PER_S)
 
 typedef struct peer {
     char *address;
