The soak plays placements, evacuations and cold searchers, and checks HOME, EVAC and FAILBACK

A route that may be served in one region only, evacuations of a zone for 4 to 8 s after which its searchers are cold, searchers that begin cold and bear 2 requests a second. Test of the count of arrivals.

--- a/lab/soak.h
+++ b/lab/soak.h
@@ -35,7 +35,8 @@
     lab_link_t *link;
     lab_link_mode_t mode;
     double delay_ms;
-    char *address; // where the link listens, "IP:port"
+    char *address;           // where the link listens, "IP:port"
+    ts_time_us_t changed_us; // when its behaviour last changed
 } soak_link_t;
 
 // A searcher behind its link.
@@ -46,6 +47,8 @@
     unsigned service;
     unsigned replica;
     ts_time_us_t drained_us; // when the store took that it drains; 0: it does not
+    ts_time_us_t cold_us;    // since when it is cold; 0: it never was
+    GArray *arrivals;        // of ts_time_us_t, while it is cold
     bool is_faulty;
 } soak_searcher_t;
 
@@ -80,6 +83,7 @@
     unsigned runs; // at searchers
     bool is_repeatable;
     bool was_refused;  // its caller was told that it has not run and never will
+    bool is_placed;    // it may be served in the first region only
     uint64_t services; // bit set of the services that it has reached
 } soak_record_t;
 
@@ -92,8 +96,9 @@
     const char *directory;
     bool is_calm;        // no faults
     bool is_log_stalled; // gateways write their lines into pipes that nobody reads
-    bool is_planted; // drains and versions are not told, retries count as doubled runs: the checks
-                     // must see
+    // Drains, versions, evacuations, placements and cold starts are not told, retries count as
+    // doubled runs: the checks must see.
+    bool is_planted;
 } soak_options_t;
 
 struct soak {
@@ -109,10 +114,12 @@
     soak_node_t nodes[SOAK_NODES_MAX];
     soak_searcher_t *searchers[SOAK_SERVICES][SOAK_REPLICAS];
     unsigned searchers_made;
-    uint64_t version;        // newest configuration
-    ts_time_us_t version_us; // when the store took it
-    GHashTable *instances;   // instance id -> name of its service
-    GHashTable *records;     // request id -> soak_record_t
+    unsigned evacuated_zone;   // from 1 on; 0: none
+    ts_time_us_t evacuated_us; // when the store took that
+    uint64_t version;          // newest configuration
+    ts_time_us_t version_us;   // when the store took it
+    GHashTable *instances;     // instance id -> name of its service
+    GHashTable *records;       // request id -> soak_record_t
     soak_budget_log_t budgets[SOAK_SERVICES];
     unsigned asked;
     unsigned answered[6]; // by hundreds of the status; 0: no answer
@@ -139,6 +146,9 @@
 void soak_configure(soak_t *s);
 /** The searcher drains; another takes its place, at a new address. */
 void soak_replace_searcher(soak_t *s, unsigned service, unsigned replica);
+/** The operator empties a zone of searchers (from 1 on), or takes that back; they are cold then. */
+void soak_evacuate(soak_t *s, unsigned zone);
+void soak_end_evacuation(soak_t *s);
 void soak_set_link(soak_link_t *link, lab_link_mode_t mode, double delay_ms);
 /**
  * Whether the node and the store were free of faults for the platform's `contactMs` before now,
--- a/lab/soak_caller.c
+++ b/lab/soak_caller.c
@@ -20,7 +20,13 @@
 #define HEAD_MAX 65536
 #define BODY_MAX (1U << 20)
 
-typedef enum soak_route { ROUTE_FORWARD, ROUTE_ONCE, ROUTE_ALL, ROUTE_MARKER } soak_route_t;
+typedef enum soak_route {
+    ROUTE_FORWARD,
+    ROUTE_ONCE,
+    ROUTE_ALL,
+    ROUTE_PLACED, // forwarded, in the first region only
+    ROUTE_MARKER
+} soak_route_t;
 
 typedef struct visit {
     soak_t *s;
@@ -227,7 +233,7 @@
 
 static char *compose_request(const visit_t *visit)
 {
-    static const char *const targets[] = {"/forward/x", "/once/x", "/all/x"};
+    static const char *const targets[] = {"/forward/x", "/once/x", "/all/x", "/placed/x"};
     char *marker = g_strdup_printf("/v%lu/x", (unsigned long)visit->version);
     char *text = g_strdup_printf("GET %s HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n%s: %d\r\n\r\n",
                                  visit->route == ROUTE_MARKER ? marker : targets[visit->route],
@@ -256,8 +262,10 @@
 static soak_route_t draw_route(soak_t *s)
 {
     gint32 at = g_rand_int_range(s->random, 0, 100);
-    if (at < 35)
+    if (at < 25)
         return ROUTE_FORWARD;
+    if (at < 35)
+        return ROUTE_PLACED;
     if (at < 55)
         return ROUTE_ONCE;
     return at < 85 ? ROUTE_ALL : ROUTE_MARKER;
@@ -275,6 +283,7 @@
     soak_record_t *record = g_new0(soak_record_t, 1);
     record->node = visit->node;
     record->is_repeatable = visit->route != ROUTE_ONCE && !s->options.is_planted;
+    record->is_placed = visit->route == ROUTE_PLACED;
     g_hash_table_insert(s->records, g_strdup(visit->id), record);
     if (visit->route == ROUTE_ALL) {
         unsigned first = soak_first_shard(s->version);
--- a/lab/soak_check.c
+++ b/lab/soak_check.c
@@ -104,3 +104,12 @@
     }
     return worst;
 }
+
+unsigned soak_arrivals_within(const GArray *arrivals, ts_time_us_t window_us)
+{
+    if (arrivals->len == 0)
+        return 0;
+    ts_time_us_t last_us = g_array_index(arrivals, ts_time_us_t, arrivals->len - 1);
+    ts_time_us_t begin_us = last_us > window_us ? last_us - window_us + 1 : 0;
+    return count_between(arrivals, begin_us, last_us + 1);
+}
--- a/lab/soak_check.h
+++ b/lab/soak_check.h
@@ -46,4 +46,7 @@
 double soak_budget_excess(const soak_budget_log_t *log, ts_time_us_t window_us, double ratio,
                           double slack);
 
+/** How many of the arrivals (of ts_time_us_t, rising) came in the last `window_us`. */
+unsigned soak_arrivals_within(const GArray *arrivals, ts_time_us_t window_us);
+
 #endif
--- a/lab/soak_faults.c
+++ b/lab/soak_faults.c
@@ -15,6 +15,8 @@
 // At the most so many gateways are down, paused or stopping by faults on single ones.
 #define NODES_HIT_MAX 2
 #define STOP_CHECK_MS 100
+// An evacuation is in force on all gateways three seconds after it began.
+#define EVACUATION_LONGER_MS 4000
 
 typedef struct fault fault_t;
 
@@ -23,6 +25,7 @@
     unsigned weight;
     bool (*begin)(fault_t *fault); // false: there is nothing it could hit now
     void (*end)(fault_t *fault);   // NULL: it is over at once
+    unsigned longer_ms;            // it lasts so much longer than others
 } fault_kind_t;
 
 struct fault {
@@ -304,23 +307,37 @@
     return true;
 }
 
+static bool evacuate(fault_t *fault)
+{
+    if (fault->s->evacuated_zone != 0)
+        return false;
+    soak_evacuate(fault->s, (unsigned)draw(fault->s, 1, 3));
+    return true;
+}
+
+static void end_evacuation(fault_t *fault)
+{
+    soak_end_evacuation(fault->s);
+}
+
 // -- Drawing
 
 static const fault_kind_t kinds[] = {
-    {"pause", 4, pause_node, resume_node},
-    {"kill", 3, kill_node, restart_node},
-    {"clock", 2, skew_clock, restart_node},
-    {"kill all", 1, kill_all, restart_all},
-    {"stop", 3, stop_node, start_again},
-    {"hang up", 2, hang_up, NULL},
-    {"node's link", 5, spoil_node_link, mend_node_link},
-    {"searcher's link", 6, spoil_searcher_link, mend_link},
-    {"misbehaviour", 8, misbehave, cure_searcher},
-    {"slowness", 5, slow_down, cure_searcher},
-    {"replacement", 4, replace, NULL},
-    {"store", 2, spoil_store, mend_store},
-    {"history", 1, forget_history, NULL},
-    {"configuration", 5, configure, NULL},
+    {"pause", 4, pause_node, resume_node, 0},
+    {"kill", 3, kill_node, restart_node, 0},
+    {"clock", 2, skew_clock, restart_node, 0},
+    {"kill all", 1, kill_all, restart_all, 0},
+    {"stop", 3, stop_node, start_again, 0},
+    {"hang up", 2, hang_up, NULL, 0},
+    {"node's link", 5, spoil_node_link, mend_node_link, 0},
+    {"searcher's link", 6, spoil_searcher_link, mend_link, 0},
+    {"misbehaviour", 8, misbehave, cure_searcher, 0},
+    {"slowness", 5, slow_down, cure_searcher, 0},
+    {"replacement", 4, replace, NULL, 0},
+    {"store", 2, spoil_store, mend_store, 0},
+    {"history", 1, forget_history, NULL, 0},
+    {"configuration", 5, configure, NULL, 0},
+    {"evacuation", 2, evacuate, end_evacuation, EVACUATION_LONGER_MS},
 };
 
 static const fault_kind_t *draw_kind(soak_t *s)
@@ -364,6 +381,7 @@
     }
     uint64_t last_ms = (uint64_t)(is_end_of_down(fault->kind) ? draw(s, DOWN_MIN_MS, DOWN_MAX_MS)
                                                               : draw(s, LAST_MIN_MS, LAST_MAX_MS));
+    last_ms += fault->kind->longer_ms;
     uv_timer_init(&s->loop, &fault->timer);
     fault->timer.data = fault;
     uv_timer_start(&fault->timer, end_fault, last_ms, 0);
--- a/lab/soak_world.c
+++ b/lab/soak_world.c
@@ -19,6 +19,13 @@
 #define STALLED_BYTES 4096
 #define ZONES 2
 #define ROUTE_TIMEOUT_MS 1500
+#define EVACUATION_US (3 * TS_US_PER_S)
+// What a cold searcher bears from all gateways: rate x overrun + slack requests in any second.
+#define WARMUP_MS 3000
+#define WARMUP_RATE 2
+#define WARMUP_OVERRUN 1.5
+#define WARMUP_SLACK 5
+#define COLD_MOST (WARMUP_RATE * WARMUP_OVERRUN + WARMUP_SLACK)
 
 const char *soak_service_name(unsigned service)
 {
@@ -54,6 +61,7 @@
 {
     link->mode = mode;
     link->delay_ms = delay_ms;
+    link->changed_us = ts_clock_now_us();
     lab_link_mode_changed(link->link);
 }
 
@@ -84,6 +92,38 @@
 
 // -- Searchers
 
+// Searchers of placed requests stand in the first zone, which is the first region.
+static void check_place(const soak_searcher_t *own, const soak_record_t *record, const char *id)
+{
+    ts_time_us_t now_us = ts_clock_now_us();
+    soak_t *s = own->soak;
+    unsigned zone = own->replica % ZONES + 1;
+    if (record->is_placed && zone != 1)
+        soak_broken(s, "HOME", "request %s of %s reached %s in zone %u", id, record->node->name,
+                    own->searcher->id, zone);
+    if (s->evacuated_zone == zone && now_us - s->evacuated_us > EVACUATION_US &&
+        soak_in_touch(record->node, now_us))
+        soak_broken(s, "EVAC", "request %s of %s reached %s %lu ms after its zone's evacuation", id,
+                    record->node->name, own->searcher->id,
+                    (unsigned long)((now_us - s->evacuated_us) / TS_US_PER_MS));
+}
+
+// Over all gateways, whatever they know. A link that was spoilt lets requests through in bunches.
+static void check_cold(soak_searcher_t *own)
+{
+    ts_time_us_t now_us = ts_clock_now_us();
+    bool is_cold = own->cold_us != 0 && now_us - own->cold_us < WARMUP_MS * TS_US_PER_MS;
+    bool is_link_well = own->link.mode == LAB_LINK_PASS && own->link.delay_ms == 0 &&
+                        now_us - own->link.changed_us > TS_US_PER_S;
+    if (!is_cold || !is_link_well)
+        return;
+    g_array_append_val(own->arrivals, now_us);
+    unsigned most = soak_arrivals_within(own->arrivals, TS_US_PER_S);
+    if (most > COLD_MOST)
+        soak_broken(own->soak, "FAILBACK", "%s got %u requests in a second while it was cold",
+                    own->searcher->id, most);
+}
+
 // A request has come: it is noted whose it is, and what it says of the sender.
 static void note_arrival(void *ctx, lab_searcher_t *searcher, const char *request_id, bool runs)
 {
@@ -112,6 +152,8 @@
         soak_in_touch(record->node, now_us))
         soak_broken(s, "DRAIN", "request %s reached %s %lu ms after it began to drain", request_id,
                     searcher->id, (unsigned long)((now_us - own->drained_us) / TS_US_PER_MS));
+    check_place(own, record, request_id);
+    check_cold(own);
 }
 
 static void compose(void *ctx, lab_searcher_t *searcher, const char *request_id, GString *body)
@@ -121,15 +163,22 @@
 
 static const lab_searcher_ops_t searcher_ops = {note_arrival, compose};
 
+static unsigned warmup_left_ms(const soak_searcher_t *own)
+{
+    ts_time_us_t age_us = ts_clock_now_us() - own->cold_us;
+    bool is_cold = own->cold_us != 0 && age_us < WARMUP_MS * TS_US_PER_MS;
+    return is_cold ? WARMUP_MS - (unsigned)(age_us / TS_US_PER_MS) : 0;
+}
+
 static void enter_searcher(soak_t *s, const soak_searcher_t *own, bool is_draining)
 {
     char *key = g_strdup_printf(KEY_INSTANCES "%s", own->searcher->id);
-    char *entry =
-        g_strdup_printf("{\"%s\":\"%s\",\"%s\":\"%s\",\"%s\":\"%s\",\"%s\":4,"
-                        "\"%s\":\"%s\",\"%s\":0}",
-                        FIELD_SERVICE, own->searcher->service, FIELD_ADDRESS, own->link.address,
-                        FIELD_ZONE, own->searcher->zone, FIELD_SLOTS, FIELD_STATE,
-                        is_draining ? WORD_DRAINING : "ready", FIELD_WARMUP_MS);
+    char *entry = g_strdup_printf("{\"%s\":\"%s\",\"%s\":\"%s\",\"%s\":\"%s\",\"%s\":4,"
+                                  "\"%s\":\"%s\",\"%s\":%u}",
+                                  FIELD_SERVICE, own->searcher->service, FIELD_ADDRESS,
+                                  own->link.address, FIELD_ZONE, own->searcher->zone, FIELD_SLOTS,
+                                  FIELD_STATE, is_draining ? WORD_DRAINING : "ready",
+                                  FIELD_WARMUP_MS, s->options.is_planted ? 0 : warmup_left_ms(own));
     lab_store_put(s->store, key, entry);
     g_free(entry);
     g_free(key);
@@ -146,6 +195,8 @@
     own->service = service;
     own->replica = replica;
     own->searcher = lab_searcher_open(&s->loop, id, soak_service_name(service), zone);
+    own->arrivals = g_array_new(FALSE, FALSE, sizeof(ts_time_us_t));
+    own->cold_us = s->begun_us != 0 ? ts_clock_now_us() : 0; // those of the beginning are warm
     own->searcher->ops = &searcher_ops;
     own->searcher->ctx = own;
     own->searcher->delay_ms = 5;
@@ -169,6 +220,45 @@
              s->searchers[service][replica]->searcher->id, soak_service_name(service));
 }
 
+// -- Evacuations
+
+static char *evacuation_key(unsigned zone)
+{
+    return g_strdup_printf(KEY_EVACUATIONS "z%u", zone);
+}
+
+void soak_evacuate(soak_t *s, unsigned zone)
+{
+    char *key = evacuation_key(zone);
+    s->evacuated_zone = zone;
+    s->evacuated_us = ts_clock_now_us();
+    if (!s->options.is_planted)
+        lab_store_put(s->store, key, "{}");
+    soak_say(s, "zone z%u is evacuated", zone);
+    g_free(key);
+}
+
+void soak_end_evacuation(soak_t *s)
+{
+    char *key = evacuation_key(s->evacuated_zone);
+    for (unsigned i = 0; i < SOAK_SERVICES; i++) {
+        for (unsigned j = 0; j < SOAK_REPLICAS; j++) {
+            if (j % ZONES + 1 == s->evacuated_zone)
+                s->searchers[i][j]->cold_us = ts_clock_now_us();
+        }
+    }
+    lab_store_delete(s->store, key);
+    for (unsigned i = 0; i < SOAK_SERVICES; i++) {
+        for (unsigned j = 0; j < SOAK_REPLICAS; j++) {
+            if (j % ZONES + 1 == s->evacuated_zone)
+                enter_searcher(s, s->searchers[i][j], false);
+        }
+    }
+    soak_say(s, "zone z%u is in use again", s->evacuated_zone);
+    s->evacuated_zone = 0;
+    g_free(key);
+}
+
 // -- Configuration
 
 static void append_route(GString *out, const char *name, const char *prefix, bool is_repeatable,
@@ -183,7 +273,17 @@
                            FIELD_ATTEMPTS, target);
 }
 
-static char *compose_routes(uint64_t version)
+static char *compose_services(void)
+{
+    GString *out = g_string_new(NULL);
+    for (unsigned i = 0; i < SOAK_SERVICES; i++)
+        g_string_append_printf(out, "%s{\"%s\":\"%s\",\"%s\":%d,\"%s\":%d}", i > 0 ? "," : "",
+                               FIELD_NAME, soak_service_name(i), FIELD_WARMUP_S, WARMUP_MS / 1000,
+                               FIELD_WARMUP_RATE, WARMUP_RATE);
+    return g_string_free(out, FALSE);
+}
+
+static char *compose_routes(uint64_t version, bool is_planted)
 {
     GString *out = g_string_new(NULL);
     unsigned first = soak_first_shard(version);
@@ -193,12 +293,16 @@
         g_strdup_printf("\"%s\":[\"%s\",\"%s\",\"%s\"],\"%s\":%d,\"%s\":0.6", FIELD_GATHER,
                         soak_service_name(first), soak_service_name(first + 1),
                         soak_service_name(first + 2), FIELD_TOP, SOAK_TOP, FIELD_COVERAGE);
+    char *placed =
+        g_strdup_printf("%s%s", service, is_planted ? "" : ",\"" FIELD_REGIONS "\":[\"r1\"]");
     char *marker = g_strdup_printf("/v%lu/", (unsigned long)version);
     append_route(out, "forward", "/forward/", true, service);
     append_route(out, "once", "/once/", false, service);
     append_route(out, "all", "/all/", true, shards);
+    append_route(out, "placed", "/placed/", true, placed);
     append_route(out, marker, marker, true, service);
     g_free(marker);
+    g_free(placed);
     g_free(shards);
     g_free(service);
     return g_string_free(out, FALSE);
@@ -208,16 +312,18 @@
 {
     s->version++;
     s->version_us = ts_clock_now_us();
-    char *routes = compose_routes(s->version);
-    char *text = g_strdup_printf("{\"%s\":%lu,\"%s\":[%s],\"%s\":[],\"%s\":{\"%s\":8192,"
+    char *routes = compose_routes(s->version, s->options.is_planted);
+    char *services = compose_services();
+    char *text = g_strdup_printf("{\"%s\":%lu,\"%s\":[%s],\"%s\":[%s],\"%s\":{\"%s\":8192,"
                                  "\"%s\":65536,\"%s\":3000,\"%s\":15000}}",
                                  FIELD_VERSION, (unsigned long)s->version, FIELD_ROUTES, routes,
-                                 FIELD_SERVICES, FIELD_LIMITS, FIELD_HEAD_BYTES, FIELD_BODY_BYTES,
-                                 FIELD_HEAD_MS, FIELD_IDLE_MS);
+                                 FIELD_SERVICES, services, FIELD_LIMITS, FIELD_HEAD_BYTES,
+                                 FIELD_BODY_BYTES, FIELD_HEAD_MS, FIELD_IDLE_MS);
     if (!s->options.is_planted || s->version == 1)
         lab_store_put(s->store, KEY_CONFIG, text);
     soak_say(s, "version %lu", (unsigned long)s->version);
     g_free(text);
+    g_free(services);
     g_free(routes);
 }
 
@@ -264,10 +370,11 @@
         "advertised: %s\nseeds: [%s]\nstore: %s\n"
         "zones: [{zone: z1, region: r1}, {zone: z2, region: r2}]\n"
         "drain_ms: %d\ngrace_ms: %d\nretry_ratio: %.1f\nretry_slack: %d\n"
+        "warmup_overrun: %.1f\nwarmup_slack: %d\n"
         "log_format: json\nlog_level: info\n",
         node->name, node->zone, node->ip, node->callers_port, node->ip, node->ready_port, node->ip,
         node->peers_port, node->peers.address, seeds->str, node->store.address, DRAIN_MS, GRACE_MS,
-        RETRY_RATIO, RETRY_SLACK);
+        RETRY_RATIO, RETRY_SLACK, WARMUP_OVERRUN, WARMUP_SLACK);
     g_file_set_contents(node->settings_path, text, -1, NULL);
     g_free(text);
     g_string_free(seeds, TRUE);
--- a/tests/lab/test_soak_checks.c
+++ b/tests/lab/test_soak_checks.c
@@ -86,9 +86,24 @@
     g_array_unref(log.extras);
 }
 
+/* A searcher that is cold gets one request too many within a second. */
+static void test_arrivals_of_a_second(void **state)
+{
+    GArray *arrivals = g_array_new(FALSE, FALSE, sizeof(ts_time_us_t));
+    assert_int_equal(soak_arrivals_within(arrivals, SECOND), 0);
+    for (ts_time_us_t at_us = 10 * SECOND; at_us <= 12 * SECOND; at_us += SECOND / 4)
+        g_array_append_val(arrivals, at_us);
+    assert_int_equal(soak_arrivals_within(arrivals, SECOND), 4);
+    ts_time_us_t more_us = 12 * SECOND + 1;
+    g_array_append_val(arrivals, more_us);
+    assert_int_equal(soak_arrivals_within(arrivals, SECOND), 5);
+    g_array_unref(arrivals);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_arrivals_of_a_second),
         cmocka_unit_test(test_right_answer_passes),
         cmocka_unit_test(test_wrong_answers_are_seen),
         cmocka_unit_test(test_budget_in_sliding_windows),
