Revert: Gathers that the budget cannot complete are given up at once

Cause: parts that wait for the budget mostly get loans, and late answers are delivered. A variant that gave up only what the window will not hold by the deadline (counting those that wait) was no better: it does not see loans.

Conclusion: reverted. Waiting requests are not given up on; they end when they cannot reach their least coverage without it.

--- a/src/edge/answer.c
+++ b/src/edge/answer.c
@@ -192,8 +192,7 @@
     GString *fields = g_string_new("Content-Type: application/json\r\n");
     g_string_append_printf(fields, "%s: %s\r\n", request->gateway->dialect->headers.request_id,
                            request->outgoing->request_id);
-    bool says_when = !may_have_run || error == TS_E_OVERLOAD;
-    append_retry_after(request->gateway, says_when ? retry_after_ms(request, error) : 0, fields);
+    append_retry_after(request->gateway, may_have_run ? 0 : retry_after_ms(request, error), fields);
     char *body = describe_error(error);
     ts_count_error(error);
     ts_count(may_have_run ? TS_COUNTER_REQUESTS_FAILED : TS_COUNTER_REQUESTS_REFUSED, 1);
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -180,13 +180,6 @@
     return others >= ts_request_parts_needed(request);
 }
 
-/* Whether an answer of the part may come without anything further from the budget. */
-static bool is_hopeful(const ts_request_part_t *part)
-{
-    bool waits_for_budget = part->was_denied && exchanges_out(part) == 0;
-    return part->state == TS_PART_IN || (part->state == TS_PART_OPEN && !waits_for_budget);
-}
-
 void ts_part_log_blocked(const ts_request_part_t *part, ts_time_us_t now_us)
 {
     if (!ts_log_is_wanted(TS_EVENT_PART_BLOCKED) || !ts_part_is_blocked(part, now_us))
@@ -329,17 +322,12 @@
 
 /*
  * A denied part may still get a loan. The request does not wait for it alone: enough others must be
- * in or on their way without the budget, so that it holds nothing up. A request that the budget
- * cannot complete is given up at once, and leaves what there is to those that it completes.
+ * in or under way, so that it holds nothing up.
  */
 static bool may_wait_for_budget(const ts_request_part_t *part)
 {
     const ts_request_t *request = part->request;
-    unsigned others = 0;
-    for (unsigned i = 0; i < request->parts_count; i++) {
-        const ts_request_part_t *other = &request->parts[i];
-        others += other != part && is_hopeful(other);
-    }
+    unsigned others = request->parts_count - request->parts_lost - 1;
     return part->was_denied && others >= ts_request_parts_needed(request) &&
            request->parts_in < others;
 }
--- a/tests/scripted/run_script.c
+++ b/tests/scripted/run_script.c
@@ -19,7 +19,6 @@
  *   evacuate ZONE / return ZONE   the operator empties a zone, or takes that back
  *   get NAME ID                   a request; prints what the caller gets
  *   begin TAG NAME ID / end TAG   the same in two steps
- *   is_answered TAG               whether the caller has its answer
  *   runs ID                       how many requests the searcher ran
  *   connections ID                how many connections it accepted
  *   runs_of SERVICE               over all searchers of the service
@@ -163,11 +162,12 @@
         g_free(list);
         g_strfreev(shards);
     }
-    char *text = g_strdup_printf("{\"name\":\"%s\",\"host\":\"h.example\",\"pathPrefix\":\"/%s/\","
-                                 "\"routeType\":\"%s\",\"timeoutMs\":1500,\"targetLatencyMs\":200,"
-                                 "\"priority\":1,%s,\"maxAttempts\":2%s}",
-                                 halves[0], halves[0], once ? "non_idempotent" : "idempotent",
-                                 target->str, regions);
+    char *text =
+        g_strdup_printf("{\"name\":\"%s\",\"host\":\"h.example\",\"pathPrefix\":\"/%s/\","
+                        "\"routeType\":\"%s\",\"timeoutMs\":1500,\"targetLatencyMs\":200,"
+                        "\"priority\":1,%s,\"maxAttempts\":2%s}",
+                        halves[0], halves[0], once ? "non_idempotent" : "idempotent", target->str,
+                        regions);
     g_free(regions);
     g_strfreev(place);
     g_string_free(target, TRUE);
@@ -255,12 +255,6 @@
     end_visit(s, g_hash_table_lookup(s->visits, words[1]));
 }
 
-static void print_answered(script_t *s, char **words, guint n)
-{
-    const visit_t *visit = g_hash_table_lookup(s->visits, words[1]);
-    g_string_append_printf(s->out, "%s\n", visit->answer.is_complete ? "yes" : "no");
-}
-
 static void print_runs(script_t *s, char **words, guint n)
 {
     g_string_append_printf(s->out, "%u\n", find_searcher(s, words[1])->runs);
@@ -326,7 +320,6 @@
     {"forget", 3, set_forgets},
     {"limit", 3, set_limit},
     {"resets", 2, print_resets},
-    {"is_answered", 2, print_answered},
     {"runs", 2, print_runs},
     {"connections", 2, print_connections},
     {"runs_of", 2, print_runs_of},
