Load that searchers tell: read, and refusals of full ones are no evidence

Change: a refusal counts if the searcher tells that it has a slot free, or, where none tells, if its latest answers took less than 1.5 times the usual.

--- a/src/registry/instance_health.c
+++ b/src/registry/instance_health.c
@@ -33,6 +33,8 @@
 #define LIMIT_MOST 1000.0
 /* Answers to requests that were sent before the limit fell say nothing about the new one. */
 #define LIMIT_SETTLES_RATIO 2.0
+/* Answers of an instance whose queue is full take this many times as long as usual, and more. */
+#define FULL_SLOWNESS 1.5
 #define AVOID_FIRST_US (300 * TS_US_PER_MS)
 #define AVOID_MAX_US (2 * TS_US_PER_S)
 #define AVOID_REFUSED_US (60 * TS_US_PER_MS)
@@ -203,12 +205,24 @@
     instance->avoid_until_us = now_us + (pause_us < AVOID_MAX_US ? pause_us : AVOID_MAX_US);
 }
 
+/*
+ * Whether the instance refuses although it is not full: it tells so, or its latest answers came as
+ * fast as usual, which those of a full one do not.
+ */
+static bool is_refusing_idle(const ts_instance_t *instance, ts_time_us_t now_us)
+{
+    if (instance->told.told_us != 0)
+        return ts_told_load_is_idle(&instance->told);
+    return ts_instance_slowness(instance, now_us) < FULL_SLOWNESS;
+}
+
 void ts_instance_note_refusal(ts_instance_t *instance, ts_time_us_t now_us)
 {
     instance->answered_us = now_us;
     instance->avoid_until_us = now_us + AVOID_REFUSED_US;
     /* A refused request is sent once more from the budget, as a failed one is. */
-    ts_instance_note_verdict(instance, true, now_us);
+    if (is_refusing_idle(instance, now_us))
+        ts_instance_note_verdict(instance, true, now_us);
     lower_limit(instance, LIMIT_FALL_REFUSED, now_us);
 }
 
--- a/src/upstream/upstream.c
+++ b/src/upstream/upstream.c
@@ -101,11 +101,29 @@
     g_free(exchange);
 }
 
+/* What the answer tells of its instance's load; something unreadable is counted and passed over. */
+static void take_load(const ts_exchange_t *exchange, const ts_http_message_t *answer,
+                      ts_time_us_t now_us)
+{
+    const ts_dialect_t *dialect = exchange->upstream->dialect;
+    const char *text = ts_http_message_find(answer, dialect->headers.load);
+    ts_told_load_t load = {0};
+    if (text == NULL)
+        return;
+    ts_error_t error = dialect->read_load(text, &load);
+    load.told_us = error == TS_OK ? now_us : 0;
+    exchange->instance->told = load;
+    if (error != TS_OK)
+        ts_count_error(error);
+}
+
 /* Tells the owner, if there is one still, and frees the exchange. */
 static void end_exchange(ts_exchange_t *exchange, ts_exchange_result_t *result)
 {
     ts_time_us_t now_us = ts_clock_now_us();
     result->span_us = exchange->sent_us == 0 ? 0 : now_us - exchange->sent_us;
+    if (result->answer != NULL)
+        take_load(exchange, result->answer, now_us);
     if (result->error == TS_OK && result->run == TS_RUN_DONE) {
         bool is_failure = result->answer->parser.status_code >= STATUS_SERVER_ERROR;
         ts_instance_note_verdict(exchange->instance, is_failure, now_us);
--- a/tests/platform/test_documents.c
+++ b/tests/platform/test_documents.c
@@ -70,13 +70,17 @@
 static void test_fields_of_places(void **state)
 {
     char *reasons = NULL;
-    ts_traffic_t *traffic = read_document(
-        "{\"version\":7,\"routes\":[" ROUTE(
-            "\"service\":\"s\",\"allowedRegions\":[\"north\",\"south\"]") ","
-        "{\"name\":\"any\",\"host\":\"h\",\"pathPrefix\":\"/b/\",\"service\":\"s\","
-        "\"allowedRegions\":[]}],\"services\":[{\"name\":\"s\",\"warmupS\":2.5,"
-        "\"warmupPerS\":12.5}]}",
-        &reasons);
+    ts_traffic_t
+        *
+            traffic = read_document("{\"version\":7,\"routes\":[" ROUTE(
+                                        "\"service\":\"s\",\"allowedRegions\":[\"north\","
+                                        "\"south\"]") ","
+                                                      "{\"name\":\"any\",\"host\":\"h\","
+                                                      "\"pathPrefix\":\"/b/\",\"service\":\"s\","
+                                                      "\"allowedRegions\":[]}],\"services\":[{"
+                                                      "\"name\":\"s\",\"warmupS\":2.5,"
+                                                      "\"warmupPerS\":12.5}]}",
+                                    &reasons);
     assert_non_null(traffic);
     const ts_traffic_route_t *route = ts_traffic_find_route(traffic, "r");
     assert_int_equal(route->regions->len, 2);
@@ -90,6 +94,31 @@
     g_free(reasons);
 }
 
+static void test_load_that_is_told(void **state)
+{
+    ts_told_load_t load = {0};
+    assert_int_equal(platform()->read_load("3,1,8", &load), TS_OK);
+    assert_int_equal(load.running + 10 * load.waiting + 100 * load.slots, 813);
+    assert_int_equal(load.work_percent, 100);
+    assert_int_equal(platform()->read_load(" 4, 0 ,4,250", &load), TS_OK);
+    assert_int_equal(load.work_percent, 250);
+    static const char *const wrong[] = {"",       "3,1",  "3,1,8,100,5", "a,b,c",
+                                        "-1,0,4", "3,,8", "1e3,0,4",     "99999999999999999999,0,4",
+                                        "3;1;8",  ",,,"};
+    for (size_t i = 0; i < G_N_ELEMENTS(wrong); i++)
+        assert_int_equal(platform()->read_load(wrong[i], &load), TS_E_SYNTAX);
+    GRand *random = g_rand_new_with_seed(11);
+    for (int i = 0; i < 20000;
+         i++) { /* whatever comes, it is read within its bounds or not at all */
+        char text[24] = {0};
+        for (int j = 0; j < 20; j++)
+            text[j] = "0123456789,, -.x"[g_rand_int_range(random, 0, 16)];
+        if (platform()->read_load(text, &load) == TS_OK)
+            assert_true(load.running <= 1000000 && load.slots <= 1000000);
+    }
+    g_rand_free(random);
+}
+
 static void test_what_is_refused_is_named(void **state)
 {
     static const struct {
@@ -165,6 +194,7 @@
         cmocka_unit_test(test_longest_prefix_of_the_host),
         cmocka_unit_test(test_fields_of_a_gather),
         cmocka_unit_test(test_fields_of_places),
+        cmocka_unit_test(test_load_that_is_told),
         cmocka_unit_test(test_what_is_refused_is_named),
         cmocka_unit_test(test_page_with_changes),
         cmocka_unit_test(test_pages_that_are_none),
