--- a/lab/soak_world.c
+++ b/lab/soak_world.c
@@ -23,8 +23,8 @@
 // What a cold searcher bears from all gateways: rate x overrun + slack requests in any second.
 #define WARMUP_MS 3000
 #define WARMUP_RATE 2
-#define WARMUP_OVERRUN 1.5
-#define WARMUP_SLACK 5
+#define WARMUP_OVERRUN 1.0
+#define WARMUP_SLACK 4
 #define COLD_MOST (WARMUP_RATE * WARMUP_OVERRUN + WARMUP_SLACK)
 
 const char *soak_service_name(unsigned service)
--- a/src/cli/command_routes.c
+++ b/src/cli/command_routes.c
@@ -22,6 +22,14 @@
     return "a part from each service";
 }
 
+static void print_regions(const GPtrArray *regions)
+{
+    printf("  served in   ");
+    for (guint i = 0; regions != NULL && i < regions->len; i++)
+        printf(" %s", (const char *)g_ptr_array_index(regions, i));
+    printf("%s\n", regions == NULL ? " any region" : "");
+}
+
 static void print_route(const ts_traffic_route_t *route)
 {
     printf("route %s: %s%s\n", route->name, route->host, route->prefix);
@@ -38,6 +46,7 @@
     printf("  attempts     %u\n", route->attempts_max);
     printf("  timeout      %u ms, aim %u ms, priority %u\n", route->timeout_ms, route->aim_ms,
            route->priority);
+    print_regions(route->regions);
     if (route->kind == TS_TARGET_GATHER) {
         printf("  answer       the greatest %u records, from %g of the parts at least\n",
                route->top_count, route->coverage_min);
