--- a/src/control/store_pace.c
+++ b/src/control/store_pace.c
@@ -8,11 +8,12 @@
 #define BATCH_US (700 * TS_US_PER_MS)
 /* Calls that may follow at once after a rest: an entry that changes, and a configuration after it.
  */
-#define AT_ONCE_MOST 3.0
+#define AT_ONCE_MOST 2.0
+#define GAIN_US (3 * TS_US_PER_S)
 
 ts_time_us_t ts_call_pace_take(ts_call_pace_t *pace, ts_time_us_t now_us)
 {
-    double gained = (double)(now_us - pace->counted_us) / (double)BATCH_US;
+    double gained = (double)(now_us - pace->counted_us) / (double)GAIN_US;
     bool is_first = pace->counted_us == 0;
     pace->calls = is_first ? AT_ONCE_MOST : MIN(pace->calls + gained, AT_ONCE_MOST);
     pace->counted_us = now_us;
