--- a/include/tealspar/mechanism.h
+++ b/include/tealspar/mechanism.h
@@ -16,7 +16,6 @@
     X(PRIORITY, "priority", "less urgent requests are not refused less often")                     \
     X(TRAVEL, "travel", "travel to a zone is measured")                                            \
     X(FAILING, "failing", "back ends that fail part of their requests cost more")                  \
-    X(TOLD_LOAD, "told_load", "back ends that tell that they are slow now cost more")              \
     X(LATE_SIGN, "late_sign", "late answers one after another make a back end slow")               \
     X(SUSPICION, "suspicion", "an overdue send makes its back end suspected")                      \
     X(SIGHTINGS, "sightings", "other gateways are told of suspicions")                             \
--- a/src/route/replica.c
+++ b/src/route/replica.c
@@ -4,8 +4,6 @@
 #include <glib.h>
 #include <math.h>
 
-#include "tealspar/mechanism.h"
-
 #define SUSPECTED_COST_US 400000.0
 #define AVOIDED_COST_US 600000.0
 #define LEAVING_COST_US 1200000.0
@@ -74,10 +72,7 @@
 
 double ts_replica_cost(const ts_instance_t *instance, const ts_replica_input_t *input)
 {
-    double slowness = ts_instance_slowness(instance, input->now_us);
-    if (ts_mechanism_is_on(TS_MECHANISM_TOLD_LOAD))
-        slowness = MAX(slowness, ts_told_load_slowness(&instance->told, input->now_us));
-    double work_us = input->work_us * slowness;
+    double work_us = input->work_us * ts_instance_slowness(instance, input->now_us);
     if (instance->warm_at_us > input->now_us) {
         work_us *= WARMUP_FACTOR;
     }
