Without told load, a refusal counts only after an answer in usual time

A searcher whose answers had not been seen counted as idle.

Change: it must have answered in less than 1.5 times the usual within the last second. Test: a slow answer between, a usual one before.

--- a/include/tealspar/registry.h
+++ b/include/tealspar/registry.h
@@ -61,6 +61,7 @@
     ts_time_us_t slow_seen_us;    /**< end of the last late answer that moved it */
     double failing;               /**< share of its answers that are failures, as of then */
     ts_time_us_t failing_at_us;   /**< when `failing` was last moved */
+    ts_time_us_t usual_us;        /**< when it last answered in usual time; 0: never */
     ts_told_load_t told;          /**< what it told of its load with its last answer */
     double sent_rate;             /**< requests a second this node sends it, fading */
     ts_time_us_t sent_rate_at_us; /**< when `sent_rate` was last moved */
--- a/src/registry/instance_health.c
+++ b/src/registry/instance_health.c
@@ -34,7 +34,9 @@
 /* Answers to requests that were sent before the limit fell say nothing about the new one. */
 #define LIMIT_SETTLES_RATIO 2.0
 /* Answers of an instance whose queue is full take this many times as long as usual, and more. */
-#define FULL_SLOWNESS 1.5
+#define FULL_RATIO 1.5
+/* For so long an answer in usual time shows that an instance is not full. */
+#define USUAL_VALID_US (1000 * TS_US_PER_MS)
 #define AVOID_FIRST_US (300 * TS_US_PER_MS)
 #define AVOID_MAX_US (2 * TS_US_PER_S)
 #define AVOID_REFUSED_US (60 * TS_US_PER_MS)
@@ -94,6 +96,8 @@
 
 static void note_span(ts_instance_t *instance, double span_us, double ratio, ts_time_us_t now_us)
 {
+    if (ratio < FULL_RATIO)
+        instance->usual_us = now_us;
     if (ratio < SLOW_RATIO) {
         double slowness = ts_instance_slowness(instance, now_us);
         move_slowness(instance, slowness + SLOWNESS_STEP * (ratio - slowness), now_us);
@@ -206,14 +210,14 @@
 }
 
 /*
- * Whether the instance refuses although it is not full: it tells so, or its latest answers came as
- * fast as usual, which those of a full one do not.
+ * Whether the instance refuses although it is not full: it tells so, or it answered as fast as
+ * usual a moment ago, which a full one does not.
  */
 static bool is_refusing_idle(const ts_instance_t *instance, ts_time_us_t now_us)
 {
     if (instance->told.told_us != 0)
         return ts_told_load_is_idle(&instance->told);
-    return ts_instance_slowness(instance, now_us) < FULL_SLOWNESS;
+    return instance->usual_us != 0 && now_us - instance->usual_us < USUAL_VALID_US;
 }
 
 void ts_instance_note_refusal(ts_instance_t *instance, ts_time_us_t now_us)
--- a/tests/route/test_gateway_decisions.c
+++ b/tests/route/test_gateway_decisions.c
@@ -440,9 +440,9 @@
     for (int i = 0; i < 6; i++) {
         now_us += 500 * MS;
         if (i % 2 == 0)
-            ts_instance_note_refusal(near, now_us);
+            ts_instance_note_answer(near, now_us, 20000, 20000);
         else
-            ts_instance_note_verdict(near, false, now_us);
+            ts_instance_note_refusal(near, now_us);
     }
     assert_ptr_equal(choose(registry, now_us + 100 * MS), far);
     assert_ptr_equal(choose(registry, now_us + 20 * TS_US_PER_S), near);
@@ -461,10 +461,13 @@
     ts_instance_note_refusal(near, now_us);
     assert_true(ts_instance_failing(near, now_us) > 0.2);
     ts_instance_t *next = add(registry, "next", "z2"); /* tells nothing */
-    for (int i = 1; i <= 3; i++)
-        ts_instance_note_answer(next, now_us + i * 300 * MS, 150000, 20000);
-    ts_instance_note_refusal(next, now_us + 900 * MS);
-    assert_true(ts_instance_failing(next, now_us + 900 * MS) == 0);
+    ts_instance_note_answer(next, now_us, 20000, 20000);
+    ts_instance_note_answer(next, now_us + 900 * MS, 150000, 20000);
+    ts_instance_note_refusal(next, now_us + 1200 * MS);
+    assert_true(ts_instance_failing(next, now_us + 1200 * MS) == 0);
+    ts_instance_note_answer(next, now_us + 2000 * MS, 20000, 20000);
+    ts_instance_note_refusal(next, now_us + 2100 * MS);
+    assert_true(ts_instance_failing(next, now_us + 2100 * MS) > 0.2);
 }
 
 static void test_suspected_until_it_answers(void **state)
