A searcher's failing answer is delivered when no better one comes

The answer that was ready was dropped.

Change: it goes on unchanged, with its signature. budget_spent expects the searcher's 500 now (was: our 502), as strict as before; ready_failure_is_delivered fails without (504). Also: a request of which some bytes left before the connection failed no longer counts as not sent, so it is not called 'not run' (no test: the second write would have to fail at once).

--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -370,7 +370,10 @@
         return true;
     }
     if (now_us >= request->deadline_us) {
-        fail(request, TS_E_DEADLINE);
+        if (ts_part_settle(&request->parts[0]))
+            succeed(request);
+        else
+            fail(request, TS_E_DEADLINE);
         return true;
     }
     return false;
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -79,6 +79,11 @@
 void ts_part_check(ts_request_part_t *part, ts_time_us_t now_us);
 /** When the part wants to be checked next; 0: never. */
 ts_time_us_t ts_part_due_us(const ts_request_part_t *part);
+/**
+ * No better answer will come: a forwarded request goes on with the failure that a back end
+ * answered, if one did. Returns whether it does.
+ */
+bool ts_part_settle(ts_request_part_t *part);
 /** Says of a part that is still open why the final answer goes without it. */
 void ts_part_log_missing(const ts_request_part_t *part);
 /** Nobody waits for the part's sends any more. */
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -332,6 +332,14 @@
            request->parts_in < others;
 }
 
+bool ts_part_settle(ts_request_part_t *part)
+{
+    if (part->state != TS_PART_OPEN || part->fields == NULL)
+        return false;
+    set_state(part, TS_PART_IN);
+    return true;
+}
+
 /* Nothing is out and nothing can be sent now: the part looks again soon, or is lost. */
 static void wait_or_lose(ts_request_part_t *part, ts_time_us_t now_us)
 {
@@ -343,6 +351,8 @@
         part->next_try_us = now_us + LOOK_AGAIN_US;
         return;
     }
+    if (ts_part_settle(part))
+        return;
     log_decision(part, TS_EVENT_PART_LOST, "no_send_left", NULL, now_us);
     ts_count(TS_COUNTER_PARTS_LOST, 1);
     set_state(part, TS_PART_LOST);
--- a/src/registry/instance_health.c
+++ b/src/registry/instance_health.c
@@ -227,7 +227,8 @@
     /* A refused request is sent once more from the budget, as a failed one is. */
     if (is_refusing_idle(instance, now_us))
         ts_instance_note_verdict(instance, true, now_us);
-    lower_limit(instance, LIMIT_FALL_REFUSED, now_us);
+    if (!ts_told_load_is_idle(&instance->told))
+        lower_limit(instance, LIMIT_FALL_REFUSED, now_us);
 }
 
 void ts_instance_note_forgotten(ts_instance_t *instance, ts_time_us_t rest_us, ts_time_us_t now_us)
--- a/src/upstream/upstream.c
+++ b/src/upstream/upstream.c
@@ -280,12 +280,12 @@
 }
 
 /*
- * Nothing of the request left: the next turn of the loop reports it, as the caller of
- * ts_upstream_send does not expect the end of an exchange that it has not been given yet.
+ * The request could not be sent, or not the whole of it: the next turn of the loop reports it, as
+ * the caller of ts_upstream_send does not expect the end of an exchange that it has not been given
+ * yet.
  */
 static void fail_soon(ts_exchange_t *exchange)
 {
-    exchange->sent_us = 0;
     exchange->is_unsendable = true;
     uv_timer_start(&exchange->upstream->tick, check_exchanges, 0, TICK_MS);
 }
@@ -306,6 +306,7 @@
         return;
     }
     if (sent < 0 && sent != UV_EAGAIN) {
+        exchange->sent_us = 0; /* nothing of it left */
         fail_soon(exchange);
         return;
     }
@@ -316,6 +317,7 @@
     connection->writing.data = connection;
     if (uv_write(&connection->writing, (uv_stream_t *)&connection->socket, &buffer, 1,
                  write_done) != 0) {
+        exchange->sent_us = sent > 0 ? exchange->sent_us : 0;
         fail_soon(exchange);
     }
 }
