--- a/tests/route/test_gateway_decisions.c
+++ b/tests/route/test_gateway_decisions.c
@@ -461,7 +461,7 @@
     near->told = (ts_told_load_t){1, 0, 4, now_us};
     ts_instance_note_refusal(near, now_us);
     assert_true(ts_instance_failing(near, now_us) > 0.2);
-    assert_true(near->limit == limit); /* it could take more */
+    assert_true(near->limit == limit);                 /* it could take more */
     ts_instance_t *next = add(registry, "next", "z2"); /* tells nothing */
     ts_instance_note_answer(next, now_us, 20000, 20000);
     ts_instance_note_answer(next, now_us + 900 * MS, 150000, 20000);
--- a/tests/scripted/run_script.c
+++ b/tests/scripted/run_script.c
@@ -162,12 +162,11 @@
         g_free(list);
         g_strfreev(shards);
     }
-    char *text =
-        g_strdup_printf("{\"name\":\"%s\",\"host\":\"h.example\",\"pathPrefix\":\"/%s/\","
-                        "\"routeType\":\"%s\",\"timeoutMs\":1500,\"targetLatencyMs\":200,"
-                        "\"priority\":1,%s,\"maxAttempts\":2%s}",
-                        halves[0], halves[0], once ? "non_idempotent" : "idempotent", target->str,
-                        regions);
+    char *text = g_strdup_printf("{\"name\":\"%s\",\"host\":\"h.example\",\"pathPrefix\":\"/%s/\","
+                                 "\"routeType\":\"%s\",\"timeoutMs\":1500,\"targetLatencyMs\":200,"
+                                 "\"priority\":1,%s,\"maxAttempts\":2%s}",
+                                 halves[0], halves[0], once ? "non_idempotent" : "idempotent",
+                                 target->str, regions);
     g_free(regions);
     g_strfreev(place);
     g_string_free(target, TRUE);
