--- /dev/null
+++ b/src/edge/part_answer.c
@@ -0,0 +1,142 @@
+/** What comes back for one part of a request, and what it means. */
+#include "request.h"
+#include "tealspar/retry_budget.h"
+
+#define STATUS_SERVER_ERROR 500
+#define STATUS_SUCCESS_FIRST 200
+#define STATUS_SUCCESS_LAST 299
+#define STATUS_MISDIRECTED 421
+
+/* Keeps the fields of an answer that go on to the caller. */
+static void keep_fields(ts_request_part_t *part, const ts_http_message_t *answer)
+{
+    GString *fields = g_string_new(NULL);
+    for (guint i = 0; i < answer->fields->len; i++) {
+        const ts_http_field_t *field = &g_array_index(answer->fields, ts_http_field_t, i);
+        const char *name = ts_http_message_text(answer, field->name);
+        if (!ts_http_message_is_hop_field(answer, name)) {
+            g_string_append_printf(fields, "%s: %s\r\n", name,
+                                   ts_http_message_text(answer, field->value));
+        }
+    }
+    part->fields = fields;
+}
+
+static void keep_answer(ts_request_part_t *part, const ts_http_message_t *answer)
+{
+    const char *signature_name = part->request->gateway->dialect->headers.signature;
+    part->status = answer->parser.status_code;
+    if (part->body != NULL) {
+        g_string_free(part->body, TRUE);
+    }
+    part->body = g_string_new_len(answer->body->str, (gssize)answer->body->len);
+    g_free(part->signature);
+    part->signature = g_strdup(ts_http_message_find(answer, signature_name));
+    if (part->request->route->kind != TS_TARGET_GATHER) {
+        if (part->fields != NULL) {
+            g_string_free(part->fields, TRUE);
+        }
+        keep_fields(part, answer);
+    }
+}
+
+/* A send never left: gives back what was paid for more than the arrivals that remain. */
+static void return_arrival(ts_request_part_t *part)
+{
+    part->arrivals--;
+    if (part->paid > 0 && part->paid >= part->arrivals) {
+        part->paid--;
+        ts_retry_budget_return(&part->service->budget);
+    }
+}
+
+/* What an answer that is not a success means for the part. */
+static void take_failure(ts_request_part_t *part, const ts_exchange_result_t *result)
+{
+    if (result->run == TS_RUN_NOT) {
+        part->attempts--;
+        part->was_refused = true;
+    } else {
+        part->may_have_run = true;
+    }
+    bool is_gather = part->request->route->kind == TS_TARGET_GATHER;
+    if (result->answer != NULL && result->run == TS_RUN_DONE && !is_gather) {
+        keep_answer(part, result->answer);
+        bool is_final = part->status < STATUS_SERVER_ERROR || !ts_part_may_send_again(part);
+        if (is_final) {
+            ts_part_set_state(part, TS_PART_IN);
+            return;
+        }
+    }
+    ts_part_try_elsewhere(part);
+}
+
+/* A send that never left costs neither an attempt nor the budget. */
+static void take_unsent(ts_request_part_t *part, const ts_instance_t *instance)
+{
+    part->attempts--;
+    return_arrival(part);
+    ts_part_try_elsewhere(part);
+}
+
+static void forget_exchange(ts_request_part_t *part, const ts_exchange_t *exchange)
+{
+    for (unsigned i = 0; i < part->sends; i++) {
+        if (part->exchanges[i] == exchange) {
+            part->exchanges[i] = NULL;
+        }
+    }
+}
+
+static void take_success(ts_request_part_t *part, const ts_exchange_result_t *result,
+                         const ts_instance_t *instance)
+{
+    if (instance->distance != TS_DISTANCE_FAR) {
+        double extra_us = ts_travel_us(instance->travel) -
+                          ts_registry_travel_least_us(part->request->gateway->registry);
+        double span_us = MAX((double)result->span_us - extra_us, 1);
+        ts_route_state_note(part->request->state, span_us);
+    }
+    keep_answer(part, result->answer);
+    ts_part_set_state(part, TS_PART_IN);
+}
+
+/* Why a send brought no success, in one word. */
+static const char *failure_name(const ts_exchange_result_t *result, unsigned status)
+{
+    if (result->error != TS_OK) {
+        return ts_error_name(result->error);
+    }
+    if (result->run == TS_RUN_NOT) {
+        return status == STATUS_MISDIRECTED ? "misdirected" : "not_executed";
+    }
+    return "searcher_failed";
+}
+
+void ts_part_take_result(ts_exchange_t *exchange, const ts_exchange_result_t *result, void *owner)
+{
+    ts_request_part_t *part = owner;
+    ts_instance_t *instance = ts_exchange_instance(exchange);
+    bool was_sent = ts_exchange_sent_us(exchange) != 0;
+    forget_exchange(part, exchange);
+    if (part->state != TS_PART_OPEN) {
+        return;
+    }
+    unsigned status = result->answer == NULL ? 0 : result->answer->parser.status_code;
+    if (status < STATUS_SUCCESS_FIRST || status > STATUS_SUCCESS_LAST) {
+        ts_part_log_decision(part, TS_EVENT_PART_FAILED, failure_name(result, status), instance,
+                             ts_clock_now_us());
+    }
+    if (status == STATUS_MISDIRECTED) {
+        ts_instance_note_failure(instance, ts_clock_now_us());
+    }
+    if (result->run == TS_RUN_DONE && status >= STATUS_SUCCESS_FIRST &&
+        status <= STATUS_SUCCESS_LAST) {
+        take_success(part, result, instance);
+    } else if (!was_sent) {
+        take_unsent(part, instance);
+    } else {
+        take_failure(part, result);
+    }
+    ts_request_progress(part->request);
+}
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -14,26 +14,8 @@
 #define STATUS_NOT_FOUND 404
 /* An answer must leave this long before the caller's deadline, or the route's end of patience. */
 #define DEADLINE_MARGIN_US (25 * TS_US_PER_MS)
-/*
- * A request that cannot be begun waits for at most this part of its aim, and is then refused: early
- * enough for the caller to come back in time, and looked at this often.
- */
-#define ADMISSION_DIVISOR 5
-/*
- * A caller that came back after a refusal seldom tries again: its request waits for up to this part
- * of the time it has left. Less patience than is usual for the route tells it.
- */
-#define ADMISSION_RETURNED_DIVISOR 2
-/*
- * The more of its kind is refused the less it may wait, and not at all from this share on: when
- * more comes than can be done for long, requests that are late already would take the place of
- * others.
- */
-#define RETURNED_REFUSED_MAX 0.5
+/* Between two looks whether a request that waits can begin. */
 #define ADMISSION_LOOK_US (6 * TS_US_PER_MS)
-/* Of the shares of refused requests: how fast they follow, and by how much one may lead. */
-#define REFUSED_STEP 0.03
-#define REFUSED_MARGIN 0.04
 /* A gathered answer leaves this long before the aim: the way back, and what the way here took. */
 #define AIM_MARGIN_US (16 * TS_US_PER_MS)
 /* What nobody waits for may finish for so long before it is cancelled. */
@@ -133,23 +115,6 @@
     return result;
 }
 
-static unsigned priority_of(const ts_request_t *request)
-{
-    return MIN(request->route->priority, TS_PRIORITIES - 1);
-}
-
-/* How long the request may wait for its beginning. */
-static ts_time_us_t admission_span_us(const ts_request_t *request)
-{
-    ts_time_us_t span_us = (request->stop_us - request->arrived_us) / ADMISSION_DIVISOR;
-    if (!request->has_returned || !ts_mechanism_is_on(TS_MECHANISM_RETURNED))
-        return span_us;
-    double refused = request->parts[0].service->refused[priority_of(request)];
-    double share = MAX(1 - refused / RETURNED_REFUSED_MAX, 0) / ADMISSION_RETURNED_DIVISOR;
-    ts_time_us_t left_us = request->deadline_us - request->arrived_us;
-    return MAX((ts_time_us_t)(share * (double)left_us), span_us);
-}
-
 /* `given_ms`: what the caller waits; 0: it does not say. */
 static void set_times(ts_request_t *request, ts_time_us_t arrived_us, uint32_t given_ms)
 {
@@ -169,7 +134,7 @@
         request->stop_us > request->deadline_us) {
         request->stop_us = request->deadline_us;
     }
-    request->admit_by_us = request->arrived_us + admission_span_us(request);
+    request->admit_by_us = request->arrived_us + ts_request_admission_span_us(request);
 }
 
 static void set_part(ts_request_t *request, unsigned index, const char *service)
@@ -247,95 +212,23 @@
     end_request(request);
 }
 
-/* -- Admission --------------------------------------------------------------------------------- */
-
-/* Whether enough parts could be sent at once for the request to succeed. */
-static bool can_begin(const ts_request_t *request, ts_time_us_t now_us)
-{
-    unsigned may_miss = request->parts_count - ts_request_parts_needed(request);
-    unsigned blocked = 0;
-    for (unsigned i = 0; i < request->parts_count && blocked <= may_miss; i++) {
-        const ts_request_part_t *part = &request->parts[i];
-        blocked += part->state == TS_PART_LOST || ts_part_is_blocked(part, now_us);
-    }
-    return blocked <= may_miss;
-}
-
-/* The services of a gather are shared by its routes: the first one keeps the account. */
-static void note_admission(const ts_request_t *request, bool was_refused)
-{
-    double *share = &request->parts[0].service->refused[priority_of(request)];
-    *share += REFUSED_STEP * ((was_refused ? 1.0 : 0.0) - *share);
-}
-
-/* Whether more urgent requests for the same service are refused more often than such as this. */
-static bool is_behind_urgent(const ts_request_t *request)
-{
-    const double *refused = request->parts[0].service->refused;
-    unsigned own = priority_of(request);
-    if (!ts_mechanism_is_on(TS_MECHANISM_PRIORITY))
-        return false;
-    for (unsigned priority = 0; priority < own; priority++) {
-        if (refused[priority] > refused[own] + REFUSED_MARGIN) {
-            return true;
-        }
-    }
-    return false;
-}
-
-static void note_wanted(const ts_request_t *request, ts_time_us_t now_us)
-{
-    for (unsigned i = 0; i < request->parts_count; i++)
-        ts_part_note_wanted(&request->parts[i], now_us);
-}
-
-static void log_blocked(const ts_request_t *request, ts_time_us_t now_us)
-{
-    for (unsigned i = 0; i < request->parts_count; i++)
-        ts_part_log_blocked(&request->parts[i], now_us);
-}
-
-/*
- * Parts that no permitted instance can answer are left out before anything is sent. Returns whether
- * the request can still succeed; if not it is refused at once, as waiting would not help it.
- */
-static bool leave_out_excluded(ts_request_t *request, ts_time_us_t now_us)
-{
-    unsigned may_miss = request->parts_count - ts_request_parts_needed(request);
-    for (unsigned i = 0; i < request->parts_count; i++) {
-        ts_request_part_t *part = &request->parts[i];
-        if (part->state == TS_PART_OPEN && ts_part_is_excluded(part, now_us))
-            ts_part_leave_out(part, now_us);
-    }
-    if (request->parts_lost <= may_miss)
-        return true;
-    fail(request, TS_E_PLACEMENT);
-    return false;
-}
-
-/* Begins the request if it can be begun, or refuses it when its time to begin is over. */
+/* Begins the request if it can be begun; returns whether it is begun or refused. */
 static bool try_admit(ts_request_t *request, ts_time_us_t now_us)
 {
-    if (!leave_out_excluded(request, now_us))
+    switch (ts_request_admit(request, now_us)) {
+    case TS_ADMISSION_BEGUN:
         return true;
-    if (!is_behind_urgent(request) && can_begin(request, now_us)) {
-        request->is_admitted = true;
-        note_admission(request, false);
-        for (unsigned i = 0; i < request->parts_count; i++) {
-            if (request->parts[i].state == TS_PART_OPEN)
-                ts_part_send_first(&request->parts[i]);
-        }
+    case TS_ADMISSION_WAITS:
+        uv_timer_start(&request->timer, check_parts, ADMISSION_LOOK_US / TS_US_PER_MS, 0);
+        return false;
+    case TS_ADMISSION_EXCLUDED:
+        fail(request, TS_E_PLACEMENT);
         return true;
-    }
-    note_wanted(request, now_us);
-    if (now_us >= request->admit_by_us) {
-        note_admission(request, true);
-        log_blocked(request, now_us);
+    case TS_ADMISSION_OVERLOAD:
         fail(request, TS_E_OVERLOAD);
         return true;
     }
-    uv_timer_start(&request->timer, check_parts, ADMISSION_LOOK_US / TS_US_PER_MS, 0);
-    return false;
+    return true;
 }
 
 /* -- Deciding ---------------------------------------------------------------------------------- */
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -3,6 +3,7 @@
 #define TEALSPAR_EDGE_REQUEST_H
 
 #include "tealspar/gateway.h"
+#include "tealspar/log.h"
 
 /* Most sends of one part that are remembered; a route may allow fewer. */
 #define TS_SENDS_MAX 6U
@@ -75,6 +76,17 @@
 void ts_part_log_blocked(const ts_request_part_t *part, ts_time_us_t now_us);
 /** Sends the part to the best instance, or notes that none is there. */
 void ts_part_send_first(ts_request_part_t *part);
+/** Changes the state of the part; the one place where it changes. */
+void ts_part_set_state(ts_request_part_t *part, ts_part_state_t state);
+/** Whether the route and the table of sends allow one more. */
+bool ts_part_may_send_again(const ts_request_part_t *part);
+/** A send came to nothing: another is made at once, or later, or the part is lost. */
+void ts_part_try_elsewhere(ts_request_part_t *part);
+/** A send has ended; the callback of its exchange, `owner` is the part. */
+void ts_part_take_result(ts_exchange_t *exchange, const ts_exchange_result_t *result, void *owner);
+/** One line for a decision about the part: whom, why, and what was believed of it. */
+void ts_part_log_decision(const ts_request_part_t *part, ts_event_t event, const char *reason,
+                          const ts_instance_t *instance, ts_time_us_t now_us);
 /** Does what is due for the part: a second send, another look for an instance. */
 void ts_part_check(ts_request_part_t *part, ts_time_us_t now_us);
 /** When the part wants to be checked next; 0: never. */
@@ -102,6 +114,18 @@
 /** Answers a caller whose request was not even begun; `retry_after_ms` 0: do not say. */
 void ts_answer_error(ts_gateway_t *gateway, ts_caller_t *caller, unsigned status, ts_error_t error,
                      uint32_t retry_after_ms);
+/** How a request stands that is not begun yet. */
+typedef enum ts_admission {
+    TS_ADMISSION_BEGUN,    /**< its parts are sent */
+    TS_ADMISSION_WAITS,    /**< too many back ends are full; it may look again */
+    TS_ADMISSION_EXCLUDED, /**< too many parts have no back end where they may be served */
+    TS_ADMISSION_OVERLOAD  /**< its time to begin is over */
+} ts_admission_t;
+
+/** Begins the request if it can be begun. */
+ts_admission_t ts_request_admit(ts_request_t *request, ts_time_us_t now_us);
+/** How long the request may wait for its beginning. */
+ts_time_us_t ts_request_admission_span_us(const ts_request_t *request);
 /** Parts that must be in for a success. */
 unsigned ts_request_parts_needed(const ts_request_t *request);
 /**
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -1,4 +1,4 @@
-/** One part of a request: whom it is sent to, when again, and what came of it. */
+/** One part of a request: whom it is sent to, and when again. */
 #include <string.h>
 
 #include "request.h"
@@ -22,12 +22,6 @@
 /* Others are told of a silent instance this part of the usual time later. */
 #define TELL_LATER 0.75
 #define CONNECTIONS_DEFAULT 4U
-#define STATUS_SERVER_ERROR 500
-#define STATUS_SUCCESS_FIRST 200
-#define STATUS_SUCCESS_LAST 299
-#define STATUS_MISDIRECTED 421
-
-static void part_done(ts_exchange_t *exchange, const ts_exchange_result_t *result, void *owner);
 
 /* This node's share of the connections that one instance takes. */
 static uint32_t connections_max(const ts_request_part_t *part)
@@ -62,7 +56,7 @@
     return out;
 }
 
-static void set_state(ts_request_part_t *part, ts_part_state_t state)
+void ts_part_set_state(ts_request_part_t *part, ts_part_state_t state)
 {
     part->state = state;
     part->overdue_us = 0;
@@ -118,12 +112,12 @@
     unsigned place = part->sends++;
     ts_send_terms_t terms = {typical_us + travel_us, place > 0};
     part->exchanges[place] = ts_upstream_send(request->gateway->upstream, instance,
-                                              request->outgoing, &terms, part_done, part);
+                                              request->outgoing, &terms, ts_part_take_result, part);
 }
 
 /* One line for a decision about the part: whom, why, and what was believed of it. */
-static void log_decision(const ts_request_part_t *part, ts_event_t event, const char *reason,
-                         const ts_instance_t *instance, ts_time_us_t now_us)
+void ts_part_log_decision(const ts_request_part_t *part, ts_event_t event, const char *reason,
+                          const ts_instance_t *instance, ts_time_us_t now_us)
 {
     if (!ts_log_is_wanted(event)) {
         return;
@@ -209,14 +203,14 @@
 void ts_part_leave_out(ts_request_part_t *part, ts_time_us_t now_us)
 {
     ts_part_log_blocked(part, now_us);
-    log_decision(part, TS_EVENT_PART_LOST, "not_permitted", NULL, now_us);
+    ts_part_log_decision(part, TS_EVENT_PART_LOST, "not_permitted", NULL, now_us);
     ts_count(TS_COUNTER_PARTS_EXCLUDED, 1);
     part->was_excluded = true;
-    set_state(part, TS_PART_LOST);
+    ts_part_set_state(part, TS_PART_LOST);
 }
 
 /* Whether the route and the table of sends allow one more. */
-static bool may_send_again(const ts_request_part_t *part)
+bool ts_part_may_send_again(const ts_request_part_t *part)
 {
     const ts_traffic_route_t *route = part->request->route;
     return part->attempts < route->attempts_max && part->sends < TS_SENDS_MAX &&
@@ -240,16 +234,6 @@
     return true;
 }
 
-/* A send never left: gives back what was paid for more than the arrivals that remain. */
-static void return_arrival(ts_request_part_t *part)
-{
-    part->arrivals--;
-    if (part->paid > 0 && part->paid >= part->arrivals) {
-        part->paid--;
-        ts_retry_budget_return(&part->service->budget);
-    }
-}
-
 /* The budget holds no further send: others may lend one, and the part looks again soon. */
 static void note_denied(ts_request_part_t *part, const ts_instance_t *instance, ts_time_us_t now_us)
 {
@@ -260,14 +244,14 @@
         return;
     part->was_denied = true;
     ts_count(TS_COUNTER_RETRIES_DENIED, 1);
-    log_decision(part, TS_EVENT_PART_DENIED, "budget", instance, now_us);
+    ts_part_log_decision(part, TS_EVENT_PART_DENIED, "budget", instance, now_us);
 }
 
 /* One more send, if an instance, the route and the budget allow it. */
 static bool send_again(ts_request_part_t *part, ts_time_us_t now_us, double cost_max_us,
                        const char *reason)
 {
-    if (!may_send_again(part)) {
+    if (!ts_part_may_send_again(part)) {
         return false;
     }
     ts_replica_input_t input = choice_input(part, now_us);
@@ -279,7 +263,7 @@
         note_denied(part, instance, now_us);
         return false;
     }
-    log_decision(part, TS_EVENT_PART_SENT_AGAIN, reason, instance, now_us);
+    ts_part_log_decision(part, TS_EVENT_PART_SENT_AGAIN, reason, instance, now_us);
     send_to(part, instance, now_us);
     return true;
 }
@@ -315,7 +299,7 @@
     }
     if (send_again(part, now_us, HEDGE_COST_MAX_US, "overdue")) {
         ts_count(TS_COUNTER_HEDGES, 1);
-    } else if (may_send_again(part)) {
+    } else if (ts_part_may_send_again(part)) {
         part->overdue_us = now_us + LOOK_AGAIN_US;
     }
 }
@@ -336,7 +320,7 @@
 {
     if (part->state != TS_PART_OPEN || part->fields == NULL)
         return false;
-    set_state(part, TS_PART_IN);
+    ts_part_set_state(part, TS_PART_IN);
     return true;
 }
 
@@ -347,15 +331,15 @@
     bool is_worth_waiting =
         ts_replica_is_worth_waiting(part->service, &input, part->tried, part->sends);
     part->overdue_us = 0;
-    if (may_send_again(part) && (is_worth_waiting || may_wait_for_budget(part))) {
+    if (ts_part_may_send_again(part) && (is_worth_waiting || may_wait_for_budget(part))) {
         part->next_try_us = now_us + LOOK_AGAIN_US;
         return;
     }
     if (ts_part_settle(part))
         return;
-    log_decision(part, TS_EVENT_PART_LOST, "no_send_left", NULL, now_us);
+    ts_part_log_decision(part, TS_EVENT_PART_LOST, "no_send_left", NULL, now_us);
     ts_count(TS_COUNTER_PARTS_LOST, 1);
-    set_state(part, TS_PART_LOST);
+    ts_part_set_state(part, TS_PART_LOST);
 }
 
 /* Others are told of an instance that is still silent when most late answers have come. */
@@ -406,41 +390,8 @@
     return earlier(earlier(part->overdue_us, part->next_try_us), part->tell_us);
 }
 
-/* Keeps the fields of an answer that go on to the caller. */
-static void keep_fields(ts_request_part_t *part, const ts_http_message_t *answer)
-{
-    GString *fields = g_string_new(NULL);
-    for (guint i = 0; i < answer->fields->len; i++) {
-        const ts_http_field_t *field = &g_array_index(answer->fields, ts_http_field_t, i);
-        const char *name = ts_http_message_text(answer, field->name);
-        if (!ts_http_message_is_hop_field(answer, name)) {
-            g_string_append_printf(fields, "%s: %s\r\n", name,
-                                   ts_http_message_text(answer, field->value));
-        }
-    }
-    part->fields = fields;
-}
-
-static void keep_answer(ts_request_part_t *part, const ts_http_message_t *answer)
-{
-    const char *signature_name = part->request->gateway->dialect->headers.signature;
-    part->status = answer->parser.status_code;
-    if (part->body != NULL) {
-        g_string_free(part->body, TRUE);
-    }
-    part->body = g_string_new_len(answer->body->str, (gssize)answer->body->len);
-    g_free(part->signature);
-    part->signature = g_strdup(ts_http_message_find(answer, signature_name));
-    if (part->request->route->kind != TS_TARGET_GATHER) {
-        if (part->fields != NULL) {
-            g_string_free(part->fields, TRUE);
-        }
-        keep_fields(part, answer);
-    }
-}
-
 /* A send came to nothing: another is made at once, or later, or the part is lost. */
-static void try_elsewhere(ts_request_part_t *part)
+void ts_part_try_elsewhere(ts_request_part_t *part)
 {
     ts_time_us_t now_us = ts_clock_now_us();
     if (exchanges_out(part) > 0) {
@@ -453,105 +404,14 @@
     wait_or_lose(part, now_us);
 }
 
-/* What an answer that is not a success means for the part. */
-static void take_failure(ts_request_part_t *part, const ts_exchange_result_t *result)
-{
-    if (result->run == TS_RUN_NOT) {
-        part->attempts--;
-        part->was_refused = true;
-    } else {
-        part->may_have_run = true;
-    }
-    bool is_gather = part->request->route->kind == TS_TARGET_GATHER;
-    if (result->answer != NULL && result->run == TS_RUN_DONE && !is_gather) {
-        keep_answer(part, result->answer);
-        bool is_final = part->status < STATUS_SERVER_ERROR || !may_send_again(part);
-        if (is_final) {
-            set_state(part, TS_PART_IN);
-            return;
-        }
-    }
-    try_elsewhere(part);
-}
-
-/* A send that never left costs neither an attempt nor the budget. */
-static void take_unsent(ts_request_part_t *part, const ts_instance_t *instance)
-{
-    part->attempts--;
-    return_arrival(part);
-    try_elsewhere(part);
-}
-
-static void forget_exchange(ts_request_part_t *part, const ts_exchange_t *exchange)
-{
-    for (unsigned i = 0; i < part->sends; i++) {
-        if (part->exchanges[i] == exchange) {
-            part->exchanges[i] = NULL;
-        }
-    }
-}
-
-static void take_success(ts_request_part_t *part, const ts_exchange_result_t *result,
-                         const ts_instance_t *instance)
-{
-    if (instance->distance != TS_DISTANCE_FAR) {
-        double extra_us = ts_travel_us(instance->travel) -
-                          ts_registry_travel_least_us(part->request->gateway->registry);
-        double span_us = MAX((double)result->span_us - extra_us, 1);
-        ts_route_state_note(part->request->state, span_us);
-    }
-    keep_answer(part, result->answer);
-    set_state(part, TS_PART_IN);
-}
-
-/* Why a send brought no success, in one word. */
-static const char *failure_name(const ts_exchange_result_t *result, unsigned status)
-{
-    if (result->error != TS_OK) {
-        return ts_error_name(result->error);
-    }
-    if (result->run == TS_RUN_NOT) {
-        return status == STATUS_MISDIRECTED ? "misdirected" : "not_executed";
-    }
-    return "searcher_failed";
-}
-
-static void part_done(ts_exchange_t *exchange, const ts_exchange_result_t *result, void *owner)
-{
-    ts_request_part_t *part = owner;
-    ts_instance_t *instance = ts_exchange_instance(exchange);
-    bool was_sent = ts_exchange_sent_us(exchange) != 0;
-    forget_exchange(part, exchange);
-    if (part->state != TS_PART_OPEN) {
-        return;
-    }
-    unsigned status = result->answer == NULL ? 0 : result->answer->parser.status_code;
-    if (status < STATUS_SUCCESS_FIRST || status > STATUS_SUCCESS_LAST) {
-        log_decision(part, TS_EVENT_PART_FAILED, failure_name(result, status), instance,
-                     ts_clock_now_us());
-    }
-    if (status == STATUS_MISDIRECTED) {
-        ts_instance_note_failure(instance, ts_clock_now_us());
-    }
-    if (result->run == TS_RUN_DONE && status >= STATUS_SUCCESS_FIRST &&
-        status <= STATUS_SUCCESS_LAST) {
-        take_success(part, result, instance);
-    } else if (!was_sent) {
-        take_unsent(part, instance);
-    } else {
-        take_failure(part, result);
-    }
-    ts_request_progress(part->request);
-}
-
 void ts_part_log_missing(const ts_request_part_t *part)
 {
     if (part->state != TS_PART_OPEN) {
         return; /* what was lost was said when it was */
     }
     const ts_instance_t *latest = part->sends > 0 ? part->tried[part->sends - 1] : NULL;
-    log_decision(part, TS_EVENT_PART_LOST, latest == NULL ? "no_instance" : "not_in_time", latest,
-                 ts_clock_now_us());
+    ts_part_log_decision(part, TS_EVENT_PART_LOST, latest == NULL ? "no_instance" : "not_in_time",
+                         latest, ts_clock_now_us());
 }
 
 void ts_part_release(ts_request_part_t *part, ts_time_us_t until_us)
