--- a/include/tealspar/replica.h
+++ b/include/tealspar/replica.h
@@ -23,9 +23,10 @@
     TS_OBSTACLE_NONE,
     TS_OBSTACLE_PLACEMENT,  /**< it stands where the request may not be served */
     TS_OBSTACLE_EVACUATION, /**< its zone is being evacuated */
-    TS_OBSTACLE_LEAVING,    /**< it has been draining or gone for too long */
+    TS_OBSTACLE_LEAVING     /**< it has been draining or gone for too long */
 } ts_obstacle_t;
 
+/** What rules an instance out for a request, if anything does. */
 ts_obstacle_t ts_replica_find_obstacle(const ts_instance_t *instance,
                                        const ts_replica_input_t *input);
 /** Whether an instance may be sent new work at all. */
