A test of the account of bytes

Ruled out: dropping the function (then only the text of the metrics could be checked). Change: causes and distances are kept apart, and the metrics show them. No change of the program.

--- /dev/null
+++ b/tests/observe/test_byte_account.c
@@ -0,0 +1,33 @@
+/** The account of bytes that go between zones and regions. */
+#include "../test_support.h"
+
+#include <string.h>
+
+#include "tealspar/byte_account.h"
+
+/* Each cause and distance has an account of its own, which the metrics show. */
+static void test_bytes_are_kept_apart(void **state)
+{
+    GString *text = g_string_new(NULL);
+    ts_account_bytes(TS_BYTES_FIRST_SEND, TS_DISTANCE_FAR, 100);
+    ts_account_bytes(TS_BYTES_FIRST_SEND, TS_DISTANCE_FAR, 20);
+    ts_account_bytes(TS_BYTES_SECOND_SEND, TS_DISTANCE_FAR, 3);
+    ts_account_bytes(TS_BYTES_FIRST_SEND, TS_DISTANCE_REGION, 7);
+    assert_int_equal(ts_accounted_bytes(TS_BYTES_FIRST_SEND, TS_DISTANCE_FAR), 120);
+    assert_int_equal(ts_accounted_bytes(TS_BYTES_SECOND_SEND, TS_DISTANCE_FAR), 3);
+    assert_int_equal(ts_accounted_bytes(TS_BYTES_LOAN, TS_DISTANCE_FAR), 0);
+    ts_byte_account_write(text);
+    assert_non_null(
+        strstr(text->str, "tealspar_bytes_total{cause=\"first_send\",distance=\"far\"} 120\n"));
+    assert_non_null(
+        strstr(text->str, "tealspar_bytes_total{cause=\"first_send\",distance=\"region\"} 7\n"));
+    g_string_free(text, TRUE);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_bytes_are_kept_apart),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
