The lab names a node that ended by itself, in each of its lives

Cause: rolling-stop (KNOWN-RED) ended with exit code 1 and said neither which node had ended nor how; a node that crashed and was started again was not noticed at all, as only the last life counted, and one that was ever killed on purpose was passed over for good. Ruled out: looking at the logs of the nodes (a crash leaves no line there). Change: each life that ends by a signal or with an error, not on purpose, is counted and printed with exit code and signal.

--- a/lab/faults.c
+++ b/lab/faults.c
@@ -110,7 +110,7 @@
         control_backend(armed, "{\"state\": \"dead\"}");
         return;
     }
-    node->was_killed = true;
+    node->process.is_expected_to_end = true;
     note_disturbance(armed);
     signal_node(armed, SIGKILL);
 }
--- a/lab/fleet.c
+++ b/lab/fleet.c
@@ -254,6 +254,11 @@
     process->is_running = false;
     process->exit_status = status;
     process->signal = signal_number;
+    if ((status != 0 || signal_number != 0) && !process->is_expected_to_end) {
+        process->bad_ends++;
+        fprintf(stderr, "%s ended with exit code %lld, signal %d\n", process->name,
+                (long long)status, signal_number);
+    }
     uv_close((uv_handle_t *)handle, NULL);
 }
 
@@ -464,9 +469,7 @@
         lab_run_until(fleet, are_nodes_gone, fleet, STOP_SECONDS);
     }
     for (guint i = 0; i < fleet->nodes->len; i++) {
-        const lab_node_t *node = g_ptr_array_index(fleet->nodes, i);
-        bool is_bad = node->process.exit_status != 0 || node->process.signal != 0;
-        failed += is_bad && !node->was_killed;
+        failed += ((lab_node_t *)g_ptr_array_index(fleet->nodes, i))->process.bad_ends;
     }
     for (guint i = 0; i < fleet->processes->len; i++) {
         signal_process(g_ptr_array_index(fleet->processes, i), SIGTERM);
--- a/lab/fleet.h
+++ b/lab/fleet.h
@@ -17,9 +17,10 @@
     char *name;
     uv_process_t handle;
     bool is_running;
-    bool is_expected_to_end; /**< it was killed or stopped on purpose */
+    bool is_expected_to_end; /**< this life of it was killed on purpose */
     int64_t exit_status;
     int signal;
+    unsigned bad_ends; /**< lives that ended by a signal or with an error, not on purpose */
 } lab_process_t;
 
 /** One node and its addresses. */
@@ -31,7 +32,6 @@
     char *peers;
     char *advertise;
     char *settings_path;
-    bool was_killed;
 } lab_node_t;
 
 typedef struct lab_fleet {
