Gathers and forwarded requests keep their shares of refusals apart

The shares of refusals, by which a less urgent request is not served before a more urgent one, stood with the gather's first service; that was the shard that was down, and urgent requests for it alone were refused all. Change: the first service of a gather keeps a second account for gathers. Figures: test_refusals_of_one_service_hinder_no_gather, 503 without the change, 200 with it.

--- a/include/tealspar/registry.h
+++ b/include/tealspar/registry.h
@@ -93,7 +93,9 @@
     ts_time_us_t warmup_us;        /**< how long an instance is slow from its start */
     double warmup_rate;            /**< requests a second that it bears then; 0: no limit */
     ts_time_us_t wanted_us;        /**< when a request last could not begin for want of it */
-    double refused[TS_PRIORITIES]; /**< share of late requests that were refused, by priority */
+    /* Shares of late requests that were refused, by priority. */
+    double refused[TS_PRIORITIES];        /**< of those forwarded to it */
+    double gather_refused[TS_PRIORITIES]; /**< of gathers over it and others, if it comes first */
     ts_registry_t *registry;
 };
 
--- a/src/edge/answer.c
+++ b/src/edge/answer.c
@@ -180,7 +180,7 @@
     if (waits_for_instances)
         return NO_INSTANCE_RETRY_MS + ts_gateway_random(request->gateway) % RETRY_AFTER_MS;
     unsigned priority = MIN(request->route->priority, TS_PRIORITIES - 1);
-    double refused = request->parts[0].service->refused[priority];
+    double refused = ts_request_refused_shares(request)[priority];
     return OVERLOAD_RETRY_MS + ts_gateway_random(request->gateway) % OVERLOAD_RETRY_MS +
            (uint32_t)(refused * OVERLOAD_RETRY_MORE_MS);
 }
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -124,6 +124,12 @@
 
 /** Begins the request if it can be begun. */
 ts_admission_t ts_request_admit(ts_request_t *request, ts_time_us_t now_us);
+/**
+ * Shares of requests like this one that were refused lately, by priority. Gathers over the same
+ * services share an account, which their first service keeps; requests that are forwarded to one of
+ * these services have another, as a service that is down refuses them all and hinders no gather.
+ */
+double *ts_request_refused_shares(const ts_request_t *request);
 /** How long the request may wait for its beginning. */
 ts_time_us_t ts_request_admission_span_us(const ts_request_t *request);
 /** Parts that must be in for a success. */
--- a/src/edge/request_admission.c
+++ b/src/edge/request_admission.c
@@ -27,12 +27,18 @@
     return MIN(request->route->priority, TS_PRIORITIES - 1);
 }
 
+double *ts_request_refused_shares(const ts_request_t *request)
+{
+    ts_service_t *first = request->parts[0].service;
+    return request->parts_count > 1 ? first->gather_refused : first->refused;
+}
+
 ts_time_us_t ts_request_admission_span_us(const ts_request_t *request)
 {
     ts_time_us_t span_us = (request->stop_us - request->arrived_us) / ADMISSION_DIVISOR;
     if (!request->has_returned || !ts_mechanism_is_on(TS_MECHANISM_RETURNED))
         return span_us;
-    double refused = request->parts[0].service->refused[priority_of(request)];
+    double refused = ts_request_refused_shares(request)[priority_of(request)];
     double share = MAX(1 - refused / RETURNED_REFUSED_MAX, 0) / ADMISSION_RETURNED_DIVISOR;
     ts_time_us_t left_us = request->deadline_us - request->arrived_us;
     return MAX((ts_time_us_t)(share * (double)left_us), span_us);
@@ -50,17 +56,16 @@
     return blocked <= may_miss;
 }
 
-/* The services of a gather are shared by its routes: the first one keeps the account. */
 static void note_admission(const ts_request_t *request, bool was_refused)
 {
-    double *share = &request->parts[0].service->refused[priority_of(request)];
+    double *share = &ts_request_refused_shares(request)[priority_of(request)];
     *share += REFUSED_STEP * ((was_refused ? 1.0 : 0.0) - *share);
 }
 
 /* Whether more urgent requests for the same service are refused more often than such as this. */
 static bool is_behind_urgent(const ts_request_t *request)
 {
-    const double *refused = request->parts[0].service->refused;
+    const double *refused = ts_request_refused_shares(request);
     unsigned own = priority_of(request);
     if (!ts_mechanism_is_on(TS_MECHANISM_PRIORITY))
         return false;
--- a/tests/gateway/test_gathering.c
+++ b/tests/gateway/test_gathering.c
@@ -77,6 +77,33 @@
     assert_int_equal(shards.near[1]->runs, runs);
 }
 
+/*
+ * Urgent requests for one service that is down are all refused; gathers that can do without it are
+ * not refused with them.
+ */
+static void test_refusals_of_one_service_hinder_no_gather(void **state)
+{
+    world_t *world = world_open(NULL);
+    unsigned status = 0;
+    lab_searcher_t *gone = world_add_searcher(world, "n-a", "a", "z1");
+    world_add_searcher(world, "n-b", "b", "z1");
+    world_add_searcher(world, "n-c", "c", "z1");
+    world_configure(
+        world, 1,
+        "{\"name\":\"urgent\",\"host\":\"h.example\",\"pathPrefix\":\"/u/\","
+        "\"routeType\":\"idempotent\",\"timeoutMs\":1500,\"targetLatencyMs\":200,"
+        "\"priority\":0,\"service\":\"a\",\"maxAttempts\":2}," ROUTE_GATHER("all", "/g/", 0.6));
+    uv_close((uv_handle_t *)&gone->socket, NULL);
+    for (int i = 0; i < 6; i++) {
+        visit_get(world, "/u/x", "u1", 1400, &status);
+        assert_int_equal(status, 503);
+    }
+    ts_time_us_t begun_us = ts_clock_now_us();
+    visit_get(world, "/g/x", "g1", 1900, &status);
+    assert_int_equal(status, 200);
+    assert_true(ts_clock_now_us() - begun_us < 250 * TS_US_PER_MS);
+}
+
 static void test_part_left_out_at_the_aim(void **state)
 {
     shards_t shards = open_shards("0.6");
@@ -149,6 +176,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_greatest_records_of_all_parts),
         cmocka_unit_test(test_pausing_searcher_is_hedged),
+        cmocka_unit_test(test_refusals_of_one_service_hinder_no_gather),
         cmocka_unit_test(test_part_left_out_at_the_aim),
         cmocka_unit_test(test_no_success_below_the_least_coverage),
         cmocka_unit_test(test_failure_is_no_part),
