Evidence about back ends is merged over the fleet

Besides, a lost answer taught nothing: a reset within 60 ms of the sending was taken for a connection that the searcher had forgotten, a later one for nothing at all; and a slow searcher whose requests were given up before they were answered was never timed.

Ruled out as causes by the logs: choice by travel alone (slow instances believed three times slower were avoided), suspicion (a tenth of all sends are overdue by definition, the 90th percentile; cleared as fast).

Change: per instance four sums that fade with 1.5 s (answers, failures, slots of 100 ms with timed answers, and their mean of ln(time / usual time)); counts go up the zone's tree to one head that collects, sums of what is unusual come down and replace what was heard, so that replayed, late or lost messages do no harm. A node that sees most of its back ends late at once tells nothing. A request that left and brought no answer is a failure; one that nobody waits for any more is timed at that moment. `without: [merged]` is the way that stood: each gateway by itself.

--- a/include/tealspar/byte_account.h
+++ b/include/tealspar/byte_account.h
@@ -17,6 +17,7 @@
     X(MEMBERSHIP, "membership", "who is in the fleet")                                             \
     X(STORE, "store", "what the configuration service said, passed on")                            \
     X(SIGHTING, "sighting", "suspicions of back ends")                                             \
+    X(EVIDENCE, "evidence", "what answers say of back ends")                                       \
     X(LOAN, "loan", "extra sends that are asked for and granted")
 
 #define TS_BYTE_CAUSE_ENUM(symbol, name, description) TS_BYTES_##symbol,
--- a/include/tealspar/counters.h
+++ b/include/tealspar/counters.h
@@ -83,6 +83,10 @@
     X(CONNECTS_FAILED, counter, "connects_failed_total", "connections that did not come up")       \
     X(INSTANCES_SUSPECTED, counter, "instances_suspected_total",                                   \
       "times a back end had something overdue")                                                    \
+    X(EVIDENCE_WITHHELD, counter, "evidence_withheld_total",                                       \
+      "times nothing was told of back ends, as most looked bad from here at once")                 \
+    X(EVIDENCE_STALE, counter, "evidence_stale_total",                                             \
+      "messages of evidence that were older than another from the same node")                      \
     X(STORE_CALLS, counter, "store_calls_total", "calls to the configuration service")             \
     X(STORE_FAILURES, counter, "store_failures_total", "failed calls to it")                       \
     X(CALLER_CONNECTIONS, gauge, "caller_connections", "open connections of callers")              \
--- a/include/tealspar/mechanism.h
+++ b/include/tealspar/mechanism.h
@@ -16,6 +16,7 @@
     X(PRIORITY, "priority", "less urgent requests are not refused less often")                     \
     X(TRAVEL, "travel", "travel to a zone is measured")                                            \
     X(FAILING, "failing", "back ends that fail part of their requests cost more")                  \
+    X(MERGED, "merged", "what answers say of a back end is merged over the fleet")                 \
     X(LATE_SIGN, "late_sign", "late answers one after another make a back end slow")               \
     X(SUSPICION, "suspicion", "an overdue send makes its back end suspected")                      \
     X(SIGHTINGS, "sightings", "other gateways are told of suspicions")                             \
--- a/include/tealspar/registry.h
+++ b/include/tealspar/registry.h
@@ -15,6 +15,7 @@
 #include "tealspar/clock.h"
 #include "tealspar/cold_share.h"
 #include "tealspar/error.h"
+#include "tealspar/evidence.h"
 #include "tealspar/retry_budget.h"
 #include "tealspar/told_load.h"
 #include "tealspar/travel.h"
@@ -72,6 +73,13 @@
     ts_time_us_t tried_us;        /**< last request sent to it while suspected */
     ts_time_us_t avoid_until_us;  /**< after a failed connection or a refusal */
     uint32_t failures;            /**< in a row */
+    /* What its answers say, see tealspar/evidence.h. */
+    ts_evidence_t own;            /**< to this node's requests */
+    ts_evidence_t heard;          /**< to the whole fleet's, as told by the node that collects */
+    ts_evidence_t *collected;     /**< owned; only where this node collects, else NULL */
+    ts_evidence_count_t outbox;   /**< not told yet; also what other nodes told this one */
+    ts_time_us_t outbox_since_us; /**< when the first of it came */
+    ts_time_us_t outbox_us;       /**< when the last of it came */
     /* Its connections; see tealspar/upstream.h. */
     GQueue idle;              /**< of ts_connection_t, the last used first */
     uint32_t connections;     /**< open ones, idle and busy */
@@ -89,10 +97,10 @@
     char *name;
     GPtrArray *instances; /**< of ts_instance_t */
     ts_retry_budget_t budget;
-    uint32_t connections_max;      /**< that one instance takes from all callers; 0: not told */
-    ts_time_us_t warmup_us;        /**< how long an instance is slow from its start */
-    double warmup_rate;            /**< requests a second that it bears then; 0: no limit */
-    ts_time_us_t wanted_us;        /**< when a request last could not begin for want of it */
+    uint32_t connections_max; /**< that one instance takes from all callers; 0: not told */
+    ts_time_us_t warmup_us;   /**< how long an instance is slow from its start */
+    double warmup_rate;       /**< requests a second that it bears then; 0: no limit */
+    ts_time_us_t wanted_us;   /**< when a request last could not begin for want of it */
     /* Shares of late requests that were refused, by priority. */
     double refused[TS_PRIORITIES];        /**< of those forwarded to it */
     double gather_refused[TS_PRIORITIES]; /**< of gathers over it and others, if it comes first */
@@ -143,6 +151,12 @@
 typedef void (*ts_registry_seen_t)(void *ctx, const ts_instance_t *instance,
                                    ts_sighting_t sighting);
 void ts_registry_on_sighting(ts_registry_t *registry, ts_registry_seen_t seen, void *ctx);
+/** Called when something in an outbox (ts_instance_t) is worth telling; often more than once. */
+typedef void (*ts_registry_evidence_t)(void *ctx);
+void ts_registry_on_evidence(ts_registry_t *registry, ts_registry_evidence_t wake, void *ctx);
+/** Calls `visit(instance, context)` for every instance. */
+typedef void (*ts_registry_visit_t)(ts_instance_t *instance, void *context);
+void ts_registry_each_instance(ts_registry_t *registry, ts_registry_visit_t visit, void *context);
 /** Calls `visit(name, service, context)` for every service. */
 void ts_registry_each_service(ts_registry_t *registry, GHFunc visit, void *context);
 /** Number of instances that discovery names. */
@@ -151,6 +165,12 @@
 /** An answer came after `span_us`; `typical_us` is what its service takes for such a request. */
 void ts_instance_note_answer(ts_instance_t *instance, ts_time_us_t now_us, double span_us,
                              double typical_us);
+/**
+ * Nobody waits any more for an answer that has not come after `span_us`. Returns whether that is
+ * late; the answer is not to be timed again then.
+ */
+bool ts_instance_note_unanswered(ts_instance_t *instance, ts_time_us_t now_us, double span_us,
+                                 double typical_us);
 /** A request sent at `sent_us` is overdue: the instance is suspected if it said nothing since. */
 void ts_instance_note_overdue(ts_instance_t *instance, ts_time_us_t sent_us, ts_time_us_t now_us);
 /** If the instance is still suspected by this node, the others are told. */
@@ -165,6 +185,11 @@
 double ts_instance_slowness(const ts_instance_t *instance, ts_time_us_t now_us);
 /** It answered with a failure of its own or refused, or with success. */
 void ts_instance_note_verdict(ts_instance_t *instance, bool is_failure, ts_time_us_t now_us);
+/** All that is known of its answers, own and heard, as of now. */
+ts_evidence_sums_t ts_instance_evidence(const ts_instance_t *instance, ts_time_us_t now_us);
+/** Puts counts into the outbox, of this node or told by another. */
+void ts_instance_add_to_outbox(ts_instance_t *instance, const ts_evidence_count_t *count,
+                               ts_time_us_t now_us);
 /** Share of its answers that are failures, as believed now. */
 double ts_instance_failing(const ts_instance_t *instance, ts_time_us_t now_us);
 /** A connection or a request failed. */
@@ -181,7 +206,8 @@
 /** It refused a request without running it. */
 void ts_instance_note_refusal(ts_instance_t *instance, ts_time_us_t now_us);
 
-/** Tells the listener of the registry; for the modules of the registry. */
+/** Tells the listeners of the registry; for the modules of the registry. */
+void ts_registry_wake(const ts_instance_t *instance);
 void ts_registry_tell(const ts_instance_t *instance, ts_sighting_t sighting);
 
 #endif
--- a/src/peers/peers.c
+++ b/src/peers/peers.c
@@ -12,6 +12,8 @@
 /* The time between two beacons of a watcher, and the tick of membership. */
 #define TICK_MS 250
 #define BEACON_TICKS 2
+/* What goes round a zone goes along a tree, so that no node sends to more than this many. */
+#define TREE_CHILDREN 16U
 
 bool ts_peers_is_watcher(const ts_peers_t *peers)
 {
@@ -26,6 +28,8 @@
         return TS_BYTES_SIGHTING;
     if (frame->loan != NULL)
         return TS_BYTES_LOAN;
+    if (frame->evidence != NULL)
+        return TS_BYTES_EVIDENCE;
     return frame->gossip.len > 0 ? TS_BYTES_MEMBERSHIP : TS_BYTES_STORE;
 }
 
@@ -77,6 +81,8 @@
     if (frame->loan != NULL) {
         ts_peers_take_loan(peers, frame->address, frame->loan);
     }
+    if (frame->evidence != NULL)
+        ts_peers_take_evidence(peers, frame);
     ts_peer__frame__free_unpacked(frame, NULL);
 }
 
@@ -93,7 +99,7 @@
 }
 
 /* Live ones first, then by rendezvous weight; the same view gives the same order everywhere. */
-static gint compare_members(gconstpointer left, gconstpointer right)
+gint ts_peers_compare_members(gconstpointer left, gconstpointer right)
 {
     const ts_view_member_t *a = *(ts_view_member_t *const *)left;
     const ts_view_member_t *b = *(ts_view_member_t *const *)right;
@@ -117,7 +123,7 @@
             g_ptr_array_add(peers->zone_order, member);
         }
     }
-    g_ptr_array_sort(peers->zone_order, compare_members);
+    g_ptr_array_sort(peers->zone_order, ts_peers_compare_members);
     for (guint i = 0; i < peers->zone_order->len; i++) {
         if (((ts_view_member_t *)g_ptr_array_index(peers->zone_order, i))->is_self) {
             peers->own_place = i;
@@ -125,6 +131,24 @@
     }
 }
 
+void ts_peers_send_to_children(ts_peers_t *peers, TsPeer__Frame *frame)
+{
+    guint begin = peers->own_place * TREE_CHILDREN + 1;
+    for (guint i = begin; i < begin + TREE_CHILDREN && i < peers->zone_order->len; i++) {
+        const ts_view_member_t *member = g_ptr_array_index(peers->zone_order, i);
+        ts_peers_send(peers, member->address, frame);
+    }
+}
+
+const char *ts_peers_parent(const ts_peers_t *peers)
+{
+    if (peers->own_place == 0)
+        return NULL;
+    guint place = (peers->own_place - 1) / TREE_CHILDREN;
+    const ts_view_member_t *parent = g_ptr_array_index(peers->zone_order, place);
+    return parent->address;
+}
+
 static void change_view(void *context)
 {
     ts_peers_t *peers = context;
@@ -132,6 +156,7 @@
     peers->view = ts_membership_view(peers->membership);
     order_zone(peers);
     ts_peers_locate_members(peers);
+    ts_peers_find_collector(peers);
     ts_gauge_set(TS_COUNTER_MEMBERS_LIVE,
                  (int64_t)ts_membership_count(peers->membership, TS_MEMBER_LIVE));
     ts_gateway_set_nodes(peers->gateway, (unsigned)peers->view->count);
@@ -218,6 +243,8 @@
     peers->view = ts_membership_view(peers->membership);
     order_zone(peers);
     ts_peers_locate_members(peers);
+    ts_peers_open_evidence(peers);
+    ts_registry_on_evidence(gateway->registry, ts_peers_wake_evidence, peers);
     add_seeds(peers);
     uv_timer_init(gateway->loop, &peers->timer);
     peers->timer.data = peers;
--- a/src/peers/peers_internal.h
+++ b/src/peers/peers_internal.h
@@ -35,11 +35,25 @@
     ts_time_us_t heard_us;       /* when it was first heard of */
     ts_time_us_t asked_us;       /* when somebody was last asked for everything */
     unsigned asked_times;
+    /* Evidence about back ends; see peers_evidence.c. */
+    GPtrArray *zone_heads;      /* of ts_view_member_t in the view, one a zone: first in its order */
+    const char *collector;      /* address of the zone head that collects; NULL: nobody is there */
+    bool is_collector;          /* this node is it */
+    uv_timer_t evidence_timer;  /* runs while something waits to be told */
+    ts_time_us_t evidence_us;   /* when it last ran */
+    uint32_t evidence_sequence; /* of the last frame of evidence that this node sent */
+    GHashTable *evidence_seen;  /* name of a node -> the last sequence from it */
 };
 
 // -- peers.c
 /** Sends a frame to a peer; fills in who it is from. */
 void ts_peers_send(ts_peers_t *peers, const char *address, TsPeer__Frame *frame);
+/** To this node's children in the zone's tree, whose root is the watcher. */
+void ts_peers_send_to_children(ts_peers_t *peers, TsPeer__Frame *frame);
+/** Address of this node's parent in the zone's tree; NULL at the root. */
+const char *ts_peers_parent(const ts_peers_t *peers);
+/** Order of members within a zone: live ones first, then by rendezvous weight. */
+gint ts_peers_compare_members(gconstpointer left, gconstpointer right);
 /** Whether this node follows the configuration service for its zone. */
 bool ts_peers_is_watcher(const ts_peers_t *peers);
 
@@ -57,6 +71,14 @@
 // -- peers_sightings.c
 void ts_peers_take_sighting(ts_peers_t *peers, TsPeer__Sighting *row);
 
+// -- peers_evidence.c
+void ts_peers_open_evidence(ts_peers_t *peers);
+/** Works out anew who collects, from the view. */
+void ts_peers_find_collector(ts_peers_t *peers);
+void ts_peers_take_evidence(ts_peers_t *peers, const TsPeer__Frame *frame);
+/** Something waits to be told. */
+void ts_peers_wake_evidence(void *ctx);
+
 // -- peers_loans.c
 void ts_peers_take_loan(ts_peers_t *peers, const char *address, const TsPeer__Loan *loan);
 
--- a/src/peers/peers_store.c
+++ b/src/peers/peers_store.c
@@ -17,21 +17,9 @@
 /* While nothing is known, somebody is asked this often, once the service had time to answer. */
 #define ASK_AROUND_US (500 * TS_US_PER_MS)
 #define ASK_FIRST_US (400 * TS_US_PER_MS)
-/* A beacon goes down a tree of the zone's nodes, so that no node sends more than this many. */
-#define BEACON_CHILDREN 16U
 /* A beacon is passed on only if it confirms what was last passed on this much later. */
 #define BEACON_NEWER_US (100 * TS_US_PER_MS)
 
-/* To this node's children in the zone's tree. */
-static void send_to_children(ts_peers_t *peers, TsPeer__Frame *frame)
-{
-    guint begin = peers->own_place * BEACON_CHILDREN + 1;
-    for (guint i = begin; i < begin + BEACON_CHILDREN && i < peers->zone_order->len; i++) {
-        const ts_view_member_t *member = g_ptr_array_index(peers->zone_order, i);
-        ts_peers_send(peers, member->address, frame);
-    }
-}
-
 static uint32_t age_ms(const ts_peers_t *peers)
 {
     ts_time_us_t confirmed_us = ts_store_mirror_confirmed_us(peers->mirror);
@@ -49,7 +37,7 @@
     frame.beacon = &beacon;
     peers->passed_on_us = ts_store_mirror_confirmed_us(peers->mirror);
     peers->passed_on_revision = beacon.revision;
-    send_to_children(peers, &frame);
+    ts_peers_send_to_children(peers, &frame);
 }
 
 static void send_pull(ts_peers_t *peers, const char *address, uint64_t after)
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -277,6 +277,96 @@
   assert(message->base.descriptor == &ts_peer__loan__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ts_peer__evidence_row__init
+                     (TsPeer__EvidenceRow         *message)
+{
+  static const TsPeer__EvidenceRow init_value = TS_PEER__EVIDENCE_ROW__INIT;
+  *message = init_value;
+}
+size_t ts_peer__evidence_row__get_packed_size
+                     (const TsPeer__EvidenceRow *message)
+{
+  assert(message->base.descriptor == &ts_peer__evidence_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ts_peer__evidence_row__pack
+                     (const TsPeer__EvidenceRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ts_peer__evidence_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ts_peer__evidence_row__pack_to_buffer
+                     (const TsPeer__EvidenceRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ts_peer__evidence_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+TsPeer__EvidenceRow *
+       ts_peer__evidence_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (TsPeer__EvidenceRow *)
+     protobuf_c_message_unpack (&ts_peer__evidence_row__descriptor,
+                                allocator, len, data);
+}
+void   ts_peer__evidence_row__free_unpacked
+                     (TsPeer__EvidenceRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ts_peer__evidence_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ts_peer__evidence__init
+                     (TsPeer__Evidence         *message)
+{
+  static const TsPeer__Evidence init_value = TS_PEER__EVIDENCE__INIT;
+  *message = init_value;
+}
+size_t ts_peer__evidence__get_packed_size
+                     (const TsPeer__Evidence *message)
+{
+  assert(message->base.descriptor == &ts_peer__evidence__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ts_peer__evidence__pack
+                     (const TsPeer__Evidence *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ts_peer__evidence__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ts_peer__evidence__pack_to_buffer
+                     (const TsPeer__Evidence *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ts_peer__evidence__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+TsPeer__Evidence *
+       ts_peer__evidence__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (TsPeer__Evidence *)
+     protobuf_c_message_unpack (&ts_peer__evidence__descriptor,
+                                allocator, len, data);
+}
+void   ts_peer__evidence__free_unpacked
+                     (TsPeer__Evidence *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ts_peer__evidence__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ts_peer__frame__init
                      (TsPeer__Frame         *message)
 {
@@ -681,7 +771,161 @@
   (ProtobufCMessageInit) ts_peer__loan__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ts_peer__frame__field_descriptors[9] =
+static const ProtobufCFieldDescriptor ts_peer__evidence_row__field_descriptors[5] =
+{
+  {
+    "instance",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__EvidenceRow, instance),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answers",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__EvidenceRow, answers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failures",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__EvidenceRow, failures),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "timed",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__EvidenceRow, timed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_ratio",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__EvidenceRow, log_ratio),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ts_peer__evidence_row__field_indices_by_name[] = {
+  1,   /* field[1] = answers */
+  2,   /* field[2] = failures */
+  0,   /* field[0] = instance */
+  4,   /* field[4] = log_ratio */
+  3,   /* field[3] = timed */
+};
+static const ProtobufCIntRange ts_peer__evidence_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor ts_peer__evidence_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ts_peer.EvidenceRow",
+  "EvidenceRow",
+  "TsPeer__EvidenceRow",
+  "ts_peer",
+  sizeof(TsPeer__EvidenceRow),
+  5,
+  ts_peer__evidence_row__field_descriptors,
+  ts_peer__evidence_row__field_indices_by_name,
+  1,  ts_peer__evidence_row__number_ranges,
+  (ProtobufCMessageInit) ts_peer__evidence_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ts_peer__evidence__field_descriptors[3] =
+{
+  {
+    "sequence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Evidence, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_sums",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Evidence, is_sums),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rows",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(TsPeer__Evidence, n_rows),
+    offsetof(TsPeer__Evidence, rows),
+    &ts_peer__evidence_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ts_peer__evidence__field_indices_by_name[] = {
+  1,   /* field[1] = is_sums */
+  2,   /* field[2] = rows */
+  0,   /* field[0] = sequence */
+};
+static const ProtobufCIntRange ts_peer__evidence__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor ts_peer__evidence__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ts_peer.Evidence",
+  "Evidence",
+  "TsPeer__Evidence",
+  "ts_peer",
+  sizeof(TsPeer__Evidence),
+  3,
+  ts_peer__evidence__field_descriptors,
+  ts_peer__evidence__field_indices_by_name,
+  1,  ts_peer__evidence__number_ranges,
+  (ProtobufCMessageInit) ts_peer__evidence__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ts_peer__frame__field_descriptors[10] =
 {
   {
     "protocol",
@@ -791,11 +1035,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evidence",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Frame, evidence),
+    &ts_peer__evidence__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ts_peer__frame__field_indices_by_name[] = {
   2,   /* field[2] = address */
   4,   /* field[4] = beacon */
   6,   /* field[6] = changes */
+  9,   /* field[9] = evidence */
   3,   /* field[3] = gossip */
   8,   /* field[8] = loan */
   1,   /* field[1] = name */
@@ -806,7 +1063,7 @@
 static const ProtobufCIntRange ts_peer__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor ts_peer__frame__descriptor =
 {
@@ -816,7 +1073,7 @@
   "TsPeer__Frame",
   "ts_peer",
   sizeof(TsPeer__Frame),
-  9,
+  10,
   ts_peer__frame__field_descriptors,
   ts_peer__frame__field_indices_by_name,
   1,  ts_peer__frame__number_ranges,
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -21,6 +21,8 @@
 typedef struct TsPeer__Changes TsPeer__Changes;
 typedef struct TsPeer__Sighting TsPeer__Sighting;
 typedef struct TsPeer__Loan TsPeer__Loan;
+typedef struct TsPeer__EvidenceRow TsPeer__EvidenceRow;
+typedef struct TsPeer__Evidence TsPeer__Evidence;
 typedef struct TsPeer__Frame TsPeer__Frame;
 
 
@@ -139,6 +141,48 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * What answers of a back end say: counts since the last time, or faded sums as they stand.
+ */
+struct  TsPeer__EvidenceRow
+{
+  ProtobufCMessage base;
+  char *instance;
+  float answers;
+  float failures;
+  /*
+   * counts: timed answers; sums: slots of time that had some
+   */
+  float timed;
+  /*
+   * sum over these of ln(time / usual time)
+   */
+  float log_ratio;
+};
+#define TS_PEER__EVIDENCE_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ts_peer__evidence_row__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
+struct  TsPeer__Evidence
+{
+  ProtobufCMessage base;
+  /*
+   * of the sender, rising, from anywhere
+   */
+  uint32_t sequence;
+  /*
+   * from the node that collects; else counts on their way to it
+   */
+  protobuf_c_boolean is_sums;
+  size_t n_rows;
+  TsPeer__EvidenceRow **rows;
+};
+#define TS_PEER__EVIDENCE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ts_peer__evidence__descriptor) \
+    , 0, 0, 0,NULL }
+
+
 struct  TsPeer__Frame
 {
   ProtobufCMessage base;
@@ -163,10 +207,11 @@
   TsPeer__Changes *changes;
   TsPeer__Sighting *sighting;
   TsPeer__Loan *loan;
+  TsPeer__Evidence *evidence;
 };
 #define TS_PEER__FRAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ts_peer__frame__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, NULL, NULL, NULL, NULL, NULL }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, NULL, NULL, NULL, NULL, NULL, NULL }
 
 
 /* TsPeer__Beacon methods */
@@ -283,6 +328,44 @@
 void   ts_peer__loan__free_unpacked
                      (TsPeer__Loan *message,
                       ProtobufCAllocator *allocator);
+/* TsPeer__EvidenceRow methods */
+void   ts_peer__evidence_row__init
+                     (TsPeer__EvidenceRow         *message);
+size_t ts_peer__evidence_row__get_packed_size
+                     (const TsPeer__EvidenceRow   *message);
+size_t ts_peer__evidence_row__pack
+                     (const TsPeer__EvidenceRow   *message,
+                      uint8_t             *out);
+size_t ts_peer__evidence_row__pack_to_buffer
+                     (const TsPeer__EvidenceRow   *message,
+                      ProtobufCBuffer     *buffer);
+TsPeer__EvidenceRow *
+       ts_peer__evidence_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ts_peer__evidence_row__free_unpacked
+                     (TsPeer__EvidenceRow *message,
+                      ProtobufCAllocator *allocator);
+/* TsPeer__Evidence methods */
+void   ts_peer__evidence__init
+                     (TsPeer__Evidence         *message);
+size_t ts_peer__evidence__get_packed_size
+                     (const TsPeer__Evidence   *message);
+size_t ts_peer__evidence__pack
+                     (const TsPeer__Evidence   *message,
+                      uint8_t             *out);
+size_t ts_peer__evidence__pack_to_buffer
+                     (const TsPeer__Evidence   *message,
+                      ProtobufCBuffer     *buffer);
+TsPeer__Evidence *
+       ts_peer__evidence__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ts_peer__evidence__free_unpacked
+                     (TsPeer__Evidence *message,
+                      ProtobufCAllocator *allocator);
 /* TsPeer__Frame methods */
 void   ts_peer__frame__init
                      (TsPeer__Frame         *message);
@@ -322,6 +405,12 @@
 typedef void (*TsPeer__Loan_Closure)
                  (const TsPeer__Loan *message,
                   void *closure_data);
+typedef void (*TsPeer__EvidenceRow_Closure)
+                 (const TsPeer__EvidenceRow *message,
+                  void *closure_data);
+typedef void (*TsPeer__Evidence_Closure)
+                 (const TsPeer__Evidence *message,
+                  void *closure_data);
 typedef void (*TsPeer__Frame_Closure)
                  (const TsPeer__Frame *message,
                   void *closure_data);
@@ -337,6 +426,8 @@
 extern const ProtobufCMessageDescriptor ts_peer__changes__descriptor;
 extern const ProtobufCMessageDescriptor ts_peer__sighting__descriptor;
 extern const ProtobufCMessageDescriptor ts_peer__loan__descriptor;
+extern const ProtobufCMessageDescriptor ts_peer__evidence_row__descriptor;
+extern const ProtobufCMessageDescriptor ts_peer__evidence__descriptor;
 extern const ProtobufCMessageDescriptor ts_peer__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/registry/instance_health.c
+++ b/src/registry/instance_health.c
@@ -40,6 +40,8 @@
 #define AVOID_FIRST_US (300 * TS_US_PER_MS)
 #define AVOID_MAX_US (2 * TS_US_PER_S)
 #define AVOID_REFUSED_US (60 * TS_US_PER_MS)
+/* What lies in an outbox for longer without a sign is forgotten. */
+#define OUTBOX_KEEPS_US TS_US_PER_S
 /* A reset after less rest than this says nothing about how long connections are remembered. */
 #define FORGOTTEN_REST_LEAST_US (100 * TS_US_PER_MS)
 #define FORGOTTEN_REST_SHARE 0.7
@@ -69,6 +71,42 @@
     }
 }
 
+/* -- Evidence ---------------------------------------------------------------------------------- */
+
+void ts_instance_add_to_outbox(ts_instance_t *instance, const ts_evidence_count_t *count,
+                               ts_time_us_t now_us)
+{
+    bool is_stale =
+        !instance->outbox.has_sign && now_us - instance->outbox_since_us > OUTBOX_KEEPS_US;
+    if (is_stale || ts_evidence_count_is_empty(&instance->outbox)) {
+        instance->outbox = (ts_evidence_count_t){0};
+        instance->outbox_since_us = now_us;
+    }
+    ts_evidence_count_add(&instance->outbox, count);
+    instance->outbox_us = now_us;
+    ts_evidence_sums_t known = ts_instance_evidence(instance, now_us);
+    if (instance->outbox.has_sign || ts_evidence_is_unusual(&known))
+        ts_registry_wake(instance);
+}
+
+static void note_evidence(ts_instance_t *instance, const ts_evidence_count_t *count,
+                          ts_time_us_t now_us)
+{
+    if (!ts_mechanism_is_on(TS_MECHANISM_MERGED))
+        return;
+    ts_evidence_note(&instance->own, count, now_us);
+    ts_instance_add_to_outbox(instance, count, now_us);
+}
+
+static void note_time(ts_instance_t *instance, double ratio, ts_time_us_t now_us)
+{
+    ts_evidence_count_t count = {0};
+    ts_evidence_count_time(&count, ratio);
+    note_evidence(instance, &count, now_us);
+}
+
+/* -- Limits and beliefs ------------------------------------------------------------------------ */
+
 /* What was believed fades before something new is added to it. */
 static void move_slowness(ts_instance_t *instance, double slowness, ts_time_us_t now_us)
 {
@@ -98,6 +136,8 @@
 {
     if (ratio < FULL_RATIO)
         instance->usual_us = now_us;
+    if (ts_mechanism_is_on(TS_MECHANISM_MERGED))
+        return;
     if (ratio < SLOW_RATIO) {
         double slowness = ts_instance_slowness(instance, now_us);
         move_slowness(instance, slowness + SLOWNESS_STEP * (ratio - slowness), now_us);
@@ -139,11 +179,21 @@
         instance->is_suspicion_told = false;
     }
     if (typical_us > 0) {
+        note_time(instance, span_us / typical_us, now_us);
         note_span(instance, span_us, span_us / typical_us, now_us);
         adapt_limit(instance, now_us, span_us, typical_us);
     }
 }
 
+bool ts_instance_note_unanswered(ts_instance_t *instance, ts_time_us_t now_us, double span_us,
+                                 double typical_us)
+{
+    if (typical_us <= 0 || !ts_evidence_is_late(span_us / typical_us))
+        return false; // it may still come in time
+    note_time(instance, span_us / typical_us, now_us);
+    return true;
+}
+
 void ts_instance_note_overdue(ts_instance_t *instance, ts_time_us_t sent_us, ts_time_us_t now_us)
 {
     bool is_off = !ts_mechanism_is_on(TS_MECHANISM_SUSPICION);
@@ -195,6 +245,11 @@
 
 void ts_instance_note_verdict(ts_instance_t *instance, bool is_failure, ts_time_us_t now_us)
 {
+    ts_evidence_count_t count = {0};
+    ts_evidence_count_verdict(&count, is_failure);
+    note_evidence(instance, &count, now_us);
+    if (ts_mechanism_is_on(TS_MECHANISM_MERGED))
+        return;
     double failing = ts_instance_failing(instance, now_us);
     instance->failing = failing + FAILING_STEP * ((is_failure ? 1.0 : 0.0) - failing);
     instance->failing_at_us = now_us;
--- a/src/registry/registry.c
+++ b/src/registry/registry.c
@@ -22,6 +22,8 @@
     double travel_most_us;
     ts_registry_seen_t seen;
     void *seen_ctx;
+    ts_registry_evidence_t wake;
+    void *wake_ctx;
 };
 
 void ts_instance_record_clear(ts_instance_record_t *record)
@@ -47,6 +49,7 @@
     g_queue_clear(&instance->idle);
     g_free(instance->id);
     g_free(instance->zone);
+    g_free(instance->collected);
     g_free(instance);
 }
 
@@ -333,6 +336,28 @@
         registry->seen(registry->seen_ctx, instance, sighting);
 }
 
+void ts_registry_on_evidence(ts_registry_t *registry, ts_registry_evidence_t wake, void *ctx)
+{
+    registry->wake = wake;
+    registry->wake_ctx = ctx;
+}
+
+void ts_registry_wake(const ts_instance_t *instance)
+{
+    const ts_registry_t *registry = instance->service->registry;
+    if (registry->wake != NULL)
+        registry->wake(registry->wake_ctx);
+}
+
+void ts_registry_each_instance(ts_registry_t *registry, ts_registry_visit_t visit, void *context)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, registry->instances);
+    while (g_hash_table_iter_next(&iterator, NULL, &value))
+        visit(value, context);
+}
+
 void ts_registry_each_service(ts_registry_t *registry, GHFunc visit, void *context)
 {
     g_hash_table_foreach(registry->services, visit, context);
--- /dev/null
+++ b/src/route/evidence.c
@@ -0,0 +1,122 @@
+/** Evidence about an instance: sums of answers that fade and add up over gateways. */
+#include "tealspar/evidence.h"
+
+#include <glib.h>
+#include <math.h>
+
+/* What was seen weighs half after this; most troubles of back ends last some seconds. */
+#define HALF_LIFE_US (1.5 * (double)TS_US_PER_S)
+/* Answers that come within this span weigh as one where times are compared. */
+#define SLOT_US (100 * TS_US_PER_MS)
+/* So many good answers, and slots of usual time, are assumed beside what was seen. */
+#define PRIOR_ANSWERS 3.0
+#define PRIOR_SLOTS 3.0
+/* Ratios beyond these say no more. */
+#define RATIO_LEAST 0.25
+#define RATIO_MOST 16.0
+/* An answer this many times later than usual is a sign; 1 in 200 is, of an instance that is well.
+ */
+#define SIGN_RATIO 2.5
+/* Beyond these an instance is unusual. */
+#define USUAL_FAILING 0.08
+#define USUAL_SLOWNESS 1.3
+
+bool ts_evidence_is_late(double ratio)
+{
+    return ratio > SIGN_RATIO;
+}
+
+void ts_evidence_count_verdict(ts_evidence_count_t *count, bool is_failure)
+{
+    count->answers++;
+    count->failures += is_failure;
+    count->has_sign |= is_failure;
+}
+
+void ts_evidence_count_time(ts_evidence_count_t *count, double ratio)
+{
+    count->timed++;
+    count->log_ratio += log(CLAMP(ratio, RATIO_LEAST, RATIO_MOST));
+    count->has_sign |= ts_evidence_is_late(ratio);
+}
+
+bool ts_evidence_count_is_empty(const ts_evidence_count_t *count)
+{
+    return count->answers == 0 && count->timed == 0;
+}
+
+void ts_evidence_count_add(ts_evidence_count_t *count, const ts_evidence_count_t *more)
+{
+    count->answers += more->answers;
+    count->failures += more->failures;
+    count->timed += more->timed;
+    count->log_ratio += more->log_ratio;
+    count->has_sign |= more->has_sign;
+}
+
+ts_evidence_sums_t ts_evidence_sums(const ts_evidence_t *evidence, ts_time_us_t now_us)
+{
+    ts_evidence_sums_t sums = evidence->sums;
+    if (now_us <= evidence->at_us)
+        return sums;
+    double left = exp2(-(double)(now_us - evidence->at_us) / HALF_LIFE_US);
+    sums.answers *= left;
+    sums.failures *= left;
+    sums.slots *= left;
+    sums.log_ratio *= left;
+    return sums;
+}
+
+/* The slot's mean moves as more of its answers come; the slot itself counts once. */
+static void note_times(ts_evidence_t *evidence, const ts_evidence_count_t *count,
+                       ts_time_us_t now_us)
+{
+    if (evidence->slot_us == 0 || now_us - evidence->slot_us >= SLOT_US) {
+        evidence->slot_us = now_us;
+        evidence->slot_timed = 0;
+        evidence->slot_mean = 0;
+        evidence->sums.slots += 1;
+    }
+    double before = evidence->slot_mean;
+    double sum = before * evidence->slot_timed + count->log_ratio;
+    evidence->slot_timed += count->timed;
+    evidence->slot_mean = sum / evidence->slot_timed;
+    evidence->sums.log_ratio += evidence->slot_mean - before;
+}
+
+void ts_evidence_note(ts_evidence_t *evidence, const ts_evidence_count_t *count,
+                      ts_time_us_t now_us)
+{
+    evidence->sums = ts_evidence_sums(evidence, now_us);
+    evidence->at_us = now_us;
+    evidence->sums.answers += count->answers;
+    evidence->sums.failures += count->failures;
+    if (count->timed > 0)
+        note_times(evidence, count, now_us);
+}
+
+void ts_evidence_set(ts_evidence_t *evidence, const ts_evidence_sums_t *sums, ts_time_us_t now_us)
+{
+    *evidence = (ts_evidence_t){.sums = *sums, .at_us = now_us};
+}
+
+ts_evidence_sums_t ts_evidence_join(const ts_evidence_sums_t *a, const ts_evidence_sums_t *b)
+{
+    return (ts_evidence_sums_t){a->answers + b->answers, a->failures + b->failures,
+                                a->slots + b->slots, a->log_ratio + b->log_ratio};
+}
+
+double ts_evidence_failing(const ts_evidence_sums_t *sums)
+{
+    return sums->failures / (sums->answers + PRIOR_ANSWERS);
+}
+
+double ts_evidence_slowness(const ts_evidence_sums_t *sums)
+{
+    return exp(sums->log_ratio / (sums->slots + PRIOR_SLOTS));
+}
+
+bool ts_evidence_is_unusual(const ts_evidence_sums_t *sums)
+{
+    return ts_evidence_failing(sums) > USUAL_FAILING || ts_evidence_slowness(sums) > USUAL_SLOWNESS;
+}
--- a/src/upstream/upstream.c
+++ b/src/upstream/upstream.c
@@ -52,7 +52,7 @@
     ts_time_us_t sent_us;
     ts_time_us_t until_us; /**< cancelled after this */
     bool is_unsendable;    /**< its connection took nothing of it */
-    double typical_us;     /**< what such a request takes; 0: not known */
+    double typical_us;     /**< what such a request takes; 0: not known, or judged already */
     ts_byte_cause_t cause; /**< what its bytes are for */
     ts_exchange_t *previous;
     ts_exchange_t *next;
@@ -138,7 +138,7 @@
     free_exchange(exchange);
 }
 
-/* What a connection that was reset without an answer says of its instance. */
+/* What a connection that was reset without an answer says of itself. */
 static void note_reset(const ts_connection_t *connection)
 {
     ts_time_us_t now_us = ts_clock_now_us();
@@ -152,10 +152,15 @@
         ts_instance_note_forgotten(connection->instance, connection->rest_taken_us, now_us);
 }
 
-/* The exchange fails with its connection. */
+/*
+ * The exchange fails with its connection. A request that left and brought no answer is a failure of
+ * its instance, whatever the reason.
+ */
 static void fail_exchange(ts_exchange_t *exchange, ts_error_t error)
 {
     ts_connection_t *connection = exchange->connection;
+    if (exchange->sent_us != 0)
+        ts_instance_note_verdict(exchange->instance, true, ts_clock_now_us());
     ts_exchange_result_t result = {error, exchange->sent_us == 0 ? TS_RUN_NOT : TS_RUN_MAYBE, NULL,
                                    0};
     ts_count(TS_COUNTER_SEND_FAILURES, 1);
@@ -207,8 +212,13 @@
 
 void ts_exchange_release(ts_exchange_t *exchange, ts_time_us_t until_us)
 {
+    ts_time_us_t now_us = ts_clock_now_us();
     exchange->done = NULL;
     exchange->owner = NULL;
+    if (exchange->sent_us != 0 &&
+        ts_instance_note_unanswered(exchange->instance, now_us,
+                                    (double)(now_us - exchange->sent_us), exchange->typical_us))
+        exchange->typical_us = 0;
     if (until_us < exchange->until_us) {
         exchange->until_us = until_us;
     }
--- a/tests/gateway/test_forwarding.c
+++ b/tests/gateway/test_forwarding.c
@@ -76,7 +76,7 @@
 }
 
 /* Each way of spoiling an answer leads to another instance, and never to a wrong body. */
-static void check_retried(lab_behaviour_t behaviour)
+static void check_retried(lab_behaviour_t behaviour, bool is_failure)
 {
     lab_searcher_t *first = NULL;
     lab_searcher_t *second = NULL;
@@ -89,45 +89,47 @@
     const char *signature = ts_http_message_find(&visit->answer, "X-Server-Stamp");
     assert_true(g_str_has_prefix(signature, "sig.i-2."));
     assert_true(second->runs == 1);
+    const ts_instance_t *failed = ts_registry_instance(world->gateway.registry, "i-1");
+    assert_true((ts_instance_failing(failed, ts_clock_now_us()) > 0.2) == is_failure);
 }
 
 static void test_broken_off(void **state)
 {
-    check_retried(LAB_BREAKS_OFF);
+    check_retried(LAB_BREAKS_OFF, true);
 }
 /* libuv reports a reset as an end of stream when it comes with a short read (found on the bench).
  */
 static void test_unframed_answer_that_is_reset(void **state)
 {
-    check_retried(LAB_UNFRAMED_RESET);
+    check_retried(LAB_UNFRAMED_RESET, true);
 }
 static void test_foreign_id(void **state)
 {
-    check_retried(LAB_FOREIGN_ID);
+    check_retried(LAB_FOREIGN_ID, true);
 }
 static void test_unsigned(void **state)
 {
-    check_retried(LAB_UNSIGNED);
+    check_retried(LAB_UNSIGNED, true);
 }
 static void test_encoded(void **state)
 {
-    check_retried(LAB_ENCODED);
+    check_retried(LAB_ENCODED, true);
 }
 static void test_garbage(void **state)
 {
-    check_retried(LAB_GARBAGE);
+    check_retried(LAB_GARBAGE, true);
 }
 static void test_shedding(void **state)
 {
-    check_retried(LAB_SHEDS);
+    check_retried(LAB_SHEDS, false);
 }
 static void test_failing(void **state)
 {
-    check_retried(LAB_FAILS);
+    check_retried(LAB_FAILS, true);
 }
 static void test_silent(void **state)
 {
-    check_retried(LAB_HANGS);
+    check_retried(LAB_HANGS, false);
 }
 
 static void test_unframed_answer_is_whole(void **state)
--- a/tests/gateway/test_peers.c
+++ b/tests/gateway/test_peers.c
@@ -223,6 +223,144 @@
     assert_true(theirs->suspected_us == 0);
 }
 
+/* -- Evidence about back ends ------------------------------------------------------------------ */
+
+static ts_instance_t *instance_at(const fleet_t *fleet, int node)
+{
+    return ts_registry_instance(fleet->nodes[node]->registry, "i-1");
+}
+
+static int find_collector(const fleet_t *fleet)
+{
+    int collector = -1;
+    for (int i = 0; i < NODES; i++) {
+        if (!fleet->nodes[i]->is_stopping && fleet->nodes[i]->peers->is_collector) {
+            assert_int_equal(collector, -1);
+            collector = i;
+        }
+    }
+    return collector;
+}
+
+/* Whether a node comes to believe that a share of the back end's answers fail. */
+static bool await_failing(const fleet_t *fleet, int node, double least)
+{
+    const ts_instance_t *instance = instance_at(fleet, node);
+    for (int i = 0; i < 200; i++) {
+        if (ts_instance_failing(instance, ts_clock_now_us()) > least)
+            return true;
+        world_run_ms(fleet->world, 10);
+    }
+    return false;
+}
+
+static void note_failures(const fleet_t *fleet, int node, int count)
+{
+    for (int i = 0; i < count; i++)
+        ts_instance_note_verdict(instance_at(fleet, node), true, ts_clock_now_us());
+}
+
+/* What one node meets is known in all zones; none of the others has sent anything yet. */
+static void test_evidence_reaches_every_zone(void **state)
+{
+    fleet_t fleet = open_fleet();
+    int sender = find_collector(&fleet) == 1 ? 2 : 1;
+    note_failures(&fleet, sender, 6);
+    for (int i = 0; i < NODES; i++)
+        assert_true(await_failing(&fleet, i, 0.4));
+}
+
+/* Failures that three nodes met weigh more than those of one, and good answers of others less. */
+static void test_evidence_adds_up(void **state)
+{
+    fleet_t fleet = open_fleet();
+    for (int i = 0; i < NODES; i++)
+        note_failures(&fleet, i, 2);
+    assert_true(await_failing(&fleet, 0, 0.65)); // 2 of its own alone: 0.4
+    for (int i = 0; i < 30; i++) {
+        for (int node = 0; node < NODES; node++)
+            ts_instance_note_verdict(instance_at(&fleet, node), false, ts_clock_now_us());
+        world_run_ms(fleet.world, 20);
+    }
+    assert_false(ts_instance_failing(instance_at(&fleet, 0), ts_clock_now_us()) > 0.25);
+}
+
+/* When the node that collects leaves, another does. */
+static void test_collector_that_leaves_is_replaced(void **state)
+{
+    fleet_t fleet = open_fleet();
+    int collector = find_collector(&fleet);
+    assert_true(collector >= 0);
+    ts_gateway_leave(fleet.nodes[collector]);
+    world_run_ms(fleet.world, 500);
+    int next = find_collector(&fleet);
+    assert_true(next >= 0 && next != collector);
+    note_failures(&fleet, collector == 0 ? 1 : 0, 6);
+    assert_true(await_failing(&fleet, collector == 3 ? 2 : 3, 0.4));
+}
+
+static void give_sums(ts_peers_t *peers, uint32_t sequence, float failures)
+{
+    TsPeer__EvidenceRow row = TS_PEER__EVIDENCE_ROW__INIT;
+    TsPeer__EvidenceRow *rows[] = {&row};
+    TsPeer__Evidence evidence = TS_PEER__EVIDENCE__INIT;
+    TsPeer__Frame frame = TS_PEER__FRAME__INIT;
+    row.instance = "i-1";
+    row.answers = 20;
+    row.failures = failures;
+    evidence.sequence = sequence;
+    evidence.is_sums = true;
+    evidence.rows = rows;
+    evidence.n_rows = 1;
+    frame.name = "somebody";
+    frame.evidence = &evidence;
+    ts_peers_take_evidence(peers, &frame);
+}
+
+/* A message that comes once more, or after a newer one, changes nothing. */
+static void test_replayed_evidence_is_ignored(void **state)
+{
+    fleet_t fleet = open_fleet();
+    ts_peers_t *peers = fleet.nodes[0]->peers;
+    give_sums(peers, 7, 16);
+    double failing = ts_instance_failing(instance_at(&fleet, 0), ts_clock_now_us());
+    assert_true(failing > 0.6);
+    give_sums(peers, 8, 0); // it is well again
+    for (int i = 0; i < 5; i++)
+        give_sums(peers, 7, 16);
+    assert_true(ts_instance_failing(instance_at(&fleet, 0), ts_clock_now_us()) < 0.1);
+    give_sums(peers, 7U - (1U << 20U), 16); // a new process begins anywhere
+    assert_true(ts_instance_failing(instance_at(&fleet, 0), ts_clock_now_us()) > 0.6);
+}
+
+/* A node for which all back ends are late at once, as its own link is, tells nothing of them. */
+static void test_own_trouble_is_not_told(void **state)
+{
+    enum { MORE = 9 };
+    fleet_t fleet = open_fleet();
+    for (int i = 0; i < MORE; i++) {
+        char id[8];
+        g_snprintf(id, sizeof(id), "j-%d", i);
+        world_enter_searcher(fleet.world, id, "a", "z1");
+    }
+    for (int i = 0; i < NODES; i++)
+        assert_true(world_await_knowledge(fleet.world, fleet.nodes[i], 1, 1 + MORE));
+    int sender = find_collector(&fleet) == 1 ? 2 : 1;
+    for (int round = 0; round < 5; round++) {
+        for (int i = 0; i < MORE; i++) {
+            char id[8];
+            g_snprintf(id, sizeof(id), "j-%d", i);
+            ts_instance_t *instance = ts_registry_instance(fleet.nodes[sender]->registry, id);
+            ts_instance_note_answer(instance, ts_clock_now_us(), 200000, 10000);
+        }
+        world_run_ms(fleet.world, 110);
+    }
+    const ts_instance_t *own = ts_registry_instance(fleet.nodes[sender]->registry, "j-0");
+    const ts_instance_t *theirs = ts_registry_instance(fleet.nodes[3]->registry, "j-0");
+    assert_true(ts_instance_slowness(own, ts_clock_now_us()) > 2);
+    assert_true(ts_instance_slowness(theirs, ts_clock_now_us()) < 1.1);
+}
+
 static void test_limits_are_divided_by_the_most_nodes_seen(void **state)
 {
     fleet_t fleet = open_fleet();
@@ -318,6 +456,11 @@
         cmocka_unit_test(test_suspicion_is_shared_in_the_zone),
         cmocka_unit_test(test_places_at_an_instance),
         cmocka_unit_test(test_large_zone_is_told_down_a_tree),
+        cmocka_unit_test(test_evidence_reaches_every_zone),
+        cmocka_unit_test(test_evidence_adds_up),
+        cmocka_unit_test(test_collector_that_leaves_is_replaced),
+        cmocka_unit_test(test_replayed_evidence_is_ignored),
+        cmocka_unit_test(test_own_trouble_is_not_told),
         cmocka_unit_test(test_limits_are_divided_by_the_most_nodes_seen),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
