--- a/include/tealspar/task.h
+++ b/include/tealspar/task.h
@@ -12,7 +12,6 @@
 
 /** Every message type of the node; the comment names the struct that carries it. */
 typedef enum ts_message_type {
-    TS_MESSAGE_NETWORK,      /**< ts_network_message_t: bytes from another node */
     TS_MESSAGE_SUBREQUESTS,  /**< ts_subrequests_message_t: to the broker */
     TS_MESSAGE_SUBREPLIES,   /**< ts_subreplies_message_t: to the front */
     TS_MESSAGE_CANCEL,       /**< ts_cancel_message_t: to the broker */
--- a/src/peers/peer_link.c
+++ b/src/peers/peer_link.c
@@ -1,5 +1,5 @@
 /**
- * Bytes between gateways over nng.
+ * Bytes between nodes over nng.
  *
  * The sockets speak nng's bus protocol: one bus socket listens and receives, and one for each peer
  * dials it and only sends. A push socket would fit as well, but libnng 1.5.2 may offer it a
@@ -16,9 +16,9 @@
 
 #include "tealspar/counters.h"
 
-#define SEND_BUFFER_MESSAGES 64
-/* What waits for a connection at most; the oldest is dropped first. */
-#define WAITING_MESSAGES 64U
+/* What waits for a peer at most: in its socket, and before that for its connection, where the
+ * oldest is dropped first. */
+#define BUFFER_MESSAGES 64U
 #define RECEIVE_BUFFER_MESSAGES 256
 #define MESSAGE_BYTES_MAX (16UL * 1024UL * 1024UL)
 #define RECONNECT_LEAST_MS 100
@@ -67,7 +67,9 @@
     GHashTable *peers; /* address -> peer_t, owned */
     GHashTable *dials; /* number of the dial -> peer_t that it is for, while it is open */
     uint32_t dials_made;
+    unsigned buffer; /* see BUFFER_MESSAGES */
     ts_peer_received_t received;
+    ts_peer_lost_t lost; /* NULL: nobody wants to know */
     void *context;
 };
 
@@ -141,7 +143,7 @@
     if (nng_bus0_open(&peer->socket) != 0) {
         return false;
     }
-    nng_socket_set_int(peer->socket, NNG_OPT_SENDBUF, SEND_BUFFER_MESSAGES);
+    nng_socket_set_int(peer->socket, NNG_OPT_SENDBUF, (int)link->buffer);
     nng_socket_set_ms(peer->socket, NNG_OPT_RECONNMINT, RECONNECT_LEAST_MS);
     nng_socket_set_ms(peer->socket, NNG_OPT_RECONNMAXT, RECONNECT_MOST_MS);
     peer->is_open = true;
@@ -182,10 +184,10 @@
 }
 
 /* Takes the message. */
-static void let_wait(peer_t *peer, nng_msg *message)
+static void let_wait(const ts_peer_link_t *link, peer_t *peer, nng_msg *message)
 {
     g_queue_push_tail(&peer->waiting, message);
-    if (peer->waiting.length > WAITING_MESSAGES) {
+    if (peer->waiting.length > link->buffer) {
         nng_msg_free(g_queue_pop_head(&peer->waiting));
         ts_count_error(TS_E_PEER_LOST);
     }
@@ -204,7 +206,14 @@
     if (peer->pipe != 0)
         send_now(peer, message);
     else
-        let_wait(peer, message);
+        let_wait(link, peer, message);
+}
+
+static void lose_connection(const ts_peer_link_t *link, peer_t *peer)
+{
+    peer->pipe = 0;
+    if (link->lost != NULL)
+        link->lost(link->context, peer->address);
 }
 
 static void take_connection(ts_peer_link_t *link, const arrival_t *arrival)
@@ -215,7 +224,7 @@
     if (arrival->kind == ARRIVAL_CONNECTED)
         peer->pipe = arrival->pipe;
     else if (peer->pipe == arrival->pipe)
-        peer->pipe = 0;
+        lose_connection(link, peer);
     while (peer->pipe != 0 && peer->waiting.length > 0)
         send_now(peer, g_queue_pop_head(&peer->waiting));
 }
@@ -243,6 +252,16 @@
 
 /* -- Life -------------------------------------------------------------------------------------- */
 
+void ts_peer_link_on_lost(ts_peer_link_t *link, ts_peer_lost_t lost)
+{
+    link->lost = lost;
+}
+
+void ts_peer_link_set_buffer(ts_peer_link_t *link, unsigned messages)
+{
+    link->buffer = messages;
+}
+
 void ts_peer_link_reset(ts_peer_link_t *link, const char *address)
 {
     peer_t *peer = g_hash_table_lookup(link->peers, address);
@@ -252,6 +271,11 @@
     free_peer(link, peer);
 }
 
+void ts_peer_link_close(ts_peer_link_t *link)
+{
+    nng_close(link->receiver);
+}
+
 void ts_peer_link_sweep(ts_peer_link_t *link, ts_time_us_t now_us)
 {
     GHashTableIter iterator;
@@ -276,6 +300,7 @@
     link->arrived = g_async_queue_new();
     link->received = received;
     link->context = context;
+    link->buffer = BUFFER_MESSAGES;
     uv_async_init(loop, &link->wake, take_arrived);
     link->wake.data = link;
     if (nng_bus0_open(&link->receiver) != 0) {
--- a/tests/peers/test_peer_link.c
+++ b/tests/peers/test_peer_link.c
@@ -81,6 +81,44 @@
     g_free(nowhere);
 }
 
+static unsigned losses;
+
+static void note_lost(void *context, const char *address)
+{
+    assert_string_equal(address, context);
+    losses++;
+}
+
+/* The end of a connection is told, unless this side closed it. */
+static void test_lost_connection_is_told(void **state)
+{
+    uv_loop_t loop;
+    uv_loop_init(&loop);
+    char *here = free_address();
+    char *there = free_address();
+    ts_peer_link_t *link = ts_peer_link_open(&loop, here, take, there);
+    ts_peer_link_t *other = ts_peer_link_open(&loop, there, take, NULL);
+    assert_non_null(other);
+    ts_peer_link_on_lost(link, note_lost);
+    received = 0;
+    losses = 0;
+    ts_peer_link_send(link, there, (const uint8_t *)"hello", 5);
+    for (int i = 0; i < WAIT_MS / 10 && received == 0; i++)
+        run_ms(&loop, 10);
+    ts_peer_link_reset(link, there);
+    run_ms(&loop, 50);
+    assert_int_equal(losses, 0);
+    ts_peer_link_send(link, there, (const uint8_t *)"hello", 5);
+    for (int i = 0; i < WAIT_MS / 10 && received == 1; i++)
+        run_ms(&loop, 10);
+    ts_peer_link_close(other);
+    for (int i = 0; i < WAIT_MS / 10 && losses == 0; i++)
+        run_ms(&loop, 10);
+    assert_int_equal(losses, 1);
+    g_free(here);
+    g_free(there);
+}
+
 // -- Peers that end each connection as soon as they hear something on it
 
 #define ENDING_PEERS 256
@@ -155,6 +193,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_messages_arrive_and_connections_end),
+        cmocka_unit_test(test_lost_connection_is_told),
         cmocka_unit_test(test_sends_while_peers_end_their_connections),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
