Scarce extra sends are left to parts that their requests need

Ruled out: shares that are spent unevenly alone (the services where most is denied had 230 of 330 sends spent in nine seconds, and wanted 430). Change: with less than half of the window's extra sends left, a part is sent a second time for lateness only if its request needs more than half of what is still open. `without: [sparing]` switches it off. Tests: test_scarce_extra_sends_go_to_needed_parts (fails without the change), test_budget_that_is_low.

--- a/include/tealspar/mechanism.h
+++ b/include/tealspar/mechanism.h
@@ -22,6 +22,7 @@
     X(SIGHTINGS, "sightings", "other gateways are told of suspicions")                             \
     X(SECOND_SENDS, "second_sends", "overdue parts are sent again")                                \
     X(PATIENT_SECOND, "patient_second", "second sends are made as late as the aim allows")         \
+    X(SPARING, "sparing", "parts that can be missing leave scarce extra sends to others")          \
     X(LOANS, "loans", "extra sends are lent among gateways")                                       \
     X(LIMITS, "limits", "limits of requests in flight are learned")                                \
     X(FORGOTTEN, "forgotten", "resets of resting connections teach how long they may rest")
--- a/include/tealspar/retry_budget.h
+++ b/include/tealspar/retry_budget.h
@@ -35,6 +35,9 @@
 /** Counts a request for the service, whether or not it is sent. */
 void ts_retry_budget_count_request(ts_retry_budget_t *budget, const ts_retry_budget_rule_t *rule,
                                    ts_time_us_t now_us);
+/** Whether less than half of what the window allows is left. */
+bool ts_retry_budget_is_low(ts_retry_budget_t *budget, const ts_retry_budget_rule_t *rule,
+                            ts_time_us_t now_us);
 /** Takes one extra send; false, and nothing taken, when the budget does not hold one. */
 bool ts_retry_budget_take(ts_retry_budget_t *budget, const ts_retry_budget_rule_t *rule,
                           ts_time_us_t now_us);
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -268,6 +268,25 @@
     return true;
 }
 
+/*
+ * Whether the request most likely succeeds without the part: no more than half of what is still
+ * open is needed.
+ */
+static bool is_spare(const ts_request_part_t *part)
+{
+    const ts_request_t *request = part->request;
+    unsigned needed = ts_request_parts_needed(request);
+    unsigned open = request->parts_count - request->parts_in - request->parts_lost;
+    return request->parts_in >= needed || 2 * (needed - request->parts_in) <= open;
+}
+
+/* Extra sends that are scarce are left to parts that their requests cannot do without. */
+static bool leaves_extra_send(const ts_request_part_t *part, ts_time_us_t now_us)
+{
+    return ts_mechanism_is_on(TS_MECHANISM_SPARING) && is_spare(part) &&
+           ts_retry_budget_is_low(&part->service->budget, &part->request->gateway->rule, now_us);
+}
+
 /* The latest send is overdue: its instance is suspected, and another one is asked. */
 static void check_overdue(ts_request_part_t *part, ts_time_us_t now_us)
 {
@@ -297,7 +316,8 @@
         part->overdue_us = part->second_us;
         return;
     }
-    if (send_again(part, now_us, HEDGE_COST_MAX_US, "overdue")) {
+    bool is_left = leaves_extra_send(part, now_us);
+    if (!is_left && send_again(part, now_us, HEDGE_COST_MAX_US, "overdue")) {
         ts_count(TS_COUNTER_HEDGES, 1);
     } else if (ts_part_may_send_again(part)) {
         part->overdue_us = now_us + LOOK_AGAIN_US;
--- a/src/route/retry_budget.c
+++ b/src/route/retry_budget.c
@@ -8,6 +8,8 @@
 #define SAFETY 0.85
 /* A lender keeps this many extra sends for itself. */
 #define LEND_KEEPS 1.0
+/* Of what the window allows: with less left, extra sends are for what needs them most. */
+#define LOW_SHARE 0.5
 /* A loan is void after this: it was counted when it was granted, and must be spent near that. */
 #define LOAN_VALID_US (300 * TS_US_PER_MS)
 #define EXTRA_SLICES (TS_RETRY_BUDGET_SLICES + 1)
@@ -41,18 +43,32 @@
     budget->requests[budget->slice % TS_RETRY_BUDGET_SLICES]++;
 }
 
-/* Extra sends that the window still holds. */
-static double count_left(ts_retry_budget_t *budget, const ts_retry_budget_rule_t *rule,
-                         ts_time_us_t now_us)
+/* Extra sends that the window allows, spent or not. */
+static double count_allowed(ts_retry_budget_t *budget, const ts_retry_budget_rule_t *rule,
+                            ts_time_us_t now_us)
 {
     uint32_t requests = 0;
-    uint32_t extras = 0;
     move_on(budget, rule, now_us);
     for (unsigned i = 0; i < TS_RETRY_BUDGET_SLICES; i++)
         requests += budget->requests[i];
+    return SAFETY * rule->ratio * requests + rule->slack_share;
+}
+
+/* Extra sends that the window still holds. */
+static double count_left(ts_retry_budget_t *budget, const ts_retry_budget_rule_t *rule,
+                         ts_time_us_t now_us)
+{
+    double allowed = count_allowed(budget, rule, now_us);
+    uint32_t extras = 0;
     for (unsigned i = 0; i < EXTRA_SLICES; i++)
         extras += budget->extras[i];
-    return SAFETY * rule->ratio * requests + rule->slack_share - extras;
+    return allowed - extras;
+}
+
+bool ts_retry_budget_is_low(ts_retry_budget_t *budget, const ts_retry_budget_rule_t *rule,
+                            ts_time_us_t now_us)
+{
+    return count_left(budget, rule, now_us) < LOW_SHARE * count_allowed(budget, rule, now_us);
 }
 
 bool ts_retry_budget_take(ts_retry_budget_t *budget, const ts_retry_budget_rule_t *rule,
--- a/tests/gateway/test_gathering.c
+++ b/tests/gateway/test_gathering.c
@@ -104,6 +104,49 @@
     assert_true(ts_clock_now_us() - begun_us < 250 * TS_US_PER_MS);
 }
 
+/* One shard hangs. With extra sends scarce, a gather that needs half of the shards sends no more.
+ */
+static unsigned count_second_sends(const char *least)
+{
+    world_t *world = world_open("retry_ratio: 0\nretry_slack: 240");
+    unsigned status = 0;
+    static const char *const services[] = {"a", "b", "c"};
+    lab_searcher_t *hanging = NULL;
+    lab_searcher_t *spare = NULL;
+    for (int i = 0; i < 3; i++) {
+        char id[8];
+        g_snprintf(id, sizeof(id), "n-%s", services[i]);
+        lab_searcher_t *near = world_add_searcher(world, id, services[i], "z1");
+        g_snprintf(id, sizeof(id), "f-%s", services[i]);
+        lab_searcher_t *far = world_add_searcher(world, id, services[i], "z2");
+        hanging = i == 0 ? near : hanging;
+        spare = i == 0 ? far : spare;
+    }
+    char *route = g_strdup_printf("{\"name\":\"all\",\"host\":\"h.example\",\"pathPrefix\":\"/g/\","
+                                  "\"routeType\":\"idempotent\",\"timeoutMs\":1500,"
+                                  "\"targetLatencyMs\":250,\"priority\":1,"
+                                  "\"gather\":[\"a\",\"b\",\"c\"],\"maxAttempts\":2,\"topK\":3,"
+                                  "\"minCoverage\":%s}",
+                                  least);
+    world_configure(world, 1, route);
+    g_free(route);
+    ts_service_t *service = ts_registry_service(world->gateway.registry, "a");
+    while (!ts_retry_budget_is_low(&service->budget, &world->gateway.rule, ts_clock_now_us()))
+        assert_true(
+            ts_retry_budget_take(&service->budget, &world->gateway.rule, ts_clock_now_us()));
+    hanging->behaviour = LAB_HANGS;
+    spare->behaviour = LAB_ANSWERS;
+    visit_get(world, "/g/x", "r1", 1400, &status);
+    assert_int_equal(status, 200);
+    return hanging->runs + spare->runs - 1;
+}
+
+static void test_scarce_extra_sends_go_to_needed_parts(void **state)
+{
+    assert_int_equal(count_second_sends("0.5"), 0);
+    assert_int_equal(count_second_sends("1.0"), 1);
+}
+
 static void test_part_left_out_at_the_aim(void **state)
 {
     shards_t shards = open_shards("0.6");
@@ -177,6 +220,7 @@
         cmocka_unit_test(test_greatest_records_of_all_parts),
         cmocka_unit_test(test_pausing_searcher_is_hedged),
         cmocka_unit_test(test_refusals_of_one_service_hinder_no_gather),
+        cmocka_unit_test(test_scarce_extra_sends_go_to_needed_parts),
         cmocka_unit_test(test_part_left_out_at_the_aim),
         cmocka_unit_test(test_no_success_below_the_least_coverage),
         cmocka_unit_test(test_failure_is_no_part),
--- a/tests/route/test_gateway_decisions.c
+++ b/tests/route/test_gateway_decisions.c
@@ -93,6 +93,22 @@
     assert_false(ts_retry_budget_take(&budget, &rule, now_us + 600 * MS));
 }
 
+/* Low is less than half of what the window allows, so that it depends on the requests as well. */
+static void test_budget_that_is_low(void **state)
+{
+    const ts_retry_budget_rule_t rule = {0.2, 4, 10 * TS_US_PER_S};
+    ts_retry_budget_t budget = {0};
+    ts_time_us_t now_us = 100 * TS_US_PER_S;
+    assert_false(ts_retry_budget_is_low(&budget, &rule, now_us));
+    for (int i = 0; i < 3; i++)
+        assert_true(ts_retry_budget_take(&budget, &rule, now_us));
+    assert_true(ts_retry_budget_is_low(&budget, &rule, now_us));
+    for (int i = 0; i < 40; i++)
+        ts_retry_budget_count_request(&budget, &rule, now_us);
+    assert_false(ts_retry_budget_is_low(&budget, &rule, now_us));
+    assert_false(ts_retry_budget_is_low(&budget, &rule, now_us + 30 * TS_US_PER_S));
+}
+
 static void test_quantile_follows(void **state)
 {
     ts_quantile_t quantile;
@@ -630,6 +646,7 @@
         cmocka_unit_test(test_budget_starts_with_its_share_only),
         cmocka_unit_test(test_loans_do_not_add_to_the_fleet),
         cmocka_unit_test(test_loan_is_void_after_a_moment),
+        cmocka_unit_test(test_budget_that_is_low),
         cmocka_unit_test(test_quantile_follows),
         cmocka_unit_test(test_overdue_is_not_the_slow_ones),
         cmocka_unit_test(test_split_follows_weights),
