Beliefs of each gateway by itself are removed; a head passes on what many nodes met

Cause 1: the verdict on merged evidence stands, and the former estimates (moving averages of slowness and failures, one sign a late answer) stood beside it. Ruled out: dropping the rule (test_own_trouble_is_not_told holds it). Change: `without: [merged]` now means that nothing is told; `late_sign` and `failing` switch the use of the sums.

--- a/include/tealspar/mechanism.h
+++ b/include/tealspar/mechanism.h
@@ -16,8 +16,8 @@
     X(PRIORITY, "priority", "less urgent requests are not refused less often")                     \
     X(TRAVEL, "travel", "travel to a zone is measured")                                            \
     X(FAILING, "failing", "back ends that fail part of their requests cost more")                  \
-    X(MERGED, "merged", "what answers say of a back end is merged over the fleet")                 \
-    X(LATE_SIGN, "late_sign", "late answers one after another make a back end slow")               \
+    X(MERGED, "merged", "what answers say of a back end is told to the whole fleet")               \
+    X(LATE_SIGN, "late_sign", "back ends whose answers are late cost more")                        \
     X(SUSPICION, "suspicion", "an overdue send makes its back end suspected")                      \
     X(SIGHTINGS, "sightings", "other gateways are told of suspicions")                             \
     X(SECOND_SENDS, "second_sends", "overdue parts are sent again")                                \
--- a/include/tealspar/registry.h
+++ b/include/tealspar/registry.h
@@ -57,11 +57,6 @@
     uint32_t in_flight;           /**< requests of this node that it has */
     double limit;                 /**< how many it may have, as learned; 0: nothing learned */
     ts_time_us_t limited_us;      /**< when `limit` was last lowered */
-    double slowness;              /**< its answer times against its service's; 1: the same */
-    ts_time_us_t slowness_at_us;  /**< when `slowness` was last moved */
-    ts_time_us_t slow_seen_us;    /**< end of the last late answer that moved it */
-    double failing;               /**< share of its answers that are failures, as of then */
-    ts_time_us_t failing_at_us;   /**< when `failing` was last moved */
     ts_time_us_t usual_us;        /**< when it last answered in usual time; 0: never */
     ts_told_load_t told;          /**< what it told of its load with its last answer */
     double sent_rate;             /**< requests a second this node sends it, fading */
@@ -79,7 +74,8 @@
     ts_evidence_t *collected;     /**< owned; only where this node collects, else NULL */
     ts_evidence_count_t outbox;   /**< not told yet; also what other nodes told this one */
     ts_time_us_t outbox_since_us; /**< when the first of it came */
-    ts_time_us_t outbox_us;       /**< when the last of it came */
+    ts_time_us_t own_us;          /**< when an answer last came to this node */
+    ts_time_us_t own_sign_us;     /**< when one last was unusual */
     /* Its connections; see tealspar/upstream.h. */
     GQueue idle;              /**< of ts_connection_t, the last used first */
     uint32_t connections;     /**< open ones, idle and busy */
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -130,7 +130,7 @@
            request->outgoing->request_id, part->service->name, id, reason,
            (unsigned long)((now_us - request->arrived_us) / TS_US_PER_MS), part->sends,
            part->attempts, instance == NULL ? 0 : instance->in_flight,
-           instance == NULL ? 0 : (unsigned)(instance->slowness * 100),
+           instance == NULL ? 0 : (unsigned)(ts_instance_slowness(instance, now_us) * 100),
            instance == NULL || instance->suspected_us == 0
                ? 0UL
                : (unsigned long)((now_us - instance->suspected_us) / TS_US_PER_MS),
--- a/src/peers/peers_evidence.c
+++ b/src/peers/peers_evidence.c
@@ -37,11 +37,17 @@
 typedef struct rows {
     ts_peers_t *peers;
     ts_time_us_t now_us;
-    GArray *rows;     /* of TsPeer__EvidenceRow */
-    unsigned active;  /* instances that answered this node since the last turn */
-    unsigned unusual; /* of these, the ones with a sign */
+    GArray *rows; /* of TsPeer__EvidenceRow */
+    bool is_own_trouble;
 } rows_t;
 
+/* Back ends that answered this node since the last turn. */
+typedef struct activity {
+    ts_time_us_t since_us;
+    unsigned active;
+    unsigned unusual; /* of these, the ones of which an answer was unusual */
+} activity_t;
+
 static void send_rows(ts_peers_t *peers, const GArray *rows, bool is_sums,
                       void (*send)(ts_peers_t *peers, TsPeer__Frame *frame))
 {
@@ -76,15 +82,30 @@
     return instance->outbox.has_sign || ts_evidence_is_unusual(&known);
 }
 
+static void count_activity(ts_instance_t *instance, void *ctx)
+{
+    activity_t *activity = ctx;
+    activity->active += instance->own_us >= activity->since_us;
+    activity->unusual += instance->own_sign_us >= activity->since_us;
+}
+
+static bool is_own_trouble(const ts_peers_t *peers)
+{
+    activity_t activity = {MAX(peers->evidence_us, 1), 0, 0};
+    ts_registry_each_instance(peers->gateway->registry, count_activity, &activity);
+    return activity.unusual >= OWN_TROUBLE_LEAST &&
+           activity.unusual > OWN_TROUBLE_SHARE * activity.active;
+}
+
 static void take_outbox(ts_instance_t *instance, void *ctx)
 {
     rows_t *batch = ctx;
-    if (ts_evidence_count_is_empty(&instance->outbox))
+    if (ts_evidence_count_is_empty(&instance->outbox) || !is_worth_telling(instance, batch->now_us))
         return;
-    batch->active += instance->outbox_us >= batch->peers->evidence_us;
-    batch->unusual += instance->outbox.has_sign;
-    if (!is_worth_telling(instance, batch->now_us))
+    if (batch->is_own_trouble && instance->own_sign_us >= batch->peers->evidence_us) {
+        instance->outbox = (ts_evidence_count_t){0};
         return;
+    }
     TsPeer__EvidenceRow row = TS_PEER__EVIDENCE_ROW__INIT;
     row.instance = instance->id;
     row.answers = (float)instance->outbox.answers;
@@ -97,13 +118,11 @@
 
 static void tell_up(ts_peers_t *peers, ts_time_us_t now_us)
 {
-    rows_t batch = {peers, now_us, g_array_new(FALSE, FALSE, sizeof(TsPeer__EvidenceRow)), 0, 0};
+    rows_t batch = {peers, now_us, g_array_new(FALSE, FALSE, sizeof(TsPeer__EvidenceRow)),
+                    is_own_trouble(peers)};
     ts_registry_each_instance(peers->gateway->registry, take_outbox, &batch);
-    bool is_own_trouble =
-        batch.unusual >= OWN_TROUBLE_LEAST && batch.unusual > OWN_TROUBLE_SHARE * batch.active;
-    if (is_own_trouble)
-        ts_count(TS_COUNTER_EVIDENCE_WITHHELD, 1);
-    else if (batch.rows->len > 0)
+    ts_count(TS_COUNTER_EVIDENCE_WITHHELD, batch.is_own_trouble);
+    if (batch.rows->len > 0)
         send_rows(peers, batch.rows, false, send_up);
     g_array_unref(batch.rows);
 }
@@ -159,7 +178,7 @@
 
 static void tell_down(ts_peers_t *peers, ts_time_us_t now_us)
 {
-    rows_t batch = {peers, now_us, g_array_new(FALSE, FALSE, sizeof(TsPeer__EvidenceRow)), 0, 0};
+    rows_t batch = {peers, now_us, g_array_new(FALSE, FALSE, sizeof(TsPeer__EvidenceRow)), false};
     ts_registry_each_instance(peers->gateway->registry, collect, &batch);
     if (batch.rows->len > 0)
         send_rows(peers, batch.rows, true, send_down);
--- a/src/peers/peers_internal.h
+++ b/src/peers/peers_internal.h
@@ -36,11 +36,11 @@
     ts_time_us_t asked_us;       /* when somebody was last asked for everything */
     unsigned asked_times;
     /* Evidence about back ends; see peers_evidence.c. */
-    GPtrArray *zone_heads;      /* of ts_view_member_t in the view, one a zone: first in its order */
-    const char *collector;      /* address of the zone head that collects; NULL: nobody is there */
-    bool is_collector;          /* this node is it */
-    uv_timer_t evidence_timer;  /* runs while something waits to be told */
-    ts_time_us_t evidence_us;   /* when it last ran */
+    GPtrArray *zone_heads;     /* of ts_view_member_t in the view, one a zone: first in its order */
+    const char *collector;     /* address of the zone head that collects; NULL: nobody is there */
+    bool is_collector;         /* this node is it */
+    uv_timer_t evidence_timer; /* runs while something waits to be told */
+    ts_time_us_t evidence_us;  /* when it last ran */
     uint32_t evidence_sequence; /* of the last frame of evidence that this node sent */
     GHashTable *evidence_seen;  /* name of a node -> the last sequence from it */
 };
--- a/src/registry/instance_health.c
+++ b/src/registry/instance_health.c
@@ -6,18 +6,10 @@
 #include "tealspar/mechanism.h"
 #include "tealspar/registry.h"
 
-/* A span this many times the typical one is a sign of slowness, whatever its length: a pause of a
- * few hundred milliseconds must not count as more than one slow answer. */
-#define SLOW_RATIO 2.0
-#define SLOWNESS_RISE 1.25
 /* A node that sends an instance more requests a second than this tells nobody of it. */
 #define TELL_RATE_MAX 40.0
 #define RATE_HALF_LIFE_US ((double)TS_US_PER_S)
 #define RATE_STEP 0.693 /* ln 2 a half-life: a steady rate settles at itself */
-#define SLOWNESS_STEP 0.1
-#define SLOWNESS_MAX 12.0
-/* Weight of one answer in the share of failures. */
-#define FAILING_STEP 0.25
 /* What a peer says weighs less than an answer that this node had just now. */
 #define HEARD_AFTER_US (15 * TS_US_PER_MS)
 /*
@@ -83,7 +75,6 @@
         instance->outbox_since_us = now_us;
     }
     ts_evidence_count_add(&instance->outbox, count);
-    instance->outbox_us = now_us;
     ts_evidence_sums_t known = ts_instance_evidence(instance, now_us);
     if (instance->outbox.has_sign || ts_evidence_is_unusual(&known))
         ts_registry_wake(instance);
@@ -92,10 +83,12 @@
 static void note_evidence(ts_instance_t *instance, const ts_evidence_count_t *count,
                           ts_time_us_t now_us)
 {
-    if (!ts_mechanism_is_on(TS_MECHANISM_MERGED))
-        return;
     ts_evidence_note(&instance->own, count, now_us);
-    ts_instance_add_to_outbox(instance, count, now_us);
+    instance->own_us = now_us;
+    if (count->has_sign)
+        instance->own_sign_us = now_us;
+    if (ts_mechanism_is_on(TS_MECHANISM_MERGED))
+        ts_instance_add_to_outbox(instance, count, now_us);
 }
 
 static void note_time(ts_instance_t *instance, double ratio, ts_time_us_t now_us)
@@ -105,26 +98,7 @@
     note_evidence(instance, &count, now_us);
 }
 
-/* -- Limits and beliefs ------------------------------------------------------------------------ */
-
-/* What was believed fades before something new is added to it. */
-static void move_slowness(ts_instance_t *instance, double slowness, ts_time_us_t now_us)
-{
-    instance->slowness = MIN(slowness, SLOWNESS_MAX);
-    instance->slowness_at_us = now_us;
-}
-
-/*
- * A late answer counts once for all requests that were out at the same time: when an instance
- * pauses, they all come late together, and that is one sign and not many.
- */
-static void take_late_answer(ts_instance_t *instance, ts_time_us_t span_us, ts_time_us_t now_us)
-{
-    if (!ts_mechanism_is_on(TS_MECHANISM_LATE_SIGN) || now_us - span_us < instance->slow_seen_us)
-        return;
-    instance->slow_seen_us = now_us;
-    move_slowness(instance, ts_instance_slowness(instance, now_us) * SLOWNESS_RISE, now_us);
-}
+/* -- Requests and their answers ---------------------------------------------------------------- */
 
 /* Nodes that ask an instance often learn of it sooner by themselves than from others. */
 static bool is_worth_telling(const ts_instance_t *instance)
@@ -132,20 +106,6 @@
     return instance->sent_rate < TELL_RATE_MAX;
 }
 
-static void note_span(ts_instance_t *instance, double span_us, double ratio, ts_time_us_t now_us)
-{
-    if (ratio < FULL_RATIO)
-        instance->usual_us = now_us;
-    if (ts_mechanism_is_on(TS_MECHANISM_MERGED))
-        return;
-    if (ratio < SLOW_RATIO) {
-        double slowness = ts_instance_slowness(instance, now_us);
-        move_slowness(instance, slowness + SLOWNESS_STEP * (ratio - slowness), now_us);
-        return;
-    }
-    take_late_answer(instance, (ts_time_us_t)span_us, now_us);
-}
-
 void ts_instance_note_sent(ts_instance_t *instance, ts_time_us_t now_us)
 {
     double age_us = (double)(now_us - instance->sent_rate_at_us);
@@ -180,7 +140,8 @@
     }
     if (typical_us > 0) {
         note_time(instance, span_us / typical_us, now_us);
-        note_span(instance, span_us, span_us / typical_us, now_us);
+        if (span_us < FULL_RATIO * typical_us)
+            instance->usual_us = now_us;
         adapt_limit(instance, now_us, span_us, typical_us);
     }
 }
@@ -248,13 +209,6 @@
     ts_evidence_count_t count = {0};
     ts_evidence_count_verdict(&count, is_failure);
     note_evidence(instance, &count, now_us);
-    if (ts_mechanism_is_on(TS_MECHANISM_MERGED))
-        return;
-    double failing = ts_instance_failing(instance, now_us);
-    instance->failing = failing + FAILING_STEP * ((is_failure ? 1.0 : 0.0) - failing);
-    instance->failing_at_us = now_us;
-    if (!ts_mechanism_is_on(TS_MECHANISM_FAILING))
-        instance->failing = 0;
 }
 
 void ts_instance_note_failure(ts_instance_t *instance, ts_time_us_t now_us)
--- a/src/registry/registry.c
+++ b/src/registry/registry.c
@@ -174,7 +174,6 @@
     locate(registry, instance);
     instance->is_evacuated = ts_registry_is_evacuated(registry, record->zone);
     instance->travel = find_travel(registry, record->zone, instance->distance);
-    instance->slowness = 1;
     g_queue_init(&instance->idle);
     instance->service = ts_registry_service(registry, record->service);
     g_ptr_array_add(instance->service->instances, instance);
--- a/tests/gateway/test_peers.c
+++ b/tests/gateway/test_peers.c
@@ -361,6 +361,39 @@
     assert_true(ts_instance_slowness(theirs, ts_clock_now_us()) < 1.1);
 }
 
+/* What several nodes meet at many back ends is no trouble of the node that passes it on. */
+static void test_evidence_of_many_is_passed_on(void **state)
+{
+    enum { MORE = 9 };
+    fleet_t fleet = open_fleet();
+    int head = -1;
+    for (int i = 0; i < 3; i++)
+        head = ts_peers_is_watcher(fleet.nodes[i]->peers) ? i : head;
+    assert_true(head >= 0);
+    fleet.nodes[head]->peers->is_collector = false; // whoever it is: the head of z1 passes on
+    fleet.nodes[head]->peers->collector = fleet.nodes[3]->settings->peers;
+    fleet.nodes[3]->peers->is_collector = true;
+    for (int i = 0; i < MORE; i++) {
+        char id[8];
+        g_snprintf(id, sizeof(id), "j-%d", i);
+        world_enter_searcher(fleet.world, id, "a", "z1");
+    }
+    for (int i = 0; i < NODES; i++)
+        assert_true(world_await_knowledge(fleet.world, fleet.nodes[i], 1, 1 + MORE));
+    for (int i = 0; i < MORE; i++) { // each of the two others meets fewer than would be its own
+        char id[8];
+        g_snprintf(id, sizeof(id), "j-%d", i);
+        int sender = (head + 1 + i % 2) % 3;
+        for (int j = 0; j < 6; j++)
+            ts_instance_note_verdict(ts_registry_instance(fleet.nodes[sender]->registry, id), true,
+                                     ts_clock_now_us());
+    }
+    const ts_instance_t *theirs = ts_registry_instance(fleet.nodes[3]->registry, "j-0");
+    for (int i = 0; i < 100 && ts_instance_failing(theirs, ts_clock_now_us()) < 0.4; i++)
+        world_run_ms(fleet.world, 10);
+    assert_true(ts_instance_failing(theirs, ts_clock_now_us()) > 0.4);
+}
+
 static void test_limits_are_divided_by_the_most_nodes_seen(void **state)
 {
     fleet_t fleet = open_fleet();
@@ -461,6 +494,7 @@
         cmocka_unit_test(test_collector_that_leaves_is_replaced),
         cmocka_unit_test(test_replayed_evidence_is_ignored),
         cmocka_unit_test(test_own_trouble_is_not_told),
+        cmocka_unit_test(test_evidence_of_many_is_passed_on),
         cmocka_unit_test(test_limits_are_divided_by_the_most_nodes_seen),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
