--- a/tests/gateway/test_gathering.c
+++ b/tests/gateway/test_gathering.c
@@ -147,6 +147,21 @@
     assert_int_equal(count_second_sends("1.0"), 1);
 }
 
+/* A searcher whose requests nobody waits for any more is believed slow, though it never answers. */
+static void test_unanswered_searcher_is_timed(void **state)
+{
+    shards_t shards = open_shards("0.5");
+    unsigned status = 0;
+    shards.near[1]->behaviour = LAB_HANGS;
+    shards.far[1]->behaviour = LAB_HANGS;
+    visit_get(shards.world, "/g/x", "r1", 1400, &status);
+    assert_int_equal(status, 200);
+    const ts_registry_t *registry = shards.world->gateway.registry;
+    double near = ts_instance_slowness(ts_registry_instance(registry, "n-b"), ts_clock_now_us());
+    double far = ts_instance_slowness(ts_registry_instance(registry, "f-b"), ts_clock_now_us());
+    assert_true(MAX(near, far) > 1.3);
+}
+
 static void test_part_left_out_at_the_aim(void **state)
 {
     shards_t shards = open_shards("0.6");
@@ -221,6 +236,7 @@
         cmocka_unit_test(test_pausing_searcher_is_hedged),
         cmocka_unit_test(test_refusals_of_one_service_hinder_no_gather),
         cmocka_unit_test(test_scarce_extra_sends_go_to_needed_parts),
+        cmocka_unit_test(test_unanswered_searcher_is_timed),
         cmocka_unit_test(test_part_left_out_at_the_aim),
         cmocka_unit_test(test_no_success_below_the_least_coverage),
         cmocka_unit_test(test_failure_is_no_part),
