--- a/tests/bench/test_callers.py
+++ b/tests/bench/test_callers.py
@@ -14,7 +14,7 @@
 
 
 def line(at, **fields):
-    return f"  {at:.4f} front-1 {json.dumps({'aim_ms': 150, 'sends': 10, **fields})}\n"
+    return f"  {at:.4f} front-1 {json.dumps({'aim_ms': 150, 'sends': 10, **fields}, separators=(',', ':'))}\n"
 
 
 class CallersTest(unittest.TestCase):
