--- a/tests/gateway/test_gathering.c
+++ b/tests/gateway/test_gathering.c
@@ -9,10 +9,11 @@
     lab_searcher_t *far[3];
 } shards_t;
 
-static shards_t open_shards(const char *least)
+/* `settings`: extra lines, or NULL. */
+static shards_t open_shards_with(const char *settings, const char *least)
 {
     static const char *const services[] = {"a", "b", "c"};
-    shards_t shards = {.world = world_open(NULL)};
+    shards_t shards = {.world = world_open(settings)};
     for (int i = 0; i < 3; i++) {
         char id[16];
         g_snprintf(id, sizeof(id), "n-%s", services[i]);
@@ -31,6 +32,11 @@
     return shards;
 }
 
+static shards_t open_shards(const char *least)
+{
+    return open_shards_with(NULL, least);
+}
+
 static unsigned count_signatures(const visit_t *visit)
 {
     const char *list = ts_http_message_find(&visit->answer, "X-Part-Stamps");
@@ -108,37 +114,16 @@
  */
 static unsigned count_second_sends(const char *least)
 {
-    world_t *world = world_open("retry_ratio: 0\nretry_slack: 240");
+    shards_t shards = open_shards_with("retry_ratio: 0\nretry_slack: 240", least);
+    const ts_gateway_t *gateway = &shards.world->gateway;
+    ts_retry_budget_t *budget = &ts_registry_service(gateway->registry, "a")->budget;
     unsigned status = 0;
-    static const char *const services[] = {"a", "b", "c"};
-    lab_searcher_t *hanging = NULL;
-    lab_searcher_t *spare = NULL;
-    for (int i = 0; i < 3; i++) {
-        char id[8];
-        g_snprintf(id, sizeof(id), "n-%s", services[i]);
-        lab_searcher_t *near = world_add_searcher(world, id, services[i], "z1");
-        g_snprintf(id, sizeof(id), "f-%s", services[i]);
-        lab_searcher_t *far = world_add_searcher(world, id, services[i], "z2");
-        hanging = i == 0 ? near : hanging;
-        spare = i == 0 ? far : spare;
-    }
-    char *route = g_strdup_printf("{\"name\":\"all\",\"host\":\"h.example\",\"pathPrefix\":\"/g/\","
-                                  "\"routeType\":\"idempotent\",\"timeoutMs\":1500,"
-                                  "\"targetLatencyMs\":250,\"priority\":1,"
-                                  "\"gather\":[\"a\",\"b\",\"c\"],\"maxAttempts\":2,\"topK\":3,"
-                                  "\"minCoverage\":%s}",
-                                  least);
-    world_configure(world, 1, route);
-    g_free(route);
-    ts_service_t *service = ts_registry_service(world->gateway.registry, "a");
-    while (!ts_retry_budget_is_low(&service->budget, &world->gateway.rule, ts_clock_now_us()))
-        assert_true(
-            ts_retry_budget_take(&service->budget, &world->gateway.rule, ts_clock_now_us()));
-    hanging->behaviour = LAB_HANGS;
-    spare->behaviour = LAB_ANSWERS;
-    visit_get(world, "/g/x", "r1", 1400, &status);
+    while (!ts_retry_budget_is_low(budget, &gateway->rule, ts_clock_now_us()))
+        assert_true(ts_retry_budget_take(budget, &gateway->rule, ts_clock_now_us()));
+    shards.near[0]->behaviour = LAB_HANGS;
+    visit_get(shards.world, "/g/x", "r1", 1400, &status);
     assert_int_equal(status, 200);
-    return hanging->runs + spare->runs - 1;
+    return shards.near[0]->runs + shards.far[0]->runs - 1;
 }
 
 static void test_scarce_extra_sends_go_to_needed_parts(void **state)
--- a/tests/gateway/test_peers.c
+++ b/tests/gateway/test_peers.c
@@ -333,18 +333,25 @@
     assert_true(ts_instance_failing(instance_at(&fleet, 0), ts_clock_now_us()) > 0.6);
 }
 
-/* A node for which all back ends are late at once, as its own link is, tells nothing of them. */
-static void test_own_trouble_is_not_told(void **state)
+enum { MORE = 9 };
+
+/* MORE back ends of service a beside i-1, j-0 and so on, that all nodes know. */
+static void enter_many(const fleet_t *fleet)
 {
-    enum { MORE = 9 };
-    fleet_t fleet = open_fleet();
     for (int i = 0; i < MORE; i++) {
         char id[8];
         g_snprintf(id, sizeof(id), "j-%d", i);
-        world_enter_searcher(fleet.world, id, "a", "z1");
+        world_enter_searcher(fleet->world, id, "a", "z1");
     }
     for (int i = 0; i < NODES; i++)
-        assert_true(world_await_knowledge(fleet.world, fleet.nodes[i], 1, 1 + MORE));
+        assert_true(world_await_knowledge(fleet->world, fleet->nodes[i], 1, 1 + MORE));
+}
+
+/* A node for which all back ends are late at once, as its own link is, tells nothing of them. */
+static void test_own_trouble_is_not_told(void **state)
+{
+    fleet_t fleet = open_fleet();
+    enter_many(&fleet);
     int sender = find_collector(&fleet) == 1 ? 2 : 1;
     for (int round = 0; round < 5; round++) {
         for (int i = 0; i < MORE; i++) {
@@ -364,7 +371,6 @@
 /* What several nodes meet at many back ends is no trouble of the node that passes it on. */
 static void test_evidence_of_many_is_passed_on(void **state)
 {
-    enum { MORE = 9 };
     fleet_t fleet = open_fleet();
     int head = -1;
     for (int i = 0; i < 3; i++)
@@ -373,13 +379,7 @@
     fleet.nodes[head]->peers->is_collector = false; // whoever it is: the head of z1 passes on
     fleet.nodes[head]->peers->collector = fleet.nodes[3]->settings->peers;
     fleet.nodes[3]->peers->is_collector = true;
-    for (int i = 0; i < MORE; i++) {
-        char id[8];
-        g_snprintf(id, sizeof(id), "j-%d", i);
-        world_enter_searcher(fleet.world, id, "a", "z1");
-    }
-    for (int i = 0; i < NODES; i++)
-        assert_true(world_await_knowledge(fleet.world, fleet.nodes[i], 1, 1 + MORE));
+    enter_many(&fleet);
     for (int i = 0; i < MORE; i++) { // each of the two others meets fewer than would be its own
         char id[8];
         g_snprintf(id, sizeof(id), "j-%d", i);
