Tenants: keys in the configuration, who is let in, and the tenant's name to back ends

Change: ts_tenants_t (digests of keys, checked, a part of one version of the configuration), bearer credentials read strictly, 401 with a challenge, the tenant's header set by this node alone, keys looked up again before each further send and while a request waits, revoke_ms and revoke_fail_closed, the tenant's priority before the route's.

--- a/include/tealspar/dialect.h
+++ b/include/tealspar/dialect.h
@@ -23,6 +23,8 @@
     const char *part_signatures;   /**< gathered answer: the signatures of the parts in it */
     const char *missing_parts;     /**< gathered answer: number of parts left out */
     const char *retry_after;       /**< refusal: seconds until the caller may come back */
+    const char *authorization;     /**< the caller's credentials */
+    const char *tenant;            /**< to a back end: name of the tenant, set by this node only */
     const char *load;              /**< in an answer: what the searcher tells of its load */
 } ts_header_names_t;
 
--- a/include/tealspar/registry.h
+++ b/include/tealspar/registry.h
@@ -88,6 +88,8 @@
 
 /** Priorities whose refusals are told apart; less urgent ones count as the last. */
 #define TS_PRIORITIES 4U
+/* Ranks of requests: a tenant's priority, then its route's. */
+#define TS_RANKS (TS_PRIORITIES * TS_PRIORITIES)
 
 struct ts_service {
     char *name;
@@ -97,9 +99,9 @@
     ts_time_us_t warmup_us;   /**< how long an instance is slow from its start */
     double warmup_rate;       /**< requests a second that it bears then; 0: no limit */
     ts_time_us_t wanted_us;   /**< when a request last could not begin for want of it */
-    /* Shares of late requests that were refused, by priority. */
-    double refused[TS_PRIORITIES];        /**< of those forwarded to it */
-    double gather_refused[TS_PRIORITIES]; /**< of gathers over it and others, if it comes first */
+    /* Shares of late requests that were refused, by rank. */
+    double refused[TS_RANKS];        /**< of those forwarded to it */
+    double gather_refused[TS_RANKS]; /**< of gathers over it and others, if it comes first */
     ts_registry_t *registry;
 };
 
--- a/include/tealspar/traffic.h
+++ b/include/tealspar/traffic.h
@@ -11,6 +11,7 @@
 #include <stdint.h>
 
 #include "tealspar/problem.h"
+#include "tealspar/tenants.h"
 
 /** How a route divides its requests over services. */
 typedef enum ts_target_kind {
@@ -32,6 +33,7 @@
     ts_target_kind_t kind;
     GArray *targets;       /**< of ts_target_t */
     GPtrArray *regions;    /**< where its requests may be served, interned names; NULL: anywhere */
+    bool is_open;          /**< needs no key, also where tenants are named */
     bool is_repeatable;    /**< a request may run more than once */
     uint32_t attempts_max; /**< most searchers that one request (one part) may be sent to */
     uint32_t timeout_ms;   /**< longest time a request is held */
@@ -61,10 +63,11 @@
     int references;
     uint64_t version;
     ts_traffic_limits_t limits;
-    GPtrArray *routes;    /**< of ts_traffic_route_t, owned */
-    GHashTable *by_host;  /**< host -> GPtrArray of routes, longest prefix first */
-    GHashTable *by_name;  /**< name -> route */
-    GHashTable *services; /**< name -> ts_traffic_service_t, owned */
+    GPtrArray *routes;     /**< of ts_traffic_route_t, owned */
+    GHashTable *by_host;   /**< host -> GPtrArray of routes, longest prefix first */
+    GHashTable *by_name;   /**< name -> route */
+    GHashTable *services;  /**< name -> ts_traffic_service_t, owned */
+    ts_tenants_t *tenants; /**< owned; empty: requests need no key */
 } ts_traffic_t;
 
 /** An empty model with the default limits; one reference. */
--- a/src/config/gateway_settings.c
+++ b/src/config/gateway_settings.c
@@ -12,6 +12,7 @@
 #define DEFAULT_DRAIN_MS 3000
 #define DEFAULT_GRACE_MS 10000
 #define DEFAULT_WINDOW_MS 10000
+#define DEFAULT_REVOKE_MS 5000
 #define WINDOW_MIN_MS 100
 #define DEFAULT_WARMUP_OVERRUN 1.0
 
@@ -62,6 +63,9 @@
     CYAML_FIELD_FLOAT("retry_slack", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, retry_slack),
     CYAML_FIELD_FLOAT("warmup_overrun", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, warmup_overrun),
     CYAML_FIELD_FLOAT("warmup_slack", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, warmup_slack),
+    NUMBER_FIELD(revoke_ms),
+    CYAML_FIELD_BOOL("revoke_fail_closed", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t,
+                     revoke_fail_closed),
     CYAML_FIELD_ENUM("policy", CYAML_FLAG_STRICT | CYAML_FLAG_OPTIONAL, ts_gateway_settings_t,
                      policy, policy_names, CYAML_ARRAY_LEN(policy_names)),
     CYAML_FIELD_FLAGS("without", CYAML_FLAG_STRICT | CYAML_FLAG_OPTIONAL, ts_gateway_settings_t,
@@ -128,6 +132,7 @@
     set_default(&settings->drain_ms, DEFAULT_DRAIN_MS);
     set_default(&settings->grace_ms, DEFAULT_GRACE_MS);
     set_default(&settings->retry_window_ms, DEFAULT_WINDOW_MS);
+    set_default(&settings->revoke_ms, DEFAULT_REVOKE_MS);
     if (settings->warmup_overrun == 0)
         settings->warmup_overrun = DEFAULT_WARMUP_OVERRUN;
     check_settings(settings, problems);
--- a/src/config/traffic.c
+++ b/src/config/traffic.c
@@ -47,6 +47,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, (GDestroyNotify)g_ptr_array_unref);
     traffic->by_name = g_hash_table_new(g_str_hash, g_str_equal);
     traffic->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_service);
+    traffic->tenants = ts_tenants_create();
     return traffic;
 }
 
@@ -65,6 +66,7 @@
     g_hash_table_destroy(traffic->by_name);
     g_hash_table_destroy(traffic->services);
     g_ptr_array_unref(traffic->routes);
+    ts_tenants_free(traffic->tenants);
     g_free(traffic);
 }
 
@@ -173,7 +175,7 @@
 
 ts_error_t ts_traffic_finish(ts_traffic_t *traffic, ts_problems_t *problems)
 {
-    ts_error_t result = TS_OK;
+    ts_error_t result = ts_tenants_finish(traffic->tenants, problems);
     for (guint i = 0; i < traffic->routes->len; i++) {
         ts_traffic_route_t *route = g_ptr_array_index(traffic->routes, i);
         const char *fault = find_route_fault(route);
--- a/src/edge/answer.c
+++ b/src/edge/answer.c
@@ -8,6 +8,8 @@
 #include "tealspar/store_mirror.h"
 
 #define STATUS_OK 200
+#define STATUS_UNAUTHORIZED 401
+#define STATUS_TOO_MANY_REQUESTS 429
 #define STATUS_BAD_GATEWAY 502
 #define STATUS_UNAVAILABLE 503
 #define STATUS_GATEWAY_TIMEOUT 504
@@ -29,6 +31,13 @@
     }
 }
 
+/* Says how a caller that showed no key that is held may show one. */
+static void append_challenge(unsigned status, GString *fields)
+{
+    if (status == STATUS_UNAUTHORIZED)
+        g_string_append(fields, "WWW-Authenticate: Bearer\r\n");
+}
+
 static char *describe_error(ts_error_t error)
 {
     return g_strdup_printf("{\"error\":\"%s\",\"message\":\"%s\"}\n", ts_error_name(error),
@@ -44,6 +53,7 @@
     if (id != NULL) {
         g_string_append_printf(fields, "%s: %s\r\n", id_name, id);
     }
+    append_challenge(status, fields);
     append_retry_after(gateway, retry_after_ms, fields);
     char *body = describe_error(error);
     ts_count_error(error);
@@ -154,6 +164,8 @@
 
 static unsigned failure_status(ts_error_t error, bool may_have_run)
 {
+    if (!may_have_run && error == TS_E_UNAUTHENTICATED)
+        return STATUS_UNAUTHORIZED;
     if (!may_have_run) {
         return STATUS_UNAVAILABLE;
     }
@@ -173,14 +185,15 @@
 /* When a caller may come back: later, and spread out, when there is more work than can be done. */
 static uint32_t retry_after_ms(const ts_request_t *request, ts_error_t error)
 {
+    if (error == TS_E_UNAUTHENTICATED)
+        return 0; // coming back with the same key is of no use
     bool waits_for_instances = error == TS_E_PLACEMENT || lacks_instances(request);
     if (error != TS_E_OVERLOAD && error != TS_E_PLACEMENT) {
         return RETRY_AFTER_MS;
     }
     if (waits_for_instances)
         return NO_INSTANCE_RETRY_MS + ts_gateway_random(request->gateway) % RETRY_AFTER_MS;
-    unsigned priority = MIN(request->route->priority, TS_PRIORITIES - 1);
-    double refused = ts_request_refused_shares(request)[priority];
+    double refused = ts_request_refused_shares(request)[request->rank];
     return OVERLOAD_RETRY_MS + ts_gateway_random(request->gateway) % OVERLOAD_RETRY_MS +
            (uint32_t)(refused * OVERLOAD_RETRY_MORE_MS);
 }
@@ -192,6 +205,7 @@
     GString *fields = g_string_new("Content-Type: application/json\r\n");
     g_string_append_printf(fields, "%s: %s\r\n", request->gateway->dialect->headers.request_id,
                            request->outgoing->request_id);
+    append_challenge(status, fields);
     append_retry_after(request->gateway, may_have_run ? 0 : retry_after_ms(request, error), fields);
     char *body = describe_error(error);
     ts_count_error(error);
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -59,18 +59,27 @@
 
 /* -- Beginning --------------------------------------------------------------------------------- */
 
+/*
+ * Whether a field is this node's to set, or not a back end's to see. Credentials are the caller's
+ * and this node's matter where the configuration names tenants.
+ */
+static bool is_own_field(const ts_header_names_t *names, const char *name, bool has_tenants)
+{
+    return strcasecmp(name, names->deadline_ms) == 0 ||
+           strcasecmp(name, names->expected_instance) == 0 ||
+           strcasecmp(name, names->tenant) == 0 ||
+           (has_tenants && strcasecmp(name, names->authorization) == 0);
+}
+
 /* The fields that go on to a back end, without those that this node sets itself. */
 static void copy_fields(const ts_http_message_t *message, const ts_header_names_t *names,
-                        GString *out)
+                        bool has_tenants, GString *out)
 {
     for (guint i = 0; i < message->fields->len; i++) {
         const ts_http_field_t *field = &g_array_index(message->fields, ts_http_field_t, i);
         const char *name = ts_http_message_text(message, field->name);
-        if (strcasecmp(name, names->deadline_ms) == 0 ||
-            strcasecmp(name, names->expected_instance) == 0 ||
-            ts_http_message_is_hop_field(message, name)) {
+        if (is_own_field(names, name, has_tenants) || ts_http_message_is_hop_field(message, name))
             continue;
-        }
         g_string_append(out, name);
         g_string_append(out, ": ");
         g_string_append_len(out, ts_http_message_text(message, field->value), field->value_length);
@@ -79,8 +88,9 @@
 }
 
 static ts_outgoing_t *compose_outgoing(const ts_gateway_t *gateway,
-                                       const ts_http_message_t *message)
+                                       const ts_http_message_t *message, const ts_tenant_t *tenant)
 {
+    bool has_tenants = ts_tenants_count(gateway->traffic->tenants) > 0;
     const ts_header_names_t *names = &gateway->dialect->headers;
     ts_outgoing_t *outgoing = g_new0(ts_outgoing_t, 1);
     outgoing->references = 1;
@@ -89,7 +99,9 @@
     g_string_append_printf(outgoing->head, "%s %s HTTP/1.1\r\n",
                            http_method_str((enum http_method)message->parser.method),
                            message->target->str);
-    copy_fields(message, names, outgoing->head);
+    copy_fields(message, names, has_tenants, outgoing->head);
+    if (tenant != NULL)
+        g_string_append_printf(outgoing->head, "%s: %s\r\n", names->tenant, tenant->name);
     bool has_length = (message->parser.flags & (F_CONTENTLENGTH | F_CHUNKED)) != 0;
     if (message->body->len > 0 || has_length) {
         outgoing->body = g_string_new_len(message->body->str, (gssize)message->body->len);
@@ -149,8 +161,15 @@
 static void check_parts(uv_timer_t *timer);
 static void set_timer(ts_request_t *request, ts_time_us_t now_us);
 
+/* A tenant's priority goes before its route's. */
+static unsigned rank_of(const ts_traffic_route_t *route, const ts_tenant_t *tenant)
+{
+    unsigned first = tenant == NULL ? 0 : MIN(tenant->priority, TS_PRIORITIES - 1);
+    return first * TS_PRIORITIES + MIN(route->priority, TS_PRIORITIES - 1);
+}
+
 static ts_request_t *create_request(ts_gateway_t *gateway, ts_caller_t *caller,
-                                    const ts_traffic_route_t *route)
+                                    const ts_traffic_route_t *route, const ts_identity_t *identity)
 {
     bool is_gather = route->kind == TS_TARGET_GATHER;
     unsigned parts = is_gather ? route->targets->len : 1;
@@ -159,9 +178,11 @@
     request->caller = caller;
     request->traffic = ts_traffic_ref(gateway->traffic);
     request->route = route;
+    request->identity = *identity;
+    request->rank = rank_of(route, identity->tenant);
     request->state = ts_gateway_route_state(gateway, route);
     request->parts_count = parts;
-    request->outgoing = compose_outgoing(gateway, ts_caller_message(caller));
+    request->outgoing = compose_outgoing(gateway, ts_caller_message(caller), identity->tenant);
     request->outgoing->is_repeatable = route->is_repeatable;
     uv_timer_init(gateway->loop, &request->timer);
     request->timer.data = request;
@@ -221,6 +242,9 @@
     case TS_ADMISSION_WAITS:
         uv_timer_start(&request->timer, check_parts, ADMISSION_LOOK_US / TS_US_PER_MS, 0);
         return false;
+    case TS_ADMISSION_REVOKED:
+        fail(request, TS_E_UNAUTHENTICATED);
+        return true;
     case TS_ADMISSION_EXCLUDED:
         fail(request, TS_E_PLACEMENT);
         return true;
@@ -236,6 +260,8 @@
 /* Why a request without a success failed, by what its parts met. */
 static ts_error_t find_failure(const ts_request_t *request)
 {
+    if (ts_request_is_revoked(request))
+        return TS_E_UNAUTHENTICATED;
     for (unsigned i = 0; i < request->parts_count; i++) {
         if (request->parts[i].state == TS_PART_LOST && request->parts[i].was_refused) {
             return TS_E_OVERLOAD;
@@ -346,7 +372,13 @@
         ts_answer_error(gateway, caller, STATUS_BAD_REQUEST, TS_E_BAD_REQUEST, 0);
         return;
     }
-    ts_request_t *request = create_request(gateway, caller, route);
+    ts_identity_t identity;
+    ts_error_t error = ts_request_identify(gateway, caller, route, &identity);
+    if (error != TS_OK) {
+        ts_request_turn_away(gateway, caller, error);
+        return;
+    }
+    ts_request_t *request = create_request(gateway, caller, route, &identity);
     ts_caller_set_request(caller, request);
     set_times(request, arrived_us, read_patience_ms(gateway, message));
     ts_time_us_t now_us = ts_clock_now_us();
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -2,6 +2,7 @@
 #ifndef TEALSPAR_EDGE_REQUEST_H
 #define TEALSPAR_EDGE_REQUEST_H
 
+#include "tealspar/authentication.h"
 #include "tealspar/gateway.h"
 #include "tealspar/log.h"
 
@@ -48,6 +49,8 @@
     ts_caller_t *caller; /**< NULL once answered or gone */
     ts_traffic_t *traffic;
     const ts_traffic_route_t *route;
+    ts_identity_t identity; /**< whose it is, by the configuration it began with */
+    unsigned rank;          /**< of its tenant and its route; 0 is the most urgent */
     ts_route_state_t *state;
     ts_outgoing_t *outgoing;
     uv_timer_t timer;
@@ -114,10 +117,21 @@
 /** Answers a caller whose request was not even begun; `retry_after_ms` 0: do not say. */
 void ts_answer_error(ts_gateway_t *gateway, ts_caller_t *caller, unsigned status, ts_error_t error,
                      uint32_t retry_after_ms);
+/**
+ * Whose the request is that a caller has sent on a route, or why it is not let in:
+ * TS_E_UNAUTHENTICATED, or TS_E_UNCONFIRMED while keys must not be trusted.
+ */
+ts_error_t ts_request_identify(const ts_gateway_t *gateway, const ts_caller_t *caller,
+                               const ts_traffic_route_t *route, ts_identity_t *identity);
+/** Whether the key by which it was let in has been taken away since. */
+bool ts_request_is_revoked(const ts_request_t *request);
+/** Answers a caller whose request was not let in. */
+void ts_request_turn_away(ts_gateway_t *gateway, ts_caller_t *caller, ts_error_t error);
 /** How a request stands that is not begun yet. */
 typedef enum ts_admission {
     TS_ADMISSION_BEGUN,    /**< its parts are sent */
     TS_ADMISSION_WAITS,    /**< too many back ends are full; it may look again */
+    TS_ADMISSION_REVOKED,  /**< its key has been taken away */
     TS_ADMISSION_EXCLUDED, /**< too many parts have no back end where they may be served */
     TS_ADMISSION_OVERLOAD  /**< its time to begin is over */
 } ts_admission_t;
@@ -125,7 +139,7 @@
 /** Begins the request if it can be begun. */
 ts_admission_t ts_request_admit(ts_request_t *request, ts_time_us_t now_us);
 /**
- * Shares of requests like this one that were refused lately, by priority. Gathers over the same
+ * Shares of requests like this one that were refused lately, by rank. Gathers over the same
  * services share an account, which their first service keeps; requests that are forwarded to one of
  * these services have another, as a service that is down refuses them all and hinders no gather.
  */
--- a/src/edge/request_admission.c
+++ b/src/edge/request_admission.c
@@ -22,11 +22,6 @@
 #define REFUSED_STEP 0.03
 #define REFUSED_MARGIN 0.04
 
-static unsigned priority_of(const ts_request_t *request)
-{
-    return MIN(request->route->priority, TS_PRIORITIES - 1);
-}
-
 double *ts_request_refused_shares(const ts_request_t *request)
 {
     ts_service_t *first = request->parts[0].service;
@@ -38,7 +33,7 @@
     ts_time_us_t span_us = (request->stop_us - request->arrived_us) / ADMISSION_DIVISOR;
     if (!request->has_returned || !ts_mechanism_is_on(TS_MECHANISM_RETURNED))
         return span_us;
-    double refused = ts_request_refused_shares(request)[priority_of(request)];
+    double refused = ts_request_refused_shares(request)[request->rank];
     double share = MAX(1 - refused / RETURNED_REFUSED_MAX, 0) / ADMISSION_RETURNED_DIVISOR;
     ts_time_us_t left_us = request->deadline_us - request->arrived_us;
     return MAX((ts_time_us_t)(share * (double)left_us), span_us);
@@ -58,7 +53,7 @@
 
 static void note_admission(const ts_request_t *request, bool was_refused)
 {
-    double *share = &ts_request_refused_shares(request)[priority_of(request)];
+    double *share = &ts_request_refused_shares(request)[request->rank];
     *share += REFUSED_STEP * ((was_refused ? 1.0 : 0.0) - *share);
 }
 
@@ -66,11 +61,11 @@
 static bool is_behind_urgent(const ts_request_t *request)
 {
     const double *refused = ts_request_refused_shares(request);
-    unsigned own = priority_of(request);
+    unsigned own = request->rank;
     if (!ts_mechanism_is_on(TS_MECHANISM_PRIORITY))
         return false;
-    for (unsigned priority = 0; priority < own; priority++) {
-        if (refused[priority] > refused[own] + REFUSED_MARGIN) {
+    for (unsigned rank = 0; rank < own; rank++) {
+        if (refused[rank] > refused[own] + REFUSED_MARGIN) {
             return true;
         }
     }
@@ -106,6 +101,8 @@
 
 ts_admission_t ts_request_admit(ts_request_t *request, ts_time_us_t now_us)
 {
+    if (ts_request_is_revoked(request))
+        return TS_ADMISSION_REVOKED;
     if (!leave_out_excluded(request, now_us))
         return TS_ADMISSION_EXCLUDED;
     if (!is_behind_urgent(request) && can_begin(request, now_us)) {
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -188,9 +188,21 @@
            census.in_flight, input.connections_max);
 }
 
+/* The request's key was taken away before anything of the part was sent. */
+static void lose_revoked(ts_request_part_t *part, ts_time_us_t now_us)
+{
+    ts_part_log_decision(part, TS_EVENT_PART_LOST, "key_revoked", NULL, now_us);
+    ts_count(TS_COUNTER_PARTS_LOST, 1);
+    ts_part_set_state(part, TS_PART_LOST);
+}
+
 void ts_part_send_first(ts_request_part_t *part)
 {
     ts_time_us_t now_us = ts_clock_now_us();
+    if (ts_request_is_revoked(part->request)) {
+        lose_revoked(part, now_us);
+        return;
+    }
     ts_replica_input_t input = choice_input(part, now_us);
     ts_instance_t *instance = ts_replica_choose(part->service, &input, NULL, 0);
     if (instance == NULL) {
@@ -214,7 +226,7 @@
 {
     const ts_traffic_route_t *route = part->request->route;
     return part->attempts < route->attempts_max && part->sends < TS_SENDS_MAX &&
-           (route->is_repeatable || !part->may_have_run);
+           (route->is_repeatable || !part->may_have_run) && !ts_request_is_revoked(part->request);
 }
 
 /*
--- a/tests/platform/test_documents.c
+++ b/tests/platform/test_documents.c
@@ -93,6 +93,32 @@
     g_free(reasons);
 }
 
+static void test_fields_of_tenants(void **state)
+{
+    char *reasons = NULL;
+    ts_traffic_t *traffic = read_document(
+        "{\"version\":7,\"routes\":[" ROUTE(
+            "\"service\":\"s\",\"authExempt\":true") ",{\"name\":\"k\","
+                                                     "\"host\":\"h.example\",\"pathPrefix\":\"/k/"
+                                                     "\",\"service\":\"s\",\"authExempt\":false}],"
+                                                     "\"tenants\":[{\"name\":\"t\",\"apiKeys\":["
+                                                     "\"a\",\"b\"],\"priority\":2,\"ratePerS\":1.5,"
+                                                     "\"burst\":20},{\"name\":\"u\",\"apiKeys\":[]}"
+                                                     "]}",
+        &reasons);
+    assert_non_null(traffic);
+    assert_true(ts_traffic_find_route(traffic, "r")->is_open);
+    assert_false(ts_traffic_find_route(traffic, "k")->is_open);
+    const ts_tenant_t *tenant = ts_tenants_find(traffic->tenants, "t");
+    ts_key_digest_t digest = ts_key_digest("b", 1);
+    assert_ptr_equal(ts_tenants_find_holder(traffic->tenants, &digest), tenant);
+    assert_int_equal(tenant->priority, 2);
+    assert_true(tenant->rate == 1.5 && tenant->burst == 20);
+    assert_true(ts_tenants_find(traffic->tenants, "u")->rate == 0);
+    ts_traffic_unref(traffic);
+    g_free(reasons);
+}
+
 static void test_load_that_is_told(void **state)
 {
     ts_told_load_t load = {0};
@@ -192,6 +218,7 @@
         cmocka_unit_test(test_longest_prefix_of_the_host),
         cmocka_unit_test(test_fields_of_a_gather),
         cmocka_unit_test(test_fields_of_places),
+        cmocka_unit_test(test_fields_of_tenants),
         cmocka_unit_test(test_load_that_is_told),
         cmocka_unit_test(test_what_is_refused_is_named),
         cmocka_unit_test(test_page_with_changes),
