Rates that the fleet keeps together: account, lease and limiter, as pure decisions

Change: one home an account deals tokens out of a bucket, gateways hold leases of them; nothing calls it yet.

--- /dev/null
+++ b/include/tealspar/rate_lease.h
@@ -0,0 +1,64 @@
+/**
+ * The lease of one rate at a node that uses it: tokens that the rate's home has dealt to it and
+ * already debited, what it uses, and what it does while the home doesn't answer. Pure: no clock,
+ * no sockets.
+ */
+#ifndef TEALSPAR_RATE_LEASE_H
+#define TEALSPAR_RATE_LEASE_H
+
+#include "tealspar/rate_account.h"
+
+/** How a request stands that wants a token. */
+typedef enum ts_rate_verdict {
+    TS_RATE_TAKEN,  /**< it has one */
+    TS_RATE_WAITS,  /**< the home is being asked */
+    TS_RATE_OVER,   /**< the fleet has spent what it may */
+    TS_RATE_UNKNOWN /**< the home doesn't answer, and this node may not spend more by itself */
+} ts_rate_verdict_t;
+
+typedef struct ts_rate_lease {
+    unsigned tokens;             /**< in hand */
+    ts_time_us_t valid_until_us; /**< they are void from then on */
+    double demand;               /**< requests a second, as of late */
+    double spent;                /**< tokens a second, as of late */
+    ts_time_us_t demand_us;      /**< when `demand` was brought up to date */
+    ts_time_us_t spent_us;
+    ts_time_us_t used_us;         /**< when a request last wanted a token */
+    ts_time_us_t asked_us;        /**< when the ask left that is not answered; 0: none is out */
+    ts_time_us_t sent_us;         /**< when the latest ask left */
+    uint32_t ask;                 /**< number of the latest ask */
+    ts_time_us_t silent_since_us; /**< the home answers nothing since; 0: it answers */
+    ts_time_us_t over_until_us;   /**< the home has none for this node until then */
+    ts_time_us_t ask_after_us;    /**< not asked before that, unless a request waits */
+    double own_rate;              /**< tokens a second that it may spend by itself, */
+    double own_tokens;            /**< and what has come in of them */
+    ts_time_us_t own_us;          /**< when that was brought up to date */
+    bool is_waited_for;           /**< a request found none and waits */
+    bool was_over;                /**< it was said that the limit is reached */
+} ts_rate_lease_t;
+
+void ts_rate_lease_open(ts_rate_lease_t *lease, ts_time_us_t now_us);
+/** A request has come that wants a token; once a request. */
+void ts_rate_lease_note_request(ts_rate_lease_t *lease, ts_time_us_t now_us);
+/** Takes a token if there is one. */
+ts_rate_verdict_t ts_rate_lease_take(ts_rate_lease_t *lease, const ts_rate_terms_t *terms,
+                                     ts_time_us_t now_us);
+/** A request that has a token ends without having run. */
+void ts_rate_lease_return(ts_rate_lease_t *lease, ts_time_us_t now_us);
+/** Tokens that are worth having in hand. */
+unsigned ts_rate_lease_wanted(const ts_rate_lease_t *lease, const ts_rate_terms_t *terms,
+                              ts_time_us_t now_us);
+/** Whether the home is to be asked now. */
+bool ts_rate_lease_is_due(const ts_rate_lease_t *lease, const ts_rate_terms_t *terms,
+                          ts_time_us_t now_us);
+/** An ask leaves; returns its number. */
+uint32_t ts_rate_lease_note_ask(ts_rate_lease_t *lease, ts_time_us_t now_us);
+/** The home's answer to an ask; one that is not awaited is ignored. */
+void ts_rate_lease_take_deal(ts_rate_lease_t *lease, uint32_t ask, const ts_rate_deal_t *deal,
+                             ts_time_us_t now_us);
+/** Tokens in hand that are still valid. */
+unsigned ts_rate_lease_in_hand(const ts_rate_lease_t *lease, ts_time_us_t now_us);
+/** When it may be worth coming back, after TS_RATE_OVER. */
+ts_time_us_t ts_rate_lease_wait_us(const ts_rate_lease_t *lease, ts_time_us_t now_us);
+
+#endif
--- /dev/null
+++ b/include/tealspar/rate_limiter.h
@@ -0,0 +1,71 @@
+/**
+ * Rates that the whole fleet keeps together: the leases of this node, and the accounts that it is
+ * the home of. It owns both and knows neither sockets nor the clock; whom to ask, what an account
+ * allows and how messages go are given to it, so that it runs the same in a simulated fleet.
+ */
+#ifndef TEALSPAR_RATE_LIMITER_H
+#define TEALSPAR_RATE_LIMITER_H
+
+#include "tealspar/rate_lease.h"
+
+/** Who deals an account out. */
+typedef enum ts_rate_home {
+    TS_RATE_HOME_SELF, /**< this node */
+    TS_RATE_HOME_PEER, /**< another one */
+    TS_RATE_HOME_NONE  /**< nobody that this node can tell */
+} ts_rate_home_t;
+
+/** One line of a message: an ask, or the answer to one. */
+typedef struct ts_rate_row {
+    const char *account;
+    uint32_t ask;        /**< number of the ask */
+    unsigned in_hand;    /**< ask: tokens that the sender has */
+    unsigned wanted;     /**< ask: tokens that it wants to have */
+    ts_rate_deal_t deal; /**< answer: what it gets */
+} ts_rate_row_t;
+
+typedef struct ts_rate_limiter_ops {
+    /** What an account allows; false when it has no limit or is not known. */
+    bool (*terms)(void *ctx, const char *account, ts_rate_terms_t *terms);
+    /** Who deals an account out; the address, valid until the view changes, with HOME_PEER. */
+    ts_rate_home_t (*home)(void *ctx, const char *account, const char **address);
+    /** Asks another node. */
+    void (*ask)(void *ctx, const char *address, const ts_rate_row_t *row);
+    /** Something is due: ts_rate_limiter_turn is to be called at once. */
+    void (*wake)(void *ctx);
+    /** The limit of an account is reached at this node, or is no longer; for the log. */
+    void (*changed)(void *ctx, const char *account, const ts_rate_terms_t *terms, bool is_over);
+} ts_rate_limiter_ops_t;
+
+typedef struct ts_rate_limiter ts_rate_limiter_t;
+
+/** `node`: hash of this node's name. */
+ts_rate_limiter_t *ts_rate_limiter_create(uint64_t node, const ts_rate_limiter_ops_t *ops,
+                                          void *ctx, ts_time_us_t now_us);
+void ts_rate_limiter_free(ts_rate_limiter_t *limiter);
+/** A request of the account has come; once a request, before the first take. */
+void ts_rate_limiter_note_request(ts_rate_limiter_t *limiter, const char *account,
+                                  ts_time_us_t now_us);
+/** Takes a token of the account; TS_RATE_TAKEN also when it has no limit. */
+ts_rate_verdict_t ts_rate_limiter_take(ts_rate_limiter_t *limiter, const char *account,
+                                       ts_time_us_t now_us);
+/** Gives a token back: its request has not run and never will. */
+void ts_rate_limiter_return(ts_rate_limiter_t *limiter, const char *account, ts_time_us_t now_us);
+/** When it may be worth coming back, after TS_RATE_OVER. */
+ts_time_us_t ts_rate_limiter_wait_us(const ts_rate_limiter_t *limiter, const char *account,
+                                     ts_time_us_t now_us);
+/** Asks for what is due; call it four times a second, and after `wake`. */
+void ts_rate_limiter_turn(ts_rate_limiter_t *limiter, ts_time_us_t now_us);
+/** Another node asks. Returns whether this node is the home and has answered into `row->deal`. */
+bool ts_rate_limiter_take_ask(ts_rate_limiter_t *limiter, uint64_t node, ts_rate_row_t *row,
+                              ts_time_us_t now_us);
+/** The home has answered. */
+void ts_rate_limiter_take_deal(ts_rate_limiter_t *limiter, const ts_rate_row_t *row,
+                               ts_time_us_t now_us);
+/** Other nodes may be home now: accounts that this node no longer deals out are forgotten. */
+void ts_rate_limiter_change_view(ts_rate_limiter_t *limiter, ts_time_us_t now_us);
+/** Accounts that this node deals out, and leases that it holds. */
+unsigned ts_rate_limiter_accounts(const ts_rate_limiter_t *limiter);
+unsigned ts_rate_limiter_leases(const ts_rate_limiter_t *limiter);
+
+#endif
--- /dev/null
+++ b/src/route/rate_lease.c
@@ -0,0 +1,173 @@
+/** The lease of a rate at a node that uses it. */
+#include "tealspar/rate_lease.h"
+
+#include <math.h>
+
+/* Tokens are void so long after they were asked for, before the home forgets them. */
+#define VALID_US (2 * TS_US_PER_S)
+/* How fast demand is followed, and what is spent; the second stands in when the home is lost. */
+#define DEMAND_SPAN_S 1.0
+#define SPENT_SPAN_S 5.0
+/* Tokens in hand last for so long at the present demand, and one more. */
+#define AHEAD_S 0.3
+/* An ask without an answer is sent again after this. */
+#define ASK_AGAIN_US (100 * TS_US_PER_MS)
+/* A home that leaves asks unanswered for so long is not waited for any more. */
+#define SILENT_US (200 * TS_US_PER_MS)
+/* Asks of a lease that is not waited for are at least so far apart. */
+#define ASK_GAP_US (50 * TS_US_PER_MS)
+/* The same after the home had none to give, although some are in hand. */
+#define ASK_EMPTY_GAP_US (250 * TS_US_PER_MS)
+/* A lease in use is renewed this often; it is in use for so long after a request. */
+#define RENEW_US (1 * TS_US_PER_S)
+#define IN_USE_US (5 * TS_US_PER_S)
+/* Bounds on how long the home's answer that it has none is believed. */
+#define OVER_LEAST_US (20 * TS_US_PER_MS)
+#define OVER_MOST_US (500 * TS_US_PER_MS)
+/* Of the tolerance: what nodes that have lost the home may spend beyond what they did. */
+#define ALONE_SHARE 0.25
+/* What a node may spend by itself of a rate that it has not used before, until it has found the
+ * home; also the most that it saves up. */
+#define ALONE_BEGIN 1.0
+/* A second of its own spending is the most that it saves up otherwise. */
+#define ALONE_SAVED_S 1.0
+
+void ts_rate_lease_open(ts_rate_lease_t *lease, ts_time_us_t now_us)
+{
+    *lease = (ts_rate_lease_t){.demand_us = now_us,
+                               .spent_us = now_us,
+                               .used_us = now_us,
+                               .own_tokens = ALONE_BEGIN,
+                               .own_us = now_us};
+}
+
+/* A rate that was last brought up to date at `at_us`, faded to now. */
+static double faded(double rate, ts_time_us_t at_us, ts_time_us_t now_us, double span_s)
+{
+    double age_s = (double)(now_us - at_us) / TS_US_PER_S;
+    return rate * exp(-age_s / span_s);
+}
+
+void ts_rate_lease_note_request(ts_rate_lease_t *lease, ts_time_us_t now_us)
+{
+    lease->demand = faded(lease->demand, lease->demand_us, now_us, DEMAND_SPAN_S);
+    lease->demand += 1 / DEMAND_SPAN_S;
+    lease->demand_us = now_us;
+    lease->used_us = now_us;
+}
+
+static void note_spent(ts_rate_lease_t *lease, double tokens, ts_time_us_t now_us)
+{
+    lease->spent = faded(lease->spent, lease->spent_us, now_us, SPENT_SPAN_S);
+    lease->spent = MAX(lease->spent + tokens / SPENT_SPAN_S, 0);
+    lease->spent_us = now_us;
+}
+
+unsigned ts_rate_lease_in_hand(const ts_rate_lease_t *lease, ts_time_us_t now_us)
+{
+    return now_us < lease->valid_until_us ? lease->tokens : 0;
+}
+
+/* What it may spend by itself: as it did before the home was lost, and a part of the tolerance. */
+static void fill_own(ts_rate_lease_t *lease, const ts_rate_terms_t *terms, ts_time_us_t now_us)
+{
+    double more = 1 + ALONE_SHARE * terms->tolerance / terms->limit;
+    double rate = MIN(lease->own_rate * more, terms->rate);
+    double most = MAX(rate * ALONE_SAVED_S, ALONE_BEGIN);
+    double come = rate * (double)(now_us - lease->own_us) / TS_US_PER_S;
+    lease->own_tokens = MIN(lease->own_tokens + come, MAX(most, lease->own_tokens));
+    lease->own_us = now_us;
+}
+
+static bool take_own(ts_rate_lease_t *lease, const ts_rate_terms_t *terms, ts_time_us_t now_us)
+{
+    fill_own(lease, terms, now_us);
+    if (lease->own_tokens < 1)
+        return false;
+    lease->own_tokens -= 1;
+    return true;
+}
+
+ts_rate_verdict_t ts_rate_lease_take(ts_rate_lease_t *lease, const ts_rate_terms_t *terms,
+                                     ts_time_us_t now_us)
+{
+    bool is_silent = lease->silent_since_us != 0 && now_us - lease->silent_since_us > SILENT_US;
+    if (ts_rate_lease_in_hand(lease, now_us) > 0) {
+        lease->tokens--;
+        note_spent(lease, 1, now_us);
+        return TS_RATE_TAKEN;
+    }
+    if (now_us < lease->over_until_us)
+        return TS_RATE_OVER;
+    if (is_silent) {
+        bool is_taken = take_own(lease, terms, now_us);
+        lease->is_waited_for = true; // the home goes on being asked
+        if (is_taken)
+            note_spent(lease, 1, now_us);
+        return is_taken ? TS_RATE_TAKEN : TS_RATE_UNKNOWN;
+    }
+    lease->is_waited_for = true;
+    return TS_RATE_WAITS;
+}
+
+void ts_rate_lease_return(ts_rate_lease_t *lease, ts_time_us_t now_us)
+{
+    note_spent(lease, -1, now_us);
+    if (now_us < lease->valid_until_us)
+        lease->tokens++;
+}
+
+unsigned ts_rate_lease_wanted(const ts_rate_lease_t *lease, const ts_rate_terms_t *terms,
+                              ts_time_us_t now_us)
+{
+    double demand = faded(lease->demand, lease->demand_us, now_us, DEMAND_SPAN_S);
+    double ahead = ceil(demand * AHEAD_S) + 1;
+    return (unsigned)MIN(ahead, MAX(floor(ts_rate_capacity(terms)), 1));
+}
+
+bool ts_rate_lease_is_due(const ts_rate_lease_t *lease, const ts_rate_terms_t *terms,
+                          ts_time_us_t now_us)
+{
+    bool is_out = lease->asked_us != 0 && now_us - lease->asked_us < ASK_AGAIN_US;
+    bool is_over = now_us < lease->over_until_us;
+    if (is_out || is_over)
+        return false;
+    if (lease->is_waited_for)
+        return true;
+    if (now_us < lease->ask_after_us || now_us - lease->used_us > IN_USE_US)
+        return false;
+    unsigned in_hand = ts_rate_lease_in_hand(lease, now_us);
+    bool is_low = 2 * in_hand <= ts_rate_lease_wanted(lease, terms, now_us);
+    return is_low || now_us - lease->sent_us > RENEW_US;
+}
+
+uint32_t ts_rate_lease_note_ask(ts_rate_lease_t *lease, ts_time_us_t now_us)
+{
+    if (lease->silent_since_us == 0) {
+        lease->silent_since_us = now_us;
+        lease->own_rate = faded(lease->spent, lease->spent_us, now_us, SPENT_SPAN_S);
+    }
+    lease->asked_us = now_us;
+    lease->sent_us = now_us;
+    return ++lease->ask;
+}
+
+void ts_rate_lease_take_deal(ts_rate_lease_t *lease, uint32_t ask, const ts_rate_deal_t *deal,
+                             ts_time_us_t now_us)
+{
+    if (lease->asked_us == 0 || ask != lease->ask)
+        return;
+    lease->tokens = ts_rate_lease_in_hand(lease, now_us) + deal->tokens;
+    lease->valid_until_us = lease->asked_us + VALID_US;
+    lease->asked_us = 0;
+    lease->silent_since_us = 0;
+    lease->is_waited_for = false;
+    lease->ask_after_us = now_us + (deal->tokens == 0 ? ASK_EMPTY_GAP_US : ASK_GAP_US);
+    if (lease->tokens == 0)
+        lease->over_until_us = now_us + CLAMP(deal->wait_us, OVER_LEAST_US, OVER_MOST_US);
+}
+
+ts_time_us_t ts_rate_lease_wait_us(const ts_rate_lease_t *lease, ts_time_us_t now_us)
+{
+    return lease->over_until_us > now_us ? lease->over_until_us - now_us : 0;
+}
