--- a/include/tealspar/counters.h
+++ b/include/tealspar/counters.h
@@ -87,6 +87,12 @@
       "times nothing was told of back ends, as most looked bad from here at once")                 \
     X(EVIDENCE_STALE, counter, "evidence_stale_total",                                             \
       "messages of evidence that were older than another from the same node")                      \
+    X(RATE_ASKS, counter, "rate_asks_total", "tokens of tenants' limits asked for at other nodes") \
+    X(RATE_DEALS, counter, "rate_deals_total", "such asks of others that were answered")           \
+    X(RATE_ASKS_ASTRAY, counter, "rate_asks_astray_total",                                         \
+      "such asks for what this node does not deal out")                                            \
+    X(RATE_LEASES, gauge, "rate_leases", "tenants of whose limits this node may hold tokens")      \
+    X(RATE_ACCOUNTS, gauge, "rate_accounts", "tenants whose limits this node deals out")           \
     X(STORE_CALLS, counter, "store_calls_total", "calls to the configuration service")             \
     X(STORE_FAILURES, counter, "store_failures_total", "failed calls to it")                       \
     X(CALLER_CONNECTIONS, gauge, "caller_connections", "open connections of callers")              \
--- a/include/tealspar/gateway.h
+++ b/include/tealspar/gateway.h
@@ -10,6 +10,7 @@
 #include "tealspar/caller.h"
 #include "tealspar/dialect.h"
 #include "tealspar/gateway_settings.h"
+#include "tealspar/rate_limiter.h"
 #include "tealspar/registry.h"
 #include "tealspar/route_state.h"
 #include "tealspar/traffic.h"
@@ -42,6 +43,9 @@
     GHashTable *route_states;    /**< route name -> ts_route_state_t */
     ts_retry_budget_rule_t rule; /**< what may be sent beyond the first */
     ts_cold_rule_t cold_rule;    /**< what cold back ends bear */
+    ts_rate_limiter_t *limiter;  /**< what tenants may send over the whole fleet */
+    uv_timer_t limiter_timer;    /**< its turns */
+    GPtrArray *token_waiters;    /**< requests that wait for it, of ts_request_t */
     unsigned requests;           /**< being worked on */
     uint32_t random;             /**< state of the cheap generator that breaks ties */
     bool is_stopping;
--- a/include/tealspar/gateway_settings.h
+++ b/include/tealspar/gateway_settings.h
@@ -38,11 +38,14 @@
     uint32_t grace_ms;  /**< from the request to stop until the process is killed */
     double retry_ratio; /**< extra sends for each request, over the fleet */
     uint32_t retry_window_ms;
-    double retry_slack;      /**< extra sends in a window beyond the ratio, over the fleet */
-    double warmup_overrun;   /**< a cold back end bears this many times its service's rate, */
-    double warmup_slack;     /**< and so many requests a second more, from the whole fleet */
-    uint32_t revoke_ms;      /**< with the next: keys are trusted for so long unconfirmed */
-    bool revoke_fail_closed; /**< keyed requests are refused after that; else goes on */
+    double retry_slack;       /**< extra sends in a window beyond the ratio, over the fleet */
+    double warmup_overrun;    /**< a cold back end bears this many times its service's rate, */
+    double warmup_slack;      /**< and so many requests a second more, from the whole fleet */
+    uint32_t quota_window_ms; /**< a tenant's limit counts in each window of this length */
+    double quota_overrun;     /**< beyond the limit, in any window: this part of it, */
+    double quota_slack;       /**< and so many requests more */
+    uint32_t revoke_ms;       /**< with the next: keys are trusted for so long unconfirmed */
+    bool revoke_fail_closed;  /**< keyed requests are refused after that; else goes on */
     ts_late_policy_t policy;
     uint32_t without; /**< mechanisms that are switched off; bits of tealspar/mechanism.h */
     ts_log_format_t log_format;
--- a/include/tealspar/log.h
+++ b/include/tealspar/log.h
@@ -23,6 +23,7 @@
     X(BACKEND_STATE, MESSAGE, "backend_state")                                                     \
     X(ZONE_STATE, MESSAGE, "zone_state")                                                           \
     X(BACKEND_SUSPECT, MESSAGE, "backend_suspect")                                                 \
+    X(QUOTA_STATE, MESSAGE, "quota_state")                                                         \
     X(REQUEST_DONE, INFO, "request_done")                                                          \
     X(REQUEST_PARTIAL, MESSAGE, "request_partial")                                                 \
     X(REQUEST_FAILED, MESSAGE, "request_failed")                                                   \
--- a/include/tealspar/rate_account.h
+++ b/include/tealspar/rate_account.h
@@ -21,15 +21,19 @@
     double tolerance; /**< tokens in any window beyond the limit, for want of perfect agreement */
 } ts_rate_terms_t;
 
-/** For how long it has been certain who is home of what. */
+/** How long it has been certain who is home of what; what a new home begins with depends on it. */
 typedef struct ts_rate_standing {
-    ts_time_us_t since_us;  /**< when the view of the fleet last changed */
-    ts_time_us_t rested_us; /**< how long it had not changed before that */
+    ts_time_us_t begun_us;   /**< when this node began */
+    ts_time_us_t changed_us; /**< when the view of the fleet last changed */
+    ts_time_us_t lost_us;    /**< when a node was last lost from it; 0: none yet */
+    ts_time_us_t rested_us;  /**< how long none had been lost before that */
 } ts_rate_standing_t;
 
 /** What a node says when it asks for tokens. */
 typedef struct ts_rate_claim {
     uint64_t node;    /**< hash of its name */
+    uint32_t ask;     /**< number of its ask */
+    unsigned owed;    /**< tokens that it has spent by itself since its last answered ask */
     unsigned in_hand; /**< tokens that lie there unspent */
     unsigned wanted;  /**< tokens that it would like to have in hand */
 } ts_rate_claim_t;
@@ -37,23 +41,28 @@
 /** What it gets. */
 typedef struct ts_rate_deal {
     unsigned tokens;
-    ts_time_us_t wait_us; /**< none were left: when the next one is its turn; else 0 */
+    ts_time_us_t valid_us; /**< they are void so long after they were asked for */
+    bool is_lost;          /**< a deputy knows no home now: who asked goes on by itself */
+    ts_time_us_t wait_us;  /**< none were left: when the next one is its turn; else 0 */
 } ts_rate_deal_t;
 
 typedef struct ts_rate_account {
     double tokens;
+    ts_time_us_t opened_us;
     ts_time_us_t at_us; /**< when `tokens` was last brought up to date */
     GArray *holders;    /**< nodes that asked lately; of a type of the module */
 } ts_rate_account_t;
 
 /**
  * Opens an account. Another home may have dealt until the view changed: the bucket holds what has
- * come in since, and a part of the tolerance, less the shorter the view had rested before, as each
- * home in a row begins with some.
+ * come in since, and a part of the tolerance; less of that the sooner nodes were lost one after the
+ * other, as each home in a row begins with some.
  */
 void ts_rate_account_open(ts_rate_account_t *account, const ts_rate_terms_t *terms,
                           const ts_rate_standing_t *standing, ts_time_us_t now_us);
 void ts_rate_account_clear(ts_rate_account_t *account);
+/** Whether the claim is the node's latest once more: it is not to be answered again. */
+bool ts_rate_account_is_repeat(const ts_rate_account_t *account, const ts_rate_claim_t *claim);
 /** Deals tokens to a node. */
 ts_rate_deal_t ts_rate_account_deal(ts_rate_account_t *account, const ts_rate_terms_t *terms,
                                     const ts_rate_claim_t *claim, ts_time_us_t now_us);
--- a/include/tealspar/rate_lease.h
+++ b/include/tealspar/rate_lease.h
@@ -31,8 +31,11 @@
     ts_time_us_t over_until_us;   /**< the home has none for this node until then */
     ts_time_us_t ask_after_us;    /**< not asked before that, unless a request waits */
     double own_rate;              /**< tokens a second that it may spend by itself, */
+    unsigned owed;                /**< spent by itself, and not yet debited at the dealer */
+    unsigned owed_told;           /**< of these, what the ask that is out has told */
     double own_tokens;            /**< and what has come in of them */
     ts_time_us_t own_us;          /**< when that was brought up to date */
+    bool is_deputy;               /**< it holds tokens for other nodes of its zone too */
     bool is_waited_for;           /**< a request found none and waits */
     bool was_over;                /**< it was said that the limit is reached */
 } ts_rate_lease_t;
@@ -43,6 +46,14 @@
 /** Takes a token if there is one. */
 ts_rate_verdict_t ts_rate_lease_take(ts_rate_lease_t *lease, const ts_rate_terms_t *terms,
                                      ts_time_us_t now_us);
+/**
+ * Takes up to `most` of the tokens in hand for another node; sets how many. With the home lost it
+ * is TS_RATE_UNKNOWN: what this node may spend by itself is for its own requests.
+ */
+ts_rate_verdict_t ts_rate_lease_take_for(ts_rate_lease_t *lease, unsigned most, unsigned *taken,
+                                         ts_time_us_t now_us);
+/** There is nobody to ask: as if the dealer had been silent for long. */
+void ts_rate_lease_note_lost(ts_rate_lease_t *lease, ts_time_us_t now_us);
 /** A request that has a token ends without having run. */
 void ts_rate_lease_return(ts_rate_lease_t *lease, ts_time_us_t now_us);
 /** Tokens that are worth having in hand. */
--- a/src/config/gateway_settings.c
+++ b/src/config/gateway_settings.c
@@ -13,6 +13,7 @@
 #define DEFAULT_GRACE_MS 10000
 #define DEFAULT_WINDOW_MS 10000
 #define DEFAULT_REVOKE_MS 5000
+#define DEFAULT_QUOTA_WINDOW_MS 5000
 #define WINDOW_MIN_MS 100
 #define DEFAULT_WARMUP_OVERRUN 1.0
 
@@ -63,6 +64,9 @@
     CYAML_FIELD_FLOAT("retry_slack", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, retry_slack),
     CYAML_FIELD_FLOAT("warmup_overrun", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, warmup_overrun),
     CYAML_FIELD_FLOAT("warmup_slack", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, warmup_slack),
+    NUMBER_FIELD(quota_window_ms),
+    CYAML_FIELD_FLOAT("quota_overrun", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, quota_overrun),
+    CYAML_FIELD_FLOAT("quota_slack", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, quota_slack),
     NUMBER_FIELD(revoke_ms),
     CYAML_FIELD_BOOL("revoke_fail_closed", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t,
                      revoke_fail_closed),
@@ -108,6 +112,13 @@
     if (settings->warmup_overrun < 0 || settings->warmup_slack < 0) {
         ts_problems_add(problems, TS_E_INVALID, 0, "warmup_overrun", "must not be below zero");
     }
+    if (settings->quota_overrun < 0 || settings->quota_slack < 0) {
+        ts_problems_add(problems, TS_E_INVALID, 0, "quota_overrun", "must not be below zero");
+    }
+    if (settings->quota_window_ms < WINDOW_MIN_MS) {
+        ts_problems_add(problems, TS_E_INVALID, 0, "quota_window_ms", "must be %d or more",
+                        WINDOW_MIN_MS);
+    }
     if (settings->retry_window_ms < WINDOW_MIN_MS) {
         ts_problems_add(problems, TS_E_INVALID, 0, "retry_window_ms", "must be %d or more",
                         WINDOW_MIN_MS);
@@ -133,6 +144,7 @@
     set_default(&settings->grace_ms, DEFAULT_GRACE_MS);
     set_default(&settings->retry_window_ms, DEFAULT_WINDOW_MS);
     set_default(&settings->revoke_ms, DEFAULT_REVOKE_MS);
+    set_default(&settings->quota_window_ms, DEFAULT_QUOTA_WINDOW_MS);
     if (settings->warmup_overrun == 0)
         settings->warmup_overrun = DEFAULT_WARMUP_OVERRUN;
     check_settings(settings, problems);
--- a/src/edge/answer.c
+++ b/src/edge/answer.c
@@ -17,6 +17,7 @@
 /* Back ends that the registry lost enter themselves again at their next sign of life; where none is
  * permitted, an evacuation may end or another back end come. */
 #define NO_INSTANCE_RETRY_MS 1200
+#define QUOTA_RETRY_LEAST_MS 100U
 #define OVERLOAD_RETRY_MS 400
 /* Later still by the share of requests that are refused at present. */
 #define OVERLOAD_RETRY_MORE_MS 1200
@@ -110,6 +111,11 @@
     return (unsigned long)((ts_clock_now_us() - confirmed_us) / TS_US_PER_MS);
 }
 
+static const char *tenant_name(const ts_request_t *request)
+{
+    return request->identity.tenant == NULL ? "-" : request->identity.tenant->name;
+}
+
 static void log_outcome(const ts_request_t *request, ts_event_t event, unsigned status,
                         const char *error)
 {
@@ -117,9 +123,10 @@
         return;
     }
     ts_log(event,
-           "request=%s route=%s status=%u error=%s after_ms=%lu aim_ms=%u parts=%u in=%u lost=%u "
+           "request=%s route=%s tenant=%s status=%u error=%s after_ms=%lu aim_ms=%u parts=%u in=%u "
+           "lost=%u "
            "sends=%u config=%lu confirmed_ms=%lu",
-           request->outgoing->request_id, request->route->name, status, error,
+           request->outgoing->request_id, request->route->name, tenant_name(request), status, error,
            (unsigned long)((ts_clock_now_us() - request->arrived_us) / TS_US_PER_MS),
            request->route->aim_ms, request->parts_count, request->parts_in, request->parts_lost,
            request->sends, (unsigned long)request->traffic->version,
@@ -166,6 +173,8 @@
 {
     if (!may_have_run && error == TS_E_UNAUTHENTICATED)
         return STATUS_UNAUTHORIZED;
+    if (!may_have_run && error == TS_E_QUOTA)
+        return STATUS_TOO_MANY_REQUESTS;
     if (!may_have_run) {
         return STATUS_UNAVAILABLE;
     }
@@ -182,11 +191,20 @@
     return false;
 }
 
+/* When a token may come, spread over as long again, as others wait for it too. */
+static uint32_t quota_retry_ms(const ts_request_t *request)
+{
+    uint32_t wait_ms = MAX(ts_request_quota_wait_ms(request), QUOTA_RETRY_LEAST_MS);
+    return wait_ms + ts_gateway_random(request->gateway) % wait_ms;
+}
+
 /* When a caller may come back: later, and spread out, when there is more work than can be done. */
 static uint32_t retry_after_ms(const ts_request_t *request, ts_error_t error)
 {
     if (error == TS_E_UNAUTHENTICATED)
         return 0; // coming back with the same key is of no use
+    if (error == TS_E_QUOTA)
+        return quota_retry_ms(request);
     bool waits_for_instances = error == TS_E_PLACEMENT || lacks_instances(request);
     if (error != TS_E_OVERLOAD && error != TS_E_PLACEMENT) {
         return RETRY_AFTER_MS;
--- a/src/edge/gateway.c
+++ b/src/edge/gateway.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "request.h"
 #include "tealspar/connection_share.h"
 #include "tealspar/counters.h"
 #include "tealspar/log.h"
@@ -272,6 +273,7 @@
     gateway->mirror = ts_store_mirror_create(gateway);
     gateway->store = ts_store_watch_create(gateway);
     gateway->pending = ts_pending_create(gateway);
+    ts_gateway_open_quotas(gateway);
     ts_error_t error = open_listeners(gateway);
     if (error == TS_OK && settings->peers != NULL) {
         gateway->peers = ts_peers_open(gateway, gateway->mirror);
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -20,6 +20,10 @@
 #define AIM_MARGIN_US (16 * TS_US_PER_MS)
 /* What nobody waits for may finish for so long before it is cancelled. */
 #define LEFT_BEHIND_US (350 * TS_US_PER_MS)
+/* A request waits for the answer whether its tenant may send it; and at most this part of the
+ * caller's patience. */
+#define TOKEN_WAIT_US (150 * TS_US_PER_MS)
+#define TOKEN_WAIT_DIVISOR 4
 #define DEADLINE_MAX_MS (3600ULL * 1000ULL)
 #define COVERAGE_ROUNDING 1e-9
 
@@ -146,6 +150,8 @@
         request->stop_us > request->deadline_us) {
         request->stop_us = request->deadline_us;
     }
+    request->token_by_us =
+        request->arrived_us + MIN(TOKEN_WAIT_US, patience_us / TOKEN_WAIT_DIVISOR);
     request->admit_by_us = request->arrived_us + ts_request_admission_span_us(request);
 }
 
@@ -213,6 +219,7 @@
 static void end_request(ts_request_t *request)
 {
     ts_time_us_t until_us = ts_clock_now_us() + LEFT_BEHIND_US;
+    ts_request_return_quota(request);
     for (unsigned i = 0; i < request->parts_count; i++) {
         ts_part_release(&request->parts[i], until_us);
     }
@@ -242,6 +249,12 @@
     case TS_ADMISSION_WAITS:
         uv_timer_start(&request->timer, check_parts, ADMISSION_LOOK_US / TS_US_PER_MS, 0);
         return false;
+    case TS_ADMISSION_OVER_QUOTA:
+        fail(request, TS_E_QUOTA);
+        return true;
+    case TS_ADMISSION_UNCONFIRMED:
+        fail(request, TS_E_UNCONFIRMED);
+        return true;
     case TS_ADMISSION_REVOKED:
         fail(request, TS_E_UNAUTHENTICATED);
         return true;
@@ -332,6 +345,11 @@
     }
 }
 
+void ts_request_look_again(ts_request_t *request)
+{
+    uv_timer_start(&request->timer, check_parts, 0, 0);
+}
+
 void ts_request_progress(ts_request_t *request)
 {
     if (request->caller == NULL) {
@@ -381,6 +399,7 @@
     ts_request_t *request = create_request(gateway, caller, route, &identity);
     ts_caller_set_request(caller, request);
     set_times(request, arrived_us, read_patience_ms(gateway, message));
+    ts_request_note_quota(request);
     ts_time_us_t now_us = ts_clock_now_us();
     if (try_admit(request, now_us) && request->is_admitted)
         set_timer(request, now_us);
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -57,6 +57,9 @@
     ts_time_us_t arrived_us;
     ts_time_us_t deadline_us; /**< the final answer leaves by then */
     ts_time_us_t admit_by_us; /**< refused if it could not be begun by then */
+    ts_time_us_t token_by_us; /**< the same, if its tenant's limit could not be checked by then */
+    bool has_token;           /**< of its tenant's limit */
+    bool waits_for_token;     /**< it stands in the gateway's list of those */
     bool is_admitted;         /**< its parts are sent */
     bool has_returned;        /**< its caller has less time than usual, as after a refusal */
     ts_time_us_t stop_us;     /**< gathered: what is in by then is enough, if coverage allows */
@@ -106,6 +109,8 @@
 void ts_part_clear(ts_request_part_t *part);
 /** Begins work on a request that came at `arrived_us`. */
 void ts_request_begin_at(ts_gateway_t *gateway, ts_caller_t *caller, ts_time_us_t arrived_us);
+/** What the request waited for may be there: it looks as soon as the loop turns. */
+void ts_request_look_again(ts_request_t *request);
 /** A part changed its state: answers the request if that is decided now. */
 void ts_request_progress(ts_request_t *request);
 
@@ -127,13 +132,25 @@
 bool ts_request_is_revoked(const ts_request_t *request);
 /** Answers a caller whose request was not let in. */
 void ts_request_turn_away(ts_gateway_t *gateway, ts_caller_t *caller, ts_error_t error);
+/** The limiter of a gateway that is being opened. */
+void ts_gateway_open_quotas(ts_gateway_t *gateway);
+/** Counts the request for its tenant's limit, once. */
+void ts_request_note_quota(const ts_request_t *request);
+/** Takes a token of its tenant's limit, unless it has one or needs none. */
+ts_rate_verdict_t ts_request_take_quota(ts_request_t *request, ts_time_us_t now_us);
+/** It ends, or is begun: it waits no more, and gives its token back if nothing of it has run. */
+void ts_request_return_quota(ts_request_t *request);
+/** After TS_RATE_OVER: when a token may come. */
+uint32_t ts_request_quota_wait_ms(const ts_request_t *request);
 /** How a request stands that is not begun yet. */
 typedef enum ts_admission {
-    TS_ADMISSION_BEGUN,    /**< its parts are sent */
-    TS_ADMISSION_WAITS,    /**< too many back ends are full; it may look again */
-    TS_ADMISSION_REVOKED,  /**< its key has been taken away */
-    TS_ADMISSION_EXCLUDED, /**< too many parts have no back end where they may be served */
-    TS_ADMISSION_OVERLOAD  /**< its time to begin is over */
+    TS_ADMISSION_BEGUN,       /**< its parts are sent */
+    TS_ADMISSION_WAITS,       /**< too many back ends are full; it may look again */
+    TS_ADMISSION_OVER_QUOTA,  /**< its tenant has sent what it may */
+    TS_ADMISSION_UNCONFIRMED, /**< whether it has could not be learned in time */
+    TS_ADMISSION_REVOKED,     /**< its key has been taken away */
+    TS_ADMISSION_EXCLUDED,    /**< too many parts have no back end where they may be served */
+    TS_ADMISSION_OVERLOAD     /**< its time to begin is over */
 } ts_admission_t;
 
 /** Begins the request if it can be begun. */
--- a/src/edge/request_admission.c
+++ b/src/edge/request_admission.c
@@ -99,12 +99,30 @@
     return request->parts_lost <= may_miss;
 }
 
+/* Whether its tenant may send it: TS_ADMISSION_BEGUN if so. */
+static ts_admission_t check_quota(ts_request_t *request, ts_time_us_t now_us)
+{
+    switch (ts_request_take_quota(request, now_us)) {
+    case TS_RATE_TAKEN:
+        return TS_ADMISSION_BEGUN;
+    case TS_RATE_OVER:
+        return TS_ADMISSION_OVER_QUOTA;
+    case TS_RATE_WAITS:
+    case TS_RATE_UNKNOWN:
+        break;
+    }
+    return now_us < request->token_by_us ? TS_ADMISSION_WAITS : TS_ADMISSION_UNCONFIRMED;
+}
+
 ts_admission_t ts_request_admit(ts_request_t *request, ts_time_us_t now_us)
 {
     if (ts_request_is_revoked(request))
         return TS_ADMISSION_REVOKED;
     if (!leave_out_excluded(request, now_us))
         return TS_ADMISSION_EXCLUDED;
+    ts_admission_t quota = check_quota(request, now_us);
+    if (quota != TS_ADMISSION_BEGUN)
+        return quota;
     if (!is_behind_urgent(request) && can_begin(request, now_us)) {
         request->is_admitted = true;
         note_admission(request, false);
--- a/src/peers/peers.c
+++ b/src/peers/peers.c
@@ -30,6 +30,8 @@
         return TS_BYTES_LOAN;
     if (frame->evidence != NULL)
         return TS_BYTES_EVIDENCE;
+    if (frame->rate != NULL)
+        return TS_BYTES_RATE;
     return frame->gossip.len > 0 ? TS_BYTES_MEMBERSHIP : TS_BYTES_STORE;
 }
 
@@ -83,6 +85,8 @@
     }
     if (frame->evidence != NULL)
         ts_peers_take_evidence(peers, frame);
+    if (frame->rate != NULL)
+        ts_peers_take_rate(peers, frame);
     ts_peer__frame__free_unpacked(frame, NULL);
 }
 
@@ -157,6 +161,7 @@
     order_zone(peers);
     ts_peers_locate_members(peers);
     ts_peers_find_collector(peers);
+    ts_peers_change_homes(peers);
     ts_gauge_set(TS_COUNTER_MEMBERS_LIVE,
                  (int64_t)ts_membership_count(peers->membership, TS_MEMBER_LIVE));
     ts_gateway_set_nodes(peers->gateway, (unsigned)peers->view->count);
@@ -243,6 +248,7 @@
     peers->view = ts_membership_view(peers->membership);
     order_zone(peers);
     ts_peers_locate_members(peers);
+    ts_peers_change_homes(peers);
     ts_peers_open_evidence(peers);
     ts_registry_on_evidence(gateway->registry, ts_peers_wake_evidence, peers);
     add_seeds(peers);
--- a/src/peers/peers_internal.h
+++ b/src/peers/peers_internal.h
@@ -43,6 +43,10 @@
     ts_time_us_t evidence_us;  /* when it last ran */
     uint32_t evidence_sequence; /* of the last frame of evidence that this node sent */
     GHashTable *evidence_seen;  /* name of a node -> the last sequence from it */
+    /* Homes of rates; see peers_rates.c. */
+    size_t members_live;    /* at the last change of the view */
+    size_t members_most;    /* that were in the view at once */
+    ts_time_us_t shrunk_us; /* since when there have been fewer; 0: there are not */
 };
 
 // -- peers.c
@@ -82,6 +86,11 @@
 // -- peers_loans.c
 void ts_peers_take_loan(ts_peers_t *peers, const char *address, const TsPeer__Loan *loan);
 
+// -- peers_rates.c
+void ts_peers_take_rate(ts_peers_t *peers, const TsPeer__Frame *frame);
+/** The view has changed, and with it which node is home of what. */
+void ts_peers_change_homes(ts_peers_t *peers);
+
 // -- peers_place.c
 /** Works out anew in which region each member of the view stands. */
 void ts_peers_locate_members(ts_peers_t *peers);
--- /dev/null
+++ b/src/peers/peers_rates.c
@@ -0,0 +1,134 @@
+/** Rates that the fleet keeps together: who deals an account out, and the messages. */
+#include <string.h>
+
+#include "peers_internal.h"
+#include "tealspar/counters.h"
+#include "tealspar/hash.h"
+
+/*
+ * A process that is younger than this may not have found the others yet: it needs half of the nodes
+ * that its settings suggest in view before it believes anybody home, later half of those it saw.
+ */
+#define YOUNG_US (2 * TS_US_PER_S)
+/* A view that has stayed smaller for so long is that of a fleet that has become smaller. */
+#define SHRUNK_US (60 * TS_US_PER_S)
+
+/* Whether this node sees enough of the fleet to agree with the others on who is home. */
+static bool is_in_majority(const ts_peers_t *peers)
+{
+    const ts_gateway_t *gateway = peers->gateway;
+    bool is_young = ts_clock_now_us() - gateway->opened_us < YOUNG_US;
+    bool has_shrunk = peers->shrunk_us != 0 && ts_clock_now_us() - peers->shrunk_us > SHRUNK_US;
+    size_t fleet = has_shrunk ? peers->view->count : peers->members_most;
+    if (is_young)
+        fleet = MAX(fleet, gateway->nodes);
+    return 2 * peers->view->count > fleet;
+}
+
+/* The live member of the highest rendezvous weight, of a zone or (NULL) of all; NULL: none. */
+static const ts_view_member_t *find_dealer(const ts_peers_t *peers, const char *account,
+                                           const char *zone)
+{
+    const ts_view_member_t *best = NULL;
+    uint64_t best_weight = 0;
+    uint64_t id = ts_hash_text(account);
+    for (size_t i = 0; i < peers->view->count; i++) {
+        const ts_view_member_t *member = &peers->view->members[i];
+        uint64_t weight = ts_hash_mix(member->id, id);
+        bool is_near = zone == NULL || strcmp(member->zone, zone) == 0;
+        if (!is_near || member->state != TS_MEMBER_LIVE || (best != NULL && weight <= best_weight))
+            continue;
+        best = member;
+        best_weight = weight;
+    }
+    return best;
+}
+
+static ts_rate_dealer_t dealer(const ts_view_member_t *member, const char **address)
+{
+    *address = member->address;
+    return member->is_self ? TS_RATE_DEALER_SELF : TS_RATE_DEALER_PEER;
+}
+
+ts_rate_dealer_t ts_peers_rate_home(const ts_peers_t *peers, const char *account,
+                                    const char **address)
+{
+    const ts_view_member_t *home = find_dealer(peers, account, NULL);
+    bool is_certain = home != NULL && is_in_majority(peers);
+    return is_certain ? dealer(home, address) : TS_RATE_DEALER_NONE;
+}
+
+ts_rate_dealer_t ts_peers_rate_deputy(const ts_peers_t *peers, const char *account,
+                                      const char **address)
+{
+    const char *zone = peers->gateway->settings->zone;
+    const ts_view_member_t *home = find_dealer(peers, account, NULL);
+    bool is_near = home != NULL && strcmp(home->zone, zone) == 0 && is_in_majority(peers);
+    const ts_view_member_t *deputy = is_near ? home : find_dealer(peers, account, zone);
+    return deputy == NULL ? TS_RATE_DEALER_SELF : dealer(deputy, address);
+}
+
+void ts_peers_change_homes(ts_peers_t *peers)
+{
+    ts_time_us_t now_us = ts_clock_now_us();
+    if (peers->view->count >= peers->members_most) {
+        peers->members_most = peers->view->count;
+        peers->shrunk_us = 0;
+    } else if (peers->shrunk_us == 0) {
+        peers->shrunk_us = now_us;
+    }
+    size_t live = ts_membership_count(peers->membership, TS_MEMBER_LIVE);
+    ts_rate_limiter_change_view(peers->gateway->limiter, live < peers->members_live, now_us);
+    peers->members_live = live;
+}
+
+void ts_peers_ask_rate(ts_peers_t *peers, const char *address, const ts_rate_row_t *row)
+{
+    TsPeer__Rate rate = TS_PEER__RATE__INIT;
+    TsPeer__Frame frame = TS_PEER__FRAME__INIT;
+    rate.account = (char *)row->account;
+    rate.ask = row->ask;
+    rate.in_hand = row->in_hand;
+    rate.owed = row->owed;
+    rate.wanted = row->wanted;
+    frame.rate = &rate;
+    ts_count(TS_COUNTER_RATE_ASKS, 1);
+    ts_peers_send(peers, address, &frame);
+}
+
+void ts_peers_answer_rate(ts_peers_t *peers, const char *address, const ts_rate_row_t *row)
+{
+    TsPeer__Rate rate = TS_PEER__RATE__INIT;
+    TsPeer__Frame frame = TS_PEER__FRAME__INIT;
+    rate.account = (char *)row->account;
+    rate.ask = row->ask;
+    rate.is_deal = true;
+    rate.tokens = row->deal.tokens;
+    rate.is_lost = row->deal.is_lost;
+    rate.valid_ms = (uint32_t)(row->deal.valid_us / TS_US_PER_MS);
+    rate.wait_ms = (uint32_t)MIN(row->deal.wait_us / TS_US_PER_MS, UINT32_MAX);
+    frame.rate = &rate;
+    ts_count(TS_COUNTER_RATE_DEALS, 1);
+    ts_peers_send(peers, address, &frame);
+}
+
+void ts_peers_take_rate(ts_peers_t *peers, const TsPeer__Frame *frame)
+{
+    const TsPeer__Rate *rate = frame->rate;
+    ts_rate_limiter_t *limiter = peers->gateway->limiter;
+    ts_time_us_t now_us = ts_clock_now_us();
+    ts_rate_row_t row = {.account = rate->account,
+                         .ask = rate->ask,
+                         .in_hand = rate->in_hand,
+                         .owed = rate->owed,
+                         .wanted = rate->wanted,
+                         .deal = {.tokens = rate->tokens,
+                                  .is_lost = rate->is_lost,
+                                  .valid_us = rate->valid_ms * TS_US_PER_MS,
+                                  .wait_us = rate->wait_ms * TS_US_PER_MS}};
+    if (rate->is_deal)
+        ts_rate_limiter_take_deal(limiter, &row, now_us);
+    else if (!ts_rate_limiter_take_ask(limiter, ts_hash_text(frame->name), frame->address, &row,
+                                       now_us))
+        ts_count(TS_COUNTER_RATE_ASKS_ASTRAY, 1);
+}
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -367,6 +367,51 @@
   assert(message->base.descriptor == &ts_peer__evidence__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ts_peer__rate__init
+                     (TsPeer__Rate         *message)
+{
+  static const TsPeer__Rate init_value = TS_PEER__RATE__INIT;
+  *message = init_value;
+}
+size_t ts_peer__rate__get_packed_size
+                     (const TsPeer__Rate *message)
+{
+  assert(message->base.descriptor == &ts_peer__rate__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ts_peer__rate__pack
+                     (const TsPeer__Rate *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ts_peer__rate__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ts_peer__rate__pack_to_buffer
+                     (const TsPeer__Rate *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ts_peer__rate__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+TsPeer__Rate *
+       ts_peer__rate__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (TsPeer__Rate *)
+     protobuf_c_message_unpack (&ts_peer__rate__descriptor,
+                                allocator, len, data);
+}
+void   ts_peer__rate__free_unpacked
+                     (TsPeer__Rate *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ts_peer__rate__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ts_peer__frame__init
                      (TsPeer__Frame         *message)
 {
@@ -925,7 +970,162 @@
   (ProtobufCMessageInit) ts_peer__evidence__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ts_peer__frame__field_descriptors[10] =
+static const ProtobufCFieldDescriptor ts_peer__rate__field_descriptors[10] =
+{
+  {
+    "account",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Rate, account),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Rate, ask),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_deal",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Rate, is_deal),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "in_hand",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Rate, in_hand),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wanted",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Rate, wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owed",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Rate, owed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Rate, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "valid_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Rate, valid_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_lost",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Rate, is_lost),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Rate, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ts_peer__rate__field_indices_by_name[] = {
+  0,   /* field[0] = account */
+  1,   /* field[1] = ask */
+  3,   /* field[3] = in_hand */
+  2,   /* field[2] = is_deal */
+  8,   /* field[8] = is_lost */
+  5,   /* field[5] = owed */
+  6,   /* field[6] = tokens */
+  7,   /* field[7] = valid_ms */
+  9,   /* field[9] = wait_ms */
+  4,   /* field[4] = wanted */
+};
+static const ProtobufCIntRange ts_peer__rate__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor ts_peer__rate__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ts_peer.Rate",
+  "Rate",
+  "TsPeer__Rate",
+  "ts_peer",
+  sizeof(TsPeer__Rate),
+  10,
+  ts_peer__rate__field_descriptors,
+  ts_peer__rate__field_indices_by_name,
+  1,  ts_peer__rate__number_ranges,
+  (ProtobufCMessageInit) ts_peer__rate__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ts_peer__frame__field_descriptors[11] =
 {
   {
     "protocol",
@@ -1047,6 +1247,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rate",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Frame, rate),
+    &ts_peer__rate__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ts_peer__frame__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -1058,12 +1270,13 @@
   1,   /* field[1] = name */
   0,   /* field[0] = protocol */
   5,   /* field[5] = pull */
+  10,   /* field[10] = rate */
   7,   /* field[7] = sighting */
 };
 static const ProtobufCIntRange ts_peer__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor ts_peer__frame__descriptor =
 {
@@ -1073,7 +1286,7 @@
   "TsPeer__Frame",
   "ts_peer",
   sizeof(TsPeer__Frame),
-  10,
+  11,
   ts_peer__frame__field_descriptors,
   ts_peer__frame__field_indices_by_name,
   1,  ts_peer__frame__number_ranges,
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -23,6 +23,7 @@
 typedef struct TsPeer__Loan TsPeer__Loan;
 typedef struct TsPeer__EvidenceRow TsPeer__EvidenceRow;
 typedef struct TsPeer__Evidence TsPeer__Evidence;
+typedef struct TsPeer__Rate TsPeer__Rate;
 typedef struct TsPeer__Frame TsPeer__Frame;
 
 
@@ -183,6 +184,55 @@
     , 0, 0, 0,NULL }
 
 
+/*
+ * Tokens of a rate that the fleet keeps together: asked for at the rate's home, or dealt by it.
+ */
+struct  TsPeer__Rate
+{
+  ProtobufCMessage base;
+  char *account;
+  /*
+   * number of the ask at its sender; the answer repeats it
+   */
+  uint32_t ask;
+  /*
+   * the home answers
+   */
+  protobuf_c_boolean is_deal;
+  /*
+   * ask: tokens that the sender has
+   */
+  uint32_t in_hand;
+  /*
+   * ask: tokens that it wants to have
+   */
+  uint32_t wanted;
+  /*
+   * ask: tokens that the sender has spent by itself, not told before
+   */
+  uint32_t owed;
+  /*
+   * deal: tokens that the receiver may spend
+   */
+  uint32_t tokens;
+  /*
+   * deal: they are void so long after they were asked for
+   */
+  uint32_t valid_ms;
+  /*
+   * deal: the sender knows no home now, the receiver is to go on by itself
+   */
+  protobuf_c_boolean is_lost;
+  /*
+   * deal of none: when the next one is the receiver's turn
+   */
+  uint32_t wait_ms;
+};
+#define TS_PEER__RATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ts_peer__rate__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
 struct  TsPeer__Frame
 {
   ProtobufCMessage base;
@@ -208,10 +258,11 @@
   TsPeer__Sighting *sighting;
   TsPeer__Loan *loan;
   TsPeer__Evidence *evidence;
+  TsPeer__Rate *rate;
 };
 #define TS_PEER__FRAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ts_peer__frame__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, NULL, NULL, NULL, NULL, NULL, NULL }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, NULL, NULL, NULL, NULL, NULL, NULL, NULL }
 
 
 /* TsPeer__Beacon methods */
@@ -366,6 +417,25 @@
 void   ts_peer__evidence__free_unpacked
                      (TsPeer__Evidence *message,
                       ProtobufCAllocator *allocator);
+/* TsPeer__Rate methods */
+void   ts_peer__rate__init
+                     (TsPeer__Rate         *message);
+size_t ts_peer__rate__get_packed_size
+                     (const TsPeer__Rate   *message);
+size_t ts_peer__rate__pack
+                     (const TsPeer__Rate   *message,
+                      uint8_t             *out);
+size_t ts_peer__rate__pack_to_buffer
+                     (const TsPeer__Rate   *message,
+                      ProtobufCBuffer     *buffer);
+TsPeer__Rate *
+       ts_peer__rate__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ts_peer__rate__free_unpacked
+                     (TsPeer__Rate *message,
+                      ProtobufCAllocator *allocator);
 /* TsPeer__Frame methods */
 void   ts_peer__frame__init
                      (TsPeer__Frame         *message);
@@ -411,6 +481,9 @@
 typedef void (*TsPeer__Evidence_Closure)
                  (const TsPeer__Evidence *message,
                   void *closure_data);
+typedef void (*TsPeer__Rate_Closure)
+                 (const TsPeer__Rate *message,
+                  void *closure_data);
 typedef void (*TsPeer__Frame_Closure)
                  (const TsPeer__Frame *message,
                   void *closure_data);
@@ -428,6 +501,7 @@
 extern const ProtobufCMessageDescriptor ts_peer__loan__descriptor;
 extern const ProtobufCMessageDescriptor ts_peer__evidence_row__descriptor;
 extern const ProtobufCMessageDescriptor ts_peer__evidence__descriptor;
+extern const ProtobufCMessageDescriptor ts_peer__rate__descriptor;
 extern const ProtobufCMessageDescriptor ts_peer__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/route/rate_account.c
+++ b/src/route/rate_account.c
@@ -11,13 +11,20 @@
 #define CAPACITY_LEAST 1.0
 /* Of the tokens at home: most that one node gets at once, so that others find some too. */
 #define DEAL_SHARE 0.5
-/* A node that has not asked for so long holds nothing: its tokens are void before that. */
+/* Tokens are void so long after they were asked for; later, the home counts on none there. */
+#define VALID_US (2 * TS_US_PER_S)
 #define HOLDER_KEPT_US (3 * TS_US_PER_S)
+/*
+ * An account that has just been opened knows nothing of what came in while there was no home; what
+ * nodes spent by themselves meanwhile is set against that, and not debited.
+ */
+#define OPENING_US (1 * TS_US_PER_S)
 /* A node that got nothing stands in the queue for so long. */
 #define QUEUED_US (1 * TS_US_PER_S)
 
 typedef struct holder {
     uint64_t node;
+    uint32_t ask; /* number of its latest */
     unsigned in_hand;
     ts_time_us_t heard_us;
     ts_time_us_t empty_us; /* when it last got nothing; 0: it was given some since */
@@ -33,9 +40,13 @@
 {
     double window_s = (terms->limit - terms->burst) / terms->rate;
     double rested_s = (double)standing->rested_us / TS_US_PER_S;
-    double begin = BEGIN_SHARE * terms->tolerance * MIN(rested_s / window_s, 1);
-    double come = terms->rate * (double)(now_us - standing->since_us) / TS_US_PER_S;
+    double since_begun = terms->rate * (double)(now_us - standing->begun_us) / TS_US_PER_S;
+    double begin = MIN(BEGIN_SHARE * terms->tolerance, since_begun);
+    if (standing->lost_us != 0)
+        begin *= MIN(rested_s / window_s, 1);
+    double come = terms->rate * (double)(now_us - standing->changed_us) / TS_US_PER_S;
     account->tokens = MIN(begin + come, ts_rate_capacity(terms));
+    account->opened_us = now_us;
     account->at_us = now_us;
     account->holders = g_array_new(FALSE, FALSE, sizeof(holder_t));
 }
@@ -104,15 +115,28 @@
     return MIN(whole, lacking);
 }
 
+bool ts_rate_account_is_repeat(const ts_rate_account_t *account, const ts_rate_claim_t *claim)
+{
+    for (guint i = 0; i < account->holders->len; i++) {
+        const holder_t *holder = &g_array_index(account->holders, holder_t, i);
+        if (holder->node == claim->node)
+            return holder->ask == claim->ask;
+    }
+    return false;
+}
+
 ts_rate_deal_t ts_rate_account_deal(ts_rate_account_t *account, const ts_rate_terms_t *terms,
                                     const ts_rate_claim_t *claim, ts_time_us_t now_us)
 {
-    ts_rate_deal_t deal = {0};
+    ts_rate_deal_t deal = {.valid_us = VALID_US};
     forget_old_holders(account, now_us);
     holder_t *holder = find_holder(account, claim->node);
     holder->heard_us = now_us;
+    holder->ask = claim->ask;
     holder->in_hand = claim->in_hand;
     fill(account, terms, now_us);
+    if (now_us - account->opened_us > OPENING_US)
+        account->tokens -= claim->owed;
     deal.tokens = tokens_to_deal(account, claim);
     account->tokens -= deal.tokens;
     holder->in_hand += deal.tokens;
--- a/src/route/rate_lease.c
+++ b/src/route/rate_lease.c
@@ -3,17 +3,21 @@
 
 #include <math.h>
 
-/* Tokens are void so long after they were asked for, before the home forgets them. */
-#define VALID_US (2 * TS_US_PER_S)
 /* How fast demand is followed, and what is spent; the second stands in when the home is lost. */
 #define DEMAND_SPAN_S 1.0
 #define SPENT_SPAN_S 5.0
-/* Tokens in hand last for so long at the present demand, and one more. */
-#define AHEAD_S 0.3
+/* Tokens in hand last for so long at the present demand: a deputy's, as the home may be far, with
+ * one more; those of another node, whose deputy is near. */
+#define AHEAD_DEPUTY_S 0.3
+#define AHEAD_S 0.1
 /* An ask without an answer is sent again after this. */
-#define ASK_AGAIN_US (100 * TS_US_PER_MS)
-/* A home that leaves asks unanswered for so long is not waited for any more. */
-#define SILENT_US (200 * TS_US_PER_MS)
+#define ASK_AGAIN_US (60 * TS_US_PER_MS)
+/*
+ * A dealer that leaves asks unanswered for so long is not waited for any more: the home by its
+ * deputies, which is a few round trips between regions, and a deputy, a little later, by its zone.
+ */
+#define HOME_SILENT_US (80 * TS_US_PER_MS)
+#define DEPUTY_SILENT_US (130 * TS_US_PER_MS)
 /* Asks of a lease that is not waited for are at least so far apart. */
 #define ASK_GAP_US (50 * TS_US_PER_MS)
 /* The same after the home had none to give, although some are in hand. */
@@ -85,13 +89,20 @@
     if (lease->own_tokens < 1)
         return false;
     lease->own_tokens -= 1;
+    lease->owed++;
     return true;
 }
 
+static bool is_dealer_silent(const ts_rate_lease_t *lease, ts_time_us_t now_us)
+{
+    ts_time_us_t bound_us = lease->is_deputy ? HOME_SILENT_US : DEPUTY_SILENT_US;
+    return lease->silent_since_us != 0 && now_us - lease->silent_since_us > bound_us;
+}
+
 ts_rate_verdict_t ts_rate_lease_take(ts_rate_lease_t *lease, const ts_rate_terms_t *terms,
                                      ts_time_us_t now_us)
 {
-    bool is_silent = lease->silent_since_us != 0 && now_us - lease->silent_since_us > SILENT_US;
+    bool is_silent = is_dealer_silent(lease, now_us);
     if (ts_rate_lease_in_hand(lease, now_us) > 0) {
         lease->tokens--;
         note_spent(lease, 1, now_us);
@@ -110,6 +121,24 @@
     return TS_RATE_WAITS;
 }
 
+ts_rate_verdict_t ts_rate_lease_take_for(ts_rate_lease_t *lease, unsigned most, unsigned *taken,
+                                         ts_time_us_t now_us)
+{
+    *taken = MIN(ts_rate_lease_in_hand(lease, now_us), most);
+    lease->tokens -= *taken;
+    if (*taken > 0)
+        return TS_RATE_TAKEN;
+    if (now_us < lease->over_until_us)
+        return TS_RATE_OVER;
+    lease->is_waited_for = true;
+    return is_dealer_silent(lease, now_us) ? TS_RATE_UNKNOWN : TS_RATE_WAITS;
+}
+
+void ts_rate_lease_note_lost(ts_rate_lease_t *lease, ts_time_us_t now_us)
+{
+    lease->silent_since_us = now_us - DEPUTY_SILENT_US - 1;
+}
+
 void ts_rate_lease_return(ts_rate_lease_t *lease, ts_time_us_t now_us)
 {
     note_spent(lease, -1, now_us);
@@ -121,8 +150,9 @@
                               ts_time_us_t now_us)
 {
     double demand = faded(lease->demand, lease->demand_us, now_us, DEMAND_SPAN_S);
-    double ahead = ceil(demand * AHEAD_S) + 1;
-    return (unsigned)MIN(ahead, MAX(floor(ts_rate_capacity(terms)), 1));
+    double ahead = lease->is_deputy ? floor(demand * AHEAD_DEPUTY_S) + 1 : floor(demand * AHEAD_S);
+    double least = lease->is_waited_for ? 1 : 0;
+    return (unsigned)CLAMP(ahead, least, MAX(floor(ts_rate_capacity(terms)), 1));
 }
 
 bool ts_rate_lease_is_due(const ts_rate_lease_t *lease, const ts_rate_terms_t *terms,
@@ -137,8 +167,10 @@
     if (now_us < lease->ask_after_us || now_us - lease->used_us > IN_USE_US)
         return false;
     unsigned in_hand = ts_rate_lease_in_hand(lease, now_us);
-    bool is_low = 2 * in_hand <= ts_rate_lease_wanted(lease, terms, now_us);
-    return is_low || now_us - lease->sent_us > RENEW_US;
+    unsigned wanted = ts_rate_lease_wanted(lease, terms, now_us);
+    if (wanted == 0)
+        return false;
+    return 2 * in_hand <= wanted || now_us - lease->sent_us > RENEW_US;
 }
 
 uint32_t ts_rate_lease_note_ask(ts_rate_lease_t *lease, ts_time_us_t now_us)
@@ -149,6 +181,7 @@
     }
     lease->asked_us = now_us;
     lease->sent_us = now_us;
+    lease->owed_told = lease->owed;
     return ++lease->ask;
 }
 
@@ -157,10 +190,16 @@
 {
     if (lease->asked_us == 0 || ask != lease->ask)
         return;
+    if (deal->is_lost) {
+        ts_rate_lease_note_lost(lease, now_us);
+        return;
+    }
     lease->tokens = ts_rate_lease_in_hand(lease, now_us) + deal->tokens;
-    lease->valid_until_us = lease->asked_us + VALID_US;
+    lease->valid_until_us = lease->asked_us + deal->valid_us;
     lease->asked_us = 0;
     lease->silent_since_us = 0;
+    lease->owed -= lease->owed_told;
+    lease->owed_told = 0;
     lease->is_waited_for = false;
     lease->ask_after_us = now_us + (deal->tokens == 0 ? ASK_EMPTY_GAP_US : ASK_GAP_US);
     if (lease->tokens == 0)
--- a/src/route/rate_limiter.c
+++ b/src/route/rate_limiter.c
@@ -6,10 +6,24 @@
 /* A lease that nobody used for so long is forgotten, and so is an account nobody asked for. */
 #define LEASE_KEPT_US (20 * TS_US_PER_S)
 #define ACCOUNT_KEPT_US (60 * TS_US_PER_S)
+/* Asks of a zone's nodes that wait for the home's answer: so many at a deputy, and so long. */
+#define QUEUE_MAX 256U
+#define QUEUED_US (300 * TS_US_PER_MS)
+/* What a deputy deals is void after this at the latest, before its own tokens would be. */
+#define DEPUTY_VALID_US (1 * TS_US_PER_S)
+
+/* An ask of another node that a deputy could not answer yet. */
+typedef struct queued_ask {
+    char *address;
+    uint32_t ask;
+    unsigned lacking;
+    ts_time_us_t at_us;
+} queued_ask_t;
 
 typedef struct held_lease {
     ts_rate_lease_t lease;
     char *account;
+    GArray *queue; /* of queued_ask_t; NULL: nothing has waited yet */
 } held_lease_t;
 
 struct ts_rate_limiter {
@@ -21,9 +35,16 @@
     ts_rate_standing_t standing;
 };
 
+static void clear_queued(gpointer data)
+{
+    g_free(((queued_ask_t *)data)->address);
+}
+
 static void free_lease(gpointer data)
 {
     held_lease_t *held = data;
+    if (held->queue != NULL)
+        g_array_unref(held->queue);
     g_free(held->account);
     g_free(held);
 }
@@ -41,8 +62,8 @@
     limiter->node = node;
     limiter->ops = ops;
     limiter->ctx = ctx;
-    limiter->standing.since_us = now_us;
-    limiter->standing.rested_us = now_us; // nothing is known to have moved before
+    limiter->standing.begun_us = now_us;
+    limiter->standing.changed_us = now_us;
     limiter->leases = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_lease);
     limiter->accounts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_account);
     return limiter;
@@ -55,6 +76,12 @@
     g_free(limiter);
 }
 
+static bool is_home(const ts_rate_limiter_t *limiter, const char *account)
+{
+    const char *address = NULL;
+    return limiter->ops->home(limiter->ctx, account, &address) == TS_RATE_DEALER_SELF;
+}
+
 // -- Home: accounts
 
 static ts_rate_account_t *find_account(ts_rate_limiter_t *limiter, const char *name,
@@ -69,31 +96,36 @@
     return account;
 }
 
-bool ts_rate_limiter_take_ask(ts_rate_limiter_t *limiter, uint64_t node, ts_rate_row_t *row,
-                              ts_time_us_t now_us)
+/* Deals as the home; false, and nothing dealt, if the ask has come before. */
+static bool deal_as_home(ts_rate_limiter_t *limiter, uint64_t node, const ts_rate_terms_t *terms,
+                         ts_rate_row_t *row, ts_time_us_t now_us)
 {
-    const char *address = NULL;
-    ts_rate_terms_t terms;
-    if (limiter->ops->home(limiter->ctx, row->account, &address) != TS_RATE_HOME_SELF ||
-        !limiter->ops->terms(limiter->ctx, row->account, &terms))
+    ts_rate_claim_t claim = {.node = node,
+                             .ask = row->ask,
+                             .owed = row->owed,
+                             .in_hand = row->in_hand,
+                             .wanted = row->wanted};
+    ts_rate_account_t *account = find_account(limiter, row->account, terms, now_us);
+    if (ts_rate_account_is_repeat(account, &claim))
         return false;
-    ts_rate_claim_t claim = {node, row->in_hand, row->wanted};
-    ts_rate_account_t *account = find_account(limiter, row->account, &terms, now_us);
-    row->deal = ts_rate_account_deal(account, &terms, &claim, now_us);
+    row->deal = ts_rate_account_deal(account, terms, &claim, now_us);
     return true;
 }
 
 static gboolean is_foreign(gpointer name, gpointer account, gpointer ctx)
 {
-    const ts_rate_limiter_t *limiter = ctx;
-    const char *address = NULL;
-    return limiter->ops->home(limiter->ctx, name, &address) != TS_RATE_HOME_SELF;
+    return !is_home(ctx, name);
 }
 
-void ts_rate_limiter_change_view(ts_rate_limiter_t *limiter, ts_time_us_t now_us)
+void ts_rate_limiter_change_view(ts_rate_limiter_t *limiter, bool has_lost, ts_time_us_t now_us)
 {
-    limiter->standing.rested_us = now_us - limiter->standing.since_us;
-    limiter->standing.since_us = now_us;
+    ts_rate_standing_t *standing = &limiter->standing;
+    standing->changed_us = now_us;
+    if (has_lost) {
+        ts_time_us_t since_us = standing->lost_us == 0 ? standing->begun_us : standing->lost_us;
+        standing->rested_us = now_us - since_us;
+        standing->lost_us = now_us;
+    }
     g_hash_table_foreach_remove(limiter->accounts, is_foreign, limiter);
 }
 
@@ -122,29 +154,44 @@
     limiter->ops->changed(limiter->ctx, held->account, terms, is_over);
 }
 
-/* Asks the home of a lease: another node by a message, this node at once. */
-static void ask_home(ts_rate_limiter_t *limiter, held_lease_t *held, const ts_rate_terms_t *terms,
-                     ts_time_us_t now_us)
+/*
+ * Asks for what a lease is short of: its deputy, or the home where this node is the deputy. Where
+ * this node is the home it is answered at once.
+ */
+static void ask_dealer(ts_rate_limiter_t *limiter, held_lease_t *held, const ts_rate_terms_t *terms,
+                       ts_time_us_t now_us)
 {
     const char *address = NULL;
     ts_rate_lease_t *lease = &held->lease;
+    ts_rate_dealer_t dealer = limiter->ops->deputy(limiter->ctx, held->account, &address);
+    lease->is_deputy = dealer == TS_RATE_DEALER_SELF;
+    if (lease->is_deputy)
+        dealer = limiter->ops->home(limiter->ctx, held->account, &address);
     ts_rate_row_t row = {.account = held->account,
                          .in_hand = ts_rate_lease_in_hand(lease, now_us),
                          .wanted = ts_rate_lease_wanted(lease, terms, now_us)};
     row.ask = ts_rate_lease_note_ask(lease, now_us);
-    ts_rate_home_t home = limiter->ops->home(limiter->ctx, held->account, &address);
-    if (home == TS_RATE_HOME_PEER)
+    row.owed = lease->owed;
+    if (dealer == TS_RATE_DEALER_PEER) {
         limiter->ops->ask(limiter->ctx, address, &row);
-    if (home == TS_RATE_HOME_SELF && ts_rate_limiter_take_ask(limiter, limiter->node, &row, now_us))
-        ts_rate_limiter_take_deal(limiter, &row, now_us);
+    } else if (dealer == TS_RATE_DEALER_SELF &&
+               deal_as_home(limiter, limiter->node, terms, &row, now_us)) {
+        ts_rate_lease_take_deal(lease, row.ask, &row.deal, now_us);
+    } else if (dealer == TS_RATE_DEALER_NONE) {
+        ts_rate_lease_note_lost(lease, now_us);
+    }
 }
 
-void ts_rate_limiter_take_deal(ts_rate_limiter_t *limiter, const ts_rate_row_t *row,
-                               ts_time_us_t now_us)
+/* Asks if that is due: at once for what waits, else in the next turn. */
+static void ask_if_due(ts_rate_limiter_t *limiter, held_lease_t *held, const ts_rate_terms_t *terms,
+                       ts_time_us_t now_us)
 {
-    held_lease_t *held = g_hash_table_lookup(limiter->leases, row->account);
-    if (held != NULL)
-        ts_rate_lease_take_deal(&held->lease, row->ask, &row->deal, now_us);
+    if (!ts_rate_lease_is_due(&held->lease, terms, now_us))
+        return;
+    if (held->lease.is_waited_for)
+        ask_dealer(limiter, held, terms, now_us);
+    else
+        limiter->ops->wake(limiter->ctx);
 }
 
 void ts_rate_limiter_note_request(ts_rate_limiter_t *limiter, const char *account,
@@ -163,13 +210,9 @@
         return TS_RATE_TAKEN;
     held_lease_t *held = find_lease(limiter, account, now_us);
     ts_rate_verdict_t verdict = ts_rate_lease_take(&held->lease, &terms, now_us);
-    bool is_due = ts_rate_lease_is_due(&held->lease, &terms, now_us);
-    if (is_due && verdict == TS_RATE_WAITS) {
-        ask_home(limiter, held, &terms, now_us);
+    ask_if_due(limiter, held, &terms, now_us);
+    if (verdict == TS_RATE_WAITS)
         verdict = ts_rate_lease_take(&held->lease, &terms, now_us); // this node may be the home
-    } else if (is_due) {
-        limiter->ops->wake(limiter->ctx);
-    }
     if (verdict == TS_RATE_OVER || verdict == TS_RATE_TAKEN)
         note_over(limiter, held, &terms, verdict == TS_RATE_OVER);
     return verdict;
@@ -189,6 +232,107 @@
     return held == NULL ? 0 : ts_rate_lease_wait_us(&held->lease, now_us);
 }
 
+// -- Deputy: asks of the zone's other nodes
+
+/*
+ * A node that is asked although it is neither home nor deputy by its own view does as a deputy: it
+ * asks in its turn. That ends at a home, as each one asked has a higher weight than who asks.
+ */
+
+/* Answers an ask out of the lease, unless the answer of this node's own ask is awaited. */
+static bool answer_from_lease(ts_rate_limiter_t *limiter, held_lease_t *held,
+                              const queued_ask_t *queued, ts_time_us_t now_us)
+{
+    ts_rate_row_t row = {.account = held->account, .ask = queued->ask};
+    ts_rate_verdict_t verdict =
+        ts_rate_lease_take_for(&held->lease, queued->lacking, &row.deal.tokens, now_us);
+    if (verdict == TS_RATE_WAITS)
+        return false;
+    row.deal.is_lost = verdict == TS_RATE_UNKNOWN;
+    row.deal.valid_us = DEPUTY_VALID_US;
+    row.deal.wait_us = ts_rate_lease_wait_us(&held->lease, now_us);
+    limiter->ops->answer(limiter->ctx, queued->address, &row);
+    return true;
+}
+
+/* An ask that waits already is told anew: its sender awaits the answer to the latest only. */
+static void queue_ask(held_lease_t *held, const queued_ask_t *queued)
+{
+    if (held->queue == NULL) {
+        held->queue = g_array_new(FALSE, FALSE, sizeof(queued_ask_t));
+        g_array_set_clear_func(held->queue, clear_queued);
+    }
+    for (guint i = 0; i < held->queue->len; i++) {
+        queued_ask_t *other = &g_array_index(held->queue, queued_ask_t, i);
+        if (strcmp(other->address, queued->address) != 0)
+            continue;
+        other->ask = queued->ask;
+        other->lacking = queued->lacking;
+        other->at_us = queued->at_us;
+        return;
+    }
+    if (held->queue->len >= QUEUE_MAX)
+        return; // its sender asks again
+    queued_ask_t copy = *queued;
+    copy.address = g_strdup(queued->address);
+    g_array_append_val(held->queue, copy);
+}
+
+/* Answers what waits, in the order in which it came, as far as that goes. */
+static void answer_queue(ts_rate_limiter_t *limiter, held_lease_t *held, ts_time_us_t now_us)
+{
+    while (held->queue != NULL && held->queue->len > 0) {
+        const queued_ask_t *first = &g_array_index(held->queue, queued_ask_t, 0);
+        bool is_late = now_us - first->at_us > QUEUED_US;
+        if (!is_late && !answer_from_lease(limiter, held, first, now_us))
+            return;
+        g_array_remove_index(held->queue, 0);
+    }
+}
+
+static void deal_as_deputy(ts_rate_limiter_t *limiter, const char *address,
+                           const ts_rate_row_t *row, const ts_rate_terms_t *terms,
+                           ts_time_us_t now_us)
+{
+    held_lease_t *held = find_lease(limiter, row->account, now_us);
+    unsigned lacking = row->wanted > row->in_hand ? row->wanted - row->in_hand : 0;
+    queued_ask_t ask = {(char *)address, row->ask, lacking, now_us};
+    held->lease.is_deputy = true;
+    held->lease.owed += row->owed;
+    for (unsigned i = 0; i < lacking; i++)
+        ts_rate_lease_note_request(&held->lease, now_us);
+    if (lacking > 0 && !answer_from_lease(limiter, held, &ask, now_us))
+        queue_ask(held, &ask);
+    ask_if_due(limiter, held, terms, now_us);
+    answer_queue(limiter, held, now_us);
+}
+
+bool ts_rate_limiter_take_ask(ts_rate_limiter_t *limiter, uint64_t node, const char *address,
+                              const ts_rate_row_t *row, ts_time_us_t now_us)
+{
+    ts_rate_terms_t terms;
+    if (!limiter->ops->terms(limiter->ctx, row->account, &terms))
+        return false;
+    ts_rate_row_t answer = *row;
+    if (!is_home(limiter, row->account))
+        deal_as_deputy(limiter, address, row, &terms, now_us);
+    else if (deal_as_home(limiter, node, &terms, &answer, now_us))
+        limiter->ops->answer(limiter->ctx, address, &answer);
+    return true;
+}
+
+void ts_rate_limiter_take_deal(ts_rate_limiter_t *limiter, const ts_rate_row_t *row,
+                               ts_time_us_t now_us)
+{
+    held_lease_t *held = g_hash_table_lookup(limiter->leases, row->account);
+    ts_rate_terms_t terms;
+    if (held == NULL || !limiter->ops->terms(limiter->ctx, row->account, &terms))
+        return;
+    ts_rate_lease_take_deal(&held->lease, row->ask, &row->deal, now_us);
+    answer_queue(limiter, held, now_us);
+    limiter->ops->dealt(limiter->ctx, row->account);
+}
+
 // -- Time
 
 static gboolean is_idle_account(gpointer name, gpointer value, gpointer now)
@@ -206,10 +350,13 @@
         held_lease_t *held = value;
         ts_rate_terms_t terms;
         bool is_limited = limiter->ops->terms(limiter->ctx, held->account, &terms);
-        if (!is_limited || now_us - held->lease.used_us > LEASE_KEPT_US)
+        if (!is_limited || now_us - held->lease.used_us > LEASE_KEPT_US) {
             g_hash_table_iter_remove(&iterator);
-        else if (ts_rate_lease_is_due(&held->lease, &terms, now_us))
-            ask_home(limiter, held, &terms, now_us);
+            continue;
+        }
+        answer_queue(limiter, held, now_us);
+        if (ts_rate_lease_is_due(&held->lease, &terms, now_us))
+            ask_dealer(limiter, held, &terms, now_us);
     }
     g_hash_table_foreach_remove(limiter->accounts, is_idle_account, &now_us);
 }
