--- a/include/tealspar/gateway.h
+++ b/include/tealspar/gateway.h
@@ -45,6 +45,9 @@
     ts_cold_rule_t cold_rule;    /**< what cold back ends bear */
     ts_rate_limiter_t *limiter;  /**< what tenants may send over the whole fleet */
     uv_timer_t limiter_timer;    /**< its turns */
+    uint64_t expected_changes;   /**< of the fleet, when tenants were last expected, */
+    uint64_t expected_version;   /**< and the configuration's version */
+    ts_time_us_t expect_at_us;   /**< when they are expected anew; 0: they are */
     GPtrArray *token_waiters;    /**< requests that wait for it, of ts_request_t */
     unsigned requests;           /**< being worked on */
     uint32_t random;             /**< state of the cheap generator that breaks ties */
--- a/include/tealspar/rate_limiter.h
+++ b/include/tealspar/rate_limiter.h
@@ -53,6 +53,11 @@
 ts_rate_limiter_t *ts_rate_limiter_create(uint64_t node, const ts_rate_limiter_ops_t *ops,
                                           void *ctx, ts_time_us_t now_us);
 void ts_rate_limiter_free(ts_rate_limiter_t *limiter);
+/**
+ * Requests of the account may come: where this node is its deputy, it gets a token in hand, so that
+ * the first request does not wait for a home that is far.
+ */
+void ts_rate_limiter_expect(ts_rate_limiter_t *limiter, const char *account, ts_time_us_t now_us);
 /** A request of the account has come; once a request, before the first take. */
 void ts_rate_limiter_note_request(ts_rate_limiter_t *limiter, const char *account,
                                   ts_time_us_t now_us);
--- a/include/tealspar/tenants.h
+++ b/include/tealspar/tenants.h
@@ -42,6 +42,8 @@
 ts_error_t ts_tenants_finish(ts_tenants_t *tenants, ts_problems_t *problems);
 /** Number of tenants; with none, requests need no key. */
 unsigned ts_tenants_count(const ts_tenants_t *tenants);
+/** The tenant at a place below the number of tenants. */
+const ts_tenant_t *ts_tenants_at(const ts_tenants_t *tenants, unsigned i);
 /** Digest of a key's text. */
 ts_key_digest_t ts_key_digest(const char *key, size_t length);
 /** Who holds a key, or NULL. */
--- a/src/edge/gateway_quota.c
+++ b/src/edge/gateway_quota.c
@@ -8,6 +8,10 @@
 
 /* Between two turns of the limiter, in which leases in use are renewed. */
 #define TURN_MS 250
+/* Tenants are expected anew when the fleet and the configuration have rested for so long; so many
+ * at most, as each is a call to its home. */
+#define EXPECT_RESTED_US (400 * TS_US_PER_MS)
+#define EXPECTED_MAX 1024U
 
 // -- What the limiter is given
 
@@ -68,9 +72,41 @@
     }
 }
 
+/*
+ * Whether the fleet or the configuration has changed since tenants were last expected, and has
+ * rested for a moment.
+ */
+static bool is_expecting_due(ts_gateway_t *gateway, ts_time_us_t now_us)
+{
+    uint64_t changes = gateway->peers == NULL ? 0 : ts_peers_changes(gateway->peers);
+    uint64_t version = gateway->traffic == NULL ? 0 : gateway->traffic->version;
+    if (changes != gateway->expected_changes || version != gateway->expected_version) {
+        gateway->expected_changes = changes;
+        gateway->expected_version = version;
+        gateway->expect_at_us = now_us + EXPECT_RESTED_US;
+    }
+    if (gateway->expect_at_us == 0 || now_us < gateway->expect_at_us)
+        return false;
+    gateway->expect_at_us = 0;
+    return true;
+}
+
+/* Tenants whose deputy this node is may send at any time. */
+static void expect_tenants(const ts_gateway_t *gateway, ts_time_us_t now_us)
+{
+    unsigned count = gateway->traffic == NULL ? 0 : ts_tenants_count(gateway->traffic->tenants);
+    for (unsigned i = 0; i < MIN(count, EXPECTED_MAX); i++) {
+        const char *name = ts_tenants_at(gateway->traffic->tenants, i)->name;
+        ts_rate_limiter_expect(gateway->limiter, name, now_us);
+    }
+}
+
 static void turn(uv_timer_t *timer)
 {
-    const ts_gateway_t *gateway = timer->data;
+    ts_gateway_t *gateway = timer->data;
+    ts_time_us_t now_us = ts_clock_now_us();
+    if (is_expecting_due(gateway, now_us))
+        expect_tenants(gateway, now_us);
     ts_rate_limiter_turn(gateway->limiter, ts_clock_now_us());
     ts_gauge_set(TS_COUNTER_RATE_LEASES, ts_rate_limiter_leases(gateway->limiter));
     ts_gauge_set(TS_COUNTER_RATE_ACCOUNTS, ts_rate_limiter_accounts(gateway->limiter));
--- a/src/route/rate_account.c
+++ b/src/route/rate_account.c
@@ -7,13 +7,16 @@
 #define HOLD_SHARE 0.5
 /* Of the tolerance: with what a new account begins, as the old one may have dealt everything. */
 #define BEGIN_SHARE 0.25
+/* A node that has just begun may itself have been home before: it begins with so much, and what
+ * came in since. */
+#define BEGIN_LEAST 1.0
 /* Least capacity: one token must fit, or nothing is ever dealt. */
 #define CAPACITY_LEAST 1.0
 /* Of the tokens at home: most that one node gets at once, so that others find some too. */
 #define DEAL_SHARE 0.5
 /* Tokens are void so long after they were asked for; later, the home counts on none there. */
-#define VALID_US (2 * TS_US_PER_S)
-#define HOLDER_KEPT_US (3 * TS_US_PER_S)
+#define VALID_US (10 * TS_US_PER_S)
+#define HOLDER_KEPT_US (12 * TS_US_PER_S)
 /*
  * An account that has just been opened knows nothing of what came in while there was no home; what
  * nodes spent by themselves meanwhile is set against that, and not debited.
@@ -41,7 +44,7 @@
     double window_s = (terms->limit - terms->burst) / terms->rate;
     double rested_s = (double)standing->rested_us / TS_US_PER_S;
     double since_begun = terms->rate * (double)(now_us - standing->begun_us) / TS_US_PER_S;
-    double begin = MIN(BEGIN_SHARE * terms->tolerance, since_begun);
+    double begin = MIN(BEGIN_SHARE * terms->tolerance, BEGIN_LEAST + since_begun);
     if (standing->lost_us != 0)
         begin *= MIN(rested_s / window_s, 1);
     double come = terms->rate * (double)(now_us - standing->changed_us) / TS_US_PER_S;
--- a/src/route/rate_lease.c
+++ b/src/route/rate_lease.c
@@ -22,9 +22,10 @@
 #define ASK_GAP_US (50 * TS_US_PER_MS)
 /* The same after the home had none to give, although some are in hand. */
 #define ASK_EMPTY_GAP_US (250 * TS_US_PER_MS)
-/* A lease in use is renewed this often; it is in use for so long after a request. */
-#define RENEW_US (1 * TS_US_PER_S)
-#define IN_USE_US (5 * TS_US_PER_S)
+/* A lease in use is renewed this often, well before its tokens are void; it is in use for so long
+ * after a request. */
+#define RENEW_US (5 * TS_US_PER_S)
+#define IN_USE_US (60 * TS_US_PER_S)
 /* Bounds on how long the home's answer that it has none is believed. */
 #define OVER_LEAST_US (20 * TS_US_PER_MS)
 #define OVER_MOST_US (500 * TS_US_PER_MS)
--- a/src/route/rate_limiter.c
+++ b/src/route/rate_limiter.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 /* A lease that nobody used for so long is forgotten, and so is an account nobody asked for. */
-#define LEASE_KEPT_US (20 * TS_US_PER_S)
+#define LEASE_KEPT_US (90 * TS_US_PER_S)
 #define ACCOUNT_KEPT_US (60 * TS_US_PER_S)
 /* Asks of a zone's nodes that wait for the home's answer: so many at a deputy, and so long. */
 #define QUEUE_MAX 256U
@@ -194,6 +194,19 @@
         limiter->ops->wake(limiter->ctx);
 }
 
+void ts_rate_limiter_expect(ts_rate_limiter_t *limiter, const char *account, ts_time_us_t now_us)
+{
+    const char *address = NULL;
+    ts_rate_terms_t terms;
+    if (!limiter->ops->terms(limiter->ctx, account, &terms) ||
+        limiter->ops->deputy(limiter->ctx, account, &address) != TS_RATE_DEALER_SELF)
+        return;
+    held_lease_t *held = find_lease(limiter, account, now_us);
+    held->lease.used_us = now_us;
+    held->lease.is_deputy = true;
+    ask_if_due(limiter, held, &terms, now_us);
+}
+
 void ts_rate_limiter_note_request(ts_rate_limiter_t *limiter, const char *account,
                                   ts_time_us_t now_us)
 {
