The soak learns tenants; who waits for a lost home is refused at once

Soak: three tenants (no limit, a limit that is exceeded, a key that changes with each version), forged tenant fields, a route without keys. Checks TENANT, KEY_SHOWN, KEY_REFUSED, REVOKED, LIMIT_REFUSED, QUOTA.

--- a/lab/soak.c
+++ b/lab/soak.c
@@ -225,6 +225,7 @@
     s.records = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     s.instances = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     s.broken = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    s.limited_runs = g_array_new(FALSE, FALSE, sizeof(ts_time_us_t));
     s.latencies = g_array_new(FALSE, FALSE, sizeof(ts_time_us_t));
     s.begun_us = ts_clock_now_us();
     signal(SIGPIPE, SIG_IGN);
@@ -243,6 +244,7 @@
     s.is_draining = true;
     check_recovery(&s);
     check_budgets(&s);
+    soak_check_limit(&s);
     stop_nodes(&s);
     print_report(&s);
     fclose(s.timeline);
--- a/lab/soak.h
+++ b/lab/soak.h
@@ -6,6 +6,7 @@
  *   soak_world.c    links, searchers, configuration, gateway processes
  *   soak_faults.c   which faults there are, when they begin and end
  *   soak_caller.c   callers' requests and what is found in their answers
+ *   soak_tenants.c  tenants: their keys and limits, and what becomes of them
  *   soak_check.c    pure checks of answers and budgets
  */
 #ifndef LAB_SOAK_H
@@ -83,6 +84,10 @@
     unsigned runs; // at searchers
     bool is_repeatable;
     bool was_refused;  // its caller was told that it has not run and never will
+    int tenant;        // whose key it showed; -1: none was needed
+    bool has_old_key;  // a newer version has taken it away
+    bool is_key_due;   // a gateway in touch must know it
+    bool is_revoked;   // that key had been taken away for long enough when it was sent
     bool is_placed;    // it may be served in the first region only
     uint64_t services; // bit set of the services that it has reached
 } soak_record_t;
@@ -124,6 +129,7 @@
     unsigned asked;
     unsigned answered[6]; // by hundreds of the status; 0: no answer
     GArray *latencies;    // of ts_time_us_t, of requests answered with success
+    GArray *limited_runs; // of ts_time_us_t: requests of the limited tenant that ran
     unsigned promises_broken;
     GHashTable *broken; // name of a promise -> count
     unsigned requests_open;
@@ -164,6 +170,23 @@
 /** The service that forwarded requests go to. */
 unsigned soak_forward_service(uint64_t version);
 
+// -- soak_tenants.c
+/** Limits over all gateways, in each window of 5 s: a quarter more, and five requests. */
+#define SOAK_QUOTA_SETTINGS "quota_window_ms: 5000\nquota_overrun: 0.25\nquota_slack: 5\n"
+/** The tenants of a version of the configuration, as JSON; g_free. */
+char *soak_compose_tenants(uint64_t version, bool is_planted);
+/** Draws whose key a request shows; notes it, and returns the header fields; g_free. */
+char *soak_draw_credentials(soak_t *s, soak_record_t *record, bool is_open, bool must_pass);
+/** A searcher has got a request: what it is shown of tenant and key. */
+void soak_check_tenant(soak_t *s, const lab_searcher_t *searcher, const ts_http_message_t *request);
+/** A request has come to a searcher; `is_first`: it runs for the first time. */
+void soak_note_run(soak_t *s, const soak_record_t *record, bool is_first);
+/** A request was answered with 401 or 429. */
+void soak_check_turned_away(soak_t *s, const soak_record_t *record, const char *id,
+                            const ts_http_message_t *answer, bool was_in_touch);
+/** Whether the limited tenant ran more than it may in some window, over all gateways. */
+void soak_check_limit(soak_t *s);
+
 // -- soak_faults.c
 /** Begins faults at random times until the soak drains; ends them all then. */
 void soak_faults_start(soak_t *s);
--- a/lab/soak_caller.c
+++ b/lab/soak_caller.c
@@ -37,6 +37,7 @@
     ts_time_us_t sent_us;
     bool was_in_touch;
     char id[24];
+    char *credentials; // header fields
     uv_tcp_t socket;
     uv_connect_t connecting;
     uv_timer_t timer;
@@ -53,6 +54,7 @@
     if (--visit->handles > 0)
         return;
     ts_http_message_clear(&visit->answer);
+    g_free(visit->credentials);
     g_free(visit);
 }
 
@@ -172,7 +174,10 @@
     }
     if (visit->route == ROUTE_MARKER)
         check_marker(visit, status);
-    if (visit->route != ROUTE_MARKER && status >= 400 && status < 500 && !is_promise(status))
+    if (status == 401 || status == 429)
+        soak_check_turned_away(s, record, visit->id, &visit->answer, was_in_touch(visit));
+    if (visit->route != ROUTE_MARKER && status >= 400 && status < 500 && status != 401 &&
+        !is_promise(status))
         soak_broken(s, "DENIED", "%s answered %s with %u", visit->node->name, visit->id, status);
     if (status < 200 || status > 299)
         return;
@@ -235,9 +240,10 @@
 {
     static const char *const targets[] = {"/forward/x", "/once/x", "/all/x", "/placed/x"};
     char *marker = g_strdup_printf("/v%lu/x", (unsigned long)visit->version);
-    char *text = g_strdup_printf("GET %s HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n%s: %d\r\n\r\n",
+    char *text = g_strdup_printf("GET %s HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n%s: %d\r\n%s\r\n",
                                  visit->route == ROUTE_MARKER ? marker : targets[visit->route],
-                                 NAME_REQUEST_ID, visit->id, NAME_DEADLINE_MS, DEADLINE_MS);
+                                 NAME_REQUEST_ID, visit->id, NAME_DEADLINE_MS, DEADLINE_MS,
+                                 visit->credentials);
     g_free(marker);
     return text;
 }
@@ -284,6 +290,8 @@
     record->node = visit->node;
     record->is_repeatable = visit->route != ROUTE_ONCE && !s->options.is_planted;
     record->is_placed = visit->route == ROUTE_PLACED;
+    visit->credentials =
+        soak_draw_credentials(s, record, visit->route == ROUTE_MARKER, visit->on_done != NULL);
     g_hash_table_insert(s->records, g_strdup(visit->id), record);
     if (visit->route == ROUTE_ALL) {
         unsigned first = soak_first_shard(s->version);
--- a/lab/soak_check.c
+++ b/lab/soak_check.c
@@ -105,6 +105,19 @@
     return worst;
 }
 
+unsigned soak_most_within(const GArray *times, ts_time_us_t window_us)
+{
+    unsigned most = 0;
+    guint begin = 0;
+    for (guint end = 0; end < times->len; end++) {
+        ts_time_us_t last_us = g_array_index(times, ts_time_us_t, end);
+        while (last_us - g_array_index(times, ts_time_us_t, begin) >= window_us)
+            begin++;
+        most = MAX(most, end - begin + 1);
+    }
+    return most;
+}
+
 unsigned soak_arrivals_within(const GArray *arrivals, ts_time_us_t window_us)
 {
     if (arrivals->len == 0)
--- a/lab/soak_check.h
+++ b/lab/soak_check.h
@@ -46,6 +46,9 @@
 double soak_budget_excess(const soak_budget_log_t *log, ts_time_us_t window_us, double ratio,
                           double slack);
 
+/** The most of the times (of ts_time_us_t, rising) that lie within some window. */
+unsigned soak_most_within(const GArray *times, ts_time_us_t window_us);
+
 /** How many of the arrivals (of ts_time_us_t, rising) came in the last `window_us`. */
 unsigned soak_arrivals_within(const GArray *arrivals, ts_time_us_t window_us);
 
--- a/lab/soak_world.c
+++ b/lab/soak_world.c
@@ -136,6 +136,7 @@
                     request_id == NULL ? "without an id" : request_id);
         return;
     }
+    soak_note_run(s, record, runs && record->runs == 0);
     record->runs += runs;
     if (runs && record->runs > 1 && !record->is_repeatable)
         soak_broken(s, "TWICE", "request %s of %s ran again at %s", request_id, record->node->name,
@@ -161,7 +162,14 @@
     soak_compose_body(searcher->service, request_id, body);
 }
 
-static const lab_searcher_ops_t searcher_ops = {note_arrival, compose};
+static void note_fields(void *ctx, lab_searcher_t *searcher, const ts_http_message_t *request)
+{
+    const soak_searcher_t *own = ctx;
+    soak_check_tenant(own->soak, searcher, request);
+}
+
+static const lab_searcher_ops_t searcher_ops = {
+    .arrived = note_arrival, .heard = note_fields, .compose = compose};
 
 static unsigned warmup_left_ms(const soak_searcher_t *own)
 {
@@ -266,11 +274,12 @@
 {
     g_string_append_printf(out,
                            "%s{\"%s\":\"%s\",\"%s\":\"h.example\",\"%s\":\"%s\",\"%s\":\"%s\","
-                           "\"%s\":%u,\"%s\":200,\"%s\":1,\"%s\":2,%s}",
+                           "\"%s\":%u,\"%s\":200,\"%s\":1,\"%s\":2,\"%s\":%s,%s}",
                            out->len > 0 ? "," : "", FIELD_NAME, name, FIELD_HOST, FIELD_PREFIX,
                            prefix, FIELD_KIND, is_repeatable ? WORD_REPEATABLE : "non_idempotent",
                            FIELD_TIMEOUT_MS, ROUTE_TIMEOUT_MS, FIELD_AIM_MS, FIELD_PRIORITY,
-                           FIELD_ATTEMPTS, target);
+                           FIELD_ATTEMPTS, FIELD_OPEN,
+                           g_str_has_prefix(prefix, "/v") ? "true" : "false", target);
 }
 
 static char *compose_services(void)
@@ -314,15 +323,18 @@
     s->version_us = ts_clock_now_us();
     char *routes = compose_routes(s->version, s->options.is_planted);
     char *services = compose_services();
-    char *text = g_strdup_printf("{\"%s\":%lu,\"%s\":[%s],\"%s\":[%s],\"%s\":{\"%s\":8192,"
-                                 "\"%s\":65536,\"%s\":3000,\"%s\":15000}}",
-                                 FIELD_VERSION, (unsigned long)s->version, FIELD_ROUTES, routes,
-                                 FIELD_SERVICES, services, FIELD_LIMITS, FIELD_HEAD_BYTES,
-                                 FIELD_BODY_BYTES, FIELD_HEAD_MS, FIELD_IDLE_MS);
+    char *tenants = soak_compose_tenants(s->version, s->options.is_planted);
+    char *text =
+        g_strdup_printf("{\"%s\":%lu,\"%s\":[%s],\"%s\":[%s],\"%s\":[%s],\"%s\":{\"%s\":8192,"
+                        "\"%s\":65536,\"%s\":3000,\"%s\":15000}}",
+                        FIELD_VERSION, (unsigned long)s->version, FIELD_ROUTES, routes,
+                        FIELD_SERVICES, services, FIELD_TENANTS, tenants, FIELD_LIMITS,
+                        FIELD_HEAD_BYTES, FIELD_BODY_BYTES, FIELD_HEAD_MS, FIELD_IDLE_MS);
     if (!s->options.is_planted || s->version == 1)
         lab_store_put(s->store, KEY_CONFIG, text);
     soak_say(s, "version %lu", (unsigned long)s->version);
     g_free(text);
+    g_free(tenants);
     g_free(services);
     g_free(routes);
 }
@@ -370,7 +382,7 @@
         "advertised: %s\nseeds: [%s]\nstore: %s\n"
         "zones: [{zone: z1, region: r1}, {zone: z2, region: r2}]\n"
         "drain_ms: %d\ngrace_ms: %d\nretry_ratio: %.1f\nretry_slack: %d\n"
-        "warmup_overrun: %.1f\nwarmup_slack: %d\n"
+        "warmup_overrun: %.1f\nwarmup_slack: %d\n" SOAK_QUOTA_SETTINGS
         "log_format: json\nlog_level: info\n",
         node->name, node->zone, node->ip, node->callers_port, node->ip, node->ready_port, node->ip,
         node->peers_port, node->peers.address, seeds->str, node->store.address, DRAIN_MS, GRACE_MS,
--- a/lab/standin_searcher.c
+++ b/lab/standin_searcher.c
@@ -221,6 +221,8 @@
         return;
     }
     visitor->is_refused = searcher->behaviour == LAB_SHEDS;
+    if (searcher->ops != NULL && searcher->ops->heard != NULL)
+        searcher->ops->heard(searcher->ctx, searcher, &visitor->request);
     if (searcher->ops == NULL)
         remember(visitor);
     else if (searcher->ops->arrived != NULL)
--- a/lab/standin_searcher.h
+++ b/lab/standin_searcher.h
@@ -9,6 +9,8 @@
 #include <stdbool.h>
 #include <uv.h>
 
+#include "tealspar/http_message.h"
+
 typedef enum lab_behaviour {
     LAB_ANSWERS,        /**< one whole answer */
     LAB_SHEDS,          /**< 503, not run */
@@ -31,6 +33,8 @@
 typedef struct lab_searcher_ops {
     /** A request meant for it has come; it runs now, or is refused and never will. */
     void (*arrived)(void *ctx, struct lab_searcher *searcher, const char *request_id, bool runs);
+    /** The same request, whole, just before. */
+    void (*heard)(void *ctx, struct lab_searcher *searcher, const ts_http_message_t *request);
     /** Composes the body of the answer to a request. */
     void (*compose)(void *ctx, struct lab_searcher *searcher, const char *request_id,
                     GString *body);
--- a/src/edge/request_admission.c
+++ b/src/edge/request_admission.c
@@ -107,8 +107,9 @@
         return TS_ADMISSION_BEGUN;
     case TS_RATE_OVER:
         return TS_ADMISSION_OVER_QUOTA;
-    case TS_RATE_WAITS:
     case TS_RATE_UNKNOWN:
+        return TS_ADMISSION_UNCONFIRMED;
+    case TS_RATE_WAITS:
         break;
     }
     return now_us < request->token_by_us ? TS_ADMISSION_WAITS : TS_ADMISSION_UNCONFIRMED;
--- a/tests/lab/test_soak_checks.c
+++ b/tests/lab/test_soak_checks.c
@@ -100,10 +100,25 @@
     g_array_unref(arrivals);
 }
 
+static void test_most_within_a_window(void **state)
+{
+    GArray *times = g_array_new(FALSE, FALSE, sizeof(ts_time_us_t));
+    assert_int_equal(soak_most_within(times, SECOND), 0);
+    for (ts_time_us_t at_us = 10 * SECOND; at_us < 20 * SECOND; at_us += SECOND / 2)
+        g_array_append_val(times, at_us);
+    assert_int_equal(soak_most_within(times, 5 * SECOND), 10);
+    ts_time_us_t more_us = 20 * SECOND - 1; // one more within the last window alone
+    g_array_append_val(times, more_us);
+    assert_int_equal(soak_most_within(times, 5 * SECOND), 11);
+    assert_int_equal(soak_most_within(times, SECOND / 4), 1);
+    g_array_unref(times);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_arrivals_of_a_second),
+        cmocka_unit_test(test_most_within_a_window),
         cmocka_unit_test(test_right_answer_passes),
         cmocka_unit_test(test_wrong_answers_are_seen),
         cmocka_unit_test(test_budget_in_sliding_windows),
