--- a/include/tealspar/rate_lease.h
+++ b/include/tealspar/rate_lease.h
@@ -37,6 +37,7 @@
     ts_time_us_t own_us;          /**< when that was brought up to date */
     bool is_deputy;               /**< it holds tokens for other nodes of its zone too */
     bool is_waited_for;           /**< a request found none and waits */
+    ts_time_us_t refused_us;      /**< when it was last said that the limit is reached */
     bool was_over;                /**< it was said that the limit is reached */
 } ts_rate_lease_t;
 
--- a/src/edge/answer.c
+++ b/src/edge/answer.c
@@ -6,6 +6,7 @@
 #include "tealspar/log.h"
 #include "tealspar/records.h"
 #include "tealspar/store_mirror.h"
+#include "tealspar/tenant_counters.h"
 
 #define STATUS_OK 200
 #define STATUS_UNAUTHORIZED 401
@@ -111,6 +112,12 @@
     return (unsigned long)((ts_clock_now_us() - confirmed_us) / TS_US_PER_MS);
 }
 
+static void count_tenant(const ts_request_t *request, ts_tenant_outcome_t outcome)
+{
+    if (request->identity.tenant != NULL)
+        ts_tenant_count(request->identity.tenant->name, outcome);
+}
+
 static const char *tenant_name(const ts_request_t *request)
 {
     return request->identity.tenant == NULL ? "-" : request->identity.tenant->name;
@@ -143,6 +150,7 @@
 void ts_answer_left(const ts_request_t *request)
 {
     ts_count(TS_COUNTER_REQUESTS_LEFT, 1);
+    count_tenant(request, TS_TENANT_LEFT);
     ts_route_state_count(request->state, TS_OUTCOME_LEFT, ts_clock_now_us() - request->arrived_us);
     log_outcome(request, TS_EVENT_REQUEST_LEFT, 0, "caller_left");
 }
@@ -152,6 +160,7 @@
     ts_time_us_t span_us = ts_clock_now_us() - request->arrived_us;
     bool is_partial = request->parts_in < request->parts_count;
     ts_count(TS_COUNTER_REQUESTS_OK, 1);
+    count_tenant(request, TS_TENANT_SERVED);
     ts_observe_us(TS_HISTOGRAM_QUERY_LATENCY, span_us);
     ts_route_state_count(request->state, is_partial ? TS_OUTCOME_PARTIAL : TS_OUTCOME_OK, span_us);
     if (is_partial) {
@@ -226,7 +235,9 @@
     append_challenge(status, fields);
     append_retry_after(request->gateway, may_have_run ? 0 : retry_after_ms(request, error), fields);
     char *body = describe_error(error);
+    ts_tenant_outcome_t refusal = error == TS_E_QUOTA ? TS_TENANT_OVER_QUOTA : TS_TENANT_REFUSED;
     ts_count_error(error);
+    count_tenant(request, may_have_run ? TS_TENANT_FAILED : refusal);
     ts_count(may_have_run ? TS_COUNTER_REQUESTS_FAILED : TS_COUNTER_REQUESTS_REFUSED, 1);
     ts_route_state_count(request->state, may_have_run ? TS_OUTCOME_FAILED : TS_OUTCOME_REFUSED,
                          ts_clock_now_us() - request->arrived_us);
--- a/src/edge/gateway_metrics.c
+++ b/src/edge/gateway_metrics.c
@@ -3,6 +3,7 @@
 #include "tealspar/counters.h"
 #include "tealspar/gateway.h"
 #include "tealspar/store_mirror.h"
+#include "tealspar/tenant_counters.h"
 
 /* Routes that get labels of their own; a configuration may have hundreds. */
 #define ROUTES_MAX 50U
@@ -66,5 +67,6 @@
     ts_gauge_set(TS_COUNTER_INSTANCES_LISTED, ts_registry_listed(gateway->registry));
     ts_counters_write_prometheus(out);
     ts_byte_account_write(out);
+    ts_tenant_counters_write(out);
     write_routes(gateway, out);
 }
--- a/src/route/rate_limiter.c
+++ b/src/route/rate_limiter.c
@@ -9,6 +9,8 @@
 /* Asks of a zone's nodes that wait for the home's answer: so many at a deputy, and so long. */
 #define QUEUE_MAX 256U
 #define QUEUED_US (300 * TS_US_PER_MS)
+/* An account is within its limit again when nothing was refused for so long; for the log. */
+#define WITHIN_US (5 * TS_US_PER_S)
 /* What a deputy deals is void after this at the latest, before its own tokens would be. */
 #define DEPUTY_VALID_US (1 * TS_US_PER_S)
 
@@ -146,9 +148,12 @@
 
 /* Notes whether the limit is reached, and tells a change. */
 static void note_over(ts_rate_limiter_t *limiter, held_lease_t *held, const ts_rate_terms_t *terms,
-                      bool is_over)
+                      bool is_over, ts_time_us_t now_us)
 {
-    if (held->lease.was_over == is_over)
+    bool has_rested = now_us - held->lease.refused_us > WITHIN_US;
+    if (is_over)
+        held->lease.refused_us = now_us;
+    if (held->lease.was_over == is_over || (!is_over && !has_rested))
         return;
     held->lease.was_over = is_over;
     limiter->ops->changed(limiter->ctx, held->account, terms, is_over);
@@ -227,7 +232,7 @@
     if (verdict == TS_RATE_WAITS)
         verdict = ts_rate_lease_take(&held->lease, &terms, now_us); // this node may be the home
     if (verdict == TS_RATE_OVER || verdict == TS_RATE_TAKEN)
-        note_over(limiter, held, &terms, verdict == TS_RATE_OVER);
+        note_over(limiter, held, &terms, verdict == TS_RATE_OVER, now_us);
     return verdict;
 }
 
--- a/tests/gateway/test_tenants.c
+++ b/tests/gateway/test_tenants.c
@@ -1,6 +1,7 @@
 /** Requests with keys: who is let in, what back ends see, and keys that are taken away. */
 #include "world.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #include "tealspar/counters.h"
@@ -225,6 +226,51 @@
     check_unconfirmed("revoke_ms: 300\nrevoke_fail_closed: false", 200);
 }
 
+/* Keys stand in no metric, answer or line; what became of requests stands there by tenant. */
+static void test_keys_are_shown_nowhere(void **state)
+{
+    lab_searcher_t *searcher = NULL;
+    visit_t *visit = NULL;
+    world_t *world = open_world(NULL, &searcher);
+    assert_int_equal(ask(world, "/p/x", "Authorization: Bearer red-1\r\n", &visit), 200);
+    assert_null(strstr(visit->received->str, "red-1"));
+    assert_int_equal(ask(world, "/p/x", "Authorization: Bearer no-key-at-all\r\n", &visit), 401);
+    assert_null(strstr(visit->received->str, "no-key-at-all"));
+    GString *metrics = g_string_new(NULL);
+    ts_gateway_write_metrics(&world->gateway, metrics);
+    assert_null(strstr(metrics->str, "red-1"));
+    assert_null(strstr(metrics->str, "no-key-at-all"));
+    assert_non_null(strstr(metrics->str, "requests_total{tenant=\"red\",outcome=\"served\"}"));
+    g_string_free(metrics, TRUE);
+}
+
+/* A gateway that the service does not serve hears from its peers that a key is gone. */
+static void test_key_is_taken_away_through_a_peer(void **state)
+{
+    lab_searcher_t *searcher = NULL;
+    world_t *world = open_world(NULL, &searcher);
+    unsigned ports[2] = {world_next_port(), world_next_port()};
+    ts_gateway_t *informed =
+        world_add_gateway(world, "n0", "z1", ports[0], ports[1], world->store_port);
+    ts_gateway_t *cut = world_add_gateway(world, "n1", "z1", ports[1], ports[0], 0);
+    assert_true(world_await_knowledge(world, informed, 1, 1));
+    assert_true(world_await_knowledge(world, cut, 1, 1));
+    configure(world, 2, TENANT("red", "\"red-2\""));
+    assert_true(world_await_knowledge(world, cut, 2, 1));
+    unsigned port = (unsigned)atoi(strchr(cut->settings->callers, ':') + 1);
+    static const char *const keys[] = {"red-1", "red-2"};
+    static const unsigned statuses[] = {401, 200};
+    for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+        visit_t *visit = visit_open(world, port);
+        char *text = g_strdup_printf("GET /p/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r\r\n"
+                                     "Authorization: Bearer %s\r\n\r\n",
+                                     keys[i]);
+        visit_send(visit, text);
+        g_free(text);
+        assert_int_equal(visit_await(world, visit), statuses[i]);
+    }
+}
+
 /* A configuration whose tenants contradict themselves changes nothing. */
 static void test_contradicting_tenants_are_refused_whole(void **state)
 {
@@ -251,6 +297,8 @@
         cmocka_unit_test(test_waiting_request_whose_key_is_taken_away),
         cmocka_unit_test(test_unconfirmed_keys_fail_closed),
         cmocka_unit_test(test_unconfirmed_keys_go_on),
+        cmocka_unit_test(test_keys_are_shown_nowhere),
+        cmocka_unit_test(test_key_is_taken_away_through_a_peer),
         cmocka_unit_test(test_contradicting_tenants_are_refused_whole),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
