--- a/include/tealspar/counters.h
+++ b/include/tealspar/counters.h
@@ -87,6 +87,8 @@
       "times nothing was told of back ends, as most looked bad from here at once")                 \
     X(EVIDENCE_STALE, counter, "evidence_stale_total",                                             \
       "messages of evidence that were older than another from the same node")                      \
+    X(PEERS_UNHEARD, counter, "peers_unheard_total",                                               \
+      "connections to peers given up as what was sent on them was not heard")                      \
     X(RATE_ASKS, counter, "rate_asks_total", "tokens of tenants' limits asked for at other nodes") \
     X(RATE_DEALS, counter, "rate_deals_total", "such asks of others that were answered")           \
     X(RATE_ASKS_ASTRAY, counter, "rate_asks_astray_total",                                         \
--- a/include/tealspar/membership.h
+++ b/include/tealspar/membership.h
@@ -39,6 +39,9 @@
     const char *zone;
     uint64_t incarnation;
     uint64_t seed;
+    /** A connection that has gone silent is given up by the transport at the next message: a probe
+     * that is not answered goes to its target once more beside the indirect ones. */
+    bool probes_again;
 } ts_membership_config_t;
 
 /** Time between probes; every limit below is a multiple of it. */
--- a/include/tealspar/peer_link.h
+++ b/include/tealspar/peer_link.h
@@ -27,6 +27,8 @@
 /** Sends a message, or drops it when the peer cannot take more. Never blocks. */
 void ts_peer_link_send(ts_peer_link_t *link, const char *address, const uint8_t *bytes,
                        size_t length);
+/** Since when there is a connection to a peer; 0: there is none. */
+ts_time_us_t ts_peer_link_connected_us(const ts_peer_link_t *link, const char *address);
 /** Ends the connection to a peer; the next message opens another. */
 void ts_peer_link_reset(ts_peer_link_t *link, const char *address);
 /** Stops listening and ends the connections that others have to this node. */
--- a/lab/link.c
+++ b/lab/link.c
@@ -51,6 +51,7 @@
     direction_t forward;
     direction_t backward;
     unsigned open_handles;
+    bool is_swallowed; /* it has gone silent for good */
     bool is_closing;
 };
 
@@ -58,7 +59,8 @@
 {
     const connection_t *connection = direction->connection;
     lab_link_mode_t mode = connection->link->ops->mode(connection->link->ctx, connection->source);
-    return mode == LAB_LINK_SILENT || (mode == LAB_LINK_HALF_OPEN && direction->is_forward) ||
+    return connection->is_swallowed || mode == LAB_LINK_SILENT ||
+           (mode == LAB_LINK_HALF_OPEN && direction->is_forward) ||
            (mode == LAB_LINK_DEAF && !direction->is_forward);
 }
 
@@ -327,3 +329,9 @@
             arm_timer(connection);
     }
 }
+
+void lab_link_swallow(lab_link_t *link)
+{
+    for (guint i = 0; i < link->connections->len; i++)
+        ((connection_t *)g_ptr_array_index(link->connections, i))->is_swallowed = true;
+}
--- a/lab/soak_faults.c
+++ b/lab/soak_faults.c
@@ -215,6 +215,28 @@
     return spoil_link(fault, &choose_searcher(fault->s)->link);
 }
 
+/*
+ * Connections go silent for good, new ones work: those of one gateway to the service and from its
+ * peers, or those to a searcher.
+ */
+static bool swallow_connections(fault_t *fault)
+{
+    soak_t *s = fault->s;
+    soak_node_t *node = &s->nodes[draw(s, 0, (gint32)s->options.nodes)];
+    if (draw(s, 0, 2) == 0) {
+        soak_searcher_t *own = choose_searcher(s);
+        lab_link_swallow(own->link.link);
+        soak_say(s, "connections to %s go silent", own->searcher->id);
+        return true;
+    }
+    lab_link_swallow(node->store.link);
+    lab_link_swallow(node->peers.link);
+    for (unsigned i = 0; i < s->options.nodes; i++)
+        soak_touch(&s->nodes[i], 0); // peers have lost what they sent to it
+    soak_say(s, "connections of %s go silent", node->name);
+    return true;
+}
+
 // -- Searchers
 
 static bool misbehave(fault_t *fault)
@@ -330,6 +352,7 @@
     {"stop", 3, stop_node, start_again, 0},
     {"hang up", 2, hang_up, NULL, 0},
     {"node's link", 5, spoil_node_link, mend_node_link, 0},
+    {"silent connections", 4, swallow_connections, NULL, 0},
     {"searcher's link", 6, spoil_searcher_link, mend_link, 0},
     {"misbehaviour", 8, misbehave, cure_searcher, 0},
     {"slowness", 5, slow_down, cure_searcher, 0},
--- a/src/control/membership.c
+++ b/src/control/membership.c
@@ -338,6 +338,7 @@
     m->order = g_ptr_array_new();
     m->relays = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, free_relay);
     m->random = config->seed | 1U;
+    m->probes_again = config->probes_again;
     m->now_us = now_us;
     m->sync_gap_us = SYNC_GAP_FIRST_US;
     m->rounds = (unsigned)ts_member_next_random(m); /* so that not all ask the same seed first */
--- a/src/control/membership_internal.h
+++ b/src/control/membership_internal.h
@@ -49,6 +49,7 @@
 
 struct ts_membership {
     ts_membership_ops_t ops;
+    bool probes_again;
     void *context;
     GHashTable *members; /* name -> member_t, owned; this node included */
     member_t *self;
--- a/src/control/membership_probe.c
+++ b/src/control/membership_probe.c
@@ -89,6 +89,9 @@
 static void send_indirect_probes(ts_membership_t *m, const member_t *target)
 {
     m->probe.is_indirect_sent = true;
+    if (m->probes_again)
+        ts_member_send_gossip(m, target->name, target->address, GOSSIP_PING, m->probe.sequence,
+                              NULL);
     for (unsigned i = 0; i < INDIRECT_PROBES; i++) {
         const member_t *helper = ts_member_choose_random(m, target);
         if (helper != NULL) {
--- a/src/peers/peer_link.c
+++ b/src/peers/peer_link.c
@@ -32,8 +32,9 @@
     nng_socket socket;
     uint32_t dial; /* which opening of a socket this is; names it on nng's threads */
     bool is_open;
-    int pipe;       /* nng's number of its connection; 0: it has none */
-    GQueue waiting; /* of nng_msg, until it is connected */
+    ts_time_us_t connected_us; /* when that came up */
+    int pipe;                  /* nng's number of its connection; 0: it has none */
+    GQueue waiting;            /* of nng_msg, until it is connected */
     ts_time_us_t used_us;
 } peer_t;
 
@@ -216,13 +217,19 @@
         link->lost(link->context, peer->address);
 }
 
+static void set_connected(peer_t *peer, int pipe)
+{
+    peer->pipe = pipe;
+    peer->connected_us = ts_clock_now_us();
+}
+
 static void take_connection(ts_peer_link_t *link, const arrival_t *arrival)
 {
     peer_t *peer = g_hash_table_lookup(link->dials, GUINT_TO_POINTER(arrival->dial));
     if (peer == NULL)
         return; /* closed meanwhile */
     if (arrival->kind == ARRIVAL_CONNECTED)
-        peer->pipe = arrival->pipe;
+        set_connected(peer, arrival->pipe);
     else if (peer->pipe == arrival->pipe)
         lose_connection(link, peer);
     while (peer->pipe != 0 && peer->waiting.length > 0)
@@ -262,6 +269,12 @@
     link->buffer = messages;
 }
 
+ts_time_us_t ts_peer_link_connected_us(const ts_peer_link_t *link, const char *address)
+{
+    const peer_t *peer = g_hash_table_lookup(link->peers, address);
+    return peer == NULL || peer->pipe == 0 ? 0 : peer->connected_us;
+}
+
 void ts_peer_link_reset(ts_peer_link_t *link, const char *address)
 {
     peer_t *peer = g_hash_table_lookup(link->peers, address);
--- a/src/peers/peers.c
+++ b/src/peers/peers.c
@@ -44,6 +44,7 @@
     frame->protocol = PROTOCOL;
     frame->name = settings->name;
     frame->address = (char *)ts_gateway_settings_reached_at(settings);
+    ts_peers_mark_frame(peers, address, frame);
     size_t length = ts_peer__frame__get_packed_size(frame);
     uint8_t *bytes = g_malloc(length);
     ts_peer__frame__pack(frame, bytes);
@@ -52,17 +53,8 @@
     g_free(bytes);
 }
 
-static void take_frame(void *context, const uint8_t *bytes, size_t length)
+static void take_contents(ts_peers_t *peers, TsPeer__Frame *frame)
 {
-    ts_peers_t *peers = context;
-    TsPeer__Frame *frame = ts_peer__frame__unpack(NULL, length, bytes);
-    if (frame == NULL || frame->protocol != PROTOCOL) {
-        ts_count_error(TS_E_PROTOCOL);
-        if (frame != NULL) {
-            ts_peer__frame__free_unpacked(frame, NULL);
-        }
-        return;
-    }
     if (frame->gossip.len > 0 &&
         !ts_membership_receive(peers->membership, frame->name, frame->address, frame->gossip.data,
                                frame->gossip.len, ts_clock_now_us())) {
@@ -87,6 +79,24 @@
         ts_peers_take_evidence(peers, frame);
     if (frame->rate != NULL)
         ts_peers_take_rate(peers, frame);
+}
+
+static void take_frame(void *context, const uint8_t *bytes, size_t length)
+{
+    ts_peers_t *peers = context;
+    TsPeer__Frame *frame = ts_peer__frame__unpack(NULL, length, bytes);
+    if (frame == NULL || frame->protocol != PROTOCOL) {
+        ts_count_error(TS_E_PROTOCOL);
+        if (frame != NULL) {
+            ts_peer__frame__free_unpacked(frame, NULL);
+        }
+        return;
+    }
+    bool wants_echo = ts_peers_note_frame(peers, frame);
+    uint32_t sent = ts_peers_frames_sent(peers, frame->address);
+    take_contents(peers, frame);
+    if (wants_echo && ts_peers_frames_sent(peers, frame->address) == sent)
+        ts_peers_send_echo(peers, frame->address); // nothing else went back
     ts_peer__frame__free_unpacked(frame, NULL);
 }
 
@@ -162,6 +172,7 @@
     ts_peers_locate_members(peers);
     ts_peers_find_collector(peers);
     ts_peers_change_homes(peers);
+    ts_peers_forget_echoes(peers);
     ts_gauge_set(TS_COUNTER_MEMBERS_LIVE,
                  (int64_t)ts_membership_count(peers->membership, TS_MEMBER_LIVE));
     ts_gateway_set_nodes(peers->gateway, (unsigned)peers->view->count);
@@ -234,6 +245,7 @@
         .zone = settings->zone,
         .incarnation = incarnation,
         .seed = ts_hash_mix(ts_hash_text(settings->name), incarnation),
+        .probes_again = true,
     };
     peers->gateway = gateway;
     peers->mirror = mirror;
@@ -241,6 +253,7 @@
     if (peers->link == NULL) {
         return NULL;
     }
+    ts_peers_open_echoes(peers);
     peers->membership = ts_membership_create(&config, &ops, peers, ts_clock_now_us());
     peers->zone_order = g_ptr_array_new();
     peers->regions = g_ptr_array_new();
--- a/src/peers/peers_internal.h
+++ b/src/peers/peers_internal.h
@@ -43,6 +43,7 @@
     ts_time_us_t evidence_us;  /* when it last ran */
     uint32_t evidence_sequence; /* of the last frame of evidence that this node sent */
     GHashTable *evidence_seen;  /* name of a node -> the last sequence from it */
+    GHashTable *echoes;         /* address -> what peers_echo.c keeps of it, owned */
     /* Homes of rates; see peers_rates.c. */
     size_t members_live;    /* at the last change of the view */
     size_t members_most;    /* that were in the view at once */
@@ -86,6 +87,18 @@
 // -- peers_loans.c
 void ts_peers_take_loan(ts_peers_t *peers, const char *address, const TsPeer__Loan *loan);
 
+// -- peers_echo.c
+void ts_peers_open_echoes(ts_peers_t *peers);
+/** Numbers a frame that goes to a peer; gives its connection up first if that is silent. */
+void ts_peers_mark_frame(ts_peers_t *peers, const char *address, TsPeer__Frame *frame);
+/** A frame has come; returns whether its sender wants an echo. */
+bool ts_peers_note_frame(ts_peers_t *peers, const TsPeer__Frame *frame);
+/** Frames sent to a peer so far. */
+uint32_t ts_peers_frames_sent(ts_peers_t *peers, const char *address);
+void ts_peers_send_echo(ts_peers_t *peers, const char *address);
+/** The view has changed: nodes that are not in it are forgotten. */
+void ts_peers_forget_echoes(ts_peers_t *peers);
+
 // -- peers_rates.c
 void ts_peers_take_rate(ts_peers_t *peers, const TsPeer__Frame *frame);
 /** The view has changed, and with it which node is home of what. */
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -1125,7 +1125,7 @@
   (ProtobufCMessageInit) ts_peer__rate__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ts_peer__frame__field_descriptors[11] =
+static const ProtobufCFieldDescriptor ts_peer__frame__field_descriptors[14] =
 {
   {
     "protocol",
@@ -1259,6 +1259,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "number",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Frame, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heard",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Frame, heard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wants_echo",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Frame, wants_echo),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ts_peer__frame__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -1266,17 +1302,20 @@
   6,   /* field[6] = changes */
   9,   /* field[9] = evidence */
   3,   /* field[3] = gossip */
+  12,   /* field[12] = heard */
   8,   /* field[8] = loan */
   1,   /* field[1] = name */
+  11,   /* field[11] = number */
   0,   /* field[0] = protocol */
   5,   /* field[5] = pull */
   10,   /* field[10] = rate */
   7,   /* field[7] = sighting */
+  13,   /* field[13] = wants_echo */
 };
 static const ProtobufCIntRange ts_peer__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor ts_peer__frame__descriptor =
 {
@@ -1286,7 +1325,7 @@
   "TsPeer__Frame",
   "ts_peer",
   sizeof(TsPeer__Frame),
-  11,
+  14,
   ts_peer__frame__field_descriptors,
   ts_peer__frame__field_indices_by_name,
   1,  ts_peer__frame__number_ranges,
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -259,10 +259,22 @@
   TsPeer__Loan *loan;
   TsPeer__Evidence *evidence;
   TsPeer__Rate *rate;
+  /*
+   * of the frames from this sender to this receiver
+   */
+  uint32_t number;
+  /*
+   * the last number that the sender heard from the receiver
+   */
+  uint32_t heard;
+  /*
+   * the receiver is to send some frame back soon
+   */
+  protobuf_c_boolean wants_echo;
 };
 #define TS_PEER__FRAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ts_peer__frame__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, NULL, NULL, NULL, NULL, NULL, NULL, NULL }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, NULL, NULL, NULL, NULL, NULL, NULL, NULL, 0, 0, 0 }
 
 
 /* TsPeer__Beacon methods */
