What nodes spend of a limit by themselves is told as a total; dealers that are silent are waited for less

Ruled out: connections that stay silent (echoes give them up within a second). Change: asks tell the total since the node began, the dealer debits the difference once; a node that is new to it begins with what it says.

--- a/include/tealspar/rate_account.h
+++ b/include/tealspar/rate_account.h
@@ -33,7 +33,7 @@
 typedef struct ts_rate_claim {
     uint64_t node;    /**< hash of its name */
     uint32_t ask;     /**< number of its ask */
-    unsigned owed;    /**< tokens that it has spent by itself since its last answered ask */
+    uint32_t alone;   /**< tokens that it has spent by itself since it began */
     unsigned in_hand; /**< tokens that lie there unspent */
     unsigned wanted;  /**< tokens that it would like to have in hand */
 } ts_rate_claim_t;
@@ -48,7 +48,6 @@
 
 typedef struct ts_rate_account {
     double tokens;
-    ts_time_us_t opened_us;
     ts_time_us_t at_us; /**< when `tokens` was last brought up to date */
     GArray *holders;    /**< nodes that asked lately; of a type of the module */
 } ts_rate_account_t;
@@ -61,6 +60,8 @@
 void ts_rate_account_open(ts_rate_account_t *account, const ts_rate_terms_t *terms,
                           const ts_rate_standing_t *standing, ts_time_us_t now_us);
 void ts_rate_account_clear(ts_rate_account_t *account);
+/** What a node has spent by itself since its last claim, from the two totals. */
+uint32_t ts_rate_debt(uint32_t before, uint32_t now);
 /** Whether the claim is the node's latest once more: it is not to be answered again. */
 bool ts_rate_account_is_repeat(const ts_rate_account_t *account, const ts_rate_claim_t *claim);
 /** Deals tokens to a node. */
--- a/include/tealspar/rate_limiter.h
+++ b/include/tealspar/rate_limiter.h
@@ -23,7 +23,7 @@
     const char *account;
     uint32_t ask;        /**< number of the ask */
     unsigned in_hand;    /**< ask: tokens that the sender has */
-    unsigned owed;       /**< ask: tokens that it has spent by itself and not yet told */
+    uint32_t alone;      /**< ask: tokens that it has spent by itself since it began */
     unsigned wanted;     /**< ask: tokens that it wants to have */
     ts_rate_deal_t deal; /**< answer: what it gets */
 } ts_rate_row_t;
--- a/lab/soak.h
+++ b/lab/soak.h
@@ -85,6 +85,7 @@
     bool is_repeatable;
     bool was_refused;  // its caller was told that it has not run and never will
     int tenant;        // whose key it showed; -1: none was needed
+    uint64_t version;  // newest when it was sent
     bool has_old_key;  // a newer version has taken it away
     bool is_key_due;   // a gateway in touch must know it
     bool is_revoked;   // that key had been taken away for long enough when it was sent
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -208,9 +208,9 @@
    */
   uint32_t wanted;
   /*
-   * ask: tokens that the sender has spent by itself, not told before
+   * ask: tokens that the sender has spent by itself since it began
    */
-  uint32_t owed;
+  uint32_t alone;
   /*
    * deal: tokens that the receiver may spend
    */
--- a/src/route/rate_account.c
+++ b/src/route/rate_account.c
@@ -17,17 +17,13 @@
 /* Tokens are void so long after they were asked for; later, the home counts on none there. */
 #define VALID_US (10 * TS_US_PER_S)
 #define HOLDER_KEPT_US (12 * TS_US_PER_S)
-/*
- * An account that has just been opened knows nothing of what came in while there was no home; what
- * nodes spent by themselves meanwhile is set against that, and not debited.
- */
-#define OPENING_US (1 * TS_US_PER_S)
 /* A node that got nothing stands in the queue for so long. */
 #define QUEUED_US (1 * TS_US_PER_S)
 
 typedef struct holder {
     uint64_t node;
-    uint32_t ask; /* number of its latest */
+    uint32_t ask;   /* number of its latest */
+    uint32_t alone; /* what it had spent by itself then */
     unsigned in_hand;
     ts_time_us_t heard_us;
     ts_time_us_t empty_us; /* when it last got nothing; 0: it was given some since */
@@ -49,7 +45,6 @@
         begin *= MIN(rested_s / window_s, 1);
     double come = terms->rate * (double)(now_us - standing->changed_us) / TS_US_PER_S;
     account->tokens = MIN(begin + come, ts_rate_capacity(terms));
-    account->opened_us = now_us;
     account->at_us = now_us;
     account->holders = g_array_new(FALSE, FALSE, sizeof(holder_t));
 }
@@ -68,14 +63,16 @@
     }
 }
 
-static holder_t *find_holder(ts_rate_account_t *account, uint64_t node)
+/* A node that is new here begins with what it has spent by itself so far: that was while there was
+ * no home, and is set against what came in meanwhile. */
+static holder_t *find_holder(ts_rate_account_t *account, const ts_rate_claim_t *claim)
 {
     for (guint i = 0; i < account->holders->len; i++) {
         holder_t *holder = &g_array_index(account->holders, holder_t, i);
-        if (holder->node == node)
+        if (holder->node == claim->node)
             return holder;
     }
-    holder_t fresh = {.node = node};
+    holder_t fresh = {.node = claim->node, .alone = claim->alone};
     g_array_append_val(account->holders, fresh);
     return &g_array_index(account->holders, holder_t, account->holders->len - 1);
 }
@@ -118,6 +115,11 @@
     return MIN(whole, lacking);
 }
 
+uint32_t ts_rate_debt(uint32_t before, uint32_t now)
+{
+    return now >= before ? now - before : now; // a process that began anew
+}
+
 bool ts_rate_account_is_repeat(const ts_rate_account_t *account, const ts_rate_claim_t *claim)
 {
     for (guint i = 0; i < account->holders->len; i++) {
@@ -133,13 +135,14 @@
 {
     ts_rate_deal_t deal = {.valid_us = VALID_US};
     forget_old_holders(account, now_us);
-    holder_t *holder = find_holder(account, claim->node);
+    holder_t *holder = find_holder(account, claim);
     holder->heard_us = now_us;
+    uint32_t debt = ts_rate_debt(holder->alone, claim->alone);
     holder->ask = claim->ask;
+    holder->alone = claim->alone;
     holder->in_hand = claim->in_hand;
     fill(account, terms, now_us);
-    if (now_us - account->opened_us > OPENING_US)
-        account->tokens -= claim->owed;
+    account->tokens -= debt;
     deal.tokens = tokens_to_deal(account, claim);
     account->tokens -= deal.tokens;
     holder->in_hand += deal.tokens;
--- a/src/route/rate_lease.c
+++ b/src/route/rate_lease.c
@@ -11,13 +11,13 @@
 #define AHEAD_DEPUTY_S 0.3
 #define AHEAD_S 0.1
 /* An ask without an answer is sent again after this. */
-#define ASK_AGAIN_US (60 * TS_US_PER_MS)
+#define ASK_AGAIN_US (40 * TS_US_PER_MS)
 /*
  * A dealer that leaves asks unanswered for so long is not waited for any more: the home by its
  * deputies, which is a few round trips between regions, and a deputy, a little later, by its zone.
  */
-#define HOME_SILENT_US (80 * TS_US_PER_MS)
-#define DEPUTY_SILENT_US (130 * TS_US_PER_MS)
+#define HOME_SILENT_US (50 * TS_US_PER_MS)
+#define DEPUTY_SILENT_US (70 * TS_US_PER_MS)
 /* Asks of a lease that is not waited for are at least so far apart. */
 #define ASK_GAP_US (50 * TS_US_PER_MS)
 /* The same after the home had none to give, although some are in hand. */
@@ -90,7 +90,7 @@
     if (lease->own_tokens < 1)
         return false;
     lease->own_tokens -= 1;
-    lease->owed++;
+    lease->alone++;
     return true;
 }
 
@@ -182,7 +182,6 @@
     }
     lease->asked_us = now_us;
     lease->sent_us = now_us;
-    lease->owed_told = lease->owed;
     return ++lease->ask;
 }
 
@@ -199,8 +198,6 @@
     lease->valid_until_us = lease->asked_us + deal->valid_us;
     lease->asked_us = 0;
     lease->silent_since_us = 0;
-    lease->owed -= lease->owed_told;
-    lease->owed_told = 0;
     lease->is_waited_for = false;
     lease->ask_after_us = now_us + (deal->tokens == 0 ? ASK_EMPTY_GAP_US : ASK_GAP_US);
     if (lease->tokens == 0)
--- a/src/route/rate_limiter.c
+++ b/src/route/rate_limiter.c
@@ -25,7 +25,8 @@
 typedef struct held_lease {
     ts_rate_lease_t lease;
     char *account;
-    GArray *queue; /* of queued_ask_t; NULL: nothing has waited yet */
+    GArray *queue;       /* of queued_ask_t; NULL: nothing has waited yet */
+    GHashTable *debtors; /* node -> what it had spent by itself at its last ask; NULL: none asked */
 } held_lease_t;
 
 struct ts_rate_limiter {
@@ -47,6 +48,8 @@
     held_lease_t *held = data;
     if (held->queue != NULL)
         g_array_unref(held->queue);
+    if (held->debtors != NULL)
+        g_hash_table_unref(held->debtors);
     g_free(held->account);
     g_free(held);
 }
@@ -104,7 +107,7 @@
 {
     ts_rate_claim_t claim = {.node = node,
                              .ask = row->ask,
-                             .owed = row->owed,
+                             .alone = row->alone,
                              .in_hand = row->in_hand,
                              .wanted = row->wanted};
     ts_rate_account_t *account = find_account(limiter, row->account, terms, now_us);
@@ -176,7 +179,7 @@
                          .in_hand = ts_rate_lease_in_hand(lease, now_us),
                          .wanted = ts_rate_lease_wanted(lease, terms, now_us)};
     row.ask = ts_rate_lease_note_ask(lease, now_us);
-    row.owed = lease->owed;
+    row.alone = lease->alone;
     if (dealer == TS_RATE_DEALER_PEER) {
         limiter->ops->ask(limiter->ctx, address, &row);
     } else if (dealer == TS_RATE_DEALER_SELF &&
@@ -308,7 +311,19 @@
     }
 }
 
-static void deal_as_deputy(ts_rate_limiter_t *limiter, const char *address,
+/* What a node of the zone has spent by itself is told on to the home as this node's own. */
+static void note_debt(held_lease_t *held, uint64_t node, uint32_t alone)
+{
+    gpointer before = NULL;
+    gpointer key = (gpointer)(uintptr_t)node;
+    if (held->debtors == NULL)
+        held->debtors = g_hash_table_new(NULL, NULL);
+    if (g_hash_table_lookup_extended(held->debtors, key, NULL, &before))
+        held->lease.alone += ts_rate_debt(GPOINTER_TO_UINT(before), alone);
+    g_hash_table_insert(held->debtors, key, GUINT_TO_POINTER(alone));
+}
+
+static void deal_as_deputy(ts_rate_limiter_t *limiter, uint64_t node, const char *address,
                            const ts_rate_row_t *row, const ts_rate_terms_t *terms,
                            ts_time_us_t now_us)
 {
@@ -316,7 +331,7 @@
     unsigned lacking = row->wanted > row->in_hand ? row->wanted - row->in_hand : 0;
     queued_ask_t ask = {(char *)address, row->ask, lacking, now_us};
     held->lease.is_deputy = true;
-    held->lease.owed += row->owed;
+    note_debt(held, node, row->alone);
     for (unsigned i = 0; i < lacking; i++)
         ts_rate_lease_note_request(&held->lease, now_us);
     if (lacking > 0 && !answer_from_lease(limiter, held, &ask, now_us))
@@ -333,7 +348,7 @@
         return false;
     ts_rate_row_t answer = *row;
     if (!is_home(limiter, row->account))
-        deal_as_deputy(limiter, address, row, &terms, now_us);
+        deal_as_deputy(limiter, node, address, row, &terms, now_us);
     else if (deal_as_home(limiter, node, &terms, &answer, now_us))
         limiter->ops->answer(limiter->ctx, address, &answer);
     return true;
