--- a/src/edge/answer.c
+++ b/src/edge/answer.c
@@ -241,7 +241,8 @@
     ts_count(may_have_run ? TS_COUNTER_REQUESTS_FAILED : TS_COUNTER_REQUESTS_REFUSED, 1);
     ts_route_state_count(request->state, may_have_run ? TS_OUTCOME_FAILED : TS_OUTCOME_REFUSED,
                          ts_clock_now_us() - request->arrived_us);
-    log_missing(request);
+    if (request->is_admitted)
+        log_missing(request); // of one that was not begun, part_blocked lines say what was missing
     log_outcome(request, TS_EVENT_REQUEST_FAILED, status, ts_error_name(error));
     ts_caller_answer(request->caller, status, fields->str, body, strlen(body));
     g_free(body);
