--- a/include/tealspar/rate_account.h
+++ b/include/tealspar/rate_account.h
@@ -31,11 +31,11 @@
 
 /** What a node says when it asks for tokens. */
 typedef struct ts_rate_claim {
-    uint64_t node;    /**< hash of its name */
-    uint32_t ask;     /**< number of its ask */
-    uint32_t alone;   /**< tokens that it has spent by itself since it began */
-    unsigned in_hand; /**< tokens that lie there unspent */
-    unsigned wanted;  /**< tokens that it would like to have in hand */
+    uint64_t node;        /**< hash of its name */
+    uint32_t ask;         /**< number of its ask */
+    uint32_t spent_alone; /**< tokens that it has spent by itself since it began */
+    unsigned in_hand;     /**< tokens that lie there unspent */
+    unsigned wanted;      /**< tokens that it would like to have in hand */
 } ts_rate_claim_t;
 
 /** What it gets. */
--- a/include/tealspar/rate_lease.h
+++ b/include/tealspar/rate_lease.h
@@ -31,7 +31,7 @@
     ts_time_us_t over_until_us;   /**< the home has none for this node until then */
     ts_time_us_t ask_after_us;    /**< not asked before that, unless a request waits */
     double own_rate;              /**< tokens a second that it may spend by itself, */
-    uint32_t alone;               /**< spent by itself since it began, own and told by others */
+    uint32_t spent_alone;         /**< spent by itself since it began, own and told by others */
     double own_tokens;            /**< and what has come in of them */
     ts_time_us_t own_us;          /**< when that was brought up to date */
     bool is_deputy;               /**< it holds tokens for other nodes of its zone too */
--- a/include/tealspar/rate_limiter.h
+++ b/include/tealspar/rate_limiter.h
@@ -21,11 +21,11 @@
 /** One message: an ask, or the answer to one. */
 typedef struct ts_rate_row {
     const char *account;
-    uint32_t ask;        /**< number of the ask */
-    unsigned in_hand;    /**< ask: tokens that the sender has */
-    uint32_t alone;      /**< ask: tokens that it has spent by itself since it began */
-    unsigned wanted;     /**< ask: tokens that it wants to have */
-    ts_rate_deal_t deal; /**< answer: what it gets */
+    uint32_t ask;         /**< number of the ask */
+    unsigned in_hand;     /**< ask: tokens that the sender has */
+    uint32_t spent_alone; /**< ask: tokens that it has spent by itself since it began */
+    unsigned wanted;      /**< ask: tokens that it wants to have */
+    ts_rate_deal_t deal;  /**< answer: what it gets */
 } ts_rate_row_t;
 
 typedef struct ts_rate_limiter_ops {
--- a/src/edge/gateway_quota.c
+++ b/src/edge/gateway_quota.c
@@ -168,7 +168,7 @@
     return verdict;
 }
 
-void ts_request_return_quota(ts_request_t *request)
+void ts_request_end_quota(ts_request_t *request)
 {
     set_waiting(request, false);
     if (!request->has_token || ts_request_may_have_run(request))
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -219,7 +219,7 @@
 static void end_request(ts_request_t *request)
 {
     ts_time_us_t until_us = ts_clock_now_us() + LEFT_BEHIND_US;
-    ts_request_return_quota(request);
+    ts_request_end_quota(request);
     for (unsigned i = 0; i < request->parts_count; i++) {
         ts_part_release(&request->parts[i], until_us);
     }
--- a/src/peers/peers_rates.c
+++ b/src/peers/peers_rates.c
@@ -89,7 +89,7 @@
     rate.account = (char *)row->account;
     rate.ask = row->ask;
     rate.in_hand = row->in_hand;
-    rate.alone = row->alone;
+    rate.spent_alone = row->spent_alone;
     rate.wanted = row->wanted;
     frame.rate = &rate;
     ts_count(TS_COUNTER_RATE_ASKS, 1);
@@ -120,7 +120,7 @@
     ts_rate_row_t row = {.account = rate->account,
                          .ask = rate->ask,
                          .in_hand = rate->in_hand,
-                         .alone = rate->alone,
+                         .spent_alone = rate->spent_alone,
                          .wanted = rate->wanted,
                          .deal = {.tokens = rate->tokens,
                                   .is_lost = rate->is_lost,
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -1033,12 +1033,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "alone",
+    "spent_alone",
     6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(TsPeer__Rate, alone),
+    offsetof(TsPeer__Rate, spent_alone),
     NULL,
     NULL,
     0,             /* flags */
@@ -1095,11 +1095,11 @@
 };
 static const unsigned ts_peer__rate__field_indices_by_name[] = {
   0,   /* field[0] = account */
-  5,   /* field[5] = alone */
   1,   /* field[1] = ask */
   3,   /* field[3] = in_hand */
   2,   /* field[2] = is_deal */
   8,   /* field[8] = is_lost */
+  5,   /* field[5] = spent_alone */
   6,   /* field[6] = tokens */
   7,   /* field[7] = valid_ms */
   9,   /* field[9] = wait_ms */
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -210,7 +210,7 @@
   /*
    * ask: tokens that the sender has spent by itself since it began
    */
-  uint32_t alone;
+  uint32_t spent_alone;
   /*
    * deal: tokens that the receiver may spend
    */
--- a/src/route/rate_account.c
+++ b/src/route/rate_account.c
@@ -22,8 +22,8 @@
 
 typedef struct holder {
     uint64_t node;
-    uint32_t ask;   /* number of its latest */
-    uint32_t alone; /* what it had spent by itself then */
+    uint32_t ask;         /* number of its latest */
+    uint32_t spent_alone; /* what it had spent by itself then */
     unsigned in_hand;
     ts_time_us_t heard_us;
     ts_time_us_t empty_us; /* when it last got nothing; 0: it was given some since */
@@ -72,7 +72,7 @@
         if (holder->node == claim->node)
             return holder;
     }
-    holder_t fresh = {.node = claim->node, .alone = claim->alone};
+    holder_t fresh = {.node = claim->node, .spent_alone = claim->spent_alone};
     g_array_append_val(account->holders, fresh);
     return &g_array_index(account->holders, holder_t, account->holders->len - 1);
 }
@@ -137,9 +137,9 @@
     forget_old_holders(account, now_us);
     holder_t *holder = find_holder(account, claim);
     holder->heard_us = now_us;
-    uint32_t debt = ts_rate_debt(holder->alone, claim->alone);
+    uint32_t debt = ts_rate_debt(holder->spent_alone, claim->spent_alone);
     holder->ask = claim->ask;
-    holder->alone = claim->alone;
+    holder->spent_alone = claim->spent_alone;
     holder->in_hand = claim->in_hand;
     fill(account, terms, now_us);
     account->tokens -= debt;
--- a/src/route/rate_lease.c
+++ b/src/route/rate_lease.c
@@ -90,7 +90,7 @@
     if (lease->own_tokens < 1)
         return false;
     lease->own_tokens -= 1;
-    lease->alone++;
+    lease->spent_alone++;
     return true;
 }
 
--- a/src/route/rate_limiter.c
+++ b/src/route/rate_limiter.c
@@ -107,7 +107,7 @@
 {
     ts_rate_claim_t claim = {.node = node,
                              .ask = row->ask,
-                             .alone = row->alone,
+                             .spent_alone = row->spent_alone,
                              .in_hand = row->in_hand,
                              .wanted = row->wanted};
     ts_rate_account_t *account = find_account(limiter, row->account, terms, now_us);
@@ -179,7 +179,7 @@
                          .in_hand = ts_rate_lease_in_hand(lease, now_us),
                          .wanted = ts_rate_lease_wanted(lease, terms, now_us)};
     row.ask = ts_rate_lease_note_ask(lease, now_us);
-    row.alone = lease->alone;
+    row.spent_alone = lease->spent_alone;
     if (dealer == TS_RATE_DEALER_PEER) {
         limiter->ops->ask(limiter->ctx, address, &row);
     } else if (dealer == TS_RATE_DEALER_SELF &&
@@ -255,11 +255,6 @@
 
 // -- Deputy: asks of the zone's other nodes
 
-/*
- * A node that is asked although it is neither home nor deputy by its own view does as a deputy: it
- * asks in its turn. That ends at a home, as each one asked has a higher weight than who asks.
- */
-
 /* Answers an ask out of the lease, unless the answer of this node's own ask is awaited. */
 static bool answer_from_lease(ts_rate_limiter_t *limiter, held_lease_t *held,
                               const queued_ask_t *queued, ts_time_us_t now_us)
@@ -312,17 +307,21 @@
 }
 
 /* What a node of the zone has spent by itself is told on to the home as this node's own. */
-static void note_debt(held_lease_t *held, uint64_t node, uint32_t alone)
+static void note_debt(held_lease_t *held, uint64_t node, uint32_t spent_alone)
 {
     gpointer before = NULL;
-    gpointer key = (gpointer)(uintptr_t)node;
     if (held->debtors == NULL)
-        held->debtors = g_hash_table_new(NULL, NULL);
-    if (g_hash_table_lookup_extended(held->debtors, key, NULL, &before))
-        held->lease.alone += ts_rate_debt(GPOINTER_TO_UINT(before), alone);
-    g_hash_table_insert(held->debtors, key, GUINT_TO_POINTER(alone));
+        held->debtors = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    if (g_hash_table_lookup_extended(held->debtors, &node, NULL, &before))
+        held->lease.spent_alone += ts_rate_debt(GPOINTER_TO_UINT(before), spent_alone);
+    g_hash_table_insert(held->debtors, g_memdup2(&node, sizeof(node)),
+                        GUINT_TO_POINTER(spent_alone));
 }
 
+/*
+ * A node that is asked although it is neither home nor deputy by its own view does the same: it
+ * asks in its turn. That ends at a home, as each one asked has a higher weight than who asks.
+ */
 static void deal_as_deputy(ts_rate_limiter_t *limiter, uint64_t node, const char *address,
                            const ts_rate_row_t *row, const ts_rate_terms_t *terms,
                            ts_time_us_t now_us)
@@ -331,7 +330,7 @@
     unsigned lacking = row->wanted > row->in_hand ? row->wanted - row->in_hand : 0;
     queued_ask_t ask = {(char *)address, row->ask, lacking, now_us};
     held->lease.is_deputy = true;
-    note_debt(held, node, row->alone);
+    note_debt(held, node, row->spent_alone);
     for (unsigned i = 0; i < lacking; i++)
         ts_rate_lease_note_request(&held->lease, now_us);
     if (lacking > 0 && !answer_from_lease(limiter, held, &ask, now_us))
--- a/tests/gateway/test_silent_links.c
+++ b/tests/gateway/test_silent_links.c
@@ -1,8 +1,6 @@
 /** Connections that go silent without a reset, while new ones work. */
 #include "world.h"
 
-#include <string.h>
-
 #include "link.h"
 #include "tealspar/counters.h"
 #include "tealspar/peers.h"
@@ -33,19 +31,13 @@
 static ts_gateway_t *open_node(world_t *world, const char *name, const char *own, const char *seen,
                                const char *seed, unsigned store_port)
 {
-    ts_gateway_t *gateway = g_new0(ts_gateway_t, 1);
     char *text =
         g_strdup_printf("name: %s\nzone: z1\ndialect: platform\ncallers: 127.0.0.1:%u\n"
                         "ready: 127.0.0.1:%u\npeers: %s\nadvertised: %s\nseeds: ['%s']\n"
                         "store: 127.0.0.1:%u\nzones: [{zone: z1, region: r1}]\n",
                         name, world_next_port(), world_next_port(), own, seen, seed, store_port);
-    ts_problems_t problems;
-    ts_problems_init(&problems);
-    ts_gateway_settings_t *settings = ts_gateway_settings_load(text, strlen(text), &problems);
-    assert_non_null(settings);
-    ts_problems_clear(&problems);
+    ts_gateway_t *gateway = world_open_gateway(world, text);
     g_free(text);
-    assert_int_equal(ts_gateway_open(gateway, &world->loop, settings), TS_OK);
     return gateway;
 }
 
--- a/tests/gateway/world.c
+++ b/tests/gateway/world.c
@@ -75,10 +75,21 @@
     return world;
 }
 
+ts_gateway_t *world_open_gateway(world_t *world, const char *settings)
+{
+    ts_gateway_t *gateway = g_new0(ts_gateway_t, 1);
+    ts_problems_t problems;
+    ts_problems_init(&problems);
+    ts_gateway_settings_t *loaded = ts_gateway_settings_load(settings, strlen(settings), &problems);
+    assert_non_null(loaded);
+    ts_problems_clear(&problems);
+    assert_int_equal(ts_gateway_open(gateway, &world->loop, loaded), TS_OK);
+    return gateway;
+}
+
 ts_gateway_t *world_add_gateway(world_t *world, const char *name, const char *zone,
                                 unsigned peers_port, unsigned seed_port, unsigned store_port)
 {
-    ts_gateway_t *gateway = g_new0(ts_gateway_t, 1);
     char *text = g_strdup_printf("name: %s\nzone: %s\ndialect: platform\n"
                                  "callers: 127.0.0.1:%u\nready: 127.0.0.1:%u\n"
                                  "peers: 127.0.0.1:%u\nseeds: ['127.0.0.1:%u']\n"
@@ -87,13 +98,8 @@
                                  "retry_ratio: 0.2\nretry_slack: 60\n",
                                  name, zone, world_next_port(), world_next_port(), peers_port,
                                  seed_port, store_port == 0 ? 1 : store_port);
-    ts_problems_t problems;
-    ts_problems_init(&problems);
-    ts_gateway_settings_t *settings = ts_gateway_settings_load(text, strlen(text), &problems);
-    assert_non_null(settings);
-    ts_problems_clear(&problems);
+    ts_gateway_t *gateway = world_open_gateway(world, text);
     g_free(text);
-    assert_int_equal(ts_gateway_open(gateway, &world->loop, settings), TS_OK);
     return gateway;
 }
 
--- a/tests/gateway/world.h
+++ b/tests/gateway/world.h
@@ -40,6 +40,8 @@
  */
 ts_gateway_t *world_add_gateway(world_t *world, const char *name, const char *zone,
                                 unsigned peers_port, unsigned seed_port, unsigned store_port);
+/** Opens a gateway on the world's loop with the settings given as YAML. */
+ts_gateway_t *world_open_gateway(world_t *world, const char *settings);
 /** A port that no other part of the test uses. */
 unsigned world_next_port(void);
 /** Runs the loop until the gateway has this version and this many back ends, or 5 s have passed. */
