--- a/tests/route/test_rate_limiter.c
+++ b/tests/route/test_rate_limiter.c
@@ -707,6 +707,26 @@
     close_fleet(fleet);
 }
 
+/* What lies unspent at other nodes takes room in the bucket: it does not fill up beside them. */
+static void test_tokens_in_hands_take_room(void **state)
+{
+    const ts_rate_terms_t terms = {10, 10, 60, 0};
+    const ts_rate_standing_t standing = {.begun_us = 1, .changed_us = 1};
+    ts_time_us_t now_us = 100 * TS_US_PER_S;
+    ts_rate_account_t account;
+    unsigned in_hands = 0;
+    ts_rate_account_open(&account, &terms, &standing, now_us);
+    for (uint64_t node = 1; node <= 20; node++) {
+        ts_rate_claim_t claim = {.node = node, .ask = 1, .wanted = 100};
+        if (node == 2)
+            now_us += 2 * TS_US_PER_S; // twice the bucket has come in
+        in_hands += ts_rate_account_deal(&account, &terms, &claim, now_us).tokens;
+    }
+    assert_true(in_hands >= 10);
+    assert_true(in_hands <= 11); // one may always lie at home
+    ts_rate_account_clear(&account);
+}
+
 /* What was dealt counts from when it was asked for, and is void before the home forgets it. */
 static void test_lease_lapses(void **state)
 {
@@ -761,6 +781,7 @@
         cmocka_unit_test(test_answers_are_lost_for_a_while),
         cmocka_unit_test(test_limit_is_lowered_and_raised),
         cmocka_unit_test(test_tokens_are_given_back),
+        cmocka_unit_test(test_tokens_in_hands_take_room),
         cmocka_unit_test(test_lease_lapses),
         cmocka_unit_test(test_idle_state_is_forgotten),
     };
