--- a/include/tealspar/tenants.h
+++ b/include/tealspar/tenants.h
@@ -23,6 +23,7 @@
     char *name;
     double rate;       /**< requests a second over the whole fleet; 0: no limit */
     double burst;      /**< requests beyond the rate */
+    uint32_t keys;     /**< number of its keys */
     uint32_t priority; /**< goes before the route's; 0 is the most urgent */
 } ts_tenant_t;
 
--- a/src/cli/command_routes.c
+++ b/src/cli/command_routes.c
@@ -5,7 +5,7 @@
 #include "tealspar/dialect.h"
 #include "tealspar/plugin.h"
 
-#define TABLE_SIZE 6
+#define TABLE_SIZE 7
 #define ERRORS_MAX 8
 #define DIALECT_DEFAULT "platform"
 
@@ -30,7 +30,26 @@
     printf("%s\n", regions == NULL ? " any region" : "");
 }
 
-static void print_route(const ts_traffic_route_t *route)
+static void print_limit(const ts_tenant_t *tenant)
+{
+    if (tenant->rate > 0)
+        printf("%g a second and %g more, over all gateways", tenant->rate, tenant->burst);
+    else
+        printf("no limit");
+}
+
+/* By name; keys are counted, not shown. */
+static void print_tenants(const ts_tenants_t *tenants)
+{
+    for (unsigned i = 0; i < ts_tenants_count(tenants); i++) {
+        const ts_tenant_t *tenant = ts_tenants_at(tenants, i);
+        printf("tenant %s: %u keys, priority %u, ", tenant->name, tenant->keys, tenant->priority);
+        print_limit(tenant);
+        printf("\n");
+    }
+}
+
+static void print_route(const ts_traffic_route_t *route, bool has_tenants)
 {
     printf("route %s: %s%s\n", route->name, route->host, route->prefix);
     printf("  goes to      %s\n", describe_kind(route->kind));
@@ -46,6 +65,7 @@
     printf("  attempts     %u\n", route->attempts_max);
     printf("  timeout      %u ms, aim %u ms, priority %u\n", route->timeout_ms, route->aim_ms,
            route->priority);
+    printf("  key          %s\n", has_tenants && !route->is_open ? "needed" : "not needed");
     print_regions(route->regions);
     if (route->kind == TS_TARGET_GATHER) {
         printf("  answer       the greatest %u records, from %g of the parts at least\n",
@@ -62,12 +82,19 @@
                (unsigned long)traffic->version);
         return TS_EXIT_FAILURE;
     }
-    print_route(route);
+    print_route(route, ts_tenants_count(traffic->tenants) > 0);
     return TS_EXIT_OK;
 }
 
-static int read_file(const ts_dialect_t *dialect, const char *file, const char *host,
-                     const char *path)
+/** What is asked of a configuration. */
+typedef struct routes_question {
+    const char *host; /* NULL: whether it passes */
+    const char *path;
+    bool lists_tenants;
+} routes_question_t;
+
+static int read_file(const ts_dialect_t *dialect, const char *file,
+                     const routes_question_t *question)
 {
     size_t length = 0;
     char *text = ts_command_read_file(file, &length);
@@ -80,11 +107,14 @@
     ts_traffic_t *traffic = dialect->read_traffic(text, length, &problems);
     if (traffic == NULL) {
         ts_problems_print(&problems, file);
-    } else if (host != NULL) {
-        exit_code = explain(traffic, host, path);
+    } else if (question->host != NULL) {
+        exit_code = explain(traffic, question->host, question->path);
     } else {
-        printf("%s: version %lu, %u routes, pass\n", file, (unsigned long)traffic->version,
-               traffic->routes->len);
+        printf("%s: version %lu, %u routes, %u tenants, pass\n", file,
+               (unsigned long)traffic->version, traffic->routes->len,
+               ts_tenants_count(traffic->tenants));
+        if (question->lists_tenants)
+            print_tenants(traffic->tenants);
         exit_code = TS_EXIT_OK;
     }
     ts_traffic_unref(traffic);
@@ -101,8 +131,9 @@
     struct arg_str *name = arg_str0(NULL, "dialect", "NAME", "its form; absent: " DIALECT_DEFAULT);
     struct arg_str *host = arg_str0("H", "host", "HOST", "say which route a request of this host");
     struct arg_str *path = arg_str0("p", "path", "PATH", "and this path takes; absent: /");
+    struct arg_lit *tenants = arg_lit0("t", "tenants", "list tenants and their limits");
     struct arg_end *end = arg_end(ERRORS_MAX);
-    void *table[TABLE_SIZE] = {help, file, name, host, path, end};
+    void *table[TABLE_SIZE] = {help, file, name, host, path, tenants, end};
     int exit_code = TS_EXIT_OK;
     if (ts_command_parse(argc, argv, table, TABLE_SIZE,
                          "check a configuration of routes, or say which route a request takes",
@@ -114,9 +145,10 @@
                     ts_error_name(TS_E_ARGUMENT));
             exit_code = TS_EXIT_USAGE;
         } else {
-            exit_code =
-                read_file(dialect, file->filename[0], host->count > 0 ? host->sval[0] : NULL,
-                          path->count > 0 ? path->sval[0] : "/");
+            routes_question_t question = {host->count > 0 ? host->sval[0] : NULL,
+                                          path->count > 0 ? path->sval[0] : "/",
+                                          tenants->count > 0};
+            exit_code = read_file(dialect, file->filename[0], &question);
         }
     }
     arg_freetable(table, TABLE_SIZE);
--- a/src/config/tenants.c
+++ b/src/config/tenants.c
@@ -83,6 +83,8 @@
 void ts_tenants_add_key(ts_tenants_t *tenants, const char *key)
 {
     held_key_t held = {.tenant = tenants->list->len - 1};
+    ts_tenant_t *tenant = g_ptr_array_index(tenants->list, held.tenant);
+    tenant->keys++;
     held.is_readable = key != NULL && *key != '\0';
     if (held.is_readable)
         held.digest = ts_key_digest(key, strlen(key));
