--- a/include/tealspar/counters.h
+++ b/include/tealspar/counters.h
@@ -79,6 +79,8 @@
     X(SENDS_REGION, counter, "sends_region_total", "of these, to other zones of the region")       \
     X(SENDS_FAR, counter, "sends_far_total", "of these, to other regions")                         \
     X(SEND_FAILURES, counter, "send_failures_total", "sends without a usable answer")              \
+    X(SENDS_BROKEN, counter, "sends_broken_total",                                                 \
+      "of these, ended by their connection after they had left")                                   \
     X(CONNECTS, counter, "connects_total", "connections opened to back ends")                      \
     X(CONNECTS_FAILED, counter, "connects_failed_total", "connections that did not come up")       \
     X(INSTANCES_SUSPECTED, counter, "instances_suspected_total",                                   \
--- a/include/tealspar/log.h
+++ b/include/tealspar/log.h
@@ -31,6 +31,7 @@
     X(PART_SENT_AGAIN, INFO, "part_sent_again")                                                    \
     X(PART_DENIED, INFO, "part_denied")                                                            \
     X(PART_FAILED, INFO, "part_failed")                                                            \
+    X(SEND_BROKEN, INFO, "send_broken")                                                            \
     X(PART_BLOCKED, INFO, "part_blocked")                                                          \
     X(PART_LOST, INFO, "part_lost")                                                                \
     X(LOG_DROPPED, WARNING, "log_dropped")                                                         \
--- a/include/tealspar/upstream.h
+++ b/include/tealspar/upstream.h
@@ -13,22 +13,9 @@
 #include "tealspar/dialect.h"
 #include "tealspar/http_message.h"
 #include "tealspar/messages.h"
+#include "tealspar/outgoing.h"
 #include "tealspar/registry.h"
 
-/** What is sent, the same to every instance that is asked; counted by references. */
-typedef struct ts_outgoing {
-    int references;
-    char *request_id;         /**< NULL: the answer's id is not checked */
-    GString *head;            /**< request line and fields, without deadline and instance */
-    GString *body;            /**< NULL: none */
-    bool is_head_method;      /**< the answer has no body */
-    bool is_repeatable;       /**< may be sent on a connection that has rested */
-    ts_time_us_t deadline_us; /**< nothing is waited for after this */
-} ts_outgoing_t;
-
-ts_outgoing_t *ts_outgoing_ref(ts_outgoing_t *outgoing);
-void ts_outgoing_unref(ts_outgoing_t *outgoing);
-
 typedef struct ts_upstream ts_upstream_t;
 typedef struct ts_exchange ts_exchange_t;
 
@@ -50,6 +37,17 @@
 ts_upstream_t *ts_upstream_create(uv_loop_t *loop, const ts_dialect_t *dialect);
 /** Who decides how many connections are kept; without it none is closed for being too many. */
 void ts_upstream_on_rest(ts_upstream_t *upstream, ts_upstream_kept_t kept, void *ctx);
+/** A send that left and whose connection failed before a whole answer came. */
+typedef struct ts_broken_send {
+    ts_instance_t *instance;
+    ts_outgoing_t *outgoing;
+    ts_time_us_t span_us; /**< from the sending to the end */
+    bool is_awaited;      /**< somebody still waited for its answer */
+} ts_broken_send_t;
+
+/** Called for each such send, before its owner is told. */
+typedef void (*ts_upstream_broken_t)(void *ctx, const ts_broken_send_t *send);
+void ts_upstream_on_broken(ts_upstream_t *upstream, ts_upstream_broken_t broken, void *ctx);
 /** What is known of a send beside its bytes. */
 typedef struct ts_send_terms {
     double typical_us; /**< what such a request takes from here, to judge by; 0: not known */
--- a/src/edge/gateway.c
+++ b/src/edge/gateway.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "request.h"
+#include "tealspar/broken_sends.h"
 #include "tealspar/connection_share.h"
 #include "tealspar/counters.h"
 #include "tealspar/log.h"
@@ -270,6 +271,7 @@
     gateway->registry = ts_registry_create(settings->zone, gateway->zones);
     gateway->upstream = ts_upstream_create(loop, gateway->dialect);
     ts_upstream_on_rest(gateway->upstream, kept_connections, gateway);
+    ts_upstream_on_broken(gateway->upstream, ts_broken_sends_note, NULL);
     gateway->mirror = ts_store_mirror_create(gateway);
     gateway->store = ts_store_watch_create(gateway);
     gateway->pending = ts_pending_create(gateway);
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -4,7 +4,6 @@
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
 #include "tealspar/counters.h"
 #include "tealspar/mechanism.h"
@@ -63,58 +62,6 @@
 
 /* -- Beginning --------------------------------------------------------------------------------- */
 
-/*
- * Whether a field is this node's to set, or not a back end's to see. Credentials are the caller's
- * and this node's matter where the configuration names tenants.
- */
-static bool is_own_field(const ts_header_names_t *names, const char *name, bool has_tenants)
-{
-    return strcasecmp(name, names->deadline_ms) == 0 ||
-           strcasecmp(name, names->expected_instance) == 0 ||
-           strcasecmp(name, names->tenant) == 0 ||
-           (has_tenants && strcasecmp(name, names->authorization) == 0);
-}
-
-/* The fields that go on to a back end, without those that this node sets itself. */
-static void copy_fields(const ts_http_message_t *message, const ts_header_names_t *names,
-                        bool has_tenants, GString *out)
-{
-    for (guint i = 0; i < message->fields->len; i++) {
-        const ts_http_field_t *field = &g_array_index(message->fields, ts_http_field_t, i);
-        const char *name = ts_http_message_text(message, field->name);
-        if (is_own_field(names, name, has_tenants) || ts_http_message_is_hop_field(message, name))
-            continue;
-        g_string_append(out, name);
-        g_string_append(out, ": ");
-        g_string_append_len(out, ts_http_message_text(message, field->value), field->value_length);
-        g_string_append(out, "\r\n");
-    }
-}
-
-static ts_outgoing_t *compose_outgoing(const ts_gateway_t *gateway,
-                                       const ts_http_message_t *message, const ts_tenant_t *tenant)
-{
-    bool has_tenants = ts_tenants_count(gateway->traffic->tenants) > 0;
-    const ts_header_names_t *names = &gateway->dialect->headers;
-    ts_outgoing_t *outgoing = g_new0(ts_outgoing_t, 1);
-    outgoing->references = 1;
-    outgoing->request_id = g_strdup(ts_http_message_find(message, names->request_id));
-    outgoing->head = g_string_sized_new(512);
-    g_string_append_printf(outgoing->head, "%s %s HTTP/1.1\r\n",
-                           http_method_str((enum http_method)message->parser.method),
-                           message->target->str);
-    copy_fields(message, names, has_tenants, outgoing->head);
-    if (tenant != NULL)
-        g_string_append_printf(outgoing->head, "%s: %s\r\n", names->tenant, tenant->name);
-    bool has_length = (message->parser.flags & (F_CONTENTLENGTH | F_CHUNKED)) != 0;
-    if (message->body->len > 0 || has_length) {
-        outgoing->body = g_string_new_len(message->body->str, (gssize)message->body->len);
-        g_string_append_printf(outgoing->head, "Content-Length: %zu\r\n", message->body->len);
-    }
-    outgoing->is_head_method = message->parser.method == HTTP_HEAD;
-    return outgoing;
-}
-
 /* Time the caller gives, in milliseconds; 0 when it gives none that can be read. */
 static uint32_t read_patience_ms(const ts_gateway_t *gateway, const ts_http_message_t *message)
 {
@@ -188,7 +135,10 @@
     request->rank = rank_of(route, identity->tenant);
     request->state = ts_gateway_route_state(gateway, route);
     request->parts_count = parts;
-    request->outgoing = compose_outgoing(gateway, ts_caller_message(caller), identity->tenant);
+    ts_outgoing_rule_t rule = {&gateway->dialect->headers,
+                               identity->tenant == NULL ? NULL : identity->tenant->name,
+                               ts_tenants_count(gateway->traffic->tenants) > 0};
+    request->outgoing = ts_outgoing_compose(ts_caller_message(caller), &rule);
     request->outgoing->is_repeatable = route->is_repeatable;
     uv_timer_init(gateway->loop, &request->timer);
     request->timer.data = request;
--- a/src/upstream/upstream.c
+++ b/src/upstream/upstream.c
@@ -65,6 +65,8 @@
     ts_exchange_t *exchanges;
     ts_upstream_kept_t kept; /* NULL: all connections are kept */
     void *kept_ctx;
+    ts_upstream_broken_t broken; /* NULL: nobody is told */
+    void *broken_ctx;
 };
 
 static void close_connection(ts_connection_t *connection);
@@ -152,6 +154,17 @@
         ts_instance_note_forgotten(connection->instance, connection->rest_taken_us, now_us);
 }
 
+/* Tells of a send that the end of its connection broke off. */
+static void tell_broken(const ts_exchange_t *exchange)
+{
+    const ts_upstream_t *upstream = exchange->upstream;
+    if (upstream->broken == NULL)
+        return;
+    ts_broken_send_t send = {exchange->instance, exchange->outgoing,
+                             ts_clock_now_us() - exchange->sent_us, exchange->done != NULL};
+    upstream->broken(upstream->broken_ctx, &send);
+}
+
 /*
  * The exchange fails with its connection. A request that left and brought no answer is a failure of
  * its instance, whatever the reason.
@@ -165,6 +178,8 @@
                                    0};
     ts_count(TS_COUNTER_SEND_FAILURES, 1);
     ts_count_error(error);
+    if (exchange->sent_us != 0 && error == TS_E_IO)
+        tell_broken(exchange);
     connection->exchange = NULL;
     exchange->connection = NULL;
     close_connection(connection);
@@ -615,6 +630,12 @@
     upstream->kept_ctx = ctx;
 }
 
+void ts_upstream_on_broken(ts_upstream_t *upstream, ts_upstream_broken_t broken, void *ctx)
+{
+    upstream->broken = broken;
+    upstream->broken_ctx = ctx;
+}
+
 void ts_upstream_sweep(ts_upstream_t *upstream, ts_instance_t *instance, ts_time_us_t now_us)
 {
     GList *link = instance->idle.head;
