--- a/lab/standin_searcher.c
+++ b/lab/standin_searcher.c
@@ -43,6 +43,7 @@
         return;
     }
     visitor->is_closing = true;
+    g_ptr_array_remove_fast(visitor->searcher->visitors, visitor);
     visitor->searcher->open--;
     visitor->searcher->closed_early += visitor->is_working;
     if (resets) {
@@ -140,9 +141,30 @@
     return behaviour == LAB_SHEDS ? LAB_ANSWERS : behaviour;
 }
 
+void lab_searcher_end(lab_searcher_t *searcher)
+{
+    if (searcher->has_ended)
+        return;
+    searcher->has_ended = true;
+    uv_close((uv_handle_t *)&searcher->socket, NULL);
+    while (searcher->visitors->len > 0)
+        close_visitor(g_ptr_array_index(searcher->visitors, 0), true);
+}
+
+static bool is_fatal(const visitor_t *visitor)
+{
+    const char *fatal = visitor->searcher->crashes_on;
+    return fatal != NULL && !visitor->is_refused &&
+           g_str_has_prefix(visitor->request.target->str, fatal);
+}
+
 static void answer(visitor_t *visitor)
 {
     lab_searcher_t *searcher = visitor->searcher;
+    if (is_fatal(visitor)) {
+        lab_searcher_end(searcher);
+        return;
+    }
     const char *id = ts_http_message_find(&visitor->request, NAME_REQUEST_ID);
     id = id == NULL ? "" : id;
     g_string_truncate(visitor->answer, 0);
@@ -276,6 +298,7 @@
     visitor->searcher = server->data;
     visitor->searcher->connections++;
     visitor->searcher->open++;
+    g_ptr_array_add(visitor->searcher->visitors, visitor);
     visitor->heard_us = ts_clock_now_us();
     visitor->answer = g_string_new(NULL);
     visitor->handles = 2;
@@ -308,6 +331,7 @@
     searcher->zone = g_strdup(zone);
     searcher->body = g_string_new("0123456789abcdef");
     searcher->heads = g_ptr_array_new_with_free_func(g_free);
+    searcher->visitors = g_ptr_array_new();
     uv_tcp_init(loop, &searcher->socket);
     searcher->socket.data = searcher;
     uv_ip4_addr("127.0.0.1", 0, &address);
--- a/lab/standin_searcher.h
+++ b/lab/standin_searcher.h
@@ -50,14 +50,17 @@
     unsigned delay_ms;   /**< before it answers */
     unsigned forgets_ms; /**< connections that rest longer are reset at the next bytes; 0: none */
     unsigned connections_max; /**< more at once are reset; 0: any number */
-    GString *body;            /**< of its answers */
-    unsigned runs;            /**< requests it ran */
-    unsigned misdirected;     /**< requests meant for another */
-    unsigned connections;     /**< accepted so far */
-    unsigned open;            /**< connections open now */
-    unsigned resets;          /**< connections reset for the two reasons above */
-    unsigned closed_early;    /**< connections that ended while it worked */
-    GPtrArray *heads; /**< texts of the requests it got: target, fields, body; not with ops */
+    const char *crashes_on; /**< it ends in place of answering targets that begin so; NULL: none */
+    bool has_ended;         /**< it listens no more and its connections are reset */
+    GPtrArray *visitors;    /**< connections that are open */
+    GString *body;          /**< of its answers */
+    unsigned runs;          /**< requests it ran */
+    unsigned misdirected;   /**< requests meant for another */
+    unsigned connections;   /**< accepted so far */
+    unsigned open;          /**< connections open now */
+    unsigned resets;        /**< connections reset for the two reasons above */
+    unsigned closed_early;  /**< connections that ended while it worked */
+    GPtrArray *heads;       /**< texts of the requests it got: target, fields, body; not with ops */
     const lab_searcher_ops_t *ops; /**< NULL: `body` for every request */
     void *ctx;
 } lab_searcher_t;
@@ -65,6 +68,8 @@
 /** Listens on a free port of 127.0.0.1. Lives as long as the loop. */
 lab_searcher_t *lab_searcher_open(uv_loop_t *loop, const char *id, const char *service,
                                   const char *zone);
+/** Ends it as a crash would: it listens no more, and its connections are reset. */
+void lab_searcher_end(lab_searcher_t *searcher);
 /** Its entry of the registry, as JSON; g_free. */
 char *lab_searcher_entry(const lab_searcher_t *searcher, bool is_draining);
 /** Value of a field in the latest request it got, or NULL; g_free. */
