--- a/include/tealspar/byte_account.h
+++ b/include/tealspar/byte_account.h
@@ -19,7 +19,8 @@
     X(SIGHTING, "sighting", "suspicions of back ends")                                             \
     X(EVIDENCE, "evidence", "what answers say of back ends")                                       \
     X(LOAN, "loan", "extra sends that are asked for and granted")                                  \
-    X(RATE, "rate", "tokens of rates that the fleet keeps together")
+    X(RATE, "rate", "tokens of rates that the fleet keeps together")                               \
+    X(QUARANTINE, "quarantine", "requests that may end back ends")
 
 #define TS_BYTE_CAUSE_ENUM(symbol, name, description) TS_BYTES_##symbol,
 typedef enum ts_byte_cause {
--- a/include/tealspar/counters.h
+++ b/include/tealspar/counters.h
@@ -81,6 +81,24 @@
     X(SEND_FAILURES, counter, "send_failures_total", "sends without a usable answer")              \
     X(SENDS_BROKEN, counter, "sends_broken_total",                                                 \
       "of these, ended by their connection after they had left")                                   \
+    X(INSTANCE_CHECKS, counter, "instance_checks_total",                                           \
+      "connections opened to learn whether a back end lives")                                      \
+    X(INSTANCES_ENDED, counter, "instances_ended_total",                                           \
+      "back ends where nobody listens any more")                                                   \
+    X(QUARANTINE_SUSPECTED, counter, "quarantine_suspected_total",                                 \
+      "requests under all of whose sends back ends ended")                                         \
+    X(QUARANTINE_TRIALS, counter, "quarantine_trials_total", "tries of suspects by a lone send")   \
+    X(QUARANTINE_STRIKES, counter, "quarantine_strikes_total",                                     \
+      "back ends that ended under a lone send")                                                    \
+    X(QUARANTINE_HELD, counter, "quarantine_held_total", "requests that were put on hold")         \
+    X(QUARANTINE_CLEARED, counter, "quarantine_cleared_total", "suspects that then ran whole")     \
+    X(QUARANTINE_REFUSED, counter, "quarantine_refused_total",                                     \
+      "tries that were refused as their request is on hold")                                       \
+    X(QUARANTINE_ENTRIES, gauge, "quarantine_entries", "requests on hold now")                     \
+    X(QUARANTINE_PUSHED_OUT, counter, "quarantine_pushed_out_total",                               \
+      "suspects that were forgotten for want of room")                                             \
+    X(QUARANTINE_FULL, counter, "quarantine_full_total",                                           \
+      "requests that were not put on hold for want of room")                                       \
     X(CONNECTS, counter, "connects_total", "connections opened to back ends")                      \
     X(CONNECTS_FAILED, counter, "connects_failed_total", "connections that did not come up")       \
     X(INSTANCES_SUSPECTED, counter, "instances_suspected_total",                                   \
--- a/include/tealspar/error.h
+++ b/include/tealspar/error.h
@@ -49,6 +49,9 @@
     X(TS_E_UNAUTHENTICATED, -70, "unauthenticated", "the request shows no key that is held")       \
     X(TS_E_QUOTA, -71, "over_quota", "the tenant has sent what it may over the whole fleet")       \
     X(TS_E_UNCONFIRMED, -72, "unconfirmed", "keys were not confirmed for longer than is allowed")  \
+    X(TS_E_QUARANTINED, -73, "quarantined", "requests like it ended the back ends that ran them")  \
+    X(TS_E_ON_TRIAL, -74, "on_trial", "a request like it is tried alone, the outcome is awaited")  \
+    X(TS_E_BACK_ENDS_ENDED, -75, "back_ends_ended", "back ends that ran the request ended")        \
     X(TS_E_PROTOCOL, -60, "protocol", "a message from another node cannot be understood")
 
 #define TS_ERROR_ENUM(symbol, number, name, text) symbol = (number),
--- a/include/tealspar/gateway.h
+++ b/include/tealspar/gateway.h
@@ -7,6 +7,7 @@
 
 #include <uv.h>
 
+#include "tealspar/broken_sends.h"
 #include "tealspar/caller.h"
 #include "tealspar/dialect.h"
 #include "tealspar/gateway_settings.h"
@@ -38,19 +39,21 @@
     ts_time_us_t opened_us;
     ts_listener_t *callers;
     ts_listener_t *ready;
-    ts_listener_t *metrics;      /**< NULL: not asked for */
-    ts_traffic_t *traffic;       /**< in force; NULL until one is known */
-    GHashTable *route_states;    /**< route name -> ts_route_state_t */
-    ts_retry_budget_rule_t rule; /**< what may be sent beyond the first */
-    ts_cold_rule_t cold_rule;    /**< what cold back ends bear */
-    ts_rate_limiter_t *limiter;  /**< what tenants may send over the whole fleet */
-    uv_timer_t limiter_timer;    /**< its turns */
-    uint64_t expected_changes;   /**< of the fleet, when tenants were last expected, */
-    uint64_t expected_version;   /**< and the configuration's version */
-    ts_time_us_t expect_at_us;   /**< when they are expected anew; 0: they are */
-    GPtrArray *token_waiters;    /**< requests that wait for it, of ts_request_t */
-    unsigned requests;           /**< being worked on */
-    uint32_t random;             /**< state of the cheap generator that breaks ties */
+    ts_listener_t *metrics;          /**< NULL: not asked for */
+    ts_traffic_t *traffic;           /**< in force; NULL until one is known */
+    GHashTable *route_states;        /**< route name -> ts_route_state_t */
+    ts_retry_budget_rule_t rule;     /**< what may be sent beyond the first */
+    ts_cold_rule_t cold_rule;        /**< what cold back ends bear */
+    ts_quarantine_t *quarantine;     /**< requests under which back ends ended */
+    ts_broken_sends_t *broken_sends; /**< what it learns of them by */
+    ts_rate_limiter_t *limiter;      /**< what tenants may send over the whole fleet */
+    uv_timer_t limiter_timer;        /**< its turns */
+    uint64_t expected_changes;       /**< of the fleet, when tenants were last expected, */
+    uint64_t expected_version;       /**< and the configuration's version */
+    ts_time_us_t expect_at_us;       /**< when they are expected anew; 0: they are */
+    GPtrArray *token_waiters;        /**< requests that wait for it, of ts_request_t */
+    unsigned requests;               /**< being worked on */
+    uint32_t random;                 /**< state of the cheap generator that breaks ties */
     bool is_stopping;
 } ts_gateway_t;
 
--- a/include/tealspar/log.h
+++ b/include/tealspar/log.h
@@ -23,6 +23,8 @@
     X(BACKEND_STATE, MESSAGE, "backend_state")                                                     \
     X(ZONE_STATE, MESSAGE, "zone_state")                                                           \
     X(BACKEND_SUSPECT, MESSAGE, "backend_suspect")                                                 \
+    X(QUARANTINE_STATE, MESSAGE, "quarantine_state")                                               \
+    X(QUARANTINE_SUSPECT, INFO, "quarantine_suspect")                                              \
     X(QUOTA_STATE, MESSAGE, "quota_state")                                                         \
     X(REQUEST_DONE, INFO, "request_done")                                                          \
     X(REQUEST_PARTIAL, MESSAGE, "request_partial")                                                 \
--- a/include/tealspar/outgoing.h
+++ b/include/tealspar/outgoing.h
@@ -25,6 +25,10 @@
     bool is_head_method;      /**< the answer has no body */
     bool is_repeatable;       /**< may be sent on a connection that has rested */
     ts_time_us_t deadline_us; /**< nothing is waited for after this */
+    /* What its sends met, see tealspar/broken_sends.h. */
+    unsigned sends_out; /**< under way, awaited or not */
+    bool has_run_whole; /**< some back end answered it with success */
+    bool is_alone;      /**< some broke, and it goes on by one send at a time */
     /* For the digest, which is made only when it is asked for. */
     ts_head_span_t line;   /**< the request line */
     ts_head_span_t host;   /**< the host's name */
--- a/include/tealspar/registry.h
+++ b/include/tealspar/registry.h
@@ -68,6 +68,8 @@
     ts_time_us_t tried_us;        /**< last request sent to it while suspected */
     ts_time_us_t avoid_until_us;  /**< after a failed connection or a refusal */
     uint32_t failures;            /**< in a row */
+    ts_time_us_t reached_us; /**< when the last connection that came up was begun; 0: none did */
+    bool has_ended;          /**< nobody listens any more where it did */
     /* What its answers say, see tealspar/evidence.h. */
     ts_evidence_t own;            /**< to this node's requests */
     ts_evidence_t heard;          /**< to the whole fleet's, as told by the node that collects */
@@ -190,6 +192,20 @@
                                ts_time_us_t now_us);
 /** Share of its answers that are failures, as believed now. */
 double ts_instance_failing(const ts_instance_t *instance, ts_time_us_t now_us);
+/** What became of an instance after a send to it was broken off. */
+typedef enum ts_instance_fate {
+    TS_FATE_UNKNOWN, /**< not known yet */
+    TS_FATE_LIVES,   /**< it takes connections: only that one was lost */
+    TS_FATE_ENDED    /**< it is gone, or silent */
+} ts_instance_fate_t;
+
+/** A connection to it that was begun at `begun_us` came up. */
+void ts_instance_note_reached(ts_instance_t *instance, ts_time_us_t begun_us);
+/** Its address refuses connections, or is another one's: ids are never used again. */
+void ts_instance_note_ended(ts_instance_t *instance);
+/** What became of it since. */
+ts_instance_fate_t ts_instance_fate(const ts_instance_t *instance, ts_time_us_t since_us,
+                                    ts_time_us_t now_us);
 /** A connection or a request failed. */
 void ts_instance_note_failure(ts_instance_t *instance, ts_time_us_t now_us);
 /**
--- a/include/tealspar/request_digest.h
+++ b/include/tealspar/request_digest.h
@@ -5,6 +5,7 @@
 #ifndef TEALSPAR_REQUEST_DIGEST_H
 #define TEALSPAR_REQUEST_DIGEST_H
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -27,6 +28,11 @@
 /** The digest of the pieces in their order. */
 ts_request_digest_t ts_request_digest(const ts_digest_piece_t *pieces, unsigned count);
 bool ts_request_digest_is_equal(const ts_request_digest_t *a, const ts_request_digest_t *b);
+/** For tables that digests are keys of (GHashFunc, GEqualFunc). */
+guint ts_request_digest_hash(gconstpointer digest);
+gboolean ts_request_digest_equal(gconstpointer a, gconstpointer b);
+/** A new set of digests, which owns what is added. */
+GHashTable *ts_request_digest_set(void);
 /** Writes it as hexadecimal digits. */
 void ts_request_digest_print(const ts_request_digest_t *digest, char text[TS_REQUEST_DIGEST_TEXT]);
 
--- a/include/tealspar/upstream.h
+++ b/include/tealspar/upstream.h
@@ -43,6 +43,7 @@
     ts_outgoing_t *outgoing;
     ts_time_us_t span_us; /**< from the sending to the end */
     bool is_awaited;      /**< somebody still waited for its answer */
+    bool is_lone;         /**< as its terms said */
 } ts_broken_send_t;
 
 /** Called for each such send, before its owner is told. */
@@ -52,6 +53,7 @@
 typedef struct ts_send_terms {
     double typical_us; /**< what such a request takes from here, to judge by; 0: not known */
     bool is_repeat;    /**< another send of the request, or of the part, went before */
+    bool is_lone;      /**< its request is tried by one send at a time */
 } ts_send_terms_t;
 
 /** Sends a request to an instance, on an idle connection or a new one. */
--- a/src/edge/answer.c
+++ b/src/edge/answer.c
@@ -210,8 +210,8 @@
 /* When a caller may come back: later, and spread out, when there is more work than can be done. */
 static uint32_t retry_after_ms(const ts_request_t *request, ts_error_t error)
 {
-    if (error == TS_E_UNAUTHENTICATED)
-        return 0; // coming back with the same key is of no use
+    if (error == TS_E_UNAUTHENTICATED || error == TS_E_QUARANTINED)
+        return 0; // coming back with the same key, or the same request, is of no use
     if (error == TS_E_QUOTA)
         return quota_retry_ms(request);
     bool waits_for_instances = error == TS_E_PLACEMENT || lacks_instances(request);
--- a/src/edge/gateway.c
+++ b/src/edge/gateway.c
@@ -271,7 +271,9 @@
     gateway->registry = ts_registry_create(settings->zone, gateway->zones);
     gateway->upstream = ts_upstream_create(loop, gateway->dialect);
     ts_upstream_on_rest(gateway->upstream, kept_connections, gateway);
-    ts_upstream_on_broken(gateway->upstream, ts_broken_sends_note, NULL);
+    gateway->quarantine = ts_quarantine_create();
+    gateway->broken_sends = ts_broken_sends_create(loop, gateway->quarantine);
+    ts_upstream_on_broken(gateway->upstream, ts_broken_sends_note, gateway->broken_sends);
     gateway->mirror = ts_store_mirror_create(gateway);
     gateway->store = ts_store_watch_create(gateway);
     gateway->pending = ts_pending_create(gateway);
@@ -317,6 +319,9 @@
     ts_registry_each_service(gateway->registry, sweep_service, gateway);
     ts_time_us_t now_us = ts_clock_now_us();
     ts_registry_sweep(gateway->registry, now_us);
+    ts_quarantine_sweep(gateway->quarantine, now_us);
+    ts_gauge_set(TS_COUNTER_QUARANTINE_ENTRIES,
+                 ts_quarantine_count(gateway->quarantine, TS_QUARANTINE_HELD, now_us));
     ts_gateway_set_nodes(gateway, gateway->nodes_seen); /* a young node grows sure */
     ts_store_mirror_sweep(gateway->mirror, now_us);
     if (gateway->peers != NULL) {
--- a/src/edge/part_answer.c
+++ b/src/edge/part_answer.c
@@ -60,7 +60,10 @@
         part->may_have_run = true;
     }
     bool is_gather = part->request->route->kind == TS_TARGET_GATHER;
-    if (result->answer != NULL && result->run == TS_RUN_DONE && !is_gather) {
+    bool has_run = result->answer != NULL && result->run == TS_RUN_DONE;
+    if (has_run && result->answer->parser.status_code < STATUS_SERVER_ERROR)
+        ts_request_note_whole(part->request, part->service);
+    if (has_run && !is_gather) {
         keep_answer(part, result->answer);
         bool is_final = part->status < STATUS_SERVER_ERROR || !ts_part_may_send_again(part);
         if (is_final) {
@@ -99,6 +102,7 @@
     }
     keep_answer(part, result->answer);
     ts_part_set_state(part, TS_PART_IN);
+    ts_request_note_whole(part->request, part->service);
 }
 
 /* Why a send brought no success, in one word. */
@@ -127,6 +131,8 @@
         ts_part_log_decision(part, TS_EVENT_PART_FAILED, failure_name(result, status), instance,
                              ts_clock_now_us());
     }
+    if (was_sent && result->error == TS_E_IO)
+        ts_request_note_broken(part->request, instance, part->was_lone);
     if (status == STATUS_MISDIRECTED) {
         ts_instance_note_failure(instance, ts_clock_now_us());
     }
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -170,6 +170,7 @@
 {
     ts_time_us_t until_us = ts_clock_now_us() + LEFT_BEHIND_US;
     ts_request_end_quota(request);
+    ts_request_end_trial(request);
     for (unsigned i = 0; i < request->parts_count; i++) {
         ts_part_release(&request->parts[i], until_us);
     }
@@ -208,6 +209,12 @@
     case TS_ADMISSION_REVOKED:
         fail(request, TS_E_UNAUTHENTICATED);
         return true;
+    case TS_ADMISSION_QUARANTINED:
+        fail(request, TS_E_QUARANTINED);
+        return true;
+    case TS_ADMISSION_ON_TRIAL:
+        fail(request, TS_E_ON_TRIAL);
+        return true;
     case TS_ADMISSION_EXCLUDED:
         fail(request, TS_E_PLACEMENT);
         return true;
@@ -240,6 +247,10 @@
 /* Decides the request if it can be decided now; returns whether it did. */
 static bool decide(ts_request_t *request, ts_time_us_t now_us)
 {
+    if (ts_request_caution(request, now_us) == TS_CAUTION_STOP) {
+        fail(request, request->broken > 0 ? TS_E_BACK_ENDS_ENDED : TS_E_QUARANTINED);
+        return true;
+    }
     unsigned needed = ts_request_parts_needed(request);
     unsigned open = request->parts_count - request->parts_in - request->parts_lost;
     bool is_enough = request->parts_in >= needed;
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -28,6 +28,7 @@
     unsigned attempts;                      /**< sends that run, ran or may have run */
     unsigned arrivals;                      /**< sends that left, or may still leave */
     unsigned paid;                          /**< of these, the ones the budget was charged for */
+    bool was_lone;                          /**< the latest send was the only one out */
     bool was_overdue;                       /**< the latest send was counted as overdue */
     bool may_have_run;
     bool was_denied;          /**< the budget had no further send for it */
@@ -66,7 +67,13 @@
     unsigned parts_count;
     unsigned parts_in;
     unsigned parts_lost;
-    unsigned sends; /**< of all parts */
+    unsigned sends;  /**< of all parts */
+    unsigned broken; /**< of these, broken off by the end of their connection */
+    /* See request_caution.c. */
+    bool is_suspect;             /**< it began as one, by one send */
+    bool is_trial;               /**< other nodes wait for its outcome */
+    ts_instance_t *lone_broken;  /**< where its last lone send was broken off; NULL: none was */
+    ts_time_us_t lone_broken_us; /**< when */
     ts_request_part_t parts[];
 };
 
@@ -90,6 +97,8 @@
 void ts_part_try_elsewhere(ts_request_part_t *part);
 /** A send has ended; the callback of its exchange, `owner` is the part. */
 void ts_part_take_result(ts_exchange_t *exchange, const ts_exchange_result_t *result, void *owner);
+/** The part looks for an instance again in a moment. */
+void ts_part_look_soon(ts_request_part_t *part, ts_time_us_t now_us);
 /** One line for a decision about the part: whom, why, and what was believed of it. */
 void ts_part_log_decision(const ts_request_part_t *part, ts_event_t event, const char *reason,
                           const ts_instance_t *instance, ts_time_us_t now_us);
@@ -149,10 +158,32 @@
     TS_ADMISSION_OVER_QUOTA,  /**< its tenant has sent what it may */
     TS_ADMISSION_UNCONFIRMED, /**< whether it has could not be learned in time */
     TS_ADMISSION_REVOKED,     /**< its key has been taken away */
+    TS_ADMISSION_QUARANTINED, /**< requests like it ended back ends */
+    TS_ADMISSION_ON_TRIAL,    /**< one like it is being tried, and it waited long enough */
     TS_ADMISSION_EXCLUDED,    /**< too many parts have no back end where they may be served */
     TS_ADMISSION_OVERLOAD     /**< its time to begin is over */
 } ts_admission_t;
 
+/** Whether more of a request may be sent now, as back ends may have ended under it. */
+typedef enum ts_caution {
+    TS_CAUTION_NONE, /**< yes */
+    TS_CAUTION_WAIT, /**< not before what is out is explained */
+    TS_CAUTION_STOP  /**< never */
+} ts_caution_t;
+
+/** Whether the quarantine lets it begin: TS_ADMISSION_BEGUN if so; notes whether with care. */
+ts_admission_t ts_request_check_quarantine(ts_request_t *request, ts_time_us_t now_us);
+/** Begins a suspect: one part is sent, the others wait for what becomes of it. */
+void ts_request_begin_lone(ts_request_t *request, ts_time_us_t now_us);
+ts_caution_t ts_request_caution(const ts_request_t *request, ts_time_us_t now_us);
+/** Whether the send that is made now is to be the only one out; notes it. */
+bool ts_request_sends_alone(ts_request_t *request);
+/** A send was broken off by the end of its connection. */
+void ts_request_note_broken(ts_request_t *request, ts_instance_t *instance, bool was_lone);
+/** A back end of the service answered it with success. */
+void ts_request_note_whole(ts_request_t *request, const ts_service_t *service);
+/** It ends; if it was a trial without an outcome, that is told. */
+void ts_request_end_trial(const ts_request_t *request);
 /** Begins the request if it can be begun. */
 ts_admission_t ts_request_admit(ts_request_t *request, ts_time_us_t now_us);
 /**
--- a/src/edge/request_admission.c
+++ b/src/edge/request_admission.c
@@ -115,22 +115,33 @@
     return now_us < request->token_by_us ? TS_ADMISSION_WAITS : TS_ADMISSION_UNCONFIRMED;
 }
 
+static void send_all(ts_request_t *request)
+{
+    for (unsigned i = 0; i < request->parts_count; i++) {
+        if (request->parts[i].state == TS_PART_OPEN)
+            ts_part_send_first(&request->parts[i]);
+    }
+}
+
 ts_admission_t ts_request_admit(ts_request_t *request, ts_time_us_t now_us)
 {
     if (ts_request_is_revoked(request))
         return TS_ADMISSION_REVOKED;
     if (!leave_out_excluded(request, now_us))
         return TS_ADMISSION_EXCLUDED;
+    ts_admission_t quarantine = ts_request_check_quarantine(request, now_us);
+    if (quarantine != TS_ADMISSION_BEGUN)
+        return quarantine;
     ts_admission_t quota = check_quota(request, now_us);
     if (quota != TS_ADMISSION_BEGUN)
         return quota;
     if (!is_behind_urgent(request) && can_begin(request, now_us)) {
         request->is_admitted = true;
         note_admission(request, false);
-        for (unsigned i = 0; i < request->parts_count; i++) {
-            if (request->parts[i].state == TS_PART_OPEN)
-                ts_part_send_first(&request->parts[i]);
-        }
+        if (request->is_suspect)
+            ts_request_begin_lone(request, now_us);
+        else
+            send_all(request);
         return TS_ADMISSION_BEGUN;
     }
     note_wanted(request, now_us);
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -22,6 +22,8 @@
 /* Others are told of a silent instance this part of the usual time later. */
 #define TELL_LATER 0.75
 #define CONNECTIONS_DEFAULT 4U
+/* Between two looks whether the end of another send is explained. */
+#define LOOK_SOON_US (5 * TS_US_PER_MS)
 
 /* This node's share of the connections that one instance takes. */
 static uint32_t connections_max(const ts_request_part_t *part)
@@ -110,7 +112,8 @@
     part->overdue_us = now_us + overdue_after_us(request, travel_us);
     part->second_us = second_send_us(part, part->overdue_us);
     unsigned place = part->sends++;
-    ts_send_terms_t terms = {typical_us + travel_us, place > 0};
+    ts_send_terms_t terms = {typical_us + travel_us, place > 0, ts_request_sends_alone(request)};
+    part->was_lone = terms.is_lone;
     part->exchanges[place] = ts_upstream_send(request->gateway->upstream, instance,
                                               request->outgoing, &terms, ts_part_take_result, part);
 }
@@ -196,9 +199,25 @@
     ts_part_set_state(part, TS_PART_LOST);
 }
 
+void ts_part_look_soon(ts_request_part_t *part, ts_time_us_t now_us)
+{
+    part->next_try_us = now_us + LOOK_SOON_US;
+}
+
+/* No send may be made now, as the end of an earlier one is not explained: it looks again soon. */
+static bool is_held_back(ts_request_part_t *part, ts_time_us_t now_us)
+{
+    if (ts_request_caution(part->request, now_us) == TS_CAUTION_NONE)
+        return false;
+    ts_part_look_soon(part, now_us);
+    return true;
+}
+
 void ts_part_send_first(ts_request_part_t *part)
 {
     ts_time_us_t now_us = ts_clock_now_us();
+    if (is_held_back(part, now_us))
+        return;
     if (ts_request_is_revoked(part->request)) {
         lose_revoked(part, now_us);
         return;
@@ -328,6 +347,10 @@
         part->overdue_us = part->second_us;
         return;
     }
+    if (ts_request_caution(part->request, now_us) != TS_CAUTION_NONE) {
+        part->overdue_us = now_us + LOOK_AGAIN_US;
+        return;
+    }
     bool is_left = leaves_extra_send(part, now_us);
     if (!is_left && send_again(part, now_us, HEDGE_COST_MAX_US, "overdue")) {
         ts_count(TS_COUNTER_HEDGES, 1);
@@ -395,7 +418,7 @@
         part->tell_us = 0;
         tell_overdue(part);
     }
-    if (part->next_try_us == 0 || now_us < part->next_try_us) {
+    if (part->next_try_us == 0 || now_us < part->next_try_us || is_held_back(part, now_us)) {
         return;
     }
     if (part->sends == 0 && is_scarce(part, now_us) && is_dispensable(part)) {
@@ -429,6 +452,8 @@
     if (exchanges_out(part) > 0) {
         return; /* another send may still bring the answer */
     }
+    if (is_held_back(part, now_us))
+        return;
     if (send_again(part, now_us, G_MAXDOUBLE, "failed")) {
         ts_count(TS_COUNTER_RETRIES, 1);
         return;
--- a/src/http/request_digest.c
+++ b/src/kernel/request_digest.c
@@ -1,7 +1,6 @@
 /** Digests of requests. */
 #include "tealspar/request_digest.h"
 
-#include <glib.h>
 #include <string.h>
 
 #define SHA256_SIZE 32U
@@ -29,6 +28,23 @@
     return memcmp(a->bytes, b->bytes, sizeof(a->bytes)) == 0;
 }
 
+guint ts_request_digest_hash(gconstpointer digest)
+{
+    guint hash;
+    memcpy(&hash, digest, sizeof(hash)); // its bytes are as good as drawn
+    return hash;
+}
+
+gboolean ts_request_digest_equal(gconstpointer a, gconstpointer b)
+{
+    return ts_request_digest_is_equal(a, b);
+}
+
+GHashTable *ts_request_digest_set(void)
+{
+    return g_hash_table_new_full(ts_request_digest_hash, ts_request_digest_equal, g_free, NULL);
+}
+
 void ts_request_digest_print(const ts_request_digest_t *digest, char text[TS_REQUEST_DIGEST_TEXT])
 {
     for (unsigned i = 0; i < TS_REQUEST_DIGEST_SIZE; i++)
--- a/src/peers/peers.c
+++ b/src/peers/peers.c
@@ -32,6 +32,8 @@
         return TS_BYTES_EVIDENCE;
     if (frame->rate != NULL)
         return TS_BYTES_RATE;
+    if (frame->quarantine != NULL)
+        return TS_BYTES_QUARANTINE;
     return frame->gossip.len > 0 ? TS_BYTES_MEMBERSHIP : TS_BYTES_STORE;
 }
 
@@ -79,6 +81,8 @@
         ts_peers_take_evidence(peers, frame);
     if (frame->rate != NULL)
         ts_peers_take_rate(peers, frame);
+    if (frame->quarantine != NULL)
+        ts_peers_take_quarantine(peers, frame);
 }
 
 static void take_frame(void *context, const uint8_t *bytes, size_t length)
@@ -192,6 +196,7 @@
     if (ts_peers_is_in_need(peers)) {
         ts_peers_ask_around(peers);
     }
+    ts_peers_compare_quarantine(peers);
     if (++peers->ticks % BEACON_TICKS == 0 && ts_peers_is_watcher(peers) &&
         ts_store_mirror_is_primed(peers->mirror)) {
         ts_peers_send_beacon(peers);
@@ -263,6 +268,7 @@
     ts_peers_locate_members(peers);
     ts_peers_change_homes(peers);
     ts_peers_open_evidence(peers);
+    ts_peers_open_quarantine(peers);
     ts_registry_on_evidence(gateway->registry, ts_peers_wake_evidence, peers);
     add_seeds(peers);
     uv_timer_init(gateway->loop, &peers->timer);
--- a/src/peers/peers_internal.h
+++ b/src/peers/peers_internal.h
@@ -7,6 +7,8 @@
 #include "tealspar/peer_link.h"
 #include "tealspar/peers.h"
 
+typedef struct ts_peers_quarantine ts_peers_quarantine_t;
+
 struct ts_peers {
     ts_gateway_t *gateway;
     ts_store_mirror_t *mirror;
@@ -41,9 +43,10 @@
     bool is_collector;         /* this node is it */
     uv_timer_t evidence_timer; /* runs while something waits to be told */
     ts_time_us_t evidence_us;  /* when it last ran */
-    uint32_t evidence_sequence; /* of the last frame of evidence that this node sent */
-    GHashTable *evidence_seen;  /* name of a node -> the last sequence from it */
-    GHashTable *echoes;         /* address -> what peers_echo.c keeps of it, owned */
+    uint32_t evidence_sequence;        /* of the last frame of evidence that this node sent */
+    GHashTable *evidence_seen;         /* name of a node -> the last sequence from it */
+    GHashTable *echoes;                /* address -> what peers_echo.c keeps of it, owned */
+    ts_peers_quarantine_t *quarantine; /* see peers_quarantine.c */
     /* Homes of rates; see peers_rates.c. */
     size_t members_live;    /* at the last change of the view */
     size_t members_most;    /* that were in the view at once */
@@ -104,6 +107,12 @@
 /** The view has changed, and with it which node is home of what. */
 void ts_peers_change_homes(ts_peers_t *peers);
 
+// -- peers_quarantine.c
+void ts_peers_open_quarantine(ts_peers_t *peers);
+void ts_peers_take_quarantine(ts_peers_t *peers, const TsPeer__Frame *frame);
+/** With each tick of membership: compares with others now and then. */
+void ts_peers_compare_quarantine(ts_peers_t *peers);
+
 // -- peers_place.c
 /** Works out anew in which region each member of the view stands. */
 void ts_peers_locate_members(ts_peers_t *peers);
--- /dev/null
+++ b/src/peers/peers_quarantine.c
@@ -0,0 +1,242 @@
+/**
+ * The quarantine's rows between nodes. What a node finds goes to the first node of each zone, and
+ * from there down the zone's tree; each node passes on what is news to it. What was lost on the way
+ * is found by comparing: each second a node that holds something, or is young, sends the sum over
+ * what it holds to a node drawn at random, and both send their rows if the sums differ.
+ */
+#include <string.h>
+
+#include "peers_internal.h"
+#include "tealspar/counters.h"
+#include "tealspar/quarantine.h"
+#include "tealspar/request_digest.h"
+
+/* Rows are gathered for so long before they go out. */
+#define TELL_MS 2
+/* Every so many ticks of membership (250 ms) a node compares. */
+#define COMPARE_TICKS 4U
+/* A node younger than this compares though it holds nothing: it may have been started anew. */
+#define YOUNG_US (5 * TS_US_PER_S)
+/* Suspects that go along with what is held when nodes differ; a row is about 60 bytes. */
+#define SUSPECTS_TOLD 64U
+#define ROWS_MAX 2048U
+
+struct ts_peers_quarantine {
+    GHashTable *told; /* set of digests that wait to be told, owned */
+    uv_timer_t timer; /* runs while there are any */
+};
+
+// -- Rows
+
+typedef struct row_list {
+    GArray *rows;       /* of TsPeer__QuarantineRow; texts and digests are owned */
+    GHashTable *wanted; /* only these digests; NULL: all */
+} row_list_t;
+
+static bool add_row(void *ctx, const ts_quarantine_row_t *row)
+{
+    row_list_t *list = ctx;
+    if (list->wanted != NULL && !g_hash_table_contains(list->wanted, &row->digest))
+        return true;
+    TsPeer__QuarantineRow out = TS_PEER__QUARANTINE_ROW__INIT;
+    out.digest.data = g_memdup2(row->digest.bytes, sizeof(row->digest.bytes));
+    out.digest.len = sizeof(row->digest.bytes);
+    out.epoch = row->epoch;
+    out.is_cleared = row->is_cleared;
+    out.strikes = row->strikes;
+    out.trials_begun = row->trials_begun;
+    out.trials_ended = row->trials_ended;
+    out.age_ms = row->age_ms;
+    out.service = g_strdup(row->service);
+    g_array_append_val(list->rows, out);
+    return list->rows->len < ROWS_MAX;
+}
+
+static void clear_row(gpointer data)
+{
+    TsPeer__QuarantineRow *row = data;
+    g_free(row->digest.data);
+    g_free(row->service);
+}
+
+static GArray *collect_rows(const ts_peers_t *peers, GHashTable *wanted, unsigned suspects_max)
+{
+    row_list_t list = {g_array_new(FALSE, FALSE, sizeof(TsPeer__QuarantineRow)), wanted};
+    g_array_set_clear_func(list.rows, clear_row);
+    ts_quarantine_each(peers->gateway->quarantine, ts_clock_now_us(), suspects_max, add_row, &list);
+    return list.rows;
+}
+
+typedef void (*send_frame_t)(ts_peers_t *peers, TsPeer__Frame *frame, const char *address);
+
+static void send_rows(ts_peers_t *peers, const GArray *rows, bool wants_rows, send_frame_t send,
+                      const char *address)
+{
+    TsPeer__Quarantine quarantine = TS_PEER__QUARANTINE__INIT;
+    TsPeer__Frame frame = TS_PEER__FRAME__INIT;
+    GPtrArray *pointers = g_ptr_array_sized_new(rows->len + 1);
+    for (guint i = 0; i < rows->len; i++)
+        g_ptr_array_add(pointers, &g_array_index(rows, TsPeer__QuarantineRow, i));
+    quarantine.rows = (TsPeer__QuarantineRow **)pointers->pdata;
+    quarantine.n_rows = rows->len;
+    quarantine.wants_rows = wants_rows;
+    frame.quarantine = &quarantine;
+    send(peers, &frame, address);
+    g_ptr_array_unref(pointers);
+}
+
+static void send_to_one(ts_peers_t *peers, TsPeer__Frame *frame, const char *address)
+{
+    ts_peers_send(peers, address, frame);
+}
+
+static void send_down(ts_peers_t *peers, TsPeer__Frame *frame, const char *address)
+{
+    ts_peers_send_to_children(peers, frame);
+}
+
+/* To the first node of each zone, and on to this node's children if it is one of these. */
+static void send_to_heads(ts_peers_t *peers, TsPeer__Frame *frame, const char *address)
+{
+    for (guint i = 0; i < peers->zone_heads->len; i++) {
+        const ts_view_member_t *head = g_ptr_array_index(peers->zone_heads, i);
+        if (head->is_self)
+            ts_peers_send_to_children(peers, frame);
+        else
+            ts_peers_send(peers, head->address, frame);
+    }
+}
+
+// -- Telling what this node found
+
+static void tell_all(uv_timer_t *timer)
+{
+    ts_peers_t *peers = timer->data;
+    GHashTable *told = peers->quarantine->told;
+    GArray *rows = collect_rows(peers, told, ROWS_MAX);
+    if (rows->len > 0)
+        send_rows(peers, rows, false, send_to_heads, NULL);
+    g_array_unref(rows);
+    g_hash_table_remove_all(told);
+}
+
+static void note_news(void *ctx, const ts_quarantine_row_t *row)
+{
+    ts_peers_t *peers = ctx;
+    ts_peers_quarantine_t *own = peers->quarantine;
+    if (g_hash_table_size(own->told) >= ROWS_MAX)
+        return; // comparing brings what is held
+    g_hash_table_add(own->told, g_memdup2(&row->digest, sizeof(row->digest)));
+    if (!uv_is_active((uv_handle_t *)&own->timer))
+        uv_timer_start(&own->timer, tell_all, TELL_MS, 0);
+}
+
+// -- Comparing
+
+static void send_comparison(ts_peers_t *peers, const char *address)
+{
+    TsPeer__Quarantine quarantine = TS_PEER__QUARANTINE__INIT;
+    TsPeer__Frame frame = TS_PEER__FRAME__INIT;
+    quarantine.is_comparison = true;
+    quarantine.sum = ts_quarantine_sum(peers->gateway->quarantine, ts_clock_now_us());
+    frame.quarantine = &quarantine;
+    ts_peers_send(peers, address, &frame);
+}
+
+/* One of a list of members, drawn at random, that is not this node; NULL: there is none. */
+static const ts_view_member_t *draw_other(const ts_peers_t *peers, const GPtrArray *members)
+{
+    guint begin = members->len == 0 ? 0 : ts_gateway_random(peers->gateway) % members->len;
+    for (guint i = 0; i < members->len; i++) {
+        const ts_view_member_t *member = g_ptr_array_index(members, (begin + i) % members->len);
+        if (!member->is_self && member->state == TS_MEMBER_LIVE)
+            return member;
+    }
+    return NULL;
+}
+
+void ts_peers_compare_quarantine(ts_peers_t *peers)
+{
+    const ts_gateway_t *gateway = peers->gateway;
+    bool is_young = ts_clock_now_us() - gateway->opened_us < YOUNG_US;
+    bool is_idle = ts_quarantine_is_empty(gateway->quarantine) && !is_young;
+    if (peers->ticks % COMPARE_TICKS != 0 || is_idle)
+        return;
+    const ts_view_member_t *near = draw_other(peers, peers->zone_order);
+    bool is_head = peers->own_place == 0;
+    const ts_view_member_t *far =
+        is_head || near == NULL ? draw_other(peers, peers->zone_heads) : NULL;
+    if (near != NULL)
+        send_comparison(peers, near->address);
+    if (far != NULL)
+        send_comparison(peers, far->address);
+}
+
+// -- Receiving
+
+static bool read_row(const TsPeer__QuarantineRow *in, ts_quarantine_row_t *row)
+{
+    if (in->digest.len != sizeof(row->digest.bytes))
+        return false;
+    memcpy(row->digest.bytes, in->digest.data, sizeof(row->digest.bytes));
+    row->epoch = in->epoch;
+    row->is_cleared = in->is_cleared;
+    row->strikes = in->strikes;
+    row->trials_begun = in->trials_begun;
+    row->trials_ended = in->trials_ended;
+    row->age_ms = in->age_ms;
+    row->service = in->service;
+    return true;
+}
+
+/* Merges rows and passes on, down the zone's tree, those that are news here. */
+static void take_rows(ts_peers_t *peers, const TsPeer__Quarantine *quarantine)
+{
+    ts_time_us_t now_us = ts_clock_now_us();
+    GHashTable *news = ts_request_digest_set();
+    for (size_t i = 0; i < quarantine->n_rows; i++) {
+        ts_quarantine_row_t row;
+        if (!read_row(quarantine->rows[i], &row))
+            ts_count_error(TS_E_PROTOCOL);
+        else if (ts_quarantine_merge(peers->gateway->quarantine, &row, now_us))
+            g_hash_table_add(news, g_memdup2(&row.digest, sizeof(row.digest)));
+    }
+    if (g_hash_table_size(news) > 0) {
+        GArray *rows = collect_rows(peers, news, ROWS_MAX);
+        send_rows(peers, rows, false, send_down, NULL);
+        g_array_unref(rows);
+    }
+    g_hash_table_unref(news);
+}
+
+/* All that is held and the latest suspects. */
+static void send_all(ts_peers_t *peers, const char *address, bool wants_rows)
+{
+    GArray *rows = collect_rows(peers, NULL, SUSPECTS_TOLD);
+    send_rows(peers, rows, wants_rows, send_to_one, address);
+    g_array_unref(rows);
+}
+
+static bool is_different(const ts_peers_t *peers, uint64_t sum)
+{
+    return sum != ts_quarantine_sum(peers->gateway->quarantine, ts_clock_now_us());
+}
+
+void ts_peers_take_quarantine(ts_peers_t *peers, const TsPeer__Frame *frame)
+{
+    const TsPeer__Quarantine *quarantine = frame->quarantine;
+    take_rows(peers, quarantine);
+    if (quarantine->is_comparison && is_different(peers, quarantine->sum))
+        send_all(peers, frame->address, true);
+    else if (quarantine->wants_rows)
+        send_all(peers, frame->address, false);
+}
+
+void ts_peers_open_quarantine(ts_peers_t *peers)
+{
+    peers->quarantine = g_new0(ts_peers_quarantine_t, 1);
+    peers->quarantine->told = ts_request_digest_set();
+    uv_timer_init(peers->gateway->loop, &peers->quarantine->timer);
+    peers->quarantine->timer.data = peers;
+    ts_quarantine_on_news(peers->gateway->quarantine, note_news, peers);
+}
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -412,6 +412,96 @@
   assert(message->base.descriptor == &ts_peer__rate__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ts_peer__quarantine_row__init
+                     (TsPeer__QuarantineRow         *message)
+{
+  static const TsPeer__QuarantineRow init_value = TS_PEER__QUARANTINE_ROW__INIT;
+  *message = init_value;
+}
+size_t ts_peer__quarantine_row__get_packed_size
+                     (const TsPeer__QuarantineRow *message)
+{
+  assert(message->base.descriptor == &ts_peer__quarantine_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ts_peer__quarantine_row__pack
+                     (const TsPeer__QuarantineRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ts_peer__quarantine_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ts_peer__quarantine_row__pack_to_buffer
+                     (const TsPeer__QuarantineRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ts_peer__quarantine_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+TsPeer__QuarantineRow *
+       ts_peer__quarantine_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (TsPeer__QuarantineRow *)
+     protobuf_c_message_unpack (&ts_peer__quarantine_row__descriptor,
+                                allocator, len, data);
+}
+void   ts_peer__quarantine_row__free_unpacked
+                     (TsPeer__QuarantineRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ts_peer__quarantine_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ts_peer__quarantine__init
+                     (TsPeer__Quarantine         *message)
+{
+  static const TsPeer__Quarantine init_value = TS_PEER__QUARANTINE__INIT;
+  *message = init_value;
+}
+size_t ts_peer__quarantine__get_packed_size
+                     (const TsPeer__Quarantine *message)
+{
+  assert(message->base.descriptor == &ts_peer__quarantine__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ts_peer__quarantine__pack
+                     (const TsPeer__Quarantine *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ts_peer__quarantine__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ts_peer__quarantine__pack_to_buffer
+                     (const TsPeer__Quarantine *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ts_peer__quarantine__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+TsPeer__Quarantine *
+       ts_peer__quarantine__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (TsPeer__Quarantine *)
+     protobuf_c_message_unpack (&ts_peer__quarantine__descriptor,
+                                allocator, len, data);
+}
+void   ts_peer__quarantine__free_unpacked
+                     (TsPeer__Quarantine *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ts_peer__quarantine__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ts_peer__frame__init
                      (TsPeer__Frame         *message)
 {
@@ -1125,7 +1215,213 @@
   (ProtobufCMessageInit) ts_peer__rate__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ts_peer__frame__field_descriptors[14] =
+static const ProtobufCFieldDescriptor ts_peer__quarantine_row__field_descriptors[8] =
+{
+  {
+    "digest",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__QuarantineRow, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__QuarantineRow, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_cleared",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__QuarantineRow, is_cleared),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "strikes",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__QuarantineRow, strikes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "trials_begun",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__QuarantineRow, trials_begun),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "trials_ended",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__QuarantineRow, trials_ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__QuarantineRow, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__QuarantineRow, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ts_peer__quarantine_row__field_indices_by_name[] = {
+  6,   /* field[6] = age_ms */
+  0,   /* field[0] = digest */
+  1,   /* field[1] = epoch */
+  2,   /* field[2] = is_cleared */
+  7,   /* field[7] = service */
+  3,   /* field[3] = strikes */
+  4,   /* field[4] = trials_begun */
+  5,   /* field[5] = trials_ended */
+};
+static const ProtobufCIntRange ts_peer__quarantine_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor ts_peer__quarantine_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ts_peer.QuarantineRow",
+  "QuarantineRow",
+  "TsPeer__QuarantineRow",
+  "ts_peer",
+  sizeof(TsPeer__QuarantineRow),
+  8,
+  ts_peer__quarantine_row__field_descriptors,
+  ts_peer__quarantine_row__field_indices_by_name,
+  1,  ts_peer__quarantine_row__number_ranges,
+  (ProtobufCMessageInit) ts_peer__quarantine_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ts_peer__quarantine__field_descriptors[4] =
+{
+  {
+    "rows",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(TsPeer__Quarantine, n_rows),
+    offsetof(TsPeer__Quarantine, rows),
+    &ts_peer__quarantine_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_comparison",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Quarantine, is_comparison),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sum",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Quarantine, sum),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wants_rows",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Quarantine, wants_rows),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ts_peer__quarantine__field_indices_by_name[] = {
+  1,   /* field[1] = is_comparison */
+  0,   /* field[0] = rows */
+  2,   /* field[2] = sum */
+  3,   /* field[3] = wants_rows */
+};
+static const ProtobufCIntRange ts_peer__quarantine__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor ts_peer__quarantine__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ts_peer.Quarantine",
+  "Quarantine",
+  "TsPeer__Quarantine",
+  "ts_peer",
+  sizeof(TsPeer__Quarantine),
+  4,
+  ts_peer__quarantine__field_descriptors,
+  ts_peer__quarantine__field_indices_by_name,
+  1,  ts_peer__quarantine__number_ranges,
+  (ProtobufCMessageInit) ts_peer__quarantine__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ts_peer__frame__field_descriptors[15] =
 {
   {
     "protocol",
@@ -1295,6 +1591,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "quarantine",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Frame, quarantine),
+    &ts_peer__quarantine__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ts_peer__frame__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -1308,6 +1616,7 @@
   11,   /* field[11] = number */
   0,   /* field[0] = protocol */
   5,   /* field[5] = pull */
+  14,   /* field[14] = quarantine */
   10,   /* field[10] = rate */
   7,   /* field[7] = sighting */
   13,   /* field[13] = wants_echo */
@@ -1315,7 +1624,7 @@
 static const ProtobufCIntRange ts_peer__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor ts_peer__frame__descriptor =
 {
@@ -1325,7 +1634,7 @@
   "TsPeer__Frame",
   "ts_peer",
   sizeof(TsPeer__Frame),
-  14,
+  15,
   ts_peer__frame__field_descriptors,
   ts_peer__frame__field_indices_by_name,
   1,  ts_peer__frame__number_ranges,
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -24,6 +24,8 @@
 typedef struct TsPeer__EvidenceRow TsPeer__EvidenceRow;
 typedef struct TsPeer__Evidence TsPeer__Evidence;
 typedef struct TsPeer__Rate TsPeer__Rate;
+typedef struct TsPeer__QuarantineRow TsPeer__QuarantineRow;
+typedef struct TsPeer__Quarantine TsPeer__Quarantine;
 typedef struct TsPeer__Frame TsPeer__Frame;
 
 
@@ -233,6 +235,67 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * What is known of a request that may end back ends.
+ */
+struct  TsPeer__QuarantineRow
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData digest;
+  /*
+   * rises when it is suspected again after it was cleared
+   */
+  uint32_t epoch;
+  /*
+   * it ran whole
+   */
+  protobuf_c_boolean is_cleared;
+  /*
+   * back ends that ended under a lone send
+   */
+  uint32_t strikes;
+  /*
+   * lone sends, over all nodes
+   */
+  uint32_t trials_begun;
+  uint32_t trials_ended;
+  /*
+   * since the last back end ended under it, or since it was cleared
+   */
+  uint32_t age_ms;
+  /*
+   * where that was
+   */
+  char *service;
+};
+#define TS_PEER__QUARANTINE_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ts_peer__quarantine_row__descriptor) \
+    , {0,NULL}, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+
+
+struct  TsPeer__Quarantine
+{
+  ProtobufCMessage base;
+  size_t n_rows;
+  TsPeer__QuarantineRow **rows;
+  /*
+   * the receiver is to compare its sum
+   */
+  protobuf_c_boolean is_comparison;
+  /*
+   * over what the sender holds
+   */
+  uint64_t sum;
+  /*
+   * the receiver is to send what it has
+   */
+  protobuf_c_boolean wants_rows;
+};
+#define TS_PEER__QUARANTINE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ts_peer__quarantine__descriptor) \
+    , 0,NULL, 0, 0, 0 }
+
+
 struct  TsPeer__Frame
 {
   ProtobufCMessage base;
@@ -267,6 +330,7 @@
    * the last number that the sender heard from the receiver
    */
   uint32_t heard;
+  TsPeer__Quarantine *quarantine;
   /*
    * the receiver is to send some frame back soon
    */
@@ -274,7 +338,7 @@
 };
 #define TS_PEER__FRAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ts_peer__frame__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, NULL, NULL, NULL, NULL, NULL, NULL, NULL, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, NULL, NULL, NULL, NULL, NULL, NULL, NULL, 0, 0, NULL, 0 }
 
 
 /* TsPeer__Beacon methods */
@@ -448,6 +512,44 @@
 void   ts_peer__rate__free_unpacked
                      (TsPeer__Rate *message,
                       ProtobufCAllocator *allocator);
+/* TsPeer__QuarantineRow methods */
+void   ts_peer__quarantine_row__init
+                     (TsPeer__QuarantineRow         *message);
+size_t ts_peer__quarantine_row__get_packed_size
+                     (const TsPeer__QuarantineRow   *message);
+size_t ts_peer__quarantine_row__pack
+                     (const TsPeer__QuarantineRow   *message,
+                      uint8_t             *out);
+size_t ts_peer__quarantine_row__pack_to_buffer
+                     (const TsPeer__QuarantineRow   *message,
+                      ProtobufCBuffer     *buffer);
+TsPeer__QuarantineRow *
+       ts_peer__quarantine_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ts_peer__quarantine_row__free_unpacked
+                     (TsPeer__QuarantineRow *message,
+                      ProtobufCAllocator *allocator);
+/* TsPeer__Quarantine methods */
+void   ts_peer__quarantine__init
+                     (TsPeer__Quarantine         *message);
+size_t ts_peer__quarantine__get_packed_size
+                     (const TsPeer__Quarantine   *message);
+size_t ts_peer__quarantine__pack
+                     (const TsPeer__Quarantine   *message,
+                      uint8_t             *out);
+size_t ts_peer__quarantine__pack_to_buffer
+                     (const TsPeer__Quarantine   *message,
+                      ProtobufCBuffer     *buffer);
+TsPeer__Quarantine *
+       ts_peer__quarantine__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ts_peer__quarantine__free_unpacked
+                     (TsPeer__Quarantine *message,
+                      ProtobufCAllocator *allocator);
 /* TsPeer__Frame methods */
 void   ts_peer__frame__init
                      (TsPeer__Frame         *message);
@@ -496,6 +598,12 @@
 typedef void (*TsPeer__Rate_Closure)
                  (const TsPeer__Rate *message,
                   void *closure_data);
+typedef void (*TsPeer__QuarantineRow_Closure)
+                 (const TsPeer__QuarantineRow *message,
+                  void *closure_data);
+typedef void (*TsPeer__Quarantine_Closure)
+                 (const TsPeer__Quarantine *message,
+                  void *closure_data);
 typedef void (*TsPeer__Frame_Closure)
                  (const TsPeer__Frame *message,
                   void *closure_data);
@@ -514,6 +622,8 @@
 extern const ProtobufCMessageDescriptor ts_peer__evidence_row__descriptor;
 extern const ProtobufCMessageDescriptor ts_peer__evidence__descriptor;
 extern const ProtobufCMessageDescriptor ts_peer__rate__descriptor;
+extern const ProtobufCMessageDescriptor ts_peer__quarantine_row__descriptor;
+extern const ProtobufCMessageDescriptor ts_peer__quarantine__descriptor;
 extern const ProtobufCMessageDescriptor ts_peer__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- /dev/null
+++ b/src/registry/instance_fate.c
@@ -0,0 +1,32 @@
+/** Whether an instance still lives after a send to it was broken off. */
+#include "tealspar/counters.h"
+#include "tealspar/log.h"
+#include "tealspar/registry.h"
+
+/* One that takes no connection and refuses none for so long has ended, as far as callers go. */
+#define FATE_SILENT_US TS_US_PER_S
+
+void ts_instance_note_reached(ts_instance_t *instance, ts_time_us_t begun_us)
+{
+    instance->reached_us = MAX(instance->reached_us, begun_us);
+}
+
+void ts_instance_note_ended(ts_instance_t *instance)
+{
+    if (instance->has_ended)
+        return;
+    instance->has_ended = true;
+    ts_count(TS_COUNTER_INSTANCES_ENDED, 1);
+    ts_log(TS_EVENT_BACKEND_STATE, "instance=%s service=%s zone=%s state=ended", instance->id,
+           instance->service->name, instance->zone);
+}
+
+ts_instance_fate_t ts_instance_fate(const ts_instance_t *instance, ts_time_us_t since_us,
+                                    ts_time_us_t now_us)
+{
+    if (instance->has_ended)
+        return TS_FATE_ENDED;
+    if (instance->reached_us != 0 && instance->reached_us >= since_us)
+        return TS_FATE_LIVES;
+    return now_us - since_us > FATE_SILENT_US ? TS_FATE_ENDED : TS_FATE_UNKNOWN;
+}
--- a/src/upstream/upstream.c
+++ b/src/upstream/upstream.c
@@ -54,6 +54,7 @@
     bool is_unsendable;    /**< its connection took nothing of it */
     double typical_us;     /**< what such a request takes; 0: not known, or judged already */
     ts_byte_cause_t cause; /**< what its bytes are for */
+    bool is_lone;          /**< its request is tried by one send at a time */
     ts_exchange_t *previous;
     ts_exchange_t *next;
 };
@@ -134,6 +135,9 @@
     } else if (result->error == TS_OK) {
         ts_instance_note_refusal(exchange->instance, now_us);
     }
+    if (result->error == TS_OK && result->answer->parser.status_code == STATUS_MISDIRECTED)
+        ts_instance_note_ended(exchange->instance);
+    exchange->outgoing->sends_out--;
     if (exchange->done != NULL) {
         exchange->done(exchange, result, exchange->owner);
     }
@@ -161,7 +165,8 @@
     if (upstream->broken == NULL)
         return;
     ts_broken_send_t send = {exchange->instance, exchange->outgoing,
-                             ts_clock_now_us() - exchange->sent_us, exchange->done != NULL};
+                             ts_clock_now_us() - exchange->sent_us, exchange->done != NULL,
+                             exchange->is_lone};
     upstream->broken(upstream->broken_ctx, &send);
 }
 
@@ -217,6 +222,7 @@
 {
     ts_connection_t *connection = exchange->connection;
     exchange->done = NULL;
+    exchange->outgoing->sends_out--;
     if (connection != NULL) {
         connection->exchange = NULL;
         exchange->connection = NULL;
@@ -357,6 +363,8 @@
     if (status < 0) {
         ts_count(TS_COUNTER_CONNECTS_FAILED, 1);
         ts_instance_note_failure(connection->instance, ts_clock_now_us());
+        if (status == UV_ECONNREFUSED)
+            ts_instance_note_ended(connection->instance);
         if (exchange != NULL) {
             fail_exchange(exchange, TS_E_CONNECT);
         } else {
@@ -366,6 +374,7 @@
     }
     begin_reading(connection);
     if (exchange != NULL) {
+        ts_instance_note_reached(connection->instance, exchange->begun_us);
         ts_registry_note_travel(connection->instance->service->registry, connection->instance,
                                 ts_clock_now_us() - exchange->begun_us);
         write_request(connection);
@@ -430,6 +439,7 @@
     }
     upstream->exchanges = exchange;
     instance->in_flight++;
+    outgoing->sends_out++;
     return exchange;
 }
 
@@ -439,6 +449,7 @@
 {
     ts_exchange_t *exchange = create_exchange(upstream, instance, outgoing, done, owner);
     exchange->typical_us = terms->typical_us;
+    exchange->is_lone = terms->is_lone;
     exchange->cause = terms->is_repeat ? TS_BYTES_SECOND_SEND : TS_BYTES_FIRST_SEND;
     ts_connection_t *connection = take_idle(instance, outgoing->is_repeatable);
     bool is_new = connection == NULL;
--- a/tests/gateway/test_crashing_requests.c
+++ b/tests/gateway/test_crashing_requests.c
@@ -201,6 +201,70 @@
     }
 }
 
+/* A node that starts when all is over goes by the verdict too. */
+static void test_starting_node_knows(void **state)
+{
+    fleet_t fleet = open_fleet(ROUTES);
+    unsigned first = 0;
+    try_fatal(&fleet, FATAL, &first);
+    unsigned ended = fleet.ended;
+    unsigned seed_port = (unsigned)atoi(strchr(fleet.nodes[0]->settings->peers, ':') + 1);
+    (void)add_node(&fleet, NODES - 1, seed_port); // in the place of the last one, which stays
+    await_all(&fleet);
+    world_run_ms(fleet.world, 3000); // it compares once a second
+    assert_int_equal(status_of(&fleet, NODES - 1, FATAL), 503);
+    world_run_ms(fleet.world, 100);
+    replace_ended(&fleet);
+    assert_int_equal(fleet.ended, ended);
+}
+
+/* Nodes that get it at the same moment try it one after the other: its ends stay as few. */
+static void test_tries_at_once(void **state)
+{
+    fleet_t fleet = open_fleet(ROUTES);
+    assert_int_not_equal(status_of(&fleet, 0, FATAL), 200);
+    world_run_ms(fleet.world, 150);
+    replace_ended(&fleet);
+    await_all(&fleet);
+    unsigned first = fleet.ended;
+    for (unsigned i = 0; i < 4; i++) {
+        visit_t *visits[NODES];
+        for (unsigned j = 0; j < NODES; j++) {
+            visits[j] = ask(&fleet, j, FATAL);
+            world_run_ms(fleet.world, 4); // more than a message between nodes takes here
+        }
+        for (unsigned j = 0; j < NODES; j++)
+            assert_int_not_equal(await_status(&fleet, visits[j]), 200);
+        world_run_ms(fleet.world, 150);
+        replace_ended(&fleet);
+        await_all(&fleet);
+    }
+    if (fleet.ended > first + 1)
+        print_error("%u ended under the first try, %u in all\n", first, fleet.ended);
+    assert_true(fleet.ended <= first + 1);
+}
+
+/* Back ends that reset connections and live: nobody is suspected, and tries go on as before. */
+static void test_resets_speak_against_nobody(void **state)
+{
+    fleet_t fleet = open_fleet(ROUTES);
+    for (unsigned i = 0; i < SHARDS; i++) {
+        for (unsigned j = 0; j < REPLICAS; j++)
+            fleet.searchers[i][j]->behaviour = LAB_BREAKS_OFF;
+    }
+    for (unsigned i = 0; i < 6; i++)
+        assert_int_not_equal(status_of(&fleet, i % NODES, "/g/popular"), 200);
+    for (unsigned i = 0; i < SHARDS; i++) {
+        for (unsigned j = 0; j < REPLICAS; j++)
+            fleet.searchers[i][j]->behaviour = LAB_ANSWERS;
+    }
+    world_run_ms(fleet.world, 2500); // they are avoided no longer
+    for (unsigned i = 0; i < NODES; i++) {
+        assert_int_equal(status_of(&fleet, i, "/g/popular"), 200);
+        assert_true(ts_quarantine_is_empty(fleet.nodes[i]->quarantine));
+    }
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -208,6 +272,9 @@
         cmocka_unit_test(test_forwarded_request_is_contained),
         cmocka_unit_test(test_refusal_comes_at_once),
         cmocka_unit_test(test_passengers_are_served),
+        cmocka_unit_test(test_starting_node_knows),
+        cmocka_unit_test(test_tries_at_once),
+        cmocka_unit_test(test_resets_speak_against_nobody),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
