The clock counts suspension; a process that stood still looks at once what is over, and holds nobody to the gap

Cause: ts_clock_now_us was the steady clock, which stands still while a machine is suspended, as the loop's timers do: after waking, beliefs, promises and deadlines were as old as before. Class: the same as of a frozen process (SIGSTOP), whose answers that lay in its sockets were timed and held against back ends.

--- a/include/tealspar/caller.h
+++ b/include/tealspar/caller.h
@@ -34,6 +34,9 @@
 void ts_listener_close(ts_listener_t *listener);
 /** Ends connections that rest or dawdle too long; call it every half second or so. */
 void ts_listener_sweep(ts_listener_t *listener);
+/** Calls `visit(caller, ctx)` for each connection whose request is worked on. */
+void ts_listener_each_working(ts_listener_t *listener,
+                              void (*visit)(ts_caller_t *caller, void *ctx), void *ctx);
 /** Open connections. */
 unsigned ts_listener_connections(const ts_listener_t *listener);
 
--- a/include/tealspar/clock.h
+++ b/include/tealspar/clock.h
@@ -1,6 +1,9 @@
 /**
- * The clock. All times inside a process are microseconds of a monotonic clock; policy code never
- * reads it but is given `now_us`, so that tests, the emulator and the fuzzer run on a virtual one.
+ * The clock. All times inside a process are microseconds of one monotonic clock that goes on while
+ * the machine is suspended, so that a belief is as old after it has woken as it is elsewhere.
+ * Policy code never reads it but is given `now_us`, so that tests, the emulator and the fuzzer run
+ * on a virtual one. The loop's timers stand still meanwhile: they pace work, and what they wake
+ * looks at this clock; see tealspar/wake.h.
  */
 #ifndef TEALSPAR_CLOCK_H
 #define TEALSPAR_CLOCK_H
--- a/include/tealspar/counters.h
+++ b/include/tealspar/counters.h
@@ -81,6 +81,8 @@
     X(SEND_FAILURES, counter, "send_failures_total", "sends without a usable answer")              \
     X(SENDS_BROKEN, counter, "sends_broken_total",                                                 \
       "of these, ended by their connection after they had left")                                   \
+    X(STANDSTILLS, counter, "standstills_total",                                                   \
+      "times this process stood still, frozen or with its machine")                                \
     X(INSTANCE_CHECKS, counter, "instance_checks_total",                                           \
       "connections opened to learn whether a back end lives")                                      \
     X(INSTANCES_ENDED, counter, "instances_ended_total",                                           \
--- a/include/tealspar/log.h
+++ b/include/tealspar/log.h
@@ -37,6 +37,7 @@
     X(PART_BLOCKED, INFO, "part_blocked")                                                          \
     X(PART_LOST, INFO, "part_lost")                                                                \
     X(LOG_DROPPED, WARNING, "log_dropped")                                                         \
+    X(RESUMED, WARNING, "resumed")                                                                 \
     X(RELOADED, MESSAGE, "reloaded")                                                               \
     X(OWNERSHIP, INFO, "ownership_changed")                                                        \
     X(LOOP_STALLED, WARNING, "loop_stalled")                                                       \
--- a/include/tealspar/upstream.h
+++ b/include/tealspar/upstream.h
@@ -15,6 +15,7 @@
 #include "tealspar/messages.h"
 #include "tealspar/outgoing.h"
 #include "tealspar/registry.h"
+#include "tealspar/wake.h"
 
 typedef struct ts_upstream ts_upstream_t;
 typedef struct ts_exchange ts_exchange_t;
@@ -25,6 +26,7 @@
     ts_run_t run;                    /**< whether the instance ran the request */
     const ts_http_message_t *answer; /**< valid during the call; NULL on an error */
     ts_time_us_t span_us;            /**< from the sending to the end */
+    bool is_untimed;                 /**< this process stood still meanwhile */
 } ts_exchange_result_t;
 
 /** Called once, unless the exchange was cancelled or released before. */
@@ -37,6 +39,10 @@
 ts_upstream_t *ts_upstream_create(uv_loop_t *loop, const ts_dialect_t *dialect);
 /** Who decides how many connections are kept; without it none is closed for being too many. */
 void ts_upstream_on_rest(ts_upstream_t *upstream, ts_upstream_kept_t kept, void *ctx);
+/** Who notices that this process stood still; asked when an answer is very late. */
+void ts_upstream_on_late(ts_upstream_t *upstream, ts_wake_t *wake);
+/** This process stood still: what is out now is not timed, as its times are this node's own. */
+void ts_upstream_forget_times(ts_upstream_t *upstream);
 /** A send that left and whose connection failed before a whole answer came. */
 typedef struct ts_broken_send {
     ts_instance_t *instance;
@@ -66,6 +72,8 @@
 void ts_exchange_release(ts_exchange_t *exchange, ts_time_us_t until_us);
 /** When the request left this node; 0 while the connection is coming up. */
 ts_time_us_t ts_exchange_sent_us(const ts_exchange_t *exchange);
+/** Whether this process stood still while it was out, so that its times say nothing. */
+bool ts_exchange_is_untimed(const ts_exchange_t *exchange);
 ts_instance_t *ts_exchange_instance(const ts_exchange_t *exchange);
 /** Closes idle connections that have rested too long, or whose instance has left. */
 void ts_upstream_sweep(ts_upstream_t *upstream, ts_instance_t *instance, ts_time_us_t now_us);
--- a/src/edge/caller.c
+++ b/src/edge/caller.c
@@ -414,6 +414,15 @@
     }
 }
 
+void ts_listener_each_working(ts_listener_t *listener,
+                              void (*visit)(ts_caller_t *caller, void *ctx), void *ctx)
+{
+    for (ts_caller_t *caller = listener->callers; caller != NULL; caller = caller->next) {
+        if (caller->state == CALLER_WORKING)
+            visit(caller, ctx);
+    }
+}
+
 unsigned ts_listener_connections(const ts_listener_t *listener)
 {
     return listener->connections;
--- a/src/edge/gateway.c
+++ b/src/edge/gateway.c
@@ -14,6 +14,7 @@
 #include "tealspar/plugin.h"
 #include "tealspar/store_mirror.h"
 #include "tealspar/store_watch.h"
+#include "tealspar/wake.h"
 
 #define STATUS_OK 200
 #define STATUS_NOT_FOUND 404
@@ -256,6 +257,25 @@
     }
 }
 
+static void look_again(ts_caller_t *caller, void *ctx)
+{
+    ts_request_t *request = ts_caller_request(caller);
+    if (request != NULL)
+        ts_request_look_again(request); // NULL: held while nothing is known, see pending.c
+}
+
+/* Timers may have stood still: each request looks now whether its time is over. */
+static void resume(void *ctx, ts_time_us_t lost_us)
+{
+    ts_gateway_t *gateway = ctx;
+    ts_count(TS_COUNTER_STANDSTILLS, 1);
+    ts_log(TS_EVENT_RESUMED, "lost_ms=%lu requests=%u", (unsigned long)(lost_us / TS_US_PER_MS),
+           gateway->requests);
+    ts_upstream_forget_times(gateway->upstream);
+    if (gateway->callers != NULL)
+        ts_listener_each_working(gateway->callers, look_again, NULL);
+}
+
 ts_error_t ts_gateway_open(ts_gateway_t *gateway, uv_loop_t *loop, ts_gateway_settings_t *settings)
 {
     gateway->loop = loop;
@@ -278,6 +298,7 @@
     gateway->store = ts_store_watch_create(gateway);
     gateway->pending = ts_pending_create(gateway);
     ts_gateway_open_quotas(gateway);
+    ts_upstream_on_late(gateway->upstream, ts_wake_watch(loop, resume, gateway));
     ts_error_t error = open_listeners(gateway);
     if (error == TS_OK && settings->peers != NULL) {
         gateway->peers = ts_peers_open(gateway, gateway->mirror);
--- a/src/edge/part_answer.c
+++ b/src/edge/part_answer.c
@@ -94,7 +94,7 @@
 static void take_success(ts_request_part_t *part, const ts_exchange_result_t *result,
                          const ts_instance_t *instance)
 {
-    if (instance->distance != TS_DISTANCE_FAR) {
+    if (instance->distance != TS_DISTANCE_FAR && !result->is_untimed) {
         double extra_us = ts_travel_us(instance->travel) -
                           ts_registry_travel_least_us(part->request->gateway->registry);
         double span_us = MAX((double)result->span_us - extra_us, 1);
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -209,6 +209,9 @@
     case TS_ADMISSION_REVOKED:
         fail(request, TS_E_UNAUTHENTICATED);
         return true;
+    case TS_ADMISSION_LATE:
+        fail(request, TS_E_PAST_DEADLINE);
+        return true;
     case TS_ADMISSION_QUARANTINED:
         fail(request, TS_E_QUARANTINED);
         return true;
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -158,6 +158,7 @@
     TS_ADMISSION_OVER_QUOTA,  /**< its tenant has sent what it may */
     TS_ADMISSION_UNCONFIRMED, /**< whether it has could not be learned in time */
     TS_ADMISSION_REVOKED,     /**< its key has been taken away */
+    TS_ADMISSION_LATE,        /**< its caller waits no more, as after this process stood still */
     TS_ADMISSION_QUARANTINED, /**< requests like it ended back ends */
     TS_ADMISSION_ON_TRIAL,    /**< one like it is being tried, and it waited long enough */
     TS_ADMISSION_EXCLUDED,    /**< too many parts have no back end where they may be served */
--- a/src/edge/request_admission.c
+++ b/src/edge/request_admission.c
@@ -125,6 +125,8 @@
 
 ts_admission_t ts_request_admit(ts_request_t *request, ts_time_us_t now_us)
 {
+    if (now_us >= request->deadline_us)
+        return TS_ADMISSION_LATE;
     if (ts_request_is_revoked(request))
         return TS_ADMISSION_REVOKED;
     if (!leave_out_excluded(request, now_us))
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -244,6 +244,8 @@
 bool ts_part_may_send_again(const ts_request_part_t *part)
 {
     const ts_traffic_route_t *route = part->request->route;
+    if (ts_clock_now_us() >= part->request->deadline_us)
+        return false; // nobody waits any more, as after this process stood still
     return part->attempts < route->attempts_max && part->sends < TS_SENDS_MAX &&
            (route->is_repeatable || !part->may_have_run) && !ts_request_is_revoked(part->request);
 }
@@ -331,7 +333,8 @@
     if (policy == TS_LATE_NAIVE) {
         return;
     }
-    if (!part->was_overdue && policy == TS_LATE_ADAPTIVE) {
+    bool is_new = !part->was_overdue && !ts_exchange_is_untimed(latest);
+    if (is_new && policy == TS_LATE_ADAPTIVE) {
         part->was_overdue = true;
         ts_route_state_note_overdue(part->request->state);
         part->tell_us =
--- a/src/kernel/clock.c
+++ b/src/kernel/clock.c
@@ -1,11 +1,10 @@
-/** The clock, over libuv's monotonic time and the C library's wall clock. */
+/** The clock, over the system's boot time and wall clock. */
 #include "tealspar/clock.h"
 
 #include <stddef.h>
 #include <time.h>
-#include <uv.h>
 
-#define NS_PER_US 1000ULL
+#define NS_PER_US 1000
 #define MS_PER_S 1000
 #define NS_PER_MS 1000000
 
@@ -23,7 +22,9 @@
     if (source_now_us != NULL) {
         return source_now_us();
     }
-    return uv_hrtime() / NS_PER_US;
+    struct timespec now;
+    (void)clock_gettime(CLOCK_BOOTTIME, &now); // fails on no Linux that this runs on
+    return (ts_time_us_t)now.tv_sec * TS_US_PER_S + (ts_time_us_t)(now.tv_nsec / NS_PER_US);
 }
 
 int64_t ts_clock_wall_ms(void)
--- a/src/upstream/upstream.c
+++ b/src/upstream/upstream.c
@@ -53,6 +53,7 @@
     ts_time_us_t until_us; /**< cancelled after this */
     bool is_unsendable;    /**< its connection took nothing of it */
     double typical_us;     /**< what such a request takes; 0: not known, or judged already */
+    bool is_untimed;       /**< this process stood still while it was out */
     ts_byte_cause_t cause; /**< what its bytes are for */
     bool is_lone;          /**< its request is tried by one send at a time */
     ts_exchange_t *previous;
@@ -68,6 +69,7 @@
     void *kept_ctx;
     ts_upstream_broken_t broken; /* NULL: nobody is told */
     void *broken_ctx;
+    ts_wake_t *wake; /* NULL: nobody notices */
 };
 
 static void close_connection(ts_connection_t *connection);
@@ -125,13 +127,16 @@
 {
     ts_time_us_t now_us = ts_clock_now_us();
     result->span_us = exchange->sent_us == 0 ? 0 : now_us - exchange->sent_us;
+    if (result->span_us > TS_WAKE_LEAST_US && exchange->upstream->wake != NULL)
+        ts_wake_look(exchange->upstream->wake); // before the answer is held against anybody
+    result->is_untimed = exchange->is_untimed;
     if (result->answer != NULL)
         take_load(exchange, result->answer, now_us);
     if (result->error == TS_OK && result->run == TS_RUN_DONE) {
         bool is_failure = result->answer->parser.status_code >= STATUS_SERVER_ERROR;
         ts_instance_note_verdict(exchange->instance, is_failure, now_us);
         ts_instance_note_answer(exchange->instance, now_us, (double)result->span_us,
-                                is_failure ? 0 : exchange->typical_us);
+                                is_failure || exchange->is_untimed ? 0 : exchange->typical_us);
     } else if (result->error == TS_OK) {
         ts_instance_note_refusal(exchange->instance, now_us);
     }
@@ -179,8 +184,8 @@
     ts_connection_t *connection = exchange->connection;
     if (exchange->sent_us != 0)
         ts_instance_note_verdict(exchange->instance, true, ts_clock_now_us());
-    ts_exchange_result_t result = {error, exchange->sent_us == 0 ? TS_RUN_NOT : TS_RUN_MAYBE, NULL,
-                                   0};
+    ts_run_t run = exchange->sent_us == 0 ? TS_RUN_NOT : TS_RUN_MAYBE;
+    ts_exchange_result_t result = {.error = error, .run = run};
     ts_count(TS_COUNTER_SEND_FAILURES, 1);
     ts_count_error(error);
     if (exchange->sent_us != 0 && error == TS_E_IO)
@@ -236,7 +241,7 @@
     ts_time_us_t now_us = ts_clock_now_us();
     exchange->done = NULL;
     exchange->owner = NULL;
-    if (exchange->sent_us != 0 &&
+    if (exchange->sent_us != 0 && !exchange->is_untimed &&
         ts_instance_note_unanswered(exchange->instance, now_us,
                                     (double)(now_us - exchange->sent_us), exchange->typical_us))
         exchange->typical_us = 0;
@@ -250,6 +255,11 @@
     return exchange->sent_us;
 }
 
+bool ts_exchange_is_untimed(const ts_exchange_t *exchange)
+{
+    return exchange->is_untimed;
+}
+
 ts_instance_t *ts_exchange_instance(const ts_exchange_t *exchange)
 {
     return exchange->instance;
@@ -558,7 +568,8 @@
         fail_exchange(exchange, TS_E_BAD_ANSWER);
         return;
     }
-    ts_exchange_result_t result = {TS_OK, read_run(connection->upstream, answer), answer, 0};
+    ts_exchange_result_t result = {
+        .error = TS_OK, .run = read_run(connection->upstream, answer), .answer = answer};
     bool is_reusable = answer->keeps_alive && !has_extra &&
                        !uv_is_closing((uv_handle_t *)&connection->socket) &&
                        connection->socket.write_queue_size == 0;
@@ -647,6 +658,17 @@
     upstream->broken_ctx = ctx;
 }
 
+void ts_upstream_on_late(ts_upstream_t *upstream, ts_wake_t *wake)
+{
+    upstream->wake = wake;
+}
+
+void ts_upstream_forget_times(ts_upstream_t *upstream)
+{
+    for (ts_exchange_t *exchange = upstream->exchanges; exchange != NULL; exchange = exchange->next)
+        exchange->is_untimed = true;
+}
+
 void ts_upstream_sweep(ts_upstream_t *upstream, ts_instance_t *instance, ts_time_us_t now_us)
 {
     GList *link = instance->idle.head;
--- a/tests/gateway/test_crashing_requests.c
+++ b/tests/gateway/test_crashing_requests.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "tealspar/counters.h"
 #include "tealspar/peers.h"
 
 #define NODES 3
@@ -174,14 +175,19 @@
     assert_int_equal(fleet.ended, ended);
 }
 
-/* Requests that were aboard when back ends ended are served when they come again. */
+/*
+ * Requests that are aboard when back ends end, again and again under other fatal requests, are
+ * served when they come again.
+ */
 static void test_passengers_are_served(void **state)
 {
     fleet_t fleet = open_fleet(ROUTES);
-    for (unsigned i = 0; i < 3; i++) {
+    char target[24];
+    int64_t broken = ts_counter_value(TS_COUNTER_SENDS_BROKEN);
+    for (unsigned i = 0; i < 4; i++) {
         visit_t *visits[NODES];
-        char target[16];
-        visit_t *fatal = ask(&fleet, i % NODES, FATAL);
+        g_snprintf(target, sizeof(target), FATAL "/%u", i);
+        visit_t *fatal = ask(&fleet, i % NODES, target);
         world_run_ms(fleet.world, 3);
         for (unsigned j = 0; j < NODES; j++) {
             g_snprintf(target, sizeof(target), "/g/p%u", j);
@@ -193,12 +199,13 @@
         world_run_ms(fleet.world, 150);
         replace_ended(&fleet);
         await_all(&fleet);
+        for (unsigned j = 0; j < NODES; j++) {
+            g_snprintf(target, sizeof(target), "/g/p%u", j);
+            assert_int_equal(status_of(&fleet, (j + 1) % NODES, target), 200);
+        }
     }
-    for (unsigned i = 0; i < NODES; i++) {
-        char target[16];
-        g_snprintf(target, sizeof(target), "/g/p%u", i);
-        assert_int_equal(status_of(&fleet, (i + 1) % NODES, target), 200);
-    }
+    broken = ts_counter_value(TS_COUNTER_SENDS_BROKEN) - broken;
+    assert_true(broken > fleet.ended + 4); // more broke than those of the fatal ones
 }
 
 /* A node that starts when all is over goes by the verdict too. */
