--- a/src/route/quarantine.c
+++ b/src/route/quarantine.c
@@ -204,6 +204,8 @@
         if (!entry->is_held && (oldest == NULL || entry->changed_us < oldest->changed_us))
             oldest = entry;
     }
+    if (oldest == NULL)
+        return;
     ts_count(TS_COUNTER_QUARANTINE_PUSHED_OUT, 1);
     remove_entry(quarantine, oldest);
 }
