--- a/include/tealspar/log.h
+++ b/include/tealspar/log.h
@@ -25,6 +25,7 @@
     X(BACKEND_SUSPECT, MESSAGE, "backend_suspect")                                                 \
     X(QUARANTINE_STATE, MESSAGE, "quarantine_state")                                               \
     X(QUARANTINE_SUSPECT, INFO, "quarantine_suspect")                                              \
+    X(QUARANTINE_REFUSED, INFO, "quarantine_refused")                                              \
     X(QUOTA_STATE, MESSAGE, "quota_state")                                                         \
     X(REQUEST_DONE, INFO, "request_done")                                                          \
     X(REQUEST_PARTIAL, MESSAGE, "request_partial")                                                 \
--- a/include/tealspar/mechanism.h
+++ b/include/tealspar/mechanism.h
@@ -25,7 +25,8 @@
     X(SPARING, "sparing", "parts that can be missing leave scarce extra sends to others")          \
     X(LOANS, "loans", "extra sends are lent among gateways")                                       \
     X(LIMITS, "limits", "limits of requests in flight are learned")                                \
-    X(FORGOTTEN, "forgotten", "resets of resting connections teach how long they may rest")
+    X(FORGOTTEN, "forgotten", "resets of resting connections teach how long they may rest")        \
+    X(QUARANTINE, "quarantine", "requests that end back ends are sent one at a time, then held")
 
 #define TS_MECHANISM_ENUM(symbol, name, text) TS_MECHANISM_##symbol,
 typedef enum ts_mechanism {
--- a/src/cli/command_trace.c
+++ b/src/cli/command_trace.c
@@ -42,9 +42,14 @@
     return strchr(line, '{');
 }
 
-/* Whether a line's request is the one asked for; an id of digits alone is written as a number. */
+/*
+ * Whether a line's request is the one asked for, by its id or by the digest that all its tries
+ * have; an id of digits alone is written as a number.
+ */
 static bool is_of_request(const json_t *fields, const char *request)
 {
+    if (strcmp(text_of(fields, "digest"), request) == 0)
+        return true;
     const json_t *id = json_object_get(fields, "request");
     if (json_is_integer(id)) {
         char text[32];
@@ -159,7 +164,7 @@
 static int run_trace(int argc, char **argv)
 {
     struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
-    struct arg_str *request = arg_str1(NULL, NULL, "ID", "the request's id");
+    struct arg_str *request = arg_str1(NULL, NULL, "ID", "the request's id, or its digest");
     struct arg_file *files =
         arg_filen(NULL, NULL, "FILE", 1, FILES_MAX, "logs of the nodes; - for standard input");
     struct arg_end *end = arg_end(ERRORS_MAX);
--- a/src/edge/gateway_metrics.c
+++ b/src/edge/gateway_metrics.c
@@ -8,6 +8,8 @@
 /* Routes that get labels of their own; a configuration may have hundreds. */
 #define ROUTES_MAX 50U
 #define US_PER_S_DOUBLE 1e6
+/* Requests on hold that are named. */
+#define HELD_NAMED_MAX 50U
 
 static const ts_time_us_t edges_us[] = {1000,   2500,   5000,   10000,  25000,   50000,   75000,
                                         100000, 150000, 250000, 500000, 1000000, 2500000, 10000000};
@@ -59,6 +61,38 @@
     }
 }
 
+typedef struct held_list {
+    const ts_quarantine_t *quarantine;
+    ts_time_us_t now_us;
+    GString *out;
+    unsigned named;
+} held_list_t;
+
+static bool write_held(void *ctx, const ts_quarantine_row_t *row)
+{
+    held_list_t *list = ctx;
+    char digest[TS_REQUEST_DIGEST_TEXT];
+    if (ts_quarantine_find(list->quarantine, &row->digest, list->now_us) != TS_QUARANTINE_HELD)
+        return true;
+    ts_request_digest_print(&row->digest, digest);
+    g_string_append_printf(
+        list->out, "tealspar_quarantine_held_seconds{digest=\"%s\",service=\"%s\"} %u\n", digest,
+        row->service, row->age_ms / (unsigned)(TS_US_PER_S / TS_US_PER_MS));
+    return ++list->named < HELD_NAMED_MAX;
+}
+
+/* Which requests are on hold, and since when; by digest, as a request may hold secrets. */
+static void write_quarantine(const ts_gateway_t *gateway, GString *out)
+{
+    held_list_t list = {gateway->quarantine, ts_clock_now_us(), out, 0};
+    if (ts_quarantine_is_empty(gateway->quarantine))
+        return;
+    g_string_append(out, "# HELP tealspar_quarantine_held_seconds requests on hold: since a back "
+                         "end last ended under them\n"
+                         "# TYPE tealspar_quarantine_held_seconds gauge\n");
+    ts_quarantine_each(gateway->quarantine, list.now_us, 0, write_held, &list);
+}
+
 void ts_gateway_write_metrics(const ts_gateway_t *gateway, GString *out)
 {
     ts_time_us_t confirmed_us = ts_store_mirror_confirmed_us(gateway->mirror);
@@ -68,5 +102,6 @@
     ts_counters_write_prometheus(out);
     ts_byte_account_write(out);
     ts_tenant_counters_write(out);
+    write_quarantine(gateway, out);
     write_routes(gateway, out);
 }
--- a/src/edge/request_caution.c
+++ b/src/edge/request_caution.c
@@ -4,6 +4,7 @@
  */
 #include "request.h"
 #include "tealspar/counters.h"
+#include "tealspar/mechanism.h"
 
 /* A request whose like is on trial waits for this part of its aim, and is then told to come back.
  */
@@ -12,11 +13,21 @@
 static ts_quarantine_state_t find_state(const ts_request_t *request, ts_time_us_t now_us)
 {
     const ts_quarantine_t *quarantine = request->gateway->quarantine;
-    if (ts_quarantine_is_empty(quarantine))
+    if (ts_quarantine_is_empty(quarantine) || !ts_mechanism_is_on(TS_MECHANISM_QUARANTINE))
         return TS_QUARANTINE_CLEAR;
     return ts_quarantine_find(quarantine, ts_outgoing_digest(request->outgoing), now_us);
 }
 
+static void log_refused(const ts_request_t *request)
+{
+    char digest[TS_REQUEST_DIGEST_TEXT];
+    if (!ts_log_is_wanted(TS_EVENT_QUARANTINE_REFUSED))
+        return;
+    ts_request_digest_print(ts_outgoing_digest(request->outgoing), digest);
+    ts_log(TS_EVENT_QUARANTINE_REFUSED, "request=%s digest=%s route=%s",
+           request->outgoing->request_id, digest, request->route->name);
+}
+
 // -- Beginning
 
 ts_admission_t ts_request_check_quarantine(ts_request_t *request, ts_time_us_t now_us)
@@ -26,6 +37,7 @@
     switch (find_state(request, now_us)) {
     case TS_QUARANTINE_HELD:
         ts_count(TS_COUNTER_QUARANTINE_REFUSED, 1);
+        log_refused(request);
         return TS_ADMISSION_QUARANTINED;
     case TS_QUARANTINE_TRIAL:
         return now_us - request->arrived_us < aim_us / TRIAL_WAIT_DIVISOR ? TS_ADMISSION_WAITS
@@ -77,6 +89,8 @@
 
 static bool is_cautious(const ts_request_t *request)
 {
+    if (!ts_mechanism_is_on(TS_MECHANISM_QUARANTINE))
+        return false;
     return !request->outgoing->has_run_whole && (request->is_suspect || request->broken > 0);
 }
 
--- a/tests/gateway/test_crashing_requests.c
+++ b/tests/gateway/test_crashing_requests.c
@@ -173,6 +173,11 @@
     world_run_ms(fleet.world, 100);
     replace_ended(&fleet);
     assert_int_equal(fleet.ended, ended);
+    GString *metrics = g_string_new(NULL); // what is held is listed, without what it asked for
+    ts_gateway_write_metrics(fleet.nodes[1], metrics);
+    assert_non_null(strstr(metrics->str, "tealspar_quarantine_held_seconds{digest=\""));
+    assert_null(strstr(metrics->str, "fatal"));
+    g_string_free(metrics, TRUE);
 }
 
 /*
