The soak learns searchers that end, and requests that end them

Cause: no test or soak of ours had ever ended a searcher, by itself or under a request. The stand-in tells under which request it ended.

--- a/lab/link.c
+++ b/lab/link.c
@@ -335,3 +335,10 @@
     for (guint i = 0; i < link->connections->len; i++)
         ((connection_t *)g_ptr_array_index(link->connections, i))->is_swallowed = true;
 }
+
+void lab_link_end(lab_link_t *link)
+{
+    uv_close((uv_handle_t *)&link->listener, NULL);
+    for (guint i = link->connections->len; i > 0; i--)
+        end_connection(g_ptr_array_index(link->connections, i - 1), true);
+}
--- a/lab/link.h
+++ b/lab/link.h
@@ -31,6 +31,8 @@
                           const lab_link_ops_t *ops, void *ctx);
 /** Connections from now on go to another address. */
 void lab_link_set_target(lab_link_t *link, const char *target);
+/** What stands behind it has ended: it listens no more, and its connections are reset. */
+void lab_link_end(lab_link_t *link);
 /** Connections that are open now carry nothing any more, without a reset; new ones do. */
 void lab_link_swallow(lab_link_t *link);
 /** To be called when `mode` would answer differently than before. */
--- a/lab/soak.c
+++ b/lab/soak.c
@@ -197,6 +197,8 @@
         "searchers", (int)s->searchers_made, "requests", (int)s->asked, "ok", (int)s->answered[2],
         "refused_or_failed", (int)s->answered[5], "no_answer", (int)s->answered[0],
         "promises_broken", (int)s->promises_broken, "broken", broken);
+    json_object_set_new(report, "fatal_requests", json_integer(s->fatals));
+    json_object_set_new(report, "ended_under_one", json_integer(s->fatal_ended));
     g_array_sort(s->latencies, compare_times);
     json_object_set_new(report, "p50_ms", json_real(latency_ms(s, 0.5)));
     json_object_set_new(report, "p99_ms", json_real(latency_ms(s, 0.99)));
--- a/lab/soak.h
+++ b/lab/soak.h
@@ -7,6 +7,7 @@
  *   soak_faults.c   which faults there are, when they begin and end
  *   soak_caller.c   callers' requests and what is found in their answers
  *   soak_tenants.c  tenants: their keys and limits, and what becomes of them
+ *   soak_crashes.c  requests that end the searchers that run them, and searchers that end so
  *   soak_check.c    pure checks of answers and budgets
  */
 #ifndef LAB_SOAK_H
@@ -50,6 +51,7 @@
     ts_time_us_t drained_us; // when the store took that it drains; 0: it does not
     ts_time_us_t cold_us;    // since when it is cold; 0: it never was
     GArray *arrivals;        // of ts_time_us_t, while it is cold
+    uv_timer_t restart;      // once it has ended
     bool is_faulty;
 } soak_searcher_t;
 
@@ -78,19 +80,31 @@
     uint64_t version_seen; // newest configuration seen at work in this life
 } soak_node_t;
 
+// A request that ends each searcher that runs it, and comes again.
+typedef struct soak_fatal {
+    unsigned number;
+    char target[32];
+    unsigned tries;
+    unsigned ended;        // searchers, so far
+    ts_time_us_t third_us; // when the third ended; 0: not yet
+    unsigned later;        // arrivals from gateways in touch, later than contactMs after that
+    bool is_over;          // it comes no more
+} soak_fatal_t;
+
 // What is known of a request id.
 typedef struct soak_record {
     soak_node_t *node;
     unsigned runs; // at searchers
     bool is_repeatable;
-    bool was_refused;  // its caller was told that it has not run and never will
-    int tenant;        // whose key it showed; -1: none was needed
-    uint64_t version;  // newest when it was sent
-    bool has_old_key;  // a newer version has taken it away
-    bool is_key_due;   // a gateway in touch must know it
-    bool is_revoked;   // that key had been taken away for long enough when it was sent
-    bool is_placed;    // it may be served in the first region only
-    uint64_t services; // bit set of the services that it has reached
+    bool was_refused;    // its caller was told that it has not run and never will
+    int tenant;          // whose key it showed; -1: none was needed
+    uint64_t version;    // newest when it was sent
+    bool has_old_key;    // a newer version has taken it away
+    bool is_key_due;     // a gateway in touch must know it
+    bool is_revoked;     // that key had been taken away for long enough when it was sent
+    bool is_placed;      // it may be served in the first region only
+    uint64_t services;   // bit set of the services that it has reached
+    soak_fatal_t *fatal; // NULL: it ends nothing
 } soak_record_t;
 
 typedef struct soak_options {
@@ -103,7 +117,7 @@
     bool is_calm;        // no faults
     bool is_log_stalled; // gateways write their lines into pipes that nobody reads
     // Drains, versions, evacuations, placements and cold starts are not told, retries count as
-    // doubled runs: the checks must see.
+    // doubled runs, requests that end searchers are not held: the checks must see.
     bool is_planted;
 } soak_options_t;
 
@@ -130,6 +144,9 @@
     unsigned asked;
     unsigned answered[6]; // by hundreds of the status; 0: no answer
     GArray *latencies;    // of ts_time_us_t, of requests answered with success
+    soak_fatal_t *fatal;  // that comes now; NULL: none
+    unsigned fatals;      // so far
+    unsigned fatal_ended; // searchers, at the most under one of them
     GArray *limited_runs; // of ts_time_us_t: requests of the limited tenant that ran
     unsigned promises_broken;
     GHashTable *broken; // name of a promise -> count
@@ -151,6 +168,8 @@
 void soak_node_signal(soak_node_t *node, int number);
 /** A new configuration: other shards, other services, other marker routes. */
 void soak_configure(soak_t *s);
+/** The searcher has ended; its entry goes, and another comes at a new address, after a while. */
+void soak_restart_searcher(soak_searcher_t *own);
 /** The searcher drains; another takes its place, at a new address. */
 void soak_replace_searcher(soak_t *s, unsigned service, unsigned replica);
 /** The operator empties a zone of searchers (from 1 on), or takes that back; they are cold then. */
@@ -171,6 +190,17 @@
 /** The service that forwarded requests go to. */
 unsigned soak_forward_service(uint64_t version);
 
+// -- soak_crashes.c
+/** Text in the target of a request that ends searchers. */
+#define SOAK_FATAL "fatal"
+/** A fatal request begins to come, until it is ended; false: one comes already. */
+bool soak_begin_fatal(soak_t *s);
+void soak_end_fatal(soak_t *s);
+/** A searcher has ended under a request, or (NULL) by itself. */
+void soak_note_end(soak_searcher_t *own, const char *request_id);
+/** A request has come to a searcher: whether it ought not to have been sent any more. */
+void soak_check_fatal_arrival(soak_t *s, const soak_record_t *record, const char *request_id);
+
 // -- soak_tenants.c
 /** Limits over all gateways, in each window of 5 s: a quarter more, and five requests. */
 #define SOAK_QUOTA_SETTINGS "quota_window_ms: 5000\nquota_overrun: 0.25\nquota_slack: 5\n"
@@ -198,5 +228,9 @@
 /** A request, now; `on_done` (may be NULL) is told its status, 0 without an answer. */
 typedef void (*soak_done_t)(soak_t *s, unsigned status);
 void soak_ask(soak_t *s, soak_node_t *node, soak_done_t on_done);
+/** One try of a fatal request. */
+void soak_ask_fatal(soak_t *s, soak_node_t *node, soak_fatal_t *fatal);
+/** Whether callers still send to the gateway. */
+bool soak_takes_requests(const soak_node_t *node);
 
 #endif
--- a/lab/soak_faults.c
+++ b/lab/soak_faults.c
@@ -17,6 +17,8 @@
 #define STOP_CHECK_MS 100
 // An evacuation is in force on all gateways three seconds after it began.
 #define EVACUATION_LONGER_MS 4000
+// A fatal request comes for longer than it may take until it is known everywhere.
+#define FATAL_LONGER_MS 8000
 
 typedef struct fault fault_t;
 
@@ -280,6 +282,25 @@
     soak_say(fault->s, "%s is well", searcher->id);
 }
 
+static bool end_searcher(fault_t *fault)
+{
+    lab_searcher_t *searcher = choose_searcher(fault->s)->searcher;
+    if (searcher->has_ended)
+        return false;
+    lab_searcher_end(searcher, NULL);
+    return true;
+}
+
+static bool begin_fatal(fault_t *fault)
+{
+    return soak_begin_fatal(fault->s);
+}
+
+static void end_fatal(fault_t *fault)
+{
+    soak_end_fatal(fault->s);
+}
+
 static bool replace(fault_t *fault)
 {
     soak_t *s = fault->s;
@@ -357,6 +378,8 @@
     {"misbehaviour", 8, misbehave, cure_searcher, 0},
     {"slowness", 5, slow_down, cure_searcher, 0},
     {"replacement", 4, replace, NULL, 0},
+    {"crash", 4, end_searcher, NULL, 0},
+    {"fatal request", 3, begin_fatal, end_fatal, FATAL_LONGER_MS},
     {"store", 2, spoil_store, mend_store, 0},
     {"history", 1, forget_history, NULL, 0},
     {"configuration", 5, configure, NULL, 0},
--- a/lab/standin_searcher.c
+++ b/lab/standin_searcher.c
@@ -141,11 +141,13 @@
     return behaviour == LAB_SHEDS ? LAB_ANSWERS : behaviour;
 }
 
-void lab_searcher_end(lab_searcher_t *searcher)
+void lab_searcher_end(lab_searcher_t *searcher, const char *request_id)
 {
     if (searcher->has_ended)
         return;
     searcher->has_ended = true;
+    if (searcher->ops != NULL && searcher->ops->ended != NULL)
+        searcher->ops->ended(searcher->ctx, searcher, request_id);
     uv_close((uv_handle_t *)&searcher->socket, NULL);
     while (searcher->visitors->len > 0)
         close_visitor(g_ptr_array_index(searcher->visitors, 0), true);
@@ -155,18 +157,18 @@
 {
     const char *fatal = visitor->searcher->crashes_on;
     return fatal != NULL && !visitor->is_refused &&
-           g_str_has_prefix(visitor->request.target->str, fatal);
+           strstr(visitor->request.target->str, fatal) != NULL;
 }
 
 static void answer(visitor_t *visitor)
 {
     lab_searcher_t *searcher = visitor->searcher;
+    const char *id = ts_http_message_find(&visitor->request, NAME_REQUEST_ID);
+    id = id == NULL ? "" : id;
     if (is_fatal(visitor)) {
-        lab_searcher_end(searcher);
+        lab_searcher_end(searcher, id);
         return;
     }
-    const char *id = ts_http_message_find(&visitor->request, NAME_REQUEST_ID);
-    id = id == NULL ? "" : id;
     g_string_truncate(visitor->answer, 0);
     visitor->is_working = false;
     switch (behaviour_for(visitor)) {
--- a/lab/standin_searcher.h
+++ b/lab/standin_searcher.h
@@ -35,6 +35,8 @@
     void (*arrived)(void *ctx, struct lab_searcher *searcher, const char *request_id, bool runs);
     /** The same request, whole, just before. */
     void (*heard)(void *ctx, struct lab_searcher *searcher, const ts_http_message_t *request);
+    /** It has ended under a request, or (NULL) by itself. */
+    void (*ended)(void *ctx, struct lab_searcher *searcher, const char *request_id);
     /** Composes the body of the answer to a request. */
     void (*compose)(void *ctx, struct lab_searcher *searcher, const char *request_id,
                     GString *body);
@@ -50,7 +52,7 @@
     unsigned delay_ms;   /**< before it answers */
     unsigned forgets_ms; /**< connections that rest longer are reset at the next bytes; 0: none */
     unsigned connections_max; /**< more at once are reset; 0: any number */
-    const char *crashes_on; /**< it ends in place of answering targets that begin so; NULL: none */
+    const char *crashes_on; /**< it ends in place of answering targets with this text; NULL: none */
     bool has_ended;         /**< it listens no more and its connections are reset */
     GPtrArray *visitors;    /**< connections that are open */
     GString *body;          /**< of its answers */
@@ -68,8 +70,11 @@
 /** Listens on a free port of 127.0.0.1. Lives as long as the loop. */
 lab_searcher_t *lab_searcher_open(uv_loop_t *loop, const char *id, const char *service,
                                   const char *zone);
-/** Ends it as a crash would: it listens no more, and its connections are reset. */
-void lab_searcher_end(lab_searcher_t *searcher);
+/**
+ * Ends it as a crash would, under a request or (NULL) by itself: it listens no more, and its
+ * connections are reset.
+ */
+void lab_searcher_end(lab_searcher_t *searcher, const char *request_id);
 /** Its entry of the registry, as JSON; g_free. */
 char *lab_searcher_entry(const lab_searcher_t *searcher, bool is_draining);
 /** Value of a field in the latest request it got, or NULL; g_free. */
