--- a/tests/gateway/test_quotas.c
+++ b/tests/gateway/test_quotas.c
@@ -85,8 +85,9 @@
     unsigned callers[NODES];
 } fleet_t;
 
-static fleet_t open_fleet(const char *configuration)
+static fleet_t open_in_zones(const char *configuration, unsigned zones)
 {
+    static const char *const names[] = {"z1", "z2"};
     fleet_t fleet = {0};
     unsigned peers[NODES];
     fleet.world = open_world(NULL, configuration, &fleet.searcher);
@@ -94,8 +95,8 @@
         char name[8];
         g_snprintf(name, sizeof(name), "n%d", i);
         peers[i] = world_next_port();
-        fleet.nodes[i] =
-            world_add_gateway(fleet.world, name, "z1", peers[i], peers[0], fleet.world->store_port);
+        fleet.nodes[i] = world_add_gateway(fleet.world, name, names[(unsigned)i % zones], peers[i],
+                                           peers[0], fleet.world->store_port);
         fleet.callers[i] = (unsigned)atoi(strchr(fleet.nodes[i]->settings->callers, ':') + 1);
     }
     for (int i = 0; i < NODES; i++)
@@ -106,6 +107,17 @@
     return fleet;
 }
 
+static fleet_t open_fleet(const char *configuration)
+{
+    return open_in_zones(configuration, 1);
+}
+
+/* Two nodes in each of two zones. */
+static fleet_t open_zones(const char *configuration)
+{
+    return open_in_zones(configuration, 2);
+}
+
 static unsigned home_of(const fleet_t *fleet)
 {
     const char *address = NULL;
@@ -153,6 +165,44 @@
     assert_int_equal(count_answers(fleet.world, &fleet.callers[other], 1, 6, 200), 6);
 }
 
+/*
+ * A home that is only suspected deals on, so that nobody else may: others name it, or none, until
+ * it is declared dead.
+ */
+static void test_suspected_home_is_not_replaced(void **state)
+{
+    fleet_t fleet = open_fleet(CONFIGURATION(1, TENANTS(20, 10)));
+    unsigned home = home_of(&fleet);
+    const char *address = NULL;
+    ts_peers_set_mute(fleet.nodes[home]->peers, true);
+    for (int i = 0; i < 400; i++) { // it is not declared dead before 4.4 s at this size
+        world_run_ms(fleet.world, 10);
+        for (unsigned j = 0; j < NODES; j++) {
+            ts_rate_dealer_t dealer = ts_peers_rate_home(fleet.nodes[j]->peers, "red", &address);
+            assert_true(j == home || dealer != TS_RATE_DEALER_SELF);
+        }
+    }
+}
+
+/* A home that is cut off deals no more well before the others may take it for dead. */
+static void test_home_that_is_cut_off_stops(void **state)
+{
+    fleet_t fleet = open_zones(CONFIGURATION(1, TENANTS(20, 10)));
+    unsigned home = home_of(&fleet);
+    const char *address = NULL;
+    assert_int_equal(count_answers(fleet.world, &fleet.callers[home], 1, 2, 200), 2);
+    for (unsigned i = 0; i < NODES; i++)
+        ts_peers_set_mute(fleet.nodes[i]->peers, i != home); // it hears nobody
+    world_run_ms(fleet.world, 2500);
+    assert_int_equal(ts_peers_rate_home(fleet.nodes[home]->peers, "red", &address),
+                     TS_RATE_DEALER_NONE);
+    for (unsigned i = 0; i < NODES; i++)
+        ts_peers_set_mute(fleet.nodes[i]->peers, false);
+    world_run_ms(fleet.world, 1500);
+    assert_int_equal(ts_peers_rate_home(fleet.nodes[home]->peers, "red", &address),
+                     TS_RATE_DEALER_SELF);
+}
+
 /* A node that sees less than half of the fleet believes nobody home. */
 static void test_minority_has_no_home(void **state)
 {
@@ -177,6 +227,8 @@
         cmocka_unit_test(test_limit_counts_over_all_nodes),
         cmocka_unit_test(test_usual_use_is_served_everywhere),
         cmocka_unit_test(test_silent_home),
+        cmocka_unit_test(test_suspected_home_is_not_replaced),
+        cmocka_unit_test(test_home_that_is_cut_off_stops),
         cmocka_unit_test(test_minority_has_no_home),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
