A limit holds while machines are cut off: nodes lend their part of the rate to one home at a time

Change: each holder has a right, a part of the rate, lent to the home it asks; a home withholds the rights of those it does not hear, a home that is new since nodes were lost grows to the whole rate in 6 s, and one out of contact with most zones stops within 2 s.

--- a/include/tealspar/rate_lease.h
+++ b/include/tealspar/rate_lease.h
@@ -20,19 +20,28 @@
     unsigned tokens;             /**< in hand */
     ts_time_us_t valid_until_us; /**< they are void from then on */
     double demand;               /**< requests a second, as of late */
-    double spent;                /**< tokens a second, as of late */
+    double asking;               /**< the same over a longer span */
     ts_time_us_t demand_us;      /**< when `demand` was brought up to date */
-    ts_time_us_t spent_us;
+    ts_time_us_t asking_us;
     ts_time_us_t used_us;         /**< when a request last wanted a token */
     ts_time_us_t asked_us;        /**< when the ask left that is not answered; 0: none is out */
     ts_time_us_t sent_us;         /**< when the latest ask left */
     uint32_t ask;                 /**< number of the latest ask */
+    bool is_lacking;              /**< that wanted tokens */
     ts_time_us_t silent_since_us; /**< the home answers nothing since; 0: it answers */
     ts_time_us_t over_until_us;   /**< the home has none for this node until then */
     ts_time_us_t ask_after_us;    /**< not asked before that, unless a request waits */
-    double own_rate;              /**< tokens a second that it may spend by itself, */
+    double right;                 /**< tokens a second that it may spend by itself */
+    double sublet;                /**< of that, what this deputy has given others of its zone */
+    ts_time_us_t right_until_us;  /**< that is void from then on */
+    uint64_t right_from;          /**< hash of the address of the dealer that gave it */
+    uint64_t dealer;              /**< hash of the address of the one asked last */
+    uint64_t lent_to;             /**< dealer that the right is lent to while it is asked */
+    ts_time_us_t lent_us;         /**< when that one was last asked */
+    bool is_right_lent;           /**< the latest ask lent the right */
+    bool has_moved;               /**< it was lent to another one since the dealer last answered */
     uint32_t spent_alone;         /**< spent by itself since it began, own and told by others */
-    double own_tokens;            /**< and what has come in of them */
+    double own_tokens;            /**< what has come in of its right */
     ts_time_us_t own_us;          /**< when that was brought up to date */
     bool is_deputy;               /**< it holds tokens for other nodes of its zone too */
     bool is_waited_for;           /**< a request found none and waits */
@@ -40,18 +49,19 @@
     bool was_over;                /**< it was said that the limit is reached */
 } ts_rate_lease_t;
 
-void ts_rate_lease_open(ts_rate_lease_t *lease, ts_time_us_t now_us);
+/** `own_tokens`: what it may spend by itself before it has found a dealer. */
+void ts_rate_lease_open(ts_rate_lease_t *lease, double own_tokens, ts_time_us_t now_us);
 /** A request has come that wants a token; once a request. */
 void ts_rate_lease_note_request(ts_rate_lease_t *lease, ts_time_us_t now_us);
 /** Takes a token if there is one. */
 ts_rate_verdict_t ts_rate_lease_take(ts_rate_lease_t *lease, const ts_rate_terms_t *terms,
                                      ts_time_us_t now_us);
 /**
- * Takes up to `most` of the tokens in hand for another node; sets how many. With the home lost it
- * is TS_RATE_UNKNOWN: what this node may spend by itself is for its own requests.
+ * Takes up to `most` of the tokens in hand for another node; sets how many. With the home lost, one
+ * of what this node may spend by itself: its right stands for its zone's use.
  */
-ts_rate_verdict_t ts_rate_lease_take_for(ts_rate_lease_t *lease, unsigned most, unsigned *taken,
-                                         ts_time_us_t now_us);
+ts_rate_verdict_t ts_rate_lease_take_for(ts_rate_lease_t *lease, const ts_rate_terms_t *terms,
+                                         unsigned most, unsigned *taken, ts_time_us_t now_us);
 /** There is nobody to ask: as if the dealer had been silent for long. */
 void ts_rate_lease_note_lost(ts_rate_lease_t *lease, ts_time_us_t now_us);
 /** A request that has a token ends without having run. */
@@ -62,11 +72,20 @@
 /** Whether the home is to be asked now. */
 bool ts_rate_lease_is_due(const ts_rate_lease_t *lease, const ts_rate_terms_t *terms,
                           ts_time_us_t now_us);
-/** An ask leaves; returns its number. */
-uint32_t ts_rate_lease_note_ask(ts_rate_lease_t *lease, ts_time_us_t now_us);
+/** Tokens a second that it may spend by itself while no dealer is heard. */
+double ts_rate_lease_right(const ts_rate_lease_t *lease, ts_time_us_t now_us);
+/** Tokens a second that requests have asked for of late. */
+double ts_rate_lease_asking(const ts_rate_lease_t *lease, ts_time_us_t now_us);
+/**
+ * Lends the right to a dealer (hash of its address) with an ask that is about to leave; false, and
+ * not lent, while this node goes by it itself or another dealer may still count on it.
+ */
+bool ts_rate_lease_lend(ts_rate_lease_t *lease, uint64_t dealer, ts_time_us_t now_us);
+/** An ask leaves; returns its number. `is_lacking`: it wants tokens, not a right alone. */
+uint32_t ts_rate_lease_note_ask(ts_rate_lease_t *lease, bool is_lacking, ts_time_us_t now_us);
 /** The home's answer to an ask; one that is not awaited is ignored. */
-void ts_rate_lease_take_deal(ts_rate_lease_t *lease, uint32_t ask, const ts_rate_deal_t *deal,
-                             ts_time_us_t now_us);
+void ts_rate_lease_take_deal(ts_rate_lease_t *lease, const ts_rate_terms_t *terms, uint32_t ask,
+                             const ts_rate_deal_t *deal, ts_time_us_t now_us);
 /** Tokens in hand that are still valid. */
 unsigned ts_rate_lease_in_hand(const ts_rate_lease_t *lease, ts_time_us_t now_us);
 /** When it may be worth coming back, after TS_RATE_OVER. */
--- a/include/tealspar/rate_limiter.h
+++ b/include/tealspar/rate_limiter.h
@@ -21,11 +21,17 @@
 /** One message: an ask, or the answer to one. */
 typedef struct ts_rate_row {
     const char *account;
-    uint32_t ask;         /**< number of the ask */
-    unsigned in_hand;     /**< ask: tokens that the sender has */
-    uint32_t spent_alone; /**< ask: tokens that it has spent by itself since it began */
-    unsigned wanted;      /**< ask: tokens that it wants to have */
-    ts_rate_deal_t deal;  /**< answer: what it gets */
+    uint32_t ask;          /**< number of the ask */
+    unsigned in_hand;      /**< ask: tokens that the sender has */
+    uint32_t spent_alone;  /**< ask: tokens that it has spent by itself since it began */
+    unsigned wanted;       /**< ask: tokens that it wants to have */
+    double used;           /**< ask: tokens a second that it has used of late */
+    double right;          /**< ask: tokens a second that it may spend by itself, */
+    double foreign;        /**< ask: part of that which another dealer gave, */
+    uint64_t foreign_from; /**< ask: hash of that dealer's address */
+    bool is_alone;         /**< and does, or has lent to another home: this one can't count on it */
+    bool has_moved;        /**< ask: it has lent it to another one since this one last answered */
+    ts_rate_deal_t deal;   /**< answer: what it gets */
 } ts_rate_row_t;
 
 typedef struct ts_rate_limiter_ops {
@@ -35,6 +41,8 @@
     ts_rate_dealer_t (*home)(void *ctx, const char *account, const char **address);
     /** Who is the account's deputy in this node's zone, likewise; never DEALER_NONE. */
     ts_rate_dealer_t (*deputy)(void *ctx, const char *account, const char **address);
+    /** Nodes that there are, or may be before all are found. */
+    unsigned (*nodes)(void *ctx);
     /** Asks another node. */
     void (*ask)(void *ctx, const char *address, const ts_rate_row_t *row);
     /** Answers another node's ask. */
--- a/src/edge/gateway_quota.c
+++ b/src/edge/gateway_quota.c
@@ -49,6 +49,13 @@
     return ts_peers_rate_deputy(gateway->peers, account, address);
 }
 
+static unsigned count_nodes(void *ctx)
+{
+    const ts_gateway_t *gateway = ctx;
+    unsigned seen = gateway->peers == NULL ? 1 : ts_peers_count(gateway->peers);
+    return MAX(seen, gateway->nodes);
+}
+
 static void ask_dealer(void *ctx, const char *address, const ts_rate_row_t *row)
 {
     const ts_gateway_t *gateway = ctx;
@@ -124,8 +131,9 @@
            is_over ? "over" : "within", terms->rate, terms->burst);
 }
 
-static const ts_rate_limiter_ops_t limiter_ops = {find_terms, find_home, find_deputy, ask_dealer,
-                                                  answer,     wake,      look_again,  log_change};
+static const ts_rate_limiter_ops_t limiter_ops = {find_terms,  find_home,  find_deputy,
+                                                  count_nodes, ask_dealer, answer,
+                                                  wake,        look_again, log_change};
 
 void ts_gateway_open_quotas(ts_gateway_t *gateway)
 {
--- a/src/peers/peers.c
+++ b/src/peers/peers.c
@@ -197,6 +197,7 @@
         ts_peers_ask_around(peers);
     }
     ts_peers_compare_quarantine(peers);
+    ts_peers_check_contact(peers);
     if (++peers->ticks % BEACON_TICKS == 0 && ts_peers_is_watcher(peers) &&
         ts_store_mirror_is_primed(peers->mirror)) {
         ts_peers_send_beacon(peers);
@@ -259,6 +260,7 @@
         return NULL;
     }
     ts_peers_open_echoes(peers);
+    peers->contact = ts_contact_create(ts_hash_text(settings->name));
     peers->membership = ts_membership_create(&config, &ops, peers, ts_clock_now_us());
     peers->zone_order = g_ptr_array_new();
     peers->regions = g_ptr_array_new();
--- a/src/peers/peers_echo.c
+++ b/src/peers/peers_echo.c
@@ -60,7 +60,7 @@
     bool is_old = echo->unheard_us != 0 && now_us - echo->unheard_us > UNHEARD_US;
     frame->number = ++echo->sent;
     frame->heard = echo->heard;
-    frame->wants_echo = frame->gossip.len > 0 || is_old;
+    frame->wants_echo |= frame->gossip.len > 0 || is_old;
     if (echo->unheard_us == 0)
         echo->unheard_us = now_us;
     if (frame->wants_echo && echo->asked_us == 0)
@@ -74,6 +74,7 @@
     echo->heard = frame->number;
     bool is_news = frame->heard > echo->acknowledged && frame->heard <= echo->sent;
     if (is_news) {
+        ts_contact_note(peers->contact, frame->address, now_us); // it hears this node, and is heard
         echo->acknowledged = frame->heard;
         echo->unheard_us = frame->heard == echo->sent ? 0 : now_us;
         echo->asked_us = 0;
@@ -92,6 +93,13 @@
     ts_peers_send(peers, address, &frame);
 }
 
+void ts_peers_call(ts_peers_t *peers, const char *address)
+{
+    TsPeer__Frame frame = TS_PEER__FRAME__INIT;
+    frame.wants_echo = true;
+    ts_peers_send(peers, address, &frame);
+}
+
 static gboolean is_stranger(gpointer address, gpointer echo, gpointer ctx)
 {
     const ts_peers_t *peers = ctx;
--- a/src/peers/peers_internal.h
+++ b/src/peers/peers_internal.h
@@ -3,6 +3,7 @@
 #define TEALSPAR_PEERS_INTERNAL_H
 
 #include "peer.pb-c.h"
+#include "tealspar/contact.h"
 #include "tealspar/membership.h"
 #include "tealspar/peer_link.h"
 #include "tealspar/peers.h"
@@ -48,6 +49,9 @@
     GHashTable *echoes;                /* address -> what peers_echo.c keeps of it, owned */
     ts_peers_quarantine_t *quarantine; /* see peers_quarantine.c */
     /* Homes of rates; see peers_rates.c. */
+    ts_contact_t *contact;  /* with most of the fleet, just now */
+    bool has_contact;       /* what it said at the last tick */
+    uint64_t live_digest;   /* of who was live at the last change of the view */
     size_t members_live;    /* at the last change of the view */
     size_t members_most;    /* that were in the view at once */
     ts_time_us_t shrunk_us; /* since when there have been fewer; 0: there are not */
@@ -99,6 +103,8 @@
 /** Frames sent to a peer so far. */
 uint32_t ts_peers_frames_sent(ts_peers_t *peers, const char *address);
 void ts_peers_send_echo(ts_peers_t *peers, const char *address);
+/** Asks a peer to send some frame back. */
+void ts_peers_call(ts_peers_t *peers, const char *address);
 /** The view has changed: nodes that are not in it are forgotten. */
 void ts_peers_forget_echoes(ts_peers_t *peers);
 
@@ -106,6 +112,8 @@
 void ts_peers_take_rate(ts_peers_t *peers, const TsPeer__Frame *frame);
 /** The view has changed, and with it which node is home of what. */
 void ts_peers_change_homes(ts_peers_t *peers);
+/** With each tick of membership: calls zones that are silent, as homes need to be in contact. */
+void ts_peers_check_contact(ts_peers_t *peers);
 
 // -- peers_quarantine.c
 void ts_peers_open_quarantine(ts_peers_t *peers);
--- a/src/peers/peers_rates.c
+++ b/src/peers/peers_rates.c
@@ -13,6 +13,9 @@
 /* A view that has stayed smaller for so long is that of a fleet that has become smaller. */
 #define SHRUNK_US (60 * TS_US_PER_S)
 
+/* Rates go over the wire in thousandths. */
+#define MILLI 1000.0
+
 /* Whether this node sees enough of the fleet to agree with the others on who is home. */
 static bool is_in_majority(const ts_peers_t *peers)
 {
@@ -55,6 +58,8 @@
 {
     const ts_view_member_t *home = find_dealer(peers, account, NULL);
     bool is_certain = home != NULL && is_in_majority(peers);
+    if (is_certain && home->is_self)
+        is_certain = ts_contact_has_majority(peers->contact, ts_clock_now_us());
     return is_certain ? dealer(home, address) : TS_RATE_DEALER_NONE;
 }
 
@@ -68,6 +73,16 @@
     return deputy == NULL ? TS_RATE_DEALER_SELF : dealer(deputy, address);
 }
 
+/* Who may be home: the same digest, the same homes. */
+static uint64_t digest_live(const ts_view_t *view)
+{
+    uint64_t digest = 0;
+    for (size_t i = 0; i < view->count; i++)
+        if (view->members[i].state == TS_MEMBER_LIVE)
+            digest = ts_hash_mix(digest, view->members[i].id);
+    return digest;
+}
+
 void ts_peers_change_homes(ts_peers_t *peers)
 {
     ts_time_us_t now_us = ts_clock_now_us();
@@ -77,9 +92,33 @@
     } else if (peers->shrunk_us == 0) {
         peers->shrunk_us = now_us;
     }
+    ts_contact_set_view(peers->contact, peers->view);
     size_t live = ts_membership_count(peers->membership, TS_MEMBER_LIVE);
-    ts_rate_limiter_change_view(peers->gateway->limiter, live < peers->members_live, now_us);
+    uint64_t digest = digest_live(peers->view);
+    if (digest != peers->live_digest)
+        ts_rate_limiter_change_view(peers->gateway->limiter, live < peers->members_live, now_us);
     peers->members_live = live;
+    peers->live_digest = digest;
+}
+
+void ts_peers_check_contact(ts_peers_t *peers)
+{
+    const ts_traffic_t *traffic = peers->gateway->traffic;
+    ts_time_us_t now_us = ts_clock_now_us();
+    const char *address = NULL;
+    if (traffic == NULL || ts_tenants_count(traffic->tenants) == 0)
+        return; // nobody is home of anything
+    while ((address = ts_contact_next_call(peers->contact, now_us)) != NULL)
+        ts_peers_call(peers, address);
+    bool has_contact = ts_contact_has_majority(peers->contact, now_us);
+    if (has_contact != peers->has_contact)
+        ts_rate_limiter_change_view(peers->gateway->limiter, false, now_us);
+    peers->has_contact = has_contact;
+}
+
+static uint32_t to_milli(double rate)
+{
+    return (uint32_t)MIN(rate * MILLI, UINT32_MAX);
 }
 
 void ts_peers_ask_rate(ts_peers_t *peers, const char *address, const ts_rate_row_t *row)
@@ -91,6 +130,12 @@
     rate.in_hand = row->in_hand;
     rate.spent_alone = row->spent_alone;
     rate.wanted = row->wanted;
+    rate.used_milli = to_milli(row->used);
+    rate.right_milli = to_milli(row->right);
+    rate.foreign_milli = to_milli(row->foreign);
+    rate.foreign_from = row->foreign_from;
+    rate.is_alone = row->is_alone;
+    rate.has_moved = row->has_moved;
     frame.rate = &rate;
     ts_count(TS_COUNTER_RATE_ASKS, 1);
     ts_peers_send(peers, address, &frame);
@@ -104,6 +149,7 @@
     rate.ask = row->ask;
     rate.is_deal = true;
     rate.tokens = row->deal.tokens;
+    rate.right_milli = to_milli(row->deal.right);
     rate.is_lost = row->deal.is_lost;
     rate.valid_ms = (uint32_t)(row->deal.valid_us / TS_US_PER_MS);
     rate.wait_ms = (uint32_t)MIN(row->deal.wait_us / TS_US_PER_MS, UINT32_MAX);
@@ -122,7 +168,14 @@
                          .in_hand = rate->in_hand,
                          .spent_alone = rate->spent_alone,
                          .wanted = rate->wanted,
+                         .used = rate->used_milli / MILLI,
+                         .right = rate->right_milli / MILLI,
+                         .foreign = rate->foreign_milli / MILLI,
+                         .foreign_from = rate->foreign_from,
+                         .is_alone = rate->is_alone,
+                         .has_moved = rate->has_moved,
                          .deal = {.tokens = rate->tokens,
+                                  .right = rate->right_milli / MILLI,
                                   .is_lost = rate->is_lost,
                                   .valid_us = rate->valid_ms * TS_US_PER_MS,
                                   .wait_us = rate->wait_ms * TS_US_PER_MS}};
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -1060,7 +1060,7 @@
   (ProtobufCMessageInit) ts_peer__evidence__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ts_peer__rate__field_descriptors[10] =
+static const ProtobufCFieldDescriptor ts_peer__rate__field_descriptors[16] =
 {
   {
     "account",
@@ -1182,15 +1182,93 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "used_milli",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Rate, used_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "right_milli",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Rate, right_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_alone",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Rate, is_alone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_moved",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Rate, has_moved),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "foreign_milli",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Rate, foreign_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "foreign_from",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Rate, foreign_from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ts_peer__rate__field_indices_by_name[] = {
   0,   /* field[0] = account */
   1,   /* field[1] = ask */
+  15,   /* field[15] = foreign_from */
+  14,   /* field[14] = foreign_milli */
+  13,   /* field[13] = has_moved */
   3,   /* field[3] = in_hand */
+  12,   /* field[12] = is_alone */
   2,   /* field[2] = is_deal */
   8,   /* field[8] = is_lost */
+  11,   /* field[11] = right_milli */
   5,   /* field[5] = spent_alone */
   6,   /* field[6] = tokens */
+  10,   /* field[10] = used_milli */
   7,   /* field[7] = valid_ms */
   9,   /* field[9] = wait_ms */
   4,   /* field[4] = wanted */
@@ -1198,7 +1276,7 @@
 static const ProtobufCIntRange ts_peer__rate__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor ts_peer__rate__descriptor =
 {
@@ -1208,7 +1286,7 @@
   "TsPeer__Rate",
   "ts_peer",
   sizeof(TsPeer__Rate),
-  10,
+  16,
   ts_peer__rate__field_descriptors,
   ts_peer__rate__field_indices_by_name,
   1,  ts_peer__rate__number_ranges,
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -229,10 +229,34 @@
    * deal of none: when the next one is the receiver's turn
    */
   uint32_t wait_ms;
+  /*
+   * ask: thousandths of a token a second that the sender uses
+   */
+  uint32_t used_milli;
+  /*
+   * ask: the sender goes by its right itself, or has lent it to another
+   */
+  protobuf_c_boolean is_alone;
+  /*
+   * ask: it has lent it to another one since the receiver last answered
+   */
+  protobuf_c_boolean has_moved;
+  /*
+   * ask: part of the right that another dealer gave
+   */
+  uint32_t foreign_milli;
+  /*
+   * ask: hash of that dealer's address
+   */
+  uint64_t foreign_from;
+  /*
+   * thousandths of a token a second to be spent alone: held, or given
+   */
+  uint32_t right_milli;
 };
 #define TS_PEER__RATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ts_peer__rate__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/route/rate_lease.c
+++ b/src/route/rate_lease.c
@@ -3,9 +3,11 @@
 
 #include <math.h>
 
-/* How fast demand is followed, and what is spent; the second stands in when the home is lost. */
+/* How fast demand is followed: for tokens ahead, and for the right that stands in when the home is
+ * lost. That one counts requests, refused ones too: a right by what was spent would shrink with
+ * each refusal. */
 #define DEMAND_SPAN_S 1.0
-#define SPENT_SPAN_S 5.0
+#define ASKING_SPAN_S 5.0
 /* Tokens in hand last for so long at the present demand: a deputy's, as the home may be far, with
  * one more; those of another node, whose deputy is near. */
 #define AHEAD_DEPUTY_S 0.3
@@ -26,23 +28,27 @@
  * after a request. */
 #define RENEW_US (5 * TS_US_PER_S)
 #define IN_USE_US (60 * TS_US_PER_S)
+/* A right to spend alone is held in view of its dealer, which takes who is not heard for a second
+ * to spend by it; it is void as the tokens are. */
+#define RENEW_RIGHT_US (500 * TS_US_PER_MS)
+#define RIGHT_VALID_US (10 * TS_US_PER_S)
+#define RIGHT_OLD_US (4 * TS_US_PER_S) /* before it is void */
+/* A right that was lent to one dealer is lent to another after this, when the first no longer
+ * counts on it (UNHEARD_US in rate_account.c). */
+#define LENT_US (1 * TS_US_PER_S)
 /* Bounds on how long the home's answer that it has none is believed. */
 #define OVER_LEAST_US (20 * TS_US_PER_MS)
 #define OVER_MOST_US (500 * TS_US_PER_MS)
-/* Of the tolerance: what nodes that have lost the home may spend beyond what they did. */
-#define ALONE_SHARE 0.25
-/* What a node may spend by itself of a rate that it has not used before, until it has found the
- * home; also the most that it saves up. */
-#define ALONE_BEGIN 1.0
-/* A second of its own spending is the most that it saves up otherwise. */
-#define ALONE_SAVED_S 1.0
+/* One token of a right is saved up where the tolerance bears less, so that the next request need
+ * not wait when the dealer is lost. */
+#define SAVED_LEAST 1.0
 
-void ts_rate_lease_open(ts_rate_lease_t *lease, ts_time_us_t now_us)
+void ts_rate_lease_open(ts_rate_lease_t *lease, double own_tokens, ts_time_us_t now_us)
 {
     *lease = (ts_rate_lease_t){.demand_us = now_us,
-                               .spent_us = now_us,
+                               .asking_us = now_us,
                                .used_us = now_us,
-                               .own_tokens = ALONE_BEGIN,
+                               .own_tokens = own_tokens,
                                .own_us = now_us};
 }
 
@@ -58,28 +64,34 @@
     lease->demand = faded(lease->demand, lease->demand_us, now_us, DEMAND_SPAN_S);
     lease->demand += 1 / DEMAND_SPAN_S;
     lease->demand_us = now_us;
+    lease->asking = faded(lease->asking, lease->asking_us, now_us, ASKING_SPAN_S);
+    lease->asking += 1 / ASKING_SPAN_S;
+    lease->asking_us = now_us;
     lease->used_us = now_us;
 }
 
-static void note_spent(ts_rate_lease_t *lease, double tokens, ts_time_us_t now_us)
+unsigned ts_rate_lease_in_hand(const ts_rate_lease_t *lease, ts_time_us_t now_us)
 {
-    lease->spent = faded(lease->spent, lease->spent_us, now_us, SPENT_SPAN_S);
-    lease->spent = MAX(lease->spent + tokens / SPENT_SPAN_S, 0);
-    lease->spent_us = now_us;
+    return now_us < lease->valid_until_us ? lease->tokens : 0;
 }
 
-unsigned ts_rate_lease_in_hand(const ts_rate_lease_t *lease, ts_time_us_t now_us)
+double ts_rate_lease_right(const ts_rate_lease_t *lease, ts_time_us_t now_us)
 {
-    return now_us < lease->valid_until_us ? lease->tokens : 0;
+    return now_us < lease->right_until_us ? lease->right : 0;
+}
+
+/* What a right may amount to when it is saved up. */
+static double saved_most(double right, const ts_rate_terms_t *terms)
+{
+    return MAX(right * ts_rate_saved_s(terms), MIN(right, SAVED_LEAST));
 }
 
-/* What it may spend by itself: as it did before the home was lost, and a part of the tolerance. */
+/* What it may spend by itself: its right less what others hold of it. */
 static void fill_own(ts_rate_lease_t *lease, const ts_rate_terms_t *terms, ts_time_us_t now_us)
 {
-    double more = 1 + ALONE_SHARE * terms->tolerance / terms->limit;
-    double rate = MIN(lease->own_rate * more, terms->rate);
-    double most = MAX(rate * ALONE_SAVED_S, ALONE_BEGIN);
-    double come = rate * (double)(now_us - lease->own_us) / TS_US_PER_S;
+    double right = MAX(ts_rate_lease_right(lease, now_us) - lease->sublet, 0);
+    double most = MAX(saved_most(right, terms), SAVED_LEAST);
+    double come = right * (double)(now_us - lease->own_us) / TS_US_PER_S;
     lease->own_tokens = MIN(lease->own_tokens + come, MAX(most, lease->own_tokens));
     lease->own_us = now_us;
 }
@@ -106,7 +118,6 @@
     bool is_silent = is_dealer_silent(lease, now_us);
     if (ts_rate_lease_in_hand(lease, now_us) > 0) {
         lease->tokens--;
-        note_spent(lease, 1, now_us);
         return TS_RATE_TAKEN;
     }
     if (now_us < lease->over_until_us)
@@ -114,16 +125,14 @@
     if (is_silent) {
         bool is_taken = take_own(lease, terms, now_us);
         lease->is_waited_for = true; // the home goes on being asked
-        if (is_taken)
-            note_spent(lease, 1, now_us);
         return is_taken ? TS_RATE_TAKEN : TS_RATE_UNKNOWN;
     }
     lease->is_waited_for = true;
     return TS_RATE_WAITS;
 }
 
-ts_rate_verdict_t ts_rate_lease_take_for(ts_rate_lease_t *lease, unsigned most, unsigned *taken,
-                                         ts_time_us_t now_us)
+ts_rate_verdict_t ts_rate_lease_take_for(ts_rate_lease_t *lease, const ts_rate_terms_t *terms,
+                                         unsigned most, unsigned *taken, ts_time_us_t now_us)
 {
     *taken = MIN(ts_rate_lease_in_hand(lease, now_us), most);
     lease->tokens -= *taken;
@@ -132,7 +141,10 @@
     if (now_us < lease->over_until_us)
         return TS_RATE_OVER;
     lease->is_waited_for = true;
-    return is_dealer_silent(lease, now_us) ? TS_RATE_UNKNOWN : TS_RATE_WAITS;
+    if (!is_dealer_silent(lease, now_us))
+        return TS_RATE_WAITS;
+    *taken = take_own(lease, terms, now_us);
+    return *taken > 0 ? TS_RATE_TAKEN : TS_RATE_UNKNOWN;
 }
 
 void ts_rate_lease_note_lost(ts_rate_lease_t *lease, ts_time_us_t now_us)
@@ -142,7 +154,6 @@
 
 void ts_rate_lease_return(ts_rate_lease_t *lease, ts_time_us_t now_us)
 {
-    note_spent(lease, -1, now_us);
     if (now_us < lease->valid_until_us)
         lease->tokens++;
 }
@@ -169,24 +180,60 @@
         return false;
     unsigned in_hand = ts_rate_lease_in_hand(lease, now_us);
     unsigned wanted = ts_rate_lease_wanted(lease, terms, now_us);
+    bool has_right = ts_rate_lease_right(lease, now_us) >= TS_RATE_RIGHT_LEAST;
+    if (has_right && now_us - lease->sent_us > RENEW_RIGHT_US)
+        return true;
     if (wanted == 0)
         return false;
     return 2 * in_hand <= wanted || now_us - lease->sent_us > RENEW_US;
 }
 
-uint32_t ts_rate_lease_note_ask(ts_rate_lease_t *lease, ts_time_us_t now_us)
+double ts_rate_lease_asking(const ts_rate_lease_t *lease, ts_time_us_t now_us)
+{
+    return faded(lease->asking, lease->asking_us, now_us, ASKING_SPAN_S);
+}
+
+bool ts_rate_lease_lend(ts_rate_lease_t *lease, uint64_t dealer, ts_time_us_t now_us)
+{
+    bool is_free = lease->lent_to == dealer || now_us - lease->lent_us > LENT_US;
+    if (lease->dealer != dealer)
+        lease->silent_since_us = 0; // it was another one that did not answer
+    lease->dealer = dealer;
+    lease->is_right_lent = is_free && !is_dealer_silent(lease, now_us);
+    if (!lease->is_right_lent)
+        return false;
+    lease->has_moved |= lease->lent_to != dealer;
+    lease->lent_to = dealer;
+    lease->lent_us = now_us;
+    return true;
+}
+
+uint32_t ts_rate_lease_note_ask(ts_rate_lease_t *lease, bool is_lacking, ts_time_us_t now_us)
 {
-    if (lease->silent_since_us == 0) {
+    lease->is_lacking = is_lacking;
+    if (lease->silent_since_us == 0)
         lease->silent_since_us = now_us;
-        lease->own_rate = faded(lease->spent, lease->spent_us, now_us, SPENT_SPAN_S);
-    }
     lease->asked_us = now_us;
     lease->sent_us = now_us;
     return ++lease->ask;
 }
 
-void ts_rate_lease_take_deal(ts_rate_lease_t *lease, uint32_t ask, const ts_rate_deal_t *deal,
-                             ts_time_us_t now_us)
+/*
+ * A dealer may change or take back what it gave itself. One that is new may not know yet what to
+ * give: until the right of the one before is nearly void, the larger of the two is gone by.
+ */
+static void take_right(ts_rate_lease_t *lease, double right, ts_time_us_t now_us)
+{
+    bool is_old = now_us + RIGHT_OLD_US > lease->right_until_us;
+    if (lease->right_from != lease->dealer && !is_old && right < lease->right)
+        return;
+    lease->right = right;
+    lease->right_from = lease->dealer;
+    lease->right_until_us = lease->asked_us + RIGHT_VALID_US;
+}
+
+void ts_rate_lease_take_deal(ts_rate_lease_t *lease, const ts_rate_terms_t *terms, uint32_t ask,
+                             const ts_rate_deal_t *deal, ts_time_us_t now_us)
 {
     if (lease->asked_us == 0 || ask != lease->ask)
         return;
@@ -196,11 +243,17 @@
     }
     lease->tokens = ts_rate_lease_in_hand(lease, now_us) + deal->tokens;
     lease->valid_until_us = lease->asked_us + deal->valid_us;
+    lease->has_moved &= !lease->is_right_lent;
+    if (lease->is_right_lent) { // else the one before goes on until it is void
+        take_right(lease, deal->right, now_us);
+        lease->own_tokens = MAX(lease->own_tokens, saved_most(lease->right, terms));
+        lease->own_us = MAX(lease->own_us, lease->asked_us);
+    }
     lease->asked_us = 0;
     lease->silent_since_us = 0;
     lease->is_waited_for = false;
     lease->ask_after_us = now_us + (deal->tokens == 0 ? ASK_EMPTY_GAP_US : ASK_GAP_US);
-    if (lease->tokens == 0)
+    if (lease->tokens == 0 && lease->is_lacking)
         lease->over_until_us = now_us + CLAMP(deal->wait_us, OVER_LEAST_US, OVER_MOST_US);
 }
 
--- a/src/route/rate_limiter.c
+++ b/src/route/rate_limiter.c
@@ -1,8 +1,11 @@
 /** Rates that the whole fleet keeps together: leases, accounts, and who is asked. */
 #include "tealspar/rate_limiter.h"
 
+#include <math.h>
 #include <string.h>
 
+#include "tealspar/hash.h"
+
 /* A lease that nobody used for so long is forgotten, and so is an account nobody asked for. */
 #define LEASE_KEPT_US (90 * TS_US_PER_S)
 #define ACCOUNT_KEPT_US (60 * TS_US_PER_S)
@@ -14,9 +17,35 @@
 /* What a deputy deals is void after this at the latest, before its own tokens would be. */
 #define DEPUTY_VALID_US (1 * TS_US_PER_S)
 
+/* Who holds a right of this deputy and is not heard for so long is taken to spend by it, until it
+ * is void; as at the home (rate_account.c). */
+#define UNHEARD_US (1 * TS_US_PER_S)
+#define RIGHT_KEPT_US (12 * TS_US_PER_S)
+/* Of the tolerance: what nodes together may spend before they have found a dealer. A node that has
+ * just begun may do so together with all others: then nobody deals, and it is a part of all that a
+ * window allows. */
+#define FIRST_SHARE 0.25
+#define FIRST_YOUNG_SHARE 0.5
+#define YOUNG_US (2 * TS_US_PER_S)
+/* What it said that it uses counts for so long: it may ask another deputy by now. */
+#define USED_KEPT_US (3 * TS_US_PER_S)
+
+/* What a deputy knows of a node of its zone. */
+typedef struct debtor {
+    uint32_t spent_alone;  /* total that it told last */
+    double used;           /* tokens a second that it told */
+    double right;          /* tokens a second that it may spend by itself, of the deputy's, */
+    double foreign;        /* and that it was given by another dealer and lends to this one */
+    uint64_t foreign_from; /* hash of that dealer's address */
+    double assumed;        /* told on as spent since it was last heard */
+    bool is_alone;         /* it said that it spends by its right now */
+    ts_time_us_t heard_us;
+} debtor_t;
+
 /* An ask of another node that a deputy could not answer yet. */
 typedef struct queued_ask {
     char *address;
+    uint64_t node;
     uint32_t ask;
     unsigned lacking;
     ts_time_us_t at_us;
@@ -26,7 +55,8 @@
     ts_rate_lease_t lease;
     char *account;
     GArray *queue;       /* of queued_ask_t; NULL: nothing has waited yet */
-    GHashTable *debtors; /* node -> what it had spent by itself at its last ask; NULL: none asked */
+    GHashTable *debtors; /* node -> debtor_t, owned; NULL: none asked */
+    double owed;         /* spent by debtors and not yet told on; below 0: told too much so far */
 } held_lease_t;
 
 struct ts_rate_limiter {
@@ -68,7 +98,6 @@
     limiter->ops = ops;
     limiter->ctx = ctx;
     limiter->standing.begun_us = now_us;
-    limiter->standing.changed_us = now_us;
     limiter->leases = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_lease);
     limiter->accounts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_account);
     return limiter;
@@ -102,10 +131,18 @@
 }
 
 /* Deals as the home; false, and nothing dealt, if the ask has come before. */
-static bool deal_as_home(ts_rate_limiter_t *limiter, uint64_t node, const ts_rate_terms_t *terms,
-                         ts_rate_row_t *row, ts_time_us_t now_us)
+static bool deal_as_home(ts_rate_limiter_t *limiter, uint64_t node, uint64_t address,
+                         const ts_rate_terms_t *terms, ts_rate_row_t *row, ts_time_us_t now_us)
 {
     ts_rate_claim_t claim = {.node = node,
+                             .address = address,
+                             .foreign = row->foreign,
+                             .foreign_from = row->foreign_from,
+                             .is_local = node == limiter->node,
+                             .used = row->used,
+                             .right = row->right,
+                             .is_alone = row->is_alone,
+                             .has_moved = row->has_moved,
                              .ask = row->ask,
                              .spent_alone = row->spent_alone,
                              .in_hand = row->in_hand,
@@ -117,9 +154,27 @@
     return true;
 }
 
+typedef struct look {
+    const ts_rate_limiter_t *limiter;
+    ts_time_us_t now_us;
+} look_t;
+
+/* Whether another node is home of an account now; where nobody is, it is kept, but doubted. */
 static gboolean is_foreign(gpointer name, gpointer account, gpointer ctx)
 {
-    return !is_home(ctx, name);
+    const look_t *look = ctx;
+    const char *address = NULL;
+    const ts_rate_limiter_t *limiter = look->limiter;
+    switch (limiter->ops->home(limiter->ctx, name, &address)) {
+    case TS_RATE_DEALER_PEER:
+        return TRUE;
+    case TS_RATE_DEALER_NONE:
+        ts_rate_account_doubt(account, look->now_us);
+        return FALSE;
+    case TS_RATE_DEALER_SELF:
+        break;
+    }
+    return FALSE;
 }
 
 void ts_rate_limiter_change_view(ts_rate_limiter_t *limiter, bool has_lost, ts_time_us_t now_us)
@@ -131,11 +186,30 @@
         standing->rested_us = now_us - since_us;
         standing->lost_us = now_us;
     }
-    g_hash_table_foreach_remove(limiter->accounts, is_foreign, limiter);
+    look_t look = {limiter, now_us};
+    g_hash_table_foreach_remove(limiter->accounts, is_foreign, &look);
 }
 
 // -- Leases
 
+/*
+ * Tokens of an account that a node spends before it has found a dealer: one at so many nodes that
+ * a share isn't passed if all of them do, drawn by their hashes.
+ */
+static double first_tokens(const ts_rate_limiter_t *limiter, const char *account,
+                           ts_time_us_t now_us)
+{
+    ts_rate_terms_t terms;
+    if (!limiter->ops->terms(limiter->ctx, account, &terms))
+        return 0;
+    double draw = (double)ts_hash_mix(limiter->node, ts_hash_text(account)) / (double)UINT64_MAX;
+    double nodes = limiter->ops->nodes(limiter->ctx);
+    double all = FIRST_SHARE * terms.tolerance;
+    if (now_us - limiter->standing.begun_us < YOUNG_US)
+        all = MAX(all, FIRST_YOUNG_SHARE * (terms.limit + terms.tolerance));
+    return draw * nodes < all ? 1 : 0;
+}
+
 static held_lease_t *find_lease(ts_rate_limiter_t *limiter, const char *account,
                                 ts_time_us_t now_us)
 {
@@ -144,7 +218,7 @@
         return held;
     held = g_new0(held_lease_t, 1);
     held->account = g_strdup(account);
-    ts_rate_lease_open(&held->lease, now_us);
+    ts_rate_lease_open(&held->lease, first_tokens(limiter, account, now_us), now_us);
     g_hash_table_insert(limiter->leases, held->account, held);
     return held;
 }
@@ -162,6 +236,62 @@
     limiter->ops->changed(limiter->ctx, held->account, terms, is_over);
 }
 
+/* Debtors' spending is told on to the home as this node's own, in whole tokens. */
+static void owe(held_lease_t *held, double tokens)
+{
+    held->owed += tokens;
+    double whole = MAX(floor(held->owed), 0);
+    held->lease.spent_alone += (uint32_t)whole;
+    held->owed -= whole;
+}
+
+/* A debtor that was not heard for a while is taken to spend by its right. */
+static void assume_debt(held_lease_t *held, debtor_t *debtor, ts_time_us_t now_us)
+{
+    if (!debtor->is_alone && now_us - debtor->heard_us < UNHEARD_US)
+        return;
+    double spent = debtor->right * (double)(now_us - debtor->heard_us) / TS_US_PER_S;
+    owe(held, spent - debtor->assumed);
+    debtor->assumed = spent;
+}
+
+typedef struct zone_sums {
+    double used;        /* tokens a second that the zone's nodes use */
+    double lent;        /* rights that others gave them and that they lend to this deputy */
+    double lent_one;    /* of these, what one of the others gave, */
+    uint64_t lent_from; /* hash of that one's address */
+} zone_sums_t;
+
+/* Looks over the zone's nodes: who is silent, what they use and hold. */
+static zone_sums_t sum_debtors(held_lease_t *held, ts_time_us_t now_us)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    zone_sums_t sums = {0};
+    held->lease.sublet = 0;
+    if (held->debtors == NULL)
+        return sums;
+    g_hash_table_iter_init(&iterator, held->debtors);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        debtor_t *debtor = value;
+        assume_debt(held, debtor, now_us);
+        if (now_us - debtor->heard_us > RIGHT_KEPT_US)
+            debtor->right = 0; // it is kept, as what it has spent is told as a total
+        held->lease.sublet += debtor->right;
+        bool is_there = now_us - debtor->heard_us < USED_KEPT_US;
+        sums.used += is_there ? debtor->used : 0;
+        bool is_heard = !debtor->is_alone && now_us - debtor->heard_us < UNHEARD_US;
+        if (!is_heard || debtor->foreign <= 0)
+            continue;
+        sums.lent += debtor->foreign;
+        if (sums.lent_from == 0)
+            sums.lent_from = debtor->foreign_from;
+        if (sums.lent_from == debtor->foreign_from)
+            sums.lent_one += debtor->foreign;
+    }
+    return sums;
+}
+
 /*
  * Asks for what a lease is short of: its deputy, or the home where this node is the deputy. Where
  * this node is the home it is answered at once.
@@ -175,16 +305,26 @@
     lease->is_deputy = dealer == TS_RATE_DEALER_SELF;
     if (lease->is_deputy)
         dealer = limiter->ops->home(limiter->ctx, held->account, &address);
+    uint64_t id = dealer == TS_RATE_DEALER_PEER ? ts_hash_text(address) : limiter->node;
     ts_rate_row_t row = {.account = held->account,
                          .in_hand = ts_rate_lease_in_hand(lease, now_us),
                          .wanted = ts_rate_lease_wanted(lease, terms, now_us)};
-    row.ask = ts_rate_lease_note_ask(lease, now_us);
+    zone_sums_t zone = sum_debtors(held, now_us);
+    row.used = ts_rate_lease_asking(lease, now_us) + zone.used;
+    double right = ts_rate_lease_right(lease, now_us);
+    bool is_foreign = right > 0 && lease->right_from != id;
+    row.right = right + zone.lent;
+    row.foreign = is_foreign ? right : zone.lent_one;
+    row.foreign_from = is_foreign ? lease->right_from : zone.lent_from;
+    row.is_alone = dealer == TS_RATE_DEALER_NONE || !ts_rate_lease_lend(lease, id, now_us);
+    row.has_moved = lease->has_moved;
+    row.ask = ts_rate_lease_note_ask(lease, row.wanted > row.in_hand, now_us);
     row.spent_alone = lease->spent_alone;
     if (dealer == TS_RATE_DEALER_PEER) {
         limiter->ops->ask(limiter->ctx, address, &row);
     } else if (dealer == TS_RATE_DEALER_SELF &&
-               deal_as_home(limiter, limiter->node, terms, &row, now_us)) {
-        ts_rate_lease_take_deal(lease, row.ask, &row.deal, now_us);
+               deal_as_home(limiter, limiter->node, id, terms, &row, now_us)) {
+        ts_rate_lease_take_deal(lease, terms, row.ask, &row.deal, now_us);
     } else if (dealer == TS_RATE_DEALER_NONE) {
         ts_rate_lease_note_lost(lease, now_us);
     }
@@ -255,16 +395,38 @@
 
 // -- Deputy: asks of the zone's other nodes
 
+/* What a node of the zone may spend by itself: as it does, so far as this node's right goes. */
+static double grant(held_lease_t *held, uint64_t node, ts_time_us_t now_us)
+{
+    debtor_t *debtor = g_hash_table_lookup(held->debtors, &node);
+    if (debtor == NULL || debtor->is_alone)
+        return 0;
+    zone_sums_t zone = sum_debtors(held, now_us);
+    double whole = ts_rate_lease_right(&held->lease, now_us);
+    double left = MAX(whole - (held->lease.sublet - debtor->right), 0);
+    double used = MAX(zone.used + ts_rate_lease_asking(&held->lease, now_us), debtor->used);
+    double share = debtor->used > 0 ? whole * debtor->used / used : 0;
+    double right = MIN(share, left);
+    if (right < TS_RATE_RIGHT_LEAST)
+        right = 0;
+    debtor->right = MAX(right, debtor->right); // it goes by the one before until it has this one
+    return right;
+}
+
 /* Answers an ask out of the lease, unless the answer of this node's own ask is awaited. */
 static bool answer_from_lease(ts_rate_limiter_t *limiter, held_lease_t *held,
-                              const queued_ask_t *queued, ts_time_us_t now_us)
+                              const ts_rate_terms_t *terms, const queued_ask_t *queued,
+                              ts_time_us_t now_us)
 {
     ts_rate_row_t row = {.account = held->account, .ask = queued->ask};
-    ts_rate_verdict_t verdict =
-        ts_rate_lease_take_for(&held->lease, queued->lacking, &row.deal.tokens, now_us);
+    ts_rate_verdict_t verdict = TS_RATE_TAKEN;
+    if (queued->lacking > 0)
+        verdict =
+            ts_rate_lease_take_for(&held->lease, terms, queued->lacking, &row.deal.tokens, now_us);
     if (verdict == TS_RATE_WAITS)
         return false;
     row.deal.is_lost = verdict == TS_RATE_UNKNOWN;
+    row.deal.right = grant(held, queued->node, now_us);
     row.deal.valid_us = DEPUTY_VALID_US;
     row.deal.wait_us = ts_rate_lease_wait_us(&held->lease, now_us);
     limiter->ops->answer(limiter->ctx, queued->address, &row);
@@ -295,27 +457,40 @@
 }
 
 /* Answers what waits, in the order in which it came, as far as that goes. */
-static void answer_queue(ts_rate_limiter_t *limiter, held_lease_t *held, ts_time_us_t now_us)
+static void answer_queue(ts_rate_limiter_t *limiter, held_lease_t *held,
+                         const ts_rate_terms_t *terms, ts_time_us_t now_us)
 {
     while (held->queue != NULL && held->queue->len > 0) {
         const queued_ask_t *first = &g_array_index(held->queue, queued_ask_t, 0);
         bool is_late = now_us - first->at_us > QUEUED_US;
-        if (!is_late && !answer_from_lease(limiter, held, first, now_us))
+        if (!is_late && !answer_from_lease(limiter, held, terms, first, now_us))
             return;
         g_array_remove_index(held->queue, 0);
     }
 }
 
-/* What a node of the zone has spent by itself is told on to the home as this node's own. */
-static void note_debt(held_lease_t *held, uint64_t node, uint32_t spent_alone)
+/* What a node of the zone says of itself; what it has spent by itself is told on to the home. */
+static void note_debtor(held_lease_t *held, uint64_t node, const ts_rate_row_t *row,
+                        ts_time_us_t now_us)
 {
-    gpointer before = NULL;
     if (held->debtors == NULL)
-        held->debtors = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
-    if (g_hash_table_lookup_extended(held->debtors, &node, NULL, &before))
-        held->lease.spent_alone += ts_rate_debt(GPOINTER_TO_UINT(before), spent_alone);
-    g_hash_table_insert(held->debtors, g_memdup2(&node, sizeof(node)),
-                        GUINT_TO_POINTER(spent_alone));
+        held->debtors = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    debtor_t *debtor = g_hash_table_lookup(held->debtors, &node);
+    if (debtor == NULL) {
+        debtor = g_new0(debtor_t, 1);
+        debtor->spent_alone = row->spent_alone;
+        g_hash_table_insert(held->debtors, g_memdup2(&node, sizeof(node)), debtor);
+    }
+    double owed = ts_rate_debt(debtor->spent_alone, row->spent_alone) - debtor->assumed;
+    owe(held, row->has_moved ? MAX(owed, 0) : owed);
+    debtor->assumed = 0;
+    debtor->spent_alone = row->spent_alone;
+    debtor->used = row->used;
+    debtor->right = MIN(debtor->right, row->right);
+    debtor->foreign = row->right - debtor->right;
+    debtor->foreign_from = row->foreign_from;
+    debtor->is_alone = row->is_alone;
+    debtor->heard_us = now_us;
 }
 
 /*
@@ -328,15 +503,15 @@
 {
     held_lease_t *held = find_lease(limiter, row->account, now_us);
     unsigned lacking = row->wanted > row->in_hand ? row->wanted - row->in_hand : 0;
-    queued_ask_t ask = {(char *)address, row->ask, lacking, now_us};
+    queued_ask_t ask = {(char *)address, node, row->ask, lacking, now_us};
     held->lease.is_deputy = true;
-    note_debt(held, node, row->spent_alone);
+    note_debtor(held, node, row, now_us);
     for (unsigned i = 0; i < lacking; i++)
         ts_rate_lease_note_request(&held->lease, now_us);
-    if (lacking > 0 && !answer_from_lease(limiter, held, &ask, now_us))
+    if (!answer_from_lease(limiter, held, terms, &ask, now_us))
         queue_ask(held, &ask);
     ask_if_due(limiter, held, terms, now_us);
-    answer_queue(limiter, held, now_us);
+    answer_queue(limiter, held, terms, now_us);
 }
 
 bool ts_rate_limiter_take_ask(ts_rate_limiter_t *limiter, uint64_t node, const char *address,
@@ -348,7 +523,7 @@
     ts_rate_row_t answer = *row;
     if (!is_home(limiter, row->account))
         deal_as_deputy(limiter, node, address, row, &terms, now_us);
-    else if (deal_as_home(limiter, node, &terms, &answer, now_us))
+    else if (deal_as_home(limiter, node, ts_hash_text(address), &terms, &answer, now_us))
         limiter->ops->answer(limiter->ctx, address, &answer);
     return true;
 }
@@ -360,8 +535,8 @@
     ts_rate_terms_t terms;
     if (held == NULL || !limiter->ops->terms(limiter->ctx, row->account, &terms))
         return;
-    ts_rate_lease_take_deal(&held->lease, row->ask, &row->deal, now_us);
-    answer_queue(limiter, held, now_us);
+    ts_rate_lease_take_deal(&held->lease, &terms, row->ask, &row->deal, now_us);
+    answer_queue(limiter, held, &terms, now_us);
     limiter->ops->dealt(limiter->ctx, row->account);
 }
 
@@ -386,7 +561,8 @@
             g_hash_table_iter_remove(&iterator);
             continue;
         }
-        answer_queue(limiter, held, now_us);
+        answer_queue(limiter, held, &terms, now_us);
+        (void)sum_debtors(held, now_us);
         if (ts_rate_lease_is_due(&held->lease, &terms, now_us))
             ask_dealer(limiter, held, &terms, now_us);
     }
--- a/tests/gateway/test_quotas.c
+++ b/tests/gateway/test_quotas.c
@@ -169,10 +169,14 @@
     assert_int_equal(count_answers(fleet.world, fleet.callers, NODES, 8, 200), 8);
 }
 
-/* The home is silent: nodes go on as they did, and another one takes its place. */
+/*
+ * The home is silent: nodes go on as they did, and another one takes its place. It may have done so
+ * half a second ago, and the silent one lives, hears all and may deal the whole rate to itself: so
+ * the new one deals from the tolerance at first.
+ */
 static void test_silent_home(void **state)
 {
-    fleet_t fleet = open_fleet(CONFIGURATION(1, TENANTS(20, 10)));
+    fleet_t fleet = open_zones(CONFIGURATION(1, TENANTS(20, 10)));
     unsigned home = home_of(&fleet);
     unsigned other = (home + 1) % NODES;
     assert_int_equal(count_answers(fleet.world, &fleet.callers[other], 1, 8, 200), 8);
@@ -185,6 +189,19 @@
     assert_int_equal(count_answers(fleet.world, &fleet.callers[other], 1, 6, 200), 6);
 }
 
+/* Without a tolerance nothing may be dealt twice: the new home deals the whole later. */
+static void test_silent_home_without_tolerance(void **state)
+{
+    fleet_t fleet = open_fleet(CONFIGURATION(1, TENANTS(20, 10)));
+    unsigned home = home_of(&fleet);
+    unsigned other = (home + 1) % NODES;
+    assert_int_equal(count_answers(fleet.world, &fleet.callers[other], 1, 8, 200), 8);
+    ts_peers_set_mute(fleet.nodes[home]->peers, true);
+    assert_int_equal(count_answers(fleet.world, &fleet.callers[other], 1, 1, 200), 1);
+    world_run_ms(fleet.world, 10000); // noticed within four seconds, grown to the whole in six
+    assert_int_equal(count_answers(fleet.world, &fleet.callers[other], 1, 6, 200), 6);
+}
+
 /* Times at which requests of the tenant ran, in windows of 5 s: the most in any. */
 static unsigned most_in_a_window(const GArray *runs)
 {
@@ -279,6 +296,7 @@
         cmocka_unit_test(test_limit_counts_over_all_nodes),
         cmocka_unit_test(test_usual_use_is_served_everywhere),
         cmocka_unit_test(test_silent_home),
+        cmocka_unit_test(test_silent_home_without_tolerance),
         cmocka_unit_test(test_suspected_home_keeps_the_limit),
         cmocka_unit_test(test_home_that_is_cut_off_stops),
         cmocka_unit_test(test_minority_has_no_home),
