A searcher that starts again under its id is another life, and entries of other writers name none

Change: each life (id and birth) has an instance of its own; peers name lives; the check's verdict is kept open for 2 s; entries are read strictly, ids are checked, refused ones are told once for each change. Not done: soak, fuzzer, slow readers.

--- a/include/tealspar/log.h
+++ b/include/tealspar/log.h
@@ -22,6 +22,7 @@
     X(MEMBER_STATE, MESSAGE, "member_state")                                                       \
     X(BACKEND_STATE, MESSAGE, "backend_state")                                                     \
     X(ZONE_STATE, MESSAGE, "zone_state")                                                           \
+    X(BACKEND_REFUSED, WARNING, "backend_refused")                                                 \
     X(BACKEND_SUSPECT, MESSAGE, "backend_suspect")                                                 \
     X(QUARANTINE_STATE, MESSAGE, "quarantine_state")                                               \
     X(QUARANTINE_SUSPECT, INFO, "quarantine_suspect")                                              \
--- a/include/tealspar/peers.h
+++ b/include/tealspar/peers.h
@@ -20,7 +20,7 @@
 /** The service does not answer: somebody else is asked for what is known. */
 void ts_peers_ask_around(ts_peers_t *peers);
 /** Tells nodes of the region what was seen of a back end. */
-void ts_peers_tell(ts_peers_t *peers, const char *instance, ts_sighting_t sighting);
+void ts_peers_tell(ts_peers_t *peers, ts_life_t life, ts_sighting_t sighting);
 /**
  * This node's place in the order of the nodes that keep connections to an instance: nodes of its
  * region come first, then the others, each by rendezvous weight.
--- a/include/tealspar/registry.h
+++ b/include/tealspar/registry.h
@@ -1,8 +1,10 @@
 /**
- * The registry of back ends: every incarnation of a searcher (an instance) by its id, grouped by
- * service, with what this node believes of its load and health. Identity is the id, never the
- * address: addresses are used again. The registry owns instances; one that has left the list stays
- * until nothing refers to it.
+ * The registry of back ends: every life of a searcher (an instance), grouped by service, with what
+ * this node believes of its load and health. A life is an id and when it was born: a searcher may
+ * start again under its id, and then holds and knows nothing of before; addresses are used again
+ * too. Each life has an instance of its own, so that nothing learned of one, no connection and no
+ * request under way is taken for another's. The registry owns instances; one that has left the list
+ * or was followed by the next life stays until nothing refers to it.
  */
 #ifndef TEALSPAR_REGISTRY_H
 #define TEALSPAR_REGISTRY_H
@@ -20,9 +22,16 @@
 #include "tealspar/told_load.h"
 #include "tealspar/travel.h"
 
+/** Names one life of a searcher, between nodes too. */
+typedef struct ts_life {
+    const char *id;
+    uint64_t born_ms; /**< Unix time at which it started, by its own clock; 0: not told */
+} ts_life_t;
+
 /** What discovery says of an instance. */
 typedef struct ts_instance_record {
     char *id;
+    uint64_t born_ms; /**< as in ts_life_t */
     char *service;
     char *address; /**< "IP:port" */
     char *zone;
@@ -37,7 +46,8 @@
 typedef struct ts_registry ts_registry_t;
 
 typedef struct ts_instance {
-    char *id;
+    char *id; /**< of its searcher; not of this life alone */
+    uint64_t born_ms;
     ts_service_t *service; /**< owned by the registry, lives as long */
     struct sockaddr_storage address;
     char *zone;
@@ -114,7 +124,16 @@
 ts_service_t *ts_registry_service(ts_registry_t *registry, const char *name);
 /** The service of a name, or NULL. */
 ts_service_t *ts_registry_find_service(const ts_registry_t *registry, const char *name);
-/** Enters or changes an instance. Returns whether something that matters changed. */
+/**
+ * Whether a record names a back end that can be used: TS_OK, TS_E_ADDRESS, or TS_E_INVALID for an
+ * id that can't stand in a header field, or a service or zone without a name.
+ */
+ts_error_t ts_registry_check(const ts_instance_record_t *record);
+/**
+ * Enters or changes an instance. The caller gives records in the order in which they were written
+ * (revisions of the configuration service), so a life that differs from the present one follows it,
+ * also when it was born sooner by a clock that was set back. Returns whether it is new.
+ */
 bool ts_registry_update(ts_registry_t *registry, const ts_instance_record_t *record,
                         ts_time_us_t now_us);
 /** Discovery no longer names the instance. */
@@ -139,8 +158,12 @@
 /** The shortest and the longest travel to a zone that back ends stand in, in microseconds. */
 double ts_registry_travel_least_us(const ts_registry_t *registry);
 double ts_registry_travel_most_us(const ts_registry_t *registry);
-/** An instance by its id, or NULL. */
-ts_instance_t *ts_registry_instance(const ts_registry_t *registry, const char *id);
+/** The instance that is this life, if it is its searcher's present one; else NULL. */
+ts_instance_t *ts_registry_find(const ts_registry_t *registry, ts_life_t life);
+/** The present life under an id, or NULL. */
+ts_instance_t *ts_registry_present(const ts_registry_t *registry, const char *id);
+/** The life that an instance is; the id is the instance's. */
+ts_life_t ts_instance_life(const ts_instance_t *instance);
 /** What a node has just seen of an instance. */
 typedef enum ts_sighting {
     TS_SIGHTING_SUSPECTED, /**< something is overdue there */
@@ -154,7 +177,7 @@
 /** Called when something in an outbox (ts_instance_t) is worth telling; often more than once. */
 typedef void (*ts_registry_evidence_t)(void *ctx);
 void ts_registry_on_evidence(ts_registry_t *registry, ts_registry_evidence_t wake, void *ctx);
-/** Calls `visit(instance, context)` for every instance. */
+/** Calls `visit(instance, context)` for every instance, former lives included. */
 typedef void (*ts_registry_visit_t)(ts_instance_t *instance, void *context);
 void ts_registry_each_instance(ts_registry_t *registry, ts_registry_visit_t visit, void *context);
 /** Calls `visit(name, service, context)` for every service. */
@@ -201,7 +224,7 @@
 
 /** A connection to it that was begun at `begun_us` came up. */
 void ts_instance_note_reached(ts_instance_t *instance, ts_time_us_t begun_us);
-/** Its address refuses connections, or is another one's: ids are never used again. */
+/** Its address refuses connections, or its searcher has begun its next life. */
 void ts_instance_note_ended(ts_instance_t *instance);
 /** What became of it since. */
 ts_instance_fate_t ts_instance_fate(const ts_instance_t *instance, ts_time_us_t since_us,
--- a/lab/standin_searcher.c
+++ b/lab/standin_searcher.c
@@ -2,6 +2,7 @@
 #include "standin_searcher.h"
 
 #include <arpa/inet.h>
+#include <inttypes.h>
 #include <string.h>
 
 #include "../platform/names.h"
@@ -10,6 +11,9 @@
 
 #define HEAD_MAX 65536
 #define BODY_MAX (1U << 20)
+/* When the first life began, and how much later each one after it. */
+#define FIRST_BORN_MS 1700000000000U
+#define LIFE_MS 1000U
 #define BACKLOG 64
 /* Bytes that an answer which is broken off lacks. */
 #define HALF_BROKEN 8
@@ -141,6 +145,17 @@
     return behaviour == LAB_SHEDS ? LAB_ANSWERS : behaviour;
 }
 
+static void start_again(uv_handle_t *socket);
+
+static void socket_closed(uv_handle_t *socket)
+{
+    lab_searcher_t *searcher = socket->data;
+    searcher->is_closed = true;
+    if (searcher->restarts)
+        start_again(socket);
+    searcher->restarts = false;
+}
+
 void lab_searcher_end(lab_searcher_t *searcher, const char *request_id)
 {
     if (searcher->has_ended)
@@ -148,7 +163,8 @@
     searcher->has_ended = true;
     if (searcher->ops != NULL && searcher->ops->ended != NULL)
         searcher->ops->ended(searcher->ctx, searcher, request_id);
-    uv_close((uv_handle_t *)&searcher->socket, NULL);
+    searcher->is_closed = false;
+    uv_close((uv_handle_t *)&searcher->socket, socket_closed);
     while (searcher->visitors->len > 0)
         close_visitor(g_ptr_array_index(searcher->visitors, 0), true);
 }
@@ -322,6 +338,32 @@
     uv_read_start((uv_stream_t *)&visitor->socket, allocate, read_bytes);
 }
 
+static void listen_at(lab_searcher_t *searcher, int port)
+{
+    struct sockaddr_in address;
+    uv_tcp_init(searcher->loop, &searcher->socket);
+    searcher->socket.data = searcher;
+    uv_ip4_addr("127.0.0.1", port, &address);
+    uv_tcp_bind(&searcher->socket, (const struct sockaddr *)&address, 0);
+    uv_listen((uv_stream_t *)&searcher->socket, BACKLOG, accept_visitor);
+}
+
+static void start_again(uv_handle_t *socket)
+{
+    lab_searcher_t *searcher = socket->data;
+    searcher->has_ended = false;
+    listen_at(searcher, (int)searcher->port);
+}
+
+void lab_searcher_restart(lab_searcher_t *searcher)
+{
+    searcher->born_ms += LIFE_MS;
+    if (uv_is_closing((const uv_handle_t *)&searcher->socket) && searcher->is_closed)
+        start_again((uv_handle_t *)&searcher->socket);
+    else
+        searcher->restarts = true; // as soon as the socket is closed
+}
+
 lab_searcher_t *lab_searcher_open(uv_loop_t *loop, const char *id, const char *service,
                                   const char *zone)
 {
@@ -334,11 +376,9 @@
     searcher->body = g_string_new("0123456789abcdef");
     searcher->heads = g_ptr_array_new_with_free_func(g_free);
     searcher->visitors = g_ptr_array_new();
-    uv_tcp_init(loop, &searcher->socket);
-    searcher->socket.data = searcher;
-    uv_ip4_addr("127.0.0.1", 0, &address);
-    uv_tcp_bind(&searcher->socket, (const struct sockaddr *)&address, 0);
-    uv_listen((uv_stream_t *)&searcher->socket, BACKLOG, accept_visitor);
+    searcher->loop = loop;
+    searcher->born_ms = FIRST_BORN_MS;
+    listen_at(searcher, 0);
     uv_tcp_getsockname(&searcher->socket, (struct sockaddr *)&address, &length);
     searcher->port = ntohs(address.sin_port);
     return searcher;
@@ -347,10 +387,11 @@
 char *lab_searcher_entry(const lab_searcher_t *searcher, bool is_draining)
 {
     return g_strdup_printf("{\"%s\":\"%s\",\"%s\":\"127.0.0.1:%u\",\"%s\":\"%s\",\"%s\":4,"
-                           "\"%s\":\"%s\",\"%s\":0}",
+                           "\"%s\":\"%s\",\"%s\":0,\"%s\":%" PRIu64 "}",
                            FIELD_SERVICE, searcher->service, FIELD_ADDRESS, searcher->port,
                            FIELD_ZONE, searcher->zone, FIELD_SLOTS, FIELD_STATE,
-                           is_draining ? WORD_DRAINING : "ready", FIELD_WARMUP_MS);
+                           is_draining ? WORD_DRAINING : WORD_READY, FIELD_WARMUP_MS, FIELD_BORN,
+                           searcher->born_ms);
 }
 
 char *lab_searcher_last_field(const lab_searcher_t *searcher, const char *name)
--- a/lab/standin_searcher.h
+++ b/lab/standin_searcher.h
@@ -48,21 +48,25 @@
     char *service;
     char *zone;
     unsigned port;
+    uint64_t born_ms; /**< as its entry tells it; rises with each life */
     lab_behaviour_t behaviour;
     unsigned delay_ms;   /**< before it answers */
     unsigned forgets_ms; /**< connections that rest longer are reset at the next bytes; 0: none */
     unsigned connections_max; /**< more at once are reset; 0: any number */
     const char *crashes_on; /**< it ends in place of answering targets with this text; NULL: none */
-    bool has_ended;         /**< it listens no more and its connections are reset */
-    GPtrArray *visitors;    /**< connections that are open */
-    GString *body;          /**< of its answers */
-    unsigned runs;          /**< requests it ran */
-    unsigned misdirected;   /**< requests meant for another */
-    unsigned connections;   /**< accepted so far */
-    unsigned open;          /**< connections open now */
-    unsigned resets;        /**< connections reset for the two reasons above */
-    unsigned closed_early;  /**< connections that ended while it worked */
-    GPtrArray *heads;       /**< texts of the requests it got: target, fields, body; not with ops */
+    uv_loop_t *loop;
+    bool is_closed;        /**< the socket of the life that ended is closed */
+    bool restarts;         /**< it begins its next life when that is so */
+    bool has_ended;        /**< it listens no more and its connections are reset */
+    GPtrArray *visitors;   /**< connections that are open */
+    GString *body;         /**< of its answers */
+    unsigned runs;         /**< requests it ran */
+    unsigned misdirected;  /**< requests meant for another */
+    unsigned connections;  /**< accepted so far */
+    unsigned open;         /**< connections open now */
+    unsigned resets;       /**< connections reset for the two reasons above */
+    unsigned closed_early; /**< connections that ended while it worked */
+    GPtrArray *heads;      /**< texts of the requests it got: target, fields, body; not with ops */
     const lab_searcher_ops_t *ops; /**< NULL: `body` for every request */
     void *ctx;
 } lab_searcher_t;
@@ -75,6 +79,8 @@
  * connections are reset.
  */
 void lab_searcher_end(lab_searcher_t *searcher, const char *request_id);
+/** One that has ended begins its next life: it listens again at its address and knows nothing. */
+void lab_searcher_restart(lab_searcher_t *searcher);
 /** Its entry of the registry, as JSON; g_free. */
 char *lab_searcher_entry(const lab_searcher_t *searcher, bool is_draining);
 /** Value of a field in the latest request it got, or NULL; g_free. */
--- a/src/control/store_mirror.c
+++ b/src/control/store_mirror.c
@@ -9,6 +9,9 @@
 /* The news that an entry is gone is kept for peers that were away. */
 #define GONE_KEPT_US (60 * TS_US_PER_S)
 
+/* Bytes of an entry's id in the line that tells that it is refused. */
+#define REFUSED_ID_MAX 64
+
 typedef struct kept {
     ts_store_entry_t entry;
     ts_time_us_t changed_us;
@@ -59,6 +62,19 @@
     ts_problems_clear(&problems);
 }
 
+/*
+ * An entry that names no back end to use: one that was good before has left. Told once for each
+ * change of the entry.
+ */
+static void refuse_instance(ts_registry_t *registry, const ts_store_entry_t *entry,
+                            ts_error_t error, ts_time_us_t now_us)
+{
+    ts_count_error(error);
+    ts_log(TS_EVENT_BACKEND_REFUSED, "entry=%.*s reason=%s bytes=%zu", REFUSED_ID_MAX, entry->id,
+           ts_error_name(error), entry->length);
+    ts_registry_remove(registry, entry->id, now_us);
+}
+
 static void apply_instance(ts_store_mirror_t *mirror, const ts_store_entry_t *entry,
                            ts_time_us_t now_us)
 {
@@ -69,11 +85,12 @@
     }
     ts_instance_record_t record = {0};
     ts_error_t error = mirror->gateway->dialect->read_instance(entry, &record);
-    if (error == TS_OK) {
+    if (error == TS_OK)
+        error = ts_registry_check(&record);
+    if (error == TS_OK)
         (void)ts_registry_update(registry, &record, now_us);
-    } else {
-        ts_count_error(error);
-    }
+    else
+        refuse_instance(registry, entry, error, now_us);
     ts_instance_record_clear(&record);
 }
 
--- a/src/edge/broken_sends.c
+++ b/src/edge/broken_sends.c
@@ -10,12 +10,19 @@
 #define LOOK_MS 5U
 /* More at once are not looked into: requests under these are not suspected. */
 #define UNEXPLAINED_MAX 1024U
+/*
+ * A back end may start again under its id and address within the round trip of a check, which then
+ * meets its next life: discovery tells of that within this time (a write and its way through the
+ * zone's watcher, 0.5 s at most seen, and a margin), and the send is looked at again.
+ */
+#define NEXT_LIFE_US (2 * TS_US_PER_S)
 
 typedef struct unexplained {
     ts_outgoing_t *outgoing; /* a reference */
     ts_instance_t *instance; /* a reference */
     ts_time_us_t broken_us;
     bool is_lone;
+    bool has_trial_ended; /* a check met its back end, or the next life of it */
 } unexplained_t;
 
 struct ts_broken_sends {
@@ -54,32 +61,47 @@
     return true;
 }
 
-static bool explain(const ts_broken_sends_t *broken, const unexplained_t *send, ts_time_us_t now_us)
+static bool explain(const ts_broken_sends_t *broken, unexplained_t *send, ts_time_us_t now_us)
 {
     switch (ts_instance_fate(send->instance, send->broken_us, now_us)) {
     case TS_FATE_UNKNOWN:
         return false;
     case TS_FATE_LIVES:
-        if (send->is_lone)
+        if (send->is_lone && !send->has_trial_ended)
             ts_quarantine_end_trial(broken->quarantine, ts_outgoing_digest(send->outgoing), now_us);
-        return true;
+        send->has_trial_ended = true;
+        return now_us - send->broken_us > NEXT_LIFE_US;
     case TS_FATE_ENDED:
         return take_end(broken, send, now_us);
     }
     return true;
 }
 
+static void forget_send(ts_broken_sends_t *broken, guint i)
+{
+    unexplained_t send = g_array_index(broken->sends, unexplained_t, i);
+    g_array_remove_index_fast(broken->sends, i);
+    send.instance->references--;
+    ts_outgoing_unref(send.outgoing);
+}
+
+/* Makes room for one more, from those whose back ends were met; returns whether there is some. */
+static bool make_room(ts_broken_sends_t *broken)
+{
+    for (guint i = 0; broken->sends->len >= UNEXPLAINED_MAX && i < broken->sends->len; i++) {
+        if (g_array_index(broken->sends, unexplained_t, i).has_trial_ended)
+            forget_send(broken, i);
+    }
+    return broken->sends->len < UNEXPLAINED_MAX;
+}
+
 static void look(uv_timer_t *timer)
 {
     ts_broken_sends_t *broken = timer->data;
     ts_time_us_t now_us = ts_clock_now_us();
     for (guint i = broken->sends->len; i > 0; i--) {
-        unexplained_t send = g_array_index(broken->sends, unexplained_t, i - 1);
-        if (!explain(broken, &send, now_us))
-            continue;
-        g_array_remove_index_fast(broken->sends, i - 1);
-        send.instance->references--;
-        ts_outgoing_unref(send.outgoing);
+        if (explain(broken, &g_array_index(broken->sends, unexplained_t, i - 1), now_us))
+            forget_send(broken, i - 1);
     }
     if (broken->sends->len == 0)
         uv_timer_stop(timer);
@@ -103,10 +125,12 @@
     ts_count(TS_COUNTER_SENDS_BROKEN, 1);
     log_broken(send);
     bool is_innocent = send->outgoing->has_run_whole && !send->is_lone;
-    if (is_innocent || broken->sends->len >= UNEXPLAINED_MAX)
+    if (is_innocent || !make_room(broken))
         return;
-    unexplained_t unexplained = {ts_outgoing_ref(send->outgoing), send->instance, ts_clock_now_us(),
-                                 send->is_lone};
+    unexplained_t unexplained = {.outgoing = ts_outgoing_ref(send->outgoing),
+                                 .instance = send->instance,
+                                 .broken_us = ts_clock_now_us(),
+                                 .is_lone = send->is_lone};
     send->instance->references++;
     g_array_append_val(broken->sends, unexplained);
     ts_instance_checks_begin(broken->checks, send->instance);
--- a/src/edge/gateway.c
+++ b/src/edge/gateway.c
@@ -206,7 +206,7 @@
 static void tell_peers(void *ctx, const ts_instance_t *instance, ts_sighting_t sighting)
 {
     const ts_gateway_t *gateway = ctx;
-    ts_peers_tell(gateway->peers, instance->id, sighting);
+    ts_peers_tell(gateway->peers, ts_instance_life(instance), sighting);
 }
 
 /* How many resting connections to an instance this node keeps; worked out when the fleet changes.
--- a/src/peers/peers_evidence.c
+++ b/src/peers/peers_evidence.c
@@ -108,6 +108,7 @@
     }
     TsPeer__EvidenceRow row = TS_PEER__EVIDENCE_ROW__INIT;
     row.instance = instance->id;
+    row.born_ms = instance->born_ms;
     row.answers = (float)instance->outbox.answers;
     row.failures = (float)instance->outbox.failures;
     row.timed = (float)instance->outbox.timed;
@@ -169,6 +170,7 @@
     ts_evidence_set(&instance->heard, &sums, batch->now_us);
     TsPeer__EvidenceRow row = TS_PEER__EVIDENCE_ROW__INIT;
     row.instance = instance->id;
+    row.born_ms = instance->born_ms;
     row.answers = (float)sums.answers;
     row.failures = (float)sums.failures;
     row.timed = (float)sums.slots;
@@ -245,9 +247,10 @@
     }
     for (size_t i = 0; i < evidence->n_rows; i++) {
         const TsPeer__EvidenceRow *row = evidence->rows[i];
-        ts_instance_t *instance = ts_registry_instance(peers->gateway->registry, row->instance);
+        ts_life_t life = {row->instance, row->born_ms};
+        ts_instance_t *instance = ts_registry_find(peers->gateway->registry, life);
         if (instance == NULL)
-            continue; // not known here yet, or no longer
+            continue; // that life is not known here yet, or no longer the present one
         if (evidence->is_sums)
             take_sums(instance, row, now_us);
         else
--- a/src/peers/peers_sightings.c
+++ b/src/peers/peers_sightings.c
@@ -52,7 +52,8 @@
 
 void ts_peers_take_sighting(ts_peers_t *peers, TsPeer__Sighting *row)
 {
-    ts_instance_t *instance = ts_registry_instance(peers->gateway->registry, row->instance);
+    ts_life_t life = {row->instance, row->born_ms};
+    ts_instance_t *instance = ts_registry_find(peers->gateway->registry, life);
     ts_sighting_t sighting = row->suspected ? TS_SIGHTING_SUSPECTED : TS_SIGHTING_ANSWERS;
     if (instance != NULL)
         ts_instance_hear(instance, sighting, ts_clock_now_us());
@@ -62,10 +63,11 @@
     }
 }
 
-void ts_peers_tell(ts_peers_t *peers, const char *instance, ts_sighting_t sighting)
+void ts_peers_tell(ts_peers_t *peers, ts_life_t life, ts_sighting_t sighting)
 {
     TsPeer__Sighting row = TS_PEER__SIGHTING__INIT;
-    row.instance = (char *)instance;
+    row.instance = (char *)life.id;
+    row.born_ms = life.born_ms;
     row.suspected = sighting == TS_SIGHTING_SUSPECTED;
     send_sighting(peers, &row);
     send_to_region(peers, &row);
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -790,7 +790,7 @@
   (ProtobufCMessageInit) ts_peer__changes__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ts_peer__sighting__field_descriptors[3] =
+static const ProtobufCFieldDescriptor ts_peer__sighting__field_descriptors[4] =
 {
   {
     "instance",
@@ -828,8 +828,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "born_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Sighting, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ts_peer__sighting__field_indices_by_name[] = {
+  3,   /* field[3] = born_ms */
   0,   /* field[0] = instance */
   2,   /* field[2] = relay */
   1,   /* field[1] = suspected */
@@ -838,7 +851,7 @@
 {
   { 1, 0 },
   { 4, 2 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor ts_peer__sighting__descriptor =
 {
@@ -848,7 +861,7 @@
   "TsPeer__Sighting",
   "ts_peer",
   sizeof(TsPeer__Sighting),
-  3,
+  4,
   ts_peer__sighting__field_descriptors,
   ts_peer__sighting__field_indices_by_name,
   2,  ts_peer__sighting__number_ranges,
@@ -906,7 +919,7 @@
   (ProtobufCMessageInit) ts_peer__loan__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ts_peer__evidence_row__field_descriptors[5] =
+static const ProtobufCFieldDescriptor ts_peer__evidence_row__field_descriptors[6] =
 {
   {
     "instance",
@@ -968,9 +981,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "born_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__EvidenceRow, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ts_peer__evidence_row__field_indices_by_name[] = {
   1,   /* field[1] = answers */
+  5,   /* field[5] = born_ms */
   2,   /* field[2] = failures */
   0,   /* field[0] = instance */
   4,   /* field[4] = log_ratio */
@@ -979,7 +1005,7 @@
 static const ProtobufCIntRange ts_peer__evidence_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor ts_peer__evidence_row__descriptor =
 {
@@ -989,7 +1015,7 @@
   "TsPeer__EvidenceRow",
   "ts_peer",
   sizeof(TsPeer__EvidenceRow),
-  5,
+  6,
   ts_peer__evidence_row__field_descriptors,
   ts_peer__evidence_row__field_indices_by_name,
   1,  ts_peer__evidence_row__number_ranges,
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -121,10 +121,14 @@
    * the receiver is to tell its own zone
    */
   protobuf_c_boolean relay;
+  /*
+   * with the instance's id names one of its lives; 0: not told
+   */
+  uint64_t born_ms;
 };
 #define TS_PEER__SIGHTING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ts_peer__sighting__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
@@ -161,10 +165,14 @@
    * sum over these of ln(time / usual time)
    */
   float log_ratio;
+  /*
+   * as in Sighting
+   */
+  uint64_t born_ms;
 };
 #define TS_PEER__EVIDENCE_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ts_peer__evidence_row__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 struct  TsPeer__Evidence
--- a/src/registry/instance_fate.c
+++ b/src/registry/instance_fate.c
@@ -1,4 +1,6 @@
 /** Whether an instance still lives after a send to it was broken off. */
+#include <inttypes.h>
+
 #include "tealspar/counters.h"
 #include "tealspar/log.h"
 #include "tealspar/registry.h"
@@ -17,8 +19,8 @@
         return;
     instance->has_ended = true;
     ts_count(TS_COUNTER_INSTANCES_ENDED, 1);
-    ts_log(TS_EVENT_BACKEND_STATE, "instance=%s service=%s zone=%s state=ended", instance->id,
-           instance->service->name, instance->zone);
+    ts_log(TS_EVENT_BACKEND_STATE, "instance=%s born=%" PRIu64 " service=%s zone=%s state=ended",
+           instance->id, instance->born_ms, instance->service->name, instance->zone);
 }
 
 ts_instance_fate_t ts_instance_fate(const ts_instance_t *instance, ts_time_us_t since_us,
--- a/src/registry/registry.c
+++ b/src/registry/registry.c
@@ -1,6 +1,7 @@
 /** The registry of back ends. */
 #include "tealspar/registry.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 #include "tealspar/address.h"
@@ -10,12 +11,15 @@
 
 /* One that has left is forgotten after this, when it has no connections. */
 #define FORGET_US (10 * TS_US_PER_S)
+/* Bytes of an id, which goes into a header field of each request. */
+#define ID_MAX 256U
 
 struct ts_registry {
     char *zone;
     GHashTable *zones;
     GHashTable *services;  /**< name -> ts_service_t, owned */
-    GHashTable *instances; /**< id -> ts_instance_t, owned */
+    GHashTable *instances; /**< id -> ts_instance_t of its present life, owned */
+    GPtrArray *former;     /**< of ts_instance_t, owned: lives that were followed by another */
     GHashTable *travels;   /**< zone -> ts_travel_t, owned */
     GHashTable *evacuated; /**< set of zones whose back ends are to get nothing */
     double travel_least_us;
@@ -65,6 +69,7 @@
     registry->zones = zones;
     registry->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_service);
     registry->instances = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_instance);
+    registry->former = g_ptr_array_new_with_free_func(free_instance);
     registry->evacuated = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     registry->travels = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return registry;
@@ -74,6 +79,7 @@
 {
     g_hash_table_destroy(registry->services);
     g_hash_table_destroy(registry->instances);
+    g_ptr_array_unref(registry->former);
     g_hash_table_destroy(registry->travels);
     g_hash_table_destroy(registry->evacuated);
     g_free(registry->zone);
@@ -170,6 +176,7 @@
 {
     ts_instance_t *instance = g_new0(ts_instance_t, 1);
     instance->id = g_strdup(record->id);
+    instance->born_ms = record->born_ms;
     instance->zone = g_strdup(record->zone);
     locate(registry, instance);
     instance->is_evacuated = ts_registry_is_evacuated(registry, record->zone);
@@ -183,8 +190,8 @@
 
 static void log_state(const ts_instance_t *instance, const char *state)
 {
-    ts_log(TS_EVENT_BACKEND_STATE, "instance=%s service=%s zone=%s state=%s", instance->id,
-           instance->service->name, instance->zone, state);
+    ts_log(TS_EVENT_BACKEND_STATE, "instance=%s born=%" PRIu64 " service=%s zone=%s state=%s",
+           instance->id, instance->born_ms, instance->service->name, instance->zone, state);
 }
 
 static void set_draining(ts_instance_t *instance, bool is_draining, ts_time_us_t now_us)
@@ -197,6 +204,57 @@
     log_state(instance, is_draining ? "draining" : "ready");
 }
 
+static void unlist(ts_instance_t *instance, ts_time_us_t now_us)
+{
+    if (!instance->is_listed) {
+        return;
+    }
+    instance->is_listed = false;
+    if (!instance->is_draining) {
+        instance->left_us = now_us;
+    }
+    log_state(instance, "gone");
+}
+
+static bool is_header_text(const char *text)
+{
+    size_t length = strlen(text);
+    for (size_t i = 0; i < length; i++)
+        if (!g_ascii_isgraph(text[i]))
+            return false;
+    return length > 0 && length <= ID_MAX;
+}
+
+ts_error_t ts_registry_check(const ts_instance_record_t *record)
+{
+    struct sockaddr_storage address;
+    if (!is_header_text(record->id) || record->service[0] == '\0' || record->zone[0] == '\0')
+        return TS_E_INVALID;
+    return ts_address_parse(record->address, &address);
+}
+
+/*
+ * The next life of a searcher begins: nothing is sent to the one before any more, and what was
+ * under way there is judged by it. It is no candidate from now on, unlike one that only left the
+ * list.
+ */
+static void end_life(ts_registry_t *registry, ts_instance_t *instance, ts_time_us_t now_us)
+{
+    unlist(instance, now_us);
+    ts_instance_note_ended(instance);
+    g_ptr_array_remove_fast(instance->service->instances, instance);
+    g_hash_table_steal(registry->instances, instance->id);
+    g_ptr_array_add(registry->former, instance);
+    ts_count(TS_COUNTER_INSTANCES_REBORN, 1);
+}
+
+/* One that tells no birth has begun another life if it is listed again after it had ended. */
+static bool is_same_life(const ts_instance_t *instance, const ts_instance_record_t *record)
+{
+    bool is_back = !instance->is_listed && instance->has_ended && record->born_ms == 0;
+    return instance->born_ms == record->born_ms && !is_back;
+}
+
 bool ts_registry_update(ts_registry_t *registry, const ts_instance_record_t *record,
                         ts_time_us_t now_us)
 {
@@ -206,6 +264,10 @@
         return false;
     }
     ts_instance_t *instance = g_hash_table_lookup(registry->instances, record->id);
+    if (instance != NULL && !is_same_life(instance, record)) {
+        end_life(registry, instance, now_us);
+        instance = NULL;
+    }
     bool is_new = instance == NULL;
     if (is_new) {
         instance = add_instance(registry, record);
@@ -269,18 +331,6 @@
 
 /* -- Leaving ----------------------------------------------------------------------------------- */
 
-static void unlist(ts_instance_t *instance, ts_time_us_t now_us)
-{
-    if (!instance->is_listed) {
-        return;
-    }
-    instance->is_listed = false;
-    if (!instance->is_draining) {
-        instance->left_us = now_us;
-    }
-    log_state(instance, "gone");
-}
-
 void ts_registry_remove(ts_registry_t *registry, const char *id, ts_time_us_t now_us)
 {
     ts_instance_t *instance = g_hash_table_lookup(registry->instances, id);
@@ -301,6 +351,13 @@
     }
 }
 
+static bool is_forgettable(const ts_instance_t *instance, ts_time_us_t now_us)
+{
+    bool is_unused =
+        instance->connections == 0 && instance->in_flight == 0 && instance->references == 0;
+    return !instance->is_listed && is_unused && now_us - instance->left_us > FORGET_US;
+}
+
 void ts_registry_sweep(ts_registry_t *registry, ts_time_us_t now_us)
 {
     GHashTableIter iterator;
@@ -308,20 +365,33 @@
     g_hash_table_iter_init(&iterator, registry->instances);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         ts_instance_t *instance = value;
-        bool is_unused =
-            instance->connections == 0 && instance->in_flight == 0 && instance->references == 0;
-        if (!instance->is_listed && is_unused && now_us - instance->left_us > FORGET_US) {
-            g_ptr_array_remove_fast(instance->service->instances, instance);
-            g_hash_table_iter_remove(&iterator);
-        }
+        if (!is_forgettable(instance, now_us))
+            continue;
+        g_ptr_array_remove_fast(instance->service->instances, instance);
+        g_hash_table_iter_remove(&iterator);
+    }
+    for (guint i = registry->former->len; i > 0; i--) {
+        if (is_forgettable(g_ptr_array_index(registry->former, i - 1), now_us))
+            g_ptr_array_remove_index_fast(registry->former, i - 1);
     }
 }
 
-ts_instance_t *ts_registry_instance(const ts_registry_t *registry, const char *id)
+ts_instance_t *ts_registry_find(const ts_registry_t *registry, ts_life_t life)
+{
+    ts_instance_t *instance = g_hash_table_lookup(registry->instances, life.id);
+    return instance != NULL && instance->born_ms == life.born_ms ? instance : NULL;
+}
+
+ts_instance_t *ts_registry_present(const ts_registry_t *registry, const char *id)
 {
     return g_hash_table_lookup(registry->instances, id);
 }
 
+ts_life_t ts_instance_life(const ts_instance_t *instance)
+{
+    return (ts_life_t){instance->id, instance->born_ms};
+}
+
 void ts_registry_on_sighting(ts_registry_t *registry, ts_registry_seen_t seen, void *ctx)
 {
     registry->seen = seen;
@@ -355,6 +425,8 @@
     g_hash_table_iter_init(&iterator, registry->instances);
     while (g_hash_table_iter_next(&iterator, NULL, &value))
         visit(value, context);
+    for (guint i = 0; i < registry->former->len; i++)
+        visit(g_ptr_array_index(registry->former, i), context);
 }
 
 void ts_registry_each_service(ts_registry_t *registry, GHFunc visit, void *context)
--- a/tests/gateway/test_crashing_requests.c
+++ b/tests/gateway/test_crashing_requests.c
@@ -277,6 +277,42 @@
     }
 }
 
+/* Those that have ended begin their next lives at once, under their ids and at their addresses. */
+static void restart_ended(fleet_t *fleet)
+{
+    for (unsigned i = 0; i < SHARDS; i++) {
+        for (unsigned j = 0; j < REPLICAS; j++) {
+            lab_searcher_t *searcher = fleet->searchers[i][j];
+            if (!searcher->has_ended || searcher->restarts)
+                continue;
+            lab_searcher_restart(searcher);
+            world_enter_existing(fleet->world, searcher);
+            fleet->ended++;
+        }
+    }
+}
+
+/*
+ * Back ends that are back before anybody looks whether they live: what a check meets there is their
+ * next life, and the request is contained all the same.
+ */
+static void test_next_life_is_not_taken_for_the_one_before(void **state)
+{
+    fleet_t fleet = open_fleet(ROUTES);
+    for (unsigned i = 0; i < 2 * TRIES; i++) {
+        visit_t *visit = ask(&fleet, i % NODES, FATAL);
+        for (unsigned j = 0; j < 60; j++) { // while it runs and after it
+            world_run_ms(fleet.world, 5);
+            restart_ended(&fleet);
+        }
+        assert_int_not_equal(await_status(&fleet, visit), 200);
+        world_run_ms(fleet.world, 300);
+    }
+    if (fleet.ended > SHARDS + ENDS_MORE)
+        print_error("%u ended\n", fleet.ended);
+    assert_true(fleet.ended <= SHARDS + ENDS_MORE);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -286,6 +322,7 @@
         cmocka_unit_test(test_passengers_are_served),
         cmocka_unit_test(test_starting_node_knows),
         cmocka_unit_test(test_tries_at_once),
+        cmocka_unit_test(test_next_life_is_not_taken_for_the_one_before),
         cmocka_unit_test(test_resets_speak_against_nobody),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/gateway/test_peers.c
+++ b/tests/gateway/test_peers.c
@@ -203,9 +203,9 @@
 static void test_suspicion_is_shared_in_the_zone(void **state)
 {
     fleet_t fleet = open_fleet();
-    ts_instance_t *own = ts_registry_instance(fleet.nodes[0]->registry, "i-1");
-    ts_instance_t *theirs = ts_registry_instance(fleet.nodes[1]->registry, "i-1");
-    ts_instance_t *far = ts_registry_instance(fleet.nodes[3]->registry, "i-1");
+    ts_instance_t *own = ts_registry_present(fleet.nodes[0]->registry, "i-1");
+    ts_instance_t *theirs = ts_registry_present(fleet.nodes[1]->registry, "i-1");
+    ts_instance_t *far = ts_registry_present(fleet.nodes[3]->registry, "i-1");
     ts_time_us_t now_us = ts_clock_now_us();
     ts_instance_note_overdue(own, now_us - 50 * TS_US_PER_MS, now_us);
     world_run_ms(fleet.world, 100);
@@ -227,7 +227,7 @@
 
 static ts_instance_t *instance_at(const fleet_t *fleet, int node)
 {
-    return ts_registry_instance(fleet->nodes[node]->registry, "i-1");
+    return ts_registry_present(fleet->nodes[node]->registry, "i-1");
 }
 
 static int find_collector(const fleet_t *fleet)
@@ -299,13 +299,15 @@
     assert_true(await_failing(&fleet, collector == 3 ? 2 : 3, 0.4));
 }
 
-static void give_sums(ts_peers_t *peers, uint32_t sequence, float failures)
+/* Sums of the life that was born at a moment. */
+static void give_sums_of(ts_peers_t *peers, uint64_t born_ms, uint32_t sequence, float failures)
 {
     TsPeer__EvidenceRow row = TS_PEER__EVIDENCE_ROW__INIT;
     TsPeer__EvidenceRow *rows[] = {&row};
     TsPeer__Evidence evidence = TS_PEER__EVIDENCE__INIT;
     TsPeer__Frame frame = TS_PEER__FRAME__INIT;
     row.instance = "i-1";
+    row.born_ms = born_ms;
     row.answers = 20;
     row.failures = failures;
     evidence.sequence = sequence;
@@ -317,6 +319,26 @@
     ts_peers_take_evidence(peers, &frame);
 }
 
+static void give_sums(ts_peers_t *peers, uint32_t sequence, float failures)
+{
+    ts_instance_t *instance = ts_registry_present(peers->gateway->registry, "i-1");
+    give_sums_of(peers, instance->born_ms, sequence, failures);
+}
+
+/* What is told of a life that a back end has left behind, or that is not known yet, changes
+ * nothing. */
+static void test_evidence_of_another_life_is_ignored(void **state)
+{
+    fleet_t fleet = open_fleet();
+    ts_peers_t *peers = fleet.nodes[0]->peers;
+    uint64_t born_ms = instance_at(&fleet, 0)->born_ms;
+    give_sums_of(peers, born_ms - 1000, 7, 16);
+    give_sums_of(peers, born_ms + 1000, 8, 16);
+    assert_true(ts_instance_failing(instance_at(&fleet, 0), ts_clock_now_us()) < 0.1);
+    give_sums_of(peers, born_ms, 9, 16);
+    assert_true(ts_instance_failing(instance_at(&fleet, 0), ts_clock_now_us()) > 0.6);
+}
+
 /* A message that comes once more, or after a newer one, changes nothing. */
 static void test_replayed_evidence_is_ignored(void **state)
 {
@@ -357,13 +379,13 @@
         for (int i = 0; i < MORE; i++) {
             char id[8];
             g_snprintf(id, sizeof(id), "j-%d", i);
-            ts_instance_t *instance = ts_registry_instance(fleet.nodes[sender]->registry, id);
+            ts_instance_t *instance = ts_registry_present(fleet.nodes[sender]->registry, id);
             ts_instance_note_answer(instance, ts_clock_now_us(), 200000, 10000);
         }
         world_run_ms(fleet.world, 110);
     }
-    const ts_instance_t *own = ts_registry_instance(fleet.nodes[sender]->registry, "j-0");
-    const ts_instance_t *theirs = ts_registry_instance(fleet.nodes[3]->registry, "j-0");
+    const ts_instance_t *own = ts_registry_present(fleet.nodes[sender]->registry, "j-0");
+    const ts_instance_t *theirs = ts_registry_present(fleet.nodes[3]->registry, "j-0");
     assert_true(ts_instance_slowness(own, ts_clock_now_us()) > 2);
     assert_true(ts_instance_slowness(theirs, ts_clock_now_us()) < 1.1);
 }
@@ -385,10 +407,10 @@
         g_snprintf(id, sizeof(id), "j-%d", i);
         int sender = (head + 1 + i % 2) % 3;
         for (int j = 0; j < 6; j++)
-            ts_instance_note_verdict(ts_registry_instance(fleet.nodes[sender]->registry, id), true,
+            ts_instance_note_verdict(ts_registry_present(fleet.nodes[sender]->registry, id), true,
                                      ts_clock_now_us());
     }
-    const ts_instance_t *theirs = ts_registry_instance(fleet.nodes[3]->registry, "j-0");
+    const ts_instance_t *theirs = ts_registry_present(fleet.nodes[3]->registry, "j-0");
     for (int i = 0; i < 100 && ts_instance_failing(theirs, ts_clock_now_us()) < 0.4; i++)
         world_run_ms(fleet.world, 10);
     assert_true(ts_instance_failing(theirs, ts_clock_now_us()) > 0.4);
@@ -430,8 +452,8 @@
     unsigned seen = 0;
     for (int i = 0; i < NODES; i++) {
         const ts_gateway_t *node = fleet.nodes[i];
-        unsigned near = ts_peers_place(node->peers, ts_registry_instance(node->registry, "i-1"));
-        unsigned far = ts_peers_place(node->peers, ts_registry_instance(node->registry, "i-2"));
+        unsigned near = ts_peers_place(node->peers, ts_registry_present(node->registry, "i-1"));
+        unsigned far = ts_peers_place(node->peers, ts_registry_present(node->registry, "i-2"));
         seen |= 1U << near;
         assert_true(i < 3 ? near < 3 : near == 3); /* three nodes stand in the region of i-1 */
         assert_true(i < 3 ? far > 0 : far == 0);
@@ -493,6 +515,7 @@
         cmocka_unit_test(test_evidence_adds_up),
         cmocka_unit_test(test_collector_that_leaves_is_replaced),
         cmocka_unit_test(test_replayed_evidence_is_ignored),
+        cmocka_unit_test(test_evidence_of_another_life_is_ignored),
         cmocka_unit_test(test_own_trouble_is_not_told),
         cmocka_unit_test(test_evidence_of_many_is_passed_on),
         cmocka_unit_test(test_limits_are_divided_by_the_most_nodes_seen),
--- a/tests/gateway/test_store_watch.c
+++ b/tests/gateway/test_store_watch.c
@@ -134,9 +134,25 @@
     assert_true(lab_store_calls(world->store) - calls <= 2);
 }
 
+/* An entry of another writer costs no other one, and a good one that turns bad has left. */
+static void test_entries_of_other_writers(void **state)
+{
+    world_t *world = world_open(NULL);
+    (void)world_add_searcher(world, "i-1", "a", "z1");
+    lab_store_put(world->store, "servers/i-0", "{\"service\":7}");
+    lab_store_put(world->store, "servers/i-2 x", "not to be read");
+    (void)world_add_searcher(world, "i-3", "a", "z1"); // comes after these, and is known
+    assert_int_equal(ts_registry_listed(world->gateway.registry), 2);
+    lab_store_put(world->store, "servers/i-1", "{\"state\":\"resting\"}");
+    world_await_listed(world, 1);
+    assert_false(ts_registry_present(world->gateway.registry, "i-1")->is_listed);
+    assert_true(ts_registry_present(world->gateway.registry, "i-3")->is_listed);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_entries_of_other_writers),
         cmocka_unit_test(test_list_by_pages),
         cmocka_unit_test(test_entry_that_goes),
         cmocka_unit_test(test_forgotten_history),
--- a/tests/platform/test_documents.c
+++ b/tests/platform/test_documents.c
@@ -197,6 +197,99 @@
     ts_store_page_free(page);
 }
 
+static ts_error_t read_entry(const char *value, size_t length, ts_instance_record_t *record)
+{
+    ts_store_entry_t entry = {.kind = TS_STORE_INSTANCE,
+                              .key = "servers/i-1",
+                              .id = "i-1",
+                              .value = (char *)value,
+                              .length = length};
+    return platform()->read_instance(&entry, record);
+}
+
+#define ENTRY(state, slots, warmup, born)                                                          \
+    "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"version\":\"v1\","            \
+    "\"slots\":" slots ",\"state\":" state ",\"warmupLeftMs\":" warmup ",\"born\":" born           \
+    ",\"callSeq\":4}"
+
+static void test_entry_of_a_searcher(void **state)
+{
+    const char *text = ENTRY("\"draining\"", "4", "20", "1775471149069");
+    ts_instance_record_t record = {0};
+    assert_int_equal(read_entry(text, strlen(text), &record), TS_OK);
+    assert_true(record.is_draining && record.slots == 4 && record.warmup_left_ms == 20);
+    assert_true(record.born_ms == 1775471149069ULL);
+    ts_instance_record_clear(&record);
+    const char *older = "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":1,"
+                        "\"state\":\"ready\",\"warmupLeftMs\":0}";
+    assert_int_equal(read_entry(older, strlen(older), &record), TS_OK);
+    assert_true(record.born_ms == 0 && !record.is_draining);
+    ts_instance_record_clear(&record);
+}
+
+/* Entries of other writers: they name no back end. */
+static void test_entries_of_other_writers(void **state)
+{
+    static const char *const texts[] = {
+        "",
+        "null",
+        "7",
+        "[]",
+        "{}",
+        "{\"service\":\"s\"}",
+        "\xff\xfe\x00",
+        "{\"service\":\"\xff\"}",
+        ENTRY("\"starting\"", "4", "0", "1"),
+        ENTRY("null", "4", "0", "1"),
+        ENTRY("1", "4", "0", "1"),
+        ENTRY("\"READY\"", "4", "0", "1"),
+        ENTRY("\"ready\"", "0", "0", "1"),
+        ENTRY("\"ready\"", "-1", "0", "1"),
+        ENTRY("\"ready\"", "4.5", "0", "1"),
+        ENTRY("\"ready\"", "\"4\"", "0", "1"),
+        ENTRY("\"ready\"", "1e400", "0", "1"),
+        ENTRY("\"ready\"", "NaN", "0", "1"),
+        ENTRY("\"ready\"", "99999999999999999999", "0", "1"),
+        ENTRY("\"ready\"", "1000001", "0", "1"),
+        ENTRY("\"ready\"", "4", "-5", "1"),
+        ENTRY("\"ready\"", "4", "true", "1"),
+        ENTRY("\"ready\"", "4", "0", "1.5"),
+        ENTRY("\"ready\"", "4", "0", "-1"),
+        ENTRY("\"ready\"", "4", "0", "\"1\""),
+        ENTRY("\"ready\"", "4", "0", "null"),
+        ENTRY("\"ready\"", "4,\"slots\":5", "0", "1"),
+        ENTRY("\"ready\"", "4", "0", "1") "x",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+        ts_instance_record_t record = {0};
+        if (read_entry(texts[i], strlen(texts[i]), &record) == TS_OK)
+            fail_msg("taken: %s", texts[i]);
+        ts_instance_record_clear(&record);
+    }
+}
+
+/* Bytes of any kind, and good entries with a few bytes changed. */
+static void test_entries_of_any_bytes(void **state)
+{
+    GRand *random = g_rand_new_with_seed(44);
+    const char *good = ENTRY("\"ready\"", "4", "0", "1775471149069");
+    size_t length = strlen(good);
+    for (int i = 0; i < 20000; i++) {
+        char *bytes = g_memdup2(good, length + 1);
+        for (int j = g_rand_int_range(random, 1, 6); j > 0; j--)
+            bytes[g_rand_int_range(random, 0, (gint32)length)] = (char)g_rand_int(random);
+        ts_instance_record_t record = {0};
+        size_t cut = (size_t)g_rand_int_range(random, 0, (gint32)length + 1);
+        if (read_entry(bytes, i % 2 == 0 ? length : cut, &record) == TS_OK) {
+            assert_true(record.slots >= 1 && record.slots <= 1000000);
+            assert_true(record.service != NULL && record.address != NULL && record.zone != NULL);
+        }
+        ts_instance_record_clear(&record);
+        g_free(bytes);
+    }
+    g_rand_free(random);
+}
+
 static void test_pages_that_are_none(void **state)
 {
     static const char *const texts[] = {"",
@@ -222,6 +315,9 @@
         cmocka_unit_test(test_load_that_is_told),
         cmocka_unit_test(test_what_is_refused_is_named),
         cmocka_unit_test(test_page_with_changes),
+        cmocka_unit_test(test_entry_of_a_searcher),
+        cmocka_unit_test(test_entries_of_other_writers),
+        cmocka_unit_test(test_entries_of_any_bytes),
         cmocka_unit_test(test_pages_that_are_none),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/route/test_gateway_decisions.c
+++ b/tests/route/test_gateway_decisions.c
@@ -165,8 +165,8 @@
 
 static ts_instance_t *add(ts_registry_t *registry, const char *id, const char *zone)
 {
-    ts_instance_record_t record = {
-        g_strdup(id), g_strdup("s"), g_strdup("127.0.0.1:80"), g_strdup(zone), 4, false, 0};
+    ts_instance_record_t record = {g_strdup(id),   0, g_strdup("s"), g_strdup("127.0.0.1:80"),
+                                   g_strdup(zone), 4, false,         0};
     ts_registry_update(registry, &record, 1);
     ts_instance_record_clear(&record);
     ts_service_t *service = ts_registry_service(registry, "s");
@@ -510,10 +510,10 @@
     near->references = 1;
     ts_registry_remove(registry, "near", TS_US_PER_S);
     ts_registry_sweep(registry, 20 * TS_US_PER_S);
-    assert_ptr_equal(ts_registry_instance(registry, "near"), near);
+    assert_ptr_equal(ts_registry_present(registry, "near"), near);
     near->references = 0;
     ts_registry_sweep(registry, 20 * TS_US_PER_S);
-    assert_null(ts_registry_instance(registry, "near"));
+    assert_null(ts_registry_present(registry, "near"));
 }
 
 /* What all nodes keep together stays within two thirds of the limit, and nothing of that is lost.
