A dial to a peer that hangs is given up: peers are reached soon after a cut

Callers saw: tenants below their limit refused for ten seconds after a cut of nine had ended (503 unconfirmed, 429). Cause: nothing gave up a dial that brings no connection. The kernel repeats its opening packet at gaps that double, so that a dial begun in the cut goes on as long after it as the cut was; homes and deputies of limits that all views held live answered nothing. Ruled out: views (whole two seconds after the heal, by member_state lines), homes that doubt themselves (they answer). Holds because the bound is on the dial itself, whatever it was begun for, and each frame sent after it begins a new one. Read for the same: back ends (1 s), checks of back ends, the configuration service: all have their bound.

--- a/src/peers/peer_link.c
+++ b/src/peers/peer_link.c
@@ -23,6 +23,12 @@
 #define MESSAGE_BYTES_MAX (16UL * 1024UL * 1024UL)
 #define RECONNECT_LEAST_MS 100
 #define RECONNECT_MOST_MS 1000
+/*
+ * A dial that has no connection after this is given up for a new one: the opening packet was lost,
+ * in a cut or at a full queue, and the kernel repeats it at gaps that double, so that a node which
+ * is reachable again would not be reached for as long as it was cut off.
+ */
+#define DIAL_MOST_US (1ULL * TS_US_PER_S)
 /* Longer than a round of the messages that go on between two nodes; a seed would keep a connection
  * to each node that has ever asked it. */
 #define IDLE_CLOSE_US (8ULL * TS_US_PER_S)
@@ -32,7 +38,8 @@
     nng_socket socket;
     uint32_t dial; /* which opening of a socket this is; names it on nng's threads */
     bool is_open;
-    ts_time_us_t connected_us; /* when that came up */
+    ts_time_us_t dialled_us;   /* when its socket was opened, or lost its connection */
+    ts_time_us_t connected_us; /* when its connection came up */
     int pipe;                  /* nng's number of its connection; 0: it has none */
     GQueue waiting;            /* of nng_msg, until it is connected */
     ts_time_us_t used_us;
@@ -148,6 +155,7 @@
     nng_socket_set_ms(peer->socket, NNG_OPT_RECONNMINT, RECONNECT_LEAST_MS);
     nng_socket_set_ms(peer->socket, NNG_OPT_RECONNMAXT, RECONNECT_MOST_MS);
     peer->is_open = true;
+    peer->dialled_us = ts_clock_now_us();
     ts_count(TS_COUNTER_MESH_PEERS, 1);
     watch_pipes(link, peer);
     char *url = g_strdup_printf("tcp://%s;%s", link->local_ip, peer->address);
@@ -194,12 +202,19 @@
     }
 }
 
+static bool is_dial_stuck(const peer_t *peer, ts_time_us_t now_us)
+{
+    return peer->is_open && peer->pipe == 0 && now_us - peer->dialled_us > DIAL_MOST_US;
+}
+
 void ts_peer_link_send(ts_peer_link_t *link, const char *address, const uint8_t *bytes,
                        size_t length)
 {
     peer_t *peer = find_peer(link, address);
     nng_msg *message = NULL;
     peer->used_us = ts_clock_now_us();
+    if (is_dial_stuck(peer, peer->used_us))
+        close_peer(link, peer);
     if (!open_peer(link, peer) || nng_msg_alloc(&message, length) != 0) {
         return;
     }
@@ -213,6 +228,7 @@
 static void lose_connection(const ts_peer_link_t *link, peer_t *peer)
 {
     peer->pipe = 0;
+    peer->dialled_us = ts_clock_now_us(); /* nng dials again by itself */
     if (link->lost != NULL)
         link->lost(link->context, peer->address);
 }
--- a/tests/peers/test_peer_link.c
+++ b/tests/peers/test_peer_link.c
@@ -189,9 +189,70 @@
         g_free(ending[i]);
 }
 
+// -- A peer that is out of reach for a while
+
+#define OUT_MS 7500  /* the kernel repeats an opening packet 7 and 11 (or 15) s after the first */
+#define BACK_MS 2000 /* a node that is within reach again is reached in this time */
+
+/* Listens with room for one connection that nobody accepts: opening packets of others are dropped,
+ * as in a cut. Sets the address. */
+static int listen_full(char **address)
+{
+    struct sockaddr_in own = {.sin_family = AF_INET};
+    socklen_t length = sizeof(own);
+    int listener = socket(AF_INET, SOCK_STREAM, 0);
+    own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    assert_int_equal(bind(listener, (const struct sockaddr *)&own, length), 0);
+    assert_int_equal(listen(listener, 0), 0);
+    assert_int_equal(getsockname(listener, (struct sockaddr *)&own, &length), 0);
+    int filling = socket(AF_INET, SOCK_STREAM, 0);
+    assert_int_equal(connect(filling, (const struct sockaddr *)&own, length), 0);
+    close(filling); // it keeps its place until it is accepted
+    *address = g_strdup_printf("127.0.0.1:%u", ntohs(own.sin_port));
+    return listener;
+}
+
+/* Sends a message each 100 ms, for a span or until there is a connection. */
+static void send_until_connected(uv_loop_t *loop, ts_peer_link_t *link, const char *address,
+                                 unsigned span_ms)
+{
+    for (unsigned i = 0; i < span_ms / 100; i++) {
+        if (ts_peer_link_connected_us(link, address) != 0)
+            return;
+        ts_peer_link_send(link, address, (const uint8_t *)"hello", 5);
+        run_ms(loop, 100);
+    }
+}
+
+/*
+ * A node that was cut off is reached soon after it is back. The dial that was begun during the cut
+ * goes on by the kernel's clock, whose gaps double: after a cut of nine seconds the next opening
+ * packet left 6.5 s after its end, and until then peers took each other for silent. Seen as homes
+ * and deputies of limits that answered nothing for 868 to 5,700 ms to nodes which had them live in
+ * their view.
+ */
+static void test_peer_is_reached_soon_after_a_cut(void **state)
+{
+    static uv_loop_t loop; // nng's threads may wake it later
+    uv_loop_init(&loop);
+    char *here = free_address();
+    char *there = NULL;
+    int listener = listen_full(&there);
+    ts_peer_link_t *link = ts_peer_link_open(&loop, here, take, NULL);
+    assert_non_null(link);
+    send_until_connected(&loop, link, there, OUT_MS);
+    assert_int_equal(ts_peer_link_connected_us(link, there), 0);
+    g_thread_unref(g_thread_new("back", run_ending_peer, GINT_TO_POINTER(listener)));
+    send_until_connected(&loop, link, there, BACK_MS);
+    assert_int_not_equal(ts_peer_link_connected_us(link, there), 0);
+    g_free(here);
+    g_free(there);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_peer_is_reached_soon_after_a_cut),
         cmocka_unit_test(test_messages_arrive_and_connections_end),
         cmocka_unit_test(test_lost_connection_is_told),
         cmocka_unit_test(test_sends_while_peers_end_their_connections),
