Test programs and the lab hold the ports that they give out

Seen: tests that run at once fail with "an address cannot be listened on" (test_crashing_requests, 2 of 6 beside load). Cause: a port was looked for by binding and closing it; two programs that meet walk the range in step. Stand-in searchers took ports of the kernel's range, lost them to outgoing connections while they were down, and did not say so. Mend: blocks of ports, each held by a bound socket while its program lives, so that no other one is given the same port at any moment. A stand-in that cannot listen ends its program.

--- /dev/null
+++ b/lab/ports.c
@@ -0,0 +1,64 @@
+/** Ports to listen on, taken in blocks. */
+#include "ports.h"
+
+#include <arpa/inet.h>
+#include <stdbool.h>
+#include <unistd.h>
+
+/* Below those that the kernel gives to outgoing connections: one of these could be taken by any
+ * process between the choice and the listening. */
+#define PORT_FIRST 12000U
+#define BLOCK_PORTS 100U
+#define BLOCKS 200U
+/* Who holds the block `i` has bound this port plus `i`. */
+#define HOLDING_FIRST 11000U
+#define HOLDING_IP "127.0.0.1"
+
+/* A socket bound to an address, or -1. */
+static int bind_port(const char *ip, unsigned port)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (fd < 0)
+        return -1;
+    if (inet_pton(AF_INET, ip, &address.sin_addr) == 1 &&
+        bind(fd, (const struct sockaddr *)&address, sizeof(address)) == 0)
+        return fd;
+    close(fd);
+    return -1;
+}
+
+static bool is_free(const char *ip, unsigned port)
+{
+    int fd = bind_port(ip, port);
+    if (fd >= 0)
+        close(fd);
+    return fd >= 0;
+}
+
+/* Takes a block that nobody holds, until the process ends; BLOCKS: all are held. */
+static unsigned take_block(void)
+{
+    for (unsigned i = 0; i < BLOCKS; i++) {
+        if (bind_port(HOLDING_IP, HOLDING_FIRST + i) >= 0)
+            return i;
+    }
+    return BLOCKS;
+}
+
+unsigned lab_next_port(const char *ip)
+{
+    static unsigned next; /* in the block taken last */
+    static unsigned end;
+    for (;;) {
+        for (; next < end; next++) {
+            if (is_free(ip, next))
+                return next++;
+        }
+        unsigned block = take_block();
+        if (block == BLOCKS)
+            return 0;
+        next = PORT_FIRST + block * BLOCK_PORTS;
+        end = next + BLOCK_PORTS;
+    }
+}
--- a/lab/soak_world.c
+++ b/lab/soak_world.c
@@ -1,7 +1,6 @@
 /** The soak's world: links, searchers, configuration, and gateways as processes of their own. */
 #include "soak.h"
 
-#include <arpa/inet.h>
 #include <fcntl.h>
 #include <inttypes.h>
 #include <signal.h>
@@ -9,6 +8,7 @@
 #include <unistd.h>
 
 #include "../platform/names.h"
+#include "ports.h"
 
 // The platform's bounds that the soak plays with.
 #define CONTACT_US (5 * TS_US_PER_S)
@@ -73,25 +73,12 @@
     lab_link_mode_changed(link->link);
 }
 
-// A free port by the kernel's choice.
-static unsigned find_port(const char *ip)
-{
-    struct sockaddr_in address = {.sin_family = AF_INET};
-    socklen_t length = sizeof(address);
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-    inet_pton(AF_INET, ip, &address.sin_addr);
-    bool is_bound = bind(fd, (const struct sockaddr *)&address, length) == 0 &&
-                    getsockname(fd, (struct sockaddr *)&address, &length) == 0;
-    close(fd);
-    return is_bound ? ntohs(address.sin_port) : 0;
-}
-
 static bool open_link(soak_t *s, soak_link_t *link, const char *ip, unsigned target_port)
 {
     char *target = g_strdup_printf("%s:%u", ip, target_port);
     for (int i = 0; i < 20 && link->link == NULL; i++) {
         g_free(link->address);
-        link->address = g_strdup_printf("%s:%u", ip, find_port(ip));
+        link->address = g_strdup_printf("%s:%u", ip, lab_next_port(ip));
         link->link = lab_link_open(&s->loop, link->address, target, &link_ops, link);
     }
     g_free(target);
@@ -537,9 +524,9 @@
     node->ip = g_strdup_printf("127.77.%d.%u", getpid() % 250 + 1, i + 1);
     node->settings_path = g_strdup_printf("%s/%s.yaml", s->options.directory, node->name);
     node->log_path = g_strdup_printf("%s/%s.log", s->options.directory, node->name);
-    node->callers_port = find_port(node->ip);
-    node->ready_port = find_port(node->ip);
-    node->peers_port = find_port(node->ip);
+    node->callers_port = lab_next_port(node->ip);
+    node->ready_port = lab_next_port(node->ip);
+    node->peers_port = lab_next_port(node->ip);
     return open_link(s, &node->store, "127.0.0.1", s->store_port) &&
            open_link(s, &node->peers, node->ip, node->peers_port);
 }
@@ -547,7 +534,7 @@
 static bool open_store(soak_t *s)
 {
     for (int i = 0; i < 20 && s->store == NULL; i++) {
-        s->store_port = find_port("127.0.0.1");
+        s->store_port = lab_next_port("127.0.0.1");
         s->store = lab_store_open(&s->loop, s->store_port);
     }
     return s->store != NULL;
--- a/lab/standin_searcher.c
+++ b/lab/standin_searcher.c
@@ -1,11 +1,11 @@
 /** A stand-in searcher. */
 #include "standin_searcher.h"
 
-#include <arpa/inet.h>
 #include <inttypes.h>
 #include <string.h>
 
 #include "../platform/names.h"
+#include "ports.h"
 #include "tealspar/clock.h"
 #include "tealspar/http_message.h"
 
@@ -14,6 +14,7 @@
 /* When the first life began, and how much later each one after it. */
 #define FIRST_BORN_MS 1700000000000U
 #define LIFE_MS 1000U
+#define LISTEN_IP "127.0.0.1"
 #define BACKLOG 64
 /* Bytes that an answer which is broken off lacks. */
 #define HALF_BROKEN 8
@@ -338,21 +339,25 @@
     uv_read_start((uv_stream_t *)&visitor->socket, allocate, read_bytes);
 }
 
-static void listen_at(lab_searcher_t *searcher, int port)
+/* A stand-in that nobody can reach would make a test judge something else: the program ends. */
+static void begin_listening(lab_searcher_t *searcher)
 {
     struct sockaddr_in address;
     uv_tcp_init(searcher->loop, &searcher->socket);
     searcher->socket.data = searcher;
-    uv_ip4_addr("127.0.0.1", port, &address);
+    uv_ip4_addr(LISTEN_IP, (int)searcher->port, &address);
     uv_tcp_bind(&searcher->socket, (const struct sockaddr *)&address, 0);
-    uv_listen((uv_stream_t *)&searcher->socket, BACKLOG, accept_visitor);
+    int status = uv_listen((uv_stream_t *)&searcher->socket, BACKLOG, accept_visitor);
+    if (status != 0)
+        g_error("searcher %s cannot listen on port %u: %s", searcher->id, searcher->port,
+                uv_strerror(status));
 }
 
 static void start_again(uv_handle_t *socket)
 {
     lab_searcher_t *searcher = socket->data;
     searcher->has_ended = false;
-    listen_at(searcher, (int)searcher->port);
+    begin_listening(searcher);
 }
 
 void lab_searcher_restart(lab_searcher_t *searcher)
@@ -368,8 +373,6 @@
                                   const char *zone)
 {
     lab_searcher_t *searcher = g_new0(lab_searcher_t, 1);
-    struct sockaddr_in address;
-    int length = sizeof(address);
     searcher->id = g_strdup(id);
     searcher->service = g_strdup(service);
     searcher->zone = g_strdup(zone);
@@ -378,15 +381,14 @@
     searcher->visitors = g_ptr_array_new();
     searcher->loop = loop;
     searcher->born_ms = FIRST_BORN_MS;
-    listen_at(searcher, 0);
-    uv_tcp_getsockname(&searcher->socket, (struct sockaddr *)&address, &length);
-    searcher->port = ntohs(address.sin_port);
+    searcher->port = lab_next_port(LISTEN_IP);
+    begin_listening(searcher);
     return searcher;
 }
 
 char *lab_searcher_entry(const lab_searcher_t *searcher, bool is_draining)
 {
-    return g_strdup_printf("{\"%s\":\"%s\",\"%s\":\"127.0.0.1:%u\",\"%s\":\"%s\",\"%s\":4,"
+    return g_strdup_printf("{\"%s\":\"%s\",\"%s\":\"" LISTEN_IP ":%u\",\"%s\":\"%s\",\"%s\":4,"
                            "\"%s\":\"%s\",\"%s\":0,\"%s\":%" PRIu64 "}",
                            FIELD_SERVICE, searcher->service, FIELD_ADDRESS, searcher->port,
                            FIELD_ZONE, searcher->zone, FIELD_SLOTS, FIELD_STATE,
--- a/tests/gateway/world.c
+++ b/tests/gateway/world.c
@@ -1,44 +1,18 @@
 /** A gateway with stand-ins around it. */
 #include "world.h"
 
-#include <arpa/inet.h>
 #include <string.h>
-#include <unistd.h>
 
+#include "ports.h"
 #include "tealspar/log.h"
 
 #define WAIT_MS 5000
 
-/*
- * Ports below those that the kernel gives to outgoing connections: one of these could be taken by
- * any process between the choice and the listening. Several test programs run at once, so that each
- * begins somewhere else.
- */
-#define PORT_FIRST 12000U
-#define PORTS 20000U
-
-static bool is_port_free(unsigned port)
-{
-    struct sockaddr_in address = {.sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
-    int descriptor = socket(AF_INET, SOCK_STREAM, 0);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    int status = bind(descriptor, (const struct sockaddr *)&address, sizeof(address));
-    close(descriptor);
-    return status == 0;
-}
-
 unsigned world_next_port(void)
 {
-    static unsigned last;
-    if (last == 0)
-        last = (unsigned)g_random_int_range(0, PORTS);
-    for (unsigned i = 0; i < PORTS; i++) {
-        last = (last + 1) % PORTS;
-        if (is_port_free(PORT_FIRST + last))
-            return PORT_FIRST + last;
-    }
-    fail_msg("no port is free");
-    return 0;
+    unsigned port = lab_next_port("127.0.0.1");
+    assert_int_not_equal(port, 0);
+    return port;
 }
 
 world_t *world_open(const char *settings)
--- a/tests/peers/test_peer_link.c
+++ b/tests/peers/test_peer_link.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "ports.h"
 #include "tealspar/peer_link.h"
 
 #define ROUNDS 300
@@ -21,14 +22,7 @@
 
 static char *free_address(void)
 {
-    struct sockaddr_in address = {.sin_family = AF_INET};
-    socklen_t length = sizeof(address);
-    int descriptor = socket(AF_INET, SOCK_STREAM, 0);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    assert_int_equal(bind(descriptor, (const struct sockaddr *)&address, length), 0);
-    assert_int_equal(getsockname(descriptor, (struct sockaddr *)&address, &length), 0);
-    close(descriptor);
-    return g_strdup_printf("127.0.0.1:%u", ntohs(address.sin_port));
+    return g_strdup_printf("127.0.0.1:%u", lab_next_port("127.0.0.1"));
 }
 
 static void stop_loop(uv_timer_t *timer)
