--- a/tests/route/rate_fleet.c
+++ b/tests/route/rate_fleet.c
@@ -53,11 +53,17 @@
     return 2 * seen > fleet->n;
 }
 
+/* Whether a node can't be home of anything by what it knows. */
+static bool is_out(const node_t *node)
+{
+    return !believes_majority(node) || is_in(&node->out, node->fleet->now_us);
+}
+
 static ts_rate_dealer_t believed_home(const node_t *node, const char **address)
 {
     const fleet_t *fleet = node->fleet;
     const node_t *home = &fleet->nodes[find_believed(node, ZONES)];
-    if (!believes_majority(node) || (home == node && is_in(&node->out, fleet->now_us)))
+    if (!believes_majority(node) || (home == node && is_out(node)))
         return TS_RATE_DEALER_NONE;
     return dealer(node, (unsigned)(home - fleet->nodes), address);
 }
@@ -118,8 +124,8 @@
             &g_array_index(fleet->changes, view_change_t, fleet->changes_done);
         if (change->at_us > fleet->now_us)
             return;
-        ts_rate_limiter_change_view(fleet->nodes[change->node].limiter, change->has_lost,
-                                    fleet->now_us);
+        const node_t *node = &fleet->nodes[change->node];
+        ts_rate_limiter_change_view(node->limiter, change->has_lost, fleet->now_us);
         fleet->changes_done++;
     }
 }
@@ -304,6 +310,7 @@
     }
     g_queue_clear_full(&fleet->messages[0], g_free);
     g_queue_clear_full(&fleet->messages[1], g_free);
+    g_queue_clear_full(&fleet->held, g_free);
     g_rand_free(fleet->random);
     g_free(fleet->beliefs);
     if (fleet->changes != NULL)
@@ -346,7 +353,8 @@
         if (try_take(node, g_array_index(node->waiting, ts_time_us_t, i - 1)))
             g_array_remove_index(node->waiting, i - 1);
     }
-    node->due += node->load * (double)STEP_US / TS_US_PER_S;
+    double come = node->load * (double)STEP_US / TS_US_PER_S;
+    node->due += fleet->is_random ? g_rand_double(fleet->random) < come : come;
     for (; node->due >= 1; node->due -= 1) {
         ts_rate_limiter_note_request(node->limiter, ACCOUNT, fleet->now_us);
         if (!try_take(node, fleet->now_us))
@@ -358,11 +366,17 @@
     ts_rate_limiter_turn(node->limiter, fleet->now_us);
 }
 
-static void deliver(fleet_t *fleet, message_t *message)
+/* A connection takes so many messages while nobody reads them. */
+#define HELD_MAX 640
+
+static void deliver(fleet_t *fleet, const message_t *message)
 {
     node_t *to = &fleet->nodes[message->to];
     const node_t *from = &fleet->nodes[message->from];
-    if (to->is_down || to->is_frozen || from->side != to->side)
+    bool is_cut = from->side != to->side;
+    if (is_cut && fleet->holds_messages && fleet->held.length < HELD_MAX)
+        g_queue_push_tail(&fleet->held, g_memdup2(message, sizeof(*message)));
+    if (to->is_down || to->is_frozen || is_cut)
         return;
     if (message->is_deal)
         ts_rate_limiter_take_deal(to->limiter, &message->row, fleet->now_us);
@@ -381,6 +395,15 @@
     }
 }
 
+void release_messages(fleet_t *fleet)
+{
+    message_t *message = NULL;
+    while ((message = g_queue_pop_head(&fleet->held)) != NULL) {
+        deliver(fleet, message);
+        g_free(message);
+    }
+}
+
 void run(fleet_t *fleet, double span_s)
 {
     ts_time_us_t until_us = fleet->now_us + (ts_time_us_t)(span_s * TS_US_PER_S);
--- a/tests/route/rate_fleet.h
+++ b/tests/route/rate_fleet.h
@@ -47,7 +47,7 @@
     bool is_known; /* a restarted process: it has found the others */
     ts_time_us_t turned_us;
     belief_t out;    /* it knows that it is out of contact, or that others took it for dead */
-    unsigned load;   /* requests a second from its callers */
+    double load;     /* requests a second from its callers */
     double due;      /* of the next request */
     GArray *waiting; /* times since which requests wait */
     unsigned taken;
@@ -75,7 +75,10 @@
     unsigned spent[100000]; /* tokens in each slot since the start */
     unsigned loss_percent;
     bool loses_deals;
-    bool is_doubling; /* each message comes twice */
+    bool holds_messages; /* what goes between sides lies on the way; else it is lost */
+    GQueue held;         /* of message_t, that do */
+    bool is_doubling;    /* each message comes twice */
+    bool is_random;      /* requests come as they do from many callers, not evenly */
     GRand *random;
     belief_t *beliefs; /* of n x n nodes, observer first; NULL: all believe what was noticed */
     GArray *changes;   /* of view_change_t, sorted; with beliefs */
@@ -111,6 +114,8 @@
 void believe_out(fleet_t *fleet, unsigned node, ts_time_us_t from_us, ts_time_us_t until_us);
 /** To be called when all beliefs are given, and before the fleet runs on. */
 void sort_changes(fleet_t *fleet);
+/** What lies on the way arrives, in its order. */
+void release_messages(fleet_t *fleet);
 /** Most tokens spent in any window. */
 unsigned most_in_a_window(const fleet_t *fleet);
 void assert_within_bound(const fleet_t *fleet);
--- a/tests/route/test_rate_cuts.c
+++ b/tests/route/test_rate_cuts.c
@@ -110,10 +110,11 @@
         fleet->nodes[i * 7 % NODES].load = (unsigned)MAX(all / plan->loaded + 0.5, 1);
 }
 
-static void play(unsigned seed, double rate, double burst)
+static void play(unsigned seed, double rate, double burst, bool is_random)
 {
     fleet_t *fleet = open_fleet(NODES, rate, burst);
     g_rand_set_seed(fleet->random, seed);
+    fleet->is_random = is_random;
     plan_t plan = {.kind = seed % CUT_KINDS};
     plan.cut_us = in_s(fleet, draw(fleet, 2, 9));
     plan.heal_us = plan.cut_us + (ts_time_us_t)(draw(fleet, 2, 10) * TS_US_PER_S);
@@ -138,13 +139,34 @@
 static void test_large_account(void **state)
 {
     for (unsigned seed = 0; seed < SEEDS; seed++)
-        play(seed, 20, 20);
+        play(seed, 20, 20, false);
 }
 
 static void test_mean_account(void **state)
 {
     for (unsigned seed = 100; seed < 100 + SEEDS; seed++)
-        play(seed, 3, 3);
+        play(seed, 3, 3, false);
+}
+
+/* The same where requests come as they do from many callers, now close together and now far apart.
+ */
+static void test_uneven_requests(void **state)
+{
+    for (unsigned seed = 0; seed < SEEDS; seed++) {
+        play(seed, 20, 20, true);
+        play(seed, 5, 5, true);
+        play(seed, 3, 3, true);
+    }
+}
+
+/*
+ * Seeds with which 181 and 171 of 170 were spent: a home that had been cut off came back and dealt
+ * what had come in meanwhile beside the one in its place.
+ */
+static void test_seeds_that_passed_the_limit(void **state)
+{
+    play(197, 20, 20, false);
+    play(377, 20, 20, true);
 }
 
 int main(void)
@@ -152,6 +174,8 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_large_account),
         cmocka_unit_test(test_mean_account),
+        cmocka_unit_test(test_uneven_requests),
+        cmocka_unit_test(test_seeds_that_passed_the_limit),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
