A home that is back from a cut opens its accounts anew

Callers saw: nothing; a tenant's limit was passed (181 and 171 of 170 in 5 s, in drawn cuts; 97 of 95 in a test of its own). Cause: a home out of contact kept its accounts, which filled by the clock while nobody dealt of them, with a ramp that was over when it came back: 104 tokens in two seconds of a rate of 20, beside the home in its place. Ruled out: what nodes spend by themselves, the window's edge. Holds because a node that is not home for certain has no account, whatever the reason, and is home again only when the limiter has been told.

--- a/include/tealspar/rate_account.h
+++ b/include/tealspar/rate_account.h
@@ -76,8 +76,6 @@
 void ts_rate_account_open(ts_rate_account_t *account, const ts_rate_terms_t *terms,
                           const ts_rate_standing_t *standing, ts_time_us_t now_us);
 void ts_rate_account_clear(ts_rate_account_t *account);
-/** Its home can't tell whether another one deals meanwhile: as if it became home just now. */
-void ts_rate_account_doubt(ts_rate_account_t *account, ts_time_us_t now_us);
 /** What a node has spent by itself since its last claim, from the two totals. */
 uint32_t ts_rate_debt(uint32_t before, uint32_t now);
 /** Whether the claim is the node's latest once more: it is not to be answered again. */
--- a/src/peers/peers_echo.c
+++ b/src/peers/peers_echo.c
@@ -75,6 +75,7 @@
     bool is_news = frame->heard > echo->acknowledged && frame->heard <= echo->sent;
     if (is_news) {
         ts_contact_note(peers->contact, frame->address, now_us); // it hears this node, and is heard
+        ts_peers_check_standing(peers);
         echo->acknowledged = frame->heard;
         echo->unheard_us = frame->heard == echo->sent ? 0 : now_us;
         echo->asked_us = 0;
--- a/src/peers/peers_internal.h
+++ b/src/peers/peers_internal.h
@@ -50,7 +50,7 @@
     ts_peers_quarantine_t *quarantine; /* see peers_quarantine.c */
     /* Homes of rates; see peers_rates.c. */
     ts_contact_t *contact;  /* with most of the fleet, just now */
-    bool has_contact;       /* what it said at the last tick */
+    bool is_out;            /* this node can't be home of anything, as far as the limiter knows */
     uint64_t live_digest;   /* of who was live at the last change of the view */
     size_t members_live;    /* at the last change of the view */
     size_t members_most;    /* that were in the view at once */
@@ -112,6 +112,8 @@
 void ts_peers_take_rate(ts_peers_t *peers, const TsPeer__Frame *frame);
 /** The view has changed, and with it which node is home of what. */
 void ts_peers_change_homes(ts_peers_t *peers);
+/** Tells the limiter if this node can be home from now on, or no longer. */
+void ts_peers_check_standing(ts_peers_t *peers);
 /** With each tick of membership: calls zones that are silent, as homes need to be in contact. */
 void ts_peers_check_contact(ts_peers_t *peers);
 
--- a/src/peers/peers_rates.c
+++ b/src/peers/peers_rates.c
@@ -47,6 +47,12 @@
     return best;
 }
 
+/* Whether this node may be home of anything. */
+static bool can_be_home(const ts_peers_t *peers)
+{
+    return is_in_majority(peers) && ts_contact_has_majority(peers->contact, ts_clock_now_us());
+}
+
 static ts_rate_dealer_t dealer(const ts_view_member_t *member, const char **address)
 {
     *address = member->address;
@@ -59,7 +65,7 @@
     const ts_view_member_t *home = find_dealer(peers, account, NULL);
     bool is_certain = home != NULL && is_in_majority(peers);
     if (is_certain && home->is_self)
-        is_certain = ts_contact_has_majority(peers->contact, ts_clock_now_us());
+        is_certain = !peers->is_out && can_be_home(peers); // begins when the limiter was told
     return is_certain ? dealer(home, address) : TS_RATE_DEALER_NONE;
 }
 
@@ -95,12 +101,22 @@
     ts_contact_set_view(peers->contact, peers->view);
     size_t live = ts_membership_count(peers->membership, TS_MEMBER_LIVE);
     uint64_t digest = digest_live(peers->view);
+    peers->is_out = !can_be_home(peers);
     if (digest != peers->live_digest)
         ts_rate_limiter_change_view(peers->gateway->limiter, live < peers->members_live, now_us);
     peers->members_live = live;
     peers->live_digest = digest;
 }
 
+void ts_peers_check_standing(ts_peers_t *peers)
+{
+    bool is_out = !can_be_home(peers);
+    if (is_out == peers->is_out)
+        return;
+    peers->is_out = is_out;
+    ts_rate_limiter_change_view(peers->gateway->limiter, false, ts_clock_now_us());
+}
+
 void ts_peers_check_contact(ts_peers_t *peers)
 {
     const ts_traffic_t *traffic = peers->gateway->traffic;
@@ -110,10 +126,7 @@
         return; // nobody is home of anything
     while ((address = ts_contact_next_call(peers->contact, now_us)) != NULL)
         ts_peers_call(peers, address);
-    bool has_contact = ts_contact_has_majority(peers->contact, now_us);
-    if (has_contact != peers->has_contact)
-        ts_rate_limiter_change_view(peers->gateway->limiter, false, now_us);
-    peers->has_contact = has_contact;
+    ts_peers_check_standing(peers);
 }
 
 static uint32_t to_milli(double rate)
--- a/src/route/rate_account.c
+++ b/src/route/rate_account.c
@@ -124,11 +124,6 @@
     account->holders = g_array_new(FALSE, FALSE, sizeof(holder_t));
 }
 
-void ts_rate_account_doubt(ts_rate_account_t *account, ts_time_us_t now_us)
-{
-    account->home_since_us = now_us;
-}
-
 void ts_rate_account_clear(ts_rate_account_t *account)
 {
     g_clear_pointer(&account->holders, g_array_unref);
--- a/src/route/rate_limiter.c
+++ b/src/route/rate_limiter.c
@@ -154,27 +154,14 @@
     return true;
 }
 
-typedef struct look {
-    const ts_rate_limiter_t *limiter;
-    ts_time_us_t now_us;
-} look_t;
-
-/* Whether another node is home of an account now; where nobody is, it is kept, but doubted. */
+/*
+ * Whether this node is not home of an account now, for certain. Where nobody is, by its view,
+ * another one may be: an account that was kept would deal what came in meanwhile beside what that
+ * one dealt.
+ */
 static gboolean is_foreign(gpointer name, gpointer account, gpointer ctx)
 {
-    const look_t *look = ctx;
-    const char *address = NULL;
-    const ts_rate_limiter_t *limiter = look->limiter;
-    switch (limiter->ops->home(limiter->ctx, name, &address)) {
-    case TS_RATE_DEALER_PEER:
-        return TRUE;
-    case TS_RATE_DEALER_NONE:
-        ts_rate_account_doubt(account, look->now_us);
-        return FALSE;
-    case TS_RATE_DEALER_SELF:
-        break;
-    }
-    return FALSE;
+    return !is_home(ctx, name);
 }
 
 void ts_rate_limiter_change_view(ts_rate_limiter_t *limiter, bool has_lost, ts_time_us_t now_us)
@@ -186,8 +173,7 @@
         standing->rested_us = now_us - since_us;
         standing->lost_us = now_us;
     }
-    look_t look = {limiter, now_us};
-    g_hash_table_foreach_remove(limiter->accounts, is_foreign, &look);
+    g_hash_table_foreach_remove(limiter->accounts, is_foreign, limiter);
 }
 
 // -- Leases
