A deputy that becomes home keeps its zone's nodes as debtors no longer

Cause: nodes of the zone ask it as home then, and are not heard as debtors: their rights were debited as spent alone, and lent as well. Ruled out: the ramp of a new home (the bucket had risen to 19 of 20 before it fell by 25 between two deals). Holds because a node is either holder or debtor of this one: the ask that makes it the first ends the second.

--- a/src/route/rate_limiter.c
+++ b/src/route/rate_limiter.c
@@ -502,6 +502,22 @@
     answer_queue(limiter, held, terms, now_us);
 }
 
+/*
+ * A node of this deputy's zone asks it as the home: what it holds of this node's right is its own
+ * from now on. As a debtor it would not be heard any more, and be taken to spend by it.
+ */
+static void release_debtor(const ts_rate_limiter_t *limiter, const char *account, uint64_t node)
+{
+    held_lease_t *held = g_hash_table_lookup(limiter->leases, account);
+    if (held == NULL || held->debtors == NULL)
+        return;
+    const debtor_t *debtor = g_hash_table_lookup(held->debtors, &node);
+    if (debtor == NULL)
+        return;
+    held->lease.right = MAX(held->lease.right - debtor->right, 0);
+    g_hash_table_remove(held->debtors, &node);
+}
+
 bool ts_rate_limiter_take_ask(ts_rate_limiter_t *limiter, uint64_t node, const char *address,
                               const ts_rate_row_t *row, ts_time_us_t now_us)
 {
@@ -509,9 +525,12 @@
     if (!limiter->ops->terms(limiter->ctx, row->account, &terms))
         return false;
     ts_rate_row_t answer = *row;
-    if (!is_home(limiter, row->account))
+    if (!is_home(limiter, row->account)) {
         deal_as_deputy(limiter, node, address, row, &terms, now_us);
-    else if (deal_as_home(limiter, node, ts_hash_text(address), &terms, &answer, now_us))
+        return true;
+    }
+    release_debtor(limiter, row->account, node);
+    if (deal_as_home(limiter, node, ts_hash_text(address), &terms, &answer, now_us))
         limiter->ops->answer(limiter->ctx, address, &answer);
     return true;
 }
