Nodes tell the dealer that they leave

Callers saw: tenants at half of their limit refused for ten seconds after views had changed. Cause: a dealer that hears a node no more takes it for cut off and withholds or debits its right until that is void, also when the node asks another dealer; and a right that was lent to one may not be lent to the next for a second. Ruled out: nodes that were cut off or frozen at that time (none). Holds because the dealer drops what it keeps of a node by the node's own word; without the word the times of before stand.

--- a/include/tealspar/rate_account.h
+++ b/include/tealspar/rate_account.h
@@ -57,6 +57,7 @@
     unsigned tokens;
     ts_time_us_t valid_us; /**< they are void so long after they were asked for */
     double right;          /**< tokens a second that it may spend by itself if dealers are silent */
+    bool has_left;         /**< no answer to an ask: the receiver's right is not counted on here */
     bool is_lost;          /**< a deputy knows no home now: who asked goes on by itself */
     ts_time_us_t wait_us;  /**< none were left: when the next one is its turn; else 0 */
 } ts_rate_deal_t;
@@ -80,6 +81,8 @@
 uint32_t ts_rate_debt(uint32_t before, uint32_t now);
 /** Whether the claim is the node's latest once more: it is not to be answered again. */
 bool ts_rate_account_is_repeat(const ts_rate_account_t *account, const ts_rate_claim_t *claim);
+/** A node lends its right to another dealer from now on; `spent_alone` as in a claim. */
+void ts_rate_account_leave(ts_rate_account_t *account, uint64_t node, uint32_t spent_alone);
 /** Deals tokens to a node. */
 ts_rate_deal_t ts_rate_account_deal(ts_rate_account_t *account, const ts_rate_terms_t *terms,
                                     const ts_rate_claim_t *claim, ts_time_us_t now_us);
--- a/include/tealspar/rate_lease.h
+++ b/include/tealspar/rate_lease.h
@@ -36,17 +36,17 @@
     ts_time_us_t right_until_us;  /**< that is void from then on */
     uint64_t right_from;          /**< hash of the address of the dealer that gave it */
     uint64_t dealer;              /**< hash of the address of the one asked last */
-    uint64_t lent_to;             /**< dealer that the right is lent to while it is asked */
-    ts_time_us_t lent_us;         /**< when that one was last asked */
-    bool is_right_lent;           /**< the latest ask lent the right */
-    bool has_moved;               /**< it was lent to another one since the dealer last answered */
-    uint32_t spent_alone;         /**< spent by itself since it began, own and told by others */
-    double own_tokens;            /**< what has come in of its right */
-    ts_time_us_t own_us;          /**< when that was brought up to date */
-    bool is_deputy;               /**< it holds tokens for other nodes of its zone too */
-    bool is_waited_for;           /**< a request found none and waits */
-    ts_time_us_t refused_us;      /**< when it was last said that the limit is reached */
-    bool was_over;                /**< it was said that the limit is reached */
+    uint64_t lent_to;        /**< dealer that the right is lent to while it is asked; 0: none */
+    ts_time_us_t lent_us;    /**< when that one was last asked */
+    bool is_right_lent;      /**< the latest ask lent the right */
+    bool has_moved;          /**< it was lent to another one since the dealer last answered */
+    uint32_t spent_alone;    /**< spent by itself since it began, own and told by others */
+    double own_tokens;       /**< what has come in of its right */
+    ts_time_us_t own_us;     /**< when that was brought up to date */
+    bool is_deputy;          /**< it holds tokens for other nodes of its zone too */
+    bool is_waited_for;      /**< a request found none and waits */
+    ts_time_us_t refused_us; /**< when it was last said that the limit is reached */
+    bool was_over;           /**< it was said that the limit is reached */
 } ts_rate_lease_t;
 
 /** `own_tokens`: what it may spend by itself before it has found a dealer. */
@@ -81,6 +81,11 @@
  * not lent, while this node goes by it itself or another dealer may still count on it.
  */
 bool ts_rate_lease_lend(ts_rate_lease_t *lease, uint64_t dealer, ts_time_us_t now_us);
+/** Whether another dealer than this one may still count on the right. */
+bool ts_rate_lease_is_lent_elsewhere(const ts_rate_lease_t *lease, uint64_t dealer,
+                                     ts_time_us_t now_us);
+/** A dealer that the right was lent to says that it doesn't count on it any more. */
+void ts_rate_lease_note_left(ts_rate_lease_t *lease, uint64_t dealer);
 /** An ask leaves; returns its number. `is_lacking`: it wants tokens, not a right alone. */
 uint32_t ts_rate_lease_note_ask(ts_rate_lease_t *lease, bool is_lacking, ts_time_us_t now_us);
 /** The home's answer to an ask; one that is not awaited is ignored. */
--- a/include/tealspar/rate_limiter.h
+++ b/include/tealspar/rate_limiter.h
@@ -30,8 +30,9 @@
     double foreign;        /**< ask: part of that which another dealer gave, */
     uint64_t foreign_from; /**< ask: hash of that dealer's address */
     bool is_alone;         /**< and does, or has lent to another home: this one can't count on it */
-    bool has_moved;        /**< ask: it has lent it to another one since this one last answered */
-    ts_rate_deal_t deal;   /**< answer: what it gets */
+    bool is_leaving;     /**< no ask: the sender asks another one now; `foreign_from` is this one */
+    bool has_moved;      /**< ask: it has lent it to another one since this one last answered */
+    ts_rate_deal_t deal; /**< answer: what it gets */
 } ts_rate_row_t;
 
 typedef struct ts_rate_limiter_ops {
--- a/src/peers/peers_rates.c
+++ b/src/peers/peers_rates.c
@@ -149,6 +149,7 @@
     rate.foreign_from = row->foreign_from;
     rate.is_alone = row->is_alone;
     rate.has_moved = row->has_moved;
+    rate.is_leaving = row->is_leaving;
     frame.rate = &rate;
     ts_count(TS_COUNTER_RATE_ASKS, 1);
     ts_peers_send(peers, address, &frame);
@@ -164,6 +165,8 @@
     rate.tokens = row->deal.tokens;
     rate.right_milli = to_milli(row->deal.right);
     rate.is_lost = row->deal.is_lost;
+    rate.has_left = row->deal.has_left;
+    rate.foreign_from = row->foreign_from;
     rate.valid_ms = (uint32_t)(row->deal.valid_us / TS_US_PER_MS);
     rate.wait_ms = (uint32_t)MIN(row->deal.wait_us / TS_US_PER_MS, UINT32_MAX);
     frame.rate = &rate;
@@ -187,9 +190,11 @@
                          .foreign_from = rate->foreign_from,
                          .is_alone = rate->is_alone,
                          .has_moved = rate->has_moved,
+                         .is_leaving = rate->is_leaving,
                          .deal = {.tokens = rate->tokens,
                                   .right = rate->right_milli / MILLI,
                                   .is_lost = rate->is_lost,
+                                  .has_left = rate->has_left,
                                   .valid_us = rate->valid_ms * TS_US_PER_MS,
                                   .wait_us = rate->wait_ms * TS_US_PER_MS}};
     if (rate->is_deal)
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -257,6 +257,14 @@
    * ask: hash of that dealer's address
    */
   uint64_t foreign_from;
+  /*
+   * no ask: the sender asks another one now; foreign_from is the receiver
+   */
+  protobuf_c_boolean is_leaving;
+  /*
+   * deal of nothing: the receiver has left, nothing of it is counted here
+   */
+  protobuf_c_boolean has_left;
   /*
    * thousandths of a token a second to be spent alone: held, or given
    */
@@ -264,7 +272,7 @@
 };
 #define TS_PEER__RATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ts_peer__rate__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/route/rate_account.c
+++ b/src/route/rate_account.c
@@ -250,6 +250,19 @@
     account->at_us = now_us;
 }
 
+void ts_rate_account_leave(ts_rate_account_t *account, uint64_t node, uint32_t spent_alone)
+{
+    for (guint i = 0; i < account->holders->len; i++) {
+        const holder_t *holder = &g_array_index(account->holders, holder_t, i);
+        if (holder->node != node)
+            continue;
+        double owed = ts_rate_debt(holder->spent_alone, spent_alone) - holder->assumed;
+        account->tokens -= MAX(owed, 0);
+        g_array_remove_index_fast(account->holders, i);
+        return;
+    }
+}
+
 /*
  * What a holder may spend by itself when it loses its dealer: as it does now, or its share by use
  * of what all do, so far as the rights of all are not more than the rate. A home that is new gives
--- a/src/route/rate_lease.c
+++ b/src/route/rate_lease.c
@@ -193,9 +193,22 @@
     return faded(lease->asking, lease->asking_us, now_us, ASKING_SPAN_S);
 }
 
+bool ts_rate_lease_is_lent_elsewhere(const ts_rate_lease_t *lease, uint64_t dealer,
+                                     ts_time_us_t now_us)
+{
+    bool is_elsewhere = lease->lent_to != 0 && lease->lent_to != dealer;
+    return is_elsewhere && now_us - lease->lent_us <= LENT_US;
+}
+
+void ts_rate_lease_note_left(ts_rate_lease_t *lease, uint64_t dealer)
+{
+    if (lease->lent_to == dealer)
+        lease->lent_to = 0;
+}
+
 bool ts_rate_lease_lend(ts_rate_lease_t *lease, uint64_t dealer, ts_time_us_t now_us)
 {
-    bool is_free = lease->lent_to == dealer || now_us - lease->lent_us > LENT_US;
+    bool is_free = !ts_rate_lease_is_lent_elsewhere(lease, dealer, now_us);
     if (lease->dealer != dealer)
         lease->silent_since_us = 0; // it was another one that did not answer
     lease->dealer = dealer;
--- a/src/route/rate_limiter.c
+++ b/src/route/rate_limiter.c
@@ -56,6 +56,7 @@
     char *account;
     GArray *queue;       /* of queued_ask_t; NULL: nothing has waited yet */
     GHashTable *debtors; /* node -> debtor_t, owned; NULL: none asked */
+    char *lent_address;  /* of the dealer that the right is lent to; NULL: none yet, or this node */
     double owed;         /* spent by debtors and not yet told on; below 0: told too much so far */
 } held_lease_t;
 
@@ -80,6 +81,7 @@
         g_array_unref(held->queue);
     if (held->debtors != NULL)
         g_hash_table_unref(held->debtors);
+    g_free(held->lent_address);
     g_free(held->account);
     g_free(held);
 }
@@ -280,6 +282,36 @@
     return sums;
 }
 
+/*
+ * The dealer that this node asked until now is told that it asks another one. Else it would take
+ * this node for cut off, and hold back or debit its right for as long as that may be spent alone.
+ */
+static void leave_dealer(ts_rate_limiter_t *limiter, const held_lease_t *held)
+{
+    const ts_rate_lease_t *lease = &held->lease;
+    ts_rate_row_t row = {.account = held->account,
+                         .is_leaving = true,
+                         .foreign_from = lease->lent_to,
+                         .spent_alone = lease->spent_alone};
+    if (held->lent_address != NULL)
+        limiter->ops->ask(limiter->ctx, held->lent_address, &row);
+}
+
+/* Lends the right to a dealer (`address` NULL: this node) with an ask that is about to leave. */
+static bool lend_right(ts_rate_limiter_t *limiter, held_lease_t *held, uint64_t id,
+                       const char *address, ts_time_us_t now_us)
+{
+    if (ts_rate_lease_is_lent_elsewhere(&held->lease, id, now_us))
+        leave_dealer(limiter, held);
+    if (!ts_rate_lease_lend(&held->lease, id, now_us))
+        return false;
+    if (g_strcmp0(held->lent_address, address) != 0) {
+        g_free(held->lent_address);
+        held->lent_address = g_strdup(address);
+    }
+    return true;
+}
+
 /*
  * Asks for what a lease is short of: its deputy, or the home where this node is the deputy. Where
  * this node is the home it is answered at once.
@@ -304,7 +336,9 @@
     row.right = right + zone.lent;
     row.foreign = is_foreign ? right : zone.lent_one;
     row.foreign_from = is_foreign ? lease->right_from : zone.lent_from;
-    row.is_alone = dealer == TS_RATE_DEALER_NONE || !ts_rate_lease_lend(lease, id, now_us);
+    const char *lent_address = dealer == TS_RATE_DEALER_PEER ? address : NULL;
+    row.is_alone =
+        dealer == TS_RATE_DEALER_NONE || !lend_right(limiter, held, id, lent_address, now_us);
     row.has_moved = lease->has_moved;
     row.ask = ts_rate_lease_note_ask(lease, row.wanted > row.in_hand, now_us);
     row.spent_alone = lease->spent_alone;
@@ -518,12 +552,29 @@
     g_hash_table_remove(held->debtors, &node);
 }
 
+/* A node that had lent its right to this one asks another dealer now. */
+static void take_leave(ts_rate_limiter_t *limiter, uint64_t node, const char *address,
+                       const ts_rate_row_t *row)
+{
+    ts_rate_account_t *account = g_hash_table_lookup(limiter->accounts, row->account);
+    ts_rate_row_t answer = {.account = row->account, .foreign_from = row->foreign_from};
+    answer.deal.has_left = true;
+    release_debtor(limiter, row->account, node);
+    if (account != NULL)
+        ts_rate_account_leave(account, node, row->spent_alone);
+    limiter->ops->answer(limiter->ctx, address, &answer);
+}
+
 bool ts_rate_limiter_take_ask(ts_rate_limiter_t *limiter, uint64_t node, const char *address,
                               const ts_rate_row_t *row, ts_time_us_t now_us)
 {
     ts_rate_terms_t terms;
     if (!limiter->ops->terms(limiter->ctx, row->account, &terms))
         return false;
+    if (row->is_leaving) {
+        take_leave(limiter, node, address, row);
+        return true;
+    }
     ts_rate_row_t answer = *row;
     if (!is_home(limiter, row->account)) {
         deal_as_deputy(limiter, node, address, row, &terms, now_us);
@@ -542,6 +593,10 @@
     ts_rate_terms_t terms;
     if (held == NULL || !limiter->ops->terms(limiter->ctx, row->account, &terms))
         return;
+    if (row->deal.has_left) {
+        ts_rate_lease_note_left(&held->lease, row->foreign_from);
+        return;
+    }
     ts_rate_lease_take_deal(&held->lease, &terms, row->ask, &row->deal, now_us);
     answer_queue(limiter, held, &terms, now_us);
     limiter->ops->dealt(limiter->ctx, row->account);
