A home that stops being home takes back no rights

Callers saw: below their limit left without an answer (503 unconfirmed) where the home of their tenant is out of contact. Cause: a node that is not home answers out of its lease; as givers of rights were named by address, that answer of 0 replaced the right that the same node had given as home, just when nobody dealt. Ruled out: rights that were void (4.29 to 0 with the first answer after the home stopped, void ten seconds later). Holds because the role is part of the giver's name: only a home lowers what a home gave.

--- a/include/tealspar/rate_account.h
+++ b/include/tealspar/rate_account.h
@@ -45,7 +45,7 @@
     unsigned wanted;       /**< tokens that it would like to have in hand */
     bool is_local;         /**< it is the home itself, which always hears itself */
     double foreign;        /**< part of `right` that another dealer gave it or nodes of its zone, */
-    uint64_t foreign_from; /**< hash of that dealer's address */
+    uint64_t foreign_from; /**< that dealer, see ts_rate_giver */
     double used;           /**< tokens a second that it has used of late */
     double right;          /**< tokens a second that it may spend by itself, */
     bool is_alone;  /**< and does, or has lent to another home; else it is lent to this one */
@@ -58,6 +58,7 @@
     ts_time_us_t valid_us; /**< they are void so long after they were asked for */
     double right;          /**< tokens a second that it may spend by itself if dealers are silent */
     bool has_left;         /**< no answer to an ask: the receiver's right is not counted on here */
+    bool is_sublet;        /**< out of a deputy's own lease, not by the home */
     bool is_lost;          /**< a deputy knows no home now: who asked goes on by itself */
     ts_time_us_t wait_us;  /**< none were left: when the next one is its turn; else 0 */
 } ts_rate_deal_t;
@@ -83,6 +84,8 @@
 bool ts_rate_account_is_repeat(const ts_rate_account_t *account, const ts_rate_claim_t *claim);
 /** A node lends its right to another dealer from now on; `spent_alone` as in a claim. */
 void ts_rate_account_leave(ts_rate_account_t *account, uint64_t node, uint32_t spent_alone);
+/** Names who gives a right: the node of an address (its hash), as a home or out of its lease. */
+uint64_t ts_rate_giver(uint64_t address, bool is_sublet);
 /** Deals tokens to a node. */
 ts_rate_deal_t ts_rate_account_deal(ts_rate_account_t *account, const ts_rate_terms_t *terms,
                                     const ts_rate_claim_t *claim, ts_time_us_t now_us);
--- a/include/tealspar/rate_lease.h
+++ b/include/tealspar/rate_lease.h
@@ -34,7 +34,7 @@
     double right;                 /**< tokens a second that it may spend by itself */
     double sublet;                /**< of that, what this deputy has given others of its zone */
     ts_time_us_t right_until_us;  /**< that is void from then on */
-    uint64_t right_from;          /**< hash of the address of the dealer that gave it */
+    uint64_t right_from;          /**< who gave it, see ts_rate_giver */
     uint64_t dealer;              /**< hash of the address of the one asked last */
     uint64_t lent_to;        /**< dealer that the right is lent to while it is asked; 0: none */
     ts_time_us_t lent_us;    /**< when that one was last asked */
--- a/include/tealspar/rate_limiter.h
+++ b/include/tealspar/rate_limiter.h
@@ -28,7 +28,7 @@
     double used;           /**< ask: tokens a second that it has used of late */
     double right;          /**< ask: tokens a second that it may spend by itself, */
     double foreign;        /**< ask: part of that which another dealer gave, */
-    uint64_t foreign_from; /**< ask: hash of that dealer's address */
+    uint64_t foreign_from; /**< ask: that dealer, see ts_rate_giver */
     bool is_alone;         /**< and does, or has lent to another home: this one can't count on it */
     bool is_leaving;     /**< no ask: the sender asks another one now; `foreign_from` is this one */
     bool has_moved;      /**< ask: it has lent it to another one since this one last answered */
--- a/src/peers/peers_rates.c
+++ b/src/peers/peers_rates.c
@@ -164,6 +164,7 @@
     rate.is_deal = true;
     rate.tokens = row->deal.tokens;
     rate.right_milli = to_milli(row->deal.right);
+    rate.is_sublet = row->deal.is_sublet;
     rate.is_lost = row->deal.is_lost;
     rate.has_left = row->deal.has_left;
     rate.foreign_from = row->foreign_from;
@@ -193,6 +194,7 @@
                          .is_leaving = rate->is_leaving,
                          .deal = {.tokens = rate->tokens,
                                   .right = rate->right_milli / MILLI,
+                                  .is_sublet = rate->is_sublet,
                                   .is_lost = rate->is_lost,
                                   .has_left = rate->has_left,
                                   .valid_us = rate->valid_ms * TS_US_PER_MS,
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -1086,7 +1086,7 @@
   (ProtobufCMessageInit) ts_peer__evidence__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ts_peer__rate__field_descriptors[18] =
+static const ProtobufCFieldDescriptor ts_peer__rate__field_descriptors[19] =
 {
   {
     "account",
@@ -1280,6 +1280,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_sublet",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Rate, is_sublet),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "is_leaving",
     18,
@@ -1310,13 +1322,14 @@
   1,   /* field[1] = ask */
   15,   /* field[15] = foreign_from */
   14,   /* field[14] = foreign_milli */
-  17,   /* field[17] = has_left */
+  18,   /* field[18] = has_left */
   13,   /* field[13] = has_moved */
   3,   /* field[3] = in_hand */
   12,   /* field[12] = is_alone */
   2,   /* field[2] = is_deal */
-  16,   /* field[16] = is_leaving */
+  17,   /* field[17] = is_leaving */
   8,   /* field[8] = is_lost */
+  16,   /* field[16] = is_sublet */
   11,   /* field[11] = right_milli */
   5,   /* field[5] = spent_alone */
   6,   /* field[6] = tokens */
@@ -1325,11 +1338,10 @@
   9,   /* field[9] = wait_ms */
   4,   /* field[4] = wanted */
 };
-static const ProtobufCIntRange ts_peer__rate__number_ranges[2 + 1] =
+static const ProtobufCIntRange ts_peer__rate__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 18, 16 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor ts_peer__rate__descriptor =
 {
@@ -1339,10 +1351,10 @@
   "TsPeer__Rate",
   "ts_peer",
   sizeof(TsPeer__Rate),
-  18,
+  19,
   ts_peer__rate__field_descriptors,
   ts_peer__rate__field_indices_by_name,
-  2,  ts_peer__rate__number_ranges,
+  1,  ts_peer__rate__number_ranges,
   (ProtobufCMessageInit) ts_peer__rate__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -254,7 +254,7 @@
    */
   uint32_t foreign_milli;
   /*
-   * ask: hash of that dealer's address
+   * ask: that dealer: hash of its address, and in which role
    */
   uint64_t foreign_from;
   /*
@@ -265,6 +265,10 @@
    * deal of nothing: the receiver has left, nothing of it is counted here
    */
   protobuf_c_boolean has_left;
+  /*
+   * deal: out of the sender's own lease, not by the home
+   */
+  protobuf_c_boolean is_sublet;
   /*
    * thousandths of a token a second to be spent alone: held, or given
    */
@@ -272,7 +276,7 @@
 };
 #define TS_PEER__RATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ts_peer__rate__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/route/rate_account.c
+++ b/src/route/rate_account.c
@@ -3,6 +3,8 @@
 
 #include <math.h>
 
+#include "tealspar/hash.h"
+
 /*
  * Parts of the tolerance: what the bucket may hold beyond the burst, as tokens lie at several nodes
  * (less where the tolerance is small against the rate); with what a new account begins, as the old
@@ -61,13 +63,21 @@
     double right;          /* tokens a second that it may spend by itself, of the rate */
     double used;           /* tokens a second that it uses */
     double foreign;        /* of `right`, what another dealer gave: that one need not spend it */
-    uint64_t foreign_from; /* hash of that dealer's address */
+    uint64_t foreign_from; /* that dealer */
     double assumed;        /* tokens debited for that since it was last heard */
     ts_time_us_t heard_us;
     ts_time_us_t assumed_us; /* when `assumed` was brought up to date */
     ts_time_us_t empty_us;   /* when it last got nothing; 0: it was given some since */
 } holder_t;
 
+/* Mixed into the names of givers that deal out of their leases. */
+#define SUBLET_SALT 1
+
+uint64_t ts_rate_giver(uint64_t address, bool is_sublet)
+{
+    return is_sublet ? ts_hash_mix(address, SUBLET_SALT) : address;
+}
+
 /* Most seconds of its right that a node saves up for when it goes alone. */
 #define SAVED_MOST_S 5.0
 
@@ -198,9 +208,10 @@
                             ts_time_us_t now_us)
 {
     double right = holder->right;
+    uint64_t giver = ts_rate_giver(holder->address, true);
     for (guint i = 0; i < account->holders->len; i++) {
         const holder_t *other = &g_array_index(account->holders, holder_t, i);
-        if (other->foreign_from == holder->address && !is_unheard(other, now_us))
+        if (other->foreign_from == giver && !is_unheard(other, now_us))
             right -= other->foreign;
     }
     return MAX(right, 0);
--- a/src/route/rate_lease.c
+++ b/src/route/rate_lease.c
@@ -233,15 +233,18 @@
 
 /*
  * A dealer may change or take back what it gave itself. One that is new may not know yet what to
- * give: until the right of the one before is nearly void, the larger of the two is gone by.
+ * give: until the right of the one before is nearly void, the larger of the two is gone by. A home
+ * that stops being home answers out of its lease, as a deputy does: that is another one, or it
+ * would take back the rights of all who ask it just when nobody deals.
  */
-static void take_right(ts_rate_lease_t *lease, double right, ts_time_us_t now_us)
+static void take_right(ts_rate_lease_t *lease, const ts_rate_deal_t *deal, ts_time_us_t now_us)
 {
     bool is_old = now_us + RIGHT_OLD_US > lease->right_until_us;
-    if (lease->right_from != lease->dealer && !is_old && right < lease->right)
+    uint64_t giver = ts_rate_giver(lease->dealer, deal->is_sublet);
+    if (lease->right_from != giver && !is_old && deal->right < lease->right)
         return;
-    lease->right = right;
-    lease->right_from = lease->dealer;
+    lease->right = deal->right;
+    lease->right_from = giver;
     lease->right_until_us = lease->asked_us + RIGHT_VALID_US;
 }
 
@@ -258,7 +261,7 @@
     lease->valid_until_us = lease->asked_us + deal->valid_us;
     lease->has_moved &= !lease->is_right_lent;
     if (lease->is_right_lent) { // else the one before goes on until it is void
-        take_right(lease, deal->right, now_us);
+        take_right(lease, deal, now_us);
         lease->own_tokens = MAX(lease->own_tokens, saved_most(lease->right, terms));
         lease->own_us = MAX(lease->own_us, lease->asked_us);
     }
--- a/src/route/rate_limiter.c
+++ b/src/route/rate_limiter.c
@@ -36,7 +36,7 @@
     double used;           /* tokens a second that it told */
     double right;          /* tokens a second that it may spend by itself, of the deputy's, */
     double foreign;        /* and that it was given by another dealer and lends to this one */
-    uint64_t foreign_from; /* hash of that dealer's address */
+    uint64_t foreign_from; /* that dealer */
     double assumed;        /* told on as spent since it was last heard */
     bool is_alone;         /* it said that it spends by its right now */
     ts_time_us_t heard_us;
@@ -249,7 +249,7 @@
     double used;        /* tokens a second that the zone's nodes use */
     double lent;        /* rights that others gave them and that they lend to this deputy */
     double lent_one;    /* of these, what one of the others gave, */
-    uint64_t lent_from; /* hash of that one's address */
+    uint64_t lent_from; /* that one */
 } zone_sums_t;
 
 /* Looks over the zone's nodes: who is silent, what they use and hold. */
@@ -440,7 +440,7 @@
                               const ts_rate_terms_t *terms, const queued_ask_t *queued,
                               ts_time_us_t now_us)
 {
-    ts_rate_row_t row = {.account = held->account, .ask = queued->ask};
+    ts_rate_row_t row = {.account = held->account, .ask = queued->ask, .deal.is_sublet = true};
     ts_rate_verdict_t verdict = TS_RATE_TAKEN;
     if (queued->lacking > 0)
         verdict =
