Rights are shares of the whole rate, and use is counted once

Callers saw: below their limit left without an answer at nodes that hear no home, and for seconds after a home was lost. Cause: a right was the holder's use and 15%, the rest of the rate nobody's: lost with the home until the next one had grown for 6 s. Deputies told their zone's requests as their own and as their zone's, and each repeated ask as a request, so that shares differed by two. Ruled out: either alone (counted once with the former 15%: worse, as the double count had stood in for what was missing). Holds because rights sum to the rate whenever there is use, so that a new home is lent all of it by those who ask it.

--- a/include/tealspar/rate_lease.h
+++ b/include/tealspar/rate_lease.h
@@ -51,6 +51,8 @@
 
 /** `own_tokens`: what it may spend by itself before it has found a dealer. */
 void ts_rate_lease_open(ts_rate_lease_t *lease, double own_tokens, ts_time_us_t now_us);
+/** A token is wanted by another node, which counts its requests itself. */
+void ts_rate_lease_note_demand(ts_rate_lease_t *lease, ts_time_us_t now_us);
 /** A request has come that wants a token; once a request. */
 void ts_rate_lease_note_request(ts_rate_lease_t *lease, ts_time_us_t now_us);
 /** Takes a token if there is one. */
--- a/src/route/rate_account.c
+++ b/src/route/rate_account.c
@@ -47,8 +47,6 @@
 #define USED_KEPT_US (3 * TS_US_PER_S)
 /* Of what the ramp lets a new home deal, what it may give as rights beyond those lent to it. */
 #define NEW_RIGHTS_SHARE 0.5
-/* A right is what its holder uses and so much more: what is counted fades and lags behind. */
-#define HEADROOM 1.15
 /* A node that got nothing stands in the queue for so long. */
 #define QUEUED_US (1 * TS_US_PER_S)
 
@@ -275,8 +273,9 @@
 }
 
 /*
- * What a holder may spend by itself when it loses its dealer: as it does now, or its share by use
- * of what all do, so far as the rights of all are not more than the rate. A home that is new gives
+ * What a holder may spend by itself when it loses its dealer: its share, by use, of the whole rate,
+ * so far as the rights of all are not more than that. What nobody holds is out of reach when the
+ * home is lost, until another one may count on it. A home that is new gives
  * little more than it was lent, as it does not know what others hold. Until the holder has the
  * answer it may go by the right that it had: the larger of the two counts.
  */
@@ -301,7 +300,7 @@
     if (risen < 1)
         left = MAX(claim->right, NEW_RIGHTS_SHARE * risen * terms->rate - others);
     double share = terms->rate * claim->used / MAX(used, TS_RATE_RIGHT_LEAST);
-    double right = MIN(MIN(claim->used * HEADROOM, share), MAX(left, 0));
+    double right = MIN(share, MAX(left, 0));
     if (right < TS_RATE_RIGHT_LEAST)
         right = 0;
     holder->right = MAX(right, claim->right);
--- a/src/route/rate_lease.c
+++ b/src/route/rate_lease.c
@@ -59,15 +59,20 @@
     return rate * exp(-age_s / span_s);
 }
 
-void ts_rate_lease_note_request(ts_rate_lease_t *lease, ts_time_us_t now_us)
+void ts_rate_lease_note_demand(ts_rate_lease_t *lease, ts_time_us_t now_us)
 {
     lease->demand = faded(lease->demand, lease->demand_us, now_us, DEMAND_SPAN_S);
     lease->demand += 1 / DEMAND_SPAN_S;
     lease->demand_us = now_us;
+    lease->used_us = now_us;
+}
+
+void ts_rate_lease_note_request(ts_rate_lease_t *lease, ts_time_us_t now_us)
+{
+    ts_rate_lease_note_demand(lease, now_us);
     lease->asking = faded(lease->asking, lease->asking_us, now_us, ASKING_SPAN_S);
     lease->asking += 1 / ASKING_SPAN_S;
     lease->asking_us = now_us;
-    lease->used_us = now_us;
 }
 
 unsigned ts_rate_lease_in_hand(const ts_rate_lease_t *lease, ts_time_us_t now_us)
--- a/src/route/rate_limiter.c
+++ b/src/route/rate_limiter.c
@@ -529,7 +529,7 @@
     held->lease.is_deputy = true;
     note_debtor(held, node, row, now_us);
     for (unsigned i = 0; i < lacking; i++)
-        ts_rate_lease_note_request(&held->lease, now_us);
+        ts_rate_lease_note_demand(&held->lease, now_us);
     if (!answer_from_lease(limiter, held, terms, &ask, now_us))
         queue_ask(held, &ask);
     ask_if_due(limiter, held, terms, now_us);
