A node that is alone saves up its part of the burst

Callers saw: below their limit refused where two requests came close together at a node that hears no home. Cause: a right brought its part of the rate and not of the burst. Holds because a node's part of the burst fills from its own right, and is one of the whole for all nodes together.

--- a/include/tealspar/rate_account.h
+++ b/include/tealspar/rate_account.h
@@ -89,8 +89,10 @@
 /** Deals tokens to a node. */
 ts_rate_deal_t ts_rate_account_deal(ts_rate_account_t *account, const ts_rate_terms_t *terms,
                                     const ts_rate_claim_t *claim, ts_time_us_t now_us);
-/** Seconds of a right that a node may save up for when it goes alone. */
-double ts_rate_saved_s(const ts_rate_terms_t *terms);
+/** What a right has saved up when its holder goes alone, by the tolerance. */
+double ts_rate_saved(const ts_rate_terms_t *terms, double right);
+/** Most that a right may amount to in time: with its part of the burst. */
+double ts_rate_saved_most(const ts_rate_terms_t *terms, double right);
 /** Most that may lie unspent, at home and at all nodes. */
 double ts_rate_capacity(const ts_rate_terms_t *terms);
 
--- a/src/route/rate_account.c
+++ b/src/route/rate_account.c
@@ -79,9 +79,18 @@
 /* Most seconds of its right that a node saves up for when it goes alone. */
 #define SAVED_MOST_S 5.0
 
-double ts_rate_saved_s(const ts_rate_terms_t *terms)
+/* A node that is alone may save up one token at least, or it could never spend any. */
+#define SAVED_LEAST 1.0
+
+double ts_rate_saved(const ts_rate_terms_t *terms, double right)
+{
+    return right * MIN(SAVED_SHARE * terms->tolerance / terms->rate, SAVED_MOST_S);
+}
+
+double ts_rate_saved_most(const ts_rate_terms_t *terms, double right)
 {
-    return MIN(SAVED_SHARE * terms->tolerance / terms->rate, SAVED_MOST_S);
+    double burst = right / terms->rate * terms->burst;
+    return MAX(ts_rate_saved(terms, right) + burst, SAVED_LEAST);
 }
 
 /* Part of the rate that may be spent twice all the time: small accounts have a tolerance that is
--- a/src/route/rate_lease.c
+++ b/src/route/rate_lease.c
@@ -39,10 +39,6 @@
 /* Bounds on how long the home's answer that it has none is believed. */
 #define OVER_LEAST_US (20 * TS_US_PER_MS)
 #define OVER_MOST_US (500 * TS_US_PER_MS)
-/* One token of a right is saved up where the tolerance bears less, so that the next request need
- * not wait when the dealer is lost. */
-#define SAVED_LEAST 1.0
-
 void ts_rate_lease_open(ts_rate_lease_t *lease, double own_tokens, ts_time_us_t now_us)
 {
     *lease = (ts_rate_lease_t){.demand_us = now_us,
@@ -85,17 +81,11 @@
     return now_us < lease->right_until_us ? lease->right : 0;
 }
 
-/* What a right may amount to when it is saved up. */
-static double saved_most(double right, const ts_rate_terms_t *terms)
-{
-    return MAX(right * ts_rate_saved_s(terms), MIN(right, SAVED_LEAST));
-}
-
 /* What it may spend by itself: its right less what others hold of it. */
 static void fill_own(ts_rate_lease_t *lease, const ts_rate_terms_t *terms, ts_time_us_t now_us)
 {
     double right = MAX(ts_rate_lease_right(lease, now_us) - lease->sublet, 0);
-    double most = MAX(saved_most(right, terms), SAVED_LEAST);
+    double most = ts_rate_saved_most(terms, right);
     double come = right * (double)(now_us - lease->own_us) / TS_US_PER_S;
     lease->own_tokens = MIN(lease->own_tokens + come, MAX(most, lease->own_tokens));
     lease->own_us = now_us;
@@ -267,7 +257,7 @@
     lease->has_moved &= !lease->is_right_lent;
     if (lease->is_right_lent) { // else the one before goes on until it is void
         take_right(lease, deal, now_us);
-        lease->own_tokens = MAX(lease->own_tokens, saved_most(lease->right, terms));
+        lease->own_tokens = MAX(lease->own_tokens, ts_rate_saved(terms, lease->right));
         lease->own_us = MAX(lease->own_us, lease->asked_us);
     }
     lease->asked_us = 0;
