A node tells its dealer that it holds a right no more

Cause: a right that is taken back counts as held until its holder confirms that, and a holder without a right asked no more: the dealer took it for cut off and debited the right as spent until it was void. Deputies told 110 to 200 tokens in two seconds that nobody had spent. Ruled out: nodes that were cut off (none then), other holders (they ask twice a second). Holds because a node goes on asking until its dealer has been told what it holds now, whether that grew or fell.

--- a/include/tealspar/rate_lease.h
+++ b/include/tealspar/rate_lease.h
@@ -32,6 +32,7 @@
     ts_time_us_t over_until_us;   /**< the home has none for this node until then */
     ts_time_us_t ask_after_us;    /**< not asked before that, unless a request waits */
     double right;                 /**< tokens a second that it may spend by itself */
+    double told_right;            /**< of that, as the latest ask told it */
     double sublet;                /**< of that, what this deputy has given others of its zone */
     ts_time_us_t right_until_us;  /**< that is void from then on */
     uint64_t right_from;          /**< who gave it, see ts_rate_giver */
--- a/src/route/rate_lease.c
+++ b/src/route/rate_lease.c
@@ -175,7 +175,8 @@
         return false;
     unsigned in_hand = ts_rate_lease_in_hand(lease, now_us);
     unsigned wanted = ts_rate_lease_wanted(lease, terms, now_us);
-    bool has_right = ts_rate_lease_right(lease, now_us) >= TS_RATE_RIGHT_LEAST;
+    // one that was taken back counts as held until its dealer is told that it is not
+    bool has_right = MAX(ts_rate_lease_right(lease, now_us), lease->told_right) > 0;
     if (has_right && now_us - lease->sent_us > RENEW_RIGHT_US)
         return true;
     if (wanted == 0)
@@ -223,6 +224,7 @@
         lease->silent_since_us = now_us;
     lease->asked_us = now_us;
     lease->sent_us = now_us;
+    lease->told_right = ts_rate_lease_right(lease, now_us);
     return ++lease->ask;
 }
 
