What was spent long before is not debited at once

Callers saw: below their limit refused for seconds after a cut had ended (debts of two seconds of the rate). Cause: asks that lay on the way during a cut come all at once; the totals that they tell of were debited as just spent, 13 tokens in 0.7 ms, to an account that had begun with what came in since. Ruled out: asks out of their order (late ones come first). Holds because a right cannot amount to more than its rate in the time since its holder was heard, and what it had saved up.

--- a/include/tealspar/rate_account.h
+++ b/include/tealspar/rate_account.h
@@ -63,6 +63,12 @@
     ts_time_us_t wait_us;  /**< none were left: when the next one is its turn; else 0 */
 } ts_rate_deal_t;
 
+/** What a holder can have saved up of its right. */
+typedef struct ts_rate_allowance {
+    double tokens;
+    ts_time_us_t at_us; /**< when that was; 0: the holder is new, what it spent is not counted */
+} ts_rate_allowance_t;
+
 typedef struct ts_rate_account {
     double tokens;
     ts_time_us_t at_us;         /**< when `tokens` was last brought up to date */
@@ -93,6 +99,13 @@
 double ts_rate_saved(const ts_rate_terms_t *terms, double right);
 /** Most that a right may amount to in time: with its part of the burst. */
 double ts_rate_saved_most(const ts_rate_terms_t *terms, double right);
+/**
+ * Of what a holder says that it has spent by itself, what its right can have amounted to since it
+ * was last heard. Asks that lay on the way while it was cut off come all at once, and tell of what
+ * was spent long before.
+ */
+double ts_rate_allow(ts_rate_allowance_t *allowance, const ts_rate_terms_t *terms, double right,
+                     double spent, ts_time_us_t now_us);
 /** Most that may lie unspent, at home and at all nodes. */
 double ts_rate_capacity(const ts_rate_terms_t *terms);
 
--- a/src/route/rate_account.c
+++ b/src/route/rate_account.c
@@ -62,7 +62,8 @@
     double used;           /* tokens a second that it uses */
     double foreign;        /* of `right`, what another dealer gave: that one need not spend it */
     uint64_t foreign_from; /* that dealer */
-    double assumed;        /* tokens debited for that since it was last heard */
+    ts_rate_allowance_t allowance;
+    double assumed; /* tokens debited for that since it was last heard */
     ts_time_us_t heard_us;
     ts_time_us_t assumed_us; /* when `assumed` was brought up to date */
     ts_time_us_t empty_us;   /* when it last got nothing; 0: it was given some since */
@@ -93,6 +94,18 @@
     return MAX(ts_rate_saved(terms, right) + burst, SAVED_LEAST);
 }
 
+double ts_rate_allow(ts_rate_allowance_t *allowance, const ts_rate_terms_t *terms, double right,
+                     double spent, ts_time_us_t now_us)
+{
+    double most = ts_rate_saved_most(terms, right);
+    double span_s = (double)(now_us - allowance->at_us) / TS_US_PER_S;
+    double had = allowance->at_us == 0 ? 0 : allowance->tokens + right * span_s;
+    double allowed = MIN(spent, had);
+    allowance->tokens = MIN(had - allowed, most);
+    allowance->at_us = now_us;
+    return allowed;
+}
+
 /* Part of the rate that may be spent twice all the time: small accounts have a tolerance that is
  * larger than what they may send. */
 static double twice_share(const ts_rate_terms_t *terms)
@@ -347,10 +360,12 @@
  * Sets what a holder has spent alone against what was assumed. What was withheld for nothing comes
  * back as far as there is room, unless another home may have dealt it.
  */
-static void settle_debt(ts_rate_account_t *account, const ts_rate_terms_t *terms,
-                        const holder_t *holder, const ts_rate_claim_t *claim)
+static void settle_debt(ts_rate_account_t *account, const ts_rate_terms_t *terms, holder_t *holder,
+                        const ts_rate_claim_t *claim, ts_time_us_t now_us)
 {
-    double owed = ts_rate_debt(holder->spent_alone, claim->spent_alone) - holder->assumed;
+    double spent = ts_rate_debt(holder->spent_alone, claim->spent_alone);
+    double right = MAX(holder->right, claim->right);
+    double owed = ts_rate_allow(&holder->allowance, terms, right, spent, now_us) - holder->assumed;
     if (owed >= 0)
         account->tokens -= owed;
     else if (!claim->has_moved)
@@ -361,7 +376,7 @@
 static void note_claim(ts_rate_account_t *account, const ts_rate_terms_t *terms, holder_t *holder,
                        const ts_rate_claim_t *claim, ts_time_us_t now_us)
 {
-    settle_debt(account, terms, holder, claim);
+    settle_debt(account, terms, holder, claim, now_us);
     holder->assumed = 0;
     holder->ask = claim->ask;
     holder->spent_alone = claim->spent_alone;
--- a/src/route/rate_limiter.c
+++ b/src/route/rate_limiter.c
@@ -37,8 +37,9 @@
     double right;          /* tokens a second that it may spend by itself, of the deputy's, */
     double foreign;        /* and that it was given by another dealer and lends to this one */
     uint64_t foreign_from; /* that dealer */
-    double assumed;        /* told on as spent since it was last heard */
-    bool is_alone;         /* it said that it spends by its right now */
+    ts_rate_allowance_t allowance;
+    double assumed; /* told on as spent since it was last heard */
+    bool is_alone;  /* it said that it spends by its right now */
     ts_time_us_t heard_us;
 } debtor_t;
 
@@ -492,8 +493,8 @@
 }
 
 /* What a node of the zone says of itself; what it has spent by itself is told on to the home. */
-static void note_debtor(held_lease_t *held, uint64_t node, const ts_rate_row_t *row,
-                        ts_time_us_t now_us)
+static void note_debtor(held_lease_t *held, const ts_rate_terms_t *terms, uint64_t node,
+                        const ts_rate_row_t *row, ts_time_us_t now_us)
 {
     if (held->debtors == NULL)
         held->debtors = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
@@ -503,7 +504,9 @@
         debtor->spent_alone = row->spent_alone;
         g_hash_table_insert(held->debtors, g_memdup2(&node, sizeof(node)), debtor);
     }
-    double owed = ts_rate_debt(debtor->spent_alone, row->spent_alone) - debtor->assumed;
+    double spent = ts_rate_debt(debtor->spent_alone, row->spent_alone);
+    double right = MAX(debtor->right, row->right);
+    double owed = ts_rate_allow(&debtor->allowance, terms, right, spent, now_us) - debtor->assumed;
     owe(held, row->has_moved ? MAX(owed, 0) : owed);
     debtor->assumed = 0;
     debtor->spent_alone = row->spent_alone;
@@ -527,7 +530,7 @@
     unsigned lacking = row->wanted > row->in_hand ? row->wanted - row->in_hand : 0;
     queued_ask_t ask = {(char *)address, node, row->ask, lacking, now_us};
     held->lease.is_deputy = true;
-    note_debtor(held, node, row, now_us);
+    note_debtor(held, terms, node, row, now_us);
     for (unsigned i = 0; i < lacking; i++)
         ts_rate_lease_note_demand(&held->lease, now_us);
     if (!answer_from_lease(limiter, held, terms, &ask, now_us))
