A process that is told to stop while it starts ends in order

Operators saw: a node that was started and stopped at once ended by signal 15, as if it had crashed; SIGHUP ended a gateway that started. Ruled out: a stop that takes too long (the log of the node is empty). Holds because the handlers are set before anything is done; a process that has taken nothing ends with 0 at once. The lab waits at a run's end until nodes whose process runs answer, so that a stop is judged at nodes that serve; logs of lives are kept.

--- a/lab/fleet.c
+++ b/lab/fleet.c
@@ -267,7 +267,7 @@
 {
     char *path = in_directory(fleet, output, "");
     char *error_path = g_strdup_printf("%s.err", path);
-    int file = open(path, O_CREAT | O_WRONLY | O_TRUNC, 0644);
+    int file = open(path, O_CREAT | O_WRONLY | O_APPEND, 0644); /* after what lives before wrote */
     int errors = open(error_path, O_CREAT | O_WRONLY | O_APPEND, 0644);
     g_free(error_path);
     g_free(path);
--- a/lab/run.c
+++ b/lab/run.c
@@ -263,6 +263,9 @@
     if (report != NULL) {
         add_watch(report, watch, &log);
     }
+    /* A node that was started anew a moment ago is stopped once it has begun: how a start is broken
+     * off is judged by tests of its own. */
+    lab_run_until(fleet, lab_watch_running_answer, watch, READY_SECONDS);
     lab_watch_stop(watch);
     unsigned failed = lab_fleet_stop(fleet);
     if (report == NULL) {
--- a/lab/watch.c
+++ b/lab/watch.c
@@ -131,6 +131,18 @@
     return true;
 }
 
+bool lab_watch_running_answer(void *context)
+{
+    const lab_watch_t *watch = context;
+    for (guint i = 0; i < watch->nodes->len; i++) {
+        const watched_t *watched = g_ptr_array_index(watch->nodes, i);
+        if (watched->node->process.is_running && watched->up_since_us == 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
 unsigned lab_watch_reverted(const lab_watch_t *watch)
 {
     return watch->reverted;
--- a/lab/watch.h
+++ b/lab/watch.h
@@ -11,6 +11,8 @@
 void lab_watch_stop(lab_watch_t *watch);
 /** Whether every running node says that it is ready and sees all the others live. */
 bool lab_watch_all_ready(void *watch);
+/** Whether every node whose process runs answers its operators; for lab_run_until. */
+bool lab_watch_running_answer(void *context);
 /** Times that a node showed a lower version than it had shown before. */
 unsigned lab_watch_reverted(const lab_watch_t *watch);
 /**
--- a/src/cli/command_gateway.c
+++ b/src/cli/command_gateway.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "tealspar/command.h"
+#include "tealspar/early_stop.h"
 #include "tealspar/gateway.h"
 #include "tealspar/plugin.h"
 
@@ -67,6 +68,7 @@
     struct arg_end *end = arg_end(ERRORS_MAX);
     void *table[TABLE_SIZE] = {help, file, dry, end};
     int exit_code = TS_EXIT_OK;
+    ts_early_stop_begin();
     if (ts_command_parse(argc, argv, table, TABLE_SIZE, "run a gateway until SIGTERM",
                          &exit_code)) {
         const char *path = file->count > 0 ? file->filename[0] : getenv(SETTINGS_VARIABLE);
