--- a/lab/run.c
+++ b/lab/run.c
@@ -164,6 +164,21 @@
     return json_integer_value(json_object_get(report, key));
 }
 
+/* Whether no more of a kind than expected ended without its caller's knowing if they ran. */
+static bool meets_unknown(const lab_scenario_t *scenario, const lab_scenario_kind_t *kind,
+                          const json_t *report)
+{
+    const json_t *told = json_object_get(json_object_get(report, "kinds"), kind->kind);
+    json_int_t unknown = count_of(told, "unknown");
+    if (kind->unknown_at_most == NULL || unknown <= *kind->unknown_at_most) {
+        return true;
+    }
+    fprintf(stderr, "%s: of %lld %s %lld may have run, at most %d expected\n", scenario->name,
+            (long long)count_of(told, "sent"), kind->kind, (long long)unknown,
+            *kind->unknown_at_most);
+    return false;
+}
+
 /* The scenario's own expectations; what falls short is said on standard error. */
 static bool meets_expectations(const lab_scenario_t *scenario, const json_t *report)
 {
@@ -182,6 +197,9 @@
                 scenario->answered_at_least_percent);
         is_good = false;
     }
+    for (unsigned i = 0; i < scenario->load_count; i++) {
+        is_good &= meets_unknown(scenario, &scenario->load[i], report);
+    }
     return is_good;
 }
 
--- a/lab/scenario.c
+++ b/lab/scenario.c
@@ -46,7 +46,9 @@
 
 static const cyaml_schema_field_t kind_fields[] = {
     CYAML_FIELD_STRING_PTR("kind", CYAML_FLAG_POINTER, lab_scenario_kind_t, kind, 1, TEXT_MAX),
-    CYAML_FIELD_FLOAT("rate", CYAML_FLAG_DEFAULT, lab_scenario_kind_t, rate), CYAML_FIELD_END};
+    CYAML_FIELD_FLOAT("rate", CYAML_FLAG_DEFAULT, lab_scenario_kind_t, rate),
+    CYAML_FIELD_INT_PTR("unknown_at_most", OPTIONAL_TEXT, lab_scenario_kind_t, unknown_at_most),
+    CYAML_FIELD_END};
 static const cyaml_schema_value_t kind_schema = {
     CYAML_VALUE_MAPPING(CYAML_FLAG_DEFAULT, lab_scenario_kind_t, kind_fields)};
 
--- a/lab/scenario.h
+++ b/lab/scenario.h
@@ -41,6 +41,7 @@
 typedef struct lab_scenario_kind {
     char *kind;
     double rate;
+    int *unknown_at_most; /**< that may have run, or not; absent: any number */
 } lab_scenario_kind_t;
 
 typedef struct lab_scenario {
