A request that was never sent before is refused, not left in doubt, by an owner that took over

Callers saw: of each planned stop of a two-hop node 15 to 24 of 160 dispatches "unknown": a person has to look whether the card was sent. Cause: the new owner vouches for ids issued seven seconds after it took over, and answered "may have run" for all others, also for those whose callers say that they are new and that no other owner was sent. Ruled out: requests in flight at the stop (the searchers' journals have none of these ids). Holds because the owner says only what it knows (not run here), and the front alone knows whether the request was sent before; a repeat stays unknown. The refusal tells from when the owner vouches.

--- a/include/tealspar/messages.h
+++ b/include/tealspar/messages.h
@@ -17,9 +17,10 @@
 
 /** Whether work was done for a subrequest; what a refusal may promise depends on it. */
 typedef enum ts_run {
-    TS_RUN_NOT,  /**< certainly not run */
-    TS_RUN_DONE, /**< run to its end */
-    TS_RUN_MAYBE /**< it may have run, or may still */
+    TS_RUN_NOT,     /**< certainly not run */
+    TS_RUN_DONE,    /**< run to its end */
+    TS_RUN_MAYBE,   /**< it may have run, or may still */
+    TS_RUN_NOT_HERE /**< not by this owner, who can't tell what one before it has run */
 } ts_run_t;
 
 /** What a query asks, the same for all its shards. Counted by references; immutable. */
--- a/src/broker/broker.c
+++ b/src/broker/broker.c
@@ -105,8 +105,27 @@
     answer_undispatched(job, &subreply);
 }
 
+/*
+ * This owner can't vouch for earlier ones. Whether that leaves a doubt is for the front to say: a
+ * request that was never sent before has not run, and its caller may come back when this owner can.
+ */
+static void answer_unvouched(ts_job_t *job, ts_error_t error, int64_t since_ms)
+{
+    int64_t wait_ms = since_ms + OWNER_FENCE_MS + CLOCK_SKEW_MS - ts_clock_wall_ms();
+    ts_subreply_t subreply = {
+        .error = error, .run = TS_RUN_NOT_HERE, .retry_after_ms = (uint32_t)MAX(wait_ms, 0)};
+    ts_count_error(error);
+    answer_undispatched(job, &subreply);
+}
+
 /* ---- unrepeatable requests ---- */
 
+/* Since when this owner has been the only one. */
+static int64_t vouching_since_ms(const ts_job_t *job)
+{
+    return MAX(job->owned->owned_since_ms, job->broker->standing_since_ms);
+}
+
 /* Whether this owner can vouch that no earlier owner has dispatched the id. */
 static ts_error_t check_vouching(const ts_job_t *job)
 {
@@ -119,11 +138,10 @@
     if (ts_clock_now_us() < broker->doubt_until_us) {
         return TS_E_NO_QUORUM;
     }
-    int64_t since_ms = MAX(job->owned->owned_since_ms, broker->standing_since_ms);
     if (issued_ms > now_ms + CLOCK_SKEW_MS || issued_ms < now_ms - IDEMPOTENCY_AGE_MS) {
         return TS_E_OWNER_CHANGED;
     }
-    if (issued_ms < since_ms + OWNER_FENCE_MS + CLOCK_SKEW_MS) {
+    if (issued_ms < vouching_since_ms(job) + OWNER_FENCE_MS + CLOCK_SKEW_MS) {
         return TS_E_OWNER_CHANGED;
     }
     return TS_OK;
@@ -135,7 +153,7 @@
     ts_subreply_t kept = {0};
     ts_error_t error = check_vouching(job);
     if (error != TS_OK) {
-        answer_unknown(job, error);
+        answer_unvouched(job, error, vouching_since_ms(job));
         return;
     }
     switch (ts_idempotency_admit(broker->idempotency, job->work, ts_clock_now_us())) {
--- a/src/front/query.c
+++ b/src/front/query.c
@@ -435,7 +435,8 @@
 {
     fragment->error = subreply->error;
     fragment->retry_after_ms = MAX(fragment->retry_after_ms, subreply->retry_after_ms);
-    fragment->ran |= subreply->run != TS_RUN_NOT;
+    // an owner that can't vouch has not run it; of a repeat that says nothing (is_vouched)
+    fragment->ran |= subreply->run == TS_RUN_DONE || subreply->run == TS_RUN_MAYBE;
     if (fragment->attempts_out > 0) {
         return; /* another attempt is still out */
     }
--- a/src/proto/wire.c
+++ b/src/proto/wire.c
@@ -256,7 +256,7 @@
     ts_subreply_t *subreply = &message->subreply;
     subreply->counter = wire->counter;
     subreply->error = (ts_error_t)wire->error;
-    subreply->run = wire->run > TS_RUN_MAYBE ? TS_RUN_MAYBE : (ts_run_t)wire->run;
+    subreply->run = wire->run > TS_RUN_NOT_HERE ? TS_RUN_MAYBE : (ts_run_t)wire->run;
     subreply->snapshot = wire->snapshot;
     subreply->total = wire->total;
     subreply->service_us = wire->service_us;
