What a node saved up alone goes to the new home with its right

Callers saw: 0 to 3 of 6 requests below the limit served when the home of their tenant had just been replaced (beside load). Cause: a node's part of the bucket was lost when it lent its right to a new home, which begins with an empty one. Ruled out: that views change late (until then the node spends what it saved), the rate of the new home (lent by the first ask). Holds because the part is spent by the one who holds it, and is given away once, with the ask; a lost ask loses it.

--- a/include/tealspar/rate_account.h
+++ b/include/tealspar/rate_account.h
@@ -50,6 +50,7 @@
     double right;          /**< tokens a second that it may spend by itself, */
     bool is_alone;  /**< and does, or has lent to another home; else it is lent to this one */
     bool has_moved; /**< it has lent it to another home since this one last answered it */
+    double saved;   /**< tokens that it saved up of its right while it was alone, and gives here */
 } ts_rate_claim_t;
 
 /** What it gets. */
--- a/include/tealspar/rate_lease.h
+++ b/include/tealspar/rate_lease.h
@@ -41,6 +41,7 @@
     ts_time_us_t lent_us;    /**< when that one was last asked */
     bool is_right_lent;      /**< the latest ask lent the right */
     bool has_moved;          /**< it was lent to another one since the dealer last answered */
+    bool was_alone;          /**< it was not lent, by the ask before the latest */
     uint32_t spent_alone;    /**< spent by itself since it began, own and told by others */
     double own_tokens;       /**< what has come in of its right */
     ts_time_us_t own_us;     /**< when that was brought up to date */
@@ -89,6 +90,14 @@
                                      ts_time_us_t now_us);
 /** A dealer that the right was lent to says that it doesn't count on it any more. */
 void ts_rate_lease_note_left(ts_rate_lease_t *lease, uint64_t dealer);
+/**
+ * Tokens saved up alone, which go to the dealer with the ask that lends the right to it; 0 if it
+ * was lent before. They are given once, whether the ask arrives or not.
+ */
+double ts_rate_lease_give_saved(ts_rate_lease_t *lease, const ts_rate_terms_t *terms,
+                                ts_time_us_t now_us);
+/** Another node gives what it saved up: it is spent while this node is alone, or given on. */
+void ts_rate_lease_take_saved(ts_rate_lease_t *lease, double saved);
 /** An ask leaves; returns its number. `is_lacking`: it wants tokens, not a right alone. */
 uint32_t ts_rate_lease_note_ask(ts_rate_lease_t *lease, bool is_lacking, ts_time_us_t now_us);
 /** The home's answer to an ask; one that is not awaited is ignored. */
--- a/include/tealspar/rate_limiter.h
+++ b/include/tealspar/rate_limiter.h
@@ -30,6 +30,7 @@
     double foreign;        /**< ask: part of that which another dealer gave, */
     uint64_t foreign_from; /**< ask: that dealer, see ts_rate_giver */
     bool is_alone;         /**< and does, or has lent to another home: this one can't count on it */
+    double saved;          /**< ask: tokens saved up alone that it gives to the dealer */
     bool is_leaving;     /**< no ask: the sender asks another one now; `foreign_from` is this one */
     bool has_moved;      /**< ask: it has lent it to another one since this one last answered */
     ts_rate_deal_t deal; /**< answer: what it gets */
--- a/src/peers/peers_rates.c
+++ b/src/peers/peers_rates.c
@@ -150,6 +150,7 @@
     rate.is_alone = row->is_alone;
     rate.has_moved = row->has_moved;
     rate.is_leaving = row->is_leaving;
+    rate.saved_milli = to_milli(row->saved);
     frame.rate = &rate;
     ts_count(TS_COUNTER_RATE_ASKS, 1);
     ts_peers_send(peers, address, &frame);
@@ -192,6 +193,7 @@
                          .is_alone = rate->is_alone,
                          .has_moved = rate->has_moved,
                          .is_leaving = rate->is_leaving,
+                         .saved = rate->saved_milli / MILLI,
                          .deal = {.tokens = rate->tokens,
                                   .right = rate->right_milli / MILLI,
                                   .is_sublet = rate->is_sublet,
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -1086,7 +1086,7 @@
   (ProtobufCMessageInit) ts_peer__evidence__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ts_peer__rate__field_descriptors[19] =
+static const ProtobufCFieldDescriptor ts_peer__rate__field_descriptors[20] =
 {
   {
     "account",
@@ -1316,6 +1316,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "saved_milli",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Rate, saved_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ts_peer__rate__field_indices_by_name[] = {
   0,   /* field[0] = account */
@@ -1331,6 +1343,7 @@
   8,   /* field[8] = is_lost */
   16,   /* field[16] = is_sublet */
   11,   /* field[11] = right_milli */
+  19,   /* field[19] = saved_milli */
   5,   /* field[5] = spent_alone */
   6,   /* field[6] = tokens */
   10,   /* field[10] = used_milli */
@@ -1341,7 +1354,7 @@
 static const ProtobufCIntRange ts_peer__rate__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor ts_peer__rate__descriptor =
 {
@@ -1351,7 +1364,7 @@
   "TsPeer__Rate",
   "ts_peer",
   sizeof(TsPeer__Rate),
-  19,
+  20,
   ts_peer__rate__field_descriptors,
   ts_peer__rate__field_indices_by_name,
   1,  ts_peer__rate__number_ranges,
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -269,6 +269,10 @@
    * deal: out of the sender's own lease, not by the home
    */
   protobuf_c_boolean is_sublet;
+  /*
+   * ask: thousandths of a token, saved up alone, that the sender gives
+   */
+  uint32_t saved_milli;
   /*
    * thousandths of a token a second to be spent alone: held, or given
    */
@@ -276,7 +280,7 @@
 };
 #define TS_PEER__RATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ts_peer__rate__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/route/rate_account.c
+++ b/src/route/rate_account.c
@@ -372,6 +372,17 @@
         account->tokens = MIN(account->tokens - owed, find_room(account, terms));
 }
 
+/*
+ * What a holder saved up by itself is a part of the bucket that no other home knows of: a new one
+ * begins with little, and callers below the limit would wait for it to fill.
+ */
+static void take_saved(ts_rate_account_t *account, const ts_rate_terms_t *terms, double saved)
+{
+    if (saved > 0)
+        account->tokens =
+            MAX(account->tokens, MIN(account->tokens + saved, find_room(account, terms)));
+}
+
 /* Notes what a holder says of itself. */
 static void note_claim(ts_rate_account_t *account, const ts_rate_terms_t *terms, holder_t *holder,
                        const ts_rate_claim_t *claim, ts_time_us_t now_us)
@@ -388,6 +399,7 @@
     holder->foreign_from = claim->foreign_from;
     holder->is_alone = claim->is_alone;
     holder->heard_us = now_us;
+    take_saved(account, terms, claim->saved);
 }
 
 ts_rate_deal_t ts_rate_account_deal(ts_rate_account_t *account, const ts_rate_terms_t *terms,
--- a/src/route/rate_lease.c
+++ b/src/route/rate_lease.c
@@ -217,6 +217,25 @@
     return true;
 }
 
+double ts_rate_lease_give_saved(ts_rate_lease_t *lease, const ts_rate_terms_t *terms,
+                                ts_time_us_t now_us)
+{
+    bool was_alone = lease->was_alone;
+    lease->was_alone = !lease->is_right_lent;
+    if (!was_alone || !lease->is_right_lent)
+        return 0;
+    fill_own(lease, terms, now_us);
+    double kept = ts_rate_saved(terms, ts_rate_lease_right(lease, now_us));
+    double saved = MAX(lease->own_tokens - kept, 0);
+    lease->own_tokens -= saved;
+    return lease->has_moved ? saved : 0; // the dealer that it was lent to before withheld it
+}
+
+void ts_rate_lease_take_saved(ts_rate_lease_t *lease, double saved)
+{
+    lease->own_tokens += saved;
+}
+
 uint32_t ts_rate_lease_note_ask(ts_rate_lease_t *lease, bool is_lacking, ts_time_us_t now_us)
 {
     lease->is_lacking = is_lacking;
--- a/src/route/rate_limiter.c
+++ b/src/route/rate_limiter.c
@@ -146,6 +146,7 @@
                              .right = row->right,
                              .is_alone = row->is_alone,
                              .has_moved = row->has_moved,
+                             .saved = row->saved,
                              .ask = row->ask,
                              .spent_alone = row->spent_alone,
                              .in_hand = row->in_hand,
@@ -341,6 +342,7 @@
     row.is_alone =
         dealer == TS_RATE_DEALER_NONE || !lend_right(limiter, held, id, lent_address, now_us);
     row.has_moved = lease->has_moved;
+    row.saved = ts_rate_lease_give_saved(lease, terms, now_us);
     row.ask = ts_rate_lease_note_ask(lease, row.wanted > row.in_hand, now_us);
     row.spent_alone = lease->spent_alone;
     if (dealer == TS_RATE_DEALER_PEER) {
@@ -530,6 +532,7 @@
     unsigned lacking = row->wanted > row->in_hand ? row->wanted - row->in_hand : 0;
     queued_ask_t ask = {(char *)address, node, row->ask, lacking, now_us};
     held->lease.is_deputy = true;
+    ts_rate_lease_take_saved(&held->lease, row->saved);
     note_debtor(held, terms, node, row, now_us);
     for (unsigned i = 0; i < lacking; i++)
         ts_rate_lease_note_demand(&held->lease, now_us);
--- a/tests/route/test_rate_callers.c
+++ b/tests/route/test_rate_callers.c
@@ -230,6 +230,35 @@
     assert_served("late asks last", &totals, 0.97);
 }
 
+/*
+ * A home is silent for three seconds, and another one takes its place a moment before six requests
+ * come that burst and rate allow. What the node had saved up alone was lost when it lent its right
+ * to the new home, whose bucket was empty: 0 to 3 of 6 requests served (test_silent_home, beside
+ * load: "tokens 0.00 age 0.00" at the first deal).
+ */
+static void test_new_home_gets_what_was_saved(void **state)
+{
+    fleet_t *fleet = open_fleet(4, 20, 10);
+    fleet->terms.tolerance = 0;
+    unsigned home = fleet->homes[0];
+    node_t *other = &fleet->nodes[(home + 1) % 4];
+    begin_beliefs(fleet);
+    for (unsigned i = 0; i < 4; i++)
+        if (i != home)
+            believe_gone(fleet, i, home, in_s(fleet, 4), in_s(fleet, 60));
+    sort_changes(fleet);
+    other->load = 8;
+    run(fleet, 1);
+    other->load = 0;
+    fleet->nodes[home].side = 1;
+    run(fleet, 3.05);
+    (void)take_totals(fleet);
+    other->due = 6;
+    run(fleet, 0.2);
+    assert_int_equal(take_totals(fleet).taken, 6);
+    close_fleet(fleet);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -239,6 +268,7 @@
         cmocka_unit_test(test_deputy_becomes_home),
         cmocka_unit_test(test_suspicions_come_and_go),
         cmocka_unit_test(test_asks_that_come_late),
+        cmocka_unit_test(test_new_home_gets_what_was_saved),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
