A node that joins asks other zones too, while its own does not answer

Cause: a joining node asks one member at a time, others than of its own zone only where none of it is known: eleven asks in three seconds to the one node of its zone, which stood still, while four others with a newer version could be heard. Ruled out: the excuse that nobody who knows could be heard (states and versions of all nodes at that moment are in the postmortem). Holds because every second try goes to another zone, whatever is known of the own.

--- a/src/control/membership.c
+++ b/src/control/membership.c
@@ -121,7 +121,10 @@
 
 /* ---- joining, healing, pushing ---- */
 
-/* Asks a few members, of this zone first, for all they know. */
+/*
+ * Asks a few members for all they know: of this zone first, and of another with every second try,
+ * as the only ones of this zone may be standing still.
+ */
 static void ask_to_join(ts_membership_t *m)
 {
     if (m->has_joined || m->now_us < m->next_join_us) {
@@ -129,10 +132,13 @@
     }
     m->next_join_us = m->now_us + JOIN_RETRY_US;
     unsigned asked = 0;
+    bool is_own_first = m->rounds % 2 == 0;
+    guint begin = m->rounds / 2;
     for (int pass = 0; pass < 2; pass++) {
+        bool wants_own = (pass == 0) == is_own_first;
         for (guint i = 0; i < m->order->len && asked < JOIN_PEERS; i++) {
-            const member_t *member = g_ptr_array_index(m->order, (i + m->rounds) % m->order->len);
-            if (member != m->self && ts_member_is_same_zone(m, member) == (pass == 0)) {
+            const member_t *member = g_ptr_array_index(m->order, (begin + i) % m->order->len);
+            if (member != m->self && ts_member_is_same_zone(m, member) == wants_own) {
                 ts_member_send_gossip(m, member->name, member->address, GOSSIP_SYNC_REQUEST, 0,
                                       NULL);
                 asked++;
--- a/tests/control/test_membership.c
+++ b/tests/control/test_membership.c
@@ -41,6 +41,25 @@
     }
 }
 
+/*
+ * A node starts while the only other one of its zone stands still. It asked that one alone, eleven
+ * times in three seconds, heard nobody, and believed an old document of the platform (fuzz, seed
+ * 31539: "from 3 to 6" each 300 ms, while five others had a newer one).
+ */
+static void test_joining_does_not_hang_on_one_node(void **state)
+{
+    lab_hollow_t *fleet = start_fleet(6, 0, 1); // two in each of three zones, by turns
+    lab_hollow_kill(fleet, 0);
+    lab_hollow_run(fleet, 10 * SECOND);
+    lab_hollow_pause(fleet, 3, 10 * SECOND);
+    lab_hollow_start(fleet, 0);
+    lab_hollow_run(fleet, 2 * SECOND);
+    ts_view_t *view = lab_hollow_view(fleet, 0);
+    assert_true(view->count >= 5);
+    ts_view_unref(view);
+    lab_hollow_destroy(fleet);
+}
+
 static void test_death_is_known_everywhere(void **state)
 {
     for (uint64_t seed = 1; seed <= 5; seed++) {
@@ -170,6 +189,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_seeds_share_the_joining),
+        cmocka_unit_test(test_joining_does_not_hang_on_one_node),
         cmocka_unit_test(test_death_is_known_everywhere),
         cmocka_unit_test(test_pauses_and_loss_kill_nobody),
         cmocka_unit_test(test_long_pause_is_refuted_afterwards),
--- a/tests/lab/test_fuzz.c
+++ b/tests/lab/test_fuzz.c
@@ -25,12 +25,13 @@
     assert_true(answered > SEEDS); /* the fleet did work meanwhile */
 }
 
-/* Seeds that once found something, each with its cause (docs/FAILURES.md, 15 and 16). */
+/* Seeds that once found something, each with its cause (docs/FAILURES.md, 15, 16 and 73). */
 static void test_seeds_that_failed_once(void **state)
 {
     static const uint64_t seeds[] = {
         31380,   /* a node that stood still counted that time as listening to its peers */
         8675332, /* a node took the old document before it knew whom to listen to */
+        31539,   /* a node that started asked the one other of its zone, which stood still, only */
     };
     for (size_t i = 0; i < G_N_ELEMENTS(seeds); i++) {
         GArray *actions = lab_fuzz_draw(seeds[i], ACTIONS);
