Lists of the configuration service, its epoch and its gone history are told

On call, the incident's lines couldn't say that a list was read and that its entries were passed over: a store that came back with older revisions looked like a watch that hears nothing.

Each list is a line now (platform_listed: epoch, revision, what was known before, entries, how many were no news), lists and waits after a revision that the service doesn't have are counted, and gauges tell the epoch, the revision applied and the version that was last listed beside the one in force. The epoch is read from the service's header field by the dialect. No decision rests on any of it yet.

--- a/include/tealspar/counters.h
+++ b/include/tealspar/counters.h
@@ -121,6 +121,15 @@
     X(RATE_ACCOUNTS, gauge, "rate_accounts", "tenants whose limits this node deals out")           \
     X(STORE_CALLS, counter, "store_calls_total", "calls to the configuration service")             \
     X(STORE_FAILURES, counter, "store_failures_total", "failed calls to it")                       \
+    X(STORE_LISTS, counter, "store_lists_total", "times its entries were read whole")              \
+    X(STORE_HISTORY_GONE, counter, "store_history_gone_total",                                     \
+      "waits for changes after a revision that it does not have")                                  \
+    X(STORE_EPOCH, gauge, "store_epoch",                                                           \
+      "epoch of the configuration service, as this node "                                          \
+      "knows it")                                                                                  \
+    X(STORE_REVISION, gauge, "store_revision", "revision up to which its changes are applied")     \
+    X(CONFIG_VERSION_LISTED, gauge, "config_version_listed",                                       \
+      "version of the configuration that it last gave, which may be older than the one in force")  \
     X(CALLER_CONNECTIONS, gauge, "caller_connections", "open connections of callers")              \
     X(PARTS_LOST, counter, "parts_lost_total", "parts that no searcher answered")                  \
     X(PARTS_EXCLUDED, counter, "parts_excluded_total",                                             \
--- a/include/tealspar/dialect.h
+++ b/include/tealspar/dialect.h
@@ -26,6 +26,7 @@
     const char *authorization;     /**< the caller's credentials */
     const char *tenant;            /**< to a back end: name of the tenant, set by this node only */
     const char *load;              /**< in an answer: what the searcher tells of its load */
+    const char *store_epoch;       /**< in an answer of the configuration service: its epoch */
 } ts_header_names_t;
 
 /** What an entry of the configuration service is about. */
@@ -68,6 +69,12 @@
     char *(*watch_target)(uint64_t after_revision, uint32_t wait_ms);
     /** Target of a cheap call that only tells the service's revision, which may be seconds old. */
     char *(*probe_target)(void);
+    /**
+     * Reads the epoch of the configuration service from its header field (NULL: absent). It rises
+     * each time the service has lost its latest changes, after which it gives revisions out anew.
+     * 0: not told.
+     */
+    uint64_t (*read_epoch)(const char *text);
     /** Sets an entry's kind and id by its key. */
     void (*name_entry)(ts_store_entry_t *entry);
     /** Reads the answer of any call. Returns TS_OK, TS_E_SYNTAX or TS_E_INVALID. */
--- a/include/tealspar/log.h
+++ b/include/tealspar/log.h
@@ -19,6 +19,7 @@
     X(CONFIG_CLASH, WARNING, "config_version_clash")                                               \
     X(PLATFORM_LOST, WARNING, "platform_lost")                                                     \
     X(PLATFORM_BACK, MESSAGE, "platform_back")                                                     \
+    X(PLATFORM_LISTED, MESSAGE, "platform_listed")                                                 \
     X(MEMBER_STATE, MESSAGE, "member_state")                                                       \
     X(BACKEND_STATE, MESSAGE, "backend_state")                                                     \
     X(ZONE_STATE, MESSAGE, "zone_state")                                                           \
--- a/include/tealspar/store_client.h
+++ b/include/tealspar/store_client.h
@@ -8,16 +8,24 @@
 #include <stdint.h>
 #include <uv.h>
 
+#include "tealspar/dialect.h"
 #include "tealspar/error.h"
 
 typedef struct ts_store_client ts_store_client_t;
 
-/** `error` TS_OK: `status` and the body are the answer's; the body is valid during the call. */
-typedef void (*ts_store_done_t)(void *context, ts_error_t error, unsigned status, const char *body,
-                                size_t length);
+/** An answer; the body is valid during the call that gives it. */
+typedef struct ts_store_answer {
+    unsigned status;
+    uint64_t epoch; /**< of the service; 0: not told */
+    const char *body;
+    size_t length;
+} ts_store_answer_t;
 
-ts_store_client_t *ts_store_client_create(uv_loop_t *loop, const char *address,
-                                          ts_store_done_t done, void *context);
+/** `answer` is NULL unless `error` is TS_OK. */
+typedef void (*ts_store_done_t)(void *context, ts_error_t error, const ts_store_answer_t *answer);
+
+ts_store_client_t *ts_store_client_create(uv_loop_t *loop, const ts_dialect_t *dialect,
+                                          const char *address, ts_store_done_t done, void *context);
 /** Changes where the service is; a call under way fails with TS_E_CANCELLED. */
 void ts_store_client_set_address(ts_store_client_t *client, const char *address);
 /** Gives up the call under way, if there is one; `done` is not called for it. */
--- a/include/tealspar/store_mirror.h
+++ b/include/tealspar/store_mirror.h
@@ -11,8 +11,8 @@
 typedef struct ts_store_mirror ts_store_mirror_t;
 
 ts_store_mirror_t *ts_store_mirror_create(ts_gateway_t *gateway);
-/** Applies entries; those that are not newer than what is known are passed over. */
-void ts_store_mirror_apply(ts_store_mirror_t *mirror, const GPtrArray *entries);
+/** Applies entries; returns how many were newer than what is known, the others are passed over. */
+unsigned ts_store_mirror_apply(ts_store_mirror_t *mirror, const GPtrArray *entries);
 /** All changes up to `revision` are applied, as was confirmed at `as_of_us`. */
 void ts_store_mirror_reach(ts_store_mirror_t *mirror, uint64_t revision, ts_time_us_t as_of_us);
 /** Nothing changed since, as was confirmed at `as_of_us`. */
--- a/src/control/store_client.c
+++ b/src/control/store_client.c
@@ -25,6 +25,7 @@
 
 struct ts_store_client {
     uv_loop_t *loop;
+    const ts_dialect_t *dialect;
     char *address;
     ts_store_done_t done;
     void *context;
@@ -65,18 +66,22 @@
         ts_count(TS_COUNTER_STORE_FAILURES, 1);
         ts_count_error(error);
         drop_link(client);
-        client->done(client->context, error, 0, NULL, 0);
+        client->done(client->context, error, NULL);
         return;
     }
-    const ts_http_message_t *answer = &link->answer;
-    GString *body = g_string_new_len(answer->body->str, (gssize)answer->body->len);
-    unsigned status = answer->parser.status_code;
-    if (!answer->keeps_alive) {
+    const ts_http_message_t *message = &link->answer;
+    GString *body = g_string_new_len(message->body->str, (gssize)message->body->len);
+    const char *epoch = ts_http_message_find(message, client->dialect->headers.store_epoch);
+    ts_store_answer_t answer = {.status = message->parser.status_code,
+                                .epoch = client->dialect->read_epoch(epoch),
+                                .body = body->str,
+                                .length = body->len};
+    if (!message->keeps_alive) {
         drop_link(client);
     } else {
         ts_http_message_reset(&link->answer);
     }
-    client->done(client->context, TS_OK, status, body->str, body->len);
+    client->done(client->context, TS_OK, &answer);
     g_string_free(body, TRUE);
 }
 
@@ -174,11 +179,12 @@
                           connected) == 0;
 }
 
-ts_store_client_t *ts_store_client_create(uv_loop_t *loop, const char *address,
-                                          ts_store_done_t done, void *context)
+ts_store_client_t *ts_store_client_create(uv_loop_t *loop, const ts_dialect_t *dialect,
+                                          const char *address, ts_store_done_t done, void *context)
 {
     ts_store_client_t *client = g_new0(ts_store_client_t, 1);
     client->loop = loop;
+    client->dialect = dialect;
     client->address = g_strdup(address);
     client->done = done;
     client->context = context;
--- a/src/control/store_mirror.c
+++ b/src/control/store_mirror.c
@@ -57,6 +57,7 @@
         ts_log(TS_EVENT_CONFIG_REFUSED, "%s", text);
         g_free(text);
     } else {
+        ts_gauge_set(TS_COUNTER_CONFIG_VERSION_LISTED, (int64_t)traffic->version);
         ts_gateway_set_traffic(mirror->gateway, traffic);
     }
     ts_problems_clear(&problems);
@@ -119,8 +120,9 @@
     return kept;
 }
 
-void ts_store_mirror_apply(ts_store_mirror_t *mirror, const GPtrArray *entries)
+unsigned ts_store_mirror_apply(ts_store_mirror_t *mirror, const GPtrArray *entries)
 {
+    unsigned applied = 0;
     ts_time_us_t now_us = ts_clock_now_us();
     for (guint i = 0; i < entries->len; i++) {
         const ts_store_entry_t *entry = g_ptr_array_index(entries, i);
@@ -130,7 +132,9 @@
             continue;
         }
         apply_entry(mirror, &keep_entry(mirror, entry, now_us)->entry, now_us);
+        applied++;
     }
+    return applied;
 }
 
 void ts_store_mirror_reach(ts_store_mirror_t *mirror, uint64_t revision, ts_time_us_t as_of_us)
--- a/src/control/store_watch.c
+++ b/src/control/store_watch.c
@@ -54,6 +54,8 @@
     uint64_t list_revision; /**< of the first page of the list */
     char *list_after;       /**< last key of the pages so far; NULL at the beginning */
     GHashTable *listed;     /**< ids of instances on the pages so far */
+    unsigned list_applied;  /**< entries on these pages that were news */
+    uint64_t epoch;         /**< of the service when it last answered */
     ts_call_pace_t pace;
     uint32_t backoff_ms;
     uint32_t first_timeout_ms; /**< of a list while nothing is known */
@@ -79,6 +81,7 @@
     watch->is_listing = true;
     g_clear_pointer(&watch->list_after, g_free);
     g_hash_table_remove_all(watch->listed);
+    watch->list_applied = 0;
 }
 
 /* Tells the other nodes of the zone that there is something new. */
@@ -89,10 +92,21 @@
     }
 }
 
+static void log_list(const ts_store_watch_t *watch)
+{
+    guint n = g_hash_table_size(watch->listed);
+    uint64_t known = ts_store_mirror_revision(watch->gateway->mirror);
+    ts_count(TS_COUNTER_STORE_LISTS, 1);
+    ts_log(TS_EVENT_PLATFORM_LISTED, "epoch=%lu revision=%lu known=%lu entries=%u passed_over=%u",
+           (unsigned long)watch->epoch, (unsigned long)watch->list_revision, (unsigned long)known,
+           n, n - MIN(n, watch->list_applied));
+}
+
 /* The whole list was read: what it does not name has left. */
 static void end_list(ts_store_watch_t *watch)
 {
     ts_store_mirror_t *mirror = watch->gateway->mirror;
+    log_list(watch);
     ts_store_mirror_keep_only(mirror, watch->listed, watch->list_revision);
     ts_store_mirror_reach(mirror, watch->list_revision, watch->called_us);
     g_hash_table_remove_all(watch->listed);
@@ -106,7 +120,7 @@
     if (watch->list_after == NULL) {
         watch->list_revision = page->revision;
     }
-    ts_store_mirror_apply(watch->gateway->mirror, page->entries);
+    watch->list_applied += ts_store_mirror_apply(watch->gateway->mirror, page->entries);
     for (guint i = 0; i < page->entries->len; i++) {
         const ts_store_entry_t *entry = g_ptr_array_index(page->entries, i);
         g_hash_table_add(watch->listed, g_strdup(entry->key));
@@ -123,7 +137,7 @@
 
 static uint64_t take_changes(ts_store_watch_t *watch, const ts_store_page_t *page)
 {
-    ts_store_mirror_apply(watch->gateway->mirror, page->entries);
+    (void)ts_store_mirror_apply(watch->gateway->mirror, page->entries);
     ts_store_mirror_reach(watch->gateway->mirror, page->revision, ts_clock_now_us());
     if (page->entries->len == 0) {
         return 0;
@@ -137,7 +151,7 @@
     watch->backoff_ms = BACKOFF_FIRST_MS;
     if (watch->is_lost) {
         watch->is_lost = false;
-        ts_log(TS_EVENT_PLATFORM_BACK, "revision=%lu",
+        ts_log(TS_EVENT_PLATFORM_BACK, "epoch=%lu revision=%lu", (unsigned long)watch->epoch,
                (unsigned long)ts_store_mirror_revision(watch->gateway->mirror));
     }
 }
@@ -146,7 +160,8 @@
 {
     if (!watch->is_lost) {
         watch->is_lost = true;
-        ts_log(TS_EVENT_PLATFORM_LOST, "reason=%s revision=%lu", reason,
+        ts_log(TS_EVENT_PLATFORM_LOST, "reason=%s epoch=%lu revision=%lu", reason,
+               (unsigned long)watch->epoch,
                (unsigned long)ts_store_mirror_revision(watch->gateway->mirror));
     }
 }
@@ -175,8 +190,7 @@
     return timeout_ms;
 }
 
-static void call_done(void *context, ts_error_t error, unsigned status, const char *body,
-                      size_t length)
+static void call_done(void *context, ts_error_t error, const ts_store_answer_t *answer)
 {
     ts_store_watch_t *watch = context;
     watch->is_long_wait = false;
@@ -184,20 +198,23 @@
         take_failure(watch, ts_error_name(error));
         return;
     }
-    if (status == STATUS_GONE) {
+    watch->epoch = answer->epoch;
+    ts_gauge_set(TS_COUNTER_STORE_EPOCH, (int64_t)answer->epoch);
+    if (answer->status == STATUS_GONE) {
+        ts_count(TS_COUNTER_STORE_HISTORY_GONE, 1);
         note_heard(watch);
         begin_list(watch);
         pause_for(watch, 0);
         return;
     }
-    if (status != STATUS_OK) {
+    if (answer->status != STATUS_OK) {
         char reason[32];
-        g_snprintf(reason, sizeof(reason), "status_%u", status);
+        g_snprintf(reason, sizeof(reason), "status_%u", answer->status);
         take_failure(watch, reason);
         return;
     }
     ts_store_page_t *page = ts_store_page_create();
-    error = watch->gateway->dialect->read_page(body, length, page);
+    error = watch->gateway->dialect->read_page(answer->body, answer->length, page);
     if (error != TS_OK) {
         take_failure(watch, ts_error_name(error));
     } else {
@@ -285,18 +302,18 @@
         renew_wait(watch);
 }
 
-static void probe_done(void *context, ts_error_t error, unsigned status, const char *body,
-                       size_t length)
+static void probe_done(void *context, ts_error_t error, const ts_store_answer_t *answer)
 {
     ts_store_watch_t *watch = context;
     ts_store_mirror_t *mirror = watch->gateway->mirror;
     watch->is_probing = false;
-    if (error != TS_OK || status != STATUS_OK) {
+    if (error != TS_OK || answer->status != STATUS_OK) {
         watch->is_doubtful = true;
         return;
     }
     ts_store_page_t *page = ts_store_page_create();
-    bool is_read = watch->gateway->dialect->read_page(body, length, page) == TS_OK;
+    const ts_dialect_t *dialect = watch->gateway->dialect;
+    bool is_read = dialect->read_page(answer->body, answer->length, page) == TS_OK;
     bool is_current = is_read && page->revision <= ts_store_mirror_revision(mirror);
     if (is_current && !watch->is_lost) {
         ts_store_mirror_confirm(mirror, watch->probed_us);
@@ -327,8 +344,10 @@
     ts_store_watch_t *watch = g_new0(ts_store_watch_t, 1);
     const char *address = gateway->settings->store;
     watch->gateway = gateway;
-    watch->client = ts_store_client_create(gateway->loop, address, call_done, watch);
-    watch->prober = ts_store_client_create(gateway->loop, address, probe_done, watch);
+    watch->client =
+        ts_store_client_create(gateway->loop, gateway->dialect, address, call_done, watch);
+    watch->prober =
+        ts_store_client_create(gateway->loop, gateway->dialect, address, probe_done, watch);
     watch->listed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     watch->backoff_ms = BACKOFF_FIRST_MS;
     watch->first_timeout_ms = FIRST_TIMEOUT_MS;
