test_store_restore: changes after the store returned from an older copy (failing)

Callers get what an older configuration says: after the store has come back from an older copy, no gateway puts a newer version in force until the store's revisions have passed those it had before, and the gateways that read it ask without a pause.

The stand-in of the store tells its epoch in all answers, can take a copy and come back from it. Four gateways in two zones.

--- a/lab/standin_store.c
+++ b/lab/standin_store.c
@@ -41,6 +41,9 @@
     uint64_t revision;
     uint64_t forgotten; /* history up to here is gone */
     lab_store_mode_t mode;
+    uint64_t epoch;  /* in all answers; 0: not told */
+    GPtrArray *copy; /* of change_t: the entries of the copy */
+    uint64_t copy_revision;
     unsigned page;
     unsigned calls;
 };
@@ -84,10 +87,22 @@
     return item;
 }
 
-static void answer_json(ts_caller_t *caller, json_t *document)
+static void answer(const lab_store_t *store, ts_caller_t *caller, unsigned status, const char *body,
+                   size_t length)
+{
+    GString *fields = g_string_new(NULL);
+    if (body != NULL)
+        g_string_append(fields, "Content-Type: application/json\r\n");
+    if (store->epoch > 0)
+        g_string_append_printf(fields, NAME_STORE_ERA ": %lu\r\n", (unsigned long)store->epoch);
+    ts_caller_answer(caller, status, fields->str, body, length);
+    g_string_free(fields, TRUE);
+}
+
+static void answer_json(const lab_store_t *store, ts_caller_t *caller, json_t *document)
 {
     char *text = json_dumps(document, JSON_COMPACT);
-    ts_caller_answer(caller, STATUS_OK, "Content-Type: application/json\r\n", text, strlen(text));
+    answer(store, caller, STATUS_OK, text, strlen(text));
     free(text);
     json_decref(document);
 }
@@ -139,8 +154,9 @@
     char *after = query_of(target, QUERY_AFTER);
     listing_t listing = {store, prefix, after, json_array(), false};
     g_tree_foreach(store->entries, list_entry, &listing);
-    answer_json(caller, json_pack("{s:o, s:b, s:I}", FIELD_ITEMS, listing.items, FIELD_MORE,
-                                  listing.has_more, FIELD_AT, (json_int_t)store->revision));
+    answer_json(store, caller,
+                json_pack("{s:o, s:b, s:I}", FIELD_ITEMS, listing.items, FIELD_MORE,
+                          listing.has_more, FIELD_AT, (json_int_t)store->revision));
     g_free(prefix);
     g_free(after);
 }
@@ -159,8 +175,9 @@
 
 static void answer_events(const lab_store_t *store, ts_caller_t *caller, json_t *events)
 {
-    answer_json(caller, json_pack("{s:o, s:I}", FIELD_EVENTS, events, FIELD_AT,
-                                  (json_int_t)store->revision));
+    answer_json(
+        store, caller,
+        json_pack("{s:o, s:I}", FIELD_EVENTS, events, FIELD_AT, (json_int_t)store->revision));
 }
 
 static void answer_watch(lab_store_t *store, ts_caller_t *caller, const char *target)
@@ -169,8 +186,8 @@
     char *after_text = query_of(target, QUERY_AFTER);
     char *wait_text = query_of(target, QUERY_WAIT);
     uint64_t after = strtoull(after_text, NULL, 10);
-    if (after < store->forgotten) {
-        ts_caller_answer(caller, STATUS_GONE, NULL, NULL, 0);
+    if (after < store->forgotten || after > store->revision) {
+        answer(store, caller, STATUS_GONE, NULL, 0);
     } else {
         json_t *events = changes_after(store, prefix, after);
         if (json_array_size(events) > 0) {
@@ -197,10 +214,10 @@
     store->calls++;
     switch (store->mode) {
     case LAB_STORE_BUSY:
-        ts_caller_answer(caller, STATUS_BUSY, NULL, NULL, 0);
+        answer(store, caller, STATUS_BUSY, NULL, 0);
         return;
     case LAB_STORE_THROTTLED:
-        ts_caller_answer(caller, STATUS_THROTTLED, NULL, NULL, 0);
+        answer(store, caller, STATUS_THROTTLED, NULL, 0);
         return;
     case LAB_STORE_SILENT:
         return;
@@ -212,7 +229,7 @@
     } else if (g_str_has_prefix(target, CALL_WATCH)) {
         answer_watch(store, caller, target);
     } else {
-        ts_caller_answer(caller, STATUS_NOT_FOUND, NULL, NULL, 0);
+        answer(store, caller, STATUS_NOT_FOUND, NULL, 0);
     }
 }
 
@@ -266,6 +283,8 @@
     store->entries = g_tree_new_full(compare_keys, NULL, g_free, free_change);
     store->history = g_ptr_array_new_with_free_func(free_change);
     store->waiters = g_ptr_array_new_with_free_func(free_waiter);
+    store->copy = g_ptr_array_new_with_free_func(free_change);
+    store->epoch = 1;
     store->page = PAGE_DEFAULT;
     uv_timer_init(loop, &store->tick);
     store->tick.data = store;
@@ -301,8 +320,48 @@
     while (store->waiters->len > 0) {
         ts_caller_t *caller = ((waiter_t *)g_ptr_array_index(store->waiters, 0))->caller;
         g_ptr_array_remove_index(store->waiters, 0);
-        ts_caller_answer(caller, STATUS_GONE, NULL, NULL, 0);
+        answer(store, caller, STATUS_GONE, NULL, 0);
+    }
+}
+
+static gboolean copy_entry(gpointer key, gpointer value, gpointer ctx)
+{
+    const change_t *change = value;
+    g_ptr_array_add(ctx, create_change(change->revision, change->key, change->value));
+    return FALSE;
+}
+
+void lab_store_take_copy(lab_store_t *store)
+{
+    g_ptr_array_set_size(store->copy, 0);
+    g_tree_foreach(store->entries, copy_entry, store->copy);
+    store->copy_revision = store->revision;
+}
+
+void lab_store_restore(lab_store_t *store)
+{
+    g_tree_remove_all(store->entries);
+    for (guint i = 0; i < store->copy->len; i++) {
+        const change_t *change = g_ptr_array_index(store->copy, i);
+        g_tree_replace(store->entries, g_strdup(change->key),
+                       create_change(change->revision, change->key, change->value));
     }
+    g_ptr_array_set_size(store->history, 0);
+    g_ptr_array_set_size(store->waiters, 0);
+    store->revision = store->copy_revision;
+    store->forgotten = store->copy_revision;
+    if (store->epoch > 0)
+        store->epoch++;
+}
+
+void lab_store_set_epoch(lab_store_t *store, uint64_t epoch)
+{
+    store->epoch = epoch;
+}
+
+uint64_t lab_store_epoch(const lab_store_t *store)
+{
+    return store->epoch;
 }
 
 void lab_store_set_mode(lab_store_t *store, lab_store_mode_t mode)
@@ -313,6 +372,15 @@
     }
 }
 
+void lab_store_cut_waits(lab_store_t *store)
+{
+    while (store->waiters->len > 0) {
+        ts_caller_t *caller = ((waiter_t *)g_ptr_array_index(store->waiters, 0))->caller;
+        g_ptr_array_remove_index(store->waiters, 0);
+        answer(store, caller, STATUS_BUSY, NULL, 0);
+    }
+}
+
 void lab_store_set_page(lab_store_t *store, unsigned entries)
 {
     store->page = entries;
--- a/lab/standin_store.h
+++ b/lab/standin_store.h
@@ -25,6 +25,18 @@
 /** The history is gone: watches that begin before now get 410; those that wait are cut. */
 void lab_store_forget(lab_store_t *store);
 void lab_store_set_mode(lab_store_t *store, lab_store_mode_t mode);
+/** The calls that wait get 503. */
+void lab_store_cut_waits(lab_store_t *store);
+/** Takes a copy of what the store holds now; the one taken before is dropped. */
+void lab_store_take_copy(lab_store_t *store);
+/**
+ * Comes back from that copy, with its epoch one higher: later writes are lost, and their revisions
+ * are given out again. The calls that wait are never answered.
+ */
+void lab_store_restore(lab_store_t *store);
+/** Epoch in its answers from now on; 0: they tell none. Begins at 1. */
+void lab_store_set_epoch(lab_store_t *store, uint64_t epoch);
+uint64_t lab_store_epoch(const lab_store_t *store);
 /** Entries on one page of a list. */
 void lab_store_set_page(lab_store_t *store, unsigned entries);
 /** Calls so far. */
