Positions of the configuration service are epoch and revision

Callers got what version 19 said, for 12 s and more, although 21, 24, 26 and 28 had been acknowledged; the gateways that read the store made 58 calls a second each.

Cause: the store had come back from an older copy and gave revisions out again. A revision was taken for a number that only rises: the mirror passed over every entry whose revision it had seen, the wait went on from a revision that the store didn't have (410), and neither a 410 nor a list that was read counted as a failure, so that the next call came at once. Ruled out by the incident's data: a wait that was swallowed (all calls were answered), a watcher that was throttled (no 429, all zones alike).

Positions are ordered by epoch, then by revision, in the mirror, the waits, the lists, the probes and the frames among peers. A store that tells no epoch and goes back is noticed by a list that is older than what was known before it was asked for. A list of a higher epoch doesn't replace what is known: the higher version of the configuration counts; searchers and evacuations stand against the copy until they are written again or their writers' time is over; what was written after the epoch was first read counts at once.

Tests of peers and documents name the epoch where they named a revision; nothing else in them changed. Peers of an older build send no epoch and are not believed in one that is told: rolling changes of versions cost more calls to the service until they are over.

--- a/include/tealspar/counters.h
+++ b/include/tealspar/counters.h
@@ -127,6 +127,9 @@
     X(STORE_EPOCH, gauge, "store_epoch",                                                           \
       "epoch of the configuration service, as this node "                                          \
       "knows it")                                                                                  \
+    X(STORE_RESTORES, counter, "store_restores_total", "times it came back from an older copy")    \
+    X(STORE_FORMER_ENTRIES, gauge, "store_former_entries",                                         \
+      "entries that stand from before it came back, until they are written again")                 \
     X(STORE_REVISION, gauge, "store_revision", "revision up to which its changes are applied")     \
     X(CONFIG_VERSION_LISTED, gauge, "config_version_listed",                                       \
       "version of the configuration that it last gave, which may be older than the one in force")  \
--- a/include/tealspar/dialect.h
+++ b/include/tealspar/dialect.h
@@ -11,6 +11,7 @@
 #include <stdint.h>
 
 #include "tealspar/registry.h"
+#include "tealspar/store_position.h"
 #include "tealspar/traffic.h"
 
 /** Names of the header fields. */
@@ -41,8 +42,8 @@
 typedef struct ts_store_entry {
     ts_store_kind_t kind;
     char *key;
-    char *id;          /**< of the back end, or the zone's name; otherwise NULL */
-    uint64_t revision; /**< of its last change */
+    char *id;                    /**< of the back end, or the zone's name; otherwise NULL */
+    ts_store_position_t changed; /**< last */
     bool is_gone;
     char *value;   /**< the document; NULL when gone */
     size_t length; /**< bytes of the value */
@@ -50,13 +51,17 @@
 
 /** A page of entries, or the changes since a revision. */
 typedef struct ts_store_page {
-    GPtrArray *entries; /**< of ts_store_entry_t, owned */
-    uint64_t revision;  /**< of the service when it answered */
-    bool has_more;      /**< further pages follow */
+    GPtrArray *entries;           /**< of ts_store_entry_t, owned */
+    ts_store_position_t position; /**< of the service when it answered */
+    bool has_more;                /**< further pages follow */
 } ts_store_page_t;
 
+/** Frees an entry; a GDestroyNotify. */
+void ts_store_entry_free(void *data);
 ts_store_page_t *ts_store_page_create(void);
 void ts_store_page_free(ts_store_page_t *page);
+/** Sets the epoch of the page and of its entries, which stands in no body. */
+void ts_store_page_set_epoch(ts_store_page_t *page, uint64_t epoch);
 /** Adds an empty entry and returns it. */
 ts_store_entry_t *ts_store_page_add(ts_store_page_t *page);
 
@@ -77,7 +82,8 @@
     uint64_t (*read_epoch)(const char *text);
     /** Sets an entry's kind and id by its key. */
     void (*name_entry)(ts_store_entry_t *entry);
-    /** Reads the answer of any call. Returns TS_OK, TS_E_SYNTAX or TS_E_INVALID. */
+    /** Reads the answer of any call, but for its epoch. Returns TS_OK, TS_E_SYNTAX or TS_E_INVALID.
+     */
     ts_error_t (*read_page)(const char *text, size_t length, ts_store_page_t *page);
     /** Reads an instance's entry; the caller clears the record. */
     ts_error_t (*read_instance)(const ts_store_entry_t *entry, ts_instance_record_t *record);
--- a/include/tealspar/gateway_settings.h
+++ b/include/tealspar/gateway_settings.h
@@ -34,9 +34,10 @@
     char *store; /**< "IP:port" of the configuration service */
     ts_zone_setting_t *zones;
     unsigned zones_count;
-    uint32_t drain_ms;  /**< a back end that leaves takes no new work after this */
-    uint32_t grace_ms;  /**< from the request to stop until the process is killed */
-    double retry_ratio; /**< extra sends for each request, over the fleet */
+    uint32_t drain_ms;     /**< a back end that leaves takes no new work after this */
+    uint32_t heartbeat_ms; /**< between two writes of a back end to its entry */
+    uint32_t grace_ms;     /**< from the request to stop until the process is killed */
+    double retry_ratio;    /**< extra sends for each request, over the fleet */
     uint32_t retry_window_ms;
     double retry_slack;       /**< extra sends in a window beyond the ratio, over the fleet */
     double warmup_overrun;    /**< a cold back end bears this many times its service's rate, */
--- a/include/tealspar/log.h
+++ b/include/tealspar/log.h
@@ -20,6 +20,8 @@
     X(PLATFORM_LOST, WARNING, "platform_lost")                                                     \
     X(PLATFORM_BACK, MESSAGE, "platform_back")                                                     \
     X(PLATFORM_LISTED, MESSAGE, "platform_listed")                                                 \
+    X(PLATFORM_RESTORED, WARNING, "platform_restored")                                             \
+    X(PLATFORM_SETTLED, MESSAGE, "platform_settled")                                               \
     X(MEMBER_STATE, MESSAGE, "member_state")                                                       \
     X(BACKEND_STATE, MESSAGE, "backend_state")                                                     \
     X(ZONE_STATE, MESSAGE, "zone_state")                                                           \
--- a/include/tealspar/peers.h
+++ b/include/tealspar/peers.h
@@ -13,6 +13,8 @@
 ts_peers_t *ts_peers_open(ts_gateway_t *gateway, ts_store_mirror_t *mirror);
 /** Whether this node is to follow the configuration service itself, at this moment. */
 bool ts_peers_should_watch(const ts_peers_t *peers, ts_time_us_t now_us);
+/** Whether another node of the zone may follow the service for this one. */
+bool ts_peers_may_be_told(const ts_peers_t *peers);
 /** Whether others of the zone rely on this node to follow the service. */
 bool ts_peers_is_relied_on(const ts_peers_t *peers);
 /** Something new was read from the service: the zone is told at once. */
--- a/include/tealspar/store_client.h
+++ b/include/tealspar/store_client.h
@@ -30,6 +30,8 @@
 void ts_store_client_set_address(ts_store_client_t *client, const char *address);
 /** Gives up the call under way, if there is one; `done` is not called for it. */
 void ts_store_client_abandon(ts_store_client_t *client);
+/** Gives up its connection, between two calls: the next one opens another. */
+void ts_store_client_reconnect(ts_store_client_t *client);
 /** Begins a GET; no other may be under way. `done` is called once, never before this returns. */
 void ts_store_client_get(ts_store_client_t *client, const char *target, uint32_t timeout_ms);
 
--- a/src/config/gateway_settings.c
+++ b/src/config/gateway_settings.c
@@ -10,6 +10,7 @@
 #define ZONES_MAX 1000
 #define SEEDS_MAX 64
 #define DEFAULT_DRAIN_MS 3000
+#define DEFAULT_HEARTBEAT_MS 1200
 #define DEFAULT_GRACE_MS 10000
 #define DEFAULT_WINDOW_MS 10000
 #define DEFAULT_REVOKE_MS 5000
@@ -58,6 +59,7 @@
     CYAML_FIELD_SEQUENCE("zones", OPTIONAL, ts_gateway_settings_t, zones, &zone_schema, 0,
                          ZONES_MAX),
     NUMBER_FIELD(drain_ms),
+    NUMBER_FIELD(heartbeat_ms),
     NUMBER_FIELD(grace_ms),
     CYAML_FIELD_FLOAT("retry_ratio", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, retry_ratio),
     NUMBER_FIELD(retry_window_ms),
@@ -141,6 +143,7 @@
     }
     ts_gateway_settings_t *settings = data;
     set_default(&settings->drain_ms, DEFAULT_DRAIN_MS);
+    set_default(&settings->heartbeat_ms, DEFAULT_HEARTBEAT_MS);
     set_default(&settings->grace_ms, DEFAULT_GRACE_MS);
     set_default(&settings->retry_window_ms, DEFAULT_WINDOW_MS);
     set_default(&settings->revoke_ms, DEFAULT_REVOKE_MS);
--- a/src/control/store_client.c
+++ b/src/control/store_client.c
@@ -217,6 +217,11 @@
     drop_link(client);
 }
 
+void ts_store_client_reconnect(ts_store_client_t *client)
+{
+    drop_link(client);
+}
+
 void ts_store_client_get(ts_store_client_t *client, const char *target, uint32_t timeout_ms)
 {
     client->is_calling = true;
--- a/src/control/store_watch.c
+++ b/src/control/store_watch.c
@@ -40,6 +40,8 @@
 /* Between two signs of life of the service while others rely on this node. */
 #define PROBE_MS 1000
 #define PROBE_TIMEOUT_MS 900
+/* A node that a peer may tell of a service that came back waits so long, or up to twice that. */
+#define RELIST_OTHERS_MS 300
 #define BACKOFF_FIRST_MS 150
 #define BACKOFF_MAX_MS 1000
 #define BACKOFF_GROWTH 2
@@ -49,15 +51,14 @@
     ts_store_client_t *client;
     uv_timer_t pause;
     bool is_listing;
-    bool is_lost;           /**< the last call failed */
-    uint64_t revision;      /**< changes up to here are applied */
-    uint64_t list_revision; /**< of the first page of the list */
-    char *list_after;       /**< last key of the pages so far; NULL at the beginning */
-    GHashTable *listed;     /**< ids of instances on the pages so far */
-    unsigned list_applied;  /**< entries on these pages that were news */
-    uint64_t epoch;         /**< of the service when it last answered */
+    bool is_lost;                      /**< the last call failed */
+    ts_store_position_t asked;         /**< the wait under way asks for changes after it */
+    ts_store_position_t list_known;    /**< what was known when the list was begun */
+    ts_store_position_t list_position; /**< of its first page */
+    GPtrArray *list;                   /**< of ts_store_entry_t: its pages so far */
     ts_call_pace_t pace;
     uint32_t backoff_ms;
+    uint32_t relist_ms;        /**< pause before the next list; grows until a wait is answered */
     uint32_t first_timeout_ms; /**< of a list while nothing is known */
     ts_time_us_t called_us;    /**< when the call under way began */
     ts_store_client_t *prober;
@@ -79,9 +80,28 @@
 static void begin_list(ts_store_watch_t *watch)
 {
     watch->is_listing = true;
-    g_clear_pointer(&watch->list_after, g_free);
-    g_hash_table_remove_all(watch->listed);
-    watch->list_applied = 0;
+    g_ptr_array_set_size(watch->list, 0);
+}
+
+/* A pause of that length on the mean, drawn so that nodes don't ask at once. */
+static uint32_t spread(const ts_store_watch_t *watch, uint32_t pause_ms)
+{
+    return pause_ms / 2 + ts_gateway_random(watch->gateway) % MAX(pause_ms, 1);
+}
+
+/*
+ * All is to be read anew. At once the first time; if no wait is answered in between, ever later.
+ * Returns how long to wait before the next call.
+ */
+static uint64_t restart_list(ts_store_watch_t *watch)
+{
+    const ts_peers_t *peers = watch->gateway->peers;
+    uint32_t pause_ms = watch->relist_ms;
+    if (pause_ms == 0 && peers != NULL && ts_peers_may_be_told(peers))
+        pause_ms = RELIST_OTHERS_MS;
+    watch->relist_ms = CLAMP(watch->relist_ms * BACKOFF_GROWTH, BACKOFF_FIRST_MS, BACKOFF_MAX_MS);
+    begin_list(watch);
+    return pause_ms == 0 ? 0 : spread(watch, pause_ms);
 }
 
 /* Tells the other nodes of the zone that there is something new. */
@@ -92,53 +112,80 @@
     }
 }
 
-static void log_list(const ts_store_watch_t *watch)
+static void log_list(const ts_store_watch_t *watch, unsigned applied)
 {
-    guint n = g_hash_table_size(watch->listed);
-    uint64_t known = ts_store_mirror_revision(watch->gateway->mirror);
+    guint n = watch->list->len;
     ts_count(TS_COUNTER_STORE_LISTS, 1);
     ts_log(TS_EVENT_PLATFORM_LISTED, "epoch=%lu revision=%lu known=%lu entries=%u passed_over=%u",
-           (unsigned long)watch->epoch, (unsigned long)watch->list_revision, (unsigned long)known,
-           n, n - MIN(n, watch->list_applied));
+           (unsigned long)ts_store_epoch_told(watch->list_position.epoch),
+           (unsigned long)watch->list_position.revision, (unsigned long)watch->list_known.revision,
+           n, n - MIN(n, applied));
 }
 
-/* The whole list was read: what it does not name has left. */
-static void end_list(ts_store_watch_t *watch)
+static void set_list_epoch(ts_store_watch_t *watch, uint64_t epoch)
+{
+    watch->list_position.epoch = epoch;
+    for (guint i = 0; i < watch->list->len; i++) {
+        ts_store_entry_t *entry = g_ptr_array_index(watch->list, i);
+        entry->changed.epoch = epoch;
+    }
+}
+
+/*
+ * Whether the list shows that the service went back without telling: each answer to a call holds
+ * all that was known before the call.
+ */
+static bool went_back(const ts_store_watch_t *watch)
+{
+    return watch->list_position.epoch == watch->list_known.epoch &&
+           watch->list_position.revision < watch->list_known.revision;
+}
+
+/* The whole list was read; returns how long to wait before the next call. */
+static uint64_t end_list(ts_store_watch_t *watch)
 {
     ts_store_mirror_t *mirror = watch->gateway->mirror;
-    log_list(watch);
-    ts_store_mirror_keep_only(mirror, watch->listed, watch->list_revision);
-    ts_store_mirror_reach(mirror, watch->list_revision, watch->called_us);
-    g_hash_table_remove_all(watch->listed);
+    if (went_back(watch))
+        set_list_epoch(watch, watch->list_known.epoch + 1);
+    if (watch->list_position.epoch < ts_store_mirror_position(mirror).epoch)
+        return restart_list(watch); // a peer has told of a later epoch meanwhile
+    const ts_store_list_t list = {.entries = watch->list,
+                                  .position = watch->list_position,
+                                  .as_of_us = watch->called_us,
+                                  .source = "service"};
+    log_list(watch, ts_store_mirror_take_list(mirror, &list));
+    g_ptr_array_set_size(watch->list, 0);
     watch->is_listing = false;
     announce(watch);
+    return 0;
+}
+
+/* Whether a page is of another epoch than those before it, or of an earlier moment. */
+static bool breaks_list(const ts_store_watch_t *watch, const ts_store_page_t *page)
+{
+    return watch->list->len > 0 && (page->position.epoch != watch->list_position.epoch ||
+                                    page->position.revision < watch->list_position.revision);
 }
 
 /* Takes a page of the list; returns how long to wait before the next call. */
-static uint64_t take_list_page(ts_store_watch_t *watch, const ts_store_page_t *page)
+static uint64_t take_list_page(ts_store_watch_t *watch, ts_store_page_t *page)
 {
-    if (watch->list_after == NULL) {
-        watch->list_revision = page->revision;
-    }
-    watch->list_applied += ts_store_mirror_apply(watch->gateway->mirror, page->entries);
-    for (guint i = 0; i < page->entries->len; i++) {
-        const ts_store_entry_t *entry = g_ptr_array_index(page->entries, i);
-        g_hash_table_add(watch->listed, g_strdup(entry->key));
-    }
-    if (page->has_more && page->entries->len > 0) {
-        const ts_store_entry_t *last = g_ptr_array_index(page->entries, page->entries->len - 1);
-        g_free(watch->list_after);
-        watch->list_after = g_strdup(last->key);
-    } else {
-        end_list(watch);
-    }
-    return 0;
+    if (breaks_list(watch, page))
+        return restart_list(watch);
+    if (watch->list->len == 0)
+        watch->list_position = page->position;
+    bool has_entries = page->entries->len > 0;
+    while (page->entries->len > 0)
+        g_ptr_array_add(watch->list, g_ptr_array_steal_index(page->entries, 0));
+    return page->has_more && has_entries ? 0 : end_list(watch);
 }
 
 static uint64_t take_changes(ts_store_watch_t *watch, const ts_store_page_t *page)
 {
-    (void)ts_store_mirror_apply(watch->gateway->mirror, page->entries);
-    ts_store_mirror_reach(watch->gateway->mirror, page->revision, ts_clock_now_us());
+    ts_store_mirror_t *mirror = watch->gateway->mirror;
+    watch->relist_ms = 0;
+    (void)ts_store_mirror_apply(mirror, page->entries, page->position);
+    ts_store_mirror_reach(mirror, page->position, ts_clock_now_us());
     if (page->entries->len == 0) {
         return 0;
     }
@@ -146,13 +193,27 @@
     return ts_call_pace_take(&watch->pace, ts_clock_now_us()) / TS_US_PER_MS;
 }
 
+/* Takes the answer to a wait; returns how long to wait before the next call. */
+static uint64_t take_wait(ts_store_watch_t *watch, const ts_store_page_t *page)
+{
+    uint64_t epoch = ts_store_mirror_position(watch->gateway->mirror).epoch;
+    if (page->position.epoch > epoch)
+        return restart_list(watch);
+    if (watch->asked.epoch != epoch)
+        return 0; // a peer has told of that epoch, the wait asked in the one before
+    if (page->position.revision < watch->asked.revision)
+        return restart_list(watch);
+    return take_changes(watch, page);
+}
+
 static void note_heard(ts_store_watch_t *watch)
 {
     watch->backoff_ms = BACKOFF_FIRST_MS;
     if (watch->is_lost) {
         watch->is_lost = false;
-        ts_log(TS_EVENT_PLATFORM_BACK, "epoch=%lu revision=%lu", (unsigned long)watch->epoch,
-               (unsigned long)ts_store_mirror_revision(watch->gateway->mirror));
+        ts_store_position_t known = ts_store_mirror_position(watch->gateway->mirror);
+        ts_log(TS_EVENT_PLATFORM_BACK, "epoch=%lu revision=%lu",
+               (unsigned long)ts_store_epoch_told(known.epoch), (unsigned long)known.revision);
     }
 }
 
@@ -160,9 +221,9 @@
 {
     if (!watch->is_lost) {
         watch->is_lost = true;
+        ts_store_position_t known = ts_store_mirror_position(watch->gateway->mirror);
         ts_log(TS_EVENT_PLATFORM_LOST, "reason=%s epoch=%lu revision=%lu", reason,
-               (unsigned long)watch->epoch,
-               (unsigned long)ts_store_mirror_revision(watch->gateway->mirror));
+               (unsigned long)ts_store_epoch_told(known.epoch), (unsigned long)known.revision);
     }
 }
 
@@ -173,8 +234,7 @@
     if (watch->gateway->peers != NULL) {
         ts_peers_ask_around(watch->gateway->peers);
     }
-    uint32_t random = ts_gateway_random(watch->gateway);
-    pause_for(watch, watch->backoff_ms / 2 + random % watch->backoff_ms);
+    pause_for(watch, spread(watch, watch->backoff_ms));
     /* A node that knows nothing yet can serve nobody: it keeps asking. */
     bool is_primed = ts_store_mirror_is_primed(watch->gateway->mirror);
     uint32_t most_ms = is_primed ? BACKOFF_MAX_MS : BACKOFF_FIRST_MS;
@@ -190,6 +250,49 @@
     return timeout_ms;
 }
 
+/* The epoch of an answer by the number it tells. */
+static uint64_t epoch_of(const ts_store_watch_t *watch, const ts_store_answer_t *answer)
+{
+    uint64_t epoch = ts_store_mirror_position(watch->gateway->mirror).epoch;
+    bool is_present = answer->epoch == ts_store_epoch_told(epoch);
+    return is_present ? epoch : ts_store_epoch(answer->epoch);
+}
+
+/* Why an answer can't be used; NULL: it can. */
+static const char *find_fault(const ts_store_watch_t *watch, const ts_store_answer_t *answer)
+{
+    uint64_t epoch = ts_store_mirror_position(watch->gateway->mirror).epoch;
+    if (answer->status != STATUS_OK && answer->status != STATUS_GONE)
+        return "status";
+    if (answer->epoch >= ts_store_epoch_told(epoch))
+        return NULL;
+    return answer->epoch == 0 ? "no_epoch" : "earlier_epoch";
+}
+
+static void refuse_answer(ts_store_watch_t *watch, const ts_store_answer_t *answer,
+                          const char *fault)
+{
+    char reason[32];
+    g_snprintf(reason, sizeof(reason), "%s_%u", fault, answer->status);
+    if (answer->status == STATUS_OK || answer->status == STATUS_GONE)
+        ts_store_client_reconnect(watch->client); // it may lead to what the service was before
+    take_failure(watch, reason);
+}
+
+/* Reads the answer to a list or a wait; NULL after a failure. */
+static ts_store_page_t *read_page(ts_store_watch_t *watch, const ts_store_answer_t *answer)
+{
+    ts_store_page_t *page = ts_store_page_create();
+    ts_error_t error = watch->gateway->dialect->read_page(answer->body, answer->length, page);
+    if (error != TS_OK) {
+        take_failure(watch, ts_error_name(error));
+        ts_store_page_free(page);
+        return NULL;
+    }
+    ts_store_page_set_epoch(page, epoch_of(watch, answer));
+    return page;
+}
+
 static void call_done(void *context, ts_error_t error, const ts_store_answer_t *answer)
 {
     ts_store_watch_t *watch = context;
@@ -198,30 +301,22 @@
         take_failure(watch, ts_error_name(error));
         return;
     }
-    watch->epoch = answer->epoch;
-    ts_gauge_set(TS_COUNTER_STORE_EPOCH, (int64_t)answer->epoch);
+    const char *fault = find_fault(watch, answer);
+    if (fault != NULL) {
+        refuse_answer(watch, answer, fault);
+        return;
+    }
     if (answer->status == STATUS_GONE) {
         ts_count(TS_COUNTER_STORE_HISTORY_GONE, 1);
         note_heard(watch);
-        begin_list(watch);
-        pause_for(watch, 0);
+        pause_for(watch, restart_list(watch));
         return;
     }
-    if (answer->status != STATUS_OK) {
-        char reason[32];
-        g_snprintf(reason, sizeof(reason), "status_%u", answer->status);
-        take_failure(watch, reason);
+    ts_store_page_t *page = read_page(watch, answer);
+    if (page == NULL)
         return;
-    }
-    ts_store_page_t *page = ts_store_page_create();
-    error = watch->gateway->dialect->read_page(answer->body, answer->length, page);
-    if (error != TS_OK) {
-        take_failure(watch, ts_error_name(error));
-    } else {
-        note_heard(watch);
-        pause_for(watch,
-                  watch->is_listing ? take_list_page(watch, page) : take_changes(watch, page));
-    }
+    note_heard(watch);
+    pause_for(watch, watch->is_listing ? take_list_page(watch, page) : take_wait(watch, page));
     ts_store_page_free(page);
 }
 
@@ -250,8 +345,8 @@
 static void begin_wait(ts_store_watch_t *watch)
 {
     uint32_t wait_ms = is_relied_on(watch) ? WATCH_PROBED_MS : WATCH_MS;
-    uint64_t revision = ts_store_mirror_revision(watch->gateway->mirror);
-    char *target = watch->gateway->dialect->watch_target(revision, wait_ms);
+    watch->asked = ts_store_mirror_position(watch->gateway->mirror);
+    char *target = watch->gateway->dialect->watch_target(watch->asked.revision, wait_ms);
     watch->is_long_wait = wait_ms > WATCH_MS;
     watch->is_doubtful = false;
     watch->behind_seen = 0;
@@ -259,6 +354,19 @@
     g_free(target);
 }
 
+/* Asks for the first page of a list, or for the one after those that are there. */
+static void ask_list(ts_store_watch_t *watch)
+{
+    const ts_store_entry_t *last = NULL;
+    if (watch->list->len > 0)
+        last = g_ptr_array_index(watch->list, watch->list->len - 1);
+    else
+        watch->list_known = ts_store_mirror_position(watch->gateway->mirror);
+    char *target = watch->gateway->dialect->list_target(last == NULL ? NULL : last->key);
+    ts_store_client_get(watch->client, target, list_timeout_ms(watch));
+    g_free(target);
+}
+
 static void call_next(uv_timer_t *timer)
 {
     ts_store_watch_t *watch = timer->data;
@@ -276,9 +384,7 @@
         begin_wait(watch);
         return;
     }
-    char *target = watch->gateway->dialect->list_target(watch->list_after);
-    ts_store_client_get(watch->client, target, list_timeout_ms(watch));
-    g_free(target);
+    ask_list(watch);
 }
 
 /* -- Probing ----------------------------------------------------------------------------------- */
@@ -291,6 +397,16 @@
     pause_for(watch, 0);
 }
 
+/* The service is heard in an epoch that the wait under way does not ask in. */
+static void leave_wait(ts_store_watch_t *watch)
+{
+    if (watch->is_listing)
+        return;
+    ts_store_client_abandon(watch->client);
+    watch->is_long_wait = false;
+    pause_for(watch, restart_list(watch));
+}
+
 /* What a probe that was answered says of the wait under way. */
 static void judge_wait(ts_store_watch_t *watch, bool is_behind)
 {
@@ -311,10 +427,17 @@
         watch->is_doubtful = true;
         return;
     }
+    uint64_t epoch = ts_store_epoch_told(ts_store_mirror_position(mirror).epoch);
+    if (answer->epoch != epoch) {
+        if (answer->epoch > epoch)
+            leave_wait(watch);
+        return;
+    }
     ts_store_page_t *page = ts_store_page_create();
     const ts_dialect_t *dialect = watch->gateway->dialect;
     bool is_read = dialect->read_page(answer->body, answer->length, page) == TS_OK;
-    bool is_current = is_read && page->revision <= ts_store_mirror_revision(mirror);
+    uint64_t known = ts_store_mirror_position(mirror).revision;
+    bool is_current = is_read && page->position.revision <= known;
     if (is_current && !watch->is_lost) {
         ts_store_mirror_confirm(mirror, watch->probed_us);
     }
@@ -323,11 +446,20 @@
         judge_wait(watch, !is_current);
 }
 
+/* A peer has told of another epoch while the wait under way asks in the one before. */
+static bool is_wait_outdated(const ts_store_watch_t *watch)
+{
+    return watch->is_long_wait &&
+           watch->asked.epoch != ts_store_mirror_position(watch->gateway->mirror).epoch;
+}
+
 /* The zone's watcher makes sure, between changes, that the service is still heard. */
 static void probe(uv_timer_t *timer)
 {
     ts_store_watch_t *watch = timer->data;
     const ts_gateway_t *gateway = watch->gateway;
+    if (is_wait_outdated(watch))
+        renew_wait(watch);
     bool is_needed = watch->is_long_wait || is_relied_on(watch);
     if (watch->is_probing || !is_needed || !ts_store_mirror_is_primed(gateway->mirror)) {
         return;
@@ -348,7 +480,7 @@
         ts_store_client_create(gateway->loop, gateway->dialect, address, call_done, watch);
     watch->prober =
         ts_store_client_create(gateway->loop, gateway->dialect, address, probe_done, watch);
-    watch->listed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    watch->list = g_ptr_array_new_with_free_func(ts_store_entry_free);
     watch->backoff_ms = BACKOFF_FIRST_MS;
     watch->first_timeout_ms = FIRST_TIMEOUT_MS;
     uv_timer_init(gateway->loop, &watch->pause);
--- a/src/peers/peers_internal.h
+++ b/src/peers/peers_internal.h
@@ -28,15 +28,15 @@
     GPtrArray *zone_order;
     guint own_place;           /* of this node in the order */
     ts_time_us_t passed_on_us; /* what the last beacon that was passed on confirmed */
-    uint64_t passed_on_revision;
+    ts_store_position_t passed_on;
     unsigned ticks;
     bool is_mute;           /**< sends nothing; see ts_peers_set_mute */
     ts_time_us_t pulled_us; /* when changes were last asked for; 0: and none are on their way */
-    uint64_t announced_revision; /**< the newest that a peer has announced */
-    char *announcer;             /**< address of that peer; NULL: nobody yet */
-    uint64_t heard_version;      /* newest configuration that others spoke of */
-    ts_time_us_t heard_us;       /* when it was first heard of */
-    ts_time_us_t asked_us;       /* when somebody was last asked for everything */
+    ts_store_position_t announced; /**< the newest that a peer has announced */
+    char *announcer;               /**< address of that peer; NULL: nobody yet */
+    uint64_t heard_version;        /* newest configuration that others spoke of */
+    ts_time_us_t heard_us;         /* when it was first heard of */
+    ts_time_us_t asked_us;         /* when somebody was last asked for everything */
     unsigned asked_times;
     /* Evidence about back ends; see peers_evidence.c. */
     GPtrArray *zone_heads;     /* of ts_view_member_t in the view, one a zone: first in its order */
--- a/src/peers/peers_store.c
+++ b/src/peers/peers_store.c
@@ -17,6 +17,8 @@
 /* While nothing is known, somebody is asked this often, once the service had time to answer. */
 #define ASK_AROUND_US (500 * TS_US_PER_MS)
 #define ASK_FIRST_US (400 * TS_US_PER_MS)
+/* Before all that the service has. */
+static const ts_store_position_t nothing = {0, 0};
 /* A beacon is passed on only if it confirms what was last passed on this much later. */
 #define BEACON_NEWER_US (100 * TS_US_PER_MS)
 
@@ -32,19 +34,22 @@
 {
     TsPeer__Beacon beacon = TS_PEER__BEACON__INIT;
     TsPeer__Frame frame = TS_PEER__FRAME__INIT;
-    beacon.revision = ts_store_mirror_revision(peers->mirror);
+    ts_store_position_t position = ts_store_mirror_position(peers->mirror);
+    beacon.epoch = position.epoch;
+    beacon.revision = position.revision;
     beacon.age_ms = age_ms(peers);
     frame.beacon = &beacon;
     peers->passed_on_us = ts_store_mirror_confirmed_us(peers->mirror);
-    peers->passed_on_revision = beacon.revision;
+    peers->passed_on = position;
     ts_peers_send_to_children(peers, &frame);
 }
 
-static void send_pull(ts_peers_t *peers, const char *address, uint64_t after)
+static void send_pull(ts_peers_t *peers, const char *address, ts_store_position_t after)
 {
     TsPeer__Pull pull = TS_PEER__PULL__INIT;
     TsPeer__Frame frame = TS_PEER__FRAME__INIT;
-    pull.after = after;
+    pull.epoch = after.epoch;
+    pull.after = after.revision;
     frame.pull = &pull;
     ts_peers_send(peers, address, &frame);
 }
@@ -52,23 +57,24 @@
 /* Asks again at once when more was announced while the changes that came were on their way. */
 static void pull_rest(ts_peers_t *peers)
 {
-    uint64_t own = ts_store_mirror_revision(peers->mirror);
-    if (peers->announced_revision <= own || peers->announcer == NULL)
+    ts_store_position_t own = ts_store_mirror_position(peers->mirror);
+    bool is_behind = ts_store_position_compare(peers->announced, own) > 0;
+    if (!is_behind || peers->announcer == NULL)
         return;
     peers->pulled_us = ts_clock_now_us();
     send_pull(peers, peers->announcer, own);
 }
 
-static void note_announced(ts_peers_t *peers, const char *address, uint64_t revision)
+static void note_announced(ts_peers_t *peers, const char *address, ts_store_position_t position)
 {
-    if (revision <= peers->announced_revision)
+    if (ts_store_position_compare(position, peers->announced) <= 0)
         return;
-    peers->announced_revision = revision;
+    peers->announced = position;
     g_free(peers->announcer);
     peers->announcer = g_strdup(address);
 }
 
-static void send_changes(ts_peers_t *peers, const char *address, uint64_t after)
+static void send_changes(ts_peers_t *peers, const char *address, ts_store_position_t after)
 {
     bool is_whole = false;
     GPtrArray *list = ts_store_mirror_changes(peers->mirror, after, &is_whole);
@@ -78,7 +84,8 @@
         const ts_store_entry_t *entry = g_ptr_array_index(list, i);
         ts_peer__entry__init(&rows[i]);
         rows[i].key = entry->key;
-        rows[i].revision = entry->revision;
+        rows[i].epoch = entry->changed.epoch;
+        rows[i].revision = entry->changed.revision;
         rows[i].gone = entry->is_gone;
         rows[i].value.data = (uint8_t *)entry->value;
         rows[i].value.len = entry->length;
@@ -86,7 +93,10 @@
     }
     TsPeer__Changes changes = TS_PEER__CHANGES__INIT;
     TsPeer__Frame frame = TS_PEER__FRAME__INIT;
-    changes.revision = ts_store_mirror_revision(peers->mirror);
+    ts_store_position_t position = ts_store_mirror_position(peers->mirror);
+    changes.epoch = position.epoch;
+    changes.revision = position.revision;
+    changes.epoch_base = ts_store_mirror_base(peers->mirror);
     changes.age_ms = age_ms(peers);
     changes.is_whole = is_whole;
     changes.entries = pointers;
@@ -108,7 +118,7 @@
 
 /* -- Receiving --------------------------------------------------------------------------------- */
 
-static void pull_from(ts_peers_t *peers, const char *address, uint64_t after)
+static void pull_from(ts_peers_t *peers, const char *address, ts_store_position_t after)
 {
     ts_time_us_t now_us = ts_clock_now_us();
     if (now_us - peers->pulled_us > PULL_AGAIN_US) {
@@ -127,7 +137,8 @@
 static void pass_on(ts_peers_t *peers)
 {
     ts_time_us_t confirmed_us = ts_store_mirror_confirmed_us(peers->mirror);
-    bool is_news = ts_store_mirror_revision(peers->mirror) > peers->passed_on_revision ||
+    ts_store_position_t position = ts_store_mirror_position(peers->mirror);
+    bool is_news = ts_store_position_compare(position, peers->passed_on) > 0 ||
                    confirmed_us > peers->passed_on_us + BEACON_NEWER_US;
     if (is_news && !ts_peers_is_watcher(peers)) {
         ts_peers_send_beacon(peers);
@@ -136,15 +147,17 @@
 
 void ts_peers_take_beacon(ts_peers_t *peers, const TsPeer__Frame *frame)
 {
-    uint64_t own = ts_store_mirror_revision(peers->mirror);
+    ts_store_position_t own = ts_store_mirror_position(peers->mirror);
+    ts_store_position_t told = {frame->beacon->epoch, frame->beacon->revision};
+    int order = ts_store_position_compare(told, own);
     if (!ts_store_mirror_is_primed(peers->mirror)) {
         if (ts_peers_is_in_need(peers)) {
-            pull_from(peers, frame->address, 0);
+            pull_from(peers, frame->address, nothing);
         }
-    } else if (frame->beacon->revision > own) {
-        note_announced(peers, frame->address, frame->beacon->revision);
+    } else if (order > 0) {
+        note_announced(peers, frame->address, told);
         pull_from(peers, frame->address, own);
-    } else if (frame->beacon->revision == own) {
+    } else if (order == 0) {
         ts_store_mirror_confirm(peers->mirror, confirmed_at(frame->beacon->age_ms));
         pass_on(peers);
     }
@@ -152,8 +165,9 @@
 
 void ts_peers_take_pull(ts_peers_t *peers, const TsPeer__Frame *frame)
 {
+    const ts_store_position_t after = {frame->pull->epoch, frame->pull->after};
     if (ts_store_mirror_is_primed(peers->mirror)) {
-        send_changes(peers, frame->address, frame->pull->after);
+        send_changes(peers, frame->address, after);
     }
 }
 
@@ -164,7 +178,7 @@
         const TsPeer__Entry *row = changes->entries[i];
         ts_store_entry_t *entry = ts_store_page_add(page);
         entry->key = g_strdup(row->key);
-        entry->revision = row->revision;
+        entry->changed = (ts_store_position_t){row->epoch, row->revision};
         entry->is_gone = row->gone;
         entry->length = row->value.len;
         entry->value = row->gone ? NULL : g_strndup((const char *)row->value.data, row->value.len);
@@ -177,25 +191,25 @@
 
 void ts_peers_take_changes(ts_peers_t *peers, const TsPeer__Changes *changes)
 {
-    uint64_t before = ts_store_mirror_revision(peers->mirror);
-    bool is_news = changes->revision >= before;
+    ts_store_position_t before = ts_store_mirror_position(peers->mirror);
+    ts_store_list_t list = {.position = {changes->epoch, changes->revision},
+                            .base = changes->epoch_base,
+                            .as_of_us = confirmed_at(changes->age_ms),
+                            .source = "peer"};
     if (!changes->is_whole && !ts_store_mirror_is_primed(peers->mirror)) {
         return;
     }
     GPtrArray *entries = read_entries(peers, changes);
-    ts_store_mirror_apply(peers->mirror, entries);
-    if (changes->is_whole && is_news) {
-        GHashTable *keys = g_hash_table_new(g_str_hash, g_str_equal);
-        for (guint i = 0; i < entries->len; i++) {
-            g_hash_table_add(keys, ((ts_store_entry_t *)g_ptr_array_index(entries, i))->key);
-        }
-        ts_store_mirror_keep_only(peers->mirror, keys, changes->revision);
-        g_hash_table_unref(keys);
+    list.entries = entries;
+    if (changes->is_whole) {
+        (void)ts_store_mirror_take_list(peers->mirror, &list);
+    } else {
+        (void)ts_store_mirror_apply(peers->mirror, entries, list.position);
+        ts_store_mirror_reach(peers->mirror, list.position, list.as_of_us);
     }
-    ts_store_mirror_reach(peers->mirror, changes->revision, confirmed_at(changes->age_ms));
     ts_count(TS_COUNTER_CONFIG_FROM_PEER, 1);
     peers->pulled_us = 0;
-    if (changes->revision > before)
+    if (ts_store_position_compare(list.position, before) > 0)
         pull_rest(peers);
     pass_on(peers);
     g_ptr_array_unref(entries);
@@ -223,7 +237,7 @@
         return;
     bool is_near = ts_peers_distance(peers, address) == TS_DISTANCE_ZONE;
     if (!is_primed || is_near || is_overdue(peers, version))
-        pull_from(peers, address, is_primed ? ts_store_mirror_revision(peers->mirror) : 0);
+        pull_from(peers, address, is_primed ? ts_store_mirror_position(peers->mirror) : nothing);
 }
 
 /* -- Time -------------------------------------------------------------------------------------- */
@@ -233,6 +247,11 @@
     return peers->zone_order->len > 1 && ts_peers_is_watcher(peers);
 }
 
+bool ts_peers_may_be_told(const ts_peers_t *peers)
+{
+    return !ts_peers_is_watcher(peers);
+}
+
 bool ts_peers_should_watch(const ts_peers_t *peers, ts_time_us_t now_us)
 {
     ts_time_us_t confirmed_us = ts_store_mirror_confirmed_us(peers->mirror);
@@ -278,6 +297,7 @@
     if (member != NULL) {
         peers->asked_us = now_us;
         bool is_primed = ts_store_mirror_is_primed(peers->mirror);
-        send_pull(peers, member->address, is_primed ? ts_store_mirror_revision(peers->mirror) : 0);
+        send_pull(peers, member->address,
+                  is_primed ? ts_store_mirror_position(peers->mirror) : nothing);
     }
 }
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -547,7 +547,7 @@
   assert(message->base.descriptor == &ts_peer__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor ts_peer__beacon__field_descriptors[2] =
+static const ProtobufCFieldDescriptor ts_peer__beacon__field_descriptors[3] =
 {
   {
     "revision",
@@ -573,15 +573,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "epoch",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Beacon, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ts_peer__beacon__field_indices_by_name[] = {
   1,   /* field[1] = age_ms */
+  2,   /* field[2] = epoch */
   0,   /* field[0] = revision */
 };
 static const ProtobufCIntRange ts_peer__beacon__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor ts_peer__beacon__descriptor =
 {
@@ -591,14 +604,14 @@
   "TsPeer__Beacon",
   "ts_peer",
   sizeof(TsPeer__Beacon),
-  2,
+  3,
   ts_peer__beacon__field_descriptors,
   ts_peer__beacon__field_indices_by_name,
   1,  ts_peer__beacon__number_ranges,
   (ProtobufCMessageInit) ts_peer__beacon__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ts_peer__pull__field_descriptors[1] =
+static const ProtobufCFieldDescriptor ts_peer__pull__field_descriptors[2] =
 {
   {
     "after",
@@ -612,14 +625,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "epoch",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Pull, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ts_peer__pull__field_indices_by_name[] = {
   0,   /* field[0] = after */
+  1,   /* field[1] = epoch */
 };
 static const ProtobufCIntRange ts_peer__pull__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor ts_peer__pull__descriptor =
 {
@@ -629,14 +655,14 @@
   "TsPeer__Pull",
   "ts_peer",
   sizeof(TsPeer__Pull),
-  1,
+  2,
   ts_peer__pull__field_descriptors,
   ts_peer__pull__field_indices_by_name,
   1,  ts_peer__pull__number_ranges,
   (ProtobufCMessageInit) ts_peer__pull__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ts_peer__entry__field_descriptors[4] =
+static const ProtobufCFieldDescriptor ts_peer__entry__field_descriptors[5] =
 {
   {
     "key",
@@ -686,8 +712,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "epoch",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Entry, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ts_peer__entry__field_indices_by_name[] = {
+  4,   /* field[4] = epoch */
   2,   /* field[2] = gone */
   0,   /* field[0] = key */
   1,   /* field[1] = revision */
@@ -696,7 +735,7 @@
 static const ProtobufCIntRange ts_peer__entry__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor ts_peer__entry__descriptor =
 {
@@ -706,14 +745,14 @@
   "TsPeer__Entry",
   "ts_peer",
   sizeof(TsPeer__Entry),
-  4,
+  5,
   ts_peer__entry__field_descriptors,
   ts_peer__entry__field_indices_by_name,
   1,  ts_peer__entry__number_ranges,
   (ProtobufCMessageInit) ts_peer__entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ts_peer__changes__field_descriptors[4] =
+static const ProtobufCFieldDescriptor ts_peer__changes__field_descriptors[6] =
 {
   {
     "revision",
@@ -763,17 +802,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "epoch",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Changes, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch_base",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Changes, epoch_base),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ts_peer__changes__field_indices_by_name[] = {
   1,   /* field[1] = age_ms */
   3,   /* field[3] = entries */
+  4,   /* field[4] = epoch */
+  5,   /* field[5] = epoch_base */
   2,   /* field[2] = is_whole */
   0,   /* field[0] = revision */
 };
 static const ProtobufCIntRange ts_peer__changes__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor ts_peer__changes__descriptor =
 {
@@ -783,7 +848,7 @@
   "TsPeer__Changes",
   "ts_peer",
   sizeof(TsPeer__Changes),
-  4,
+  6,
   ts_peer__changes__field_descriptors,
   ts_peer__changes__field_indices_by_name,
   1,  ts_peer__changes__number_ranges,
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -48,10 +48,14 @@
    * since the service confirmed that
    */
   uint32_t age_ms;
+  /*
+   * of the revision; 0: the sender knows none
+   */
+  uint64_t epoch;
 };
 #define TS_PEER__BEACON__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ts_peer__beacon__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 /*
@@ -64,10 +68,14 @@
    * zero: everything
    */
   uint64_t after;
+  /*
+   * of that revision
+   */
+  uint64_t epoch;
 };
 #define TS_PEER__PULL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ts_peer__pull__descriptor) \
-    , 0 }
+    , 0, 0 }
 
 
 /*
@@ -80,10 +88,14 @@
   uint64_t revision;
   protobuf_c_boolean gone;
   ProtobufCBinaryData value;
+  /*
+   * of the revision
+   */
+  uint64_t epoch;
 };
 #define TS_PEER__ENTRY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ts_peer__entry__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, {0,NULL} }
+    , (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0 }
 
 
 /*
@@ -103,10 +115,18 @@
   protobuf_c_boolean is_whole;
   size_t n_entries;
   TsPeer__Entry **entries;
+  /*
+   * of the revision
+   */
+  uint64_t epoch;
+  /*
+   * lowest revision at which that epoch was read
+   */
+  uint64_t epoch_base;
 };
 #define TS_PEER__CHANGES__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ts_peer__changes__descriptor) \
-    , 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0,NULL, 0, 0 }
 
 
 /*
--- a/tests/gateway/test_peers.c
+++ b/tests/gateway/test_peers.c
@@ -90,19 +90,21 @@
         assert_int_equal(fleet.nodes[i]->traffic->version, 2);
 }
 
-static void announce(ts_peers_t *peers, char *address, uint64_t revision)
+static void announce(ts_peers_t *peers, char *address, uint64_t epoch, uint64_t revision)
 {
     TsPeer__Beacon beacon = TS_PEER__BEACON__INIT;
     TsPeer__Frame frame = TS_PEER__FRAME__INIT;
+    beacon.epoch = epoch;
     beacon.revision = revision;
     frame.beacon = &beacon;
     frame.address = address;
     ts_peers_take_beacon(peers, &frame);
 }
 
-static void give_changes(ts_peers_t *peers, uint64_t revision)
+static void give_changes(ts_peers_t *peers, uint64_t epoch, uint64_t revision)
 {
     TsPeer__Changes changes = TS_PEER__CHANGES__INIT;
+    changes.epoch = epoch;
     changes.revision = revision;
     ts_peers_take_changes(peers, &changes);
 }
@@ -115,14 +117,16 @@
     ts_peers_t *peers = fleet.nodes[fleet.nodes[0] == watcher ? 1 : 0]->peers;
     char address[32];
     g_snprintf(address, sizeof(address), "127.0.0.1:%u", world_next_port()); /* nobody answers */
-    uint64_t own = ts_store_mirror_revision(peers->mirror);
-    announce(peers, address, own + 1);
-    announce(peers, address, own + 2);
-    give_changes(peers, own + 1);
+    ts_store_position_t position = ts_store_mirror_position(peers->mirror);
+    uint64_t own = position.revision;
+    uint64_t epoch = position.epoch;
+    announce(peers, address, epoch, own + 1);
+    announce(peers, address, epoch, own + 2);
+    give_changes(peers, epoch, own + 1);
     assert_true(peers->pulled_us != 0); /* the second is on its way */
-    give_changes(peers, own + 1);
+    give_changes(peers, epoch, own + 1);
     assert_true(peers->pulled_us == 0); /* a peer that has not got it is not asked over and over */
-    give_changes(peers, own + 2);
+    give_changes(peers, epoch, own + 2);
     assert_true(peers->pulled_us == 0);
 }
 
--- a/tests/platform/test_documents.c
+++ b/tests/platform/test_documents.c
@@ -181,14 +181,14 @@
         "{\"privateKey\":\"my/own\",\"value\":\"e30=\",\"revision\":6}],\"at\":9}";
     ts_store_page_t *page = ts_store_page_create();
     assert_int_equal(platform()->read_page(text, strlen(text), page), TS_OK);
-    assert_int_equal(page->revision, 9);
+    assert_int_equal(page->position.revision, 9);
     assert_int_equal(page->entries->len, 3);
     const ts_store_entry_t *first = g_ptr_array_index(page->entries, 0);
     const ts_store_entry_t *second = g_ptr_array_index(page->entries, 1);
     const ts_store_entry_t *third = g_ptr_array_index(page->entries, 2);
     assert_string_equal(first->id, "i-1");
     assert_string_equal(first->value, "{}");
-    assert_int_equal(first->revision, 4);
+    assert_int_equal(first->changed.revision, 4);
     assert_true(second->is_gone);
     assert_int_equal(third->kind, TS_STORE_OTHER);
     ts_instance_record_t record = {0};
