--- a/lab/soak.h
+++ b/lab/soak.h
@@ -8,6 +8,7 @@
  *   soak_caller.c   callers' requests and what is found in their answers
  *   soak_tenants.c  tenants: their keys and limits, and what becomes of them
  *   soak_crashes.c  requests that end the searchers that run them, and searchers that end so
+ *   soak_restore.c  a store that comes back from an older copy, and what is written again
  *   soak_check.c    pure checks of answers and budgets
  */
 #ifndef LAB_SOAK_H
@@ -131,6 +132,7 @@
     unsigned store_port;
     unsigned store_faults;
     ts_time_us_t store_touched_us;
+    unsigned store_calls; // up to the last look at their number
     soak_node_t nodes[SOAK_NODES_MAX];
     soak_searcher_t *searchers[SOAK_SERVICES][SOAK_REPLICAS];
     unsigned searchers_made;
@@ -223,7 +225,17 @@
 /** Whether the limited tenant ran more than it may in some window, over all gateways. */
 void soak_check_limit(soak_t *s);
 
+// -- soak_restore.c
+/** A copy of the store is taken, to which it will return; false: something else ails it. */
+bool soak_begin_restore(soak_t *s);
+/** The store goes away, and comes back from the copy a while later. */
+void soak_end_restore(soak_t *s);
+/** Checks each second that the gateways do not ask the store without pause. */
+void soak_watch_calls(soak_t *s);
+
 // -- soak_faults.c
+/** A fault of the store begins or ends. */
+void soak_touch_store(soak_t *s, int faults);
 /** Begins faults at random times until the soak drains; ends them all then. */
 void soak_faults_start(soak_t *s);
 
--- a/lab/soak_faults.c
+++ b/lab/soak_faults.c
@@ -317,7 +317,7 @@
 
 // -- Store and configuration
 
-static void touch_store(soak_t *s, int faults)
+void soak_touch_store(soak_t *s, int faults)
 {
     s->store_faults = (unsigned)((int)s->store_faults + faults);
     s->store_touched_us = ts_clock_now_us();
@@ -329,7 +329,7 @@
     gint32 mode = draw(fault->s, 0, G_N_ELEMENTS(modes));
     if (fault->s->store_faults > 0)
         return false;
-    touch_store(fault->s, 1);
+    soak_touch_store(fault->s, 1);
     lab_store_set_mode(fault->s->store, modes[mode]);
     soak_say(fault->s, "store: mode %d", modes[mode]);
     return true;
@@ -338,10 +338,20 @@
 static void mend_store(fault_t *fault)
 {
     lab_store_set_mode(fault->s->store, LAB_STORE_NORMAL);
-    touch_store(fault->s, -1);
+    soak_touch_store(fault->s, -1);
     soak_say(fault->s, "store: well");
 }
 
+static bool begin_restore(fault_t *fault)
+{
+    return soak_begin_restore(fault->s);
+}
+
+static void end_restore(fault_t *fault)
+{
+    soak_end_restore(fault->s);
+}
+
 static bool forget_history(fault_t *fault)
 {
     lab_store_forget(fault->s->store);
@@ -388,6 +398,7 @@
     {"foreign entry", 3, write_foreign, NULL, 0},
     {"fatal request", 3, begin_fatal, end_fatal, FATAL_LONGER_MS},
     {"store", 2, spoil_store, mend_store, 0},
+    {"older copy", 2, begin_restore, end_restore, 0},
     {"history", 1, forget_history, NULL, 0},
     {"configuration", 5, configure, NULL, 0},
     {"evacuation", 2, evacuate, end_evacuation, EVACUATION_LONGER_MS},
@@ -455,4 +466,5 @@
     uv_timer_init(&s->loop, &timer);
     timer.data = s;
     uv_timer_start(&timer, next_fault, GAP_MAX_MS, 0);
+    soak_watch_calls(s);
 }
--- a/lab/standin_store.c
+++ b/lab/standin_store.c
@@ -338,8 +338,47 @@
     store->copy_revision = store->revision;
 }
 
-void lab_store_restore(lab_store_t *store)
+/* Keys of the history after the copy, each once, in no order. */
+static GHashTable *keys_since_copy(const lab_store_t *store)
 {
+    GHashTable *keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    for (guint i = 0; i < store->history->len; i++) {
+        const change_t *change = g_ptr_array_index(store->history, i);
+        if (change->revision > store->copy_revision)
+            g_hash_table_add(keys, g_strdup(change->key));
+    }
+    return keys;
+}
+
+static void tell_lost(const lab_store_t *store, lab_store_lost_t lost, void *ctx)
+{
+    GHashTable *keys = keys_since_copy(store);
+    GHashTableIter iterator;
+    gpointer key = NULL;
+    g_hash_table_iter_init(&iterator, keys);
+    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+        const change_t *change = g_tree_lookup(store->entries, key);
+        lost(ctx, key, change == NULL ? NULL : change->value);
+    }
+    g_hash_table_unref(keys);
+}
+
+void lab_store_write_again(lab_store_t *store, const char *key, const char *value)
+{
+    const change_t *change = g_tree_lookup(store->entries, key);
+    bool is_written = change != NULL && change->revision > store->copy_revision;
+    if (is_written)
+        return;
+    if (value != NULL)
+        lab_store_put(store, key, value);
+    else if (change != NULL)
+        lab_store_delete(store, key);
+}
+
+void lab_store_restore(lab_store_t *store, lab_store_lost_t lost, void *ctx)
+{
+    if (lost != NULL)
+        tell_lost(store, lost, ctx);
     g_tree_remove_all(store->entries);
     for (guint i = 0; i < store->copy->len; i++) {
         const change_t *change = g_ptr_array_index(store->copy, i);
--- a/lab/standin_store.h
+++ b/lab/standin_store.h
@@ -29,11 +29,16 @@
 void lab_store_cut_waits(lab_store_t *store);
 /** Takes a copy of what the store holds now; the one taken before is dropped. */
 void lab_store_take_copy(lab_store_t *store);
+/** A key that was written since the copy was taken, and its value; NULL: it was gone. */
+typedef void (*lab_store_lost_t)(void *ctx, const char *key, const char *value);
 /**
  * Comes back from that copy, with its epoch one higher: later writes are lost, and their revisions
- * are given out again. The calls that wait are never answered.
+ * are given out again. The calls that wait are never answered. `lost` (may be NULL) is told what
+ * the writers are to write again.
  */
-void lab_store_restore(lab_store_t *store);
+void lab_store_restore(lab_store_t *store, lab_store_lost_t lost, void *ctx);
+/** Writes or (`value` NULL) deletes an entry again, unless it was written since the restore. */
+void lab_store_write_again(lab_store_t *store, const char *key, const char *value);
 /** Epoch in its answers from now on; 0: they tell none. Begins at 1. */
 void lab_store_set_epoch(lab_store_t *store, uint64_t epoch);
 uint64_t lab_store_epoch(const lab_store_t *store);
--- a/src/control/store_watch.c
+++ b/src/control/store_watch.c
@@ -40,7 +40,7 @@
 /* Between two signs of life of the service while others rely on this node. */
 #define PROBE_MS 1000
 #define PROBE_TIMEOUT_MS 900
-/* A node that a peer may tell of a service that came back waits so long, or up to twice that. */
+/* A node that a peer may tell of a service that came back gives it so long, on the mean. */
 #define RELIST_OTHERS_MS 300
 #define BACKOFF_FIRST_MS 150
 #define BACKOFF_MAX_MS 1000
@@ -175,8 +175,8 @@
     if (watch->list->len == 0)
         watch->list_position = page->position;
     bool has_entries = page->entries->len > 0;
-    while (page->entries->len > 0)
-        g_ptr_array_add(watch->list, g_ptr_array_steal_index(page->entries, 0));
+    g_ptr_array_set_free_func(page->entries, NULL); // they belong to the list now
+    g_ptr_array_extend(watch->list, page->entries, NULL, NULL);
     return page->has_more && has_entries ? 0 : end_list(watch);
 }
 
@@ -372,6 +372,7 @@
     ts_store_watch_t *watch = timer->data;
     if (may_rest(watch)) {
         watch->is_listing = false; /* a peer has given what the list would */
+        g_ptr_array_set_size(watch->list, 0);
         pause_for(watch, REST_MS);
         return;
     }
--- a/tests/gateway/test_store_epochs.c
+++ b/tests/gateway/test_store_epochs.c
@@ -41,7 +41,7 @@
     lab_store_set_mode(world->store, LAB_STORE_BUSY);
     lab_store_cut_waits(world->store);
     world_run_ms(world, 300);
-    lab_store_restore(world->store);
+    lab_store_restore(world->store, NULL, NULL);
     lab_store_set_mode(world->store, LAB_STORE_NORMAL);
 }
 
@@ -127,7 +127,7 @@
     for (int i = 0; i < 1000 && lab_store_calls(world->store) < before + 5; i++)
         world_run_ms(world, 1);
     assert_true(lab_store_calls(world->store) < before + 40); // the list is not over
-    lab_store_restore(world->store);
+    lab_store_restore(world->store, NULL, NULL);
     put_version(world, 9);
     assert_true(have_version(world, &world->gateway, 9));
     assert_int_equal(ts_registry_listed(world->gateway.registry), 41);
--- a/tests/gateway/test_store_restore.c
+++ b/tests/gateway/test_store_restore.c
@@ -116,7 +116,7 @@
 
 static void come_back(fleet_t *fleet)
 {
-    lab_store_restore(fleet->store);
+    lab_store_restore(fleet->store, NULL, NULL);
     lab_store_set_mode(fleet->store, LAB_STORE_NORMAL);
 }
 
@@ -193,7 +193,7 @@
     put_noise(&fleet, LOST_WRITES);
     world_run_ms(fleet.world, 2000);
     lab_store_set_mode(fleet.store, LAB_STORE_SILENT);
-    lab_store_restore(fleet.store);
+    lab_store_restore(fleet.store, NULL, NULL);
     put_version(&fleet, 9);
     put_noise(&fleet, 2 * LOST_WRITES);
     lab_store_set_mode(fleet.store, LAB_STORE_NORMAL);
