A service without a history is listed with pauses: test, and the stand-in's mode

The stand-in can keep no history; the gateway then lists it, at most 10 calls in 2 s, and still has each change.

--- a/lab/standin_store.c
+++ b/lab/standin_store.c
@@ -186,7 +186,8 @@
     char *after_text = query_of(target, QUERY_AFTER);
     char *wait_text = query_of(target, QUERY_WAIT);
     uint64_t after = strtoull(after_text, NULL, 10);
-    if (after < store->forgotten || after > store->revision) {
+    bool is_forgotten = store->mode == LAB_STORE_FORGETFUL || after < store->forgotten;
+    if (is_forgotten || after > store->revision) {
         answer(store, caller, STATUS_GONE, NULL, 0);
     } else {
         json_t *events = changes_after(store, prefix, after);
@@ -221,6 +222,7 @@
         return;
     case LAB_STORE_SILENT:
         return;
+    case LAB_STORE_FORGETFUL:
     case LAB_STORE_NORMAL:
         break;
     }
--- a/lab/standin_store.h
+++ b/lab/standin_store.h
@@ -14,6 +14,7 @@
     LAB_STORE_NORMAL,
     LAB_STORE_BUSY,      /**< every call gets 503 */
     LAB_STORE_THROTTLED, /**< every call gets 429 */
+    LAB_STORE_FORGETFUL, /**< it keeps no history: every wait gets 410 */
     LAB_STORE_SILENT     /**< no call is answered, nor those that wait, also not later */
 } lab_store_mode_t;
 
--- a/tests/gateway/test_store_watch.c
+++ b/tests/gateway/test_store_watch.c
@@ -95,6 +95,24 @@
     assert_int_equal(world->gateway.traffic->version, 2);
 }
 
+/* Lists take the place of waits that a service without a history can't answer, with pauses. */
+static void test_service_without_history_is_not_asked_in_haste(void **state)
+{
+    world_t *world = world_open(NULL);
+    world_configure(world, 1, ROUTE_A);
+    lab_store_set_mode(world->store, LAB_STORE_FORGETFUL);
+    lab_store_cut_waits(world->store);
+    world_run_ms(world, 2000);
+    unsigned calls = lab_store_calls(world->store);
+    world_run_ms(world, 2000);
+    assert_true(lab_store_calls(world->store) - calls <= 10); /* each call is priced */
+    world_configure(world, 2, ROUTE_A);
+    assert_int_equal(world->gateway.traffic->version, 2);
+    lab_store_set_mode(world->store, LAB_STORE_NORMAL);
+    world_configure(world, 3, ROUTE_A);
+    assert_int_equal(world->gateway.traffic->version, 3);
+}
+
 /* A wait that a silent service swallowed is given up soon after the service is back. */
 static void test_swallowed_watch(void **state)
 {
@@ -159,6 +177,7 @@
         cmocka_unit_test(test_older_version_is_ignored),
         cmocka_unit_test(test_invalid_document_is_refused_whole),
         cmocka_unit_test(test_store_that_refuses),
+        cmocka_unit_test(test_service_without_history_is_not_asked_in_haste),
         cmocka_unit_test(test_swallowed_watch),
         cmocka_unit_test(test_swallowed_first_list),
         cmocka_unit_test(test_calls_on_a_calm_day_are_few),
