The test of next lives brings its fault about

test_next_life_is_not_taken_for_the_one_before passed with the code that it tests taken out: the stand-in listened again only after its connections had been reset, so that a check that followed the reset at once was refused, and nobody met the next life.

A back end that restarts from the callback of its end listens before its connections are reset now, and discovery tells of the new life 200 ms later instead of at once.

--- a/lab/standin_searcher.c
+++ b/lab/standin_searcher.c
@@ -148,6 +148,12 @@
 
 static void start_again(uv_handle_t *socket);
 
+static void reset_visitors(lab_searcher_t *searcher)
+{
+    while (searcher->visitors->len > 0)
+        close_visitor(g_ptr_array_index(searcher->visitors, 0), true);
+}
+
 static void socket_closed(uv_handle_t *socket)
 {
     lab_searcher_t *searcher = socket->data;
@@ -155,6 +161,7 @@
     if (searcher->restarts)
         start_again(socket);
     searcher->restarts = false;
+    reset_visitors(searcher);
 }
 
 void lab_searcher_end(lab_searcher_t *searcher, const char *request_id)
@@ -166,8 +173,8 @@
         searcher->ops->ended(searcher->ctx, searcher, request_id);
     searcher->is_closed = false;
     uv_close((uv_handle_t *)&searcher->socket, socket_closed);
-    while (searcher->visitors->len > 0)
-        close_visitor(g_ptr_array_index(searcher->visitors, 0), true);
+    if (!searcher->restarts)
+        reset_visitors(searcher);
 }
 
 static bool is_fatal(const visitor_t *visitor)
--- a/lab/standin_searcher.h
+++ b/lab/standin_searcher.h
@@ -79,7 +79,10 @@
  * connections are reset.
  */
 void lab_searcher_end(lab_searcher_t *searcher, const char *request_id);
-/** One that has ended begins its next life: it listens again at its address and knows nothing. */
+/**
+ * One that has ended begins its next life: it listens again at its address and knows nothing. When
+ * called from `ended`, it does so before its connections are reset.
+ */
 void lab_searcher_restart(lab_searcher_t *searcher);
 /** Its entry of the registry, as JSON; g_free. */
 char *lab_searcher_entry(const lab_searcher_t *searcher, bool is_draining);
--- a/tests/gateway/test_crashing_requests.c
+++ b/tests/gateway/test_crashing_requests.c
@@ -277,36 +277,62 @@
     }
 }
 
-/* Those that have ended begin their next lives at once, under their ids and at their addresses. */
-static void restart_ended(fleet_t *fleet)
+/* Until discovery tells of the next life of a back end. */
+#define TOLD_MS 200
+#define STEP_MS 5
+
+/* The next life listens at its address before anybody can look whether the one before lives. */
+static void restart_at_once(void *ctx, lab_searcher_t *searcher, const char *request_id)
+{
+    fleet_t *fleet = ctx;
+    lab_searcher_restart(searcher);
+    fleet->ended++;
+}
+
+/* Each back end that has been back for a while is entered as its next life. */
+static void enter_next_lives(const fleet_t *fleet, unsigned since_ms[SHARDS][REPLICAS],
+                             uint64_t told_ms[SHARDS][REPLICAS])
 {
     for (unsigned i = 0; i < SHARDS; i++) {
         for (unsigned j = 0; j < REPLICAS; j++) {
-            lab_searcher_t *searcher = fleet->searchers[i][j];
-            if (!searcher->has_ended || searcher->restarts)
+            const lab_searcher_t *searcher = fleet->searchers[i][j];
+            since_ms[i][j] = searcher->born_ms == told_ms[i][j] ? 0 : since_ms[i][j] + STEP_MS;
+            if (since_ms[i][j] < TOLD_MS)
                 continue;
-            lab_searcher_restart(searcher);
-            world_enter_existing(fleet->world, searcher);
-            fleet->ended++;
+            char *key = g_strdup_printf("servers/%s", searcher->id);
+            char *entry = lab_searcher_entry(searcher, false);
+            lab_store_put(fleet->world->store, key, entry);
+            told_ms[i][j] = searcher->born_ms;
+            g_free(entry);
+            g_free(key);
         }
     }
 }
 
 /*
  * Back ends that are back before anybody looks whether they live: what a check meets there is their
- * next life, and the request is contained all the same.
+ * next life, and the request is contained all the same, once discovery has told of that.
  */
 static void test_next_life_is_not_taken_for_the_one_before(void **state)
 {
+    static const lab_searcher_ops_t ops = {.ended = restart_at_once};
     fleet_t fleet = open_fleet(ROUTES);
+    unsigned since_ms[SHARDS][REPLICAS] = {0};
+    uint64_t told_ms[SHARDS][REPLICAS];
+    for (unsigned i = 0; i < SHARDS; i++) {
+        for (unsigned j = 0; j < REPLICAS; j++) {
+            fleet.searchers[i][j]->ops = &ops;
+            fleet.searchers[i][j]->ctx = &fleet;
+            told_ms[i][j] = fleet.searchers[i][j]->born_ms;
+        }
+    }
     for (unsigned i = 0; i < 2 * TRIES; i++) {
         visit_t *visit = ask(&fleet, i % NODES, FATAL);
-        for (unsigned j = 0; j < 60; j++) { // while it runs and after it
-            world_run_ms(fleet.world, 5);
-            restart_ended(&fleet);
+        for (unsigned waited = 0; waited < 600; waited += STEP_MS) { // while it runs and after it
+            world_run_ms(fleet.world, STEP_MS);
+            enter_next_lives(&fleet, since_ms, told_ms);
         }
         assert_int_not_equal(await_status(&fleet, visit), 200);
-        world_run_ms(fleet.world, 300);
     }
     if (fleet.ended > SHARDS + ENDS_MORE)
         print_error("%u ended\n", fleet.ended);
