The soak waits for the ends of its gateways on threads

The soak said that gateways had stopped after 8 to 22 s (grace 6 s) or held answers; their own lines say 3.5 s.

Ruled out: the gateways (their lines), CPU of the harness, the log files.

Ends are waited for on a thread for each process (waitid without reaping), which takes the time of the end; reaping follows there. The check is as strict, from the kernel's moment instead of the loop's; each end tells how late it was noticed. A gateway that is to start before its end is noticed starts then.

--- a/lab/soak.h
+++ b/lab/soak.h
@@ -19,6 +19,7 @@
 #include <stdio.h>
 #include <uv.h>
 
+#include "child.h"
 #include "link.h"
 #include "soak_check.h"
 #include "standin_searcher.h"
@@ -68,9 +69,10 @@
     unsigned peers_port;
     soak_link_t store;
     soak_link_t peers;
-    uv_process_t process;
+    lab_child_t *process; // while it runs
     bool is_running;
     bool is_paused;
+    bool starts_again;       // as soon as its end is noticed
     bool is_stopping;        // SIGTERM was sent
     bool ends_on_purpose;    // it was told to end, or killed
     int clock_skew_ms;       // of the next start
--- a/lab/soak_world.c
+++ b/lab/soak_world.c
@@ -417,21 +417,27 @@
     node->touched_us = ts_clock_now_us();
 }
 
-static void node_ended(uv_process_t *process, int64_t status, int signal_number)
+static void node_ended(void *ctx, const lab_child_end_t *end)
 {
-    soak_node_t *node = process->data;
+    soak_node_t *node = ctx;
     soak_t *s = node->soak;
     ts_time_us_t now_us = ts_clock_now_us();
+    unsigned long late_ms = (unsigned long)((now_us - end->ended_us) / TS_US_PER_MS);
+    node->process = NULL;
     node->is_running = false;
     node->touched_us = now_us;
-    soak_say(s, "%s ended: status %d, signal %d", node->name, (int)status, signal_number);
+    soak_say(s, "%s ended: status %d, signal %d, noticed after %lu ms", node->name, end->status,
+             end->signal, late_ms);
     if (!node->ends_on_purpose)
-        soak_broken(s, "ENDED", "%s ended by itself: status %d, signal %d", node->name, (int)status,
-                    signal_number);
-    if (node->is_stopping && (status != 0 || now_us - node->term_us > GRACE_MS * TS_US_PER_MS))
-        soak_broken(s, "STOP", "%s stopped with status %d after %lu ms", node->name, (int)status,
-                    (unsigned long)((now_us - node->term_us) / TS_US_PER_MS));
-    uv_close((uv_handle_t *)process, NULL);
+        soak_broken(s, "ENDED", "%s ended by itself: status %d, signal %d", node->name, end->status,
+                    end->signal);
+    ts_time_us_t stop_us = end->ended_us - node->term_us;
+    bool is_right = end->status == 0 && end->signal == 0 && stop_us <= GRACE_MS * TS_US_PER_MS;
+    if (node->is_stopping && !is_right)
+        soak_broken(s, "STOP", "%s stopped with status %d, signal %d after %lu ms", node->name,
+                    end->status, end->signal, (unsigned long)(stop_us / TS_US_PER_MS));
+    if (node->starts_again)
+        (void)soak_node_start(node);
 }
 
 static void write_settings(const soak_node_t *node)
@@ -469,6 +475,9 @@
 bool soak_node_start(soak_node_t *node)
 {
     const soak_options_t *options = &node->soak->options;
+    node->starts_again = node->process != NULL;
+    if (node->starts_again)
+        return true; // it was killed a moment ago
     bool is_skewed = node->clock_skew_ms != 0 && options->skewed_program != NULL;
     char *program = (char *)(is_skewed ? options->skewed_program : options->program);
     char *arguments[] = {program, "gateway", "-s", node->settings_path, NULL};
@@ -478,19 +487,10 @@
     int log = options->is_log_stalled
                   ? open_stalled()
                   : open(node->log_path, O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0644);
-    uv_stdio_container_t stdio[3] = {{.flags = UV_IGNORE},
-                                     {.flags = UV_INHERIT_FD, .data.fd = log},
-                                     {.flags = UV_INHERIT_FD, .data.fd = log}};
-    uv_process_options_t spawn = {.file = program,
-                                  .args = arguments,
-                                  .env = environment,
-                                  .exit_cb = node_ended,
-                                  .stdio_count = 3,
-                                  .stdio = stdio};
-    node->process.data = node;
-    int status = uv_spawn(&node->soak->loop, &node->process, &spawn);
+    node->process =
+        lab_child_start(&node->soak->loop, arguments, environment, log, node_ended, node);
     close(log);
-    node->is_running = status == 0;
+    node->is_running = node->process != NULL;
     node->is_paused = false;
     node->is_stopping = false;
     node->ends_on_purpose = false;
@@ -512,7 +512,7 @@
         node->is_stopping = true;
         node->term_us = ts_clock_now_us();
     }
-    uv_process_kill(&node->process, number);
+    lab_child_kill(node->process, number);
 }
 
 static bool open_node(soak_t *s, unsigned i)
