What a restore has lost stays to be written again over the next one

Harness: what was to be written again after one restore (here: that its entry goes) was dropped when the next one came, so the store listed the searcher as ready for good, and the gateways believed it once the time to write again was over, as they should.

Each write that is due again happens unless the key was written since, whatever epoch the store is in.

--- a/lab/soak_restore.c
+++ b/lab/soak_restore.c
@@ -14,8 +14,8 @@
 typedef struct rewrite {
     soak_t *s;
     char *key;
-    char *value; // NULL: it was gone
-    uint64_t epoch;
+    char *value;     // NULL: it was gone
+    uint64_t writes; // to the store, when this one was lost
     uv_timer_t timer;
 } rewrite_t;
 
@@ -30,8 +30,7 @@
 static void write_again(uv_timer_t *timer)
 {
     rewrite_t *again = timer->data;
-    if (again->epoch == lab_store_epoch(again->s->store))
-        lab_store_write_again(again->s->store, again->key, again->value);
+    lab_store_write_again(again->s->store, again->key, again->value, again->writes);
     uv_close((uv_handle_t *)timer, free_rewrite);
 }
 
@@ -44,7 +43,7 @@
     again->s = s;
     again->key = g_strdup(key);
     again->value = g_strdup(value);
-    again->epoch = lab_store_epoch(s->store) + 1;
+    again->writes = lab_store_writes(s->store);
     uv_timer_init(&s->loop, &again->timer);
     again->timer.data = again;
     uv_timer_start(&again->timer, write_again, (uint64_t)g_rand_int_range(s->random, 0, most_ms),
--- a/lab/standin_store.c
+++ b/lab/standin_store.c
@@ -44,6 +44,8 @@
     uint64_t epoch;  /* in all answers; 0: not told */
     GPtrArray *copy; /* of change_t: the entries of the copy */
     uint64_t copy_revision;
+    uint64_t writes;
+    GHashTable *written; /* key -> how many writes there were with its last one, as a pointer */
     unsigned page;
     unsigned calls;
 };
@@ -286,6 +288,7 @@
     store->history = g_ptr_array_new_with_free_func(free_change);
     store->waiters = g_ptr_array_new_with_free_func(free_waiter);
     store->copy = g_ptr_array_new_with_free_func(free_change);
+    store->written = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     store->epoch = 1;
     store->page = PAGE_DEFAULT;
     uv_timer_init(loop, &store->tick);
@@ -297,6 +300,8 @@
 static void note_change(lab_store_t *store, const char *key, const char *value)
 {
     store->revision++;
+    store->writes++;
+    g_hash_table_insert(store->written, g_strdup(key), GSIZE_TO_POINTER(store->writes));
     g_ptr_array_add(store->history, create_change(store->revision, key, value));
 }
 
@@ -365,15 +370,18 @@
     g_hash_table_unref(keys);
 }
 
-void lab_store_write_again(lab_store_t *store, const char *key, const char *value)
+uint64_t lab_store_writes(const lab_store_t *store)
 {
-    const change_t *change = g_tree_lookup(store->entries, key);
-    bool is_written = change != NULL && change->revision > store->copy_revision;
-    if (is_written)
+    return store->writes;
+}
+
+void lab_store_write_again(lab_store_t *store, const char *key, const char *value, uint64_t writes)
+{
+    if (GPOINTER_TO_SIZE(g_hash_table_lookup(store->written, key)) > writes)
         return;
     if (value != NULL)
         lab_store_put(store, key, value);
-    else if (change != NULL)
+    else if (g_tree_lookup(store->entries, key) != NULL)
         lab_store_delete(store, key);
 }
 
--- a/lab/standin_store.h
+++ b/lab/standin_store.h
@@ -38,8 +38,10 @@
  * the writers are to write again.
  */
 void lab_store_restore(lab_store_t *store, lab_store_lost_t lost, void *ctx);
-/** Writes or (`value` NULL) deletes an entry again, unless it was written since the restore. */
-void lab_store_write_again(lab_store_t *store, const char *key, const char *value);
+/** Writes so far; no restore takes that back. */
+uint64_t lab_store_writes(const lab_store_t *store);
+/** Writes or (`value` NULL) deletes an entry again, unless that was done after `writes` of them. */
+void lab_store_write_again(lab_store_t *store, const char *key, const char *value, uint64_t writes);
 /** Epoch in its answers from now on; 0: they tell none. Begins at 1. */
 void lab_store_set_epoch(lab_store_t *store, uint64_t epoch);
 uint64_t lab_store_epoch(const lab_store_t *store);
