Queries without an answer, unrepeatable tries and lost frames are logged

A front says why a query ended without an answer and for how long the node it asked has owed a reply; the owner of a back end says what it decided on an unrepeatable request; the mesh and the peers' link say what they drop. The lab's nodes run with log_level info.

--- a/include/tealspar/counters.h
+++ b/include/tealspar/counters.h
@@ -50,6 +50,8 @@
     X(MESH_MESSAGES_SENT, counter, "mesh_messages_sent_total", "messages sent to other nodes")     \
     X(MESH_MESSAGES_RECEIVED, counter, "mesh_messages_received_total",                             \
       "messages received from other nodes")                                                        \
+    X(MESH_MESSAGES_DROPPED, counter, "mesh_messages_dropped_total",                               \
+      "messages to other nodes that found no room")                                                \
     X(MESH_BYTES_SENT, counter, "mesh_bytes_sent_total", "bytes of messages sent")                 \
     X(MESH_BYTES_RECEIVED, counter, "mesh_bytes_received_total", "bytes of messages received")     \
     X(MESH_REFUSED, counter, "mesh_messages_refused_total",                                        \
--- a/include/tealspar/log.h
+++ b/include/tealspar/log.h
@@ -44,6 +44,12 @@
     X(LOG_DROPPED, WARNING, "log_dropped")                                                         \
     X(RESUMED, WARNING, "resumed")                                                                 \
     X(RELOADED, MESSAGE, "reloaded")                                                               \
+    X(QUERY_UNKNOWN, MESSAGE, "query_unknown")                                                     \
+    X(QUERY_REFUSED, INFO, "query_refused")                                                        \
+    X(DISPATCH_TAKEN, INFO, "dispatch_taken")                                                      \
+    X(DISPATCH_REFUSED, INFO, "dispatch_refused")                                                  \
+    X(FRAMES_LOST, WARNING, "frames_lost")                                                         \
+    X(FRAME_REFUSED, WARNING, "frame_refused")                                                     \
     X(OWNERSHIP, INFO, "ownership_changed")                                                        \
     X(LOOP_STALLED, WARNING, "loop_stalled")                                                       \
     X(QUORUM, WARNING, "quorum_changed")                                                           \
--- a/include/tealspar/query-t.h
+++ b/include/tealspar/query-t.h
@@ -90,6 +90,7 @@
     ts_attempt_t *attempts[TS_ATTEMPTS_MAX];
     uint32_t attempts_out;
     uint32_t attempts_made;
+    uint64_t asked; /**< the node that the last attempt went to */
     bool hedged;
     bool ran; /**< some attempt may have run */
     ts_time_us_t retry_at_us;
--- a/lab/fleet.c
+++ b/lab/fleet.c
@@ -109,7 +109,8 @@
 {
     node->settings_path = in_directory(fleet, node->process.name, ".yaml");
     char *text = g_strdup_printf("name: %s\ncluster: lab\nzone: %s\ncallers: %s\noperators: %s\n"
-                                 "peers: %s\nadvertise: %s\nplatform: %s\npolicy: %s\n",
+                                 "peers: %s\nadvertise: %s\nplatform: %s\npolicy: %s\n"
+                                 "log_level: info\n",
                                  node->process.name, node->zone, node->callers, node->operators,
                                  node->peers, node->advertise, fleet->platform, fleet->policy);
     g_file_set_contents(node->settings_path, text, -1, NULL);
--- a/lab/load.c
+++ b/lab/load.c
@@ -16,7 +16,7 @@
 #include "tealspar/declarations_file.h"
 #include "tealspar/plugin.h"
 
-#define TABLE_SIZE 9
+#define TABLE_SIZE 10
 #define NODES_MAX 200
 #define KINDS_MAX 20
 #define CONNECTIONS_A_NODE 512
@@ -238,10 +238,12 @@
     struct arg_dbl *seconds = arg_dbl1("t", "seconds", "S", "how long arrivals go on");
     struct arg_int *seed = arg_int0(NULL, "seed", "N", "seed of the arrivals (1)");
     struct arg_file *out = arg_file0(NULL, "journal", "FILE", "write a line for each query");
+    struct arg_file *tries =
+        arg_file0(NULL, "tries", "FILE", "write a line for each try of an unrepeatable query");
     struct arg_lit *moving =
         arg_lit0(NULL, "reach-changes", "the declared reach changes meanwhile");
     struct arg_end *end = arg_end(8);
-    void *table[TABLE_SIZE] = {help, file, nodes, kinds, seconds, seed, out, moving, end};
+    void *table[TABLE_SIZE] = {help, file, nodes, kinds, seconds, seed, out, tries, moving, end};
     int exit_code = TS_EXIT_OK;
     if (ts_command_parse(argc, argv, table, TABLE_SIZE,
                          "send queries at a given rate, check every answer, print a report",
@@ -256,6 +258,7 @@
         load.started_us = ts_clock_now_us();
         load.ends_us = load.started_us + (ts_time_us_t)(seconds->dval[0] * (double)TS_US_PER_S);
         load.journal = out->count > 0 ? fopen(out->filename[0], "w") : NULL;
+        load.tries = tries->count > 0 ? fopen(tries->filename[0], "w") : NULL;
         exit_code = TS_EXIT_USAGE;
         if (prepare(&load, file->filename[0], nodes, kinds)) {
             generate(&load);
@@ -268,6 +271,8 @@
         if (load.journal != NULL) {
             fclose(load.journal);
         }
+        if (load.tries != NULL)
+            fclose(load.tries);
     }
     arg_freetable(table, TABLE_SIZE);
     return exit_code;
--- a/lab/load.h
+++ b/lab/load.h
@@ -55,6 +55,7 @@
     uint64_t repeats;
     gsl_rng *random;
     FILE *journal;
+    FILE *tries; /**< a line for each try of an unrepeatable query; NULL: not wanted */
 } lab_load_t;
 
 /** Sends one query of a kind, due at `due_us`. */
--- a/lab/load_query.c
+++ b/lab/load_query.c
@@ -21,6 +21,8 @@
     char id[ID_SIZE];
     char text[ID_SIZE];
     ts_time_us_t due_us;
+    ts_time_us_t sent_us; /* the last try */
+    const lab_load_node_t *node;
     int64_t issued_at_ms;
     unsigned repeats;
     unsigned nodes_tried;
@@ -48,6 +50,16 @@
     uv_close((uv_handle_t *)&query->timer, free_query);
 }
 
+/* Tries: "WALL_MS TOOK_US ID REPEAT NODE OUTCOME ERROR", NODE by its callers' address. */
+static void note_try(const lab_query_t *query, const char *outcome, const char *error)
+{
+    if (query->load->tries == NULL || !query->kind->selector->unrepeatable)
+        return;
+    fprintf(query->load->tries, "%" PRId64 " %" PRIu64 " %s %u %s %s %s\n", ts_clock_wall_ms(),
+            ts_clock_now_us() - query->sent_us, query->id, query->repeats, query->node->callers,
+            outcome, error);
+}
+
 static void send_query(lab_query_t *query);
 
 static void repeat_later(uv_timer_t *timer)
@@ -90,6 +102,7 @@
     const char *outcome = json_string_value(json_object_get(root, "outcome"));
     const char *error = json_string_value(json_object_get(root, "error"));
     lab_told_t nothing = {0};
+    note_try(query, outcome == NULL ? "garbled" : outcome, error == NULL ? "-" : error);
     if (outcome != NULL && strcmp(outcome, "answered") == 0) {
         take_answered(query, root);
     } else if (outcome != NULL && strcmp(outcome, "refused") == 0) {
@@ -112,6 +125,8 @@
     lab_told_t nothing = {0};
     query->call = NULL;
     uv_timer_stop(&query->timer);
+    if (result->error != TS_OK)
+        note_try(query, "broken", ts_error_name(result->error));
     if (result->error == TS_E_CONNECT && query->nodes_tried < query->load->nodes->len) {
         send_query(query); /* nothing was sent: a balancer tries the next node */
         return;
@@ -134,6 +149,7 @@
     lab_told_t nothing = {0};
     ts_http_cancel(query->call);
     query->call = NULL;
+    note_try(query, "lost", "timeout");
     query->kind->lost++;
     finish(query, "lost", "timeout", &nothing);
 }
@@ -174,6 +190,8 @@
     const lab_load_node_t *node = choose_node(query->load);
     char *body = write_body(query);
     ts_http_send_t send = {"POST", "/v1/query", NULL, body, strlen(body)};
+    query->node = node;
+    query->sent_us = ts_clock_now_us();
     query->nodes_tried++;
     query->call = ts_http_call(node->pool, &send, take_result, query);
     uv_timer_start(&query->timer, take_timeout, query->kind->selector->deadline_ms + LOST_AFTER_MS,
--- a/lab/run.c
+++ b/lab/run.c
@@ -87,6 +87,7 @@
     g_ptr_array_add(arguments, g_strdup_printf("--seconds=%g", scenario->seconds));
     g_ptr_array_add(arguments, g_strdup_printf("--seed=%" PRIu64, fleet->seed));
     g_ptr_array_add(arguments, g_strdup_printf("--journal=%s/load.journal", fleet->directory));
+    g_ptr_array_add(arguments, g_strdup_printf("--tries=%s/load-tries.journal", fleet->directory));
     if (changes_reach(scenario)) {
         g_ptr_array_add(arguments, g_strdup("--reach-changes"));
     }
--- a/src/broker/broker.c
+++ b/src/broker/broker.c
@@ -1,4 +1,5 @@
 /** The broker task: which back ends this node owns, and the subrequests to them. */
+#include <inttypes.h>
 #include <string.h>
 
 #include "broker_internal.h"
@@ -147,11 +148,20 @@
     return TS_OK;
 }
 
+static void log_dispatch(const ts_job_t *job, ts_error_t error)
+{
+    bool is_taken = error == TS_OK;
+    ts_log(is_taken ? TS_EVENT_DISPATCH_TAKEN : TS_EVENT_DISPATCH_REFUSED,
+           "id=%s backend=%s error=%s peer=%016" PRIx64, job->work->request_id,
+           job->owned == NULL ? "-" : job->owned->name, ts_error_name(error), job->peer);
+}
+
 static void submit_unrepeatable(ts_job_t *job)
 {
     ts_broker_t *broker = job->broker;
     ts_subreply_t kept = {0};
     ts_error_t error = check_vouching(job);
+    log_dispatch(job, error);
     if (error != TS_OK) {
         answer_unvouched(job, error, vouching_since_ms(job));
         return;
@@ -199,6 +209,8 @@
     ts_job_t *job = create_job(broker, message, part);
     job->owned = g_hash_table_lookup(broker->owned, &part->backend);
     if (job->owned == NULL) {
+        if (job->work->unrepeatable)
+            log_dispatch(job, TS_E_NOT_OWNER);
         refuse_undispatched(job, TS_E_NOT_OWNER);
         return;
     }
--- a/src/control/mesh.c
+++ b/src/control/mesh.c
@@ -99,7 +99,10 @@
 static void keep_for(peer_t *peer, ts_message_t *message)
 {
     if (peer == NULL) {
-        return; /* a peer nobody knows: the kernel destroys the message */
+        /* the kernel destroys the message */
+        ts_count_error(TS_E_PEER_LOST);
+        ts_log(TS_EVENT_FRAMES_LOST, "peer=- reason=unknown_peer type=%d", (int)message->type);
+        return;
     }
     message->kept = true;
     if (peer->pending->len == 0) {
@@ -152,6 +155,7 @@
     if (error != TS_OK) {
         ts_count(TS_COUNTER_MESH_REFUSED, 1);
         ts_count_error(error);
+        ts_log(TS_EVENT_FRAME_REFUSED, "error=%s bytes=%zu", ts_error_name(error), length);
     }
 }
 
--- a/src/front/dispatch.c
+++ b/src/front/dispatch.c
@@ -73,6 +73,7 @@
     attempt->wanted_snapshot = wanted_snapshot;
     fragment->attempts[fragment->attempts_out++] = attempt;
     fragment->attempts_made++;
+    fragment->asked = peer;
     fragment->tried |= 1ULL << rank;
     fragment->state = TS_FRAGMENT_WAITING;
     ts_part_t part = {
--- a/src/front/front_internal.h
+++ b/src/front/front_internal.h
@@ -84,6 +84,8 @@
 
 /** Merges the hits of one snapshot and hands the answer to the query's callback. */
 void ts_query_deliver_answer(ts_query_t *query, uint64_t snapshot);
+/** Says in the log why a query ended without an answer. */
+void ts_query_log_unanswered(const ts_query_t *query, ts_outcome_t outcome, ts_error_t error);
 /** Hands a refusal or an unknown outcome to the query's callback. */
 void ts_query_deliver_failure(ts_query_t *query, ts_outcome_t outcome, ts_error_t error,
                               uint64_t snapshot, uint32_t retry_after_ms);
--- a/src/front/query.c
+++ b/src/front/query.c
@@ -301,8 +301,10 @@
     }
     uint32_t after_ms = failure != NULL ? failure->retry_after_ms : 0;
     bool is_unknown = ran || (query->request.repeat && !is_vouched(error));
-    ts_query_deliver_failure(query, is_unknown ? TS_OUTCOME_UNKNOWN : TS_OUTCOME_REFUSED, error,
-                             choice->snapshot, MAX(after_ms, LEAST_RETRY_AFTER_MS));
+    ts_outcome_t outcome = is_unknown ? TS_OUTCOME_UNKNOWN : TS_OUTCOME_REFUSED;
+    ts_query_log_unanswered(query, outcome, error);
+    ts_query_deliver_failure(query, outcome, error, choice->snapshot,
+                             MAX(after_ms, LEAST_RETRY_AFTER_MS));
 }
 
 static void finish_query(ts_query_t *query, const ts_snapshot_choice_t *choice, ts_stop_t stop)
--- a/src/peers/peer_link.c
+++ b/src/peers/peer_link.c
@@ -15,6 +15,7 @@
 #include <string.h>
 
 #include "tealspar/counters.h"
+#include "tealspar/log.h"
 
 /* What waits for a peer at most: in its socket, and before that for its connection, where the
  * oldest is dropped first. */
@@ -42,6 +43,7 @@
     ts_time_us_t connected_us; /* when its connection came up */
     int pipe;                  /* nng's number of its connection; 0: it has none */
     GQueue waiting;            /* of nng_msg, until it is connected */
+    bool is_dropping;          /* the last message found no room */
     ts_time_us_t used_us;
 } peer_t;
 
@@ -179,15 +181,27 @@
 
 /* -- Sending ----------------------------------------------------------------------------------- */
 
+/* A line for the first message of a series that found no room. */
+static void note_dropped(peer_t *peer)
+{
+    ts_count(TS_COUNTER_MESH_MESSAGES_DROPPED, 1);
+    ts_count_error(TS_E_PEER_LOST);
+    if (!peer->is_dropping)
+        ts_log(TS_EVENT_FRAMES_LOST, "peer=%s reason=%s waiting=%u", peer->address,
+               peer->pipe == 0 ? "not_connected" : "full", peer->waiting.length);
+    peer->is_dropping = true;
+}
+
 /* Takes the message. */
-static void send_now(const peer_t *peer, nng_msg *message)
+static void send_now(peer_t *peer, nng_msg *message)
 {
     size_t length = nng_msg_len(message);
     if (nng_sendmsg(peer->socket, message, NNG_FLAG_NONBLOCK) != 0) {
         nng_msg_free(message);
-        ts_count_error(TS_E_PEER_LOST);
+        note_dropped(peer);
         return;
     }
+    peer->is_dropping = false;
     ts_count(TS_COUNTER_MESH_MESSAGES_SENT, 1);
     ts_count(TS_COUNTER_MESH_BYTES_SENT, (int64_t)length);
 }
@@ -198,7 +212,7 @@
     g_queue_push_tail(&peer->waiting, message);
     if (peer->waiting.length > link->buffer) {
         nng_msg_free(g_queue_pop_head(&peer->waiting));
-        ts_count_error(TS_E_PEER_LOST);
+        note_dropped(peer);
     }
 }
 
