A node replies to whoever asks it, also before it has heard of it by gossip

Cause: a node that has just started is asked before it owns anything, and refuses. Its mesh knew where a peer is only by gossip from that peer itself or by the first view; until then the reply was dropped.

--- a/include/tealspar/wire.h
+++ b/include/tealspar/wire.h
@@ -34,4 +34,11 @@
 ts_error_t ts_wire_frame_unpack(const ts_wire_identity_t *identity, const uint8_t *bytes,
                                 size_t length, ts_wire_receiver_t receiver, void *context);
 
+/** Told once a frame, before its messages, who sent it; the texts are valid during the call. */
+typedef void (*ts_wire_sender_t)(void *context, const ts_wire_identity_t *sender);
+/** As ts_wire_frame_unpack, and names the sender. */
+ts_error_t ts_wire_frame_receive(const ts_wire_identity_t *identity, const uint8_t *bytes,
+                                 size_t length, ts_wire_sender_t sender,
+                                 ts_wire_receiver_t receiver, void *context);
+
 #endif
--- a/src/control/mesh.c
+++ b/src/control/mesh.c
@@ -22,7 +22,8 @@
     uint64_t id;
     char *name;
     char *address;
-    GPtrArray *pending; /* of ts_message_t, owned */
+    uint64_t incarnation; /* of the last frame from it; 0: none came yet */
+    GPtrArray *pending;   /* of ts_message_t, owned */
 } peer_t;
 
 static struct mesh {
@@ -125,6 +126,18 @@
 
 /* ---- delivering ---- */
 
+/*
+ * Whoever sends a frame can be replied to: a node that has just started is asked by others before
+ * membership has told it who they are.
+ */
+static void hear_sender(void *context, const ts_wire_identity_t *sender)
+{
+    peer_t *peer = find_peer(ts_hash_text(sender->name));
+    if (peer != NULL && sender->incarnation < peer->incarnation)
+        return; /* a late frame of an earlier life */
+    learn_peer(sender->name, sender->address)->incarnation = sender->incarnation;
+}
+
 static void deliver(void *context, ts_message_t *message)
 {
     switch (message->type) {
@@ -135,12 +148,9 @@
     case TS_MESSAGE_SUBREPLIES:
         ts_task_send(mesh.front, message);
         break;
-    case TS_MESSAGE_GOSSIP: {
-        const ts_gossip_message_t *gossip = (const ts_gossip_message_t *)message;
-        learn_peer(gossip->peer_name, gossip->peer_address);
+    case TS_MESSAGE_GOSSIP:
         ts_task_send(mesh.membership, message);
         break;
-    }
     case TS_MESSAGE_DOCUMENT:
         ts_task_send(mesh.configuration, message);
         break;
@@ -151,7 +161,8 @@
 
 static void take_bytes(void *context, const uint8_t *bytes, size_t length)
 {
-    ts_error_t error = ts_wire_frame_unpack(&mesh.identity, bytes, length, deliver, NULL);
+    ts_error_t error =
+        ts_wire_frame_receive(&mesh.identity, bytes, length, hear_sender, deliver, NULL);
     if (error != TS_OK) {
         ts_count(TS_COUNTER_MESH_REFUSED, 1);
         ts_count_error(error);
--- a/src/proto/wire.c
+++ b/src/proto/wire.c
@@ -301,8 +301,16 @@
            frame->sender[0] != '\0' && strcmp(frame->sender, identity->name) != 0;
 }
 
-ts_error_t ts_wire_frame_unpack(const ts_wire_identity_t *identity, const uint8_t *bytes,
-                                size_t length, ts_wire_receiver_t receiver, void *context)
+static void tell_sender(const TsWire__Frame *frame, ts_wire_sender_t sender, void *context)
+{
+    ts_wire_identity_t identity = {frame->cluster, frame->sender, frame->sender_address,
+                                   frame->incarnation};
+    sender(context, &identity);
+}
+
+ts_error_t ts_wire_frame_receive(const ts_wire_identity_t *identity, const uint8_t *bytes,
+                                 size_t length, ts_wire_sender_t sender,
+                                 ts_wire_receiver_t receiver, void *context)
 {
     TsWire__Frame *frame = ts_wire__frame__unpack(NULL, length, bytes);
     if (frame == NULL) {
@@ -313,6 +321,8 @@
         return TS_E_PROTOCOL;
     }
     uint64_t peer = ts_hash_text(frame->sender);
+    if (sender != NULL)
+        tell_sender(frame, sender, context);
     for (size_t i = 0; i < frame->n_subrequests; i++) {
         deliver_subrequests(frame->subrequests[i], peer, receiver, context);
     }
@@ -331,3 +341,9 @@
     ts_wire__frame__free_unpacked(frame, NULL);
     return TS_OK;
 }
+
+ts_error_t ts_wire_frame_unpack(const ts_wire_identity_t *identity, const uint8_t *bytes,
+                                size_t length, ts_wire_receiver_t receiver, void *context)
+{
+    return ts_wire_frame_receive(identity, bytes, length, NULL, receiver, context);
+}
