A node that stops waits until the others know that it leaves

Cause: a leave is told to four members at random and travels on by rumour and probes. The owner serves for 1.5 s and ends whether the others know or not; a front that has not heard sends it a request just then.

Evidence: query_unknown names the owner 93 ms after it stopped; two of five members log its leaving after 1.59 and 1.68 s, the others after 28 to 133 ms.

Membership gets barriers: the leaving node probes each member until it answers, a second at most; members put their view in force before they answer, and messages keep their order, so that nothing comes by an older view after the answer. A second one runs when the broker has answered everything.

--- a/include/tealspar/membership.h
+++ b/include/tealspar/membership.h
@@ -26,7 +26,7 @@
     /** Somebody's configuration in force was heard. */
     void (*heard_config)(void *context, const char *name, const char *address, uint64_t version,
                          uint64_t digest);
-    /** The view has changed; called at most once a tick. */
+    /** The view has changed; called at most once a tick, and before a probe is answered. */
     void (*changed)(void *context);
     /** A member changed its state; for logs. `old` is TS_MEMBER_DEAD for one that is new. */
     void (*member_changed)(void *context, const char *name, ts_member_state_t old,
@@ -42,6 +42,9 @@
     /** A connection that has gone silent is given up by the transport at the next message: a probe
      * that is not answered goes to its target once more beside the indirect ones. */
     bool probes_again;
+    /** A node that leaves asks all members whether they know it, see ts_membership_begin_barrier.
+     */
+    bool uses_barriers;
 } ts_membership_config_t;
 
 /** Time between probes; every limit below is a multiple of it. */
@@ -70,8 +73,15 @@
 void ts_membership_end_machines(ts_membership_t *membership);
 /** The configuration in force here; told along with every gossip, and pushed when it changes. */
 void ts_membership_set_config(ts_membership_t *membership, uint64_t version, uint64_t digest);
-/** Announces that this node leaves. */
+/** Announces that this node leaves; begins a barrier, if it uses them. */
 void ts_membership_leave(ts_membership_t *membership, ts_time_us_t now_us);
+/**
+ * Begins a barrier: it is passed when each member has answered that it knows that this node leaves
+ * and has handled all that was sent to it before, or after a second.
+ */
+void ts_membership_begin_barrier(ts_membership_t *membership, ts_time_us_t now_us);
+/** Whether the last barrier is passed. */
+bool ts_membership_is_barrier_passed(const ts_membership_t *membership, ts_time_us_t now_us);
 /** Whether another member has answered, or nobody else is known. */
 bool ts_membership_has_joined(const ts_membership_t *membership);
 /** A view as of now; the caller owns one reference. */
--- a/include/tealspar/messages.h
+++ b/include/tealspar/messages.h
@@ -178,4 +178,7 @@
 
 ts_view_message_t *ts_view_message(ts_view_t *view);
 
+/** A stopping broker has given up all it owned and answered all it was asked. */
+ts_message_t *ts_broker_idle_message(void);
+
 #endif
--- a/include/tealspar/task.h
+++ b/include/tealspar/task.h
@@ -20,7 +20,8 @@
     TS_MESSAGE_MACHINES,     /**< ts_machines_message_t: the platform's list */
     TS_MESSAGE_DOCUMENT,     /**< ts_document_message_t: a candidate configuration */
     TS_MESSAGE_DECLARATIONS, /**< ts_declarations_message_t: a configuration in force */
-    TS_MESSAGE_VIEW          /**< ts_view_message_t: a new view of the members */
+    TS_MESSAGE_VIEW,         /**< ts_view_message_t: a new view of the members */
+    TS_MESSAGE_BROKER_IDLE   /**< ts_message_t: a stopping broker has nothing left to do */
 } ts_message_type_t;
 
 /** Head of every message; embedded first in each message struct. */
--- a/src/broker/broker.c
+++ b/src/broker/broker.c
@@ -371,6 +371,19 @@
     update_ownership(broker);
 }
 
+static bool has_nothing_left(const ts_broker_t *broker)
+{
+    return broker->gave_up && g_hash_table_size(broker->jobs) == 0;
+}
+
+static void tell_idle(ts_broker_t *broker)
+{
+    if (broker->has_told_idle || !has_nothing_left(broker))
+        return;
+    broker->has_told_idle = true;
+    ts_task_send(broker->membership, ts_broker_idle_message());
+}
+
 static void tick(ts_timer_t *timer)
 {
     ts_broker_t *broker = timer->data;
@@ -390,7 +403,9 @@
             ts_owned_free(owned);
         }
     }
-    set_tick(broker, g_hash_table_size(broker->jobs) > 0 ? TICK_MS : IDLE_TICK_MS);
+    tell_idle(broker);
+    bool is_busy = broker->stopping || g_hash_table_size(broker->jobs) > 0;
+    set_tick(broker, is_busy ? TICK_MS : IDLE_TICK_MS);
     ts_idempotency_expire(broker->idempotency, now_us);
     ts_gauge_set(TS_COUNTER_IDEMPOTENCY_ENTRIES, (int64_t)ts_idempotency_size(broker->idempotency));
 }
@@ -446,6 +461,7 @@
     ts_broker_t *broker = ts_node_state(node, "broker");
     broker->front = ts_task_find(node->tasks, "front");
     broker->mesh = ts_task_find(node->tasks, "mesh");
+    broker->membership = ts_task_find(node->tasks, "membership");
     ts_timer_init(&broker->tick, node->runtime, tick, broker);
     ts_timer_init(&broker->handover, node->runtime, give_up_all, broker);
     ts_timer_start(&broker->tick, IDLE_TICK_MS, IDLE_TICK_MS);
@@ -475,7 +491,7 @@
 static bool is_broker_idle(ts_node_t *node)
 {
     const ts_broker_t *broker = ts_node_state(node, "broker");
-    return broker->gave_up && g_hash_table_size(broker->jobs) == 0;
+    return broker->has_told_idle && has_nothing_left(broker);
 }
 
 static void describe_broker(ts_node_t *node, json_t *status)
--- a/src/broker/broker_internal.h
+++ b/src/broker/broker_internal.h
@@ -60,6 +60,7 @@
     ts_task_t *task;
     ts_task_t *front;
     ts_task_t *mesh;
+    ts_task_t *membership;
     ts_declarations_t *declarations;
     ts_view_t *view;
     GHashTable *owned;  /**< &id -> ts_owned_t, owned */
@@ -74,6 +75,7 @@
     uint64_t standing;           /**< of the view */
     bool stopping;
     bool gave_up;
+    bool has_told_idle;
 };
 
 /** Begins to own a back end. */
--- a/src/control/membership.c
+++ b/src/control/membership.c
@@ -217,6 +217,7 @@
     ask_to_join(m);
     ts_member_check_probe(m);
     ts_member_start_due_probe(m);
+    ts_member_check_barrier(m);
     ts_member_age_members(m);
     retry_dead(m);
     push_rumours(m);
@@ -271,6 +272,8 @@
     m->is_leaving = true;
     ts_member_set_state(m, m->self, TS_MEMBER_LEAVING, m->self->incarnation + 1);
     push_rumours(m);
+    if (m->uses_barriers)
+        ts_member_begin_barrier(m);
 }
 
 bool ts_membership_has_joined(const ts_membership_t *m)
@@ -345,6 +348,7 @@
     m->relays = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, free_relay);
     m->random = config->seed | 1U;
     m->probes_again = config->probes_again;
+    m->uses_barriers = config->uses_barriers;
     m->now_us = now_us;
     m->sync_gap_us = SYNC_GAP_FIRST_US;
     m->rounds = (unsigned)ts_member_next_random(m); /* so that not all ask the same seed first */
--- a/src/control/membership_internal.h
+++ b/src/control/membership_internal.h
@@ -7,6 +7,9 @@
 #include "tealspar.pb-c.h"
 #include "tealspar/membership.h"
 
+/** As rumours left to send: more than any has, so that it goes into the next message. */
+#define TS_MEMBER_RUMOUR_FIRST 100U
+
 typedef enum gossip_type {
     GOSSIP_PING = 1,
     GOSSIP_ACK,
@@ -29,6 +32,7 @@
     bool is_listed;            /* by the platform */
     bool list_mark;
     unsigned rumour_sends; /* times the state is still to be told */
+    uint64_t barrier;      /* sequence of the barrier's probe that it has not answered; 0: none */
 } member_t;
 
 /* One probe that waits for its answer. */
@@ -50,6 +54,7 @@
 struct ts_membership {
     ts_membership_ops_t ops;
     bool probes_again;
+    bool uses_barriers;
     void *context;
     GHashTable *members; /* name -> member_t, owned; this node included */
     member_t *self;
@@ -71,6 +76,8 @@
     ts_time_us_t sync_gap_us;
     uint64_t digest; /* of the view; see digest_view */
     bool is_digest_known;
+    ts_time_us_t barrier_until_us; /* 0: none was begun */
+    ts_time_us_t next_barrier_us;
     ts_time_us_t doubt_until_us;
     uint64_t standing;      /* grows with every refutation and every stall */
     unsigned probe_history; /* of this zone's probes, newest in the lowest bit; 1: failed */
@@ -119,6 +126,12 @@
 void ts_member_check_probe(ts_membership_t *m);
 /** Starts the next probe when it is due. */
 void ts_member_start_due_probe(ts_membership_t *m);
+/** Probes each member until it answers, or for some time. */
+void ts_member_begin_barrier(ts_membership_t *m);
+/** Probes those again that have not answered. */
+void ts_member_check_barrier(ts_membership_t *m);
+/** Takes an answer; whether it was one to a barrier's probe. */
+bool ts_member_take_barrier_ack(ts_membership_t *m, uint64_t sequence);
 /** Ends suspicions and leavings whose time is over, and forgets the dead. */
 void ts_member_age_members(ts_membership_t *m);
 /** Sets the time; a jump means that the process stood still. */
--- a/src/control/membership_probe.c
+++ b/src/control/membership_probe.c
@@ -11,8 +11,6 @@
 /* A connection that ended is evidence enough to shorten the suspicion. */
 #define SUSPICION_LOST_US (1500ULL * TS_US_PER_MS)
 #define RECONFIRMING_NODES 20U
-/* More than any rumour is sent: goes into the next message. */
-#define RUMOUR_FIRST 100U
 /* Every so many probes, one goes to another zone. */
 #define OTHER_ZONE_EVERY 4U
 #define DEAD_KEEP_US (120ULL * TS_US_PER_S)
@@ -188,7 +186,7 @@
     }
     member->is_reconfirmed = true;
     if (ts_member_next_random(m) % m->order->len < RECONFIRMING_NODES) {
-        member->rumour_sends = RUMOUR_FIRST;
+        member->rumour_sends = TS_MEMBER_RUMOUR_FIRST;
         ts_member_send_gossip(m, member->name, member->address, GOSSIP_PING, ++m->sequence, NULL);
     }
 }
--- a/src/control/membership_receive.c
+++ b/src/control/membership_receive.c
@@ -66,9 +66,19 @@
     ts_member_set_state(m, member, state, rumour->incarnation);
 }
 
+/* A node that leaves relies on it that whoever answers acts by what it was told. */
+static void show_view_before_answer(ts_membership_t *m)
+{
+    if (!m->uses_barriers || !m->is_changed)
+        return;
+    m->is_changed = false;
+    m->ops.changed(m->context);
+}
+
 static void answer_ping(ts_membership_t *m, const char *name, const char *address,
                         uint64_t sequence)
 {
+    show_view_before_answer(m);
     member_t *sender = ts_member_find_member(m, name);
     if (sender != NULL && sender->state != TS_MEMBER_LIVE) {
         sender->rumour_sends = MAX(sender->rumour_sends, 1U); /* lets it refute */
@@ -78,6 +88,8 @@
 
 static void take_ack(ts_membership_t *m, uint64_t sequence)
 {
+    if (ts_member_take_barrier_ack(m, sequence))
+        return;
     relay_t *relay = g_hash_table_lookup(m->relays, &sequence);
     if (relay != NULL) {
         ts_member_send_gossip(m, relay->requester, relay->requester_address, GOSSIP_ACK,
--- a/src/control/membership_task.c
+++ b/src/control/membership_task.c
@@ -21,6 +21,7 @@
     ts_timer_t timer;
     bool is_shown;
     bool had_quorum;
+    bool is_broker_idle; /* of a node that stops */
 } membership_task_t;
 
 static void send_gossip(void *context, const char *name, const char *address, const uint8_t *bytes,
@@ -121,6 +122,10 @@
         ts_membership_set_config(task->membership, declarations->version, declarations->digest);
         break;
     }
+    case TS_MESSAGE_BROKER_IDLE:
+        task->is_broker_idle = true;
+        ts_membership_begin_barrier(task->membership, now_us);
+        break;
     default:
         break;
     }
@@ -145,6 +150,7 @@
         .zone = node->settings->zone,
         .incarnation = node->incarnation,
         .seed = ts_hash_mix(ts_hash_text(node->settings->name), node->incarnation),
+        .uses_barriers = true,
     };
     membership_task_t *task = g_new0(membership_task_t, 1);
     ts_node_set_state(node, "membership", task);
@@ -174,6 +180,14 @@
     ts_membership_leave(task->membership, ts_clock_now_us());
 }
 
+/* The replies of the broker have arrived, and nobody asks it any more. */
+static bool is_membership_idle(ts_node_t *node)
+{
+    const membership_task_t *task = ts_node_state(node, "membership");
+    return task->is_broker_idle &&
+           ts_membership_is_barrier_passed(task->membership, ts_clock_now_us());
+}
+
 static void describe_membership(ts_node_t *node, json_t *status)
 {
     const membership_task_t *task = ts_node_state(node, "membership");
@@ -199,7 +213,7 @@
 }
 
 static const ts_task_ops_t membership_ops = {open_membership,     start_membership,
-                                             stop_membership,     NULL,
+                                             stop_membership,     is_membership_idle,
                                              describe_membership, close_membership};
 TS_REGISTER_PLUGIN(membership_plugin, TS_PLUGIN_TASK, "membership", 0, &membership_ops,
                    "decides by gossip which nodes live")
--- a/src/kernel/messages.c
+++ b/src/kernel/messages.c
@@ -80,6 +80,14 @@
     return message;
 }
 
+ts_message_t *ts_broker_idle_message(void)
+{
+    ts_message_t *message = g_new0(ts_message_t, 1);
+    message->type = TS_MESSAGE_BROKER_IDLE;
+    message->destroy = destroy_plain;
+    return message;
+}
+
 static void destroy_gossip(ts_message_t *message)
 {
     ts_gossip_message_t *gossip = (ts_gossip_message_t *)message;
