Work that a front gives up at its own node is cancelled there

Callers saw: while a node is slow to answer itself, its searchers work on to the deadline at parts that were given up and sent elsewhere, and hold slots that other requests wait for.

Cause: what is out at a silent node is cancelled over the mesh, also where that node is the front's own; the mesh knows no such peer and drops the cancel.

Cancels go through one function, to the own broker or to the mesh.

--- a/src/front/dispatch.c
+++ b/src/front/dispatch.c
@@ -140,9 +140,7 @@
     if (cancel) {
         learn_from_cancelled(attempt);
         ts_count(TS_COUNTER_CANCELS, 1);
-        ts_cancel_message_t *message = ts_cancel_message(attempt->peer, attempt->counter);
-        bool is_local = attempt->peer == TS_PEER_SELF;
-        ts_task_send(is_local ? front->broker : front->mesh, &message->head);
+        ts_front_send_cancel(front, attempt->peer, attempt->counter);
     }
     g_hash_table_remove(front->attempts, &attempt->counter);
 }
--- a/src/front/front.c
+++ b/src/front/front.c
@@ -190,6 +190,12 @@
     ts_query_take(attempt, subreply);
 }
 
+void ts_front_send_cancel(const ts_front_t *front, uint64_t peer, uint64_t counter)
+{
+    ts_cancel_message_t *message = ts_cancel_message(peer, counter);
+    ts_task_send(peer == TS_PEER_SELF ? front->broker : front->mesh, &message->head);
+}
+
 /*
  * Fails what is out at a node that is lost or silent. An unrepeatable request waits on after a
  * silence: its owner may still answer, and nobody else may be asked.
@@ -211,7 +217,7 @@
         ts_attempt_t *attempt = g_hash_table_lookup(front->attempts, &counter);
         if (attempt != NULL) {
             ts_subreply_t subreply = {.error = TS_E_PEER_LOST, .run = TS_RUN_MAYBE};
-            ts_task_send(front->mesh, &ts_cancel_message(peer, counter)->head);
+            ts_front_send_cancel(front, peer, counter);
             ts_query_take(attempt, &subreply);
         }
     }
--- a/src/front/front_internal.h
+++ b/src/front/front_internal.h
@@ -54,6 +54,9 @@
 
 /** The stats of a kind; made when first asked for. */
 ts_kind_stats_t *ts_front_kind_stats(ts_front_t *front, const char *kind);
+/** Tells the broker of a node, this one's own included, that a subrequest is not wanted any more.
+ */
+void ts_front_send_cancel(const ts_front_t *front, uint64_t peer, uint64_t counter);
 /** Looks for silent peers while subrequests are out. */
 void ts_front_watch_silence(ts_front_t *front);
 /** Fresh random bits. */
--- a/tests/front/test_front.c
+++ b/tests/front/test_front.c
@@ -96,11 +96,39 @@
     g_free(declarations);
 }
 
+/* Makes the searchers of the first zone so slow that they answer nothing in time. */
+static void slow_down_first_zone(lab_sim_t *sim)
+{
+    for (unsigned shard = 0; shard < SHARDS; shard++)
+        lab_sim_slow_searcher(sim, shard * 2, 100);
+}
+
+// What is given up at the node's own broker is cancelled there (beside load, frames_lost
+// reason=unknown_peer: the cancels went to the mesh, and the work went on to its deadline).
+static void test_silence_of_the_own_broker_cancels_its_work(void **state)
+{
+    char *declarations = make_declarations();
+    lab_sim_t *sim = start_sim(declarations);
+    unsigned answers = 0;
+    double work_us = 0;
+    uint64_t requests = 0;
+    slow_down_first_zone(sim);
+    submit(sim, &answers);
+    lab_sim_run(sim, 5 * TS_US_PER_S);
+    lab_sim_totals(sim, &work_us, &requests);
+    assert_int_equal(answers, 1);
+    assert_true(requests > SHARDS);
+    assert_true(work_us < SHARDS * (double)TS_US_PER_S); /* of 4 s each to the deadline */
+    lab_sim_destroy(sim);
+    g_free(declarations);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_an_abandoned_query_is_cancelled_everywhere),
         cmocka_unit_test(test_slow_searchers_are_no_silent_node),
+        cmocka_unit_test(test_silence_of_the_own_broker_cancels_its_work),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
