What a node saved up alone stays with it until the next dealer has answered

Cause: what a node saves up while it is alone went away with its first ask to the node that it takes for the new home. Views change at different moments: that node still took the silent one for home and asked it, so the tokens were with nobody who answers for 75 ms, and the asking node went on alone with 0.5 of a token.

Ruled out: answers passed over as the ask had been repeated (simulated fleet, 12 to 80 ms one way), a lost ask.

The node spends them itself until the dealer has answered once, and gives it the rest with the next ask. test_saved_tokens_last_until_a_dealer_answers fails before.

--- a/include/tealspar/rate_lease.h
+++ b/include/tealspar/rate_lease.h
@@ -16,6 +16,13 @@
     TS_RATE_UNKNOWN /**< the home doesn't answer, and this node may not spend more by itself */
 } ts_rate_verdict_t;
 
+/** What becomes of the tokens that a node saved up of its right while it was alone. */
+typedef enum ts_rate_saved_state {
+    TS_RATE_SAVED_NONE, /**< it has none, or is alone and saves up */
+    TS_RATE_SAVED_KEPT, /**< the dealer that the right is lent to now has not answered yet */
+    TS_RATE_SAVED_DUE   /**< it has: what is left goes to it with the next ask */
+} ts_rate_saved_state_t;
+
 typedef struct ts_rate_lease {
     unsigned tokens;             /**< in hand */
     ts_time_us_t valid_until_us; /**< they are void from then on */
@@ -37,11 +44,12 @@
     ts_time_us_t right_until_us;  /**< that is void from then on */
     uint64_t right_from;          /**< who gave it, see ts_rate_giver */
     uint64_t dealer;              /**< hash of the address of the one asked last */
-    uint64_t lent_to;        /**< dealer that the right is lent to while it is asked; 0: none */
-    ts_time_us_t lent_us;    /**< when that one was last asked */
-    bool is_right_lent;      /**< the latest ask lent the right */
-    bool has_moved;          /**< it was lent to another one since the dealer last answered */
-    bool was_alone;          /**< it was not lent, by the ask before the latest */
+    uint64_t lent_to;     /**< dealer that the right is lent to while it is asked; 0: none */
+    ts_time_us_t lent_us; /**< when that one was last asked */
+    bool is_right_lent;   /**< the latest ask lent the right */
+    bool has_moved;       /**< it was lent to another one since the dealer last answered */
+    bool was_alone;       /**< it was not lent, by the ask before the latest */
+    ts_rate_saved_state_t saved_state; /**< of `own_tokens` */
     uint32_t spent_alone;    /**< spent by itself since it began, own and told by others */
     double own_tokens;       /**< what has come in of its right */
     ts_time_us_t own_us;     /**< when that was brought up to date */
@@ -91,8 +99,9 @@
 /** A dealer that the right was lent to says that it doesn't count on it any more. */
 void ts_rate_lease_note_left(ts_rate_lease_t *lease, uint64_t dealer);
 /**
- * Tokens saved up alone, which go to the dealer with the ask that lends the right to it; 0 if it
- * was lent before. They are given once, whether the ask arrives or not.
+ * Tokens saved up alone that go to the dealer with the ask that is about to leave: with the first
+ * one after it has answered; 0 otherwise. Until then this node spends them. They are given once,
+ * whether the ask arrives or not.
  */
 double ts_rate_lease_give_saved(ts_rate_lease_t *lease, const ts_rate_terms_t *terms,
                                 ts_time_us_t now_us);
--- a/src/route/rate_lease.c
+++ b/src/route/rate_lease.c
@@ -101,6 +101,18 @@
     return true;
 }
 
+/*
+ * Spends what was saved up, while the right is lent to another dealer that does not know of it yet:
+ * it is not counted as spent alone, as it is no part of what that one deals.
+ */
+static bool take_saved(ts_rate_lease_t *lease)
+{
+    if (lease->saved_state == TS_RATE_SAVED_NONE || lease->own_tokens < 1)
+        return false;
+    lease->own_tokens -= 1;
+    return true;
+}
+
 static bool is_dealer_silent(const ts_rate_lease_t *lease, ts_time_us_t now_us)
 {
     ts_time_us_t bound_us = lease->is_deputy ? HOME_SILENT_US : DEPUTY_SILENT_US;
@@ -115,6 +127,8 @@
         lease->tokens--;
         return TS_RATE_TAKEN;
     }
+    if (!is_silent && take_saved(lease))
+        return TS_RATE_TAKEN;
     if (now_us < lease->over_until_us)
         return TS_RATE_OVER;
     if (is_silent) {
@@ -131,12 +145,15 @@
 {
     *taken = MIN(ts_rate_lease_in_hand(lease, now_us), most);
     lease->tokens -= *taken;
+    bool is_silent = is_dealer_silent(lease, now_us);
+    while (!is_silent && *taken < most && take_saved(lease))
+        (*taken)++;
     if (*taken > 0)
         return TS_RATE_TAKEN;
     if (now_us < lease->over_until_us)
         return TS_RATE_OVER;
     lease->is_waited_for = true;
-    if (!is_dealer_silent(lease, now_us))
+    if (!is_silent)
         return TS_RATE_WAITS;
     *taken = take_own(lease, terms, now_us);
     return *taken > 0 ? TS_RATE_TAKEN : TS_RATE_UNKNOWN;
@@ -217,18 +234,40 @@
     return true;
 }
 
+/* What is saved up beyond what a node always may have; it is not this node's any more. */
+static double part_with_saved(ts_rate_lease_t *lease, const ts_rate_terms_t *terms,
+                              ts_time_us_t now_us)
+{
+    double kept = ts_rate_saved(terms, ts_rate_lease_right(lease, now_us));
+    double saved = MAX(lease->own_tokens - kept, 0);
+    lease->own_tokens -= saved;
+    lease->saved_state = TS_RATE_SAVED_NONE;
+    return saved;
+}
+
 double ts_rate_lease_give_saved(ts_rate_lease_t *lease, const ts_rate_terms_t *terms,
                                 ts_time_us_t now_us)
 {
     bool was_alone = lease->was_alone;
     lease->was_alone = !lease->is_right_lent;
-    if (!was_alone || !lease->is_right_lent)
+    if (!lease->is_right_lent) {
+        lease->saved_state = TS_RATE_SAVED_NONE;
         return 0;
-    fill_own(lease, terms, now_us);
-    double kept = ts_rate_saved(terms, ts_rate_lease_right(lease, now_us));
-    double saved = MAX(lease->own_tokens - kept, 0);
-    lease->own_tokens -= saved;
-    return lease->has_moved ? saved : 0; // the dealer that it was lent to before withheld it
+    }
+    if (was_alone) {
+        fill_own(lease, terms, now_us);
+        lease->saved_state = TS_RATE_SAVED_KEPT;
+        if (!lease->has_moved)
+            (void)part_with_saved(lease, terms, now_us); // this dealer withheld it
+        return 0;
+    }
+    if (lease->saved_state != TS_RATE_SAVED_DUE)
+        return 0;
+    if (lease->has_moved) {
+        lease->saved_state = TS_RATE_SAVED_KEPT; // to another one again
+        return 0;
+    }
+    return part_with_saved(lease, terms, now_us);
 }
 
 void ts_rate_lease_take_saved(ts_rate_lease_t *lease, double saved)
@@ -280,6 +319,8 @@
         take_right(lease, deal, now_us);
         lease->own_tokens = MAX(lease->own_tokens, ts_rate_saved(terms, lease->right));
         lease->own_us = MAX(lease->own_us, lease->asked_us);
+        if (lease->saved_state == TS_RATE_SAVED_KEPT)
+            lease->saved_state = TS_RATE_SAVED_DUE;
     }
     lease->asked_us = 0;
     lease->silent_since_us = 0;
--- a/tests/route/test_rate_callers.c
+++ b/tests/route/test_rate_callers.c
@@ -259,6 +259,55 @@
     close_fleet(fleet);
 }
 
+/* The node that is home for all that don't believe the first one to be live. */
+static unsigned next_home(const fleet_t *fleet)
+{
+    unsigned best = fleet->n;
+    for (unsigned i = 0; i < fleet->n; i++) {
+        bool is_higher = best == fleet->n || fleet->nodes[i].id > fleet->nodes[best].id;
+        if (i != fleet->homes[0] && is_higher)
+            best = i;
+    }
+    return best;
+}
+
+/*
+ * The same, while the node that is asked as the new home still takes the silent one for home, and
+ * asks it in its turn. What the asking node had saved up was given away with its ask, and it had
+ * nothing left when no answer came (test_silent_home beside load: 1 to 4 of 6 served, "saved 9.00"
+ * in the ask, 503 after 75 ms).
+ */
+static void test_saved_tokens_last_until_a_dealer_answers(void **state)
+{
+    fleet_t *fleet = open_fleet(4, 20, 10);
+    fleet->terms.tolerance = 0;
+    unsigned home = fleet->homes[0];
+    unsigned next = next_home(fleet);
+    unsigned asking = 0;
+    while (asking == home || asking == next)
+        asking++;
+    node_t *other = &fleet->nodes[asking];
+    begin_beliefs(fleet);
+    for (unsigned i = 0; i < 4; i++)
+        if (i != home)
+            believe_gone(fleet, i, home, in_s(fleet, i == next ? 5 : 4), in_s(fleet, 60));
+    sort_changes(fleet);
+    other->load = 8;
+    run(fleet, 1);
+    other->load = 0;
+    fleet->nodes[home].side = 1;
+    run(fleet, 3.05);
+    (void)take_totals(fleet);
+    other->due = 6;
+    run(fleet, 0.04); // before a dealer counts as silent
+    totals_t totals = take_totals(fleet);
+    if (totals.taken < 6)
+        print_error("%u taken, %u refused, %u unknown\n", totals.taken, totals.refused,
+                    totals.unknown);
+    assert_int_equal(totals.taken, 6);
+    close_fleet(fleet);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -269,6 +318,7 @@
         cmocka_unit_test(test_suspicions_come_and_go),
         cmocka_unit_test(test_asks_that_come_late),
         cmocka_unit_test(test_new_home_gets_what_was_saved),
+        cmocka_unit_test(test_saved_tokens_last_until_a_dealer_answers),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
