A failed receive and a connection that replaces another are not passed over

A receive that ends with another error than a closed socket ended all receiving of the process without a line: it is logged now and goes on. A dial's new connection that is told before the end of the one before it hid that end, and what was out on it waited for its deadline: the end is told then.

test_peer_link and test_silent_links pass as before.

--- a/src/peers/peer_link.c
+++ b/src/peers/peer_link.c
@@ -53,9 +53,10 @@
 
 /* What nng's threads tell the loop. */
 typedef enum arrival_kind {
-    ARRIVAL_MESSAGE,     /* a message from a peer */
-    ARRIVAL_CONNECTED,   /* a dial has a connection */
-    ARRIVAL_DISCONNECTED /* it has none any more */
+    ARRIVAL_MESSAGE,      /* a message from a peer */
+    ARRIVAL_CONNECTED,    /* a dial has a connection */
+    ARRIVAL_DISCONNECTED, /* it has none any more */
+    ARRIVAL_FAILED        /* a message could not be received */
 } arrival_kind_t;
 
 typedef struct arrival {
@@ -63,6 +64,7 @@
     nng_msg *message; /* owned; only with ARRIVAL_MESSAGE */
     uint32_t dial;    /* with the others */
     int pipe;         /* which connection; the end of an old one may be told after a new one */
+    int status;       /* nng's error, with ARRIVAL_FAILED */
 } arrival_t;
 
 /* Context of a dial on nng's threads; lives as long as the link, which is as long as the process.
@@ -98,10 +100,15 @@
 static void on_received(void *data)
 {
     ts_peer_link_t *link = data;
-    if (nng_aio_result(link->receive) != 0) {
-        return; /* the socket is closed */
+    int status = nng_aio_result(link->receive);
+    if (status == NNG_ECLOSED)
+        return;
+    if (status != 0) { // the loop receives on
+        tell_loop(link, (arrival_t){.kind = ARRIVAL_FAILED, .status = status});
+        return;
     }
-    tell_loop(link, (arrival_t){ARRIVAL_MESSAGE, nng_aio_get_msg(link->receive), 0, 0});
+    nng_msg *message = nng_aio_get_msg(link->receive);
+    tell_loop(link, (arrival_t){.kind = ARRIVAL_MESSAGE, .message = message});
     nng_recv_aio(link->receiver, link->receive);
 }
 
@@ -110,7 +117,7 @@
     dial_t *dial = data;
     bool is_up = event == NNG_PIPE_EV_ADD_POST;
     arrival_kind_t kind = is_up ? ARRIVAL_CONNECTED : ARRIVAL_DISCONNECTED;
-    tell_loop(dial->link, (arrival_t){kind, NULL, dial->id, nng_pipe_id(pipe)});
+    tell_loop(dial->link, (arrival_t){.kind = kind, .dial = dial->id, .pipe = nng_pipe_id(pipe)});
 }
 
 /* -- Peers ------------------------------------------------------------------------------------- */
@@ -268,10 +275,11 @@
     peer_t *peer = g_hash_table_lookup(link->dials, GUINT_TO_POINTER(arrival->dial));
     if (peer == NULL)
         return; /* closed meanwhile */
-    if (arrival->kind == ARRIVAL_CONNECTED)
+    bool is_up = arrival->kind == ARRIVAL_CONNECTED;
+    if (is_up ? peer->pipe != 0 : peer->pipe == arrival->pipe)
+        lose_connection(link, peer); // its end is told now, or has not been told yet
+    if (is_up)
         set_connected(peer, arrival->pipe);
-    else if (peer->pipe == arrival->pipe)
-        lose_connection(link, peer);
     while (peer->pipe != 0 && peer->waiting.length > 0)
         send_now(peer, g_queue_pop_head(&peer->waiting));
 }
@@ -284,6 +292,13 @@
     nng_msg_free(message);
 }
 
+static void receive_on(ts_peer_link_t *link, int status)
+{
+    ts_count_error(TS_E_PROTOCOL);
+    ts_log(TS_EVENT_FRAME_REFUSED, "error=receive reason=%s", nng_strerror(status));
+    nng_recv_aio(link->receiver, link->receive);
+}
+
 static void take_arrived(uv_async_t *wake)
 {
     ts_peer_link_t *link = wake->data;
@@ -291,6 +306,8 @@
     while ((arrival = g_async_queue_try_pop(link->arrived)) != NULL) {
         if (arrival->kind == ARRIVAL_MESSAGE)
             take_message(link, arrival->message);
+        else if (arrival->kind == ARRIVAL_FAILED)
+            receive_on(link, arrival->status);
         else
             take_connection(link, arrival);
         g_free(arrival);
