The threads of a node's connections are not kept on one core

Cause: nng's threads, through which a node sends and hears all, were kept on a core that the hash of its name chose. When that core is taken they wait while others are free.

Ruled out: searchers, load, loops, which may run anywhere.

The threads are free unless cpu names a core.

--- a/include/tealspar/settings.h
+++ b/include/tealspar/settings.h
@@ -26,7 +26,7 @@
     char **seeds;    /**< peers' addresses to try while the platform is silent */
     unsigned seeds_count;
     char *policy;             /**< routing policy; absent: adaptive */
-    int *cpu;                 /**< core for nng's threads; -1: leave them free; absent: chosen */
+    int *cpu;                 /**< core for nng's threads; -1 or absent: all */
     uint32_t queries_max;     /**< queries in flight before refusing; absent: 2000 */
     uint32_t body_bytes_max;  /**< largest request body; absent: 65536 */
     uint32_t connections_max; /**< callers' connections; absent: 4096 */
--- a/src/control/mesh.c
+++ b/src/control/mesh.c
@@ -16,7 +16,6 @@
 /* Frames that may wait for a peer; one a turn of the loop. */
 #define BUFFER_FRAMES 256
 #define HOUSEKEEPING_MS 1000
-#define CORES_FOR_PINNING 4
 
 typedef struct peer {
     uint64_t id;
@@ -228,7 +227,8 @@
 
 /*
  * nng starts its threads at the first call and they inherit the affinity of the caller. On one core
- * they wake each other without crossing cores, which costs several times less a message.
+ * they wake each other without crossing cores, which takes less processor time a message; but they
+ * can't leave that core when others take it, so an operator chooses it.
  */
 static ts_error_t open_link(ts_node_t *node)
 {
@@ -238,8 +238,6 @@
     pthread_t self = pthread_self();
     bool is_known = pthread_getaffinity_np(self, sizeof(all), &all) == 0;
     int core = settings->cpu != NULL ? *settings->cpu : -1;
-    if (is_known && settings->cpu == NULL && CPU_COUNT(&all) >= CORES_FOR_PINNING)
-        core = (int)(ts_hash_text(settings->name) % (uint64_t)CPU_COUNT(&all));
     if (is_known && core >= 0) {
         CPU_ZERO(&one);
         CPU_SET(core, &one);
--- a/tests/cli/test_node_replies.c
+++ b/tests/cli/test_node_replies.c
@@ -65,8 +65,9 @@
     assert_true(g_file_set_contents(asking->settings, text, -1, NULL));
     char *arguments[] = {program, "node", "-s", asking->settings, NULL};
     assert_true(g_spawn_async(NULL, arguments, NULL,
-                              G_SPAWN_DO_NOT_REAP_CHILD | G_SPAWN_STDOUT_TO_DEV_NULL, NULL, NULL,
-                              &asking->node, NULL));
+                              G_SPAWN_DO_NOT_REAP_CHILD | G_SPAWN_STDOUT_TO_DEV_NULL |
+                                  G_SPAWN_STDERR_TO_DEV_NULL,
+                              NULL, NULL, &asking->node, NULL));
     g_free(text);
     g_free(platform);
     g_free(operators);
@@ -105,6 +106,15 @@
                      TS_OK);
 }
 
+static void open_asking(asking_t *asking)
+{
+    char *here = new_address(); // kept, as nng's threads are
+    uv_loop_init(&asking->loop);
+    asking->identity = (ts_wire_identity_t){"test", "asking", here, 1};
+    asking->link = ts_peer_link_open(&asking->loop, here, take_frame, asking);
+    assert_non_null(asking->link);
+}
+
 static ts_work_t *make_work(void)
 {
     ts_work_t *work = g_new0(ts_work_t, 1);
@@ -158,11 +168,7 @@
 static void test_node_replies_to_one_it_has_not_heard_of(void **state)
 {
     static asking_t asking; // nng's threads may wake its loop later
-    char *here = new_address();
-    uv_loop_init(&asking.loop);
-    asking.identity = (ts_wire_identity_t){"test", "asking", here, 1};
-    asking.link = ts_peer_link_open(&asking.loop, here, take_frame, &asking);
-    assert_non_null(asking.link);
+    open_asking(&asking);
     start_node(&asking);
     ask(&asking);
     await_reply(&asking);
@@ -170,13 +176,70 @@
     assert_true(asking.is_answered);
     assert_int_equal(asking.error, TS_E_NOT_OWNER);
     assert_int_equal(asking.run, TS_RUN_NOT);
-    g_free(here);
+}
+
+/* The cores that a thread may run on, as the kernel lists them; NULL: it has ended. */
+static char *read_allowed(GPid pid, const char *thread)
+{
+    char *path = g_strdup_printf("/proc/%d/task/%s/status", (int)pid, thread);
+    char *text = NULL;
+    char *allowed = NULL;
+    if (g_file_get_contents(path, &text, NULL, NULL)) {
+        const char *line = strstr(text, "Cpus_allowed_list:");
+        assert_non_null(line);
+        allowed = g_strndup(line, strcspn(line, "\n"));
+    }
+    g_free(text);
+    g_free(path);
+    return allowed;
+}
+
+typedef struct threads {
+    unsigned all;
+    unsigned confined; /* to other cores than this process */
+} threads_t;
+
+static threads_t count_threads(GPid pid)
+{
+    char *own_thread = g_strdup_printf("%d", (int)getpid());
+    char *own = read_allowed(getpid(), own_thread);
+    char *path = g_strdup_printf("/proc/%d/task", (int)pid);
+    GDir *directory = g_dir_open(path, 0, NULL);
+    const char *name = NULL;
+    threads_t threads = {0};
+    while ((name = g_dir_read_name(directory)) != NULL) {
+        char *allowed = read_allowed(pid, name);
+        threads.all += allowed != NULL;
+        threads.confined += allowed != NULL && strcmp(allowed, own) != 0;
+        g_free(allowed);
+    }
+    g_dir_close(directory);
+    g_free(path);
+    g_free(own);
+    g_free(own_thread);
+    return threads;
+}
+
+// No thread of a node waits for one core while others are free (quiet, with one core busy: requests
+// of one node end unknown, others take seconds).
+static void test_threads_may_run_on_all_cores(void **state)
+{
+    static asking_t asking;
+    open_asking(&asking);
+    start_node(&asking);
+    ask(&asking);
+    await_reply(&asking); // the threads of its connections have begun
+    threads_t threads = count_threads(asking.node);
+    stop_node(&asking);
+    assert_true(threads.all > 1);
+    assert_int_equal(threads.confined, 0);
 }
 
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_node_replies_to_one_it_has_not_heard_of),
+        cmocka_unit_test(test_threads_may_run_on_all_cores),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
