Each run of a scenario has a folder of its own (harness)

Cause: the folder was named by the scenario, so that the second run rewrote the settings which the first one's nodes were reading, and they listened on each other's addresses.

The folder has the process id in its name and goes when the run passes; a run on a folder in use ends at once (flock). Two at once in one tree pass now. The checks of run_scenario are as they were. The lab leaves out the soak's network, which both could draw from their process ids.

--- a/lab/fleet.c
+++ b/lab/fleet.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/file.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -22,6 +23,7 @@
 #define PROXY_PORT 20900
 #define PROXY_OFFSET 100
 #define FIRST_NODE 10
+#define SOAK_NETWORK 77 /* second number of the soak's addresses */
 #define ARGUMENTS_MAX 32
 #define STOP_SECONDS 20.0
 #define POLL_MS 10
@@ -224,15 +226,30 @@
     }
 }
 
+/* Two runs in one directory would overwrite each other's settings. */
+static bool lock_directory(const lab_fleet_t *fleet)
+{
+    char *path = in_directory(fleet, "run", ".lock");
+    int file = open(path, O_CREAT | O_WRONLY | O_CLOEXEC, 0644); /* held until the process ends */
+    bool is_locked = file >= 0 && flock(file, LOCK_EX | LOCK_NB) == 0;
+    if (!is_locked)
+        fprintf(stderr, "%s: another run uses this directory (%s)\n", fleet->directory,
+                g_strerror(errno));
+    g_free(path);
+    return is_locked;
+}
+
 bool lab_fleet_prepare(lab_fleet_t *fleet, const char *declarations_path)
 {
     pid_t pid = getpid();
     /* A loopback network of its own, so that runs side by side never share an address. */
-    fleet->base = g_strdup_printf("127.%d.%d", 1 + pid / 250 % 250, 1 + pid % 250);
+    int second = 1 + pid / 250 % 250;
+    second += second >= SOAK_NETWORK;
+    fleet->base = g_strdup_printf("127.%d.%d", second, 1 + pid % 250);
     fleet->nodes = g_ptr_array_new();
     fleet->processes = g_ptr_array_new();
     find_programs(fleet);
-    if (g_mkdir_with_parents(fleet->directory, 0755) != 0 ||
+    if (g_mkdir_with_parents(fleet->directory, 0755) != 0 || !lock_directory(fleet) ||
         !load_declarations(fleet, declarations_path)) {
         return false;
     }
--- a/tests/integration/run_scenario.c
+++ b/tests/integration/run_scenario.c
@@ -12,6 +12,7 @@
 #include <glib.h>
 #include <jansson.h>
 #include <string.h>
+#include <unistd.h>
 
 static const char *scenario_path;
 static const char *lab_path;
@@ -25,10 +26,26 @@
     return report;
 }
 
+/* What a run left is of use only if it failed. */
+static void remove_folder(const char *path)
+{
+    GDir *folder = g_dir_open(path, 0, NULL);
+    const char *name = NULL;
+    while (folder != NULL && (name = g_dir_read_name(folder)) != NULL) {
+        char *file = g_build_filename(path, name, NULL);
+        unlink(file);
+        g_free(file);
+    }
+    if (folder != NULL)
+        g_dir_close(folder);
+    rmdir(path);
+}
+
 static void test_scenario(void **state)
 {
     char *name = g_path_get_basename(scenario_path);
-    char *out = g_strdup_printf("lab-out/test-%s", name);
+    // runs of one work tree don't share a folder
+    char *out = g_strdup_printf("lab-out/test-%s-%d", name, (int)getpid());
     char *arguments[] = {(char *)lab_path, "run", (char *)scenario_path, "--out", out, NULL};
     char *output = NULL;
     char *errors = NULL;
@@ -37,7 +54,7 @@
                              &status, NULL));
     json_t *report = last_line_as_json(output);
     if (status != 0 || report == NULL) {
-        fail_msg("%s\n%s\n%s", scenario_path, errors, output);
+        fail_msg("%s\n%s\n%s\nlogs: %s", scenario_path, errors, output, out);
     }
     assert_true(json_integer_value(json_object_get(report, "answered")) > 0);
     const char *key = NULL;
@@ -46,6 +63,7 @@
     {
         assert_int_equal(json_integer_value(value), 0);
     }
+    remove_folder(out);
     json_decref(report);
     g_free(errors);
     g_free(output);
