A silent node's subrequests stay in flight unless they are sent elsewhere

Callers saw: queries with a deadline of 4 s end with an unknown outcome (coverage_below_least) 0.1 to 2 s after their start while nodes get little processor time.

Cause: a node with several subrequests outstanding and no reply within a multiple of the measured latency counts as silent. All its subrequests were cancelled and failed, and each retry took a token of the retry budget; without a token, or after three attempts, the fragment failed although its reply was on its way. After a stall of the own process the check ran before the replies were read (timers fire before sockets are polled), so a node took all others for silent at once.

Now subrequests at a silent node are overdue: they move to another replica as far as the budget allows, and stay in flight otherwise. Time in which the check itself did not run is not held against peers.

--- a/include/tealspar/directory.h
+++ b/include/tealspar/directory.h
@@ -66,6 +66,11 @@
 void ts_directory_note_reply(ts_directory_t *directory, uint64_t peer);
 /** Removes a subrequest that was replied to, failed or cancelled from the outstanding ones. */
 void ts_directory_note_ended(ts_directory_t *directory, uint64_t peer);
+/**
+ * Excludes a time in which this node did not run from the time that its peers have not replied: a
+ * reply that arrived meanwhile has not been read yet.
+ */
+void ts_directory_exclude_stall(ts_directory_t *directory, ts_time_us_t span_us);
 /**
  * Marks and returns the peers that have become silent since the last call: several subrequests are
  * outstanding (SILENT_OUTSTANDING_MIN), and `timeout_us` has passed without a reply since the first
--- a/include/tealspar/query-t.h
+++ b/include/tealspar/query-t.h
@@ -68,8 +68,10 @@
 typedef void (*ts_answer_callback_t)(void *context, const ts_answer_t *answer);
 
 typedef enum ts_fragment_state {
-    TS_FRAGMENT_WAITING,  /**< at least one attempt is in flight */
-    TS_FRAGMENT_BACKOFF,  /**< to be retried at retry_at_us, if the retry budget allows */
+    TS_FRAGMENT_WAITING, /**< at least one attempt is in flight */
+    /** To be retried at retry_at_us, if the retry budget allows. Overdue attempts may be in flight.
+     */
+    TS_FRAGMENT_BACKOFF,
     TS_FRAGMENT_ANSWERED, /**< has an answer; may be queried again for another snapshot */
     TS_FRAGMENT_FAILED    /**< will not be retried */
 } ts_fragment_state_t;
@@ -87,6 +89,7 @@
     uint64_t wanted_snapshot; /**< preferred index version; 0: any */
     uint32_t replica_index;   /**< into the fragment's replicas */
     bool is_hedge;
+    bool is_overdue; /**< its peer became silent; the reply may still arrive */
 } ts_attempt_t;
 
 /** One shard of a query. */
--- a/src/front/directory.c
+++ b/src/front/directory.c
@@ -190,6 +190,19 @@
     ensure_peer(directory, id)->outstanding--;
 }
 
+void ts_directory_exclude_stall(ts_directory_t *directory, ts_time_us_t span_us)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, directory->peers);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        peer_record_t *peer = value;
+        if (peer->unanswered_since_us != 0) {
+            peer->unanswered_since_us += span_us;
+        }
+    }
+}
+
 GArray *ts_directory_find_silent_peers(ts_directory_t *directory, ts_time_us_t timeout_us,
                                        ts_time_us_t now_us)
 {
@@ -200,7 +213,7 @@
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         peer_record_t *peer = value;
         if (!peer->is_silent && peer->outstanding >= SILENT_OUTSTANDING_MIN &&
-            peer->unanswered_since_us != 0 && now_us - peer->unanswered_since_us > timeout_us) {
+            peer->unanswered_since_us != 0 && now_us > peer->unanswered_since_us + timeout_us) {
             peer->is_silent = true;
             peer->next_probe_us = now_us + SILENT_PROBE_INTERVAL_US;
             g_array_append_val(silent, peer->id);
--- a/src/front/front.c
+++ b/src/front/front.c
@@ -18,8 +18,9 @@
 #define LAME_DUCK_MS 1000
 /*
  * A node is silent if it has several subrequests outstanding and has not replied for a multiple of
- * a latency quantile. Attempts at it fail, except unrepeatable ones, and it is avoided until it
- * replies again, except for periodic probes. This node itself is never avoided.
+ * a latency quantile. Attempts at it move to other replicas as far as the retry budget allows. The
+ * others and unrepeatable ones stay in flight: a node that is only slow still replies. It is
+ * avoided until then, except for periodic probes. This node itself is never avoided.
  */
 #define SILENCE_TIMEOUT_MIN_US (60ULL * TS_US_PER_MS)
 #define SILENCE_TIMEOUT_DEFAULT_US (500ULL * TS_US_PER_MS)
@@ -27,6 +28,7 @@
 #define SILENCE_QUANTILE 0.99
 #define SILENCE_SAMPLES_MIN 64U
 #define SILENCE_CHECK_INTERVAL_MS 20
+#define SILENCE_CHECK_INTERVAL_US (SILENCE_CHECK_INTERVAL_MS * TS_US_PER_MS)
 
 ts_kind_stats_t *ts_front_ensure_kind_stats(ts_front_t *front, const char *kind)
 {
@@ -202,11 +204,8 @@
     ts_task_send(peer == TS_PEER_SELF ? front->broker : front->mesh, &message->head);
 }
 
-/*
- * Fails the attempts at a node that is lost or silent. Unrepeatable requests keep waiting for a
- * node that is only silent: their owner may still answer, and no other node may be asked.
- */
-static void fail_attempts_of_peer(ts_front_t *front, uint64_t peer, bool include_unrepeatable)
+/* Fails the attempts at a node whose connection is lost. */
+static void fail_attempts_of_peer(ts_front_t *front, uint64_t peer)
 {
     GArray *counters = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     GHashTableIter iterator;
@@ -214,8 +213,7 @@
     g_hash_table_iter_init(&iterator, front->attempts);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const ts_attempt_t *attempt = value;
-        if (attempt->peer == peer &&
-            (include_unrepeatable || !attempt->query->work->unrepeatable)) {
+        if (attempt->peer == peer) {
             g_array_append_val(counters, attempt->counter);
         }
     }
@@ -231,6 +229,29 @@
     g_array_free(counters, TRUE);
 }
 
+/* Moves the attempts at a silent node to other replicas, in one step per query. */
+static void retry_attempts_of_peer(ts_front_t *front, uint64_t peer)
+{
+    GHashTable *queries = g_hash_table_new(g_direct_hash, g_direct_equal);
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, front->attempts);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        ts_attempt_t *attempt = value;
+        if (attempt->peer == peer) {
+            ts_query_handle_overdue(attempt);
+            g_hash_table_add(queries, attempt->query);
+        }
+    }
+    g_hash_table_iter_init(&iterator, queries);
+    while (g_hash_table_iter_next(&iterator, &value, NULL)) {
+        if (g_hash_table_contains(front->queries, value)) { // not ended by an earlier step
+            ts_query_step(value);
+        }
+    }
+    g_hash_table_destroy(queries);
+}
+
 /*
  * Time without a reply after which a node is silent: well above the measured latencies of every
  * kind, so that a node with slow searchers is not considered silent. At least
@@ -259,11 +280,18 @@
         ts_timer_stop(timer); /* no attempts in flight */
         return;
     }
-    GArray *silent = ts_directory_find_silent_peers(front->directory, silence_timeout_us(front),
-                                                    ts_clock_now_us());
+    ts_time_us_t now_us = ts_clock_now_us();
+    ts_time_us_t elapsed_us = now_us - front->silence_checked_us;
+    front->silence_checked_us = now_us;
+    if (elapsed_us > 2 * SILENCE_CHECK_INTERVAL_US) {
+        // timers fire before sockets are read: replies may have arrived during the stall
+        ts_directory_exclude_stall(front->directory, elapsed_us - SILENCE_CHECK_INTERVAL_US);
+    }
+    GArray *silent =
+        ts_directory_find_silent_peers(front->directory, silence_timeout_us(front), now_us);
     for (guint i = 0; i < silent->len; i++) {
         ts_count(TS_COUNTER_PEERS_SILENT, 1);
-        fail_attempts_of_peer(front, g_array_index(silent, uint64_t, i), false);
+        retry_attempts_of_peer(front, g_array_index(silent, uint64_t, i));
     }
     g_array_free(silent, TRUE);
 }
@@ -271,6 +299,7 @@
 void ts_front_start_silence_check(ts_front_t *front)
 {
     if (!front->silence_timer.is_active) {
+        front->silence_checked_us = ts_clock_now_us();
         ts_timer_start(&front->silence_timer, SILENCE_CHECK_INTERVAL_MS, SILENCE_CHECK_INTERVAL_MS);
     }
 }
@@ -298,7 +327,7 @@
         handle_subreply(front, &((ts_subreply_message_t *)message)->subreply);
         break;
     case TS_MESSAGE_PEER_LOST:
-        fail_attempts_of_peer(front, ((ts_peer_lost_message_t *)message)->peer, true);
+        fail_attempts_of_peer(front, ((ts_peer_lost_message_t *)message)->peer);
         break;
     case TS_MESSAGE_DECLARATIONS:
         set_declarations(front, ((ts_declarations_message_t *)message)->declarations);
--- a/src/front/front_internal.h
+++ b/src/front/front_internal.h
@@ -33,7 +33,8 @@
      * count. */
     uint64_t next_counter;
     uint64_t random_state;
-    ts_timer_t silence_timer;   /**< checks for silent peers */
+    ts_timer_t silence_timer;        /**< checks for silent peers */
+    ts_time_us_t silence_checked_us; /**< when that timer was started or last fired */
     ts_timer_t lame_duck_timer; /**< fires LAME_DUCK_MS after the stop; then queries are refused */
     bool has_been_ready;
     bool has_stopped_accepting; /**< queries are refused */
@@ -75,6 +76,13 @@
  * moved out of `subreply`.
  */
 void ts_query_handle_reply(ts_attempt_t *attempt, ts_subreply_t *subreply);
+/**
+ * Marks an attempt as overdue and schedules a retry at another replica for the next
+ * ts_query_step(), if there is one. The attempt stays in flight until that retry is sent.
+ */
+void ts_query_handle_overdue(ts_attempt_t *attempt);
+/** Sends due retries, hedges and repeats; may finish the query. */
+void ts_query_step(ts_query_t *query);
 /** Frees a query at once, when the node shuts down. Sends nothing, does not call the callback. */
 void ts_query_discard(ts_query_t *query);
 /** Ends a query without calling its callback. */
--- a/src/front/query.c
+++ b/src/front/query.c
@@ -145,10 +145,15 @@
     return query->front->policy->choose(&input);
 }
 
-/* Ends the retries of a fragment. It stays answered if it has an answer from any snapshot. */
+/* Ends the retries of a fragment. It keeps waiting while an overdue attempt may be replied to, and
+   stays answered if it has an answer from any snapshot. */
 static void fail_fragment(ts_fragment_t *fragment, ts_error_t error)
 {
     fragment->error = error;
+    if (fragment->attempts_in_flight > 0) {
+        fragment->state = TS_FRAGMENT_WAITING;
+        return;
+    }
     fragment->state = fragment->answers_count > 0 ? TS_FRAGMENT_ANSWERED : TS_FRAGMENT_FAILED;
 }
 
@@ -204,6 +209,20 @@
     }
 }
 
+static void cancel_attempts(ts_fragment_t *fragment)
+{
+    while (fragment->attempts_in_flight > 0) {
+        ts_attempt_end(fragment->attempts[0], true);
+    }
+}
+
+/* Cancels the overdue attempts of a fragment that is sent elsewhere. */
+static void replace_overdue_attempts(ts_fragment_t *fragment)
+{
+    fragment->may_have_run |= fragment->attempts_in_flight > 0;
+    cancel_attempts(fragment);
+}
+
 static void send_due_retries(ts_dispatch_t *dispatch, ts_query_t *query, uint64_t snapshot,
                              ts_time_us_t now_us)
 {
@@ -218,6 +237,7 @@
             continue;
         }
         ts_count(TS_COUNTER_RETRIES, 1);
+        replace_overdue_attempts(fragment);
         send_fragment(dispatch, query, i, snapshot, false);
     }
 }
@@ -329,11 +349,9 @@
 
 /* ---- step ---- */
 
-static void step_query(ts_query_t *query);
-
 static void on_timer(ts_timer_t *timer)
 {
-    step_query(timer->data);
+    ts_query_step(timer->data);
 }
 
 static ts_time_us_t next_event_us(const ts_query_t *query, const ts_stop_input_t *stop_input)
@@ -363,7 +381,7 @@
     ts_timer_start(&query->timer, (left + TS_US_PER_MS - 1) / TS_US_PER_MS, 0);
 }
 
-static void step_query(ts_query_t *query)
+void ts_query_step(ts_query_t *query)
 {
     ts_time_us_t now_us = ts_clock_now_us();
     ts_dispatch_t *dispatch = ts_dispatch_begin(query);
@@ -424,9 +442,7 @@
     record_denied_snapshot(fragment, wanted, subreply->snapshot);
     store_answer(fragment, subreply);
     fragment->state = TS_FRAGMENT_ANSWERED;
-    while (fragment->attempts_in_flight > 0) {
-        ts_attempt_end(fragment->attempts[0], true);
-    }
+    cancel_attempts(fragment);
 }
 
 static bool may_retry(const ts_query_t *query, const ts_fragment_t *fragment)
@@ -443,6 +459,16 @@
     return (fragment->tried & all) != all;
 }
 
+static bool has_attempt_in_time(const ts_fragment_t *fragment)
+{
+    for (uint32_t i = 0; i < fragment->attempts_in_flight; i++) {
+        if (!fragment->attempts[i]->is_overdue) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void handle_failure(ts_query_t *query, ts_fragment_t *fragment,
                            const ts_subreply_t *subreply)
 {
@@ -452,8 +478,8 @@
        have executed an earlier send of a repeat; see is_checked_by_owner(). */
     fragment->may_have_run |=
         subreply->run == TS_EXECUTION_COMPLETED || subreply->run == TS_EXECUTION_POSSIBLE;
-    if (fragment->attempts_in_flight > 0) {
-        return; /* another attempt is in flight */
+    if (has_attempt_in_time(fragment)) {
+        return;
     }
     if (!may_retry(query, fragment)) {
         fail_fragment(fragment, subreply->error);
@@ -482,7 +508,19 @@
     } else {
         handle_failure(query, fragment, subreply);
     }
-    step_query(query);
+    ts_query_step(query);
+}
+
+void ts_query_handle_overdue(ts_attempt_t *attempt)
+{
+    const ts_query_t *query = attempt->query;
+    ts_fragment_t *fragment = &query->fragments[attempt->fragment_index];
+    attempt->is_overdue = true;
+    if (fragment->state == TS_FRAGMENT_WAITING && !has_attempt_in_time(fragment) &&
+        has_untried_replica(fragment) && may_retry(query, fragment)) {
+        fragment->state = TS_FRAGMENT_BACKOFF;
+        fragment->retry_at_us = ts_clock_now_us();
+    }
 }
 
 /* ---- start ---- */
@@ -524,5 +562,5 @@
         send_fragment(dispatch, query, i, snapshot, false);
     }
     ts_dispatch_send(dispatch);
-    step_query(query);
+    ts_query_step(query);
 }
