The time for which an owner did not run is not service time

Callers saw: after a stall of an owner, requests that its searchers would have answered in time are refused as cannot_finish, and gathers end for it with an unknown outcome.

Cause: the owner measures service time from sending a request to handling its result. A result that waits while the process does not run counts the whole stall. After a stall of 1.5 s the average is 0.8 s where the searcher takes 2 ms, and admission refuses what has a few requests ahead of it.

The broker adds up by how much its runs were late, and takes that off the service times that span it. The threshold for the checks after a long stall is unchanged; a result is now also handled after the stall has been noticed.

Evidence: test_stall_is_not_service_time: 1,017 refusals and 28 of 60 queries answered before, all 60 now; the same burst without a stall was answered before as well.

--- a/src/broker/broker.c
+++ b/src/broker/broker.c
@@ -11,6 +11,8 @@
 #define TICK_MS 10
 /* A longer gap between two runs of the broker is a stall of the process. */
 #define STALL_THRESHOLD_US (1000ULL * TS_US_PER_MS)
+/* A run of the broker that is later than this counts as stalled time in measurements. */
+#define LATE_RUN_MIN_US (10ULL * TS_US_PER_MS)
 /* Time after a stall during which nothing unrepeatable is dispatched. */
 #define STALL_FENCE_US (3ULL * TS_US_PER_S)
 /* Tick period without jobs, when only health checks can become due. */
@@ -347,13 +349,16 @@
  * backends may have shut down. Nothing is sent to a backend until its health has been checked, and
  * nothing unrepeatable for STALL_FENCE_US.
  */
-static void detect_stall(ts_broker_t *broker)
+void ts_broker_detect_stall(ts_broker_t *broker)
 {
     ts_time_us_t now_us = ts_clock_now_us();
-    bool has_stalled =
-        broker->last_run_us != 0 && now_us - broker->last_run_us > STALL_THRESHOLD_US;
+    ts_time_us_t elapsed_us = broker->last_run_us == 0 ? 0 : now_us - broker->last_run_us;
+    ts_time_us_t period_us = broker->tick_timer.repeat_ms * TS_US_PER_MS;
     broker->last_run_us = now_us;
-    if (!has_stalled) {
+    if (elapsed_us > period_us + LATE_RUN_MIN_US) {
+        broker->stalled_us += elapsed_us - period_us;
+    }
+    if (elapsed_us <= STALL_THRESHOLD_US) {
         return;
     }
     reset_exclusive_since(broker);
@@ -394,7 +399,7 @@
 static void tick(ts_timer_t *timer)
 {
     ts_broker_t *broker = timer->data;
-    detect_stall(broker);
+    ts_broker_detect_stall(broker);
     ts_time_us_t now_us = ts_clock_now_us();
     GHashTableIter iterator;
     gpointer value = NULL;
@@ -427,7 +432,7 @@
 static void handle_message(void *state, ts_message_t *message)
 {
     ts_broker_t *broker = state;
-    detect_stall(broker);
+    ts_broker_detect_stall(broker);
     switch (message->type) {
     case TS_MESSAGE_SUBREQUESTS:
         handle_subrequests(broker, (const ts_subrequests_message_t *)message);
--- a/src/broker/owned.c
+++ b/src/broker/owned.c
@@ -149,10 +149,19 @@
     }
 }
 
+/* Excludes the time for which this process did not run: the result may have waited unread. */
+static void exclude_stalls(const ts_job_t *job, ts_subreply_t *subreply)
+{
+    ts_broker_detect_stall(job->broker);
+    ts_time_us_t stalled_us = job->broker->stalled_us - job->stalled_before_us;
+    subreply->service_us -= (uint32_t)MIN(stalled_us, subreply->service_us);
+}
+
 static void handle_result(void *context, ts_subreply_t *subreply)
 {
     ts_job_t *job = context;
     ts_owned_backend_t *owned = job->owned;
+    exclude_stalls(job, subreply);
     g_ptr_array_remove_fast(owned->running, job);
     ts_count(TS_COUNTER_BROKER_SLOTS_IN_USE, -1);
     ts_count(TS_COUNTER_SEARCHER_ERRORS, subreply->error != TS_OK);
@@ -166,6 +175,7 @@
 static void run_job(ts_owned_backend_t *owned, ts_job_t *job)
 {
     job->started_us = ts_clock_now_us();
+    job->stalled_before_us = job->broker->stalled_us;
     g_ptr_array_add(owned->running, job);
     ts_count(TS_COUNTER_BROKER_SLOTS_IN_USE, 1);
     ts_count(TS_COUNTER_SEARCHER_REQUESTS, 1);
--- a/tests/front/test_late_replies.c
+++ b/tests/front/test_late_replies.c
@@ -28,6 +28,11 @@
 #define SLOW_FACTOR 25
 #define AWAKE_MS 30U
 #define FETCH_INTERVAL_MS 15U
+/* A broker takes this for a stall and checks its back ends again. */
+#define LONG_STALL_MS 1500U
+/* Requests are at the searchers, and their results have not been read. */
+#define AT_SEARCHERS_US 2000ULL
+#define BURST_LOOKUPS 12U
 
 typedef struct metrics {
     int64_t silent;
@@ -291,6 +296,47 @@
     g_free(declarations);
 }
 
+/* Twelve lookups at once to each node except the first; the slots of the searchers are enough to
+ * answer them in less than a second. */
+static void check_burst(lab_sim_t *sim)
+{
+    outcomes_t outcomes = begin_outcomes(sim);
+    for (unsigned i = 0; i < ROLLS; i++)
+        lab_sim_slow_searcher(sim, i, SLOW_FACTOR);
+    for (unsigned node = 1; node < NODES; node++)
+        submit_lookups(&outcomes, node, BURST_LOOKUPS);
+    lab_sim_advance(sim, DEADLINE_US);
+    check_all_answered(&outcomes);
+}
+
+// The time for which an owner stood still must not count as service time of its searchers. It
+// refused requests as cannot_finish that they would have answered in time.
+static void test_stall_is_not_service_time(void **state)
+{
+    char *declarations = make_declarations();
+    lab_sim_t *sim = start_sim(declarations);
+    outcomes_t before = begin_outcomes(sim);
+    submit_lookups(&before, 0, 10);
+    lab_sim_advance(sim, AT_SEARCHERS_US);
+    for (unsigned node = 0; node < NODES; node++)
+        lab_sim_pause(sim, node, LONG_STALL_MS * TS_US_PER_MS);
+    advance_ms(sim, LONG_STALL_MS + 200);
+    check_all_answered(&before);
+    check_burst(sim);
+    lab_sim_destroy(sim);
+    g_free(declarations);
+}
+
+// Without the stall the same burst is answered.
+static void test_burst_without_stall_is_answered(void **state)
+{
+    char *declarations = make_declarations();
+    lab_sim_t *sim = start_sim(declarations);
+    check_burst(sim);
+    lab_sim_destroy(sim);
+    g_free(declarations);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -302,6 +348,8 @@
         cmocka_unit_test(test_few_queries_survive_stalled_peers),
         cmocka_unit_test(test_queries_survive_one_stalled_peer),
         cmocka_unit_test(test_repeated_stalls_do_not_use_up_attempts),
+        cmocka_unit_test(test_stall_is_not_service_time),
+        cmocka_unit_test(test_burst_without_stall_is_answered),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
