The queue of a back end is bounded by the time left instead of by its length

Callers saw: in a burst, such as after a moment in which no node ran, gathers end with an unknown outcome within milliseconds of their start although their deadline is 4 s.

Cause: an owner queues eight requests per slot. With a service time of 2 ms and five slots that is a wait of 16 ms; what goes beyond was refused whatever the deadline, the retries met equally full queues and used up their budget, and one fragment in ten ends a gather.

A queue now takes what is expected to leave it within half of the time that is left, eight per slot at least and 64 at most.

--- a/include/tealspar/admission.h
+++ b/include/tealspar/admission.h
@@ -15,9 +15,10 @@
     uint32_t kind_share_percent;
     uint32_t queue_ahead;  /**< jobs queued at this priority or above */
     uint32_t queue_length; /**< all queued jobs */
-    uint32_t queue_max;
-    double service_us;    /**< average service time; 0: unknown */
-    ts_time_us_t left_us; /**< time left until the deadline */
+    uint32_t queue_min;    /**< this many may always be queued */
+    uint32_t queue_max;    /**< never more, however soon they are expected to run */
+    double service_us;     /**< average service time; 0: unknown */
+    ts_time_us_t left_us;  /**< time left until the deadline */
 } ts_admission_input_t;
 
 typedef enum ts_admission { TS_ADMIT_RUN, TS_ADMIT_QUEUE, TS_ADMIT_REFUSE } ts_admission_t;
--- a/src/broker/owned.c
+++ b/src/broker/owned.c
@@ -7,7 +7,8 @@
 #include "tealspar/hash.h"
 #include "tealspar/log.h"
 
-#define QUEUE_LENGTH_PER_SLOT 8U
+#define QUEUE_MIN_PER_SLOT 8U
+#define QUEUE_MAX_PER_SLOT 64U
 #define SERVICE_EWMA_ALPHA 0.1
 #define HEALTH_INTERVAL_US (1000ULL * TS_US_PER_MS)
 /* How long a drain reported in a reply takes precedence over the health check. */
@@ -257,7 +258,8 @@
         .kind_share_percent = job->work->slot_share_percent,
         .queue_ahead = ahead,
         .queue_length = owned->waiting->len,
-        .queue_max = owned->slots * QUEUE_LENGTH_PER_SLOT,
+        .queue_min = owned->slots * QUEUE_MIN_PER_SLOT,
+        .queue_max = owned->slots * QUEUE_MAX_PER_SLOT,
         .service_us = owned->service_us,
         .left_us = time_left_us(job, job->received_us),
     };
--- a/tests/front/test_late_replies.c
+++ b/tests/front/test_late_replies.c
@@ -33,6 +33,8 @@
 /* Requests are at the searchers, and their results have not been read. */
 #define AT_SEARCHERS_US 2000ULL
 #define BURST_LOOKUPS 12U
+/* More per back end than eight per slot. */
+#define LARGE_BURST_LOOKUPS 50U
 
 typedef struct metrics {
     int64_t silent;
@@ -337,6 +339,23 @@
     g_free(declarations);
 }
 
+// A burst that the searchers can answer long before the deadline must be queued. It was refused as
+// queue_full, as after a moment in which no node ran, and most queries ended "unknown".
+static void test_large_burst_is_queued(void **state)
+{
+    char *declarations = make_declarations();
+    lab_sim_t *sim = start_sim(declarations);
+    for (unsigned node = 0; node < NODES; node++)
+        warm_up(sim, node);
+    outcomes_t outcomes = begin_outcomes(sim);
+    for (unsigned node = 0; node < NODES; node++)
+        submit_lookups(&outcomes, node, LARGE_BURST_LOOKUPS);
+    lab_sim_advance(sim, DEADLINE_US);
+    check_all_answered(&outcomes);
+    lab_sim_destroy(sim);
+    g_free(declarations);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -350,6 +369,7 @@
         cmocka_unit_test(test_repeated_stalls_do_not_use_up_attempts),
         cmocka_unit_test(test_stall_is_not_service_time),
         cmocka_unit_test(test_burst_without_stall_is_answered),
+        cmocka_unit_test(test_large_burst_is_queued),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/route/test_decision.c
+++ b/tests/route/test_decision.c
@@ -150,6 +150,32 @@
     assert_int_equal(error, TS_E_PAST_DEADLINE);
 }
 
+// The queue limit must follow the time left. With a fixed limit of eight per slot, a burst after a
+// stall was refused as queue_full although it would have been answered within milliseconds.
+static void test_queue_limit_follows_time_left(void **state)
+{
+    ts_error_t error = TS_OK;
+    ts_admission_input_t input = {.slots = 5,
+                                  .slots_in_use = 5,
+                                  .kind_share_percent = 80,
+                                  .queue_min = 40,
+                                  .queue_max = 320,
+                                  .queue_length = 100,
+                                  .queue_ahead = 100,
+                                  .service_us = 2000,
+                                  .left_us = 160000};
+    assert_int_equal(ts_admission_decide(&input, &error), TS_ADMIT_QUEUE); // 42 of 160 ms
+    input.left_us = 60000;
+    assert_int_equal(ts_admission_decide(&input, &error), TS_ADMIT_REFUSE);
+    assert_int_equal(error, TS_E_QUEUE_FULL);
+    input.queue_length = 39;
+    assert_int_equal(ts_admission_decide(&input, &error), TS_ADMIT_QUEUE); // below queue_min
+    input.left_us = 4000000;
+    input.queue_length = 320;
+    assert_int_equal(ts_admission_decide(&input, &error), TS_ADMIT_REFUSE);
+    assert_int_equal(error, TS_E_QUEUE_FULL);
+}
+
 static void test_rank_rises_with_waiting_time(void **state)
 {
     assert_true(ts_admission_rank(9, 0) > ts_admission_rank(3, 0));
@@ -189,6 +215,7 @@
         cmocka_unit_test(test_budget),
         cmocka_unit_test(test_shedder_adapts_to_overload),
         cmocka_unit_test(test_admission),
+        cmocka_unit_test(test_queue_limit_follows_time_left),
         cmocka_unit_test(test_rank_rises_with_waiting_time),
         cmocka_unit_test(test_keys_move_only_to_new_shard),
     };
