query_unknown and query_refused say how many fragments failed, and why

A gather that ended without coverage logged the fragment that was still in flight, so the line did not tell why the others had failed: in the kept logs of a starved rolling-stop, silence, a used-up retry budget and refusals by owners could not be told apart. The lines now end with failed=N failed_error=NAME, the error of the first failed fragment.

--- a/src/front/query_log.c
+++ b/src/front/query_log.c
@@ -21,6 +21,21 @@
     return failed;
 }
 
+/* Counts the fragments that will not be answered. `*error` is the first one's, or TS_OK. */
+static uint32_t count_failed(const ts_query_t *query, ts_error_t *error)
+{
+    uint32_t count = 0;
+    *error = TS_OK;
+    for (uint32_t i = 0; i < query->fragment_count; i++) {
+        const ts_fragment_t *fragment = &query->fragments[i];
+        if (fragment->state != TS_FRAGMENT_FAILED)
+            continue;
+        if (count++ == 0)
+            *error = fragment->error;
+    }
+    return count;
+}
+
 /* Writes the name of a node to `name` (NAME_SIZE bytes): "self" for TS_PEER_SELF, and its id if it
    is not in the view. */
 static void name_node(const ts_query_t *query, uint64_t peer, char *name)
@@ -40,15 +55,19 @@
     const ts_fragment_t *cause = find_cause(query);
     char node[NAME_SIZE] = "-";
     uint64_t age_us = 0;
+    ts_error_t failed_error = TS_OK;
     if (!ts_log_is_wanted(event))
         return;
     if (cause != NULL && cause->attempts_made > 0)
         name_node(query, cause->last_peer, node);
     if (cause != NULL && cause->attempts_in_flight > 0)
         age_us = ts_clock_now_us() - cause->attempts[0]->sent_us;
-    ts_log(event, "id=%s kind=%s error=%s repeat=%d asked=%s attempts=%u out=%u out_ms=%" PRIu64,
+    uint32_t failed = count_failed(query, &failed_error);
+    ts_log(event,
+           "id=%s kind=%s error=%s repeat=%d asked=%s attempts=%u out=%u out_ms=%" PRIu64
+           " failed=%u failed_error=%s",
            query->request.id == NULL ? "-" : query->request.id, query->request.kind,
            ts_error_name(error), query->request.repeat, node,
            cause == NULL ? 0 : cause->attempts_made, cause == NULL ? 0 : cause->attempts_in_flight,
-           (uint64_t)(age_us / TS_US_PER_MS));
+           (uint64_t)(age_us / TS_US_PER_MS), failed, ts_error_name(failed_error));
 }
