A request that is past its deadline before it leaves the node is refused

Callers saw: "unknown" for requests that may run once and had never left the node, which stood still until after the deadline: 48 of 48, none executed.

Cause: the mesh leaves subrequests out of a frame when their deadline has passed, and told nobody. It now refuses them to the front, as a broker does: past_deadline, not executed.

--- a/include/tealspar/messages.h
+++ b/include/tealspar/messages.h
@@ -105,6 +105,12 @@
 
 ts_subreply_message_t *ts_subreply_message(uint64_t peer);
 
+/**
+ * Refuses the subrequests among `messages` whose deadline has passed. The mesh does not send them
+ * (ts_wire_frame_build()), so they are known not to be executed.
+ */
+void ts_subrequests_refuse_expired(ts_message_t *const *messages, size_t count, ts_task_t *front);
+
 /** Request to a broker to cancel a subrequest; ignored if that has ended. */
 typedef struct ts_cancel_message {
     ts_message_t head;
--- a/lab/sim_mesh.c
+++ b/lab/sim_mesh.c
@@ -161,6 +161,8 @@
     GList *peers = g_list_sort(g_hash_table_get_keys(node->pending), compare_ids);
     for (GList *item = peers; item != NULL; item = item->next) {
         GPtrArray *messages = g_hash_table_lookup(node->pending, item->data);
+        ts_subrequests_refuse_expired((ts_message_t *const *)messages->pdata, messages->len,
+                                      ts_task_find(node->node.tasks, "front"));
         send_pending(node, *(uint64_t *)item->data, messages);
         free_messages(messages);
     }
--- a/src/control/mesh.c
+++ b/src/control/mesh.c
@@ -79,6 +79,8 @@
 /* Sends the pending messages of a peer as one frame. */
 static void flush_peer(peer_t *peer)
 {
+    ts_subrequests_refuse_expired((ts_message_t *const *)peer->pending->pdata, peer->pending->len,
+                                  mesh.front);
     ts_wire_frame_t *frame = ts_wire_frame_build(
         &mesh.identity, (ts_message_t *const *)peer->pending->pdata, peer->pending->len);
     size_t length = ts_wire_frame_size(frame);
--- a/src/kernel/messages.c
+++ b/src/kernel/messages.c
@@ -66,6 +66,28 @@
     return message;
 }
 
+static void refuse_subrequests(const ts_subrequests_message_t *message, ts_task_t *front)
+{
+    for (size_t i = 0; i < message->parts_count; i++) {
+        ts_subreply_message_t *reply = ts_subreply_message(message->peer);
+        reply->subreply.counter = message->parts[i].counter;
+        reply->subreply.error = TS_E_PAST_DEADLINE;
+        reply->subreply.run = TS_EXECUTION_NONE;
+        ts_task_send(front, &reply->head);
+    }
+}
+
+void ts_subrequests_refuse_expired(ts_message_t *const *messages, size_t count, ts_task_t *front)
+{
+    ts_time_us_t now_us = ts_clock_now_us();
+    for (size_t i = 0; i < count; i++) {
+        const ts_subrequests_message_t *message = (const ts_subrequests_message_t *)messages[i];
+        if (messages[i]->type == TS_MESSAGE_SUBREQUESTS && message->work->deadline_us <= now_us) {
+            refuse_subrequests(message, front);
+        }
+    }
+}
+
 static void destroy_plain(ts_message_t *message)
 {
     g_free(message);
--- a/src/proto/wire.c
+++ b/src/proto/wire.c
@@ -40,7 +40,7 @@
     ts_time_us_t now_us = ts_clock_now_us();
     const ts_query_params_t *work = message->work;
     if (work->deadline_us <= now_us) {
-        return; /* past the deadline: the sender no longer waits for the results */
+        return; // see ts_subrequests_refuse_expired()
     }
     TsWire__Subrequests *wire = g_new(TsWire__Subrequests, 1);
     ts_wire__subrequests__init(wire);
--- a/tests/front/test_suspended_member.c
+++ b/tests/front/test_suspended_member.c
@@ -27,12 +27,20 @@
     assert_int_equal(suspension_check(SUBMITTED_AND_SENT, 2100), SUSPENSION_REQUESTS);
 }
 
+// A request that has not left the member when its deadline passes must be refused. Its timer fires
+// first and reports "unknown"; the mesh drops it then, and a local broker refuses it.
+static void test_requests_not_sent_before_deadline_are_not_unknown(void **state)
+{
+    suspension_check(SUBMITTED_ONLY, 2100);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_member_suspended_until_owner_waits_has_no_unknown_outcome),
         cmocka_unit_test(test_replies_of_ended_owner_are_used),
         cmocka_unit_test(test_replies_unread_at_deadline_are_used),
+        cmocka_unit_test(test_requests_not_sent_before_deadline_are_not_unknown),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
