After the loss of a node its replies are read before requests that may run once end unknown

Callers saw: "unknown" for requests that had been executed and answered, when the loss of the connection to their owner was read before the replies.

Cause: a node sends on its own connection and receives on the peer's.

Evidence: test_replies_read_after_loss_of_owner_are_used: 7 of 48 unknown before, all seven executed; none after.

--- a/include/tealspar/query-t.h
+++ b/include/tealspar/query-t.h
@@ -90,6 +90,8 @@
     uint32_t replica_index;   /**< into the fragment's replicas */
     bool is_hedge;
     bool is_overdue; /**< its peer became silent; the reply may still arrive */
+    ts_time_us_t
+        lost_us; /**< unrepeatable: when the connection to its peer was lost; 0: not lost */
 } ts_attempt_t;
 
 /** One shard of a query. */
--- a/src/front/front.c
+++ b/src/front/front.c
@@ -28,6 +28,8 @@
 #define SILENCE_QUANTILE 0.99
 #define SILENCE_SAMPLES_MIN 64U
 #define SILENCE_CHECK_INTERVAL_MS 20
+/* Time to read the replies of a node that has ended, after the loss of the connection to it. */
+#define LOSS_GRACE_US (100ULL * TS_US_PER_MS)
 #define SILENCE_CHECK_INTERVAL_US (SILENCE_CHECK_INTERVAL_MS * TS_US_PER_MS)
 
 ts_kind_stats_t *ts_front_ensure_kind_stats(ts_front_t *front, const char *kind)
@@ -204,28 +206,60 @@
     ts_task_send(peer == TS_PEER_SELF ? front->broker : front->mesh, &message->head);
 }
 
-/* Fails the attempts at a node whose connection is lost. */
-static void fail_attempts_of_peer(ts_front_t *front, uint64_t peer)
+/* Fails attempts at nodes whose connection is lost. */
+static void fail_attempts(ts_front_t *front, const GArray *counters)
+{
+    for (guint i = 0; i < counters->len; i++) {
+        uint64_t counter = g_array_index(counters, uint64_t, i);
+        ts_attempt_t *attempt = g_hash_table_lookup(front->attempts, &counter);
+        if (attempt != NULL) {
+            ts_subreply_t subreply = {.error = TS_E_PEER_LOST, .run = TS_EXECUTION_POSSIBLE};
+            ts_front_send_cancel(front, attempt->peer, counter);
+            ts_query_handle_reply(attempt, &subreply);
+        }
+    }
+}
+
+/*
+ * Handles the loss of the connection to a node. Replies come on a connection of their own and may
+ * not have been read yet: repeatable requests are sent elsewhere at once, unrepeatable ones, which
+ * would end with an unknown outcome, wait for LOSS_GRACE_US.
+ */
+static void handle_peer_loss(ts_front_t *front, uint64_t peer)
 {
     GArray *counters = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     GHashTableIter iterator;
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, front->attempts);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const ts_attempt_t *attempt = value;
-        if (attempt->peer == peer) {
+        ts_attempt_t *attempt = value;
+        if (attempt->peer != peer) {
+            continue;
+        }
+        if (!attempt->query->work->unrepeatable) {
             g_array_append_val(counters, attempt->counter);
+        } else if (attempt->lost_us == 0) {
+            attempt->lost_us = ts_clock_now_us();
         }
     }
-    for (guint i = 0; i < counters->len; i++) {
-        uint64_t counter = g_array_index(counters, uint64_t, i);
-        ts_attempt_t *attempt = g_hash_table_lookup(front->attempts, &counter);
-        if (attempt != NULL) {
-            ts_subreply_t subreply = {.error = TS_E_PEER_LOST, .run = TS_EXECUTION_POSSIBLE};
-            ts_front_send_cancel(front, peer, counter);
-            ts_query_handle_reply(attempt, &subreply);
+    fail_attempts(front, counters);
+    g_array_free(counters, TRUE);
+}
+
+/* Fails unrepeatable requests whose node was lost LOSS_GRACE_US ago. */
+static void expire_lost_attempts(ts_front_t *front, ts_time_us_t now_us)
+{
+    GArray *counters = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, front->attempts);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const ts_attempt_t *attempt = value;
+        if (attempt->lost_us != 0 && now_us - attempt->lost_us >= LOSS_GRACE_US) {
+            g_array_append_val(counters, attempt->counter);
         }
     }
+    fail_attempts(front, counters);
     g_array_free(counters, TRUE);
 }
 
@@ -286,6 +320,8 @@
     if (elapsed_us > 2 * SILENCE_CHECK_INTERVAL_US) {
         // timers fire before sockets are read: replies may have arrived during the stall
         ts_directory_exclude_stall(front->directory, elapsed_us - SILENCE_CHECK_INTERVAL_US);
+    } else {
+        expire_lost_attempts(front, now_us);
     }
     GArray *silent =
         ts_directory_find_silent_peers(front->directory, silence_timeout_us(front), now_us);
@@ -327,7 +363,7 @@
         handle_subreply(front, &((ts_subreply_message_t *)message)->subreply);
         break;
     case TS_MESSAGE_PEER_LOST:
-        fail_attempts_of_peer(front, ((ts_peer_lost_message_t *)message)->peer);
+        handle_peer_loss(front, ((ts_peer_lost_message_t *)message)->peer);
         break;
     case TS_MESSAGE_DECLARATIONS:
         set_declarations(front, ((ts_declarations_message_t *)message)->declarations);
--- a/tests/front/test_suspended_member.c
+++ b/tests/front/test_suspended_member.c
@@ -34,6 +34,13 @@
     suspension_check(SUBMITTED_ONLY, 2100);
 }
 
+// As test_replies_of_ended_owner_are_used. The replies come on the owner's connection, and the loss
+// is that of the member's own: either may be read first.
+static void test_replies_read_after_loss_of_owner_are_used(void **state)
+{
+    suspension_check_within_deadline(SUBMITTED_AND_SENT_LOSS_FIRST, 5000);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -41,6 +48,7 @@
         cmocka_unit_test(test_replies_of_ended_owner_are_used),
         cmocka_unit_test(test_replies_unread_at_deadline_are_used),
         cmocka_unit_test(test_requests_not_sent_before_deadline_are_not_unknown),
+        cmocka_unit_test(test_replies_read_after_loss_of_owner_are_used),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
