The queue bound counts the jobs ahead, and what cannot finish displaces nothing

It compared the time left with the whole queue: a request with nothing ahead of it met a full queue because of a hundred jobs of lower priority, and displaced one of them. One that could not finish was refused as queue_full and displaced a job too. While the service time was unknown, 64 requests per slot were queued without a check of the deadline.

The bound now counts the jobs ahead, cannot_finish comes first below the hard limit, and without a measured service time the limit is eight per slot.

--- a/include/tealspar/admission.h
+++ b/include/tealspar/admission.h
@@ -15,8 +15,8 @@
     uint32_t kind_share_percent;
     uint32_t queue_ahead;  /**< jobs queued at this priority or above */
     uint32_t queue_length; /**< all queued jobs */
-    uint32_t queue_min;    /**< this many may always be queued */
-    uint32_t queue_max;    /**< never more, however soon they are expected to run */
+    uint32_t queue_min;    /**< queue length up to which only the deadline counts */
+    uint32_t queue_max;    /**< limit for requests that are expected to run soon */
     double service_us;     /**< average service time; 0: unknown */
     ts_time_us_t left_us;  /**< time left until the deadline */
 } ts_admission_input_t;
--- a/src/route/admission.c
+++ b/src/route/admission.c
@@ -1,15 +1,13 @@
 /** Admission control at the owner of a backend. */
 #include "tealspar/admission.h"
 
-#include <math.h>
-
 #define PERCENT 100U
 /* Waiting time that raises the rank of a job by one priority level. */
 #define AGING_US 25000.0
 /*
- * A queue may take up to this share of a request's remaining time. The rest is left for the errors
- * of the estimate: with the whole time, an overloaded queue consists of requests that finish too
- * late.
+ * A queue longer than queue_min may take up to this share of a request's remaining time. The rest
+ * is left for the errors of the estimate: with the whole time, an overloaded queue consists of
+ * requests that finish too late.
  */
 #define QUEUE_TIME_SHARE 0.5
 
@@ -20,15 +18,19 @@
     return slots_in_use < slots && kind_in_use < share;
 }
 
-/* The number of jobs that are expected to leave the queue within the allowed time. */
-static uint32_t queue_limit(const ts_admission_input_t *input)
+/* Time until the request has run, if all jobs ahead of it run first. */
+static double expected_us(const ts_admission_input_t *input)
 {
     double slots = input->slots > 0 ? input->slots : 1;
-    if (input->service_us <= 0) {
-        return input->queue_max;
-    }
-    double limit = QUEUE_TIME_SHARE * (double)input->left_us / input->service_us * slots;
-    return (uint32_t)fmin(fmax(limit, input->queue_min), input->queue_max);
+    return input->service_us * (1.0 + (input->queue_ahead + 1) / slots);
+}
+
+static bool is_queue_full(const ts_admission_input_t *input)
+{
+    bool is_measured = input->service_us > 0;
+    bool is_soon = is_measured && expected_us(input) <= QUEUE_TIME_SHARE * (double)input->left_us;
+    uint32_t limit = is_soon ? input->queue_max : input->queue_min;
+    return input->queue_length >= limit;
 }
 
 ts_admission_t ts_admission_decide(const ts_admission_input_t *input, ts_error_t *error)
@@ -43,14 +45,12 @@
                               input->kind_share_percent)) {
         return TS_ADMIT_RUN;
     }
-    if (input->queue_length >= queue_limit(input)) {
-        *error = TS_E_QUEUE_FULL;
+    if (input->queue_length < input->queue_max && expected_us(input) > (double)input->left_us) {
+        *error = TS_E_CANNOT_FINISH;
         return TS_ADMIT_REFUSE;
     }
-    double slots = input->slots > 0 ? input->slots : 1;
-    double expected_us = input->service_us * (1.0 + (input->queue_ahead + 1) / slots);
-    if (expected_us > (double)input->left_us) {
-        *error = TS_E_CANNOT_FINISH;
+    if (is_queue_full(input)) {
+        *error = TS_E_QUEUE_FULL;
         return TS_ADMIT_REFUSE;
     }
     return TS_ADMIT_QUEUE;
