An owner takes only the last stall off a service time, and opens no slot before the health check

From a review. (1) All stalls since a request was sent were taken off its service time, but searchers work through them; only the stall after which the result is read can have delayed it. (2) Older: a result read after a stall allowed a slot again while the back end was still being checked; one that had left meanwhile got 120 requests more than three seconds after it left. (3) A health result did not notice a stall before it started jobs. (4) With 320 jobs queued, choosing the next one compared kinds for each of them; a full backend and the kind without a slot are now passed over first.

--- a/src/broker/broker.c
+++ b/src/broker/broker.c
@@ -11,7 +11,7 @@
 #define TICK_MS 10
 /* A longer gap between two runs of the broker is a stall of the process. */
 #define STALL_THRESHOLD_US (1000ULL * TS_US_PER_MS)
-/* A run of the broker that is later than this counts as stalled time in measurements. */
+/* A run of the broker that is late by more than this is excluded from measured service times. */
 #define LATE_RUN_MIN_US (10ULL * TS_US_PER_MS)
 /* Time after a stall during which nothing unrepeatable is dispatched. */
 #define STALL_FENCE_US (3ULL * TS_US_PER_S)
@@ -357,7 +357,8 @@
     broker->last_run_us = now_us;
     broker->is_run_late = elapsed_us > period_us + LATE_RUN_MIN_US;
     if (broker->is_run_late) {
-        broker->stalled_us += elapsed_us - period_us;
+        broker->stalled_us = elapsed_us - period_us;
+        broker->stall_end_us = now_us;
     }
     if (elapsed_us <= STALL_THRESHOLD_US) {
         return;
--- a/src/broker/broker_internal.h
+++ b/src/broker/broker_internal.h
@@ -18,8 +18,7 @@
     ts_query_params_t *work;  /**< of the query; referenced until the job is freed */
     ts_searcher_call_t *call; /**< NULL while waiting */
     ts_time_us_t received_us;
-    ts_time_us_t started_us;        /**< when it was sent to the searcher; 0: not sent */
-    ts_time_us_t stalled_before_us; /**< the broker's stalled_us at that time */
+    ts_time_us_t started_us; /**< when it was sent to the searcher; 0: not sent */
 } ts_job_t;
 
 /** State of a backend as known to its owner. */
@@ -74,7 +73,8 @@
     ts_timer_t handover_timer;   /**< releases all backends HANDOVER_MS after the stop */
     ts_time_us_t last_run_us;    /**< when the broker last ran, to detect stalls */
     bool is_run_late;            /**< results may have arrived that have not been read yet */
-    ts_time_us_t stalled_us;     /**< total time by which its runs were late */
+    ts_time_us_t stalled_us;     /**< by how much its last late run was late */
+    ts_time_us_t stall_end_us;   /**< when that run began; 0: none */
     ts_time_us_t fence_until_us; /**< after a stall: no unrepeatable dispatch until then */
     /** Wall clock; before this time other nodes may have owned the same backends. 0: not set yet.
      */
@@ -105,8 +105,8 @@
 void ts_owned_refuse_waiting(ts_owned_backend_t *owned, ts_error_t error);
 /** Ends jobs whose deadline has passed, starts waiting jobs, and checks the health when due. */
 void ts_owned_tick(ts_owned_backend_t *owned, ts_time_us_t now_us);
-/** Detects that the process did not run for a time, and adds it to `stalled_us`. Called before the
- * broker handles anything. */
+/** Detects that the process did not run for a time; called when a timer, message or result is
+ * handled. */
 void ts_broker_detect_stall(ts_broker_t *broker);
 /** Name of the shard if the backend serves it by its declaration, else NULL. */
 const char *ts_owned_find_shard(const ts_owned_backend_t *owned, uint64_t shard);
--- a/src/broker/owned.c
+++ b/src/broker/owned.c
@@ -10,6 +10,8 @@
 #define QUEUE_MIN_PER_SLOT 8U
 #define QUEUE_MAX_PER_SLOT 64U
 #define SERVICE_EWMA_ALPHA 0.1
+/* Results that arrived during a stall are handled within this time of its end. */
+#define BACKLOG_US (5ULL * TS_US_PER_MS)
 #define HEALTH_INTERVAL_US (1000ULL * TS_US_PER_MS)
 /* How long a drain reported in a reply takes precedence over the health check. */
 #define DRAIN_REPORT_TTL_US (3ULL * TS_US_PER_S)
@@ -121,7 +123,9 @@
             ? service
             : owned->service_us + SERVICE_EWMA_ALPHA * (service - owned->service_us);
     ts_observe_us(TS_HISTOGRAM_SERVICE_TIME, subreply->service_us);
-    owned->slots_allowed = MIN(owned->slots_allowed + 1, owned->slots);
+    if (owned->state != TS_OWNED_CHECKING) {
+        owned->slots_allowed = MIN(owned->slots_allowed + 1, owned->slots);
+    }
 }
 
 /* Updates service time, usable slots and state of a backend by the outcome of a request. */
@@ -150,11 +154,17 @@
     }
 }
 
-/* Excludes the time for which this process did not run: the result may have waited unread. */
+/* Excludes the stall of this process after which the result is read. Earlier stalls did not delay
+   it. */
 static void exclude_stalls(const ts_job_t *job, ts_subreply_t *subreply)
 {
+    const ts_broker_t *broker = job->broker;
+    ts_time_us_t now_us = ts_clock_now_us();
     ts_broker_detect_stall(job->broker);
-    ts_time_us_t stalled_us = job->broker->stalled_us - job->stalled_before_us;
+    if (broker->stall_end_us == 0 || now_us - broker->stall_end_us > BACKLOG_US) {
+        return;
+    }
+    ts_time_us_t stalled_us = MIN(broker->stalled_us, now_us - job->started_us);
     subreply->service_us -= (uint32_t)MIN(stalled_us, subreply->service_us);
 }
 
@@ -176,7 +186,6 @@
 static void run_job(ts_owned_backend_t *owned, ts_job_t *job)
 {
     job->started_us = ts_clock_now_us();
-    job->stalled_before_us = job->broker->stalled_us;
     g_ptr_array_add(owned->running, job);
     ts_count(TS_COUNTER_BROKER_SLOTS_IN_USE, 1);
     ts_count(TS_COUNTER_SEARCHER_REQUESTS, 1);
@@ -191,14 +200,23 @@
 {
     ts_job_t *best = NULL;
     double best_rank = -1;
+    const char *full_kind = NULL; // the last kind found without a free slot
+    if (owned->running->len >= owned->slots_allowed) {
+        return NULL;
+    }
     for (guint i = 0; i < owned->waiting->len; i++) {
         ts_job_t *job = g_ptr_array_index(owned->waiting, i);
+        const char *kind = job->work->kind;
         double rank = ts_admission_rank(job->work->priority, now_us - job->received_us);
-        if (rank > best_rank && ts_admission_has_slot(owned->slots_allowed, owned->running->len,
-                                                      count_kind(owned, job->work->kind),
-                                                      job->work->slot_share_percent)) {
+        if (rank <= best_rank || (full_kind != NULL && strcmp(kind, full_kind) == 0)) {
+            continue;
+        }
+        if (ts_admission_has_slot(owned->slots_allowed, owned->running->len,
+                                  count_kind(owned, kind), job->work->slot_share_percent)) {
             best = job;
             best_rank = rank;
+        } else {
+            full_kind = kind;
         }
     }
     return best;
@@ -395,6 +413,7 @@
     static const ts_owned_state_t states[] = {TS_OWNED_UNREACHABLE, TS_OWNED_STARTING,
                                               TS_OWNED_SERVING, TS_OWNED_DRAINING};
     ts_owned_backend_t *owned = context;
+    ts_broker_detect_stall(owned->broker);
     owned->is_health_pending = false;
     if (owned->is_health_stale) {
         owned->is_health_stale = false;
