Silence: late checks are repeated, overdue repeats move, retries wait for the budget and for live replicas

A late check is now repeated 1 ms later, once, after the sockets have been read. Overdue subrequests now move only to replicas whose owner is not silent.

--- a/include/tealspar/directory.h
+++ b/include/tealspar/directory.h
@@ -63,18 +63,15 @@
 void ts_directory_note_sent(ts_directory_t *directory, uint64_t peer, ts_time_us_t now_us);
 /** Marks the peer as not silent, as a reply arrived. Does not change the outstanding subrequests.
  */
-void ts_directory_note_reply(ts_directory_t *directory, uint64_t peer);
+void ts_directory_note_reply(ts_directory_t *directory, uint64_t peer, ts_time_us_t now_us);
 /** Removes a subrequest that was replied to, failed or cancelled from the outstanding ones. */
 void ts_directory_note_ended(ts_directory_t *directory, uint64_t peer);
-/**
- * Excludes a time in which this node did not run from the time that its peers have not replied: a
- * reply that arrived meanwhile has not been read yet.
- */
-void ts_directory_exclude_stall(ts_directory_t *directory, ts_time_us_t span_us);
+/** Whether ts_directory_find_silent_peers() marked the peer, and it has not replied since. */
+bool ts_directory_is_silent(ts_directory_t *directory, uint64_t peer);
 /**
  * Marks and returns the peers that have become silent since the last call: several subrequests are
- * outstanding (SILENT_OUTSTANDING_MIN), and `timeout_us` has passed without a reply since the first
- * one that was sent after the last reply. May include TS_PEER_SELF. Returns an array of uint64_t
+ * outstanding (SILENT_OUTSTANDING_MIN), and `timeout_us` has passed without a reply, since the last
+ * one or since the first of them was sent. May include TS_PEER_SELF. Returns an array of uint64_t
  * ids, freed by the caller.
  */
 GArray *ts_directory_find_silent_peers(ts_directory_t *directory, ts_time_us_t timeout_us,
--- a/src/front/directory.c
+++ b/src/front/directory.c
@@ -21,7 +21,8 @@
 typedef struct peer_record {
     uint64_t id;
     uint32_t outstanding;             /* subrequests not ended yet */
-    ts_time_us_t unanswered_since_us; /* first send after its last reply; 0: no send since */
+    ts_time_us_t unanswered_since_us; /* its last reply, or the first send if nothing was
+                                         outstanding then; 0: nothing is outstanding */
     ts_time_us_t next_probe_us;       /* when a silent peer may be tried again; unused otherwise */
     bool is_silent;
 } peer_record_t;
@@ -178,10 +179,11 @@
     }
 }
 
-void ts_directory_note_reply(ts_directory_t *directory, uint64_t id)
+void ts_directory_note_reply(ts_directory_t *directory, uint64_t id, ts_time_us_t now_us)
 {
     peer_record_t *peer = ensure_peer(directory, id);
-    peer->unanswered_since_us = 0;
+    bool is_more_outstanding = peer->outstanding > 1; // this one counts until it has ended
+    peer->unanswered_since_us = is_more_outstanding ? now_us : 0;
     peer->is_silent = false;
 }
 
@@ -190,17 +192,9 @@
     ensure_peer(directory, id)->outstanding--;
 }
 
-void ts_directory_exclude_stall(ts_directory_t *directory, ts_time_us_t span_us)
+bool ts_directory_is_silent(ts_directory_t *directory, uint64_t id)
 {
-    GHashTableIter iterator;
-    gpointer value = NULL;
-    g_hash_table_iter_init(&iterator, directory->peers);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        peer_record_t *peer = value;
-        if (peer->unanswered_since_us != 0) {
-            peer->unanswered_since_us += span_us;
-        }
-    }
+    return ensure_peer(directory, id)->is_silent;
 }
 
 GArray *ts_directory_find_silent_peers(ts_directory_t *directory, ts_time_us_t timeout_us,
@@ -213,7 +207,7 @@
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         peer_record_t *peer = value;
         if (!peer->is_silent && peer->outstanding >= SILENT_OUTSTANDING_MIN &&
-            peer->unanswered_since_us != 0 && now_us > peer->unanswered_since_us + timeout_us) {
+            peer->unanswered_since_us != 0 && now_us - peer->unanswered_since_us > timeout_us) {
             peer->is_silent = true;
             peer->next_probe_us = now_us + SILENT_PROBE_INTERVAL_US;
             g_array_append_val(silent, peer->id);
--- a/src/front/dispatch.c
+++ b/src/front/dispatch.c
@@ -121,6 +121,11 @@
     }
 }
 
+bool ts_attempt_is_measurable(const ts_attempt_t *attempt)
+{
+    return attempt->sent_us >= attempt->query->front->stalled_until_us;
+}
+
 /* The age of a cancelled attempt is a lower bound of its latency. Hedges do not enter the
  * histogram. */
 static void record_cancelled(const ts_attempt_t *attempt)
@@ -129,7 +134,7 @@
     ts_time_us_t age_us = now_us - attempt->sent_us;
     ts_directory_record_cancelled(attempt->query->front->directory, attempt->replica, age_us,
                                   now_us);
-    if (!attempt->is_hedge) {
+    if (!attempt->is_hedge && ts_attempt_is_measurable(attempt)) {
         ts_histogram_add(&attempt->query->stats->latencies, age_us);
     }
 }
--- a/src/front/front.c
+++ b/src/front/front.c
@@ -30,6 +30,7 @@
 #define SILENCE_CHECK_INTERVAL_MS 20
 /* Time to read the replies of a node that has ended, after the loss of the connection to it. */
 #define LOSS_GRACE_US (100ULL * TS_US_PER_MS)
+#define SILENCE_RECHECK_MS 1
 #define SILENCE_CHECK_INTERVAL_US (SILENCE_CHECK_INTERVAL_MS * TS_US_PER_MS)
 
 ts_kind_stats_t *ts_front_ensure_kind_stats(ts_front_t *front, const char *kind)
@@ -196,7 +197,7 @@
         ts_count(TS_COUNTER_SUBREPLIES_UNMATCHED, 1);
         return;
     }
-    ts_directory_note_reply(front->directory, attempt->peer);
+    ts_directory_note_reply(front->directory, attempt->peer, ts_clock_now_us());
     ts_query_handle_reply(attempt, subreply);
 }
 
@@ -263,26 +264,31 @@
     g_array_free(counters, TRUE);
 }
 
-/* Moves the attempts at a silent node to other replicas, in one step per query. */
+/* Marks the attempts at a silent node as overdue, and sends what can be sent elsewhere. */
 static void retry_attempts_of_peer(ts_front_t *front, uint64_t peer)
 {
     GHashTable *queries = g_hash_table_new(g_direct_hash, g_direct_equal);
+    GPtrArray *order = g_ptr_array_new(); // the set's own order differs between runs
     GHashTableIter iterator;
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, front->attempts);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         ts_attempt_t *attempt = value;
-        if (attempt->peer == peer) {
-            ts_query_handle_overdue(attempt);
-            g_hash_table_add(queries, attempt->query);
+        if (attempt->peer != peer) {
+            continue;
+        }
+        ts_query_handle_overdue(attempt);
+        if (g_hash_table_add(queries, attempt->query)) {
+            g_ptr_array_add(order, attempt->query);
         }
     }
-    g_hash_table_iter_init(&iterator, queries);
-    while (g_hash_table_iter_next(&iterator, &value, NULL)) {
-        if (g_hash_table_contains(front->queries, value)) { // not ended by an earlier step
-            ts_query_step(value);
+    for (guint i = 0; i < order->len; i++) {
+        ts_query_t *query = g_ptr_array_index(order, i);
+        if (g_hash_table_contains(front->queries, query)) { // not ended by an earlier step
+            ts_query_step(query);
         }
     }
+    g_ptr_array_free(order, TRUE);
     g_hash_table_destroy(queries);
 }
 
@@ -307,6 +313,21 @@
     return timeout_us;
 }
 
+/*
+ * Whether a check is to be repeated, because it was late: timers fire before sockets are read, and
+ * replies may have arrived while this process did not run. A repeated check is not late.
+ */
+static bool is_check_late(ts_front_t *front, ts_time_us_t now_us)
+{
+    bool is_late = now_us - front->silence_checked_us > 2 * SILENCE_CHECK_INTERVAL_US;
+    front->silence_checked_us = now_us;
+    if (is_late) {
+        front->stalled_until_us = now_us;
+    }
+    front->is_silence_recheck = is_late && !front->is_silence_recheck;
+    return front->is_silence_recheck;
+}
+
 static void check_silence(ts_timer_t *timer)
 {
     ts_front_t *front = timer->data;
@@ -315,14 +336,11 @@
         return;
     }
     ts_time_us_t now_us = ts_clock_now_us();
-    ts_time_us_t elapsed_us = now_us - front->silence_checked_us;
-    front->silence_checked_us = now_us;
-    if (elapsed_us > 2 * SILENCE_CHECK_INTERVAL_US) {
-        // timers fire before sockets are read: replies may have arrived during the stall
-        ts_directory_exclude_stall(front->directory, elapsed_us - SILENCE_CHECK_INTERVAL_US);
-    } else {
-        expire_lost_attempts(front, now_us);
+    if (is_check_late(front, now_us)) {
+        ts_timer_start(timer, SILENCE_RECHECK_MS, SILENCE_CHECK_INTERVAL_MS);
+        return;
     }
+    expire_lost_attempts(front, now_us);
     GArray *silent =
         ts_directory_find_silent_peers(front->directory, silence_timeout_us(front), now_us);
     for (guint i = 0; i < silent->len; i++) {
--- a/src/front/front_internal.h
+++ b/src/front/front_internal.h
@@ -35,6 +35,8 @@
     uint64_t random_state;
     ts_timer_t silence_timer;        /**< checks for silent peers */
     ts_time_us_t silence_checked_us; /**< when that timer was started or last fired */
+    bool is_silence_recheck;         /**< the next check repeats a late one */
+    ts_time_us_t stalled_until_us;   /**< when a late check was last noticed; 0: never */
     ts_timer_t lame_duck_timer; /**< fires LAME_DUCK_MS after the stop; then queries are refused */
     bool has_been_ready;
     bool has_stopped_accepting; /**< queries are refused */
@@ -111,6 +113,9 @@
  */
 void ts_attempt_end(ts_attempt_t *attempt, bool cancel);
 
+/** Whether the age of an attempt is a latency: this process did not stall since it was sent. */
+bool ts_attempt_is_measurable(const ts_attempt_t *attempt);
+
 /** Merges the hits of a snapshot and calls the query's callback with the answer. */
 void ts_query_deliver_answer(ts_query_t *query, uint64_t snapshot);
 /** Logs why a query ended without an answer. */
--- a/src/front/query.c
+++ b/src/front/query.c
@@ -10,6 +10,7 @@
 
 #define CANDIDATES_MAX 64U
 #define RETRY_BACKOFF_US 10000ULL
+#define DENIED_RETRY_INTERVAL_US 50000ULL
 #define RETRY_AFTER_MIN_MS 1000U
 /* At this number of samples the latency histogram decays by half. */
 #define LATENCY_SAMPLES_MAX 8192U
@@ -212,6 +213,16 @@
     }
 }
 
+static bool has_punctual_attempt(const ts_fragment_t *fragment)
+{
+    for (uint32_t i = 0; i < fragment->attempts_in_flight; i++) {
+        if (!fragment->attempts[i]->is_overdue) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void cancel_attempts(ts_fragment_t *fragment)
 {
     while (fragment->attempts_in_flight > 0) {
@@ -226,6 +237,17 @@
     cancel_attempts(fragment);
 }
 
+/* Handles a retry that the budget denied. While an overdue attempt may be replied to, the retry is
+   tried again. */
+static void delay_or_end_retries(ts_fragment_t *fragment, ts_time_us_t now_us)
+{
+    if (fragment->attempts_in_flight > 0) {
+        fragment->retry_at_us = now_us + DENIED_RETRY_INTERVAL_US;
+    } else {
+        fail_fragment(fragment, fragment->error);
+    }
+}
+
 static void send_due_retries(ts_dispatch_t *dispatch, ts_query_t *query, uint64_t snapshot,
                              ts_time_us_t now_us)
 {
@@ -236,7 +258,7 @@
         }
         if (!ts_budget_spend(&query->stats->retries)) {
             ts_count(TS_COUNTER_RETRIES_DENIED, 1);
-            fail_fragment(fragment, fragment->error);
+            delay_or_end_retries(fragment, now_us);
             continue;
         }
         ts_count(TS_COUNTER_RETRIES, 1);
@@ -251,11 +273,12 @@
     for (uint32_t i = 0; i < query->fragment_count; i++) {
         ts_fragment_t *fragment = &query->fragments[i];
         bool is_denied = fragment->denied[0] == snapshot || fragment->denied[1] == snapshot;
-        if (fragment->state != TS_FRAGMENT_ANSWERED || fragment->attempts_in_flight > 0 ||
+        if (fragment->state != TS_FRAGMENT_ANSWERED || has_punctual_attempt(fragment) ||
             is_denied || has_answer(fragment, snapshot) || !may_send_again(fragment)) {
             continue;
         }
         ts_count(TS_COUNTER_SNAPSHOT_ASKED_AGAIN, 1);
+        replace_overdue_attempts(fragment);
         send_fragment(dispatch, query, i, snapshot, false);
     }
 }
@@ -447,15 +470,19 @@
     }
 }
 
-/* Stores a successful reply and cancels the fragment's other attempts. */
-static void handle_answer(ts_query_t *query, ts_fragment_t *fragment, ts_subreply_t *subreply,
-                          ts_time_us_t latency_us, uint64_t wanted)
+static void record_latency(const ts_query_t *query, ts_time_us_t latency_us)
 {
     if (query->stats->latencies.total >= LATENCY_SAMPLES_MAX) {
         ts_histogram_decay(&query->stats->latencies);
     }
     ts_histogram_add(&query->stats->latencies, latency_us);
     ts_observe_us(TS_HISTOGRAM_SUBREQUEST_LATENCY, latency_us);
+}
+
+/* Stores a successful reply and cancels the fragment's other attempts. */
+static void handle_answer(ts_query_t *query, ts_fragment_t *fragment, ts_subreply_t *subreply,
+                          uint64_t wanted)
+{
     record_denied_snapshot(fragment, wanted, subreply->snapshot);
     store_answer(fragment, subreply);
     fragment->state = TS_FRAGMENT_ANSWERED;
@@ -476,10 +503,16 @@
     return (fragment->tried & all) != all;
 }
 
-static bool has_attempt_in_time(const ts_fragment_t *fragment)
+/* Whether some replica has not been tried yet whose owner is not silent. */
+static bool has_untried_live_replica(const ts_query_t *query, const ts_fragment_t *fragment)
 {
-    for (uint32_t i = 0; i < fragment->attempts_in_flight; i++) {
-        if (!fragment->attempts[i]->is_overdue) {
+    ts_directory_t *directory = query->front->directory;
+    for (uint32_t i = 0; i < fragment->replica_count; i++) {
+        const ts_backend_t *backend = &query->declarations->backends[fragment->replicas[i]];
+        const ts_view_member_t *owner = ts_directory_owner(directory, backend);
+        bool is_tried = (fragment->tried >> i & 1U) != 0;
+        if (!is_tried && owner != NULL &&
+            (owner->is_self || !ts_directory_is_silent(directory, owner->id))) {
             return true;
         }
     }
@@ -495,7 +528,7 @@
        have executed an earlier send of a repeat; see is_checked_by_owner(). */
     fragment->may_have_run |=
         subreply->run == TS_EXECUTION_COMPLETED || subreply->run == TS_EXECUTION_POSSIBLE;
-    if (has_attempt_in_time(fragment)) {
+    if (has_punctual_attempt(fragment)) {
         return;
     }
     if (!may_retry(query, fragment)) {
@@ -519,9 +552,13 @@
     uint64_t wanted = attempt->wanted_snapshot;
     ts_directory_record_reply(query->front->directory, attempt->replica, subreply, latency_us,
                               now_us);
+    bool is_measurable = ts_attempt_is_measurable(attempt);
     ts_attempt_end(attempt, false);
     if (subreply->error == TS_OK) {
-        handle_answer(query, fragment, subreply, latency_us, wanted);
+        if (is_measurable) {
+            record_latency(query, latency_us);
+        }
+        handle_answer(query, fragment, subreply, wanted);
     } else {
         handle_failure(query, fragment, subreply);
     }
@@ -533,8 +570,12 @@
     const ts_query_t *query = attempt->query;
     ts_fragment_t *fragment = &query->fragments[attempt->fragment_index];
     attempt->is_overdue = true;
-    if (fragment->state == TS_FRAGMENT_WAITING && !has_attempt_in_time(fragment) &&
-        has_untried_replica(fragment) && may_retry(query, fragment)) {
+    if (fragment->state != TS_FRAGMENT_WAITING || has_punctual_attempt(fragment)) {
+        return;
+    }
+    if (fragment->answers_count > 0) {
+        fragment->state = TS_FRAGMENT_ANSWERED; // see send_snapshot_repeats()
+    } else if (may_retry(query, fragment) && has_untried_live_replica(query, fragment)) {
         fragment->state = TS_FRAGMENT_BACKOFF;
         fragment->retry_at_us = ts_clock_now_us();
     }
