Membership notices a stall that ends with the loss of a connection

A node that stood still for 30 s and then read the loss of a connection before its timer fired kept its quorum and suspected the peer: that handler set the clock without looking for a stall.

Found by a search for other places that judge a deadline after a stall. Evidence: test_no_quorum_if_stall_ends_with_disconnect fails before; test_no_quorum_after_stall, its control, passes before.

--- a/src/control/membership_probe.c
+++ b/src/control/membership_probe.c
@@ -152,7 +152,7 @@
 void ts_membership_handle_peer_lost(ts_membership_t *m, const char *name, ts_time_us_t now_us)
 {
     member_t *member = ts_member_find_member(m, name);
-    m->now_us = now_us;
+    ts_member_advance_clock(m, now_us);
     if (member == NULL || member == m->self || !ts_member_is_active(member)) {
         return;
     }
