test_quotas: bring the change of the home about that test_silent_home waits for

test_silent_home and test_silent_home_in_two_zones ask that some home is known after 4 s, which the silent one satisfies, and send their requests at whatever moment of the change of views that falls on. So they pass without the fixes that they led to.

The old checks stay. Both tests then wait until the node sees a home other than the silent one and ask that 12 requests a second are served for two seconds (rate 20). Two tests order the events of the change itself: the node's view changes, its claim goes to the new home, which answers or doesn't, then six requests arrive.

--- a/tests/gateway/test_quotas.c
+++ b/tests/gateway/test_quotas.c
@@ -5,10 +5,15 @@
 #include <string.h>
 
 #include "tealspar/peers.h"
+#include "tealspar/rate_limiter.h"
 
 #define NODES 4
 /* quota_window_ms of add_node_with_tolerance. */
 #define QUOTA_WINDOW_US (5 * TS_US_PER_S)
+/* Longest wait for a node to take another one for home after the home fell silent. */
+#define NEW_HOME_WAIT_MS 20000
+/* An unanswered claim is repeated by then (CLAIM_RETRY_US in rate_lease.c). */
+#define CLAIM_RETRY_MS 50
 #define ROUTE_A SERVICE_ROUTE_JSON("one", "/p/", "idempotent", "a", 1500)
 #define TENANTS(rate, burst)                                                                       \
     "{\"name\":\"red\",\"apiKeys\":[\"r\"],\"ratePerS\":" #rate ",\"burst\":" #burst "},"          \
@@ -163,6 +168,30 @@
     return 0;
 }
 
+/* Index of the home node of tenant red in a node's view; NODES if it knows none. */
+static unsigned find_home_in_view(const fleet_t *fleet, unsigned node)
+{
+    const char *address = NULL;
+    if (ts_peers_find_rate_home(fleet->nodes[node]->peers, "red", &address) == TS_RATE_ISSUER_NONE)
+        return NODES;
+    for (unsigned i = 0; i < NODES; i++)
+        if (strcmp(address, ts_gateway_settings_peer_address(fleet->nodes[i]->settings)) == 0)
+            return i;
+    return NODES;
+}
+
+/* Runs until the home in a node's view is neither unknown nor `previous`; returns the home. */
+static unsigned await_new_home(const fleet_t *fleet, unsigned node, unsigned previous)
+{
+    unsigned home = find_home_in_view(fleet, node);
+    for (int i = 0; i < NEW_HOME_WAIT_MS / 2 && (home == previous || home == NODES); i++) {
+        fixture_run_ms(fleet->fixture, 2);
+        home = find_home_in_view(fleet, node);
+    }
+    assert_true(home != previous && home != NODES);
+    return home;
+}
+
 /* One limit applies to the requests of all nodes together. */
 static void test_limit_is_shared_by_all_nodes(void **state)
 {
@@ -181,6 +210,21 @@
     assert_int_equal(count_responses(fleet.fixture, fleet.callers_ports, NODES, 8, 200), 8);
 }
 
+/*
+ * The home that a node knows may still be the silent one. Waits until it is another one and asserts
+ * that requests at 12/s are served there for 2 s: faults in what the new home assumes of the others
+ * show after a second (SILENT_US in rate_account.c).
+ */
+static void assert_new_home_serves(const fleet_t *fleet, unsigned node, unsigned silent)
+{
+    (void)await_new_home(fleet, node, silent);
+    for (int i = 0; i < 4; i++) {
+        fixture_run_ms(fleet->fixture, 500);
+        assert_int_equal(count_responses(fleet->fixture, &fleet->callers_ports[node], 1, 6, 200),
+                         6);
+    }
+}
+
 /* The home node stops sending. Another node goes on serving and knows a home again after 4 s. */
 static void test_silent_home(void **state)
 {
@@ -195,6 +239,7 @@
     ts_rate_issuer_t issuer = ts_peers_find_rate_home(fleet.nodes[other]->peers, "red", &address);
     assert_true(issuer != TS_RATE_ISSUER_NONE);
     assert_int_equal(count_responses(fleet.fixture, &fleet.callers_ports[other], 1, 6, 200), 6);
+    assert_new_home_serves(&fleet, other, home_index);
 }
 
 /*
@@ -216,6 +261,66 @@
     ts_rate_issuer_t issuer = ts_peers_find_rate_home(fleet.nodes[other]->peers, "red", &address);
     assert_true(issuer != TS_RATE_ISSUER_NONE);
     assert_int_equal(count_responses(fleet.fixture, &fleet.callers_ports[other], 1, 6, 200), 6);
+    assert_new_home_serves(&fleet, other, home_index);
+}
+
+/*
+ * Opens a fleet whose home fell silent; another node (`*node`) has learned just now that it was
+ * replaced, and has not sent a claim to the new home yet.
+ */
+static fleet_t open_fleet_at_home_change(unsigned *node, unsigned *new_home)
+{
+    fleet_t fleet = open_fleet(CONFIGURATION(1, TENANTS(20, 10)));
+    unsigned home_index = find_home(&fleet);
+    *node = (home_index + 1) % NODES;
+    assert_int_equal(count_responses(fleet.fixture, &fleet.callers_ports[*node], 1, 8, 200), 8);
+    ts_peers_set_mute(fleet.nodes[home_index]->peers, true);
+    assert_int_equal(count_responses(fleet.fixture, &fleet.callers_ports[*node], 1, 1, 200), 1);
+    *new_home = await_new_home(&fleet, *node, home_index);
+    assert_int_not_equal(*new_home, *node); // else no claim is sent
+    return fleet;
+}
+
+/* Lets a node send a claim, which it would otherwise do within 250 ms or with the next request. */
+static void send_claim(const fleet_t *fleet, unsigned node)
+{
+    fixture_run_ms(fleet->fixture, CLAIM_RETRY_MS);
+    ts_rate_limiter_tick(fleet->nodes[node]->limiter, ts_clock_now_us());
+}
+
+static void assert_burst_is_served(const fleet_t *fleet, unsigned node)
+{
+    unsigned served = count_responses(fleet->fixture, &fleet->callers_ports[node], 1, 6, 200);
+    if (served < 6)
+        print_error("%u of 6 requests served\n", served);
+    assert_int_equal(served, 6);
+}
+
+/*
+ * A new home starts with an empty bucket. The tokens that a node accumulated on its own must not be
+ * lost when it lends its fallback rate to the new home.
+ */
+static void test_requests_after_first_claim_to_new_home(void **state)
+{
+    unsigned node = 0;
+    unsigned new_home = 0;
+    fleet_t fleet = open_fleet_at_home_change(&node, &new_home);
+    send_claim(&fleet, node);
+    assert_burst_is_served(&fleet, node);
+}
+
+/*
+ * A node that is taken for the new home may not answer, as by its own view the silent one is still
+ * home. The tokens accumulated must not be handed over with the first claim.
+ */
+static void test_requests_after_unanswered_claim_to_new_home(void **state)
+{
+    unsigned node = 0;
+    unsigned new_home = 0;
+    fleet_t fleet = open_fleet_at_home_change(&node, &new_home);
+    ts_peers_set_mute(fleet.nodes[new_home]->peers, true);
+    send_claim(&fleet, node);
+    assert_burst_is_served(&fleet, node);
 }
 
 /*
@@ -337,6 +442,8 @@
         cmocka_unit_test(test_use_below_limit_is_served_everywhere),
         cmocka_unit_test(test_silent_home),
         cmocka_unit_test(test_silent_home_in_two_zones),
+        cmocka_unit_test(test_requests_after_first_claim_to_new_home),
+        cmocka_unit_test(test_requests_after_unanswered_claim_to_new_home),
         cmocka_unit_test(test_silent_home_without_tolerance),
         cmocka_unit_test(test_suspected_home_keeps_the_limit),
         cmocka_unit_test(test_home_that_receives_nothing_stops_granting),
