A node spends its fallback rate until a claim lends it

Callers saw: requests below their tenant's limit refused with 429 for up to half a second after the home of the limit fell silent (0 or 2 of 6 served).

Cause: a claim that goes out while the issuer is silent lends nothing, and the issuer withholds the node's fallback rate. The answer, which has no tokens at a new home, still ended the node's spending of that rate, so it was granted by nobody until the next claim, which waits for as long as the answer says.

Ruled out: tokens handed over too early (saved is 0.00 in each claim).

The node now spends the rate as before the answer and reports it with the next claim, as the issuer expects of a claim that lent nothing. It does not if another issuer had the rate last.

--- a/src/route/rate_lease.c
+++ b/src/route/rate_lease.c
@@ -126,6 +126,19 @@
     return lease->unanswered_since_us != 0 && now_us - lease->unanswered_since_us > bound_us;
 }
 
+/*
+ * Spends the fallback rate between the answer to a claim that did not lend it and the next claim.
+ * The issuer withholds the fallback rate meanwhile, so nobody else grants it. If it was lent to
+ * another issuer last, that one may still be granting it.
+ */
+static bool take_withheld(ts_rate_lease_t *lease, const ts_rate_params_t *params,
+                          ts_time_us_t now_us)
+{
+    bool is_withheld =
+        !lease->is_fallback_lent && lease->lent_issuer != 0 && lease->lent_issuer == lease->issuer;
+    return is_withheld && take_fallback(lease, params, now_us);
+}
+
 ts_rate_verdict_t ts_rate_lease_take(ts_rate_lease_t *lease, const ts_rate_params_t *params,
                                      ts_time_us_t now_us)
 {
@@ -134,7 +147,7 @@
         lease->tokens--;
         return TS_RATE_TAKEN;
     }
-    if (!is_silent && take_saved(lease))
+    if (!is_silent && (take_saved(lease) || take_withheld(lease, params, now_us)))
         return TS_RATE_TAKEN;
     if (now_us < lease->exceeded_until_us)
         return TS_RATE_EXCEEDED;
@@ -153,7 +166,8 @@
     *taken = MIN(ts_rate_lease_valid_tokens(lease, now_us), tokens_max);
     lease->tokens -= *taken;
     bool is_silent = is_issuer_silent(lease, now_us);
-    while (!is_silent && *taken < tokens_max && take_saved(lease))
+    while (!is_silent && *taken < tokens_max &&
+           (take_saved(lease) || take_withheld(lease, params, now_us)))
         (*taken)++;
     if (*taken > 0)
         return TS_RATE_TAKEN;
--- a/tests/gateway/test_quotas.c
+++ b/tests/gateway/test_quotas.c
@@ -4,7 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "tealspar/peers.h"
+#include "../../src/peers/peers_internal.h"
+#include "tealspar/hash.h"
 #include "tealspar/rate_limiter.h"
 
 #define NODES 4
@@ -14,6 +15,8 @@
 #define NEW_HOME_WAIT_MS 20000
 /* An unanswered claim is repeated by then (CLAIM_RETRY_US in rate_lease.c). */
 #define CLAIM_RETRY_MS 50
+/* An issuer that does not answer counts as silent by then (DEPUTY_SILENT_US there). */
+#define ISSUER_SILENT_MS 80
 #define ROUTE_A SERVICE_ROUTE_JSON("one", "/p/", "idempotent", "a", 1500)
 #define TENANTS(rate, burst)                                                                       \
     "{\"name\":\"red\",\"apiKeys\":[\"r\"],\"ratePerS\":" #rate ",\"burst\":" #burst "},"          \
@@ -192,6 +195,22 @@
     return home;
 }
 
+/* Index of the node that becomes home of tenant red when the home is lost. */
+static unsigned find_next_home(const fleet_t *fleet, unsigned home)
+{
+    unsigned best = NODES;
+    uint64_t best_weight = 0;
+    for (unsigned i = 0; i < NODES; i++) {
+        uint64_t id = ts_hash_text(fleet->nodes[i]->settings->name);
+        uint64_t weight = ts_hash_mix(id, ts_hash_text("red"));
+        if (i == home || (best != NODES && weight <= best_weight))
+            continue;
+        best = i;
+        best_weight = weight;
+    }
+    return best;
+}
+
 /* One limit applies to the requests of all nodes together. */
 static void test_limit_is_shared_by_all_nodes(void **state)
 {
@@ -323,6 +342,33 @@
     assert_burst_is_served(&fleet, node);
 }
 
+/*
+ * The node that is taken for the new home learns only later that the silent one is lost. It then
+ * answers a claim that does not lend the fallback rate, as the one before was not answered. It has
+ * no tokens yet; the claimant must go on spending its fallback rate.
+ */
+static void test_requests_after_claim_that_lends_nothing(void **state)
+{
+    fleet_t fleet = open_fleet(CONFIGURATION(1, TENANTS(20, 10)));
+    unsigned home_index = find_home(&fleet);
+    unsigned node = (home_index + 1) % NODES;
+    unsigned new_home = find_next_home(&fleet, home_index);
+    assert_int_not_equal(new_home, node); // else no claim is sent
+    assert_int_equal(count_responses(fleet.fixture, &fleet.callers_ports[node], 1, 8, 200), 8);
+    uv_timer_t *tick = &fleet.nodes[new_home]->peers->timer;
+    uv_timer_stop(tick); // its view does not change
+    ts_peers_set_mute(fleet.nodes[home_index]->peers, true);
+    assert_int_equal(count_responses(fleet.fixture, &fleet.callers_ports[node], 1, 1, 200), 1);
+    assert_int_equal(await_new_home(&fleet, node, home_index), new_home);
+    send_claim(&fleet, node);
+    fixture_run_ms(fleet.fixture, ISSUER_SILENT_MS);
+    uv_timer_again(tick);
+    assert_int_equal(await_new_home(&fleet, new_home, home_index), new_home);
+    send_claim(&fleet, node);
+    fixture_run_ms(fleet.fixture, 10); // until the claim is answered
+    assert_burst_is_served(&fleet, node);
+}
+
 /*
  * As test_silent_home, after 10 s instead of 4. Without a tolerance no token may be granted twice,
  * so the new home reaches the full rate later.
@@ -444,6 +490,7 @@
         cmocka_unit_test(test_silent_home_in_two_zones),
         cmocka_unit_test(test_requests_after_first_claim_to_new_home),
         cmocka_unit_test(test_requests_after_unanswered_claim_to_new_home),
+        cmocka_unit_test(test_requests_after_claim_that_lends_nothing),
         cmocka_unit_test(test_silent_home_without_tolerance),
         cmocka_unit_test(test_suspected_home_keeps_the_limit),
         cmocka_unit_test(test_home_that_receives_nothing_stops_granting),
--- a/tests/route/test_rate_callers.c
+++ b/tests/route/test_rate_callers.c
@@ -320,6 +320,57 @@
     close_fleet(fleet);
 }
 
+/*
+ * As above, and the new home loses the silent one `lag_s` after the claimant, and the requests
+ * arrive `delay_s` after that. Returns how many are served.
+ */
+static unsigned serve_after_late_loss(double lag_s, double delay_s)
+{
+    fleet_t *fleet = open_fleet(4, 20, 10);
+    fleet->params.tolerance = 0;
+    unsigned home = fleet->homes[0];
+    unsigned next = find_next_home(fleet);
+    unsigned claimant = 0;
+    while (claimant == home || claimant == next)
+        claimant++;
+    node_t *node = &fleet->nodes[claimant];
+    enable_local_views(fleet);
+    for (unsigned i = 0; i < 4; i++)
+        if (i != home)
+            add_suspicion(fleet, i, home, time_after_s(fleet, i == next ? 4 + lag_s : 4),
+                          time_after_s(fleet, 60));
+    sort_view_changes(fleet);
+    node->load = 8;
+    run_fleet(fleet, 1);
+    node->load = 0;
+    fleet->nodes[home].side = 1;
+    node->requests_due = 1; // from here on the node sends claims continually
+    run_fleet(fleet, 3 + lag_s + delay_s);
+    (void)take_outcomes(fleet);
+    node->requests_due = 6;
+    run_fleet(fleet, 0.2);
+    unsigned served = take_outcomes(fleet).taken;
+    close_fleet(fleet);
+    return served;
+}
+
+/*
+ * A node whose issuer was silent sends a claim that does not lend its fallback rate. Once that is
+ * answered, without tokens as the new home has none yet, the node must go on spending its fallback
+ * rate, which the new home withholds. With this fault, requests below the limit that arrived within
+ * 0.1 s of that answer were refused with 429.
+ */
+static void test_fallback_rate_is_spent_until_lent(void **state)
+{
+    for (double lag_s = 0.02; lag_s < 0.6; lag_s += 0.02) {
+        for (double delay_s = 0; delay_s < 0.6; delay_s += 0.02) {
+            unsigned served = serve_after_late_loss(lag_s, delay_s);
+            if (served < 6)
+                fail_msg("%.2f s after a loss %.2f s late: %u of 6 served", delay_s, lag_s, served);
+        }
+    }
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -331,6 +382,7 @@
         cmocka_unit_test(test_late_claims),
         cmocka_unit_test(test_new_home_receives_saved_tokens),
         cmocka_unit_test(test_saved_tokens_are_kept_until_an_issuer_answers),
+        cmocka_unit_test(test_fallback_rate_is_spent_until_lent),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
