A delayed event loop is not taken for a silent issuer

Callers saw: 503 unconfirmed below their tenant's limit, on a busy machine without any fault.

Cause: an issuer counts as silent when a claim has gone unanswered for 50 or 70 ms by the clock. When the loop was delayed for that long, the timers of waiting requests run before the sockets are read, so the answer that has arrived is not seen. Stalls are detected from 500 ms on only.

A request that finds the answer overdue waits 10 ms more, in which the loop reads what has arrived.

--- a/include/tealspar/rate_lease.h
+++ b/include/tealspar/rate_lease.h
@@ -36,10 +36,11 @@
     uint32_t sequence;                /**< sequence number of the latest claim */
     bool wants_tokens;                /**< the latest claim asks for tokens */
     ts_time_us_t unanswered_since_us; /**< first claim that the issuer has not answered; 0: none */
-    ts_time_us_t exceeded_until_us;   /**< the issuer has no tokens for this node until then */
-    ts_time_us_t claim_after_us;      /**< no claim before that, unless a request waits */
-    double fallback_rate;             /**< tokens per second; of a deputy: with its zone */
-    double reported_fallback_rate;    /**< `fallback_rate` as reported in the latest claim */
+    ts_time_us_t overdue_us; /**< when a request first found the answer overdue; 0: not yet */
+    ts_time_us_t exceeded_until_us; /**< the issuer has no tokens for this node until then */
+    ts_time_us_t claim_after_us;    /**< no claim before that, unless a request waits */
+    double fallback_rate;           /**< tokens per second; of a deputy: with its zone */
+    double reported_fallback_rate;  /**< `fallback_rate` as reported in the latest claim */
     double sublet_rate; /**< part of `fallback_rate` assigned to other nodes of the zone */
     ts_time_us_t fallback_until_us; /**< expiry of `fallback_rate` */
     uint64_t fallback_issuer; /**< issuer that assigned `fallback_rate`, see ts_rate_issuer_id() */
--- a/src/route/rate_lease.c
+++ b/src/route/rate_lease.c
@@ -20,6 +20,9 @@
  */
 #define HOME_SILENT_US (50 * TS_US_PER_MS)
 #define DEPUTY_SILENT_US (70 * TS_US_PER_MS)
+/* A request that finds an answer overdue waits this long for it: if the event loop was delayed, the
+ * answer may have arrived without having been read. */
+#define OVERDUE_WAIT_US (10 * TS_US_PER_MS)
 /* Minimum interval of claims while no request waits. */
 #define CLAIM_GAP_US (50 * TS_US_PER_MS)
 /* The same after a grant without tokens. */
@@ -126,6 +129,16 @@
     return lease->unanswered_since_us != 0 && now_us - lease->unanswered_since_us > bound_us;
 }
 
+/* Same as is_issuer_silent, for requests of this node: after the wait for an overdue answer. */
+static bool confirm_silence(ts_rate_lease_t *lease, ts_time_us_t now_us)
+{
+    if (!is_issuer_silent(lease, now_us))
+        return false;
+    if (lease->overdue_us == 0)
+        lease->overdue_us = now_us;
+    return now_us - lease->overdue_us >= OVERDUE_WAIT_US;
+}
+
 /*
  * Spends the fallback rate between the answer to a claim that did not lend it and the next claim.
  * The issuer withholds the fallback rate meanwhile, so nobody else grants it. If it was lent to
@@ -142,7 +155,7 @@
 ts_rate_verdict_t ts_rate_lease_take(ts_rate_lease_t *lease, const ts_rate_params_t *params,
                                      ts_time_us_t now_us)
 {
-    bool is_silent = is_issuer_silent(lease, now_us);
+    bool is_silent = confirm_silence(lease, now_us);
     if (ts_rate_lease_valid_tokens(lease, now_us) > 0) {
         lease->tokens--;
         return TS_RATE_TAKEN;
@@ -183,6 +196,7 @@
 void ts_rate_lease_mark_unreachable(ts_rate_lease_t *lease, ts_time_us_t now_us)
 {
     lease->unanswered_since_us = now_us - DEPUTY_SILENT_US - 1;
+    lease->overdue_us = lease->unanswered_since_us;
 }
 
 void ts_rate_lease_refund(ts_rate_lease_t *lease, ts_time_us_t now_us)
@@ -245,8 +259,10 @@
 bool ts_rate_lease_lend(ts_rate_lease_t *lease, uint64_t issuer, ts_time_us_t now_us)
 {
     bool is_free = !ts_rate_lease_is_lent_elsewhere(lease, issuer, now_us);
-    if (lease->issuer != issuer)
-        lease->unanswered_since_us = 0; // the silence was the previous issuer's
+    if (lease->issuer != issuer) { // the silence was the previous issuer's
+        lease->unanswered_since_us = 0;
+        lease->overdue_us = 0;
+    }
     lease->issuer = issuer;
     lease->is_fallback_lent = is_free && !is_issuer_silent(lease, now_us);
     if (!lease->is_fallback_lent)
@@ -353,6 +369,7 @@
     }
     lease->claim_pending_us = 0;
     lease->unanswered_since_us = 0;
+    lease->overdue_us = 0;
     lease->is_request_waiting = false;
     lease->claim_after_us = now_us + (grant->tokens == 0 ? CLAIM_EMPTY_GAP_US : CLAIM_GAP_US);
     if (lease->tokens == 0 && lease->wants_tokens)
