test_rate_callers: a silent home with drawn changes of the views

The tests of a silent home each force one order of events. This one draws when each node loses the home, for 1,000 seeds of test_silent_home's fleet in one zone without a tolerance and as many of two zones with one, as in test_silent_home_in_two_zones.

The simulated fleet learns the number of its zones and nodes that only receive; its other tests are as before.

--- a/tests/route/rate_fleet.c
+++ b/tests/route/rate_fleet.c
@@ -21,8 +21,22 @@
     return found == node ? TS_RATE_ISSUER_SELF : TS_RATE_ISSUER_PEER;
 }
 
+static unsigned zone_of(const fleet_t *fleet, unsigned index)
+{
+    if (fleet->zone_count != 0)
+        return index % fleet->zone_count;
+    return fleet->n < ZONES ? 0 : index % ZONES;
+}
+
 // -- Local views
 
+/* Same as zone_of, except that without `zone_count` the nodes of a small fleet are in zones of
+ * their own. */
+static unsigned zone_in_view(const fleet_t *fleet, unsigned index)
+{
+    return index % (fleet->zone_count != 0 ? fleet->zone_count : ZONES);
+}
+
 static bool is_within(const period_t *period, ts_time_us_t now_us)
 {
     return now_us >= period->start_us && now_us < period->end_us;
@@ -38,7 +52,8 @@
     const period_t *suspicions = fleet->suspicions + (size_t)(node - fleet->nodes) * fleet->n;
     unsigned best = fleet->n;
     for (unsigned i = 0; i < fleet->n; i++) {
-        if (is_within(&suspicions[i], fleet->now_us) || (zone != ZONES && i % ZONES != zone))
+        if (is_within(&suspicions[i], fleet->now_us) ||
+            (zone != ZONES && zone_in_view(fleet, i) != zone))
             continue;
         if (best == fleet->n || fleet->nodes[i].id > fleet->nodes[best].id)
             best = i;
@@ -75,9 +90,9 @@
 static ts_rate_issuer_t find_deputy_in_view(const node_t *node, const char **address)
 {
     const fleet_t *fleet = node->fleet;
-    unsigned zone = (unsigned)(node - fleet->nodes) % ZONES;
+    unsigned zone = zone_in_view(fleet, (unsigned)(node - fleet->nodes));
     unsigned home = find_highest_in_view(node, ZONES);
-    bool is_home_in_zone = home % ZONES == zone && sees_majority(node);
+    bool is_home_in_zone = zone_in_view(fleet, home) == zone && sees_majority(node);
     return identify_issuer(node, is_home_in_zone ? home : find_highest_in_view(node, zone),
                            address);
 }
@@ -148,11 +163,6 @@
     return identify_issuer(node, home, address);
 }
 
-static unsigned zone_of(const fleet_t *fleet, unsigned index)
-{
-    return fleet->n < ZONES ? 0 : index % ZONES;
-}
-
 /* The home is also the deputy of its zone. */
 static ts_rate_issuer_t find_deputy(void *ctx, const char *account, const char **address)
 {
@@ -179,7 +189,7 @@
                          const ts_rate_message_t *content)
 {
     bool is_cross_zone = zone_of(fleet, from) != zone_of(fleet, to);
-    bool is_lost = is_reply && fleet->is_dropping_replies;
+    bool is_lost = fleet->nodes[from].is_mute || (is_reply && fleet->is_dropping_replies);
     if (is_lost || (unsigned)g_rand_int_range(fleet->random, 0, 100) < fleet->loss_percent)
         return;
     for (int i = 0; i <= (int)fleet->is_duplicating; i++) {
--- a/tests/route/rate_fleet.h
+++ b/tests/route/rate_fleet.h
@@ -54,6 +54,7 @@
     unsigned detected_side; /* `side` as known to the nodes */
     bool is_down;
     bool is_frozen;
+    bool is_mute;          /* receives messages, but those that it sends are lost */
     bool is_detected_down; /* the others know that it is down or frozen */
     bool has_discovered;   /* knows the other nodes; false after a restart until detection */
     ts_time_us_t ticked_us;
@@ -79,7 +80,8 @@
     ts_time_us_t now_us;
     unsigned n; /* nodes */
     node_t *nodes;
-    GQueue messages[2]; /* of message_t, within zones and across, each in order of arrival */
+    unsigned zone_count; /* zones that the nodes are in, in turn; 0: as set by ZONES */
+    GQueue messages[2];  /* of message_t, within zones and across, each in order of arrival */
     ts_rate_params_t params;
     unsigned live_count; /* live nodes on side 0, as of the last apply_detected_state() */
     unsigned homes[2];   /* home on each side; n: none */
--- a/tests/route/test_rate_callers.c
+++ b/tests/route/test_rate_callers.c
@@ -371,6 +371,58 @@
     }
 }
 
+/*
+ * As test_silent_home (test_quotas), with the times drawn at which the nodes lose the silent home:
+ * any of them may be asked, or asks, before it has. Returns how many of 6 requests are served.
+ */
+static unsigned serve_after_drawn_loss(unsigned seed, unsigned zone_count, double tolerance)
+{
+    fleet_t *fleet = open_fleet(4, 20, 10);
+    fleet->params.tolerance = tolerance;
+    fleet->zone_count = zone_count;
+    apply_detected_state(fleet);
+    g_rand_set_seed(fleet->random, seed);
+    unsigned home = fleet->homes[0];
+    node_t *node = &fleet->nodes[(home + 1 + seed % 3) % 4];
+    enable_local_views(fleet);
+    double first_loss_s = g_rand_double_range(fleet->random, 1.5, 5.7);
+    for (unsigned i = 0; i < 4; i++) {
+        double lag_s = g_rand_double_range(fleet->random, 0, 0.5);
+        if (i != home)
+            add_suspicion(fleet, i, home, time_after_s(fleet, first_loss_s + lag_s),
+                          time_after_s(fleet, 60));
+    }
+    sort_view_changes(fleet);
+    node->load = 8;
+    run_fleet(fleet, 1);
+    node->load = 0;
+    fleet->nodes[home].is_mute = true;
+    node->requests_due = 1;
+    run_fleet(fleet, 4);
+    (void)take_outcomes(fleet);
+    node->requests_due = 6;
+    run_fleet(fleet, 0.2);
+    unsigned served = take_outcomes(fleet).taken;
+    close_fleet(fleet);
+    return served;
+}
+
+/*
+ * Requests below the limit are served in whatever order views change and claims are sent and
+ * answered. The faults of the three tests above show here as well.
+ */
+static void test_silent_home_with_drawn_views(void **state)
+{
+    for (unsigned seed = 0; seed < 1000; seed++) {
+        unsigned served = serve_after_drawn_loss(seed, 1, 0);
+        if (served < 6)
+            fail_msg("seed %u: %u of 6 served", seed, served);
+        served = serve_after_drawn_loss(seed, 2, 47.5);
+        if (served < 6)
+            fail_msg("seed %u in two zones: %u of 6 served", seed, served);
+    }
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -383,6 +435,7 @@
         cmocka_unit_test(test_new_home_receives_saved_tokens),
         cmocka_unit_test(test_saved_tokens_are_kept_until_an_issuer_answers),
         cmocka_unit_test(test_fallback_rate_is_spent_until_lent),
+        cmocka_unit_test(test_silent_home_with_drawn_views),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
