test_store_epochs: the list is held while the store is restored

Cause: the test polled every millisecond and expected one poll to fall between the 5th and the 40th of 43 calls.

Change: the fake store can hold a list call until it is released. The test holds the 6th page, asserts that it is held and that the mirror is still in the epoch from before, restores, writes, and releases the page. What is asserted afterwards is unchanged. The precondition is asserted as before, but no longer depends on the speed of the loop.

New: test_pages_of_two_epochs_are_not_combined. It writes nothing after the restore, as a write makes the gateway list again by itself, and asserts the epoch that is applied.

--- a/lab/standin_store.c
+++ b/lab/standin_store.c
@@ -48,6 +48,10 @@
     GHashTable *last_writes; /* key -> write_count after its last write, as a pointer */
     unsigned page_size;
     unsigned call_count;
+    bool is_hold_armed; /* a list call is to be held or is held */
+    unsigned list_calls_before_hold;
+    ts_caller_t *held_caller; /* NULL: no list call is held */
+    char *held_target;
 };
 
 static void free_change(gpointer data)
@@ -210,11 +214,8 @@
     g_free(wait_text);
 }
 
-static void handle_call(ts_caller_t *caller, void *context)
+static void answer_call(lab_store_t *store, ts_caller_t *caller, const char *target)
 {
-    lab_store_t *store = context;
-    const char *target = ts_caller_message(caller)->target->str;
-    store->call_count++;
     switch (store->mode) {
     case LAB_STORE_UNAVAILABLE:
         respond(store, caller, STATUS_UNAVAILABLE, NULL, 0);
@@ -237,9 +238,38 @@
     }
 }
 
+/* Holds the call if it is the list call selected by lab_store_hold_list_call. */
+static bool hold_list_call(lab_store_t *store, ts_caller_t *caller, const char *target)
+{
+    bool is_candidate =
+        store->is_hold_armed && store->held_caller == NULL && g_str_has_prefix(target, CALL_RANGE);
+    if (!is_candidate)
+        return false;
+    if (store->list_calls_before_hold > 0) {
+        store->list_calls_before_hold--;
+        return false;
+    }
+    store->held_caller = caller;
+    store->held_target = g_strdup(target);
+    return true;
+}
+
+static void handle_call(ts_caller_t *caller, void *context)
+{
+    lab_store_t *store = context;
+    const char *target = ts_caller_message(caller)->target->str;
+    store->call_count++;
+    if (!hold_list_call(store, caller, target))
+        answer_call(store, caller, target);
+}
+
 static void handle_caller_close(ts_caller_t *caller, void *context)
 {
     lab_store_t *store = context;
+    if (store->held_caller == caller) {
+        store->held_caller = NULL; /* the hold stays armed for the client's retry */
+        g_clear_pointer(&store->held_target, g_free);
+    }
     for (guint i = store->watches->len; i > 0; i--) {
         const watch_t *watch = g_ptr_array_index(store->watches, i - 1);
         if (watch->caller == caller) {
@@ -435,6 +465,29 @@
     store->page_size = entries;
 }
 
+void lab_store_hold_list_call(lab_store_t *store, unsigned calls_before)
+{
+    store->is_hold_armed = true;
+    store->list_calls_before_hold = calls_before;
+}
+
+bool lab_store_is_list_call_held(const lab_store_t *store)
+{
+    return store->held_caller != NULL;
+}
+
+void lab_store_release_list_call(lab_store_t *store)
+{
+    ts_caller_t *caller = store->held_caller;
+    char *target = store->held_target;
+    store->is_hold_armed = false;
+    store->held_caller = NULL;
+    store->held_target = NULL;
+    if (caller != NULL)
+        answer_call(store, caller, target);
+    g_free(target);
+}
+
 unsigned lab_store_call_count(const lab_store_t *store)
 {
     return store->call_count;
--- a/lab/standin_store.h
+++ b/lab/standin_store.h
@@ -5,6 +5,7 @@
 #ifndef LAB_STANDIN_STORE_H
 #define LAB_STANDIN_STORE_H
 
+#include <stdbool.h>
 #include <stdint.h>
 #include <uv.h>
 
@@ -50,6 +51,14 @@
 uint64_t lab_store_epoch(const lab_store_t *store);
 /** Sets the maximum number of entries on a page of a list. */
 void lab_store_set_page_size(lab_store_t *store, unsigned entries);
+/**
+ * Answers `calls_before` list calls and holds the one after them until it is released. If the
+ * client closes the connection meanwhile, the next list call is held instead.
+ */
+void lab_store_hold_list_call(lab_store_t *store, unsigned calls_before);
+bool lab_store_is_list_call_held(const lab_store_t *store);
+/** Answers the held call with the entries and epoch of now; no list call is held afterwards. */
+void lab_store_release_list_call(lab_store_t *store);
 /** Number of calls received so far. */
 unsigned lab_store_call_count(const lab_store_t *store);
 
--- a/tests/gateway/test_store_epochs.c
+++ b/tests/gateway/test_store_epochs.c
@@ -16,6 +16,10 @@
 #define STORE_CALLS_PER_SECOND_MAX 10
 /* Writes before a restore that are lost by it, so that their revisions are reused afterwards. */
 #define LOST_WRITE_COUNT 20
+/* Searchers of the tests that restore the store while a list is read. */
+#define LISTED_COUNT 40
+/* Pages of a list that the gateway has received when the store is restored again. */
+#define PAGES_BEFORE_RESTORE 5
 
 /* Unlike fixture_put_config, does not wait for the gateway. */
 static void put_config_without_waiting(fixture_t *fixture, unsigned version)
@@ -127,16 +131,45 @@
     assert_true(is_listed(&fixture->gateway, "i-late"));
 }
 
+/* Restores the store and stops the gateway's list after a few pages, until it is released. */
+static void restore_and_hold_list(fixture_t *fixture)
+{
+    lab_store_hold_list_call(fixture->store, PAGES_BEFORE_RESTORE);
+    restore_store(fixture);
+    for (unsigned waited = 0; waited < APPLY_MS; waited++) {
+        if (lab_store_is_list_call_held(fixture->store))
+            return;
+        fixture_run_ms(fixture, 1);
+    }
+    fail_msg("no list call was made within " G_STRINGIFY(APPLY_MS) " ms");
+}
+
+/* The epoch that the gateway has applied, as reported by the store. */
+static uint64_t gateway_epoch(const fixture_t *fixture)
+{
+    return ts_store_epoch_reported(ts_store_mirror_position(fixture->gateway.mirror).epoch);
+}
+
+static bool await_epoch_change(fixture_t *fixture, uint64_t epoch)
+{
+    for (unsigned waited = 0; waited < APPLY_MS; waited++) {
+        if (gateway_epoch(fixture) != epoch)
+            return true;
+        fixture_run_ms(fixture, 1);
+    }
+    return false;
+}
+
 /*
- * A second restore while the gateway reads the list after the first one. The change written
- * afterwards must be applied, and no entry may be missing.
+ * Puts LISTED_COUNT searchers and a configuration, then restores the store twice: the second time
+ * while the gateway reads the list after the first one, which takes a call per entry. The list
+ * stays incomplete, as one of its pages is held until lab_store_release_list_call.
  */
-static void test_restore_while_list_is_read(void **state)
+static fixture_t *restore_while_list_is_read(void)
 {
-    enum { ENTRY_COUNT = 40 };
     fixture_t *fixture = fixture_open(NULL);
     lab_store_set_page_size(fixture->store, 1);
-    for (int i = 0; i < ENTRY_COUNT; i++) {
+    for (int i = 0; i < LISTED_COUNT; i++) {
         char id[16];
         g_snprintf(id, sizeof(id), "i-%d", i);
         put_searcher_entry(fixture, id, "ready");
@@ -145,17 +178,40 @@
     lab_store_take_copy(fixture->store);
     put_lost_writes(fixture);
     fixture_put_config(fixture, 2, ROUTE_A);
-    restore_store(fixture);
-    unsigned calls_before = lab_store_call_count(fixture->store);
-    for (int i = 0; i < 1000 && lab_store_call_count(fixture->store) < calls_before + 5; i++)
-        fixture_run_ms(fixture, 1);
-    // still reading the list: with one entry per page it takes at least ENTRY_COUNT calls
-    assert_true(lab_store_call_count(fixture->store) < calls_before + ENTRY_COUNT);
+    uint64_t epoch = gateway_epoch(fixture);
+    restore_and_hold_list(fixture);
+    assert_true(lab_store_is_list_call_held(fixture->store));
+    assert_true(gateway_epoch(fixture) == epoch); // nothing of the list has been applied
     lab_store_restore(fixture->store, NULL, NULL);
+    return fixture;
+}
+
+/*
+ * A change is written right after a restore that takes place while the gateway reads a list. The
+ * change must be applied, and no entry may be missing.
+ */
+static void test_restore_while_list_is_read(void **state)
+{
+    fixture_t *fixture = restore_while_list_is_read();
     put_config_without_waiting(fixture, 9);
+    lab_store_release_list_call(fixture->store);
     assert_true(await_version(fixture, &fixture->gateway, 9));
     // with i-noise, which is kept during the rewrite window
-    assert_int_equal(ts_registry_count_listed(fixture->gateway.registry), ENTRY_COUNT + 1);
+    assert_int_equal(ts_registry_count_listed(fixture->gateway.registry), LISTED_COUNT + 1);
+}
+
+/*
+ * Guards against combining pages from before and after a restore into one list: the gateway would
+ * take the epoch of the first page, and learn of the restore only when its next watch call ends.
+ */
+static void test_pages_of_two_epochs_are_not_combined(void **state)
+{
+    fixture_t *fixture = restore_while_list_is_read();
+    uint64_t epoch = gateway_epoch(fixture);
+    lab_store_release_list_call(fixture->store);
+    assert_true(await_epoch_change(fixture, epoch));
+    assert_true(gateway_epoch(fixture) == lab_store_epoch(fixture->store));
+    assert_int_equal(ts_registry_count_listed(fixture->gateway.registry), LISTED_COUNT + 1);
 }
 
 /*
@@ -275,6 +331,7 @@
         cmocka_unit_test(test_restore_of_store_without_epochs),
         cmocka_unit_test(test_two_successive_restores),
         cmocka_unit_test(test_restore_while_list_is_read),
+        cmocka_unit_test(test_pages_of_two_epochs_are_not_combined),
         cmocka_unit_test(test_responses_of_earlier_epoch_are_ignored),
         cmocka_unit_test(test_responses_without_epoch_are_ignored),
         cmocka_unit_test(test_node_without_store_learns_of_restore_from_peers),
