lab run: the schedule of faults ends with the load

A harness fault: the node had done nothing wrong.

Cause: the timers of the schedule ran on after lab_fleet_stop had sent the signals that end the run. A start due then starts a node that receives no SIGTERM and is killed after 20 s; a pause due then freezes a node that is stopping, with the same result. A kill due then would mark the exit as expected and hide a stop that fails (read in the code, not run).

Change: lab_faults_end, called when the load generator has exited, whatever its result. It stops all timers and ends the faults in progress: paused nodes are resumed, partitions healed, backends and the platform set back. The lab waits until proxy, backends and platform have answered these calls, then until each running node has replied to a status request anew (the last reply of a paused node no longer counts), and only then stops the nodes. Bounds and judgement of stops are unchanged.

A fault whose for_s is 0 now ends with the load, not with the run; of the scenarios in the tree this concerns the drains of drain-then-owner-killed and surge, whose backends serve again when nothing is sent to them any more. No scenario in the tree has a fault due after its load.

--- a/lab/faults.c
+++ b/lab/faults.c
@@ -14,11 +14,21 @@
 #define MS_PER_S_DOUBLE 1000.0
 #define CONTROL_CONNECTIONS 4
 
+struct lab_faults {
+    lab_fleet_t *fleet;
+    lab_fault_log_t *log;
+    GPtrArray *scheduled; /* of scheduled_fault_t */
+    unsigned pending_control_calls;
+};
+
 /* A fault and its timers. */
 typedef struct scheduled_fault {
+    lab_faults_t *faults;
     lab_fleet_t *fleet;
     lab_fault_log_t *log;
     const lab_fault_t *fault;
+    bool has_begun;
+    bool has_ended;
     uv_timer_t begin;
     uv_timer_t middle; /* cold start: end of the starting state; snapshot roll: next backend */
     uv_timer_t end;
@@ -28,22 +38,27 @@
 /* ---- control calls to fake backends, platform and proxy ---- */
 
 typedef struct control_call {
+    lab_faults_t *faults;
     ts_http_pool_t *pool;
 } control_call_t;
 
 static void finish_control_call(void *context, const ts_http_result_t *result)
 {
     control_call_t *call = context;
+    call->faults->pending_control_calls--;
     ts_http_pool_close(call->pool);
     g_free(call);
 }
 
-static void send_control(const lab_fleet_t *fleet, const char *address, const char *body)
+static void send_control(lab_faults_t *faults, const char *address, const char *body)
 {
     control_call_t *call = g_new0(control_call_t, 1);
+    call->faults = faults;
     ts_http_client_request_t send = {"POST", "/control", "connection: close\r\n", body,
                                      strlen(body)};
-    if (ts_http_pool_open(&call->pool, fleet->loop, address, CONTROL_CONNECTIONS) == TS_OK) {
+    if (ts_http_pool_open(&call->pool, faults->fleet->loop, address, CONTROL_CONNECTIONS) ==
+        TS_OK) {
+        faults->pending_control_calls++;
         ts_http_call(call->pool, &send, finish_control_call, call);
     }
 }
@@ -68,7 +83,7 @@
     char *body = g_strdup_vprintf(format, arguments);
     va_end(arguments);
     const ts_backend_t *backend = find_backend(scheduled->fleet, scheduled->fault->target);
-    send_control(scheduled->fleet, backend->address, body);
+    send_control(scheduled->faults, backend->address, body);
     g_free(body);
 }
 
@@ -76,7 +91,7 @@
 {
     char *body =
         g_strdup_printf("{\"zone\": \"%s\", \"mode\": \"%s\"}", scheduled->fault->target, mode);
-    send_control(scheduled->fleet, scheduled->fleet->proxy_control, body);
+    send_control(scheduled->faults, scheduled->fleet->proxy_control, body);
     g_free(body);
 }
 
@@ -195,10 +210,10 @@
     return g_string_free(result, FALSE);
 }
 
-static void set_shards(const lab_fleet_t *fleet, const ts_backend_t *backend, const char *shards)
+static void set_shards(lab_faults_t *faults, const ts_backend_t *backend, const char *shards)
 {
     char *body = g_strdup_printf("{\"shards\": [%s]}", shards);
-    send_control(fleet, backend->address, body);
+    send_control(faults, backend->address, body);
     g_free(body);
 }
 
@@ -208,8 +223,8 @@
     const ts_backend_t *first = find_backend(fleet, scheduled->fault->target);
     const ts_backend_t *second = find_backend(fleet, scheduled->fault->to);
     char *both = g_strdup_printf("\"%s\", \"%s\"", first->shards[0], second->shards[0]);
-    set_shards(fleet, first, both);
-    set_shards(fleet, second, both);
+    set_shards(scheduled->faults, first, both);
+    set_shards(scheduled->faults, second, both);
     g_free(both);
     uint64_t version = lab_config_parse_version(fleet->config_text) + 1;
     char *exchanged =
@@ -224,8 +239,8 @@
     const ts_backend_t *second = find_backend(scheduled->fleet, scheduled->fault->to);
     char *of_first = g_strdup_printf("\"%s\"", second->shards[0]);
     char *of_second = g_strdup_printf("\"%s\"", first->shards[0]);
-    set_shards(scheduled->fleet, first, of_first);
-    set_shards(scheduled->fleet, second, of_second);
+    set_shards(scheduled->faults, first, of_first);
+    set_shards(scheduled->faults, second, of_second);
     g_free(of_first);
     g_free(of_second);
 }
@@ -244,7 +259,7 @@
     char *body =
         g_strdup_printf("{\"snapshot\": %u, \"keep_previous\": %s}", scheduled->fault->snapshot,
                         scheduled->fault->keep_previous ? "true" : "false");
-    send_control(fleet, backend->address, body);
+    send_control(scheduled->faults, backend->address, body);
     g_free(body);
 }
 
@@ -267,6 +282,7 @@
 static void begin_fault(uv_timer_t *timer)
 {
     scheduled_fault_t *scheduled = timer->data;
+    scheduled->has_begun = true;
     switch (scheduled->fault->type) {
     case LAB_FAULT_STRAGGLE:
         control_backend(scheduled, "{\"slow_factor\": %g}", scheduled->fault->factor);
@@ -302,7 +318,7 @@
         begin_repartition(scheduled);
         break;
     case LAB_FAULT_CONFIG_DOWN:
-        send_control(scheduled->fleet, scheduled->fleet->platform, "{\"mode\": \"down\"}");
+        send_control(scheduled->faults, scheduled->fleet->platform, "{\"mode\": \"down\"}");
         break;
     case LAB_FAULT_CONFIG_STALE:
         write_config_file(scheduled->fleet, scheduled->fleet->first_config);
@@ -320,9 +336,9 @@
     }
 }
 
-static void end_fault(uv_timer_t *timer)
+static void end_fault(scheduled_fault_t *scheduled)
 {
-    scheduled_fault_t *scheduled = timer->data;
+    scheduled->has_ended = true;
     switch (scheduled->fault->type) {
     case LAB_FAULT_STRAGGLE:
         control_backend(scheduled, "{\"slow_factor\": 1.0}");
@@ -341,7 +357,7 @@
         end_repartition(scheduled);
         break;
     case LAB_FAULT_CONFIG_DOWN:
-        send_control(scheduled->fleet, scheduled->fleet->platform, "{\"mode\": \"up\"}");
+        send_control(scheduled->faults, scheduled->fleet->platform, "{\"mode\": \"up\"}");
         break;
     case LAB_FAULT_CONFIG_STALE:
     case LAB_FAULT_CONFIG_BAD:
@@ -352,6 +368,11 @@
     }
 }
 
+static void on_end_timer(uv_timer_t *timer)
+{
+    end_fault(timer->data);
+}
+
 /* ---- checking and arming ---- */
 
 static bool has_target(const lab_fleet_t *fleet, const lab_fault_t *fault)
@@ -393,25 +414,53 @@
     return true;
 }
 
-void lab_faults_schedule(lab_fleet_t *fleet, lab_fault_log_t *log)
+static void schedule_fault(lab_faults_t *faults, const lab_fault_t *fault)
 {
-    for (unsigned i = 0; i < fleet->scenario->faults_count; i++) {
-        const lab_fault_t *fault = &fleet->scenario->faults[i];
-        scheduled_fault_t *scheduled = g_new0(scheduled_fault_t, 1);
-        scheduled->fleet = fleet;
-        scheduled->log = log;
-        scheduled->fault = fault;
-        uv_timer_init(fleet->loop, &scheduled->begin);
-        uv_timer_init(fleet->loop, &scheduled->middle);
-        uv_timer_init(fleet->loop, &scheduled->end);
-        scheduled->begin.data = scheduled;
-        scheduled->middle.data = scheduled;
-        scheduled->end.data = scheduled;
-        uint64_t at_ms = (uint64_t)(fault->at_s * MS_PER_S_DOUBLE);
-        uv_timer_start(&scheduled->begin, begin_fault, at_ms, 0);
-        if (fault->for_s > 0) {
-            uint64_t for_ms = (uint64_t)(fault->for_s * MS_PER_S_DOUBLE);
-            uv_timer_start(&scheduled->end, end_fault, at_ms + for_ms, 0);
-        }
+    uv_loop_t *loop = faults->fleet->loop;
+    scheduled_fault_t *scheduled = g_new0(scheduled_fault_t, 1);
+    scheduled->faults = faults;
+    scheduled->fleet = faults->fleet;
+    scheduled->log = faults->log;
+    scheduled->fault = fault;
+    uv_timer_init(loop, &scheduled->begin);
+    uv_timer_init(loop, &scheduled->middle);
+    uv_timer_init(loop, &scheduled->end);
+    scheduled->begin.data = scheduled;
+    scheduled->middle.data = scheduled;
+    scheduled->end.data = scheduled;
+    g_ptr_array_add(faults->scheduled, scheduled);
+    uint64_t at_ms = (uint64_t)(fault->at_s * MS_PER_S_DOUBLE);
+    uv_timer_start(&scheduled->begin, begin_fault, at_ms, 0);
+    if (fault->for_s > 0) {
+        uint64_t for_ms = (uint64_t)(fault->for_s * MS_PER_S_DOUBLE);
+        uv_timer_start(&scheduled->end, on_end_timer, at_ms + for_ms, 0);
     }
 }
+
+lab_faults_t *lab_faults_schedule(lab_fleet_t *fleet, lab_fault_log_t *log)
+{
+    lab_faults_t *faults = g_new0(lab_faults_t, 1);
+    faults->fleet = fleet;
+    faults->log = log;
+    faults->scheduled = g_ptr_array_new();
+    for (unsigned i = 0; i < fleet->scenario->faults_count; i++)
+        schedule_fault(faults, &fleet->scenario->faults[i]);
+    return faults;
+}
+
+void lab_faults_end(lab_faults_t *faults)
+{
+    for (guint i = 0; i < faults->scheduled->len; i++) {
+        scheduled_fault_t *scheduled = g_ptr_array_index(faults->scheduled, i);
+        uv_timer_stop(&scheduled->begin);
+        uv_timer_stop(&scheduled->middle);
+        uv_timer_stop(&scheduled->end);
+        if (scheduled->has_begun && !scheduled->has_ended)
+            end_fault(scheduled);
+    }
+}
+
+bool lab_faults_have_ended(void *context)
+{
+    return ((const lab_faults_t *)context)->pending_control_calls == 0;
+}
--- a/lab/faults.h
+++ b/lab/faults.h
@@ -23,9 +23,18 @@
     GArray *disturbances; /**< lab_disturbance_t[]: kills and pauses of nodes */
 } lab_fault_log_t;
 
+typedef struct lab_faults lab_faults_t;
+
 /** Checks that every fault's target exists; if not, prints an error and returns false. */
 bool lab_faults_check(const lab_fleet_t *fleet);
-/** Starts a timer for every fault; their times are relative to this call. */
-void lab_faults_schedule(lab_fleet_t *fleet, lab_fault_log_t *log);
+/** Starts a timer for every fault; their times are relative to this call. Never freed. */
+lab_faults_t *lab_faults_schedule(lab_fleet_t *fleet, lab_fault_log_t *log);
+/**
+ * Cancels the faults that are still due and ends those in progress: paused nodes are resumed,
+ * partitions are healed, backends and the platform behave normally again.
+ */
+void lab_faults_end(lab_faults_t *faults);
+/** Whether proxy, backends and platform have received all changes; for lab_run_until. */
+bool lab_faults_have_ended(void *context);
 
 #endif
--- a/lab/run.c
+++ b/lab/run.c
@@ -18,6 +18,7 @@
 #define TABLE_SIZE 7
 #define READY_SECONDS 30.0
 #define LOAD_MARGIN_SECONDS 60.0
+#define CONTROL_SECONDS 10.0
 #define CONFIG_PROPAGATION_MAX_MS 13000.0
 #define REPORT_DIGITS 6
 
@@ -241,21 +242,31 @@
     }
 }
 
+/* Kills the load generator if it does not exit in time. */
+static bool await_load(lab_fleet_t *fleet, lab_process_t *load)
+{
+    double bound = fleet->scenario->seconds + LOAD_MARGIN_SECONDS;
+    if (lab_run_until(fleet, is_load_over, load, bound))
+        return load->exit_status == 0;
+    uv_process_kill(&load->handle, SIGKILL);
+    fleet->is_interrupted = false;
+    lab_run_until(fleet, is_load_over, load, LOAD_MARGIN_SECONDS);
+    return false;
+}
+
 static bool run_load(lab_fleet_t *fleet, lab_fault_log_t *log)
 {
     lab_process_t load = {.name = "load"};
     if (!start_load(fleet, &load)) {
         return false;
     }
-    lab_faults_schedule(fleet, log);
-    double bound = fleet->scenario->seconds + LOAD_MARGIN_SECONDS;
-    if (!lab_run_until(fleet, is_load_over, &load, bound)) {
-        uv_process_kill(&load.handle, SIGKILL);
-        fleet->is_interrupted = false;
-        lab_run_until(fleet, is_load_over, &load, LOAD_MARGIN_SECONDS);
-        return false;
-    }
-    return load.exit_status == 0;
+    lab_faults_t *faults = lab_faults_schedule(fleet, log);
+    bool is_successful = await_load(fleet, &load);
+    /* A fault while the nodes stop would change how their stops are judged: a node started then
+     * receives no SIGTERM, one paused then exits late, a kill then hides a failed exit. */
+    lab_faults_end(faults);
+    lab_run_until(fleet, lab_faults_have_ended, faults, CONTROL_SECONDS);
+    return is_successful;
 }
 
 static int run_fleet(lab_fleet_t *fleet)
@@ -285,8 +296,9 @@
     if (report != NULL) {
         add_config_checks(report, watch, &log);
     }
-    /* A node that has just been restarted is stopped only after it has started up; interrupting the
-     * start-up is covered by separate tests. */
+    /* A node that has just been restarted or resumed is stopped only once it answers again;
+     * interrupting the start-up is covered by separate tests. */
+    lab_watch_discard_replies(watch);
     lab_run_until(fleet, lab_watch_all_responsive, watch, READY_SECONDS);
     lab_watch_stop(watch);
     unsigned failed = lab_fleet_stop(fleet);
--- a/lab/scenario.h
+++ b/lab/scenario.h
@@ -37,7 +37,7 @@
     char *target;      /**< node, backend or zone, as the type requires; NULL if it has no target */
     char *to;          /**< repartition: the backend that swaps shards with the target */
     char *mode;        /**< partition: "blackhole" (default), "reset" or "half_open" */
-    double for_s;      /**< duration in seconds; 0: until the end of the run */
+    double for_s;      /**< duration in seconds; 0: until the load has ended */
     double factor;     /**< straggle: factor on the service time */
     uint32_t snapshot; /**< snapshot_roll: the new snapshot */
     bool keep_previous; /**< snapshot_roll: the previous snapshot is still served on request */
--- a/lab/watch.c
+++ b/lab/watch.c
@@ -20,6 +20,7 @@
     lab_node_t *node;
     ts_http_pool_t *pool;
     bool is_in_flight; /* a status request is in flight */
+    bool has_replied;  /* to the last status request; reset by lab_watch_discard_replies */
     bool is_ready;
     size_t live_members;
     uint64_t highest_version; /* of the configurations reported */
@@ -69,6 +70,7 @@
     watched->is_in_flight = false;
     if (result->error != TS_OK || result->status != 200) {
         watched->is_ready = false;
+        watched->has_replied = false;
         watched->up_since_us = 0;
         return;
     }
@@ -80,6 +82,7 @@
     watched->live_members = count_live(status);
     watched->up_since_us = watched->up_since_us == 0 ? now_us : watched->up_since_us;
     watched->replied_us = now_us;
+    watched->has_replied = true;
     json_decref(status);
 }
 
@@ -132,12 +135,18 @@
     return true;
 }
 
+void lab_watch_discard_replies(lab_watch_t *watch)
+{
+    for (guint i = 0; i < watch->nodes->len; i++)
+        ((watched_node_t *)g_ptr_array_index(watch->nodes, i))->has_replied = false;
+}
+
 bool lab_watch_all_responsive(void *context)
 {
     const lab_watch_t *watch = context;
     for (guint i = 0; i < watch->nodes->len; i++) {
         const watched_node_t *watched = g_ptr_array_index(watch->nodes, i);
-        if (watched->node->process.is_running && watched->up_since_us == 0) {
+        if (watched->node->process.is_running && !watched->has_replied) {
             return false;
         }
     }
--- a/lab/watch.h
+++ b/lab/watch.h
@@ -11,6 +11,8 @@
 void lab_watch_stop(lab_watch_t *watch);
 /** Whether every node is ready and sees all nodes as live; for lab_run_until. */
 bool lab_watch_all_ready(void *context);
+/** Makes lab_watch_all_responsive require new replies. */
+void lab_watch_discard_replies(lab_watch_t *watch);
 /** Whether every node with a running process answers status requests; for lab_run_until. */
 bool lab_watch_all_responsive(void *context);
 /** Counts status replies with a lower configuration version than the node reported before. */
