The gateway's checks of sends are repeated when they are late

Callers could be refused for an innocent request, and back ends avoided: after a stall of more than a second the check of broken sends took a live back end for ended and counted a strike against the request, and a connect that had completed meanwhile failed. Timers fire before sockets are read.

A check that is late by more than its period now decides nothing about connects and broken sends, and is repeated once, 1 ms later, when the loop has polled. late_check.h has the rule; the front's check of silent nodes uses it too.

--- a/src/edge/broken_sends.c
+++ b/src/edge/broken_sends.c
@@ -1,5 +1,6 @@
 /** Tracks broken sends until it is known whether their backends have crashed. */
 #include "tealspar/broken_sends.h"
+#include "tealspar/late_check.h"
 
 #include "tealspar/counters.h"
 #include "tealspar/instance_check.h"
@@ -34,6 +35,7 @@
     ts_instance_checks_t *checks;
     GArray *sends;    /* of unresolved_send_t */
     uv_timer_t timer; /* runs while `sends` is not empty */
+    ts_late_check_t late_check;
 };
 
 ts_broken_sends_t *ts_broken_sends_create(uv_loop_t *loop, ts_quarantine_t *quarantine)
@@ -106,6 +108,10 @@
 {
     ts_broken_sends_t *broken = timer->data;
     ts_time_us_t now_us = ts_clock_now_us();
+    if (ts_late_check_must_repeat(&broken->late_check, now_us, CHECK_INTERVAL_MS * TS_US_PER_MS)) {
+        uv_timer_start(timer, check_sends, TS_LATE_CHECK_REPEAT_MS, CHECK_INTERVAL_MS);
+        return;
+    }
     for (guint i = broken->sends->len; i > 0; i--) {
         if (resolve_send(broken, &g_array_index(broken->sends, unresolved_send_t, i - 1), now_us))
             remove_send(broken, i - 1);
@@ -143,6 +149,8 @@
     send->instance->references++;
     g_array_append_val(broken->sends, unresolved_send);
     ts_instance_checks_begin(broken->checks, send->instance);
-    if (broken->sends->len == 1)
+    if (broken->sends->len == 1) {
+        ts_late_check_start(&broken->late_check, ts_clock_now_us());
         uv_timer_start(&broken->timer, check_sends, CHECK_INTERVAL_MS, CHECK_INTERVAL_MS);
+    }
 }
--- a/src/front/front.c
+++ b/src/front/front.c
@@ -30,7 +30,6 @@
 #define SILENCE_CHECK_INTERVAL_MS 20
 /* Time to read the replies of a node that has ended, after the loss of the connection to it. */
 #define LOSS_GRACE_US (100ULL * TS_US_PER_MS)
-#define SILENCE_RECHECK_MS 1
 #define SILENCE_CHECK_INTERVAL_US (SILENCE_CHECK_INTERVAL_MS * TS_US_PER_MS)
 
 ts_kind_stats_t *ts_front_ensure_kind_stats(ts_front_t *front, const char *kind)
@@ -313,21 +312,6 @@
     return timeout_us;
 }
 
-/*
- * Whether a check is to be repeated, because it was late: timers fire before sockets are read, and
- * replies may have arrived while this process did not run. A repeated check is not late.
- */
-static bool is_check_late(ts_front_t *front, ts_time_us_t now_us)
-{
-    bool is_late = now_us - front->silence_checked_us > 2 * SILENCE_CHECK_INTERVAL_US;
-    front->silence_checked_us = now_us;
-    if (is_late) {
-        front->stalled_until_us = now_us;
-    }
-    front->is_silence_recheck = is_late && !front->is_silence_recheck;
-    return front->is_silence_recheck;
-}
-
 static void check_silence(ts_timer_t *timer)
 {
     ts_front_t *front = timer->data;
@@ -336,8 +320,9 @@
         return;
     }
     ts_time_us_t now_us = ts_clock_now_us();
-    if (is_check_late(front, now_us)) {
-        ts_timer_start(timer, SILENCE_RECHECK_MS, SILENCE_CHECK_INTERVAL_MS);
+    if (ts_late_check_must_repeat(&front->late_check, now_us, SILENCE_CHECK_INTERVAL_US)) {
+        front->stalled_until_us = now_us;
+        ts_timer_start(timer, TS_LATE_CHECK_REPEAT_MS, SILENCE_CHECK_INTERVAL_MS);
         return;
     }
     expire_lost_attempts(front, now_us);
@@ -353,7 +338,7 @@
 void ts_front_start_silence_check(ts_front_t *front)
 {
     if (!front->silence_timer.is_active) {
-        front->silence_checked_us = ts_clock_now_us();
+        ts_late_check_start(&front->late_check, ts_clock_now_us());
         ts_timer_start(&front->silence_timer, SILENCE_CHECK_INTERVAL_MS, SILENCE_CHECK_INTERVAL_MS);
     }
 }
--- a/src/front/front_internal.h
+++ b/src/front/front_internal.h
@@ -4,6 +4,7 @@
 
 #include "tealspar/front.h"
 #include "tealspar/histogram.h"
+#include "tealspar/late_check.h"
 #include "tealspar/node.h"
 #include "tealspar/route.h"
 
@@ -33,10 +34,9 @@
      * count. */
     uint64_t next_counter;
     uint64_t random_state;
-    ts_timer_t silence_timer;        /**< checks for silent peers */
-    ts_time_us_t silence_checked_us; /**< when that timer was started or last fired */
-    bool is_silence_recheck;         /**< the next check repeats a late one */
-    ts_time_us_t stalled_until_us;   /**< when a late check was last noticed; 0: never */
+    ts_timer_t silence_timer;      /**< checks for silent peers */
+    ts_late_check_t late_check;    /**< of that timer */
+    ts_time_us_t stalled_until_us; /**< when a late check was last noticed; 0: never */
     ts_timer_t lame_duck_timer; /**< fires LAME_DUCK_MS after the stop; then queries are refused */
     bool has_been_ready;
     bool has_stopped_accepting; /**< queries are refused */
--- a/src/upstream/upstream.c
+++ b/src/upstream/upstream.c
@@ -1,5 +1,6 @@
 /** Connections to backends, see tealspar/upstream.h. */
 #include "tealspar/upstream.h"
+#include "tealspar/late_check.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -25,6 +26,7 @@
 /* A reset within this time after sending is attributed to the connection, not to the request. */
 #define PROMPT_RESET_MAX_US (60 * TS_US_PER_MS)
 #define CHECK_INTERVAL_MS 50
+#define CHECK_INTERVAL_US (CHECK_INTERVAL_MS * TS_US_PER_MS)
 /* The process at the address is not the instance named in the request. */
 #define STATUS_MISDIRECTED 421
 #define STATUS_SUCCESS_FIRST 200
@@ -70,7 +72,8 @@
 struct ts_upstream {
     uv_loop_t *loop;
     const ts_dialect_t *dialect;
-    uv_timer_t timer; /**< runs while there are exchanges */
+    uv_timer_t timer;           /**< runs while there are exchanges */
+    ts_late_check_t late_check; /**< of that timer */
     ts_exchange_t *exchanges;
     ts_upstream_idle_limit_cb_t idle_limit; /* NULL: no limit */
     void *idle_limit_ctx;
@@ -222,11 +225,14 @@
 {
     ts_upstream_t *upstream = timer->data;
     ts_time_us_t now_us = ts_clock_now_us();
+    bool is_late = ts_late_check_must_repeat(&upstream->late_check, now_us, CHECK_INTERVAL_US);
     ts_exchange_t *next = NULL;
+    if (is_late)
+        uv_timer_start(timer, check_exchanges, TS_LATE_CHECK_REPEAT_MS, CHECK_INTERVAL_MS);
     for (ts_exchange_t *exchange = upstream->exchanges; exchange != NULL; exchange = next) {
         next = exchange->next;
-        bool has_connect_timed_out =
-            exchange->sent_us == 0 && now_us - exchange->started_us > CONNECT_TIMEOUT_US;
+        bool has_connect_timed_out = !is_late && exchange->sent_us == 0 &&
+                                     now_us - exchange->started_us > CONNECT_TIMEOUT_US;
         if (now_us > exchange->until_us && exchange->done == NULL) {
             ts_exchange_cancel(exchange);
             return; /* the next timer call continues */
@@ -472,7 +478,10 @@
     if (exchange->next != NULL) {
         exchange->next->previous = exchange;
     } else {
-        uv_timer_start(&upstream->timer, check_exchanges, CHECK_INTERVAL_MS, CHECK_INTERVAL_MS);
+        {
+            ts_late_check_start(&upstream->late_check, ts_clock_now_us());
+            uv_timer_start(&upstream->timer, check_exchanges, CHECK_INTERVAL_MS, CHECK_INTERVAL_MS);
+        }
     }
     upstream->exchanges = exchange;
     instance->in_flight++;
