A peer link that can't listen leaves nothing open

Seen by reading: when ts_peer_link_open fails, its wake handle stays on the loop, which then can't be closed, and the socket and the memory stay. A node or gateway ends then, so no caller met it.

Fix: the receiving socket is opened first and closed if it can't listen; the wake handle is initialized when nothing can fail any more, and before the first receive.

test_failed_open_leaves_nothing_open (100 opens at an address in use) fails before: the loop can't be closed.

--- a/src/peers/peer_link.c
+++ b/src/peers/peer_link.c
@@ -545,8 +545,28 @@
     uv_queue_work(link->wake.loop, &link->close_work, close_sockets, finish_close);
 }
 
-ts_peer_link_t *ts_peer_link_open(uv_loop_t *loop, const char *address,
-                                  ts_peer_received_cb_t received, void *context)
+/* Opens the receiving socket; on failure, nothing is left open. */
+static bool open_receiver(ts_peer_link_t *link, const char *address)
+{
+    if (nng_rep0_open_raw(&link->receiver) != 0)
+        return false;
+    nng_socket_set_int(link->receiver, NNG_OPT_RECVBUF, RECEIVE_BUFFER_MESSAGES);
+    nng_socket_set_size(link->receiver, NNG_OPT_RECVMAXSZ, MESSAGE_BYTES_MAX);
+    nng_pipe_notify(link->receiver, NNG_PIPE_EV_ADD_PRE, on_incoming_event, link);
+    nng_pipe_notify(link->receiver, NNG_PIPE_EV_REM_POST, on_incoming_event, link);
+    char *url = g_strdup_printf("tcp://%s", address);
+    bool is_open = nng_aio_alloc(&link->receive, on_received, link) == 0 &&
+                   nng_listen(link->receiver, url, NULL, 0) == 0;
+    g_free(url);
+    if (!is_open) {
+        nng_close(link->receiver);
+        nng_aio_free(link->receive);
+    }
+    return is_open;
+}
+
+static ts_peer_link_t *create_link(const char *address, ts_peer_received_cb_t received,
+                                   void *context)
 {
     ts_peer_link_t *link = g_new0(ts_peer_link_t, 1);
     link->local_ip = g_strndup(address, (gsize)(strrchr(address, ':') - address));
@@ -559,21 +579,19 @@
     link->received = received;
     link->context = context;
     link->buffer = BUFFER_MESSAGES;
-    uv_async_init(loop, &link->wake, process_events);
     link->wake.data = link;
-    if (nng_rep0_open_raw(&link->receiver) != 0) {
-        return NULL; /* nothing is freed: the process exits */
-    }
-    nng_socket_set_int(link->receiver, NNG_OPT_RECVBUF, RECEIVE_BUFFER_MESSAGES);
-    nng_socket_set_size(link->receiver, NNG_OPT_RECVMAXSZ, MESSAGE_BYTES_MAX);
-    nng_pipe_notify(link->receiver, NNG_PIPE_EV_ADD_PRE, on_incoming_event, link);
-    nng_pipe_notify(link->receiver, NNG_PIPE_EV_REM_POST, on_incoming_event, link);
-    char *url = g_strdup_printf("tcp://%s", address);
-    int status = nng_listen(link->receiver, url, NULL, 0);
-    g_free(url);
-    if (status != 0 || nng_aio_alloc(&link->receive, on_received, link) != 0) {
+    return link;
+}
+
+ts_peer_link_t *ts_peer_link_open(uv_loop_t *loop, const char *address,
+                                  ts_peer_received_cb_t received, void *context)
+{
+    ts_peer_link_t *link = create_link(address, received, context);
+    if (!open_receiver(link, address)) {
+        free_link(link);
         return NULL;
     }
-    nng_recv_aio(link->receiver, link->receive);
+    uv_async_init(loop, &link->wake, process_events);
+    nng_recv_aio(link->receiver, link->receive); // from here on, nng's threads wake the loop
     return link;
 }
--- a/tests/peers/test_peer_link.c
+++ b/tests/peers/test_peer_link.c
@@ -272,6 +272,42 @@
     g_free(unused);
 }
 
+#define FAILING_OPENS 100
+
+static unsigned count_descriptors(void)
+{
+    unsigned count = 0;
+    GDir *directory = g_dir_open("/proc/self/fd", 0, NULL);
+    assert_non_null(directory);
+    while (g_dir_read_name(directory) != NULL)
+        count++;
+    g_dir_close(directory);
+    return count;
+}
+
+/*
+ * A link that can't listen leaves nothing open. Its handle used to stay on the loop, so that the
+ * loop could not be closed, and its socket stayed open.
+ */
+static void test_failed_open_leaves_nothing_open(void **state)
+{
+    uv_loop_t loop;
+    uv_loop_t other_loop;
+    uv_loop_init(&loop);
+    uv_loop_init(&other_loop);
+    char *address = find_free_address();
+    ts_peer_link_t *link = ts_peer_link_open(&loop, address, count_hello, NULL);
+    assert_non_null(link);
+    unsigned descriptors = count_descriptors();
+    for (int i = 0; i < FAILING_OPENS; i++)
+        assert_null(ts_peer_link_open(&other_loop, address, count_hello, NULL));
+    assert_true(count_descriptors() <= descriptors); // nng may still close an earlier connection
+    close_loop(&other_loop);
+    close_link(&loop, link);
+    close_loop(&loop);
+    g_free(address);
+}
+
 static ts_peer_link_t *link_to_close;
 
 static void close_on_message(void *context, const uint8_t *bytes, size_t length)
@@ -468,6 +504,7 @@
         cmocka_unit_test(test_bursts_arrive_completely),
         cmocka_unit_test(test_closed_link_does_not_wake_its_loop),
         cmocka_unit_test(test_link_is_closed_by_its_callback),
+        cmocka_unit_test(test_failed_open_leaves_nothing_open),
         cmocka_unit_test(test_sends_while_peers_close_connections),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
