test_sends_while_peers_close_connections listens on reserved ports

Cause: EADDRINUSE, as the ephemeral ports are used up. A program that binds port 0 of 127.0.0.1 beside the tests failed in 229 of 11,621 tries, all within the 33 s in which 26,700 to 28,232 of the 28,232 ports were in use (/proc/net/tcp), nearly all by TIME_WAIT. Not a limit of descriptors. A connection that a link closes itself keeps its port for a minute, and nng binds each outgoing one to a port of its own, as links dial from a given IP address.

Fix, in the test's setup: its peers listen on ports of lab/ports.c, which are not ephemeral. Checks as before.

--- a/tests/peers/test_peer_link.c
+++ b/tests/peers/test_peer_link.c
@@ -382,16 +382,18 @@
     return NULL;
 }
 
+/* Not on a port of the kernel's choice: the connections of this program, and of others that run
+ * beside it, may have used up the ephemeral ports of this address (TIME_WAIT). */
 static void open_closing_peer(closing_peer_t *peer)
 {
     struct sockaddr_in address = {.sin_family = AF_INET};
-    socklen_t length = sizeof(address);
+    unsigned port = lab_next_port("127.0.0.1");
+    assert_int_not_equal(port, 0);
     peer->listener = socket(AF_INET, SOCK_STREAM, 0);
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    assert_int_equal(bind(peer->listener, (const struct sockaddr *)&address, length), 0);
-    assert_int_equal(listen(peer->listener, SOMAXCONN), 0);
-    assert_int_equal(getsockname(peer->listener, (struct sockaddr *)&address, &length), 0);
-    peer->address = g_strdup_printf("127.0.0.1:%u", ntohs(address.sin_port));
+    address.sin_port = htons((uint16_t)port);
+    assert_int_equal(bind(peer->listener, (struct sockaddr *)&address, sizeof(address)), 0);
+    peer->address = g_strdup_printf("127.0.0.1:%u", port);
 }
 
 static void start_closing_peer(closing_peer_t *peer)
@@ -419,6 +421,7 @@
     assert_non_null(link);
     for (int i = 0; i < CLOSING_PEERS; i++) {
         open_closing_peer(&closing_peers[i]);
+        assert_int_equal(listen(closing_peers[i].listener, SOMAXCONN), 0);
         start_closing_peer(&closing_peers[i]);
     }
     for (int i = 0; i < SENDS; i++) {
@@ -443,18 +446,14 @@
  * that further SYNs are dropped as in a network partition. */
 static void open_unreachable_peer(closing_peer_t *peer)
 {
-    struct sockaddr_in own = {.sin_family = AF_INET};
+    struct sockaddr_in own;
     socklen_t length = sizeof(own);
-    int listener = socket(AF_INET, SOCK_STREAM, 0);
-    own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    assert_int_equal(bind(listener, (const struct sockaddr *)&own, length), 0);
-    assert_int_equal(listen(listener, 0), 0);
-    assert_int_equal(getsockname(listener, (struct sockaddr *)&own, &length), 0);
+    open_closing_peer(peer);
+    assert_int_equal(listen(peer->listener, 0), 0);
+    assert_int_equal(getsockname(peer->listener, (struct sockaddr *)&own, &length), 0);
     int filling = socket(AF_INET, SOCK_STREAM, 0);
     assert_int_equal(connect(filling, (const struct sockaddr *)&own, length), 0);
     close(filling); // still occupies the accept queue
-    peer->listener = listener;
-    peer->address = g_strdup_printf("127.0.0.1:%u", ntohs(own.sin_port));
 }
 
 /* Sends a message every 100 ms until connected, for at most `span_ms`. */
