--- a/include/tealspar/query-t.h
+++ b/include/tealspar/query-t.h
@@ -69,8 +69,7 @@
 
 typedef enum ts_fragment_state {
     TS_FRAGMENT_WAITING, /**< at least one attempt is in flight */
-    /** To be retried at retry_at_us, if the retry budget allows. Overdue attempts may be in flight.
-     */
+    /** To be retried at retry_at_us, if the budget allows. Overdue attempts may be in flight. */
     TS_FRAGMENT_BACKOFF,
     TS_FRAGMENT_ANSWERED, /**< has an answer; may be queried again for another snapshot */
     TS_FRAGMENT_FAILED    /**< will not be retried */
@@ -90,8 +89,8 @@
     uint32_t replica_index;   /**< into the fragment's replicas */
     bool is_hedge;
     bool is_overdue; /**< its peer became silent; the reply may still arrive */
-    ts_time_us_t
-        lost_us; /**< unrepeatable: when the connection to its peer was lost; 0: not lost */
+    /** Of an unrepeatable request: when the connection to its peer was lost; 0: not lost. */
+    ts_time_us_t lost_us;
 } ts_attempt_t;
 
 /** One shard of a query. */
--- a/src/broker/broker.c
+++ b/src/broker/broker.c
@@ -11,7 +11,7 @@
 #define TICK_MS 10
 /* A longer gap between two runs of the broker is a stall of the process. */
 #define STALL_THRESHOLD_US (1000ULL * TS_US_PER_MS)
-/* A run of the broker that is late by more than this is excluded from measured service times. */
+/* The lateness of a run of the broker is excluded from service times if it exceeds this. */
 #define LATE_RUN_MIN_US (10ULL * TS_US_PER_MS)
 /* Time after a stall during which nothing unrepeatable is dispatched. */
 #define STALL_FENCE_US (3ULL * TS_US_PER_S)
--- a/src/broker/owned.c
+++ b/src/broker/owned.c
@@ -10,7 +10,7 @@
 #define QUEUE_MIN_PER_SLOT 8U
 #define QUEUE_MAX_PER_SLOT 64U
 #define SERVICE_EWMA_ALPHA 0.1
-/* Results that arrived during a stall are handled within this time of its end. */
+/* A result handled later than this after a stall did not wait for its end. */
 #define BACKLOG_US (5ULL * TS_US_PER_MS)
 #define HEALTH_INTERVAL_US (1000ULL * TS_US_PER_MS)
 /* How long a drain reported in a reply takes precedence over the health check. */
--- a/src/front/front.c
+++ b/src/front/front.c
@@ -18,9 +18,9 @@
 #define LAME_DUCK_MS 1000
 /*
  * A node is silent if it has several subrequests outstanding and has not replied for a multiple of
- * a latency quantile. Attempts at it move to other replicas as far as the retry budget allows. The
- * others and unrepeatable ones stay in flight: a node that is only slow still replies. It is
- * avoided until then, except for periodic probes. This node itself is never avoided.
+ * a latency quantile. Its attempts are sent to other replicas as far as the retry budget allows;
+ * the others, and unrepeatable ones, stay in flight, as a node that is only slow still replies.
+ * Until it does, it is avoided, except for periodic probes. This node itself is never avoided.
  */
 #define SILENCE_TIMEOUT_MIN_US (60ULL * TS_US_PER_MS)
 #define SILENCE_TIMEOUT_DEFAULT_US (500ULL * TS_US_PER_MS)
@@ -28,9 +28,9 @@
 #define SILENCE_QUANTILE 0.99
 #define SILENCE_SAMPLES_MIN 64U
 #define SILENCE_CHECK_INTERVAL_MS 20
+#define SILENCE_CHECK_INTERVAL_US (SILENCE_CHECK_INTERVAL_MS * TS_US_PER_MS)
 /* Time to read the replies of a node that has ended, after the loss of the connection to it. */
 #define LOSS_GRACE_US (100ULL * TS_US_PER_MS)
-#define SILENCE_CHECK_INTERVAL_US (SILENCE_CHECK_INTERVAL_MS * TS_US_PER_MS)
 
 ts_kind_stats_t *ts_front_ensure_kind_stats(ts_front_t *front, const char *kind)
 {
@@ -263,7 +263,8 @@
     g_array_free(counters, TRUE);
 }
 
-/* Marks the attempts at a silent node as overdue, and sends what can be sent elsewhere. */
+/* Marks the attempts at a silent node as overdue, and retries those that other replicas can serve.
+ */
 static void retry_attempts_of_peer(ts_front_t *front, uint64_t peer)
 {
     GHashTable *queries = g_hash_table_new(g_direct_hash, g_direct_equal);
--- a/src/front/query.c
+++ b/src/front/query.c
@@ -10,6 +10,7 @@
 
 #define CANDIDATES_MAX 64U
 #define RETRY_BACKOFF_US 10000ULL
+/* A retry that the budget denied is tried again after this time. */
 #define DENIED_RETRY_INTERVAL_US 50000ULL
 #define RETRY_AFTER_MIN_MS 1000U
 /* At this number of samples the latency histogram decays by half. */
@@ -237,8 +238,7 @@
     cancel_attempts(fragment);
 }
 
-/* Handles a retry that the budget denied. While an overdue attempt may be replied to, the retry is
-   tried again. */
+/* Called if the budget denies a retry. It is delayed while an overdue attempt may be replied to. */
 static void delay_or_end_retries(ts_fragment_t *fragment, ts_time_us_t now_us)
 {
     if (fragment->attempts_in_flight > 0) {
