A gateway logs the requests that its exit cuts off

A planned stop closed connections without an answer, and the log showed only `stopped after_ms`. What was cut could not be told from what callers had closed, nor a request that was being read from one at a back end.

At the end of the process each connection with a request that is not answered completely now gives a line `request_cut` (id, state, age, route, admitted, sends) and counts in `requests_cut_total`; `stopped` says how many.

--- a/include/tealspar/caller.h
+++ b/include/tealspar/caller.h
@@ -9,6 +9,7 @@
 #include <stdbool.h>
 #include <uv.h>
 
+#include "tealspar/clock.h"
 #include "tealspar/error.h"
 #include "tealspar/http_message.h"
 #include "tealspar/traffic.h"
@@ -49,10 +50,20 @@
 /** Calls `visit(caller, ctx)` for each connection whose request is being processed. */
 void ts_listener_each_busy(ts_listener_t *listener, void (*visit)(ts_caller_t *caller, void *ctx),
                            void *ctx);
+/**
+ * Calls `visit(caller, ctx)` for each connection with a request that has begun to arrive and is not
+ * answered completely.
+ */
+void ts_listener_each_unanswered(ts_listener_t *listener,
+                                 void (*visit)(ts_caller_t *caller, void *ctx), void *ctx);
 /** Number of open connections. */
 unsigned ts_listener_connections(const ts_listener_t *listener);
 
 const ts_http_message_t *ts_caller_message(const ts_caller_t *caller);
+/** What the connection does: "reading", "processing", "writing" or "lingering". */
+const char *ts_caller_state_name(const ts_caller_t *caller);
+/** Time since it began to do that, or since the first byte of the request that it reads. */
+ts_time_us_t ts_caller_state_age_us(const ts_caller_t *caller);
 /** Attaches the owner's request object to the connection; ts_caller_answer detaches it. */
 void ts_caller_set_request(ts_caller_t *caller, void *request);
 void *ts_caller_request(const ts_caller_t *caller);
--- a/include/tealspar/counters.h
+++ b/include/tealspar/counters.h
@@ -77,6 +77,7 @@
     X(REQUESTS_REFUSED, counter, "requests_refused_total", "requests refused and not run")         \
     X(REQUESTS_FAILED, counter, "requests_failed_total", "requests that may have run and failed")  \
     X(REQUESTS_LEFT, counter, "requests_left_total", "requests whose caller left first")           \
+    X(REQUESTS_CUT, counter, "requests_cut_total", "requests cut off by the exit of the process")  \
     X(SENDS, counter, "sends_total", "requests and parts sent to back ends")                       \
     X(SENDS_REGION, counter, "sends_region_total", "of these, to other zones of the region")       \
     X(SENDS_FAR, counter, "sends_far_total", "of these, to other regions")                         \
--- a/include/tealspar/gateway.h
+++ b/include/tealspar/gateway.h
@@ -76,6 +76,11 @@
 void ts_gateway_sweep(ts_gateway_t *gateway);
 /** Appends all metrics in the Prometheus text format. */
 void ts_gateway_write_metrics(const ts_gateway_t *gateway, GString *out);
+/**
+ * Logs and counts the requests that have begun to arrive and are not answered completely. Call it
+ * at the end of the process. Returns their number.
+ */
+unsigned ts_gateway_log_cut_requests(const ts_gateway_t *gateway);
 /** Runs a gateway until SIGTERM or SIGINT. `path`: the settings file, read again on reload. */
 ts_error_t ts_gateway_run(const char *path, ts_gateway_settings_t *settings);
 /** Activates a configuration if it is newer than the active one. Takes over the reference. */
--- a/include/tealspar/log.h
+++ b/include/tealspar/log.h
@@ -35,6 +35,7 @@
     X(REQUEST_PARTIAL, MESSAGE, "request_partial")                                                 \
     X(REQUEST_FAILED, MESSAGE, "request_failed")                                                   \
     X(REQUEST_LEFT, MESSAGE, "request_left")                                                       \
+    X(REQUEST_CUT, WARNING, "request_cut")                                                         \
     X(PART_SENT_AGAIN, INFO, "part_sent_again")                                                    \
     X(PART_DENIED, INFO, "part_denied")                                                            \
     X(PART_FAILED, INFO, "part_failed")                                                            \
--- a/src/edge/answer.c
+++ b/src/edge/answer.c
@@ -148,6 +148,28 @@
     }
 }
 
+static void log_cut_request(ts_caller_t *caller, void *ctx)
+{
+    const ts_gateway_t *gateway = ctx;
+    const ts_request_t *request = ts_caller_request(caller);
+    const char *id =
+        ts_http_message_find(ts_caller_message(caller), gateway->dialect->headers.request_id);
+    ts_count(TS_COUNTER_REQUESTS_CUT, 1);
+    ts_log(TS_EVENT_REQUEST_CUT, "request=%s state=%s after_ms=%lu route=%s admitted=%s sends=%u",
+           id == NULL ? "-" : id, ts_caller_state_name(caller),
+           (unsigned long)(ts_caller_state_age_us(caller) / TS_US_PER_MS),
+           request == NULL ? "-" : request->route->name,
+           request != NULL && request->is_admitted ? "yes" : "no",
+           request == NULL ? 0 : request->sends);
+}
+
+unsigned ts_gateway_log_cut_requests(const ts_gateway_t *gateway)
+{
+    int64_t before = ts_counter_value(TS_COUNTER_REQUESTS_CUT);
+    ts_listener_each_unanswered(gateway->caller_listener, log_cut_request, (void *)gateway);
+    return (unsigned)(ts_counter_value(TS_COUNTER_REQUESTS_CUT) - before);
+}
+
 void ts_answer_abandoned(const ts_request_t *request)
 {
     ts_count(TS_COUNTER_REQUESTS_LEFT, 1);
--- a/src/edge/caller.c
+++ b/src/edge/caller.c
@@ -5,7 +5,6 @@
 #include <strings.h>
 
 #include "tealspar/address.h"
-#include "tealspar/clock.h"
 #include "tealspar/counters.h"
 
 #define BACKLOG 1024
@@ -430,6 +429,16 @@
     }
 }
 
+void ts_listener_each_unanswered(ts_listener_t *listener,
+                                 void (*visit)(ts_caller_t *caller, void *ctx), void *ctx)
+{
+    for (ts_caller_t *caller = listener->callers; caller != NULL; caller = caller->next) {
+        bool is_idle = caller->state == CALLER_READING && !caller->message.has_begun;
+        if (!is_idle && caller->state != CALLER_LINGERING)
+            visit(caller, ctx);
+    }
+}
+
 unsigned ts_listener_connections(const ts_listener_t *listener)
 {
     return listener->connections;
@@ -440,6 +449,22 @@
     return &caller->message;
 }
 
+const char *ts_caller_state_name(const ts_caller_t *caller)
+{
+    static const char *const names[] = {
+        [CALLER_READING] = "reading",
+        [CALLER_PROCESSING] = "processing",
+        [CALLER_WRITING] = "writing",
+        [CALLER_LINGERING] = "lingering",
+    };
+    return names[caller->state];
+}
+
+ts_time_us_t ts_caller_state_age_us(const ts_caller_t *caller)
+{
+    return ts_clock_now_us() - caller->since_us;
+}
+
 void ts_caller_set_request(ts_caller_t *caller, void *request)
 {
     caller->request = request;
--- a/src/edge/gateway_process.c
+++ b/src/edge/gateway_process.c
@@ -160,8 +160,9 @@
     ts_log(TS_EVENT_STARTED, "version=%s zone=%s callers=%s", TS_VERSION, settings->zone,
            settings->callers);
     uv_run(&process.loop, UV_RUN_DEFAULT);
-    ts_log(TS_EVENT_STOPPED, "after_ms=%lu",
-           (unsigned long)((ts_clock_now_us() - process.stop_began_us) / TS_US_PER_MS));
+    unsigned cut = ts_gateway_log_cut_requests(&process.gateway);
+    ts_log(TS_EVENT_STOPPED, "after_ms=%lu cut=%u",
+           (unsigned long)((ts_clock_now_us() - process.stop_began_us) / TS_US_PER_MS), cut);
     ts_log_close();
     return TS_OK;
 }
