The shutdown of a gateway has a module of its own

Its phases and times were computed in the process' timer from the settings of the moment, where no test could reach them. `shutdown.c` now holds the schedule (pure, times are passed in), `gateway_shutdown.c` its timer and effects; `gateway_process.c` keeps the signals and ends the loop. No change of behaviour, except that the schedule is fixed by the signal: a reload during the shutdown no longer moves the exit, as the platform counts from its signal.

--- a/include/tealspar/gateway.h
+++ b/include/tealspar/gateway.h
@@ -15,6 +15,7 @@
 #include "tealspar/rate_limiter.h"
 #include "tealspar/registry.h"
 #include "tealspar/route_state.h"
+#include "tealspar/shutdown.h"
 #include "tealspar/traffic.h"
 #include "tealspar/upstream.h"
 
@@ -23,7 +24,10 @@
 typedef struct ts_peers ts_peers_t;
 typedef struct ts_pending ts_pending_t;
 
-typedef struct ts_gateway {
+typedef struct ts_gateway ts_gateway_t;
+typedef void (*ts_gateway_cb_t)(ts_gateway_t *gateway);
+
+struct ts_gateway {
     uv_loop_t *loop;
     ts_gateway_settings_t *settings; /**< owned; replaced as a whole on reload */
     const ts_dialect_t *dialect;
@@ -55,8 +59,10 @@
     GPtrArray *token_waiters;          /**< requests waiting for a token, of ts_request_t */
     unsigned requests;                 /**< number of requests in progress */
     uint32_t random; /**< state of the xorshift generator for tie-breaking and jitter */
-    bool is_stopping;
-} ts_gateway_t;
+    ts_shutdown_t shutdown;
+    uv_timer_t shutdown_timer;
+    ts_gateway_cb_t on_shutdown_ended; /**< NULL: nothing to call */
+};
 
 /** Opens a gateway on a loop; takes ownership of the settings. TS_OK or TS_E_LISTEN. */
 ts_error_t ts_gateway_open(ts_gateway_t *gateway, uv_loop_t *loop, ts_gateway_settings_t *settings);
@@ -66,9 +72,12 @@
 bool ts_gateway_is_initialized(const ts_gateway_t *gateway);
 /**
  * Begins a graceful shutdown: readiness fails, the peers are told, and every answer ends its
- * connection.
+ * connection. `on_ended` (may be NULL) is called when the process may exit, within the grace period
+ * of the settings. Further calls do nothing.
  */
-void ts_gateway_begin_shutdown(ts_gateway_t *gateway);
+void ts_gateway_begin_shutdown(ts_gateway_t *gateway, ts_gateway_cb_t on_ended);
+/** Whether a shutdown has begun. */
+bool ts_gateway_is_stopping(const ts_gateway_t *gateway);
 /**
  * Closes timed-out connections, drops expired state and updates the division of limits. Call it
  * about twice per second.
--- a/src/edge/gateway.c
+++ b/src/edge/gateway.c
@@ -124,7 +124,7 @@
 
 static bool is_ready(const ts_gateway_t *gateway)
 {
-    return !gateway->is_stopping && ts_gateway_is_initialized(gateway);
+    return !ts_gateway_is_stopping(gateway) && ts_gateway_is_initialized(gateway);
 }
 
 static void answer_ready(ts_caller_t *caller, void *context)
@@ -322,15 +322,6 @@
     return error;
 }
 
-void ts_gateway_begin_shutdown(ts_gateway_t *gateway)
-{
-    gateway->is_stopping = true;
-    if (gateway->peers != NULL) {
-        ts_peers_leave(gateway->peers);
-    }
-    ts_listener_disable_keep_alive(gateway->caller_listener);
-}
-
 static void sweep_service(gpointer name, gpointer value, gpointer context)
 {
     const ts_service_t *service = value;
--- a/src/edge/gateway_process.c
+++ b/src/edge/gateway_process.c
@@ -10,13 +10,6 @@
 #include "tealspar/version.h"
 
 #define TICK_MS 500
-#define STOP_TICK_MS 50
-/* Clients still open connections after a stop signal. The listener stays open for this long, or for
- * 2/3 of the time until exit if the process must exit earlier. */
-#define STOP_ACCEPT_US (3500 * TS_US_PER_MS)
-/* At the end of the grace period the process is killed. It exits at the latest this long before, or
- * at half of a grace period that is not longer than twice this value. */
-#define STOP_MARGIN_US (400 * TS_US_PER_MS)
 
 typedef struct process {
     ts_gateway_t gateway;
@@ -26,7 +19,6 @@
     uv_signal_t hangup;
     uv_prepare_t log_flush;
     uv_timer_t tick_timer;
-    uv_timer_t stop_timer;
     const char *settings_path;
     struct timespec settings_mtime;
     ts_time_us_t stop_began_us;
@@ -91,32 +83,18 @@
     }
 }
 
-static void on_stop_tick(uv_timer_t *timer)
+static void on_shutdown_ended(ts_gateway_t *gateway)
 {
-    ts_gateway_t *gateway = &process.gateway;
-    ts_time_us_t since_stop_us = ts_clock_now_us() - process.stop_began_us;
-    ts_time_us_t grace_us = gateway->settings->grace_ms * TS_US_PER_MS;
-    ts_time_us_t exit_us = grace_us > 2 * STOP_MARGIN_US ? grace_us - STOP_MARGIN_US : grace_us / 2;
-    ts_time_us_t close_listener_us = STOP_ACCEPT_US < exit_us ? STOP_ACCEPT_US : exit_us * 2 / 3;
-    if (since_stop_us > close_listener_us) {
-        ts_listener_close(gateway->caller_listener);
-    }
-    bool is_done = since_stop_us > close_listener_us && gateway->requests == 0 &&
-                   ts_listener_connections(gateway->caller_listener) == 0;
-    if (is_done || since_stop_us > exit_us) {
-        uv_stop(&process.loop);
-    }
+    uv_stop(gateway->loop);
 }
 
 static void on_stop_signal(uv_signal_t *handle, int number)
 {
-    if (process.gateway.is_stopping) {
+    if (ts_gateway_is_stopping(&process.gateway))
         return;
-    }
     process.stop_began_us = ts_clock_now_us();
     ts_log(TS_EVENT_STOPPING, "signal=%d requests=%u", number, process.gateway.requests);
-    ts_gateway_begin_shutdown(&process.gateway);
-    uv_timer_start(&process.stop_timer, on_stop_tick, STOP_TICK_MS, STOP_TICK_MS);
+    ts_gateway_begin_shutdown(&process.gateway, on_shutdown_ended);
 }
 
 /* -- Start ------------------------------------------------------------------------------------- */
@@ -153,7 +131,6 @@
         return error;
     }
     uv_timer_init(&process.loop, &process.tick_timer);
-    uv_timer_init(&process.loop, &process.stop_timer);
     uv_prepare_init(&process.loop, &process.log_flush);
     uv_prepare_start(&process.log_flush, flush_log);
     uv_timer_start(&process.tick_timer, on_tick, TICK_MS, TICK_MS);
--- /dev/null
+++ b/src/edge/gateway_shutdown.c
@@ -0,0 +1,44 @@
+/** Graceful shutdown of a gateway: from the stop signal until the process may exit. */
+#include "tealspar/gateway.h"
+#include "tealspar/peers.h"
+
+#define TICK_MS 50
+
+static void on_tick(uv_timer_t *timer)
+{
+    ts_gateway_t *gateway = timer->data;
+    bool is_idle = gateway->requests == 0 && ts_listener_connections(gateway->caller_listener) == 0;
+    switch (ts_shutdown_advance(&gateway->shutdown, ts_clock_now_us(), is_idle)) {
+    case TS_SHUTDOWN_NONE:
+    case TS_SHUTDOWN_ACCEPTING:
+        break;
+    case TS_SHUTDOWN_CLOSING:
+        ts_listener_close(gateway->caller_listener);
+        break;
+    case TS_SHUTDOWN_ENDED:
+        uv_timer_stop(timer);
+        if (gateway->on_shutdown_ended != NULL)
+            gateway->on_shutdown_ended(gateway);
+        break;
+    }
+}
+
+void ts_gateway_begin_shutdown(ts_gateway_t *gateway, ts_gateway_cb_t on_ended)
+{
+    if (ts_gateway_is_stopping(gateway))
+        return;
+    ts_time_us_t grace_us = gateway->settings->grace_ms * TS_US_PER_MS;
+    ts_shutdown_begin(&gateway->shutdown, ts_clock_now_us(), grace_us);
+    gateway->on_shutdown_ended = on_ended;
+    if (gateway->peers != NULL)
+        ts_peers_leave(gateway->peers);
+    ts_listener_disable_keep_alive(gateway->caller_listener);
+    uv_timer_init(gateway->loop, &gateway->shutdown_timer);
+    gateway->shutdown_timer.data = gateway;
+    uv_timer_start(&gateway->shutdown_timer, on_tick, TICK_MS, TICK_MS);
+}
+
+bool ts_gateway_is_stopping(const ts_gateway_t *gateway)
+{
+    return gateway->shutdown.phase != TS_SHUTDOWN_NONE;
+}
--- a/tests/gateway/test_callers.c
+++ b/tests/gateway/test_callers.c
@@ -135,7 +135,7 @@
     fixture_put_config(fixture, 1, SERVICE_ROUTE_JSON("one", "/p/", "idempotent", "a", 1500));
     client_send(client, "GET /api/readiness HTTP/1.1\r\nHost: x\r\n\r\n");
     assert_int_equal(client_await_response(fixture, client), 200);
-    ts_gateway_begin_shutdown(&fixture->gateway);
+    ts_gateway_begin_shutdown(&fixture->gateway, NULL);
     client_send(client, "GET /api/readiness HTTP/1.1\r\nHost: x\r\n\r\n");
     assert_int_equal(client_await_response(fixture, client), 503);
 }
@@ -172,7 +172,7 @@
     client_t *client = client_connect(fixture, fixture->callers_port);
     client_send(client, "GET /p/1 HTTP/1.1\r\n" REQUIRED_FIELDS "\r\n");
     assert_true(fixture_run_until(fixture, &searcher->runs, 1));
-    ts_gateway_begin_shutdown(&fixture->gateway);
+    ts_gateway_begin_shutdown(&fixture->gateway, NULL);
     assert_int_equal(client_await_response(fixture, client), 200);
     assert_string_equal(ts_http_message_find(&client->response, "Connection"), "close");
     unsigned status = 0;
--- a/tests/gateway/test_peers.c
+++ b/tests/gateway/test_peers.c
@@ -189,7 +189,7 @@
     fleet_t fleet = open_fleet();
     ts_gateway_t *watcher = find_watcher(&fleet);
     assert_non_null(watcher);
-    ts_gateway_begin_shutdown(watcher);
+    ts_gateway_begin_shutdown(watcher, NULL);
     fixture_run_ms(fleet.fixture, 500);
     assert_ptr_not_equal(find_watcher(&fleet), watcher);
     assert_non_null(find_watcher(&fleet));
@@ -246,7 +246,7 @@
 {
     int collector = -1;
     for (int i = 0; i < NODES; i++) {
-        if (!fleet->nodes[i]->is_stopping && fleet->nodes[i]->peers->is_collector) {
+        if (!ts_gateway_is_stopping(fleet->nodes[i]) && fleet->nodes[i]->peers->is_collector) {
             assert_int_equal(collector, -1);
             collector = i;
         }
@@ -303,7 +303,7 @@
     fleet_t fleet = open_fleet();
     int collector = find_collector(&fleet);
     assert_true(collector >= 0);
-    ts_gateway_begin_shutdown(fleet.nodes[collector]);
+    ts_gateway_begin_shutdown(fleet.nodes[collector], NULL);
     fixture_run_ms(fleet.fixture, 500);
     int next = find_collector(&fleet);
     assert_true(next >= 0 && next != collector);
@@ -451,7 +451,7 @@
         fixture_run_ms(fleet.fixture, 10);
     }
     assert_true(fleet.nodes[0]->retry_rule.slack_share < share);
-    ts_gateway_begin_shutdown(fleet.nodes[1]);
+    ts_gateway_begin_shutdown(fleet.nodes[1], NULL);
     fixture_run_ms(fleet.fixture, 500);
     assert_int_equal(fleet.nodes[0]->nodes, 5); /* n1 may come back and use its share */
 }
