A planned stop answers the requests that it can't wait for

The shutdown now sets one more deadline, 0.4 s before the end of the grace period (where the process used to exit): for requests in progress when it begins, and for later ones. A request that reaches it ends as at any deadline: a gather with enough parts is answered, else 504 if a backend may have run it and 503 with an immediate retry if not. What is sent during the shutdown tells the backend 50 ms less, so that one that has only queued it still says so. A new phase then waits for answers to be written, up to 0.2 s before the end of the grace period. Phases are entered one a tick, so that after a stall of the process sockets are read in each of them.

--- a/include/tealspar/shutdown.h
+++ b/include/tealspar/shutdown.h
@@ -13,6 +13,7 @@
     TS_SHUTDOWN_NONE,      /**< no shutdown has begun */
     TS_SHUTDOWN_ACCEPTING, /**< clients may still connect, as they learn of the shutdown late */
     TS_SHUTDOWN_CLOSING,   /**< the listener and idle connections are closed */
+    TS_SHUTDOWN_FLUSHING,  /**< no request may be in progress; answers are still written */
     TS_SHUTDOWN_ENDED      /**< the process exits */
 } ts_shutdown_phase_t;
 
@@ -20,6 +21,7 @@
 typedef struct ts_shutdown {
     ts_shutdown_phase_t phase;
     ts_time_us_t close_listener_us; /**< end of TS_SHUTDOWN_ACCEPTING */
+    ts_time_us_t answer_by_us;      /**< deadline of all requests, end of TS_SHUTDOWN_CLOSING */
     ts_time_us_t exit_us;           /**< latest time of the exit */
 } ts_shutdown_t;
 
@@ -29,7 +31,13 @@
  * signal.
  */
 void ts_shutdown_begin(ts_shutdown_t *shutdown, ts_time_us_t now_us, ts_time_us_t grace_us);
-/** Enters the phase that is due, and returns it. `is_idle`: no connection is open. */
+/**
+ * Enters the next phase if it is due, and returns the phase. `is_idle`: no connection is open. At
+ * most one phase is entered by a call, so that sockets are polled in each phase also after the
+ * process has stalled.
+ */
 ts_shutdown_phase_t ts_shutdown_advance(ts_shutdown_t *shutdown, ts_time_us_t now_us, bool is_idle);
+/** Latest time at which a request may be answered; UINT64_MAX while no shutdown has begun. */
+ts_time_us_t ts_shutdown_answer_by_us(const ts_shutdown_t *shutdown);
 
 #endif
--- a/src/edge/answer.c
+++ b/src/edge/answer.c
@@ -23,6 +23,8 @@
 #define OVERLOAD_RETRY_MS 400
 /* Added in proportion to the current share of refused requests. */
 #define OVERLOAD_RETRY_EXTRA_MS 1200
+/* Retry-after time if another gateway can take the request at once. */
+#define ELSEWHERE_RETRY_MS 1U
 #define MS_PER_S 1000.0
 
 static void append_retry_after(const ts_gateway_t *gateway, uint32_t retry_after_ms,
@@ -212,7 +214,8 @@
     if (!may_have_run) {
         return STATUS_UNAVAILABLE;
     }
-    return error == TS_E_DEADLINE ? STATUS_GATEWAY_TIMEOUT : STATUS_BAD_GATEWAY;
+    bool is_out_of_time = error == TS_E_DEADLINE || error == TS_E_STOPPING;
+    return is_out_of_time ? STATUS_GATEWAY_TIMEOUT : STATUS_BAD_GATEWAY;
 }
 
 /* Whether some service of the request has no instance at all, e.g. because the configuration
@@ -240,6 +243,8 @@
 {
     if (error == TS_E_UNAUTHENTICATED || error == TS_E_QUARANTINED)
         return 0; // a retry with the same key, or of the same request, would be refused again
+    if (error == TS_E_STOPPING)
+        return ELSEWHERE_RETRY_MS;
     if (error == TS_E_QUOTA)
         return quota_retry_ms(request);
     bool waits_for_instances = error == TS_E_PLACEMENT || lacks_instances(request);
--- a/src/edge/gateway_shutdown.c
+++ b/src/edge/gateway_shutdown.c
@@ -1,4 +1,5 @@
 /** Graceful shutdown of a gateway: from the stop signal until the process may exit. */
+#include "request.h"
 #include "tealspar/gateway.h"
 #include "tealspar/peers.h"
 
@@ -13,6 +14,7 @@
     case TS_SHUTDOWN_ACCEPTING:
         break;
     case TS_SHUTDOWN_CLOSING:
+    case TS_SHUTDOWN_FLUSHING:
         ts_listener_close(gateway->caller_listener);
         break;
     case TS_SHUTDOWN_ENDED:
@@ -23,6 +25,13 @@
     }
 }
 
+static void shorten_request(ts_caller_t *caller, void *ctx)
+{
+    ts_request_t *request = ts_caller_request(caller);
+    if (request != NULL) // NULL: held until the gateway is initialized, see pending.c
+        ts_request_shorten(request);
+}
+
 void ts_gateway_begin_shutdown(ts_gateway_t *gateway, ts_gateway_cb_t on_ended)
 {
     if (ts_gateway_is_stopping(gateway))
@@ -33,6 +42,7 @@
     if (gateway->peers != NULL)
         ts_peers_leave(gateway->peers);
     ts_listener_disable_keep_alive(gateway->caller_listener);
+    ts_listener_each_busy(gateway->caller_listener, shorten_request, NULL);
     uv_timer_init(gateway->loop, &gateway->shutdown_timer);
     gateway->shutdown_timer.data = gateway;
     uv_timer_start(&gateway->shutdown_timer, on_tick, TICK_MS, TICK_MS);
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -87,6 +87,23 @@
     return result;
 }
 
+/* A backend must answer this long before the deadline of a shutdown. It then still says whether it
+ * has run a request that it had queued. */
+#define SHUTDOWN_REPLY_MARGIN_US (50 * TS_US_PER_MS)
+
+/* Applies the deadline of a shutdown, if one has begun, to the request and its later sends. */
+static void apply_shutdown_deadline(ts_request_t *request)
+{
+    ts_time_us_t answer_by_us = ts_shutdown_answer_by_us(&request->gateway->shutdown);
+    if (request->deadline_us <= answer_by_us)
+        return;
+    request->is_shortened = true;
+    request->deadline_us = MAX(answer_by_us, request->arrived_us);
+    request->soft_deadline_us = MIN(request->soft_deadline_us, request->deadline_us);
+    request->outgoing->deadline_us =
+        MIN(request->outgoing->deadline_us, answer_by_us - SHUTDOWN_REPLY_MARGIN_US);
+}
+
 /* `given_ms`: the caller's timeout; 0: not given. */
 static void set_deadlines(ts_request_t *request, ts_time_us_t arrived_us, uint32_t given_ms)
 {
@@ -108,6 +125,7 @@
         request->soft_deadline_us > request->deadline_us) {
         request->soft_deadline_us = request->deadline_us;
     }
+    apply_shutdown_deadline(request);
     request->quota_deadline_us =
         request->arrived_us + MIN(TOKEN_WAIT_US, timeout_us / TOKEN_WAIT_DIVISOR);
     request->admission_deadline_us = request->arrived_us + ts_request_admission_timeout_us(request);
@@ -224,6 +242,9 @@
     case TS_ADMISSION_PAST_DEADLINE:
         fail(request, TS_E_PAST_DEADLINE);
         return true;
+    case TS_ADMISSION_STOPPING:
+        fail(request, TS_E_STOPPING);
+        return true;
     case TS_ADMISSION_QUARANTINED:
         fail(request, TS_E_QUARANTINED);
         return true;
@@ -281,7 +302,7 @@
         if (ts_part_accept_error_answer(&request->parts[0]))
             succeed(request);
         else
-            fail(request, TS_E_DEADLINE);
+            fail(request, request->is_shortened ? TS_E_STOPPING : TS_E_DEADLINE);
         return true;
     }
     return false;
@@ -322,6 +343,13 @@
     }
 }
 
+void ts_request_shorten(ts_request_t *request)
+{
+    apply_shutdown_deadline(request);
+    if (request->is_admitted)
+        set_timer(request, ts_clock_now_us());
+}
+
 void ts_request_recheck(ts_request_t *request)
 {
     uv_timer_start(&request->timer, on_timer, 0, 0);
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -67,7 +67,8 @@
     bool has_token;                     /**< holds a token of the tenant's quota */
     bool is_waiting_for_token;          /**< listed in the gateway's `token_waiters` */
     bool is_admitted;
-    bool is_retry; /**< the caller's timeout is shorter than usual, as after a refusal */
+    bool is_shortened; /**< `deadline_us` is set by the gateway's shutdown */
+    bool is_retry;     /**< the caller's timeout is shorter than usual, as after a refusal */
     /**
      * Target latency after the arrival, less a margin; at the latest `deadline_us`. From then on, a
      * gather needs only the minimum coverage. Waits for admission and hedges are timed by it, too.
@@ -134,6 +135,8 @@
 void ts_part_clear(ts_request_part_t *part);
 /** Starts a request that arrived at `arrived_us`. */
 void ts_request_begin_at(ts_gateway_t *gateway, ts_caller_t *caller, ts_time_us_t arrived_us);
+/** Moves the deadlines of a request in progress ahead to those of the shutdown that has begun. */
+void ts_request_shorten(ts_request_t *request);
 /** Checks the request in the next loop iteration, as what it waits for may be available. */
 void ts_request_recheck(ts_request_t *request);
 /** After a change of a part: answers the request if its outcome is known, else sets its timer. */
@@ -178,6 +181,7 @@
     TS_ADMISSION_UNCONFIRMED,   /**< the tenant's quota could not be checked in time */
     TS_ADMISSION_REVOKED,       /**< the request's key was revoked */
     TS_ADMISSION_PAST_DEADLINE, /**< the caller has timed out, e.g. during a process stall */
+    TS_ADMISSION_STOPPING,      /**< this node exits before the request can be answered */
     TS_ADMISSION_QUARANTINED,   /**< identical requests have crashed backends */
     TS_ADMISSION_TRIAL_PENDING, /**< the trial of an identical request did not end in time */
     TS_ADMISSION_EXCLUDED,      /**< too many parts have no permitted backend */
--- a/src/edge/request_admission.c
+++ b/src/edge/request_admission.c
@@ -132,7 +132,7 @@
 ts_admission_result_t ts_request_admit(ts_request_t *request, ts_time_us_t now_us)
 {
     if (now_us >= request->deadline_us)
-        return TS_ADMISSION_PAST_DEADLINE;
+        return request->is_shortened ? TS_ADMISSION_STOPPING : TS_ADMISSION_PAST_DEADLINE;
     if (ts_request_is_revoked(request))
         return TS_ADMISSION_REVOKED;
     if (!exclude_parts(request, now_us))
