A stopping gateway refuses at once what it can't answer before its exit

Cause: admission compared the time that a request takes with nothing. It is now compared with the time left, while a shutdown has shortened the request's deadline: the 0.9 quantile of the route's successful latencies (or the estimate of overdue answers, if longer) at the best instance, behind this node's requests there. For requests that may run only once it is the 0.99 quantile, as their callers can't repeat them after 504. What doesn't fit is refused with 503, an immediate retry and `Connection: close`; the same holds for a retry of a part. No fixed time: what fits is served until the end. The estimate of the median alone would need about 150 answers to follow a route from 0.1 to 1.2 s (steps of 1.5%), so the histogram that the metrics already have is used.

Test, without the check: test_unfinishable_requests_are_rejected_at_once gets no answer within 0.1 s, test_once_only_requests_are_rejected_earlier gets 200 though one of 15 of its route took longer than what was left. Both pass with it.

--- a/include/tealspar/replica.h
+++ b/include/tealspar/replica.h
@@ -55,6 +55,12 @@
 bool ts_replica_is_full(const ts_instance_t *instance, const ts_replica_input_t *input);
 /** Expected response time in microseconds, plus penalties for an instance in doubtful health. */
 double ts_replica_cost(const ts_instance_t *instance, const ts_replica_input_t *input);
+/**
+ * Response time to reckon with, in microseconds, if the best usable instance takes `input->work_us`
+ * or longer: behind this node's requests there, and longer if it has been slow. 0 if no instance is
+ * usable.
+ */
+double ts_replica_response_time_us(const ts_service_t *service, const ts_replica_input_t *input);
 /**
  * Selects the instance with the lowest cost that is usable, not full and not among `tried`; NULL if
  * there is none. The cost of a suspected instance includes a penalty, except for at most one
--- a/include/tealspar/route_state.h
+++ b/include/tealspar/route_state.h
@@ -49,6 +49,11 @@
  * but at most 2.5 times the median.
  */
 double ts_route_state_overdue_us(const ts_route_state_t *state);
+/**
+ * A long response time: the given quantile of the latencies of successful requests, or the estimate
+ * `overdue` if that is longer.
+ */
+double ts_route_state_long_us(const ts_route_state_t *state, double quantile);
 /** Adds an overdue request, whose response time is still unknown. */
 void ts_route_state_add_overdue(ts_route_state_t *state);
 /** Records the outcome of a request and its latency, from its arrival to its end. */
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -87,23 +87,6 @@
     return result;
 }
 
-/* A backend must answer this long before the deadline of a shutdown. It then still says whether it
- * has run a request that it had queued. */
-#define SHUTDOWN_REPLY_MARGIN_US (50 * TS_US_PER_MS)
-
-/* Applies the deadline of a shutdown, if one has begun, to the request and its later sends. */
-static void apply_shutdown_deadline(ts_request_t *request)
-{
-    ts_time_us_t answer_by_us = ts_shutdown_answer_by_us(&request->gateway->shutdown);
-    if (request->deadline_us <= answer_by_us)
-        return;
-    request->is_shortened = true;
-    request->deadline_us = MAX(answer_by_us, request->arrived_us);
-    request->soft_deadline_us = MIN(request->soft_deadline_us, request->deadline_us);
-    request->outgoing->deadline_us =
-        MIN(request->outgoing->deadline_us, answer_by_us - SHUTDOWN_REPLY_MARGIN_US);
-}
-
 /* `given_ms`: the caller's timeout; 0: not given. */
 static void set_deadlines(ts_request_t *request, ts_time_us_t arrived_us, uint32_t given_ms)
 {
@@ -125,7 +108,7 @@
         request->soft_deadline_us > request->deadline_us) {
         request->soft_deadline_us = request->deadline_us;
     }
-    apply_shutdown_deadline(request);
+    ts_request_apply_shutdown(request);
     request->quota_deadline_us =
         request->arrived_us + MIN(TOKEN_WAIT_US, timeout_us / TOKEN_WAIT_DIVISOR);
     request->admission_deadline_us = request->arrived_us + ts_request_admission_timeout_us(request);
@@ -268,6 +251,8 @@
 {
     if (ts_request_is_revoked(request))
         return TS_E_UNAUTHENTICATED;
+    if (request->is_shortened && !ts_request_may_have_run(request))
+        return TS_E_STOPPING; // another node may be able to send it once more
     for (unsigned i = 0; i < request->parts_count; i++) {
         if (request->parts[i].state == TS_PART_LOST && request->parts[i].was_refused) {
             return TS_E_OVERLOAD;
@@ -345,7 +330,7 @@
 
 void ts_request_shorten(ts_request_t *request)
 {
-    apply_shutdown_deadline(request);
+    ts_request_apply_shutdown(request);
     if (request->is_admitted)
         set_timer(request, ts_clock_now_us());
 }
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -10,6 +10,7 @@
 #include "tealspar/authentication.h"
 #include "tealspar/gateway.h"
 #include "tealspar/log.h"
+#include "tealspar/replica.h"
 
 /* Maximum number of sends of one part; a route may allow fewer. */
 #define TS_SENDS_MAX 6U
@@ -87,6 +88,8 @@
     ts_request_part_t parts[];
 };
 
+/** Parameters for the choice of the part's instance. */
+ts_replica_input_t ts_part_make_replica_input(const ts_request_part_t *part, ts_time_us_t now_us);
 /** Whether placement or evacuations rule out every listed instance of the part's service. */
 bool ts_part_is_excluded(const ts_request_part_t *part, ts_time_us_t now_us);
 /** Gives up an excluded part. */
@@ -135,6 +138,15 @@
 void ts_part_clear(ts_request_part_t *part);
 /** Starts a request that arrived at `arrived_us`. */
 void ts_request_begin_at(ts_gateway_t *gateway, ts_caller_t *caller, ts_time_us_t arrived_us);
+/** If a shutdown has begun, applies its deadline to the request and its later sends. */
+void ts_request_apply_shutdown(ts_request_t *request);
+/**
+ * Whether the part, if it is sent now, is likely answered before the deadline of a shutdown. True
+ * if none has shortened the request's deadline.
+ */
+bool ts_part_can_finish(const ts_request_part_t *part, ts_time_us_t now_us);
+/** The same for as many parts as the request needs, before it is admitted. */
+bool ts_request_can_finish(const ts_request_t *request, ts_time_us_t now_us);
 /** Moves the deadlines of a request in progress ahead to those of the shutdown that has begun. */
 void ts_request_shorten(ts_request_t *request);
 /** Checks the request in the next loop iteration, as what it waits for may be available. */
--- a/src/edge/request_admission.c
+++ b/src/edge/request_admission.c
@@ -137,6 +137,8 @@
         return TS_ADMISSION_REVOKED;
     if (!exclude_parts(request, now_us))
         return TS_ADMISSION_EXCLUDED;
+    if (!ts_request_can_finish(request, now_us))
+        return TS_ADMISSION_STOPPING;
     ts_admission_result_t quarantine = ts_request_check_quarantine(request, now_us);
     if (quarantine != TS_ADMISSION_ADMITTED)
         return quarantine;
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -7,7 +7,6 @@
 #include "tealspar/log.h"
 #include "tealspar/mechanism.h"
 #include "tealspar/peers.h"
-#include "tealspar/replica.h"
 
 /* A service is scarce for this long after a request had to wait for it. Longer than
  * ADMISSION_RECHECK_US, so that the service stays scarce while a request waits. */
@@ -41,7 +40,7 @@
     return ts_connections_in_use_max(part->service->connections_max, gateway->nodes);
 }
 
-static ts_replica_input_t make_replica_input(const ts_request_part_t *part, ts_time_us_t now_us)
+ts_replica_input_t ts_part_make_replica_input(const ts_request_part_t *part, ts_time_us_t now_us)
 {
     ts_gateway_t *gateway = part->request->gateway;
     if (part->service->warmup_rate > 0)
@@ -151,13 +150,13 @@
 
 bool ts_part_is_excluded(const ts_request_part_t *part, ts_time_us_t now_us)
 {
-    ts_replica_input_t input = make_replica_input(part, now_us);
+    ts_replica_input_t input = ts_part_make_replica_input(part, now_us);
     return ts_replica_is_excluded(part->service, &input);
 }
 
 bool ts_part_is_blocked(const ts_request_part_t *part, ts_time_us_t now_us)
 {
-    ts_replica_input_t input = make_replica_input(part, now_us);
+    ts_replica_input_t input = ts_part_make_replica_input(part, now_us);
     return !ts_replica_is_any_free(part->service, &input);
 }
 
@@ -190,7 +189,7 @@
 {
     if (!ts_log_is_wanted(TS_EVENT_PART_BLOCKED) || !ts_part_is_blocked(part, now_us))
         return;
-    ts_replica_input_t input = make_replica_input(part, now_us);
+    ts_replica_input_t input = ts_part_make_replica_input(part, now_us);
     ts_replica_summary_t summary = ts_replica_summarize(part->service, &input);
     ts_log(TS_EVENT_PART_BLOCKED,
            "request=%s service=%s listed=%u misplaced=%u evacuated=%u leaving=%u full=%u "
@@ -231,7 +230,7 @@
         lose_revoked_part(part, now_us);
         return;
     }
-    ts_replica_input_t input = make_replica_input(part, now_us);
+    ts_replica_input_t input = ts_part_make_replica_input(part, now_us);
     ts_instance_t *instance = ts_replica_choose(part->service, &input, NULL, 0);
     if (instance == NULL) {
         part->next_try_us = now_us + INSTANCE_RECHECK_US;
@@ -255,7 +254,8 @@
     if (ts_clock_now_us() >= part->request->deadline_us)
         return false; // the caller has timed out, e.g. during a process stall
     return part->attempts < route->attempts_max && part->sends < TS_SENDS_MAX &&
-           (route->is_repeatable || !part->may_have_run) && !ts_request_is_revoked(part->request);
+           (route->is_repeatable || !part->may_have_run) && !ts_request_is_revoked(part->request) &&
+           ts_part_can_finish(part, ts_clock_now_us());
 }
 
 /*
@@ -296,7 +296,7 @@
     if (!ts_part_may_send_again(part)) {
         return false;
     }
-    ts_replica_input_t input = make_replica_input(part, now_us);
+    ts_replica_input_t input = ts_part_make_replica_input(part, now_us);
     ts_instance_t *instance = ts_replica_choose(part->service, &input, part->tried, part->sends);
     if (instance == NULL || ts_replica_cost(instance, &input) > cost_max_us) {
         return false;
@@ -398,7 +398,7 @@
  * gives the part up. */
 static void wait_or_lose(ts_request_part_t *part, ts_time_us_t now_us)
 {
-    ts_replica_input_t input = make_replica_input(part, now_us);
+    ts_replica_input_t input = ts_part_make_replica_input(part, now_us);
     bool is_worth_waiting =
         ts_replica_is_worth_waiting(part->service, &input, part->tried, part->sends);
     part->overdue_us = 0;
--- a/src/route/replica.c
+++ b/src/route/replica.c
@@ -71,13 +71,21 @@
     return now_us - instance->suspect_sent_us > PROBE_INTERVAL_US;
 }
 
-double ts_replica_cost(const ts_instance_t *instance, const ts_replica_input_t *input)
+/* Expected response time if the instance takes `ratio` times the typical service time. */
+static double response_time_us(const ts_instance_t *instance, const ts_replica_input_t *input,
+                               double ratio)
 {
-    double work_us = input->work_us * ts_instance_latency_ratio(instance, input->now_us);
+    double work_us = input->work_us * ratio;
     if (instance->warm_at_us > input->now_us) {
         work_us *= WARMUP_FACTOR;
     }
-    double cost_us = ts_rtt_estimate_us(instance->rtt) + work_us * (1 + queue_factor(instance));
+    return ts_rtt_estimate_us(instance->rtt) + work_us * (1 + queue_factor(instance));
+}
+
+double ts_replica_cost(const ts_instance_t *instance, const ts_replica_input_t *input)
+{
+    double ratio = ts_instance_latency_ratio(instance, input->now_us);
+    double cost_us = response_time_us(instance, input, ratio);
     cost_us +=
         ts_instance_failure_rate(instance, input->now_us) * FAILED_COST_RATIO * input->work_us;
     if (instance->suspected_us != 0 && !is_probe_due(instance, input->now_us)) {
@@ -116,6 +124,21 @@
     return false;
 }
 
+double ts_replica_response_time_us(const ts_service_t *service, const ts_replica_input_t *input)
+{
+    double shortest_us = 0;
+    for (guint i = 0; i < service->instances->len; i++) {
+        const ts_instance_t *instance = g_ptr_array_index(service->instances, i);
+        if (!ts_replica_is_usable(instance, input))
+            continue;
+        double ratio = MAX(ts_instance_latency_ratio(instance, input->now_us), 1);
+        double time_us = response_time_us(instance, input, ratio);
+        if (shortest_us == 0 || time_us < shortest_us)
+            shortest_us = time_us;
+    }
+    return shortest_us;
+}
+
 ts_instance_t *ts_replica_choose(const ts_service_t *service, const ts_replica_input_t *input,
                                  ts_instance_t *const *tried, unsigned tried_count)
 {
--- a/src/route/route_state.c
+++ b/src/route/route_state.c
@@ -50,6 +50,13 @@
     ts_quantile_add(&state->overdue, response_time_us);
 }
 
+double ts_route_state_long_us(const ts_route_state_t *state, double quantile)
+{
+    const ts_histogram_t *latencies = state->latencies[TS_OUTCOME_OK];
+    ts_time_us_t latency_us = latencies == NULL ? 0 : ts_histogram_quantile(latencies, quantile);
+    return MAX((double)latency_us, state->overdue.value_us);
+}
+
 void ts_route_state_add_overdue(ts_route_state_t *state)
 {
     ts_quantile_add(&state->overdue, state->overdue.value_us * OVERDUE_FACTOR);
--- a/tests/gateway/test_shutdown.c
+++ b/tests/gateway/test_shutdown.c
@@ -3,7 +3,6 @@
 
 #include <string.h>
 
-#define GRACE_MS "2000"
 #define WAIT_MS 4000U
 #define CLIENTS 4U
 #define ROUTE_REPEATABLE SERVICE_ROUTE_JSON("one", "/p/", "idempotent", "a", 9000)
@@ -18,7 +17,7 @@
 
 static fixture_t *open_fixture(lab_searcher_t **searcher)
 {
-    fixture_t *fixture = fixture_open("grace_ms: " GRACE_MS "\n");
+    fixture_t *fixture = fixture_open("grace_ms: 3000\n");
     *searcher = fixture_add_searcher(fixture, "i-1", "a", "z1");
     fixture_put_config(fixture, 1, ROUTE_REPEATABLE "," ROUTE_ONCE);
     return fixture;
@@ -96,11 +95,77 @@
     check_requests_at_work("/o/y");
 }
 
+/* Sends requests to a route until the gateway has learned that it takes `delay_ms`. */
+static void teach_response_time(fixture_t *fixture, lab_searcher_t *searcher, const char *target,
+                                unsigned delay_ms)
+{
+    searcher->delay_ms = delay_ms;
+    for (unsigned i = 0; i < 2; i++) {
+        unsigned status = 0;
+        client_close(client_get(fixture, target, "w", 9000, &status));
+        assert_int_equal(status, 200);
+    }
+}
+
+/* A request that takes longer than what is left until the exit must not be sent on and cut off: it
+ * is rejected at once, while one that can be finished is served. */
+static void test_unfinishable_requests_are_rejected_at_once(void **state)
+{
+    lab_searcher_t *searcher = NULL;
+    fixture_t *fixture = open_fixture(&searcher);
+    teach_response_time(fixture, searcher, "/p/x", 1200);
+    client_t *clients[CLIENTS];
+    searcher->delay_ms = 5;
+    open_kept_connections(fixture, clients);
+    searcher->delay_ms = 1200;
+    begin_shutdown(fixture);
+    send_request(clients[0], "/p/early");
+    assert_int_equal(client_await_response(fixture, clients[0]), 200);
+    fixture_run_ms(fixture, 300);
+    unsigned runs = searcher->runs;
+    send_request(clients[1], "/p/late");
+    fixture_run_ms(fixture, 100);
+    assert_int_equal(status_of(clients[1]), 503);
+    assert_string_equal(ts_http_message_find(&clients[1]->response, "Connection"), "close");
+    assert_non_null(ts_http_message_find(&clients[1]->response, "Retry-After"));
+    assert_int_equal(searcher->runs, runs);
+    await_end(fixture);
+}
+
+/* A request that may run only once is rejected while its slow executions would be cut off, which
+ * its caller could not repeat; a repeatable one is still served. */
+static void test_once_only_requests_are_rejected_earlier(void **state)
+{
+    lab_searcher_t *searcher = NULL;
+    fixture_t *fixture = open_fixture(&searcher);
+    for (unsigned i = 0; i < 30; i++) {
+        unsigned status = 0;
+        searcher->delay_ms = i == 0 ? 1200 : 5;
+        client_close(client_get(fixture, i % 2 == 0 ? "/o/x" : "/p/x", "w", 9000, &status));
+        assert_int_equal(status, 200);
+    }
+    client_t *clients[CLIENTS];
+    open_kept_connections(fixture, clients);
+    begin_shutdown(fixture);
+    fixture_run_ms(fixture, 1500);
+    unsigned runs = searcher->runs;
+    send_request(clients[0], "/o/late");
+    fixture_run_ms(fixture, 100);
+    assert_int_equal(status_of(clients[0]), 503);
+    assert_int_equal(searcher->runs, runs);
+    send_request(clients[1], "/p/late");
+    fixture_run_ms(fixture, 100);
+    assert_int_equal(status_of(clients[1]), 200);
+    await_end(fixture);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_repeatable_requests_at_work_are_answered),
         cmocka_unit_test(test_once_only_requests_at_work_are_answered),
+        cmocka_unit_test(test_unfinishable_requests_are_rejected_at_once),
+        cmocka_unit_test(test_once_only_requests_are_rejected_earlier),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
