A stopping gateway reads what has arrived before it closes connections

It is not the cause of the requests cut off at the exit: these had been read.

Cause: timers run before sockets are polled, so the tick after the stall closed every connection that was idle as of the last poll, and the listener with the connections that waited to be accepted.

The tick now only marks the close as due; it happens after the poll of the same loop iteration. Connections that this poll has accepted are read in the next one, so connections younger than 20 ms are left open until the next tick.

test_requests_that_arrive_during_a_stall_are_served: status 0 instead of 200 before, test_requests_that_arrive_during_a_long_stall_are_rejected (a stall beyond the deadline of all requests): 0 instead of 503. Both pass now.

--- a/include/tealspar/caller.h
+++ b/include/tealspar/caller.h
@@ -38,8 +38,8 @@
 /** Every later answer carries "Connection: close" and ends its connection. */
 void ts_listener_disable_keep_alive(ts_listener_t *listener);
 /**
- * Stops accepting connections and closes the idle ones. May be called again, to close those that
- * have become idle since.
+ * Stops accepting connections and closes the idle ones, except new ones. May be called again, to
+ * close those that are idle by then.
  */
 void ts_listener_close(ts_listener_t *listener);
 /**
--- a/include/tealspar/gateway.h
+++ b/include/tealspar/gateway.h
@@ -61,6 +61,8 @@
     uint32_t random; /**< state of the xorshift generator for tie-breaking and jitter */
     ts_shutdown_t shutdown;
     uv_timer_t shutdown_timer;
+    uv_check_t shutdown_check;
+    bool is_close_due;                 /**< idle connections are closed after the next poll */
     ts_gateway_cb_t on_shutdown_ended; /**< NULL: nothing to call */
 };
 
--- a/src/edge/caller.c
+++ b/src/edge/caller.c
@@ -16,6 +16,9 @@
 /* Longest time from a request's first byte to the end of its body, and for writing an answer. The
  * head of a request has a limit of its own, `head_ms`. */
 #define TRANSFER_TIMEOUT_US (30 * TS_US_PER_S)
+/* A closing listener leaves new connections open this long, as a request that arrived while they
+ * waited to be accepted is read only in the next loop iteration. */
+#define NEW_CONNECTION_US (20 * TS_US_PER_MS)
 #define STATUS_BAD_REQUEST 400
 #define STATUS_TIMEOUT 408
 #define STATUS_TOO_LARGE 413
@@ -373,9 +376,9 @@
     ts_caller_t *next = NULL;
     for (ts_caller_t *caller = listener->callers; caller != NULL; caller = next) {
         next = caller->next;
-        if (caller->state == CALLER_READING && !caller->message.has_begun) {
+        bool is_idle = caller->state == CALLER_READING && !caller->message.has_begun;
+        if (is_idle && ts_caller_state_age_us(caller) > NEW_CONNECTION_US)
             close_caller(caller);
-        }
     }
 }
 
--- a/src/edge/gateway_shutdown.c
+++ b/src/edge/gateway_shutdown.c
@@ -5,6 +5,18 @@
 
 #define TICK_MS 50
 
+/*
+ * Runs after each poll. Requests that arrived before the poll have been read from open connections,
+ * also after a stall of the process, so that those connections do not count as idle.
+ */
+static void on_polled(uv_check_t *check)
+{
+    ts_gateway_t *gateway = check->data;
+    if (gateway->is_close_due)
+        ts_listener_close(gateway->caller_listener);
+    gateway->is_close_due = false;
+}
+
 static void on_tick(uv_timer_t *timer)
 {
     ts_gateway_t *gateway = timer->data;
@@ -15,10 +27,11 @@
         break;
     case TS_SHUTDOWN_CLOSING:
     case TS_SHUTDOWN_FLUSHING:
-        ts_listener_close(gateway->caller_listener);
+        gateway->is_close_due = true;
         break;
     case TS_SHUTDOWN_ENDED:
         uv_timer_stop(timer);
+        uv_check_stop(&gateway->shutdown_check);
         if (gateway->on_shutdown_ended != NULL)
             gateway->on_shutdown_ended(gateway);
         break;
@@ -46,6 +59,9 @@
     uv_timer_init(gateway->loop, &gateway->shutdown_timer);
     gateway->shutdown_timer.data = gateway;
     uv_timer_start(&gateway->shutdown_timer, on_tick, TICK_MS, TICK_MS);
+    uv_check_init(gateway->loop, &gateway->shutdown_check);
+    gateway->shutdown_check.data = gateway;
+    uv_check_start(&gateway->shutdown_check, on_polled);
 }
 
 bool ts_gateway_is_stopping(const ts_gateway_t *gateway)
--- a/tests/gateway/test_shutdown.c
+++ b/tests/gateway/test_shutdown.c
@@ -1,7 +1,10 @@
 /** Graceful shutdown: what callers get whose requests are in progress or arrive late. */
 #include "fixture.h"
 
+#include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define WAIT_MS 4000U
 #define CLIENTS 4U
@@ -37,15 +40,45 @@
     assert_true(has_ended);
 }
 
+static char *make_request(const char *target)
+{
+    return g_strdup_printf("GET %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r\r\n"
+                           "X-Deadline-Ms: 9000\r\n\r\n",
+                           target);
+}
+
 static void send_request(client_t *client, const char *target)
 {
-    char *text = g_strdup_printf("GET %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r\r\n"
-                                 "X-Deadline-Ms: 9000\r\n\r\n",
-                                 target);
+    char *text = make_request(target);
     client_send(client, text);
     g_free(text);
 }
 
+/* Connects and sends a request without the loop, so that the gateway has not accepted the
+ * connection yet. Returns the socket. */
+static int connect_and_send(unsigned port, const char *target)
+{
+    struct sockaddr_in address;
+    uv_ip4_addr("127.0.0.1", (int)port, &address);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    assert_int_equal(connect(fd, (const struct sockaddr *)&address, sizeof(address)), 0);
+    char *text = make_request(target);
+    assert_int_equal(write(fd, text, strlen(text)), (ssize_t)strlen(text));
+    g_free(text);
+    return fd;
+}
+
+/* Status of the response that has arrived on a socket, or 0; closes the socket. */
+static unsigned read_status(int fd)
+{
+    char bytes[512] = "";
+    unsigned status = 0;
+    if (recv(fd, bytes, sizeof(bytes) - 1, MSG_DONTWAIT) > 0)
+        (void)sscanf(bytes, "HTTP/1.1 %u", &status);
+    close(fd);
+    return status;
+}
+
 /* Opens connections on each of which one request has been served. */
 static void open_kept_connections(fixture_t *fixture, client_t **clients)
 {
@@ -159,6 +192,54 @@
     await_end(fixture);
 }
 
+/* Blocks the loop, as if the process was stopped and continued. */
+static void stall(unsigned duration_ms)
+{
+    g_usleep(duration_ms * 1000UL);
+}
+
+/* After a stall beyond the end of the accepting phase, requests that arrived during the stall must
+ * be read before their connections are closed as idle, on open connections and on those that wait
+ * to be accepted. */
+static void test_requests_that_arrive_during_a_stall_are_served(void **state)
+{
+    lab_searcher_t *searcher = NULL;
+    fixture_t *fixture = open_fixture(&searcher);
+    client_t *clients[CLIENTS];
+    open_kept_connections(fixture, clients);
+    begin_shutdown(fixture);
+    fixture_run_ms(fixture, 100);
+    for (unsigned i = 0; i < CLIENTS; i++)
+        send_request(clients[i], "/p/y");
+    int waiting = connect_and_send(fixture->callers_port, "/p/z");
+    stall(1900);
+    await_end(fixture);
+    for (unsigned i = 0; i < CLIENTS; i++)
+        assert_int_equal(status_of(clients[i]), 200);
+    assert_int_equal(read_status(waiting), 200);
+}
+
+/* The same after a stall beyond the deadline of all requests: they are rejected, not closed. */
+static void test_requests_that_arrive_during_a_long_stall_are_rejected(void **state)
+{
+    lab_searcher_t *searcher = NULL;
+    fixture_t *fixture = open_fixture(&searcher);
+    client_t *clients[CLIENTS];
+    open_kept_connections(fixture, clients);
+    begin_shutdown(fixture);
+    fixture_run_ms(fixture, 100);
+    for (unsigned i = 0; i < CLIENTS; i++)
+        send_request(clients[i], "/p/y");
+    int waiting = connect_and_send(fixture->callers_port, "/p/z");
+    unsigned runs = searcher->runs;
+    stall(2600);
+    await_end(fixture);
+    for (unsigned i = 0; i < CLIENTS; i++)
+        assert_int_equal(status_of(clients[i]), 503);
+    assert_int_equal(read_status(waiting), 503);
+    assert_int_equal(searcher->runs, runs);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -166,6 +247,8 @@
         cmocka_unit_test(test_once_only_requests_at_work_are_answered),
         cmocka_unit_test(test_unfinishable_requests_are_rejected_at_once),
         cmocka_unit_test(test_once_only_requests_are_rejected_earlier),
+        cmocka_unit_test(test_requests_that_arrive_during_a_stall_are_served),
+        cmocka_unit_test(test_requests_that_arrive_during_a_long_stall_are_rejected),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
