A stopping gateway rejects requests that are still arriving at its exit

Callers saw: a request whose body was still being read when the process exited lost its connection without an answer. It has not run, but its caller couldn't know.

Cause: the exit looked at no connection that was reading; only requests that had been read completely had a deadline.

At the deadline of all requests, connections with a part of a request are now answered with 503, an immediate retry and `Connection: close`, after the poll of that loop iteration, so that what has arrived completely is not among them.

test_incomplete_requests_are_rejected_before_the_exit: status 0 instead of 503 before, passes now.

--- a/include/tealspar/caller.h
+++ b/include/tealspar/caller.h
@@ -52,7 +52,7 @@
                            void *ctx);
 /**
  * Calls `visit(caller, ctx)` for each connection with a request that has begun to arrive and is not
- * answered completely.
+ * answered completely. `visit` may answer it.
  */
 void ts_listener_each_unanswered(ts_listener_t *listener,
                                  void (*visit)(ts_caller_t *caller, void *ctx), void *ctx);
@@ -62,6 +62,8 @@
 const ts_http_message_t *ts_caller_message(const ts_caller_t *caller);
 /** What the connection does: "reading", "processing", "writing" or "lingering". */
 const char *ts_caller_state_name(const ts_caller_t *caller);
+/** Whether the connection is idle or a request has not arrived completely. */
+bool ts_caller_is_reading(const ts_caller_t *caller);
 /** Time since it began to do that, or since the first byte of the request that it reads. */
 ts_time_us_t ts_caller_state_age_us(const ts_caller_t *caller);
 /** Attaches the owner's request object to the connection; ts_caller_answer detaches it. */
--- a/src/edge/answer.c
+++ b/src/edge/answer.c
@@ -71,6 +71,11 @@
     g_string_free(fields, TRUE);
 }
 
+void ts_answer_stopping(ts_gateway_t *gateway, ts_caller_t *caller)
+{
+    ts_answer_error(gateway, caller, STATUS_UNAVAILABLE, TS_E_STOPPING, ELSEWHERE_RETRY_MS);
+}
+
 /* -- Success ----------------------------------------------------------------------------------- */
 
 static void answer_gathered(ts_request_t *request)
--- a/src/edge/caller.c
+++ b/src/edge/caller.c
@@ -435,7 +435,9 @@
 void ts_listener_each_unanswered(ts_listener_t *listener,
                                  void (*visit)(ts_caller_t *caller, void *ctx), void *ctx)
 {
-    for (ts_caller_t *caller = listener->callers; caller != NULL; caller = caller->next) {
+    ts_caller_t *next = NULL;
+    for (ts_caller_t *caller = listener->callers; caller != NULL; caller = next) {
+        next = caller->next;
         bool is_idle = caller->state == CALLER_READING && !caller->message.has_begun;
         if (!is_idle && caller->state != CALLER_LINGERING)
             visit(caller, ctx);
@@ -463,6 +465,11 @@
     return names[caller->state];
 }
 
+bool ts_caller_is_reading(const ts_caller_t *caller)
+{
+    return caller->state == CALLER_READING;
+}
+
 ts_time_us_t ts_caller_state_age_us(const ts_caller_t *caller)
 {
     return ts_clock_now_us() - caller->since_us;
--- a/src/edge/gateway_shutdown.c
+++ b/src/edge/gateway_shutdown.c
@@ -5,6 +5,12 @@
 
 #define TICK_MS 50
 
+static void reject_incomplete(ts_caller_t *caller, void *ctx)
+{
+    if (ts_caller_is_reading(caller))
+        ts_answer_stopping(ctx, caller);
+}
+
 /*
  * Runs after each poll. Requests that arrived before the poll have been read from open connections,
  * also after a stall of the process, so that those connections do not count as idle.
@@ -14,6 +20,8 @@
     ts_gateway_t *gateway = check->data;
     if (gateway->is_close_due)
         ts_listener_close(gateway->caller_listener);
+    if (gateway->is_close_due && gateway->shutdown.phase == TS_SHUTDOWN_FLUSHING)
+        ts_listener_each_unanswered(gateway->caller_listener, reject_incomplete, gateway);
     gateway->is_close_due = false;
 }
 
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -162,6 +162,8 @@
 /** Answers a caller for which no ts_request_t exists; `retry_after_ms` 0: no retry-after field. */
 void ts_answer_error(ts_gateway_t *gateway, ts_caller_t *caller, unsigned status, ts_error_t error,
                      uint32_t retry_after_ms);
+/** Rejects a request of which nothing was sent, because the gateway is stopping. */
+void ts_answer_stopping(ts_gateway_t *gateway, ts_caller_t *caller);
 /**
  * Authenticates a caller's request on a route. TS_OK, TS_E_UNAUTHENTICATED, or TS_E_UNCONFIRMED
  * while the node's copy of the configuration is too old to trust its keys.
--- a/tests/gateway/test_shutdown.c
+++ b/tests/gateway/test_shutdown.c
@@ -240,6 +240,30 @@
     assert_int_equal(searcher->runs, runs);
 }
 
+/* A request whose body is still arriving at the deadline of all requests must be rejected, not cut
+ * off; one that is complete before is served. */
+static void test_incomplete_requests_are_rejected_before_the_exit(void **state)
+{
+    static const char head[] = "POST /p/y HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r\r\n"
+                               "X-Deadline-Ms: 9000\r\nContent-Length: 4\r\n\r\nab";
+    lab_searcher_t *searcher = NULL;
+    fixture_t *fixture = open_fixture(&searcher);
+    client_t *clients[CLIENTS];
+    open_kept_connections(fixture, clients);
+    unsigned runs = searcher->runs;
+    begin_shutdown(fixture);
+    client_send(clients[0], head);
+    client_send(clients[1], head);
+    client_send(clients[2], "POST /p/y HTTP/1.1\r\nHost: h.exa");
+    fixture_run_ms(fixture, 2200);
+    client_send(clients[1], "cd");
+    await_end(fixture);
+    assert_int_equal(status_of(clients[0]), 503);
+    assert_int_equal(status_of(clients[1]), 200);
+    assert_int_equal(status_of(clients[2]), 503);
+    assert_int_equal(searcher->runs, runs + 1);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -249,6 +273,7 @@
         cmocka_unit_test(test_once_only_requests_are_rejected_earlier),
         cmocka_unit_test(test_requests_that_arrive_during_a_stall_are_served),
         cmocka_unit_test(test_requests_that_arrive_during_a_long_stall_are_rejected),
+        cmocka_unit_test(test_incomplete_requests_are_rejected_before_the_exit),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
