--- a/include/tealspar/gateway_settings.h
+++ b/include/tealspar/gateway_settings.h
@@ -22,7 +22,22 @@
     TS_STRAGGLER_NAIVE        /**< no hedges, no partial responses before the timeout */
 } ts_straggler_policy_t;
 
-/** Loaded from YAML; etc/gateway.yaml documents the keys. A time of 0 counts as absent. */
+/*
+ * X(name, default in ms): settings that are durations. The key `name` is a number with a unit,
+ * "6.5s" or "3000ms", rounded to a millisecond; `name_ms` is a whole number of milliseconds. The
+ * loader sets the fields `name_ms`; only those are to be used. A duration of 0 counts as absent.
+ */
+#define TS_DURATION_SETTINGS(X)                                                                    \
+    X(drain, 3000)                                                                                 \
+    X(heartbeat, 1200)                                                                             \
+    X(grace, 10000)                                                                                \
+    X(retry_window, 10000)                                                                         \
+    X(quota_window, 5000)                                                                          \
+    X(revoke, 5000)
+
+#define TS_DURATION_TEXT(name, default_ms) char *name;
+
+/** Loaded from YAML; etc/gateway.yaml documents the keys. */
 typedef struct ts_gateway_settings {
     char *name;
     char *zone;
@@ -53,6 +68,7 @@
     bool revoke_fail_closed;  /**< beyond `revoke_ms`, refuse requests with keys */
     ts_straggler_policy_t policy;
     uint32_t without; /**< disabled mechanisms; bits from tealspar/mechanism.h */
+    TS_DURATION_SETTINGS(TS_DURATION_TEXT) /* durations as written; NULL if absent */
     ts_log_format_t log_format;
     ts_log_level_t log_level;
 } ts_gateway_settings_t;
--- a/src/config/gateway_settings.c
+++ b/src/config/gateway_settings.c
@@ -1,6 +1,9 @@
 /** Loading and validation of gateway settings. */
 #include "tealspar/gateway_settings.h"
 
+#include <math.h>
+#include <string.h>
+
 #include "tealspar/address.h"
 #include "tealspar/mechanism.h"
 #include "tealspar/plugin.h"
@@ -9,14 +12,11 @@
 #define TEXT_MAX 200
 #define ZONES_MAX 1000
 #define SEEDS_MAX 64
-#define DEFAULT_DRAIN_MS 3000
-#define DEFAULT_HEARTBEAT_MS 1200
-#define DEFAULT_GRACE_MS 10000
-#define DEFAULT_RETRY_WINDOW_MS 10000
-#define DEFAULT_REVOKE_MS 5000
-#define DEFAULT_QUOTA_WINDOW_MS 5000
 #define WINDOW_MIN_MS 100
+/* In less time a shutdown can't answer the requests in progress. */
+#define GRACE_MIN_MS 1000
 #define DEFAULT_WARMUP_OVERRUN 1.0
+#define MS_PER_S 1000.0
 
 #define REQUIRED CYAML_FLAG_POINTER
 #define OPTIONAL (CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL)
@@ -24,6 +24,7 @@
     CYAML_FIELD_STRING_PTR(#field, flags, ts_gateway_settings_t, field, 1, TEXT_MAX)
 #define NUMBER_FIELD(field)                                                                        \
     CYAML_FIELD_UINT(#field, CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, field)
+#define DURATION_FIELDS(name, default_ms) TEXT_FIELD(name, OPTIONAL), NUMBER_FIELD(name##_ms),
 
 static const cyaml_schema_value_t text_schema = {
     CYAML_VALUE_STRING(CYAML_FLAG_POINTER, char, 1, TEXT_MAX)};
@@ -59,18 +60,13 @@
     TEXT_FIELD(store, REQUIRED),
     CYAML_FIELD_SEQUENCE("zones", OPTIONAL, ts_gateway_settings_t, zones, &zone_schema, 0,
                          ZONES_MAX),
-    NUMBER_FIELD(drain_ms),
-    NUMBER_FIELD(heartbeat_ms),
-    NUMBER_FIELD(grace_ms),
-    CYAML_FIELD_FLOAT("retry_ratio", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, retry_ratio),
-    NUMBER_FIELD(retry_window_ms),
+    TS_DURATION_SETTINGS(DURATION_FIELDS)
+        CYAML_FIELD_FLOAT("retry_ratio", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, retry_ratio),
     CYAML_FIELD_FLOAT("retry_slack", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, retry_slack),
     CYAML_FIELD_FLOAT("warmup_overrun", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, warmup_overrun),
     CYAML_FIELD_FLOAT("warmup_slack", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, warmup_slack),
-    NUMBER_FIELD(quota_window_ms),
     CYAML_FIELD_FLOAT("quota_overrun", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, quota_overrun),
     CYAML_FIELD_FLOAT("quota_slack", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, quota_slack),
-    NUMBER_FIELD(revoke_ms),
     CYAML_FIELD_BOOL("revoke_fail_closed", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t,
                      revoke_fail_closed),
     CYAML_FIELD_ENUM("policy", CYAML_FLAG_STRICT | CYAML_FLAG_OPTIONAL, ts_gateway_settings_t,
@@ -94,6 +90,14 @@
     }
 }
 
+static void check_duration(ts_problems_t *problems, const char *path, uint32_t value_ms,
+                           uint32_t minimum_ms)
+{
+    if (value_ms < minimum_ms)
+        ts_problems_add(problems, TS_E_INVALID, 0, path, "must be at least %u ms, not %u",
+                        minimum_ms, value_ms);
+}
+
 static void check_settings(const ts_gateway_settings_t *settings, ts_problems_t *problems)
 {
     check_address(problems, "callers", settings->callers);
@@ -118,21 +122,37 @@
     if (settings->quota_overrun < 0 || settings->quota_slack < 0) {
         ts_problems_add(problems, TS_E_INVALID, 0, "quota_overrun", "must not be negative");
     }
-    if (settings->quota_window_ms < WINDOW_MIN_MS) {
-        ts_problems_add(problems, TS_E_INVALID, 0, "quota_window_ms", "must be at least %d",
-                        WINDOW_MIN_MS);
-    }
-    if (settings->retry_window_ms < WINDOW_MIN_MS) {
-        ts_problems_add(problems, TS_E_INVALID, 0, "retry_window_ms", "must be at least %d",
-                        WINDOW_MIN_MS);
-    }
+    check_duration(problems, "quota_window", settings->quota_window_ms, WINDOW_MIN_MS);
+    check_duration(problems, "retry_window", settings->retry_window_ms, WINDOW_MIN_MS);
+    check_duration(problems, "grace", settings->grace_ms, GRACE_MIN_MS);
 }
 
-static void set_default(uint32_t *value, uint32_t fallback)
+/* Parses "6.5s" or "3000ms", rounded to a millisecond. Returns false if it is neither. */
+static bool parse_duration(const char *text, uint32_t *result_ms)
 {
-    if (*value == 0) {
-        *value = fallback;
-    }
+    char *unit = NULL;
+    double value = g_ascii_strtod(text, &unit);
+    bool is_seconds = strcmp(unit, "s") == 0;
+    if (unit == text || (!is_seconds && strcmp(unit, "ms") != 0))
+        return false;
+    double value_ms = round(is_seconds ? value * MS_PER_S : value);
+    if (!(value_ms >= 0 && value_ms <= UINT32_MAX))
+        return false;
+    *result_ms = (uint32_t)value_ms;
+    return true;
+}
+
+/* Sets `value_ms` from the key with a unit, if it is given, or to the default if neither key is. */
+static void read_duration(ts_problems_t *problems, const char *name, const char *text,
+                          uint32_t *value_ms, uint32_t default_ms)
+{
+    if (text != NULL && *value_ms != 0)
+        ts_problems_add(problems, TS_E_INVALID, 0, name, "given twice, also as %s_ms", name);
+    else if (text != NULL && !parse_duration(text, value_ms))
+        ts_problems_add(problems, TS_E_INVALID, 0, name,
+                        "'%s' is not a duration, such as 6.5s or 3000ms", text);
+    if (*value_ms == 0)
+        *value_ms = default_ms;
 }
 
 ts_gateway_settings_t *ts_gateway_settings_load(const char *text, size_t length,
@@ -143,12 +163,10 @@
         return NULL;
     }
     ts_gateway_settings_t *settings = data;
-    set_default(&settings->drain_ms, DEFAULT_DRAIN_MS);
-    set_default(&settings->heartbeat_ms, DEFAULT_HEARTBEAT_MS);
-    set_default(&settings->grace_ms, DEFAULT_GRACE_MS);
-    set_default(&settings->retry_window_ms, DEFAULT_RETRY_WINDOW_MS);
-    set_default(&settings->revoke_ms, DEFAULT_REVOKE_MS);
-    set_default(&settings->quota_window_ms, DEFAULT_QUOTA_WINDOW_MS);
+#define READ_DURATION(name, default_ms)                                                            \
+    read_duration(problems, #name, settings->name, &settings->name##_ms, default_ms);
+    TS_DURATION_SETTINGS(READ_DURATION)
+#undef READ_DURATION
     if (settings->warmup_overrun == 0)
         settings->warmup_overrun = DEFAULT_WARMUP_OVERRUN;
     check_settings(settings, problems);
--- a/tests/config/test_gateway_settings.c
+++ b/tests/config/test_gateway_settings.c
@@ -60,6 +60,67 @@
     assert_null(load("without: [nonsense]\n"));
 }
 
+static void test_durations(void **state)
+{
+    ts_gateway_settings_t *settings = load("grace: 6.5s\ndrain: 2500ms\nretry_window: 10.0004 s\n");
+    assert_null(settings); // a blank before the unit
+    settings = load("grace: 6.5s\ndrain: 2500.6ms\nretry_window: 10.0004s\nrevoke_ms: 4000\n");
+    assert_non_null(settings);
+    assert_int_equal(settings->grace_ms, 6500);
+    assert_int_equal(settings->drain_ms, 2501);
+    assert_int_equal(settings->retry_window_ms, 10000);
+    assert_int_equal(settings->revoke_ms, 4000);
+    assert_int_equal(settings->quota_window_ms, 5000);
+    ts_gateway_settings_free(settings);
+    static const char *const invalid[] = {
+        "grace: 6.5\n",    "grace: s\n",         "grace: 6s5\n",
+        "grace: -6s\n",    "grace: nans\n",      "grace: 1e9s\n",
+        "grace: 0.006s\n", "grace_ms: 6.5000\n", "grace: 6s\ngrace_ms: 6000\n"};
+    for (size_t i = 0; i < G_N_ELEMENTS(invalid); i++)
+        assert_null(load(invalid[i]));
+}
+
+/* Replaces all matches of a pattern in `*text`. */
+static void replace(char **text, const char *pattern, const char *replacement)
+{
+    GRegex *regex = g_regex_new(pattern, G_REGEX_MULTILINE, 0, NULL);
+    char *result = g_regex_replace_literal(regex, *text, -1, 0, replacement, 0, NULL);
+    g_regex_unref(regex);
+    g_free(*text);
+    *text = result;
+}
+
+/* A deployment may give its durations as fractions of a second: the settings template must not turn
+ * 6.5 s into 6 ms, so that a planned stop has no time to answer anything. */
+static void test_template_keeps_fractions_of_seconds(void **state)
+{
+    char *text = NULL;
+    assert_true(g_file_get_contents("deploy/gateway.yaml", &text, NULL, NULL));
+    replace(&text, "^zones: .*$", "");
+    replace(&text, "\\{\\{bounds\\.graceS\\}\\}", "6.5");
+    replace(&text, "\\{\\{bounds\\.budgetWindowS\\}\\}", "2.25");
+    replace(&text, "(?<=grace: )\\{\\{\\.\\}\\}", "6.5");
+    replace(&text, "(?<=retry_window: )\\{\\{\\.\\}\\}", "2.25");
+    replace(&text, "(?<=quota_window: )\\{\\{\\.\\}\\}", "1.5");
+    replace(&text, "(?<=quota_window_ms: )\\{\\{\\.\\}\\}", "1.5");
+    replace(&text, "\\{\\{[#/,][^}]*\\}\\}", "");
+    replace(&text, "'\\{\\{\\.\\}\\}'", "127.0.0.1:1");
+    replace(&text, "\\{\\{(listenAddrs\\.[a-z]+|platform\\.address)\\}\\}", "127.0.0.1:1");
+    replace(&text, "\\{\\{ip\\}\\}", "127.0.0.1");
+    replace(&text, "\\{\\{[^}]*\\}\\}", "7");
+    ts_problems_t problems;
+    ts_problems_init(&problems);
+    ts_gateway_settings_t *settings = ts_gateway_settings_load(text, strlen(text), &problems);
+    ts_problems_print(&problems, "rendered template");
+    assert_non_null(settings);
+    assert_int_equal(settings->grace_ms, 6500);
+    assert_int_equal(settings->retry_window_ms, 2250);
+    assert_int_equal(settings->quota_window_ms, 1500);
+    ts_gateway_settings_free(settings);
+    ts_problems_clear(&problems);
+    g_free(text);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -67,6 +128,8 @@
         cmocka_unit_test(test_peer_address),
         cmocka_unit_test(test_rejects_invalid_settings),
         cmocka_unit_test(test_disabled_mechanisms),
+        cmocka_unit_test(test_durations),
+        cmocka_unit_test(test_template_keeps_fractions_of_seconds),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
