The soak keeps connections in use while gateways stop

The soak couldn't find requests that a planned stop cuts off. Its requests had 1.5 s, new ones were sent for 1 s after SIGTERM, and searchers took 0.4 s at most, so nothing was in progress when a gateway exited after 5.6 s. Each connection carried one request, so none was used after the listener had closed. And its check of LOST left out every request that was sent after the signal.

Three clients of each gateway now send requests on kept connections until the process is gone, also while the last gateways stop at the end of the run. Three of a hundred requests take 1 to 7 s, two of five may run once, and a stopping gateway gets SIGHUP, SIGTERM and SIGINT again. LOST: a connection that ends without an answer after a searcher has run the request, or later than 0.2 s after it was sent, whatever the phase of the stop; the platform's excuse for long work is not used. The other callers' check uses the same condition. These clients draw from a source of their own.

--- a/lab/soak.c
+++ b/lab/soak.c
@@ -203,6 +203,10 @@
                   (int)s->violations, "broken", violations_by_guarantee);
     json_object_set_new(report, "fatal_requests", json_integer(s->fatal_requests));
     json_object_set_new(report, "ended_under_one", json_integer(s->max_crashes_per_fatal));
+    json_object_set_new(report, "kept_requests", json_integer(s->kept_requests));
+    json_object_set_new(report, "kept_ok", json_integer(s->kept_responses[2]));
+    json_object_set_new(report, "kept_refused_or_failed", json_integer(s->kept_responses[5]));
+    json_object_set_new(report, "kept_no_answer", json_integer(s->kept_responses[0]));
     g_array_sort(s->latencies, compare_times);
     json_object_set_new(report, "p50_ms", json_real(latency_ms(s, 0.5)));
     json_object_set_new(report, "p99_ms", json_real(latency_ms(s, 0.99)));
@@ -244,6 +248,7 @@
     }
     run_loop(&s, RECOVERY_TIME_MS / 4);
     soak_callers_start(&s);
+    soak_kept_clients_start(&s);
     if (!options->without_faults)
         soak_faults_start(&s);
     run_loop(&s, (uint64_t)options->seconds * 1000);
--- a/lab/soak.h
+++ b/lab/soak.h
@@ -7,6 +7,7 @@
  *   soak_world.c    links, searchers, configuration, gateway processes
  *   soak_faults.c   kinds of faults and their schedule
  *   soak_caller.c   callers' requests and the checks of their responses
+ *   soak_kept.c      clients that keep their connections, also while a gateway stops
  *   soak_tenants.c  tenants: keys, quotas, and the checks of authentication and quota
  *   soak_crashes.c  requests that crash searchers, and searchers that crash by themselves
  *   soak_restore.c  restore of the store from an older copy, rewrite of lost entries
@@ -81,7 +82,8 @@
     unsigned active_faults;        // faults in effect on the node or its links
     ts_time_us_t fault_changed_us; // last start or end of a fault or of the process
     ts_time_us_t sigterm_us;
-    uint64_t version_seen; // newest configuration that responses of this incarnation have shown
+    ts_time_us_t exited_us; // last end of the process
+    uint64_t version_seen;  // newest configuration that responses of this incarnation have shown
 } soak_node_t;
 
 // A request that crashes each searcher that runs it, and that callers send repeatedly.
@@ -157,6 +159,8 @@
     GArray *limited_runs; // ts_time_us_t[]: first runs of requests of the limited tenant
     unsigned violations;
     GHashTable *violations_by_guarantee; // guarantee -> number of violations
+    unsigned kept_requests;              // of clients that keep their connections
+    unsigned kept_responses[6];          // by status / 100; 0: no response
     unsigned requests_in_flight;
     unsigned faults_begun;
     bool is_load_ended; // no new faults or random requests; only those of the recovery check
@@ -173,6 +177,9 @@
 bool soak_world_open(soak_t *s);
 bool soak_node_start(soak_node_t *node);
 void soak_node_signal(soak_node_t *node, int number);
+/** Sends a signal to a node that is stopping; the end of its stop is still measured from SIGTERM.
+ */
+void soak_node_repeat_signal(soak_node_t *node, int number);
 /**
  * Publishes the next configuration version. The shards of the gather route and the service of the
  * forwarding routes depend on the version. Each version also has a marker route of its own, "/vN/",
@@ -200,6 +207,10 @@
  * the platform's `contactMs` (5 s). Only then guarantees with a time limit apply to the node.
  */
 bool soak_node_is_fault_free(const soak_node_t *node, ts_time_us_t now_us);
+/** The same for a node that may be stopping, as a planned stop is not a fault. */
+bool soak_node_is_undisturbed(const soak_node_t *node, ts_time_us_t now_us);
+/** Whether no fault of the node or the store has begun or ended since; a planned exit is none. */
+bool soak_node_is_undisturbed_since(const soak_node_t *node, ts_time_us_t since_us);
 /**
  * Adds `faults` to the node's active faults and records the time of the change; 0: a momentary
  * fault.
@@ -227,6 +238,14 @@
 void soak_check_fatal_arrival(soak_t *s, const soak_request_record_t *record,
                               const char *request_id);
 
+// -- soak_kept.c
+/** Text before the response time in milliseconds in a target: a searcher takes so long for it. */
+#define SOAK_TIMED_TEXT "takes-"
+/** The response time that a target demands; 0: none. */
+unsigned soak_response_delay_ms(const char *target);
+/** Starts the clients, which go on until the end of the soak. */
+void soak_kept_clients_start(soak_t *s);
+
 // -- soak_tenants.c
 /**
  * All gateways together may exceed rate x window + burst of a quota by a quarter plus five requests
--- a/lab/soak_caller.c
+++ b/lab/soak_caller.c
@@ -36,6 +36,7 @@
     uint64_t version; // newest configuration when the request was sent; names the marker route
     ts_time_us_t sent_us;
     bool was_fault_free;
+    bool was_undisturbed; // the same, but the node may have been stopping
     char id[24];
     char *credentials; // header fields
     uv_tcp_t socket;
@@ -205,7 +206,8 @@
 {
     soak_node_t *node = call->node;
     bool is_cut_by_stop = node->is_stopping && call->incarnation == node->incarnation &&
-                          call->was_fault_free && node->active_faults == 0;
+                          call->was_undisturbed &&
+                          soak_node_is_undisturbed_since(node, call->sent_us);
     if (call->is_connected && (was_fault_free(call) || is_cut_by_stop))
         soak_report_violation(call->s, "LOST", "%s closed %s without an answer after %lu ms%s",
                               node->name, call->id,
@@ -331,6 +333,7 @@
     call->version = s->version;
     call->sent_us = ts_clock_now_us();
     call->was_fault_free = soak_node_is_fault_free(node, call->sent_us);
+    call->was_undisturbed = soak_node_is_undisturbed(node, call->sent_us);
     call->open_handles = 2;
     g_snprintf(call->id, sizeof(call->id), "r%u", ++s->requests_sent);
     return call;
--- a/lab/soak_world.c
+++ b/lab/soak_world.c
@@ -20,6 +20,8 @@
 #define STALLED_PIPE_BYTES 4096
 #define ZONES 2
 #define ROUTE_TIMEOUT_MS 1500
+// Longer than a gateway's grace period.
+#define KEPT_TIMEOUT_MS 9000
 // Delay until a crashed searcher is replaced or restarted.
 #define RESTART_MIN_MS 300
 #define RESTART_MAX_MS 2500
@@ -173,12 +175,19 @@
     soak_check_tenant(searcher->soak, fake, request);
 }
 
+static unsigned get_response_delay_ms(void *ctx, lab_searcher_t *fake,
+                                      const ts_http_message_t *request)
+{
+    return soak_response_delay_ms(request->target->str);
+}
+
 static void handle_searcher_crash(void *ctx, lab_searcher_t *fake, const char *request_id)
 {
     soak_handle_crash(ctx, request_id);
 }
 
 static const lab_searcher_ops_t searcher_ops = {.on_request = handle_request,
+                                                .delay_ms = get_response_delay_ms,
                                                 .on_message = handle_message,
                                                 .on_crash = handle_searcher_crash,
                                                 .compose_body = compose};
@@ -346,8 +355,8 @@
 
 // -- Configuration
 
-static void append_route(GString *out, const char *name, const char *prefix, bool is_repeatable,
-                         const char *target)
+static void append_timed_route(GString *out, const char *name, const char *prefix,
+                               bool is_repeatable, unsigned timeout_ms, const char *target)
 {
     g_string_append_printf(
         out,
@@ -355,8 +364,14 @@
         "\"%s\":%u,\"%s\":200,\"%s\":1,\"%s\":2,\"%s\":%s,%s}",
         out->len > 0 ? "," : "", FIELD_NAME, name, FIELD_HOST, FIELD_PREFIX, prefix,
         FIELD_ROUTE_TYPE, is_repeatable ? VALUE_IDEMPOTENT : "non_idempotent", FIELD_TIMEOUT_MS,
-        ROUTE_TIMEOUT_MS, FIELD_TARGET_LATENCY_MS, FIELD_PRIORITY, FIELD_ATTEMPTS,
-        FIELD_AUTH_EXEMPT, g_str_has_prefix(prefix, "/v") ? "true" : "false", target);
+        timeout_ms, FIELD_TARGET_LATENCY_MS, FIELD_PRIORITY, FIELD_ATTEMPTS, FIELD_AUTH_EXEMPT,
+        g_str_has_prefix(prefix, "/v") ? "true" : "false", target);
+}
+
+static void append_route(GString *out, const char *name, const char *prefix, bool is_repeatable,
+                         const char *target)
+{
+    append_timed_route(out, name, prefix, is_repeatable, ROUTE_TIMEOUT_MS, target);
 }
 
 static char *compose_services(void)
@@ -387,6 +402,8 @@
     append_route(out, "all", "/all/", true, shards);
     append_route(out, "placed", "/placed/", true, placed);
     append_route(out, marker, marker, true, service);
+    append_timed_route(out, "kept", "/kept/", true, KEPT_TIMEOUT_MS, service);
+    append_timed_route(out, "kept-once", "/kept-once/", false, KEPT_TIMEOUT_MS, service);
     g_free(marker);
     g_free(placed);
     g_free(shards);
@@ -418,14 +435,28 @@
 
 // -- Gateways
 
-bool soak_node_is_fault_free(const soak_node_t *node, ts_time_us_t now_us)
+bool soak_node_is_undisturbed(const soak_node_t *node, ts_time_us_t now_us)
 {
     const soak_t *s = node->soak;
     return node->is_running && node->active_faults == 0 && s->store_faults == 0 &&
-           !node->is_stopping && now_us - node->fault_changed_us > CONTACT_US &&
+           now_us - node->fault_changed_us > CONTACT_US &&
            now_us - s->store_fault_changed_us > CONTACT_US;
 }
 
+bool soak_node_is_undisturbed_since(const soak_node_t *node, ts_time_us_t since_us)
+{
+    const soak_t *s = node->soak;
+    bool has_exited_by_plan = node->is_stopping && node->fault_changed_us == node->exited_us;
+    return node->active_faults == 0 && s->store_faults == 0 &&
+           (node->fault_changed_us < since_us || has_exited_by_plan) &&
+           s->store_fault_changed_us < since_us;
+}
+
+bool soak_node_is_fault_free(const soak_node_t *node, ts_time_us_t now_us)
+{
+    return !node->is_stopping && soak_node_is_undisturbed(node, now_us);
+}
+
 void soak_node_count_fault(soak_node_t *node, int faults)
 {
     node->active_faults = (unsigned)((int)node->active_faults + faults);
@@ -441,6 +472,7 @@
     node->process = NULL;
     node->is_running = false;
     node->fault_changed_us = now_us;
+    node->exited_us = now_us;
     soak_log(s, "%s ended: status %d, signal %d, noticed after %lu ms", node->name, end->status,
              end->signal, late_ms);
     if (!node->is_exit_expected)
@@ -531,6 +563,12 @@
     lab_child_kill(node->process, number);
 }
 
+void soak_node_repeat_signal(soak_node_t *node, int number)
+{
+    soak_log(node->soak, "%s gets signal %d while it stops", node->name, number);
+    lab_child_kill(node->process, number);
+}
+
 static bool open_node(soak_t *s, unsigned i)
 {
     soak_node_t *node = &s->nodes[i];
--- a/lab/standin_searcher.c
+++ b/lab/standin_searcher.c
@@ -284,10 +284,13 @@
                                   !connection->is_rejected);
     searcher->runs += !connection->is_rejected;
     connection->is_working = true;
-    if (searcher->delay_ms == 0) {
+    unsigned delay_ms = searcher->delay_ms;
+    if (searcher->ops != NULL && searcher->ops->delay_ms != NULL)
+        delay_ms += searcher->ops->delay_ms(searcher->ctx, searcher, &connection->request);
+    if (delay_ms == 0) {
         respond(connection);
     } else {
-        uv_timer_start(&connection->timer, respond_delayed, searcher->delay_ms, 0);
+        uv_timer_start(&connection->timer, respond_delayed, delay_ms, 0);
     }
 }
 
--- a/lab/standin_searcher.h
+++ b/lab/standin_searcher.h
@@ -36,6 +36,9 @@
     void (*on_request)(void *ctx, struct lab_searcher *searcher, const char *request_id, bool runs);
     /** Called just before `on_request` with the complete message. */
     void (*on_message)(void *ctx, struct lab_searcher *searcher, const ts_http_message_t *request);
+    /** Further delay of the response to a request, besides that of the searcher. */
+    unsigned (*delay_ms)(void *ctx, struct lab_searcher *searcher,
+                         const ts_http_message_t *request);
     /** The searcher crashed while it ran a request, or (NULL) by itself. */
     void (*on_crash)(void *ctx, struct lab_searcher *searcher, const char *request_id);
     /** Appends the body of the response to a request; replaces `body` of the searcher. */
