--- a/lab/standin_searcher.c
+++ b/lab/standin_searcher.c
@@ -59,10 +59,29 @@
     uv_close((uv_handle_t *)&connection->timer, handle_closed);
 }
 
+static void free_rest(uv_write_t *request, int status)
+{
+    g_free(request->data);
+    g_free(request);
+}
+
+/* Sends what did not fit into the socket's buffer. */
+static void send_rest(connection_t *connection, size_t sent)
+{
+    size_t length = connection->response->len - sent;
+    uv_write_t *request = g_new0(uv_write_t, 1);
+    request->data = g_memdup2(connection->response->str + sent, length);
+    uv_buf_t buffer = uv_buf_init(request->data, (unsigned)length);
+    if (uv_write(request, (uv_stream_t *)&connection->socket, &buffer, 1, free_rest) != 0)
+        free_rest(request, 0);
+}
+
 static void send_bytes(connection_t *connection)
 {
     uv_buf_t buffer = uv_buf_init(connection->response->str, (unsigned)connection->response->len);
-    (void)uv_try_write((uv_stream_t *)&connection->socket, &buffer, 1);
+    int sent = uv_try_write((uv_stream_t *)&connection->socket, &buffer, 1);
+    if (sent >= 0 && (size_t)sent < connection->response->len)
+        send_rest(connection, (size_t)sent);
     connection->active_us = ts_clock_now_us();
 }
 
--- a/tests/gateway/fixture.c
+++ b/tests/gateway/fixture.c
@@ -252,6 +252,16 @@
     return client->response.is_complete ? client->response.parser.status_code : 0;
 }
 
+void client_stop_reading(client_t *client)
+{
+    uv_read_stop((uv_stream_t *)&client->socket);
+}
+
+void client_resume_reading(client_t *client)
+{
+    uv_read_start((uv_stream_t *)&client->socket, allocate, read_bytes);
+}
+
 void client_close(client_t *client)
 {
     uv_close((uv_handle_t *)&client->socket, NULL);
--- a/tests/gateway/fixture.h
+++ b/tests/gateway/fixture.h
@@ -80,6 +80,8 @@
  */
 unsigned client_await_response(fixture_t *fixture, client_t *client);
 void client_close(client_t *client);
+void client_stop_reading(client_t *client);
+void client_resume_reading(client_t *client);
 /** Sends a GET request on a new connection, which stays open, and waits for the response. */
 client_t *client_get(fixture_t *fixture, const char *target, const char *id, unsigned deadline_ms,
                      unsigned *status);
--- a/tests/gateway/test_shutdown.c
+++ b/tests/gateway/test_shutdown.c
@@ -8,6 +8,10 @@
 
 #define WAIT_MS 4000U
 #define CLIENTS 4U
+/* The largest answer of a backend; more than fits into the socket buffers of a connection whose
+ * client has a small one. */
+#define LARGE_BODY_BYTES (4U << 20)
+#define SMALL_BUFFER_BYTES 65536
 #define ROUTE_REPEATABLE SERVICE_ROUTE_JSON("one", "/p/", "idempotent", "a", 9000)
 #define ROUTE_ONCE SERVICE_ROUTE_JSON("once", "/o/", "non_idempotent", "a", 9000)
 
@@ -344,6 +348,29 @@
     assert_string_equal(ts_http_message_find(&client->response, "X-Missing-Parts"), "1");
 }
 
+/* An answer that a slow client is still reading at the deadline of all requests must be complete
+ * before the exit. */
+static void test_exit_waits_for_answers_being_written(void **state)
+{
+    lab_searcher_t *searcher = NULL;
+    fixture_t *fixture = open_fixture(&searcher);
+    g_string_set_size(searcher->body, LARGE_BODY_BYTES);
+    memset(searcher->body->str, 'x', searcher->body->len);
+    client_t *client = client_connect(fixture, fixture->callers_port);
+    client->response.body_max = LARGE_BODY_BYTES;
+    int buffer_bytes = SMALL_BUFFER_BYTES;
+    uv_recv_buffer_size((uv_handle_t *)&client->socket, &buffer_bytes);
+    begin_shutdown(fixture);
+    client_stop_reading(client);
+    send_request(client, "/p/x");
+    fixture_run_ms(fixture, 2680);
+    assert_false(has_ended);
+    client_resume_reading(client);
+    await_end(fixture);
+    assert_int_equal(status_of(client), 200);
+    assert_int_equal(client->response.body->len, LARGE_BODY_BYTES);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -357,6 +384,7 @@
         cmocka_unit_test(test_held_requests_are_rejected_at_once),
         cmocka_unit_test(test_reload_does_not_move_the_exit),
         cmocka_unit_test(test_gather_is_answered_with_its_parts),
+        cmocka_unit_test(test_exit_waits_for_answers_being_written),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
