What a stopping gateway tells callers after a refusal by a backend

A part that was given up because no time was left to send it again made its request end as overload, with a retry after 0.4 s and more, and every other failure without a run (no permitted backend) as stopping, with an immediate retry that meets the same failure elsewhere. Only the first is the shutdown's doing (ts_request_was_stopped).

A gateway without peers asks for the usual 150 ms, as the retry comes back to it.

--- a/include/tealspar/gateway.h
+++ b/include/tealspar/gateway.h
@@ -91,7 +91,7 @@
  * Logs and counts the requests that have begun to arrive and are not answered completely. Call it
  * at the end of the process. Returns their number.
  */
-unsigned ts_gateway_log_cut_requests(const ts_gateway_t *gateway);
+unsigned ts_gateway_log_cut_requests(ts_gateway_t *gateway);
 /** Runs a gateway until SIGTERM or SIGINT. `path`: the settings file, read again on reload. */
 ts_error_t ts_gateway_run(const char *path, ts_gateway_settings_t *settings);
 /** Activates a configuration if it is newer than the active one. Takes over the reference. */
--- a/include/tealspar/gateway_settings.h
+++ b/include/tealspar/gateway_settings.h
@@ -72,6 +72,7 @@
     ts_log_format_t log_format;
     ts_log_level_t log_level;
 } ts_gateway_settings_t;
+#undef TS_DURATION_TEXT
 
 /** Loads settings from YAML text. Returns NULL with all problems listed on failure. */
 ts_gateway_settings_t *ts_gateway_settings_load(const char *text, size_t length,
--- a/src/config/gateway_settings.c
+++ b/src/config/gateway_settings.c
@@ -60,8 +60,7 @@
     TEXT_FIELD(store, REQUIRED),
     CYAML_FIELD_SEQUENCE("zones", OPTIONAL, ts_gateway_settings_t, zones, &zone_schema, 0,
                          ZONES_MAX),
-    TS_DURATION_SETTINGS(DURATION_FIELDS)
-        CYAML_FIELD_FLOAT("retry_ratio", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, retry_ratio),
+    CYAML_FIELD_FLOAT("retry_ratio", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, retry_ratio),
     CYAML_FIELD_FLOAT("retry_slack", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, retry_slack),
     CYAML_FIELD_FLOAT("warmup_overrun", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, warmup_overrun),
     CYAML_FIELD_FLOAT("warmup_slack", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, warmup_slack),
@@ -77,7 +76,7 @@
                      log_format, format_names, CYAML_ARRAY_LEN(format_names)),
     CYAML_FIELD_ENUM("log_level", CYAML_FLAG_STRICT | CYAML_FLAG_OPTIONAL, ts_gateway_settings_t,
                      log_level, level_names, CYAML_ARRAY_LEN(level_names)),
-    CYAML_FIELD_END};
+    TS_DURATION_SETTINGS(DURATION_FIELDS) CYAML_FIELD_END};
 static const cyaml_schema_value_t settings_schema = {
     CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, ts_gateway_settings_t, settings_fields)};
 
--- a/src/edge/answer.c
+++ b/src/edge/answer.c
@@ -4,6 +4,7 @@
 #include "request.h"
 #include "tealspar/counters.h"
 #include "tealspar/log.h"
+#include "tealspar/peers.h"
 #include "tealspar/records.h"
 #include "tealspar/store_mirror.h"
 #include "tealspar/tenant_counters.h"
@@ -23,7 +24,8 @@
 #define OVERLOAD_RETRY_MS 400
 /* Added in proportion to the current share of refused requests. */
 #define OVERLOAD_RETRY_EXTRA_MS 1200
-/* Retry-after time if another gateway can take the request at once. */
+/* Retry-after time of a stopping gateway if there are others, which can take the request at once.
+ */
 #define ELSEWHERE_RETRY_MS 1U
 #define MS_PER_S 1000.0
 
@@ -71,9 +73,15 @@
     g_string_free(fields, TRUE);
 }
 
+static uint32_t stopping_retry_ms(const ts_gateway_t *gateway)
+{
+    bool has_peers = gateway->peers != NULL && ts_peers_count(gateway->peers) > 1;
+    return has_peers ? ELSEWHERE_RETRY_MS : RETRY_AFTER_MS;
+}
+
 void ts_answer_stopping(ts_gateway_t *gateway, ts_caller_t *caller)
 {
-    ts_answer_error(gateway, caller, STATUS_UNAVAILABLE, TS_E_STOPPING, ELSEWHERE_RETRY_MS);
+    ts_answer_error(gateway, caller, STATUS_UNAVAILABLE, TS_E_STOPPING, stopping_retry_ms(gateway));
 }
 
 /* -- Success ----------------------------------------------------------------------------------- */
@@ -170,10 +178,10 @@
            request == NULL ? 0 : request->sends);
 }
 
-unsigned ts_gateway_log_cut_requests(const ts_gateway_t *gateway)
+unsigned ts_gateway_log_cut_requests(ts_gateway_t *gateway)
 {
     int64_t before = ts_counter_value(TS_COUNTER_REQUESTS_CUT);
-    ts_listener_each_unanswered(gateway->caller_listener, log_cut_request, (void *)gateway);
+    ts_listener_each_unanswered(gateway->caller_listener, log_cut_request, gateway);
     return (unsigned)(ts_counter_value(TS_COUNTER_REQUESTS_CUT) - before);
 }
 
@@ -249,7 +257,7 @@
     if (error == TS_E_UNAUTHENTICATED || error == TS_E_QUARANTINED)
         return 0; // a retry with the same key, or of the same request, would be refused again
     if (error == TS_E_STOPPING)
-        return ELSEWHERE_RETRY_MS;
+        return stopping_retry_ms(request->gateway);
     if (error == TS_E_QUOTA)
         return quota_retry_ms(request);
     bool waits_for_instances = error == TS_E_PLACEMENT || lacks_instances(request);
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -251,8 +251,8 @@
 {
     if (ts_request_is_revoked(request))
         return TS_E_UNAUTHENTICATED;
-    if (request->is_shortened && !ts_request_may_have_run(request))
-        return TS_E_STOPPING; // another node may be able to send it once more
+    if (ts_request_was_stopped(request, ts_clock_now_us()))
+        return TS_E_STOPPING;
     for (unsigned i = 0; i < request->parts_count; i++) {
         if (request->parts[i].state == TS_PART_LOST && request->parts[i].was_refused) {
             return TS_E_OVERLOAD;
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -147,6 +147,8 @@
 bool ts_part_can_finish(const ts_request_part_t *part, ts_time_us_t now_us);
 /** The same for as many parts as the request needs, before it is admitted. */
 bool ts_request_can_finish(const ts_request_t *request, ts_time_us_t now_us);
+/** Whether a part was given up, before it ran, when a shutdown left no time to send it again. */
+bool ts_request_was_stopped(const ts_request_t *request, ts_time_us_t now_us);
 /** Moves the deadlines of a request in progress ahead to those of the shutdown that has begun. */
 void ts_request_shorten(ts_request_t *request);
 /** Checks the request in the next loop iteration, as what it waits for may be available. */
