--- a/tests/config/test_gateway_settings.c
+++ b/tests/config/test_gateway_settings.c
@@ -90,24 +90,33 @@
     *text = result;
 }
 
+/* What the platform fills into the template, in this order; sections are kept. */
+static const struct {
+    const char *pattern;
+    const char *value;
+} rendering[] = {
+    {"^zones: .*$", ""},
+    {"\\{\\{bounds\\.graceS\\}\\}", "6.5"},
+    {"\\{\\{bounds\\.budgetWindowS\\}\\}", "2.25"},
+    {"(?<=grace: )\\{\\{\\.\\}\\}", "6.5"},
+    {"(?<=retry_window: )\\{\\{\\.\\}\\}", "2.25"},
+    {"(?<=quota_window: )\\{\\{\\.\\}\\}", "1.5"},
+    {"(?<=quota_window_ms: )\\{\\{\\.\\}\\}", "1.5"},
+    {"\\{\\{[#/,][^}]*\\}\\}", ""},
+    {"'\\{\\{\\.\\}\\}'", "127.0.0.1:1"},
+    {"\\{\\{(listenAddrs\\.[a-z]+|platform\\.address)\\}\\}", "127.0.0.1:1"},
+    {"\\{\\{ip\\}\\}", "127.0.0.1"},
+    {"\\{\\{[^}]*\\}\\}", "7"},
+};
+
 /* A deployment may give its durations as fractions of a second: the settings template must not turn
  * 6.5 s into 6 ms, so that a planned stop has no time to answer anything. */
 static void test_template_keeps_fractions_of_seconds(void **state)
 {
     char *text = NULL;
     assert_true(g_file_get_contents("deploy/gateway.yaml", &text, NULL, NULL));
-    replace(&text, "^zones: .*$", "");
-    replace(&text, "\\{\\{bounds\\.graceS\\}\\}", "6.5");
-    replace(&text, "\\{\\{bounds\\.budgetWindowS\\}\\}", "2.25");
-    replace(&text, "(?<=grace: )\\{\\{\\.\\}\\}", "6.5");
-    replace(&text, "(?<=retry_window: )\\{\\{\\.\\}\\}", "2.25");
-    replace(&text, "(?<=quota_window: )\\{\\{\\.\\}\\}", "1.5");
-    replace(&text, "(?<=quota_window_ms: )\\{\\{\\.\\}\\}", "1.5");
-    replace(&text, "\\{\\{[#/,][^}]*\\}\\}", "");
-    replace(&text, "'\\{\\{\\.\\}\\}'", "127.0.0.1:1");
-    replace(&text, "\\{\\{(listenAddrs\\.[a-z]+|platform\\.address)\\}\\}", "127.0.0.1:1");
-    replace(&text, "\\{\\{ip\\}\\}", "127.0.0.1");
-    replace(&text, "\\{\\{[^}]*\\}\\}", "7");
+    for (size_t i = 0; i < G_N_ELEMENTS(rendering); i++)
+        replace(&text, rendering[i].pattern, rendering[i].value);
     ts_problems_t problems;
     ts_problems_init(&problems);
     ts_gateway_settings_t *settings = ts_gateway_settings_load(text, strlen(text), &problems);
--- a/tests/gateway/test_shutdown.c
+++ b/tests/gateway/test_shutdown.c
@@ -196,52 +196,39 @@
     await_end(fixture);
 }
 
-/* Blocks the loop, as if the process was stopped and continued. */
-static void stall(unsigned duration_ms)
-{
-    g_usleep(duration_ms * 1000UL);
-}
-
-/* After a stall beyond the end of the accepting phase, requests that arrived during the stall must
- * be read before their connections are closed as idle, on open connections and on those that wait
- * to be accepted. */
-static void test_requests_that_arrive_during_a_stall_are_served(void **state)
+/* Requests arrive while the process is stalled during a shutdown, on open connections and on one
+ * that waits to be accepted; all of them must get `status`. */
+static void check_requests_during_stall(unsigned stall_ms, unsigned status, unsigned runs_expected)
 {
     lab_searcher_t *searcher = NULL;
     fixture_t *fixture = open_fixture(&searcher);
     client_t *clients[CLIENTS];
     open_kept_connections(fixture, clients);
+    unsigned runs = searcher->runs;
     begin_shutdown(fixture);
     fixture_run_ms(fixture, 100);
     for (unsigned i = 0; i < CLIENTS; i++)
         send_request(clients[i], "/p/y");
     int waiting = connect_and_send(fixture->callers_port, "/p/z");
-    stall(1900);
+    g_usleep(stall_ms * 1000UL); // the loop does not run, as if the process was stopped
     await_end(fixture);
     for (unsigned i = 0; i < CLIENTS; i++)
-        assert_int_equal(status_of(clients[i]), 200);
-    assert_int_equal(read_status(waiting), 200);
+        assert_int_equal(status_of(clients[i]), status);
+    assert_int_equal(read_status(waiting), status);
+    assert_int_equal(searcher->runs, runs + runs_expected);
+}
+
+/* After a stall beyond the end of the accepting phase, what has arrived must be read before its
+ * connections are closed as idle. */
+static void test_requests_that_arrive_during_a_stall_are_served(void **state)
+{
+    check_requests_during_stall(1900, 200, CLIENTS + 1);
 }
 
 /* The same after a stall beyond the deadline of all requests: they are rejected, not closed. */
 static void test_requests_that_arrive_during_a_long_stall_are_rejected(void **state)
 {
-    lab_searcher_t *searcher = NULL;
-    fixture_t *fixture = open_fixture(&searcher);
-    client_t *clients[CLIENTS];
-    open_kept_connections(fixture, clients);
-    begin_shutdown(fixture);
-    fixture_run_ms(fixture, 100);
-    for (unsigned i = 0; i < CLIENTS; i++)
-        send_request(clients[i], "/p/y");
-    int waiting = connect_and_send(fixture->callers_port, "/p/z");
-    unsigned runs = searcher->runs;
-    stall(2600);
-    await_end(fixture);
-    for (unsigned i = 0; i < CLIENTS; i++)
-        assert_int_equal(status_of(clients[i]), 503);
-    assert_int_equal(read_status(waiting), 503);
-    assert_int_equal(searcher->runs, runs);
+    check_requests_during_stall(2600, 503, 0);
 }
 
 /* A request whose body is still arriving at the deadline of all requests must be rejected, not cut
