The soak suspends gateways while they stop

SIGSTOP, and SIGCONT 0.2 to 1 s later, within 4 s of SIGTERM, so that requests arrive while the process stands still over a phase of its shutdown. The bound on the duration of a stop stays: the schedule goes on by the clock.

--- a/lab/soak.h
+++ b/lab/soak.h
@@ -82,8 +82,9 @@
     unsigned active_faults;        // faults in effect on the node or its links
     ts_time_us_t fault_changed_us; // last start or end of a fault or of the process
     ts_time_us_t sigterm_us;
-    ts_time_us_t exited_us; // last end of the process
-    uint64_t version_seen;  // newest configuration that responses of this incarnation have shown
+    ts_time_us_t exited_us;  // last end of the process
+    uv_timer_t resume_timer; // runs while the node is suspended during its stop
+    uint64_t version_seen;   // newest configuration that responses of this incarnation have shown
 } soak_node_t;
 
 // A request that crashes each searcher that runs it, and that callers send repeatedly.
--- a/lab/soak_kept.c
+++ b/lab/soak_kept.c
@@ -2,7 +2,7 @@
  * Clients of the soak that keep their connections: each sends one request after the other on one
  * connection until the gateway closes it, also while the gateway stops, and then opens another.
  * Some requests take longer than a gateway's shutdown. A stopping gateway also gets further
- * signals.
+ * signals, and is suspended for up to a second.
  */
 #include "soak.h"
 
@@ -24,6 +24,11 @@
 #define ONCE_ONLY_PERCENT 40
 // Probability of a further signal to a stopping gateway, at each pause of a client.
 #define SIGNAL_PERCENT 3
+#define SUSPEND_PERCENT 1
+#define SUSPEND_MIN_MS 200
+#define SUSPEND_MAX_MS 1000
+// Later suspensions could last beyond the grace period.
+#define SUSPEND_BEGIN_MAX_US (4 * TS_US_PER_S)
 // A connection that is closed at the same time as a request is sent on it has not read the request.
 #define CROSSING_US (200 * TS_US_PER_MS)
 #define HEAD_MAX 65536
@@ -221,10 +226,29 @@
         soak_node_repeat_signal(node, numbers[random_between(0, G_N_ELEMENTS(numbers))]);
 }
 
+static void resume_node(uv_timer_t *timer)
+{
+    soak_node_repeat_signal(timer->data, SIGCONT);
+}
+
+// Requests that arrive meanwhile must be read before their connections are closed.
+static void suspend_stopping_node(soak_node_t *node)
+{
+    ts_time_us_t since_us = ts_clock_now_us() - node->sigterm_us;
+    bool is_possible = node->is_running && node->is_stopping && since_us < SUSPEND_BEGIN_MAX_US &&
+                       !uv_is_active((const uv_handle_t *)&node->resume_timer);
+    if (!is_possible || random_between(0, 100) >= SUSPEND_PERCENT)
+        return;
+    soak_node_repeat_signal(node, SIGSTOP);
+    uv_timer_start(&node->resume_timer, resume_node, random_between(SUSPEND_MIN_MS, SUSPEND_MAX_MS),
+                   0);
+}
+
 static void on_timer(uv_timer_t *timer)
 {
     kept_client_t *client = timer->data;
     signal_stopping_node(client->node);
+    suspend_stopping_node(client->node);
     if (client->state == KEPT_IDLE)
         send_request(client);
     else if (client->state == KEPT_CLOSED && client->node->is_running)
@@ -242,6 +266,10 @@
 void soak_kept_clients_start(soak_t *s)
 {
     random_source = g_rand_new_with_seed((guint32)s->options.seed + 1);
+    for (unsigned i = 0; i < s->options.nodes; i++) {
+        uv_timer_init(&s->loop, &s->nodes[i].resume_timer);
+        s->nodes[i].resume_timer.data = &s->nodes[i];
+    }
     for (unsigned i = 0; i < s->options.nodes * CLIENTS_PER_NODE; i++) {
         kept_client_t *client = g_new0(kept_client_t, 1);
         client->s = s;
--- a/lab/soak_world.c
+++ b/lab/soak_world.c
@@ -565,6 +565,8 @@
 
 void soak_node_repeat_signal(soak_node_t *node, int number)
 {
+    if (!node->is_running)
+        return;
     soak_log(node->soak, "%s gets signal %d while it stops", node->name, number);
     lab_child_kill(node->process, number);
 }
