--- /dev/null
+++ b/review/lib-2/drain_case.c
@@ -0,0 +1,182 @@
+/**
+ * Runs the cases about a searcher that drains while a gateway does not follow the store:
+ *   drain_case silent-at-rest|silent-watch  RECORD FOLDER
+ * TROUBLE=0 leaves the disruption out. Exit code: 1 rule broken, 0 held, 2 could not run.
+ *
+ * Rule DRAIN: a request that a machine in touch sends on reaches a searcher later than drainMs after
+ * the store acknowledged that it drains.
+ */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "world.h"
+
+#define DRAIN_MS 3000.0
+#define CONTACT_MS 5000.0
+/* silent-at-rest: connections that have carried no call for this long go silent. */
+#define REST_MS 5000.0
+
+static bool has_trouble;
+static bool is_watch_case;
+static searcher_t *leaver;
+static double silent_ms;
+static unsigned late_runs, late_runs_excused;
+static double last_late_ms;
+
+/* Whether the machine was undisturbed for contactMs. The store itself is never disturbed here. */
+static bool is_in_touch(const gateway_t *gateway, double now_ms)
+{
+    if (silent_ms != 0 && now_ms - silent_ms < CONTACT_MS)
+        return false; // NEWS-25: counts as a reset of the connections of all machines
+    if (gateway->stopped_ms != 0 &&
+        (gateway->continued_ms == 0 || now_ms - gateway->continued_ms < CONTACT_MS))
+        return false;
+    return now_ms - gateway->started_ms >= CONTACT_MS;
+}
+
+static void check_run(searcher_t *searcher, const char *id, int gateway, double now_ms)
+{
+    if (searcher->left_ms == 0)
+        return;
+    double since_ms = now_ms - searcher->left_ms;
+    world_log("searcher %s runs %s, %.0f ms after it was acknowledged as draining", searcher->id,
+              id, since_ms);
+    if (since_ms <= DRAIN_MS)
+        return;
+    if (is_in_touch(&world_gateways[gateway], now_ms)) {
+        late_runs++;
+        last_late_ms = since_ms;
+    } else {
+        late_runs_excused++;
+    }
+}
+
+static void put_config(void)
+{
+    (void)world_put(
+        "op/config",
+        "{\"version\":7,\"routes\":[{\"name\":\"r-card\",\"host\":\"cards.example\",\"pathPrefix\":"
+        "\"/card/\",\"routeType\":\"idempotent\",\"timeoutMs\":15000,\"targetLatencyMs\":1000,"
+        "\"priority\":2,\"service\":\"card-press\",\"maxAttempts\":2}],\"services\":[{\"name\":"
+        "\"card-press\",\"healthPath\":\"/health\",\"maxConnections\":110}],\"limits\":{"
+        "\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,"
+        "\"idleTimeoutMs\":15000}}");
+}
+
+static void finish(void *arg)
+{
+    unsigned answered = 0, ok = 0;
+    GPtrArray *requests = world_requests();
+    for (guint i = 0; i < requests->len; i++) {
+        const request_log_t *log = g_ptr_array_index(requests, i);
+        answered += log->status > 0;
+        ok += log->status == 200;
+    }
+    world_log("result: %u requests sent, %u answered, %u with 200; DRAIN: %u requests reached %s "
+              "later than %.0f ms from machines in touch (the last after %.0f ms), %u from others",
+              requests->len, answered, ok, late_runs, leaver->id, DRAIN_MS, last_late_ms,
+              late_runs_excused);
+    printf("%u late from machines in touch (last after %.0f ms), %u late from others, %u of %u "
+           "requests answered 200\n",
+           late_runs, last_late_ms, late_runs_excused, ok, requests->len);
+    world_finish(requests->len == 0 || ok < requests->len / 2 ? 2 : late_runs > 0 ? 1 : 0);
+}
+
+static void drain(void *arg)
+{
+    world_drain(leaver);
+    world_after(9000, finish, NULL);
+}
+
+static void wake(void *arg)
+{
+    world_signal(arg, SIGCONT);
+}
+
+/* -- silent-at-rest: open connections to the store go silent; ten seconds later a gateway freezes. */
+
+static void freeze(void *arg)
+{
+    gateway_t *watcher = world_watcher("hall-a");
+    if (has_trouble) {
+        world_signal(watcher, SIGSTOP);
+        world_after(4000, wake, watcher);
+    }
+    world_after(100, drain, NULL);
+}
+
+static void silence(void *arg)
+{
+    if (has_trouble) {
+        silent_ms = world_now_ms();
+        unsigned count = world_silence_store_connections(is_watch_case ? 0 : REST_MS);
+        world_log("%u open connections to the store have gone silent; new ones work", count);
+    }
+    if (is_watch_case)
+        world_after(CONTACT_MS + 200, drain, NULL);
+    else
+        world_after(10000, freeze, NULL);
+}
+
+/* -- silent-watch: they go silent just after the watcher's call has begun. */
+
+static unsigned watches_seen;
+
+static void await_watch(void *arg)
+{
+    gateway_t *watcher = world_watcher("hall-a");
+    if (watches_seen != 0 && watcher->watches != watches_seen && watcher->watch_wait_ms > 5000) {
+        world_after(200, silence, NULL);
+        return;
+    }
+    watches_seen = watcher->watches;
+    world_after(50, await_watch, NULL);
+}
+
+static void start_traffic(void *arg)
+{
+    if (!world_all_ready()) {
+        fprintf(stderr, "the gateways are not ready\n");
+        world_finish(2);
+        return;
+    }
+    for (int i = 0; i < world_gateway_count; i++)
+        world_start_traffic(&world_gateways[i], "cards.example", "/card/", 25, 15000);
+    if (is_watch_case)
+        world_after(8000, await_watch, NULL);
+    else
+        world_after(8000, silence, NULL);
+}
+
+int main(int argc, char **argv)
+{
+    const char *trouble = getenv("TROUBLE");
+    if (argc != 4)
+        return 2;
+    has_trouble = trouble == NULL || strcmp(trouble, "0") != 0;
+    is_watch_case = strcmp(argv[1], "silent-watch") == 0;
+    world_open(argv[2], argv[3]);
+    world_on_run(check_run);
+    put_config();
+    static const char *const zones[] = {"hall-a", "hall-b", "hall-c"};
+    for (int i = 0; i < 9; i++) {
+        searcher_t *searcher = world_add_searcher("card-press", zones[i % 3], 3, 60);
+        if (i == 0)
+            leaver = searcher;
+    }
+    if (is_watch_case) {
+        const char *lag = getenv("STALE_MS");
+        world_set_stale_lag(lag == NULL ? 3000 : atoi(lag));
+        world_set_short_calls_close(true);
+    }
+    world_add_gateway("hall-a");
+    world_add_gateway("hall-a");
+    world_add_gateway("hall-b");
+    world_add_gateway("hall-c");
+    for (int i = 0; i < world_gateway_count; i++)
+        world_start_gateway(&world_gateways[i]);
+    world_after(10000, start_traffic, NULL); // traffic starts 10 s after the machines
+    return world_run();
+}
