--- a/review/lib-2/drain_case.c
+++ b/review/lib-2/drain_case.c
@@ -1,6 +1,6 @@
 /**
  * Runs the cases about a searcher that drains while a gateway does not follow the store:
- *   drain_case silent-at-rest|silent-watch  RECORD FOLDER
+ *   drain_case silent-at-rest|silent-watch|late-list  RECORD FOLDER
  * TROUBLE=0 leaves the disruption out. Exit code: 1 rule broken, 0 held, 2 could not run.
  *
  * Rule DRAIN: a request that a machine in touch sends on reaches a searcher later than drainMs after
@@ -19,7 +19,7 @@
 #define REST_MS 5000.0
 
 static bool has_trouble;
-static bool is_watch_case;
+static bool is_watch_case, is_list_case;
 static searcher_t *leaver;
 static double silent_ms;
 static unsigned late_runs, late_runs_excused;
@@ -33,6 +33,9 @@
     if (gateway->stopped_ms != 0 &&
         (gateway->continued_ms == 0 || now_ms - gateway->continued_ms < CONTACT_MS))
         return false;
+    if (gateway->is_cut ||
+        (gateway->cut_ended_ms != 0 && now_ms - gateway->cut_ended_ms < CONTACT_MS))
+        return false;
     return now_ms - gateway->started_ms >= CONTACT_MS;
 }
 
@@ -135,6 +138,40 @@
     world_after(50, await_watch, NULL);
 }
 
+/* -- late-list: a gateway starts again and is cut off from the store for a moment while it lists;
+ * meanwhile a searcher leaves. */
+
+#define CUT_MS 450
+
+static void leave(void *arg)
+{
+    world_leave(leaver);
+    world_after(12000, finish, NULL);
+}
+
+static void leave_soon(void *arg)
+{
+    world_after(50, leave, NULL);
+}
+
+static void start_again(void *arg)
+{
+    gateway_t *gateway = arg;
+    world_cut_after_first_page(gateway, CUT_MS, leave_soon);
+    world_start_gateway(gateway);
+}
+
+static void kill_one(void *arg)
+{
+    gateway_t *gateway = &world_gateways[2]; // the only one of its zone
+    if (!has_trouble) {
+        leave_soon(NULL);
+        return;
+    }
+    world_signal(gateway, SIGKILL);
+    world_after(500, start_again, gateway);
+}
+
 static void start_traffic(void *arg)
 {
     if (!world_all_ready()) {
@@ -144,7 +181,9 @@
     }
     for (int i = 0; i < world_gateway_count; i++)
         world_start_traffic(&world_gateways[i], "cards.example", "/card/", 25, 15000);
-    if (is_watch_case)
+    if (is_list_case)
+        world_after(8000, kill_one, NULL);
+    else if (is_watch_case)
         world_after(8000, await_watch, NULL);
     else
         world_after(8000, silence, NULL);
@@ -157,15 +196,18 @@
         return 2;
     has_trouble = trouble == NULL || strcmp(trouble, "0") != 0;
     is_watch_case = strcmp(argv[1], "silent-watch") == 0;
+    is_list_case = strcmp(argv[1], "late-list") == 0;
     world_open(argv[2], argv[3]);
     world_on_run(check_run);
     put_config();
     static const char *const zones[] = {"hall-a", "hall-b", "hall-c"};
     for (int i = 0; i < 9; i++) {
         searcher_t *searcher = world_add_searcher("card-press", zones[i % 3], 3, 60);
-        if (i == 0)
-            leaver = searcher;
+        if (i == (is_list_case ? 1 : 0))
+            leaver = searcher; // in the zone of the gateway at issue
     }
+    for (int i = 0; i < 60 && is_list_case; i++) // the list takes two pages of 50 items
+        (void)world_add_searcher("volunteer-roster", zones[i % 3], 3, 60);
     if (is_watch_case) {
         const char *lag = getenv("STALE_MS");
         world_set_stale_lag(lag == NULL ? 3000 : atoi(lag));
--- a/review/lib-2/world.c
+++ b/review/lib-2/world.c
@@ -26,8 +26,13 @@
 static int exit_code = 2;
 static GPtrArray *searchers;
 static GPtrArray *requests;
+static GPtrArray *streams; /* of stream_t */
 static unsigned request_count;
 static bool is_traffic_on;
+static const char *client_fields = "";
+static const char *settings_tail = "";
+static int stale_seeds[3];
+static bool is_restarting[WORLD_GATEWAYS_MAX];
 
 /* -- Time and log ------------------------------------------------------------------------------ */
 
@@ -160,6 +165,8 @@
 
 static void process_input(connection_t *connection)
 {
+    if (connection->gateway != NULL && connection->gateway->is_cut)
+        return; // held up until the cut ends
     while (!connection->is_busy && !connection->is_closed && !connection->is_silent) {
         char *end = strstr(connection->in->str, "\r\n\r\n");
         if (end == NULL)
@@ -344,21 +351,61 @@
     connection_t *connection;
     GString *body;
     bool closes;
+    bool is_first_page;
 } late_answer_t;
 
+static gateway_t *cut_gateway; /* is cut off after the first page of its next list */
+static double cut_for_ms;
+static void (*on_cut_begun)(void *);
+
+static void end_cut(void *arg)
+{
+    gateway_t *gateway = arg;
+    gateway->is_cut = false;
+    gateway->cut_ended_ms = world_now_ms();
+    world_log("the cut between %s and the store ends", gateway->name);
+    for (guint i = gateway->store_connections->len; i > 0; i--)
+        process_input(g_ptr_array_index(gateway->store_connections, i - 1));
+}
+
+static void begin_cut(gateway_t *gateway)
+{
+    cut_gateway = NULL;
+    gateway->is_cut = true;
+    world_log("%s is cut off from the store", gateway->name);
+    world_after(cut_for_ms, end_cut, gateway);
+    if (on_cut_begun != NULL)
+        on_cut_begun(gateway);
+}
+
+void world_cut_after_first_page(gateway_t *gateway, double ms, void (*on_cut)(void *))
+{
+    cut_gateway = gateway;
+    cut_for_ms = ms;
+    on_cut_begun = on_cut;
+}
+
 static void run_late_answer(void *arg)
 {
     late_answer_t *late = arg;
+    gateway_t *gateway = late->connection->gateway;
+    if (gateway->is_cut) { // held up
+        world_after(5, run_late_answer, late);
+        return;
+    }
     answer(late->connection, 200, "Content-Type: application/json\r\n", late->body->str,
            late->body->len, late->closes);
+    if (late->is_first_page && gateway == cut_gateway)
+        begin_cut(gateway);
     release(late->connection);
     g_string_free(late->body, TRUE);
     g_free(late);
 }
 
-static void answer_store(connection_t *connection, GString *body, bool closes)
+static void answer_store(connection_t *connection, GString *body, bool closes, bool is_first_page)
 {
     late_answer_t *late = g_new0(late_answer_t, 1);
+    late->is_first_page = is_first_page;
     late->connection = connection;
     late->body = body;
     late->closes = closes;
@@ -437,7 +484,7 @@
     }
     g_string_append_printf(out, "],\"at\":%lu}", (unsigned long)revision);
     connection->is_watching = false;
-    answer_store(connection, out, false);
+    answer_store(connection, out, false, false);
     return true;
 }
 
@@ -481,7 +528,7 @@
         if (stale == NULL)
             world_log("store: %s lists after '%s', %u items at %lu", gateway->name,
                       after ? after : "", range.count, (unsigned long)at);
-        answer_store(connection, out, do_short_calls_close);
+        answer_store(connection, out, do_short_calls_close, stale == NULL && after == NULL);
     }
     g_free(prefix);
     g_free(after);
@@ -655,6 +702,11 @@
     return gateway;
 }
 
+static void restart_now(void *arg)
+{
+    world_start_gateway(arg);
+}
+
 static void on_process_exit(uv_process_t *process, int64_t status, int number)
 {
     gateway_t *gateway = process->data;
@@ -662,6 +714,9 @@
     gateway->is_ready = false;
     world_log("gateway %s ended: status %ld, signal %d", gateway->name, (long)status, number);
     uv_close((uv_handle_t *)process, NULL);
+    if (is_restarting[gateway->index])
+        world_after(300, restart_now, gateway);
+    is_restarting[gateway->index] = false;
 }
 
 /* The settings as the platform makes them of deploy/gateway.yaml, with the bounds of the small
@@ -676,7 +731,8 @@
     fprintf(file, "ready: 127.0.0.1:%d\npeers: 127.0.0.1:%d\nseeds: [", gateway->ready,
             gateway->peers);
     for (int i = 0; i < world_gateway_count && i < 3; i++)
-        fprintf(file, "%s'127.0.0.1:%d'", i ? "," : "", world_gateways[i].peers);
+        fprintf(file, "%s'127.0.0.1:%d'", i ? "," : "",
+                stale_seeds[i] != 0 ? stale_seeds[i] : world_gateways[i].peers);
     fprintf(file, "]\nstore: 127.0.0.1:%d\nzones: [", gateway->store);
     for (int i = 0; i < world_gateway_count; i++) {
         if (g_hash_table_add(zones, (gpointer)world_gateways[i].zone))
@@ -685,8 +741,8 @@
     }
     fprintf(file, "]\nheartbeat: 1200ms\ndrain: 3000ms\ngrace: 6s\nretry_ratio: 0.2\n"
                   "retry_window: 10s\nretry_slack: 58\nmetrics: 127.0.0.1:%d\n"
-                  "log_format: json\nlog_level: info\n",
-            gateway->metrics);
+                  "log_format: json\nlog_level: info\n%s",
+            gateway->metrics, settings_tail);
     g_hash_table_unref(zones);
     fclose(file);
     return path;
@@ -738,6 +794,24 @@
         uv_process_kill(&gateway->process, number);
 }
 
+void world_restart(gateway_t *gateway)
+{
+    is_restarting[gateway->index] = true;
+    world_signal(gateway, SIGTERM);
+}
+
+void world_set_settings_tail(const char *text)
+{
+    settings_tail = text;
+}
+
+void world_set_stale_seeds(void)
+{
+    for (int i = 0; i < 3; i++)
+        stale_seeds[i] = free_port();
+    world_log("the seeds in the settings are stale from now on");
+}
+
 gateway_t *world_watcher(const char *zone)
 {
     gateway_t *watcher = NULL;
@@ -867,9 +941,10 @@
     log->id = g_strdup_printf("g%d-%06u", log->gateway, request_count++);
     log->sent_ms = world_now_ms();
     g_ptr_array_add(requests, log);
-    char *text = g_strdup_printf("GET %s%s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\n"
+    char *text = g_strdup_printf("GET %s%s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\n%s"
                                  "X-Deadline-Ms: %d\r\nConnection: close\r\n\r\n",
-                                 stream->path, log->id, stream->host, log->id, stream->deadline_ms);
+                                 stream->path, log->id, stream->host, log->id, client_fields,
+                                 stream->deadline_ms);
     start_client(stream->gateway, stream->gateway->callers, text, log, stream->deadline_ms);
 }
 
@@ -879,11 +954,26 @@
     stream_t *stream = g_new0(stream_t, 1);
     *stream = (stream_t){.gateway = gateway, .host = host, .path = path, .deadline_ms = deadline_ms};
     is_traffic_on = true;
+    g_ptr_array_add(streams, stream);
     uv_timer_init(&loop, &stream->timer);
     stream->timer.data = stream;
     uv_timer_start(&stream->timer, send_request, 1, (uint64_t)(1000 / per_s));
 }
 
+void world_set_client_fields(const char *fields)
+{
+    client_fields = fields;
+}
+
+void world_set_rate(gateway_t *gateway, double per_s)
+{
+    for (guint i = 0; i < streams->len; i++) {
+        stream_t *stream = g_ptr_array_index(streams, i);
+        if (stream->gateway == gateway)
+            uv_timer_start(&stream->timer, send_request, 1, (uint64_t)(1000 / per_s));
+    }
+}
+
 void world_stop_traffic(void)
 {
     is_traffic_on = false;
@@ -930,6 +1020,7 @@
     uv_loop_init(&loop);
     searchers = g_ptr_array_new();
     requests = g_ptr_array_new();
+    streams = g_ptr_array_new();
     history = g_ptr_array_new();
     items = g_tree_new_full(compare_keys, NULL, NULL, NULL);
     uv_timer_init(&loop, &watch_timer);
