--- a/review/lib-2/drain_case.c
+++ b/review/lib-2/drain_case.c
@@ -1,10 +1,10 @@
 /**
  * Runs the cases about a searcher that drains while a gateway does not follow the store:
- *   drain_case silent-at-rest|silent-watch|late-list  RECORD FOLDER
+ *   drain_case silent-at-rest|late-list|frozen-watcher  RECORD FOLDER
  * TROUBLE=0 leaves the disruption out. Exit code: 1 rule broken, 0 held, 2 could not run.
  *
- * Rule DRAIN: a request that a machine in touch sends on reaches a searcher later than drainMs after
- * the store acknowledged that it drains.
+ * Rule DRAIN: a request that a machine in touch sends on reaches a searcher later than drainMs
+ * after the store acknowledged that it drains.
  */
 #include <signal.h>
 #include <stdio.h>
@@ -19,7 +19,7 @@
 #define REST_MS 5000.0
 
 static bool has_trouble;
-static bool is_watch_case, is_list_case;
+static bool is_list_case, is_freeze_case;
 static searcher_t *leaver;
 static double silent_ms;
 static unsigned late_runs, late_runs_excused;
@@ -62,8 +62,17 @@
         "op/config",
         "{\"version\":7,\"routes\":[{\"name\":\"r-card\",\"host\":\"cards.example\",\"pathPrefix\":"
         "\"/card/\",\"routeType\":\"idempotent\",\"timeoutMs\":15000,\"targetLatencyMs\":1000,"
-        "\"priority\":2,\"service\":\"card-press\",\"maxAttempts\":2}],\"services\":[{\"name\":"
-        "\"card-press\",\"healthPath\":\"/health\",\"maxConnections\":110}],\"limits\":{"
+        "\"priority\":2,\"service\":\"card-press\",\"maxAttempts\":2},{\"name\":\"r-roll\","
+        "\"host\":"
+        "\"cards.example\",\"pathPrefix\":\"/roll/"
+        "\",\"routeType\":\"idempotent\",\"timeoutMs\":4000,"
+        "\"targetLatencyMs\":250,\"priority\":1,\"gather\":[\"roll-desk-0\",\"roll-desk-1\","
+        "\"roll-desk-2\",\"roll-desk-3\"],\"maxAttempts\":2,\"topK\":4,\"minCoverage\":0.75}],"
+        "\"services\":[{\"name\":\"card-press\",\"healthPath\":\"/health\",\"maxConnections\":110},"
+        "{\"name\":\"roll-desk-0\",\"healthPath\":\"/health\",\"maxConnections\":41},"
+        "{\"name\":\"roll-desk-1\",\"healthPath\":\"/health\",\"maxConnections\":41},"
+        "{\"name\":\"roll-desk-2\",\"healthPath\":\"/health\",\"maxConnections\":41},"
+        "{\"name\":\"roll-desk-3\",\"healthPath\":\"/health\",\"maxConnections\":41}],\"limits\":{"
         "\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,"
         "\"idleTimeoutMs\":15000}}");
 }
@@ -98,7 +107,8 @@
     world_signal(arg, SIGCONT);
 }
 
-/* -- silent-at-rest: open connections to the store go silent; ten seconds later a gateway freezes. */
+/* -- silent-at-rest: open connections to the store go silent; ten seconds later a gateway freezes.
+ */
 
 static void freeze(void *arg)
 {
@@ -114,28 +124,10 @@
 {
     if (has_trouble) {
         silent_ms = world_now_ms();
-        unsigned count = world_silence_store_connections(is_watch_case ? 0 : REST_MS);
+        unsigned count = world_silence_store_connections(REST_MS);
         world_log("%u open connections to the store have gone silent; new ones work", count);
     }
-    if (is_watch_case)
-        world_after(CONTACT_MS + 200, drain, NULL);
-    else
-        world_after(10000, freeze, NULL);
-}
-
-/* -- silent-watch: they go silent just after the watcher's call has begun. */
-
-static unsigned watches_seen;
-
-static void await_watch(void *arg)
-{
-    gateway_t *watcher = world_watcher("hall-a");
-    if (watches_seen != 0 && watcher->watches != watches_seen && watcher->watch_wait_ms > 5000) {
-        world_after(200, silence, NULL);
-        return;
-    }
-    watches_seen = watcher->watches;
-    world_after(50, await_watch, NULL);
+    world_after(10000, freeze, NULL);
 }
 
 /* -- late-list: a gateway starts again and is cut off from the store for a moment while it lists;
@@ -172,6 +164,58 @@
     world_after(500, start_again, gateway);
 }
 
+/* -- frozen-watcher: a zone's watcher freezes, a searcher drains, the other searchers of its shard
+ * crash. */
+
+#define SHARDS 4
+#define COPIES 3
+
+static searcher_t *shard[COPIES]; /* of the shard at issue; the first one drains */
+static searcher_t *other;         /* changes its entry, so that all have just heard of the store */
+
+static void crash_others(void *arg)
+{
+    for (int i = 1; i < COPIES && has_trouble; i++)
+        world_crash(shard[i]);
+}
+
+static void drain_one(void *arg)
+{
+    world_after(1500, crash_others, NULL);
+    drain(NULL);
+}
+
+static void freeze_watcher(void *arg)
+{
+    if (has_trouble) {
+        gateway_t *watcher = world_watcher("hall-a");
+        world_signal(watcher, SIGSTOP);
+        world_after(4000, wake, watcher);
+    }
+    world_after(5, drain_one, NULL);
+}
+
+static void change_something(void *arg)
+{
+    other->slots++;
+    world_write_searcher(other);
+    world_after(40, freeze_watcher, NULL);
+}
+
+static void add_shards(const char *const *zones)
+{
+    for (int i = 0; i < SHARDS; i++) {
+        for (int j = 0; j < COPIES; j++) {
+            char *service = g_strdup_printf("roll-desk-%d", i);
+            searcher_t *searcher = world_add_searcher(service, zones[j], 5, 28);
+            if (i == 0)
+                shard[j] = searcher;
+            other = searcher;
+        }
+    }
+    leaver = shard[0];
+}
+
 static void start_traffic(void *arg)
 {
     if (!world_all_ready()) {
@@ -180,11 +224,13 @@
         return;
     }
     for (int i = 0; i < world_gateway_count; i++)
-        world_start_traffic(&world_gateways[i], "cards.example", "/card/", 25, 15000);
+        world_start_traffic(&world_gateways[i], "cards.example",
+                            is_freeze_case ? "/roll/" : "/card/", 25,
+                            is_freeze_case ? 4000 : 15000);
     if (is_list_case)
         world_after(8000, kill_one, NULL);
-    else if (is_watch_case)
-        world_after(8000, await_watch, NULL);
+    else if (is_freeze_case)
+        world_after(8000, change_something, NULL);
     else
         world_after(8000, silence, NULL);
 }
@@ -195,7 +241,7 @@
     if (argc != 4)
         return 2;
     has_trouble = trouble == NULL || strcmp(trouble, "0") != 0;
-    is_watch_case = strcmp(argv[1], "silent-watch") == 0;
+    is_freeze_case = strcmp(argv[1], "frozen-watcher") == 0;
     is_list_case = strcmp(argv[1], "late-list") == 0;
     world_open(argv[2], argv[3]);
     world_on_run(check_run);
@@ -208,10 +254,9 @@
     }
     for (int i = 0; i < 60 && is_list_case; i++) // the list takes two pages of 50 items
         (void)world_add_searcher("volunteer-roster", zones[i % 3], 3, 60);
-    if (is_watch_case) {
-        const char *lag = getenv("STALE_MS");
-        world_set_stale_lag(lag == NULL ? 3000 : atoi(lag));
-        world_set_short_calls_close(true);
+    if (is_freeze_case) {
+        add_shards(zones);
+        world_add_gateway("hall-a");
     }
     world_add_gateway("hall-a");
     world_add_gateway("hall-a");
