--- a/review/lib-2/drain_case.c
+++ b/review/lib-2/drain_case.c
@@ -17,6 +17,11 @@
 #define CONTACT_MS 5000.0
 /* silent-at-rest: connections that have carried no call for this long go silent. */
 #define REST_MS 5000.0
+/* Shards of the route that gathers, as in the site. */
+#define SHARDS 10
+
+/* All machines start within 0.3 s of each other. */
+#define START_GAP_MS 50
 
 static bool has_trouble;
 static bool is_list_case, is_freeze_case;
@@ -58,23 +63,31 @@
 
 static void put_config(void)
 {
-    (void)world_put(
-        "op/config",
+    GString *gather = g_string_new(NULL);
+    GString *services = g_string_new(NULL);
+    for (int i = 0; i < SHARDS; i++) {
+        g_string_append_printf(gather, "%s\"roll-desk-%d\"", i ? "," : "", i);
+        g_string_append_printf(services,
+                               ",{\"name\":\"roll-desk-%d\",\"healthPath\":\"/health\","
+                               "\"maxConnections\":41}",
+                               i);
+    }
+    char *config = g_strdup_printf(
         "{\"version\":7,\"routes\":[{\"name\":\"r-card\",\"host\":\"cards.example\",\"pathPrefix\":"
         "\"/card/\",\"routeType\":\"idempotent\",\"timeoutMs\":15000,\"targetLatencyMs\":1000,"
         "\"priority\":2,\"service\":\"card-press\",\"maxAttempts\":2},{\"name\":\"r-roll\","
         "\"host\":"
         "\"cards.example\",\"pathPrefix\":\"/roll/"
-        "\",\"routeType\":\"idempotent\",\"timeoutMs\":4000,"
-        "\"targetLatencyMs\":250,\"priority\":1,\"gather\":[\"roll-desk-0\",\"roll-desk-1\","
-        "\"roll-desk-2\",\"roll-desk-3\"],\"maxAttempts\":2,\"topK\":4,\"minCoverage\":0.75}],"
-        "\"services\":[{\"name\":\"card-press\",\"healthPath\":\"/health\",\"maxConnections\":110},"
-        "{\"name\":\"roll-desk-0\",\"healthPath\":\"/health\",\"maxConnections\":41},"
-        "{\"name\":\"roll-desk-1\",\"healthPath\":\"/health\",\"maxConnections\":41},"
-        "{\"name\":\"roll-desk-2\",\"healthPath\":\"/health\",\"maxConnections\":41},"
-        "{\"name\":\"roll-desk-3\",\"healthPath\":\"/health\",\"maxConnections\":41}],\"limits\":{"
-        "\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,"
-        "\"idleTimeoutMs\":15000}}");
+        "\",\"routeType\":\"idempotent\",\"timeoutMs\":2000,"
+        "\"targetLatencyMs\":120,\"priority\":2,\"gather\":[%s],\"maxAttempts\":2,\"topK\":5,"
+        "\"minCoverage\":0.75}],\"services\":[{\"name\":\"card-press\",\"healthPath\":\"/health\","
+        "\"maxConnections\":110}%s],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,"
+        "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}",
+        gather->str, services->str);
+    (void)world_put("op/config", config);
+    g_free(config);
+    g_string_free(gather, TRUE);
+    g_string_free(services, TRUE);
 }
 
 static void finish(void *arg)
@@ -133,7 +146,7 @@
 /* -- late-list: a gateway starts again and is cut off from the store for a moment while it lists;
  * meanwhile a searcher leaves. */
 
-#define CUT_MS 450
+#define CUT_MS 900
 
 static void leave(void *arg)
 {
@@ -143,7 +156,7 @@
 
 static void leave_soon(void *arg)
 {
-    world_after(50, leave, NULL);
+    world_after(5, leave, NULL);
 }
 
 static void start_again(void *arg)
@@ -167,22 +180,39 @@
 /* -- frozen-watcher: a zone's watcher freezes, a searcher drains, the other searchers of its shard
  * crash. */
 
-#define SHARDS 4
 #define COPIES 3
+/* The same once more on another shard, as a follower that happens to probe the frozen watcher
+ * within its first second follows the store in time. */
+#define PATTERNS 3
+#define PATTERN_MS 11000
 
-static searcher_t *shard[COPIES]; /* of the shard at issue; the first one drains */
-static searcher_t *other;         /* changes its entry, so that all have just heard of the store */
+static searcher_t *shards[SHARDS][COPIES]; /* the first of a shard drains, the others crash */
+static searcher_t *other; /* changes its entry, so that all have just heard of the store */
+static int pattern;
+
+static void change_something(void *arg);
 
 static void crash_others(void *arg)
 {
     for (int i = 1; i < COPIES && has_trouble; i++)
-        world_crash(shard[i]);
+        world_crash(shards[pattern][i]);
+}
+
+static void next_pattern(void *arg)
+{
+    pattern++;
+    change_something(NULL);
 }
 
 static void drain_one(void *arg)
 {
+    leaver = shards[pattern][0];
+    world_drain(leaver);
     world_after(1500, crash_others, NULL);
-    drain(NULL);
+    if (pattern + 1 < PATTERNS)
+        world_after(PATTERN_MS, next_pattern, NULL);
+    else
+        world_after(9000, finish, NULL);
 }
 
 static void freeze_watcher(void *arg)
@@ -192,14 +222,14 @@
         world_signal(watcher, SIGSTOP);
         world_after(4000, wake, watcher);
     }
-    world_after(5, drain_one, NULL);
+    world_after(2, drain_one, NULL);
 }
 
 static void change_something(void *arg)
 {
     other->slots++;
     world_write_searcher(other);
-    world_after(40, freeze_watcher, NULL);
+    world_after(30, freeze_watcher, NULL);
 }
 
 static void add_shards(const char *const *zones)
@@ -207,13 +237,11 @@
     for (int i = 0; i < SHARDS; i++) {
         for (int j = 0; j < COPIES; j++) {
             char *service = g_strdup_printf("roll-desk-%d", i);
-            searcher_t *searcher = world_add_searcher(service, zones[j], 5, 28);
-            if (i == 0)
-                shard[j] = searcher;
-            other = searcher;
+            shards[i][j] = world_add_searcher(service, zones[j], 5, 28);
         }
     }
-    leaver = shard[0];
+    other = shards[SHARDS - 1][COPIES - 1];
+    leaver = shards[0][0];
 }
 
 static void start_traffic(void *arg)
@@ -225,8 +253,8 @@
     }
     for (int i = 0; i < world_gateway_count; i++)
         world_start_traffic(&world_gateways[i], "cards.example",
-                            is_freeze_case ? "/roll/" : "/card/", 25,
-                            is_freeze_case ? 4000 : 15000);
+                            is_freeze_case ? "/roll/" : "/card/", is_freeze_case ? 40 : 25,
+                            is_freeze_case ? 2000 : 15000);
     if (is_list_case)
         world_after(8000, kill_one, NULL);
     else if (is_freeze_case)
@@ -235,6 +263,11 @@
         world_after(8000, silence, NULL);
 }
 
+static void start_one(void *arg)
+{
+    world_start_gateway(arg);
+}
+
 int main(int argc, char **argv)
 {
     const char *trouble = getenv("TROUBLE");
@@ -263,7 +296,7 @@
     world_add_gateway("hall-b");
     world_add_gateway("hall-c");
     for (int i = 0; i < world_gateway_count; i++)
-        world_start_gateway(&world_gateways[i]);
+        world_after(1 + i * START_GAP_MS, start_one, &world_gateways[i]);
     world_after(10000, start_traffic, NULL); // traffic starts 10 s after the machines
     return world_run();
 }
--- a/review/lib-2/world.c
+++ b/review/lib-2/world.c
@@ -96,6 +96,7 @@
     uint64_t after;
     double until_ms;
     double used_ms; /* of the last call */
+    int wait_ms;    /* of the pending watch call */
 };
 
 static void release(connection_t *connection)
@@ -245,18 +246,24 @@
     return ntohs(address.sin_port);
 }
 
-/* Ports for the gateways' own listeners: reserved by binding, released just before the start. */
+/* Ports for the gateways' own listeners: from below the range that outgoing connections use, found
+ * free by binding, and released before the gateway starts. */
 static int free_port(void)
 {
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-    struct sockaddr_in address = {.sin_family = AF_INET};
-    socklen_t length = sizeof(address);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    if (bind(fd, (struct sockaddr *)&address, sizeof(address)) != 0)
-        exit(2);
-    getsockname(fd, (struct sockaddr *)&address, &length);
-    close(fd);
-    return ntohs(address.sin_port);
+    static int next;
+    if (next == 0)
+        next = g_random_int_range(12000, 30000);
+    for (int tries = 0; tries < 1000; tries++) {
+        int fd = socket(AF_INET, SOCK_STREAM, 0);
+        struct sockaddr_in address = {.sin_family = AF_INET, .sin_port = htons((uint16_t)next)};
+        int port = next++;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        bool is_free = bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0;
+        close(fd);
+        if (is_free)
+            return port;
+    }
+    exit(2);
 }
 
 /* -- Store ------------------------------------------------------------------------------------- */
@@ -468,6 +475,7 @@
     connection->used_ms = world_now_ms();
     if (g_str_has_prefix(target, "/api/kv-watch")) {
         connection->is_watching = true;
+        connection->wait_ms = wait ? atoi(wait) : 0;
         connection->after = after ? strtoull(after, NULL, 10) : 0;
         connection->until_ms = world_now_ms() + (wait ? atoi(wait) : 0);
         gateway->watches++;
@@ -745,13 +753,25 @@
         uv_process_kill(&gateway->process, number);
 }
 
+/* How long the gateway's pending watch call waits; 0: none is pending. */
+static int pending_watch_ms(const gateway_t *gateway)
+{
+    int wait_ms = 0;
+    for (guint i = 0; i < gateway->store_connections->len; i++) {
+        const connection_t *connection = g_ptr_array_index(gateway->store_connections, i);
+        if (connection->is_watching && !connection->is_silent)
+            wait_ms = MAX(wait_ms, connection->wait_ms);
+    }
+    return wait_ms;
+}
+
 gateway_t *world_watcher(const char *zone)
 {
     gateway_t *watcher = NULL;
     for (int i = 0; i < world_gateway_count; i++) {
         gateway_t *gateway = &world_gateways[i];
         if (strcmp(gateway->zone, zone) == 0 &&
-            (watcher == NULL || gateway->watch_ms > watcher->watch_ms))
+            (watcher == NULL || pending_watch_ms(gateway) > pending_watch_ms(watcher)))
             watcher = gateway;
     }
     return watcher;
@@ -922,6 +942,13 @@
 /* -- Start and end ----------------------------------------------------------------------------- */
 
 static uv_timer_t watch_timer, ready_timer;
+static uv_signal_t terminate;
+
+/* Ends the run, so that the gateways are ended too. */
+static void on_terminate(uv_signal_t *handle, int number)
+{
+    world_finish(2);
+}
 
 void world_open(const char *record_path, const char *work_folder)
 {
@@ -938,6 +965,8 @@
     items = g_tree_new_full(compare_keys, NULL, NULL, NULL);
     uv_timer_init(&loop, &watch_timer);
     uv_timer_start(&watch_timer, on_watch_tick, 10, 10);
+    uv_signal_init(&loop, &terminate);
+    uv_signal_start(&terminate, on_terminate, SIGTERM);
     uv_timer_init(&loop, &ready_timer);
     uv_timer_start(&ready_timer, ask_readiness, 500, 1000);
 }
--- a/review/lib-2/world.h
+++ b/review/lib-2/world.h
@@ -89,7 +89,7 @@
 gateway_t *world_add_gateway(const char *zone);
 void world_start_gateway(gateway_t *gateway);
 void world_signal(gateway_t *gateway, int number);
-gateway_t *world_watcher(const char *zone); /* the one whose watch call is pending since last */
+gateway_t *world_watcher(const char *zone); /* the one whose pending watch call waits longest */
 bool world_all_ready(void);
 
 /* Clients. */
