--- a/review/lib-2/drain_case.c
+++ b/review/lib-2/drain_case.c
@@ -15,6 +15,10 @@
 
 #define DRAIN_MS 3000.0
 #define CONTACT_MS 5000.0
+/* A searcher that drains serves for drainMs and a little longer; one that leaves without a word
+ * here many seconds longer. */
+#define DRAINING_MS 8000
+#define LEAVING_MS 12000
 /* silent-at-rest: connections that have carried no call for this long go silent. */
 #define REST_MS 5000.0
 /* Shards of the route that gathers, as in the site. */
@@ -111,7 +115,7 @@
 
 static void drain(void *arg)
 {
-    world_drain(leaver);
+    world_drain(leaver, DRAINING_MS);
     world_after(9000, finish, NULL);
 }
 
@@ -150,8 +154,8 @@
 
 static void leave(void *arg)
 {
-    world_leave(leaver);
-    world_after(12000, finish, NULL);
+    world_leave(leaver, LEAVING_MS);
+    world_after(LEAVING_MS + 500, finish, NULL);
 }
 
 static void leave_soon(void *arg)
@@ -207,7 +211,7 @@
 static void drain_one(void *arg)
 {
     leaver = shards[pattern][0];
-    world_drain(leaver);
+    world_drain(leaver, DRAINING_MS);
     world_after(1500, crash_others, NULL);
     if (pattern + 1 < PATTERNS)
         world_after(PATTERN_MS, next_pattern, NULL);
--- a/review/lib-2/world.c
+++ b/review/lib-2/world.c
@@ -13,6 +13,8 @@
 
 #define STORE_ANSWER_MS 4 /* SYSTEM.md: 4 ms an answer */
 #define PAGE_ITEMS 50
+#define QUEUE_MAX 12        /* requests that a searcher queues beyond its slots */
+#define ENTRY_LAPSE_MS 3000 /* three heartbeats of 1,200 ms, less the time since the last one */
 #define CLIENT_CONNECT_MS 1000
 
 gateway_t world_gateways[WORLD_GATEWAYS_MAX];
@@ -540,22 +542,70 @@
 typedef struct run {
     connection_t *connection;
     char *id;
-    bool is_gather;
 } run_t;
 
+static void start_next_run(searcher_t *searcher);
+
+static void free_run(run_t *run)
+{
+    release(run->connection);
+    g_free(run->id);
+    g_free(run);
+}
+
 static void end_run(void *arg)
 {
     run_t *run = arg;
-    const searcher_t *searcher = run->connection->searcher;
-    char *fields = g_strdup_printf("X-Request-Id: %s\r\nX-Server-Stamp: %s.%s\r\n", run->id,
-                                   searcher->id, run->id);
+    searcher_t *searcher = run->connection->searcher;
+    bool is_leaving = searcher->left_ms != 0;
+    char *fields =
+        g_strdup_printf("X-Request-Id: %s\r\nX-Server-Stamp: %s.%s\r\n%s", run->id, searcher->id,
+                        run->id, is_leaving ? "Connection: close\r\n" : "");
     char body[64];
     memset(body, 'r', sizeof(body));
     answer(run->connection, 200, fields, body, sizeof(body));
-    release(run->connection);
+    if (is_leaving)
+        close_connection(run->connection);
+    free_run(run);
     g_free(fields);
-    g_free(run->id);
-    g_free(run);
+    searcher->running--;
+    start_next_run(searcher);
+}
+
+static void start_run(searcher_t *searcher, run_t *run)
+{
+    searcher->running++;
+    world_after(searcher->work_ms, end_run, run);
+}
+
+/* Starts the next queued request; those whose connection has closed are dropped. */
+static void start_next_run(searcher_t *searcher)
+{
+    while (searcher->running < searcher->slots && searcher->queue.length > 0) {
+        run_t *run = g_queue_pop_head(&searcher->queue);
+        if (run->connection->is_closed)
+            free_run(run);
+        else
+            start_run(searcher, run);
+    }
+}
+
+static void take_request(searcher_t *searcher, connection_t *connection, const char *id)
+{
+    if (searcher->running >= searcher->slots && searcher->queue.length >= QUEUE_MAX) {
+        char *fields = g_strdup_printf("X-Request-Id: %s\r\nX-Not-Executed: 1\r\n", id);
+        answer(connection, 503, fields, "", 0);
+        g_free(fields);
+        return;
+    }
+    run_t *run = g_new0(run_t, 1);
+    run->connection = connection;
+    run->id = g_strdup(id);
+    connection->references++;
+    if (searcher->running < searcher->slots)
+        start_run(searcher, run);
+    else
+        g_queue_push_tail(&searcher->queue, run);
 }
 
 static void handle_searcher(connection_t *connection, const char *target, const char *head)
@@ -578,11 +628,7 @@
         searcher->runs++;
         if (on_run != NULL)
             on_run(searcher, id, atoi(id + 1), world_now_ms());
-        run_t *run = g_new0(run_t, 1);
-        run->connection = connection;
-        run->id = g_strdup(id);
-        connection->references++;
-        world_after(searcher->work_ms, end_run, run);
+        take_request(searcher, connection, id);
     }
     g_free(expected);
     g_free(id);
@@ -624,32 +670,54 @@
     return searcher;
 }
 
-void world_drain(searcher_t *searcher)
+static void remove_entry(void *arg)
+{
+    const searcher_t *searcher = arg;
+    char *key = g_strdup_printf("servers/%s", searcher->id);
+    if (g_tree_lookup(items, key) != NULL)
+        world_delete(key);
+    g_free(key);
+}
+
+/* Its listener and connections are closed. */
+static void stop_serving(searcher_t *searcher)
+{
+    searcher->is_down = true;
+    uv_close((uv_handle_t *)&searcher->listener, NULL);
+    while (searcher->connections->len > 0)
+        close_connection(g_ptr_array_index(searcher->connections, 0));
+}
+
+static void end_searcher(void *arg)
+{
+    searcher_t *searcher = arg;
+    world_log("searcher %s ends", searcher->id);
+    remove_entry(searcher);
+    stop_serving(searcher);
+}
+
+void world_drain(searcher_t *searcher, double serve_ms)
 {
     searcher->is_draining = true;
     world_write_searcher(searcher);
     searcher->left_ms = world_now_ms();
     world_log("searcher %s is draining: acknowledged by the store", searcher->id);
+    world_after(serve_ms, end_searcher, searcher);
 }
 
-void world_leave(searcher_t *searcher)
+void world_leave(searcher_t *searcher, double serve_ms)
 {
-    char *key = g_strdup_printf("servers/%s", searcher->id);
-    world_delete(key);
+    remove_entry(searcher);
     searcher->left_ms = world_now_ms();
     world_log("searcher %s leaves: its entry is gone from the store, it serves on", searcher->id);
-    g_free(key);
+    world_after(serve_ms, end_searcher, searcher);
 }
 
 void world_crash(searcher_t *searcher)
 {
-    searcher->is_down = true;
-    uv_close((uv_handle_t *)&searcher->listener, NULL);
-    while (searcher->connections->len > 0) {
-        connection_t *connection = g_ptr_array_index(searcher->connections, 0);
-        close_connection(connection);
-    }
     world_log("searcher %s crashes", searcher->id);
+    stop_serving(searcher);
+    world_after(ENTRY_LAPSE_MS, remove_entry, searcher);
 }
 
 /* -- Gateways ---------------------------------------------------------------------------------- */
--- a/review/lib-2/world.h
+++ b/review/lib-2/world.h
@@ -24,6 +24,8 @@
     bool is_down;     /* refuses connections; open ones are closed */
     double left_ms;   /* when the store acknowledged that it drains or is gone; 0: it has not */
     unsigned runs;
+    int running;  /* of its slots */
+    GQueue queue; /* requests that wait for a slot */
     uv_tcp_t listener;
     GPtrArray *connections;
 } searcher_t;
@@ -81,9 +83,11 @@
 /* Searchers. */
 searcher_t *world_add_searcher(const char *service, const char *zone, int slots, int work_ms);
 void world_write_searcher(searcher_t *searcher); /* its entry */
-void world_drain(searcher_t *searcher);
-void world_leave(searcher_t *searcher); /* its entry goes, it serves on */
-void world_crash(searcher_t *searcher);
+/* It says that it drains, serves on for this long and ends. */
+void world_drain(searcher_t *searcher, double serve_ms);
+/* Its entry goes, it serves on for this long and ends. */
+void world_leave(searcher_t *searcher, double serve_ms);
+void world_crash(searcher_t *searcher); /* its entry goes after three heartbeats */
 
 /* Gateways. */
 gateway_t *world_add_gateway(const char *zone);
