Listeners of client connections get a module of their own

caller.c keeps one connection: reading requests and writing answers. listener.c accepts, closes by timeouts and will hold the limits. No change of behaviour; test_callers, test_forwarding, test_gathering and test_shutdown pass.

--- a/src/edge/caller.c
+++ b/src/edge/caller.c
@@ -1,65 +1,18 @@
-/** Client connections: reading of requests, writing of answers, timeouts. */
-#include "tealspar/caller.h"
+/** Client connections: reading of requests, writing of answers. */
+#include "caller_internal.h"
 
 #include <string.h>
 #include <strings.h>
 
-#include "tealspar/address.h"
 #include "tealspar/counters.h"
 
-#define BACKLOG 1024
 /* Maximum size of pipelined requests buffered while one is processed or answered; a connection that
  * sends more is closed. */
 #define PIPELINED_MAX 65536
-/* After the last answer, the client has this long to close its side of the connection. */
-#define LINGER_TIMEOUT_US (1500 * TS_US_PER_MS)
-/* Longest time from a request's first byte to the end of its body, and for writing an answer. The
- * head of a request has a limit of its own, `head_ms`. */
-#define TRANSFER_TIMEOUT_US (30 * TS_US_PER_S)
-/* A closing listener leaves new connections open this long, as a request that arrived while they
- * waited to be accepted is read only in the next loop iteration. */
-#define NEW_CONNECTION_US (20 * TS_US_PER_MS)
 #define STATUS_BAD_REQUEST 400
-#define STATUS_TIMEOUT 408
 #define STATUS_TOO_LARGE 413
 #define STATUS_HEAD_TOO_LARGE 431
 
-typedef enum caller_state {
-    CALLER_READING,    /**< idle, or reading a request */
-    CALLER_PROCESSING, /**< the owner processes a request */
-    CALLER_WRITING,    /**< writing an answer */
-    CALLER_LINGERING   /**< our side is shut down; waiting for the client to close */
-} caller_state_t;
-
-struct ts_caller {
-    uv_tcp_t socket;
-    uv_write_t write_request;
-    uv_shutdown_t shutdown_request;
-    ts_listener_t *listener;
-    caller_state_t state;
-    ts_http_message_t message;
-    GString *pipelined;    /**< bytes received after the current request */
-    GString *output;       /**< the answer being written */
-    void *request;         /**< set by the owner */
-    ts_time_us_t since_us; /**< start of the state, or arrival of a request's first byte */
-    bool is_last;          /**< the connection is shut down after the answer */
-    bool is_closing;
-    bool has_sent_continue;
-    ts_caller_t *previous;
-    ts_caller_t *next;
-};
-
-struct ts_listener {
-    uv_tcp_t socket;
-    const ts_listener_ops_t *ops;
-    void *context;
-    ts_traffic_limits_t limits;
-    bool is_keep_alive_disabled;
-    bool is_closed;
-    unsigned connections;
-    ts_caller_t *callers;
-};
-
 static void read_pipelined(ts_caller_t *caller);
 
 static void free_caller(uv_handle_t *handle)
@@ -85,7 +38,7 @@
     ts_count(TS_COUNTER_CALLER_CONNECTIONS, -1);
 }
 
-static void close_caller(ts_caller_t *caller)
+void ts_caller_close(ts_caller_t *caller)
 {
     if (caller->is_closing) {
         return;
@@ -110,7 +63,7 @@
 {
     ts_caller_t *caller = request->data;
     if (status < 0) {
-        close_caller(caller);
+        ts_caller_close(caller);
     }
 }
 
@@ -122,7 +75,7 @@
         caller->shutdown_request.data = caller;
         if (uv_shutdown(&caller->shutdown_request, (uv_stream_t *)&caller->socket, on_shutdown) !=
             0) {
-            close_caller(caller);
+            ts_caller_close(caller);
         }
         return;
     }
@@ -139,7 +92,7 @@
 {
     ts_caller_t *caller = request->data;
     if (status < 0) {
-        close_caller(caller);
+        ts_caller_close(caller);
         return;
     }
     finish_answer(caller);
@@ -155,7 +108,7 @@
         return;
     }
     if (sent < 0 && sent != UV_EAGAIN) {
-        close_caller(caller);
+        ts_caller_close(caller);
         return;
     }
     if (sent > 0) {
@@ -165,7 +118,7 @@
     caller->write_request.data = caller;
     if (uv_write(&caller->write_request, (uv_stream_t *)&caller->socket, &buffer, 1, on_write) !=
         0) {
-        close_caller(caller);
+        ts_caller_close(caller);
     }
 }
 
@@ -197,9 +150,7 @@
     return error == TS_E_HEAD_TOO_LARGE ? STATUS_HEAD_TOO_LARGE : STATUS_BAD_REQUEST;
 }
 
-/* Rejects a request that is malformed, too large or was not received in time, and ends the
- * connection. */
-static void refuse(ts_caller_t *caller, unsigned status)
+void ts_caller_refuse(ts_caller_t *caller, unsigned status)
 {
     ts_count(TS_COUNTER_HTTP_BAD_REQUESTS, 1);
     caller->is_last = true;
@@ -238,7 +189,7 @@
     size_t used = ts_http_message_feed(message, bytes, length);
     if (message->error != TS_OK) {
         ts_count_error(message->error);
-        refuse(caller, error_status(message->error));
+        ts_caller_refuse(caller, error_status(message->error));
         return;
     }
     if (!message->is_complete) {
@@ -249,7 +200,7 @@
     }
     g_string_append_len(caller->pipelined, bytes + used, (gssize)(length - used));
     if (!has_valid_host(message)) {
-        refuse(caller, STATUS_BAD_REQUEST);
+        ts_caller_refuse(caller, STATUS_BAD_REQUEST);
         return;
     }
     ts_count(TS_COUNTER_REQUESTS, 1);
@@ -281,7 +232,7 @@
         return;
     }
     if (length < 0) {
-        close_caller(caller);
+        ts_caller_close(caller);
         return;
     }
     if (caller->state == CALLER_READING) {
@@ -293,25 +244,19 @@
     }
     g_string_append_len(caller->pipelined, buffer->base, length);
     if (caller->pipelined->len > PIPELINED_MAX) {
-        close_caller(caller);
+        ts_caller_close(caller);
     }
 }
 
-/* -- Listener ---------------------------------------------------------------------------------- */
-
-static void on_connection(uv_stream_t *server, int status)
+void ts_caller_accept(ts_listener_t *listener)
 {
-    ts_listener_t *listener = server->data;
-    if (status < 0) {
-        return;
-    }
     ts_caller_t *caller = g_new0(ts_caller_t, 1);
     caller->listener = listener;
     caller->pipelined = g_string_new(NULL);
     caller->output = g_string_new(NULL);
     ts_http_message_init(&caller->message, true, listener->limits.head_bytes,
                          listener->limits.body_bytes);
-    uv_tcp_init(server->loop, &caller->socket);
+    uv_tcp_init(listener->socket.loop, &caller->socket);
     caller->socket.data = caller;
     caller->next = listener->callers;
     if (caller->next != NULL) {
@@ -321,132 +266,19 @@
     listener->connections++;
     ts_count(TS_COUNTER_CALLER_CONNECTIONS, 1);
     set_state(caller, CALLER_READING);
-    if (uv_accept(server, (uv_stream_t *)&caller->socket) != 0) {
-        close_caller(caller);
+    if (uv_accept((uv_stream_t *)&listener->socket, (uv_stream_t *)&caller->socket) != 0) {
+        ts_caller_close(caller);
         return;
     }
     uv_tcp_nodelay(&caller->socket, 1);
     uv_read_start((uv_stream_t *)&caller->socket, on_allocate, on_read);
 }
 
-ts_listener_t *ts_listener_open(uv_loop_t *loop, const char *address, const ts_listener_ops_t *ops,
-                                void *context)
-{
-    struct sockaddr_storage parsed;
-    if (ts_address_parse(address, &parsed) != TS_OK) {
-        return NULL;
-    }
-    ts_listener_t *listener = g_new0(ts_listener_t, 1);
-    ts_traffic_t *defaults = ts_traffic_create(0);
-    listener->limits = defaults->limits;
-    ts_traffic_unref(defaults);
-    listener->ops = ops;
-    listener->context = context;
-    uv_tcp_init(loop, &listener->socket);
-    listener->socket.data = listener;
-    if (uv_tcp_bind(&listener->socket, (const struct sockaddr *)&parsed, 0) != 0 ||
-        uv_listen((uv_stream_t *)&listener->socket, BACKLOG, on_connection) != 0) {
-        return NULL; /* `listener` is not freed: its handle is initialized, and the process exits */
-    }
-    return listener;
-}
-
-void ts_listener_set_limits(ts_listener_t *listener, const ts_traffic_limits_t *limits)
-{
-    listener->limits = *limits;
-    for (ts_caller_t *caller = listener->callers; caller != NULL; caller = caller->next) {
-        if (caller->state == CALLER_READING && !caller->message.has_begun) {
-            caller->message.head_max = limits->head_bytes;
-            caller->message.body_max = limits->body_bytes;
-        }
-    }
-}
-
-void ts_listener_disable_keep_alive(ts_listener_t *listener)
-{
-    listener->is_keep_alive_disabled = true;
-}
-
-void ts_listener_close(ts_listener_t *listener)
-{
-    if (!listener->is_closed) {
-        listener->is_closed = true;
-        uv_close((uv_handle_t *)&listener->socket, NULL);
-    }
-    ts_caller_t *next = NULL;
-    for (ts_caller_t *caller = listener->callers; caller != NULL; caller = next) {
-        next = caller->next;
-        bool is_idle = caller->state == CALLER_READING && !caller->message.has_begun;
-        if (is_idle && ts_caller_state_age_us(caller) > NEW_CONNECTION_US)
-            close_caller(caller);
-    }
-}
-
-static void sweep_caller(ts_caller_t *caller, const ts_traffic_limits_t *limits,
-                         ts_time_us_t now_us)
-{
-    ts_time_us_t elapsed_us = now_us - caller->since_us;
-    const ts_http_message_t *message = &caller->message;
-    switch (caller->state) {
-    case CALLER_READING:
-        if (!message->has_begun && elapsed_us > limits->idle_ms * TS_US_PER_MS) {
-            close_caller(caller);
-        } else if (message->has_begun && !message->is_head_complete &&
-                   elapsed_us > limits->head_ms * TS_US_PER_MS) {
-            refuse(caller, STATUS_TIMEOUT);
-        } else if (message->is_head_complete && elapsed_us > TRANSFER_TIMEOUT_US) {
-            refuse(caller, STATUS_TIMEOUT);
-        }
-        break;
-    case CALLER_PROCESSING:
-        break;
-    case CALLER_WRITING:
-        if (elapsed_us > TRANSFER_TIMEOUT_US) {
-            close_caller(caller);
-        }
-        break;
-    case CALLER_LINGERING:
-        if (elapsed_us > LINGER_TIMEOUT_US) {
-            close_caller(caller);
-        }
-        break;
-    }
-}
-
-void ts_listener_sweep(ts_listener_t *listener)
-{
-    ts_time_us_t now_us = ts_clock_now_us();
-    ts_caller_t *next = NULL;
-    for (ts_caller_t *caller = listener->callers; caller != NULL; caller = next) {
-        next = caller->next;
-        sweep_caller(caller, &listener->limits, now_us);
-    }
-}
-
-void ts_listener_each_busy(ts_listener_t *listener, void (*visit)(ts_caller_t *caller, void *ctx),
-                           void *ctx)
-{
-    for (ts_caller_t *caller = listener->callers; caller != NULL; caller = caller->next) {
-        if (caller->state == CALLER_PROCESSING)
-            visit(caller, ctx);
-    }
-}
-
-void ts_listener_each_unanswered(ts_listener_t *listener,
-                                 void (*visit)(ts_caller_t *caller, void *ctx), void *ctx)
-{
-    ts_caller_t *next = NULL;
-    for (ts_caller_t *caller = listener->callers; caller != NULL; caller = next) {
-        next = caller->next;
-        bool is_idle = caller->state == CALLER_READING && !caller->message.has_begun;
-        if (!is_idle && caller->state != CALLER_LINGERING)
-            visit(caller, ctx);
-    }
-}
+/* -- State ------------------------------------------------------------------------------------- */
 
-unsigned ts_listener_connections(const ts_listener_t *listener)
+bool ts_caller_is_idle(const ts_caller_t *caller)
 {
-    return listener->connections;
+    return caller->state == CALLER_READING && !caller->message.has_begun;
 }
 
 const ts_http_message_t *ts_caller_message(const ts_caller_t *caller)
--- /dev/null
+++ b/src/edge/caller_internal.h
@@ -0,0 +1,53 @@
+/** Internal to caller.c and listener.c: the state of a client connection and of its listener. */
+#ifndef TEALSPAR_EDGE_CALLER_INTERNAL_H
+#define TEALSPAR_EDGE_CALLER_INTERNAL_H
+
+#include "tealspar/caller.h"
+
+typedef enum caller_state {
+    CALLER_READING,    /**< idle, or reading a request */
+    CALLER_PROCESSING, /**< the owner processes a request */
+    CALLER_WRITING,    /**< writing an answer */
+    CALLER_LINGERING   /**< our side is shut down; waiting for the client to close */
+} caller_state_t;
+
+struct ts_caller {
+    uv_tcp_t socket;
+    uv_write_t write_request;
+    uv_shutdown_t shutdown_request;
+    ts_listener_t *listener;
+    caller_state_t state;
+    ts_http_message_t message;
+    GString *pipelined;    /**< bytes received after the current request */
+    GString *output;       /**< the answer being written */
+    void *request;         /**< set by the owner */
+    ts_time_us_t since_us; /**< start of the state, or arrival of a request's first byte */
+    bool is_last;          /**< the connection is shut down after the answer */
+    bool is_closing;
+    bool has_sent_continue;
+    ts_caller_t *previous;
+    ts_caller_t *next;
+};
+
+struct ts_listener {
+    uv_tcp_t socket;
+    const ts_listener_ops_t *ops;
+    void *context;
+    ts_traffic_limits_t limits;
+    bool is_keep_alive_disabled;
+    bool is_closed;
+    unsigned connections;
+    ts_caller_t *callers;
+};
+
+/** Accepts the connection that waits at the listener's socket, and begins to read. */
+void ts_caller_accept(ts_listener_t *listener);
+/** Closes the connection at once; a request in progress is reported as disconnected. */
+void ts_caller_close(ts_caller_t *caller);
+/** Rejects a request that is malformed, too large or was not received in time, and ends the
+ * connection. */
+void ts_caller_refuse(ts_caller_t *caller, unsigned status);
+/** Whether no byte of a request has arrived since the last answer. */
+bool ts_caller_is_idle(const ts_caller_t *caller);
+
+#endif
