Move answers and bodies instead of copying them; idle connections keep no large buffers

Callers saw: nothing yet; the process grew by the largest answer of each client, also of clients that read at once and then rest, until it ran out of memory.

Cause: an answer was held by the connection to the backend (until that was used again), by the part, by the merged result, and by the client's connection, whose output buffer kept its size for good. A body was held by the client's connection, by the request, and by each of its sends.

Now the body of a forwarded answer moves from the backend's connection to the client's, which frees it once it is written; the parts of a gather are merged as they arrive; the body of a request moves to the request, and all sends write it from there. Bodies up to 4 kB are still joined with the head, so that short messages take one write. Idle connections of both kinds free buffers over 2 kB.

Evidence: test_clients_answers_at_rest failed before (133 MB and 0 queued of 64 MB, 120 clients that have read 1 MB) and passes (8 MB).

--- a/include/tealspar/caller.h
+++ b/include/tealspar/caller.h
@@ -60,6 +60,8 @@
 unsigned ts_listener_connections(const ts_listener_t *listener);
 
 const ts_http_message_t *ts_caller_message(const ts_caller_t *caller);
+/** The same, for an owner that takes buffers of the request in progress, such as its body. */
+ts_http_message_t *ts_caller_mutable_message(ts_caller_t *caller);
 /** What the connection does: "reading", "processing", "writing" or "lingering". */
 const char *ts_caller_state_name(const ts_caller_t *caller);
 /** Whether the connection is idle or a request has not arrived completely. */
@@ -75,5 +77,7 @@
  */
 void ts_caller_answer(ts_caller_t *caller, unsigned status, const char *fields, const char *body,
                       size_t length);
+/** The same, but takes ownership of the body instead of copying it; NULL: no body. */
+void ts_caller_answer_with(ts_caller_t *caller, unsigned status, const char *fields, GString *body);
 
 #endif
--- a/include/tealspar/http_message.h
+++ b/include/tealspar/http_message.h
@@ -50,6 +50,8 @@
                           size_t body_max);
 /** Prepares for the next message; keeps the buffers unless they have grown large. */
 void ts_http_message_reset(ts_http_message_t *message);
+/** Returns the body, which the caller of the function then owns; the message's becomes empty. */
+GString *ts_http_message_take_body(ts_http_message_t *message);
 /** Frees the buffers. */
 void ts_http_message_clear(ts_http_message_t *message);
 /**
--- a/include/tealspar/outgoing.h
+++ b/include/tealspar/outgoing.h
@@ -47,8 +47,11 @@
     bool hides_credential; /**< do not forward the caller's credentials to backends */
 } ts_outgoing_options_t;
 
-/** Builds the request from a caller's; the deadline and `is_repeatable` are set by the caller. */
-ts_outgoing_t *ts_outgoing_compose(const ts_http_message_t *message,
+/**
+ * Builds the request from a caller's message, whose body it takes; the deadline and `is_repeatable`
+ * are set by the caller of the function.
+ */
+ts_outgoing_t *ts_outgoing_compose(ts_http_message_t *message,
                                    const ts_outgoing_options_t *options);
 ts_outgoing_t *ts_outgoing_ref(ts_outgoing_t *outgoing);
 void ts_outgoing_unref(ts_outgoing_t *outgoing);
--- a/include/tealspar/upstream.h
+++ b/include/tealspar/upstream.h
@@ -22,9 +22,10 @@
 
 /** How an exchange ended. */
 typedef struct ts_exchange_result {
-    ts_error_t error;                /**< TS_OK: `answer` is complete, with any status code */
-    ts_execution_t run;              /**< whether the instance ran the request */
-    const ts_http_message_t *answer; /**< response, valid during the callback; NULL on an error */
+    ts_error_t error;          /**< TS_OK: `answer` is complete, with any status code */
+    ts_execution_t run;        /**< whether the instance ran the request */
+    ts_http_message_t *answer; /**< response, valid during the callback, which may take its body;
+                                    NULL on an error */
     ts_time_us_t span_us;   /**< from sending the request to the end of the exchange; 0: not sent */
     bool has_invalid_times; /**< `span_us` includes a stall of this process */
 } ts_exchange_result_t;
--- a/src/edge/admission_queue.c
+++ b/src/edge/admission_queue.c
@@ -81,7 +81,7 @@
 {
     if (request->queue_link != NULL)
         return true;
-    size_t bytes = ts_caller_message(request->caller)->body->len;
+    size_t bytes = request->outgoing->body == NULL ? 0 : request->outgoing->body->len;
     if (queue->requests.length >= WAITING_MAX || queue->bytes + bytes > WAITING_BYTES_MAX)
         return false;
     insert(queue, request);
--- a/src/edge/answer.c
+++ b/src/edge/answer.c
@@ -6,7 +6,6 @@
 #include "tealspar/counters.h"
 #include "tealspar/log.h"
 #include "tealspar/peers.h"
-#include "tealspar/records.h"
 #include "tealspar/store_mirror.h"
 #include "tealspar/tenant_counters.h"
 
@@ -91,8 +90,6 @@
 static void answer_gathered(ts_request_t *request)
 {
     const ts_header_names_t *names = &request->gateway->dialect->headers;
-    ts_top_records_t records;
-    ts_top_records_init(&records, request->route->top_count);
     GString *fields = g_string_new(NULL);
     g_string_append_printf(fields, "%s: %s\r\n%s: ", names->request_id,
                            request->outgoing->request_id, names->part_signatures);
@@ -104,23 +101,22 @@
         }
         g_string_append_printf(fields, "%s%s", is_first ? "" : ", ", part->signature);
         is_first = false;
-        ts_top_records_add(&records, part->body->str, part->body->len);
     }
     unsigned missing = request->parts_count - request->parts_answered;
     g_string_append_printf(fields, "\r\n%s: %u\r\n", names->missing_parts, missing);
     GString *body = g_string_new(NULL);
-    ts_top_records_finish(&records, body);
+    ts_top_records_finish(&request->records, body);
     ts_count(TS_COUNTER_REQUESTS_PARTIAL, missing > 0);
-    ts_caller_answer(request->caller, STATUS_OK, fields->str, body->str, body->len);
-    g_string_free(body, TRUE);
+    ts_caller_answer_with(request->caller, STATUS_OK, fields->str, body);
     g_string_free(fields, TRUE);
 }
 
 static void answer_forwarded(ts_request_t *request)
 {
-    const ts_request_part_t *part = &request->parts[0];
-    ts_caller_answer(request->caller, part->status, part->fields->str, part->body->str,
-                     part->body->len);
+    ts_request_part_t *part = &request->parts[0];
+    GString *body = part->body;
+    part->body = NULL;
+    ts_caller_answer_with(request->caller, part->status, part->fields->str, body);
 }
 
 /* Time since this node's copy of the configuration was last confirmed as current. */
--- a/src/edge/caller.c
+++ b/src/edge/caller.c
@@ -5,22 +5,35 @@
 #include <strings.h>
 
 #include "tealspar/counters.h"
+#include "tealspar/stream_write.h"
 
 /* Maximum size of pipelined requests buffered while one is processed or answered; a connection that
  * sends more is closed. */
 #define PIPELINED_MAX 65536
+/* Bodies up to this size are written together with the head, from one buffer. */
+#define JOINED_BODY_MAX 4096
 #define STATUS_BAD_REQUEST 400
 #define STATUS_TOO_LARGE 413
 #define STATUS_HEAD_TOO_LARGE 431
 
 static void read_pipelined(ts_caller_t *caller);
 
+static void free_output(ts_caller_t *caller)
+{
+    if (caller->output != NULL)
+        g_string_free(caller->output, TRUE);
+    if (caller->output_body != NULL)
+        g_string_free(caller->output_body, TRUE);
+    caller->output = NULL;
+    caller->output_body = NULL;
+}
+
 static void free_caller(uv_handle_t *handle)
 {
     ts_caller_t *caller = handle->data;
     ts_http_message_clear(&caller->message);
     g_string_free(caller->pipelined, TRUE);
-    g_string_free(caller->output, TRUE);
+    free_output(caller);
     g_free(caller);
 }
 
@@ -70,6 +83,7 @@
 /* After an answer was written: reads the next request, or shuts the connection down. */
 static void finish_answer(ts_caller_t *caller)
 {
+    free_output(caller);
     if (caller->is_last) {
         set_state(caller, CALLER_LINGERING);
         caller->shutdown_request.data = caller;
@@ -101,41 +115,45 @@
 static void write_answer(ts_caller_t *caller)
 {
     set_state(caller, CALLER_WRITING);
-    uv_buf_t buffer = uv_buf_init(caller->output->str, (unsigned)caller->output->len);
-    int sent = uv_try_write((uv_stream_t *)&caller->socket, &buffer, 1);
-    if (sent == (int)buffer.len) {
-        finish_answer(caller);
-        return;
-    }
-    if (sent < 0 && sent != UV_EAGAIN) {
-        ts_caller_close(caller);
-        return;
-    }
-    if (sent > 0) {
-        buffer.base += sent;
-        buffer.len -= (size_t)sent;
-    }
+    uv_buf_t buffers[2] = {uv_buf_init(caller->output->str, (unsigned)caller->output->len)};
+    unsigned count = 1;
+    if (caller->output_body != NULL)
+        buffers[count++] =
+            uv_buf_init(caller->output_body->str, (unsigned)caller->output_body->len);
     caller->write_request.data = caller;
-    if (uv_write(&caller->write_request, (uv_stream_t *)&caller->socket, &buffer, 1, on_write) !=
-        0) {
+    int left = ts_stream_write(&caller->write_request, (uv_stream_t *)&caller->socket, buffers,
+                               count, on_write, NULL);
+    if (left == 0)
+        finish_answer(caller);
+    else if (left < 0)
         ts_caller_close(caller);
-    }
 }
 
 void ts_caller_answer(ts_caller_t *caller, unsigned status, const char *fields, const char *body,
                       size_t length)
 {
+    GString *copy = length == 0 ? NULL : g_string_new_len(body, (gssize)length);
+    ts_caller_answer_with(caller, status, fields, copy);
+}
+
+void ts_caller_answer_with(ts_caller_t *caller, unsigned status, const char *fields, GString *body)
+{
+    size_t length = body == NULL ? 0 : body->len;
     bool is_head = caller->message.parser.method == HTTP_HEAD && caller->message.is_complete;
     caller->is_last =
         caller->is_last || caller->listener->is_keep_alive_disabled || !caller->message.keeps_alive;
-    GString *out = caller->output;
-    g_string_truncate(out, 0);
+    GString *out = g_string_new(NULL);
     g_string_append_printf(out, "HTTP/1.1 %u %s\r\n%sContent-Length: %zu\r\n%s\r\n", status,
                            http_status_str((enum http_status)status), fields ? fields : "", length,
                            caller->is_last ? "Connection: close\r\n" : "");
-    if (!is_head && length > 0) {
-        g_string_append_len(out, body, (gssize)length);
-    }
+    bool is_long = !is_head && length > JOINED_BODY_MAX;
+    if (!is_head && !is_long && length > 0)
+        g_string_append_len(out, body->str, (gssize)length);
+    if (!is_long && body != NULL)
+        g_string_free(body, TRUE);
+    free_output(caller);
+    caller->output = out;
+    caller->output_body = is_long ? body : NULL;
     caller->request = NULL;
     write_answer(caller);
 }
@@ -253,7 +271,6 @@
     ts_caller_t *caller = g_new0(ts_caller_t, 1);
     caller->listener = listener;
     caller->pipelined = g_string_new(NULL);
-    caller->output = g_string_new(NULL);
     ts_http_message_init(&caller->message, true, listener->limits.head_bytes,
                          listener->limits.body_bytes);
     uv_tcp_init(listener->socket.loop, &caller->socket);
@@ -286,6 +303,11 @@
     return &caller->message;
 }
 
+ts_http_message_t *ts_caller_mutable_message(ts_caller_t *caller)
+{
+    return &caller->message;
+}
+
 const char *ts_caller_state_name(const ts_caller_t *caller)
 {
     static const char *const names[] = {
--- a/src/edge/caller_internal.h
+++ b/src/edge/caller_internal.h
@@ -19,7 +19,8 @@
     caller_state_t state;
     ts_http_message_t message;
     GString *pipelined;    /**< bytes received after the current request */
-    GString *output;       /**< the answer being written */
+    GString *output;       /**< head of the answer being written, with a short body; or NULL */
+    GString *output_body;  /**< body of that answer if it is longer; or NULL */
     void *request;         /**< set by the owner */
     ts_time_us_t since_us; /**< start of the state, or arrival of a request's first byte */
     bool is_last;          /**< the connection is shut down after the answer */
--- a/src/edge/part_answer.c
+++ b/src/edge/part_answer.c
@@ -22,22 +22,29 @@
     part->fields = fields;
 }
 
-static void save_answer(ts_request_part_t *part, const ts_http_message_t *answer)
+/* Saves an answer that is forwarded; takes its body. */
+static void save_forwarded(ts_request_part_t *part, ts_http_message_t *answer)
 {
-    const char *signature_name = part->request->gateway->dialect->headers.signature;
-    part->status = answer->parser.status_code;
-    if (part->body != NULL) {
+    if (part->body != NULL)
         g_string_free(part->body, TRUE);
-    }
-    part->body = g_string_new_len(answer->body->str, (gssize)answer->body->len);
+    part->body = ts_http_message_take_body(answer);
+    if (part->fields != NULL)
+        g_string_free(part->fields, TRUE);
+    save_fields(part, answer);
+}
+
+/* Saves an answer: merges it if it is gathered, else keeps it. */
+static void save_answer(ts_request_part_t *part, ts_http_message_t *answer)
+{
+    ts_request_t *request = part->request;
+    part->status = answer->parser.status_code;
     g_free(part->signature);
-    part->signature = g_strdup(ts_http_message_find(answer, signature_name));
-    if (part->request->route->kind != TS_TARGET_GATHER) {
-        if (part->fields != NULL) {
-            g_string_free(part->fields, TRUE);
-        }
-        save_fields(part, answer);
-    }
+    part->signature =
+        g_strdup(ts_http_message_find(answer, request->gateway->dialect->headers.signature));
+    if (request->route->kind == TS_TARGET_GATHER)
+        ts_top_records_add(&request->records, answer->body->str, answer->body->len);
+    else
+        save_forwarded(part, answer);
 }
 
 /* After a send that was never written to a connection. The first delivery is free, so a
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -141,7 +141,7 @@
     ts_outgoing_options_t options = {&gateway->dialect->headers,
                                      identity->tenant == NULL ? NULL : identity->tenant->name,
                                      ts_tenants_count(gateway->traffic->tenants) > 0};
-    request->outgoing = ts_outgoing_compose(ts_caller_message(caller), &options);
+    request->outgoing = ts_outgoing_compose(ts_caller_mutable_message(caller), &options);
     request->outgoing->is_repeatable = route->is_repeatable;
     uv_timer_init(gateway->loop, &request->timer);
     request->timer.data = request;
@@ -151,6 +151,7 @@
     if (!is_gather) {
         init_part(request, 0, ts_route_state_next_target(request->route_state, route));
     }
+    ts_top_records_init(&request->records, route->top_count);
     gateway->requests++;
     return request;
 }
@@ -163,6 +164,7 @@
     for (unsigned i = 0; i < request->parts_count; i++) {
         ts_part_clear(&request->parts[i]);
     }
+    ts_top_records_clear(&request->records);
     ts_outgoing_unref(request->outgoing);
     ts_traffic_unref(request->traffic);
     g_free(request);
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -11,6 +11,7 @@
 #include "tealspar/forecast.h"
 #include "tealspar/gateway.h"
 #include "tealspar/log.h"
+#include "tealspar/records.h"
 #include "tealspar/replica.h"
 
 /* Maximum number of sends of one part; a route may allow fewer. */
@@ -51,7 +52,7 @@
     /* The answer. */
     unsigned status;
     GString *fields; /**< header fields of a forwarded answer, each terminated by CR LF */
-    GString *body;
+    GString *body;   /**< of a forwarded answer; NULL: none, or passed on to the caller */
     char *signature;
 } ts_request_part_t;
 
@@ -81,6 +82,7 @@
      * gather needs only the minimum coverage. Hedges are timed by it, too.
      */
     ts_time_us_t soft_deadline_us;
+    ts_top_records_t records; /**< gather: merged from the parts answered so far */
     unsigned parts_count;
     unsigned parts_answered;
     unsigned parts_lost;
--- a/src/http/http_message.c
+++ b/src/http/http_message.c
@@ -5,8 +5,8 @@
 #include <strings.h>
 
 #define INTERIM_STATUS_MAX 199
-#define TEXT_BUFFER_KEEP_MAX 4096
-#define BODY_BUFFER_KEEP_MAX 16384
+/* Larger buffers are not kept for the next message, as a connection may be idle until then. */
+#define BUFFER_KEEP_BYTES 2048
 
 static ts_http_message_t *message_of(http_parser *parser)
 {
@@ -141,10 +141,9 @@
     reset_state(message);
 }
 
-/* Empties a buffer; frees its memory if a message has made it larger than `keep_max`. */
-static GString *empty_buffer(GString *buffer, size_t keep_max)
+static GString *empty_buffer(GString *buffer)
 {
-    if (buffer->allocated_len > keep_max) {
+    if (buffer->allocated_len > BUFFER_KEEP_BYTES) {
         g_string_free(buffer, TRUE);
         return g_string_new(NULL);
     }
@@ -152,15 +151,32 @@
     return buffer;
 }
 
+static GArray *empty_fields(GArray *fields)
+{
+    if (fields->len * sizeof(ts_http_field_t) > BUFFER_KEEP_BYTES) {
+        g_array_free(fields, TRUE);
+        return g_array_new(FALSE, FALSE, sizeof(ts_http_field_t));
+    }
+    g_array_set_size(fields, 0);
+    return fields;
+}
+
 void ts_http_message_reset(ts_http_message_t *message)
 {
-    message->target = empty_buffer(message->target, TEXT_BUFFER_KEEP_MAX);
-    message->text = empty_buffer(message->text, TEXT_BUFFER_KEEP_MAX);
-    message->body = empty_buffer(message->body, BODY_BUFFER_KEEP_MAX);
-    g_array_set_size(message->fields, 0);
+    message->target = empty_buffer(message->target);
+    message->text = empty_buffer(message->text);
+    message->body = empty_buffer(message->body);
+    message->fields = empty_fields(message->fields);
     reset_state(message);
 }
 
+GString *ts_http_message_take_body(ts_http_message_t *message)
+{
+    GString *body = message->body;
+    message->body = g_string_new(NULL);
+    return body;
+}
+
 void ts_http_message_clear(ts_http_message_t *message)
 {
     g_string_free(message->target, TRUE);
--- a/src/route/records.c
+++ b/src/route/records.c
@@ -37,7 +37,7 @@
 
 void ts_top_records_init(ts_top_records_t *records, size_t top)
 {
-    records->heap = g_array_new(FALSE, FALSE, sizeof(record_t));
+    records->heap = NULL;
     records->top = top;
 }
 
@@ -87,6 +87,8 @@
 
 void ts_top_records_add(ts_top_records_t *records, const char *bytes, size_t length)
 {
+    if (records->heap == NULL)
+        records->heap = g_array_new(FALSE, FALSE, sizeof(record_t));
     for (size_t at = 0; at + TS_RECORD_BYTES <= length; at += TS_RECORD_BYTES) {
         record_t record = read_record(bytes + at);
         add_record(records, &record);
@@ -100,11 +102,20 @@
 
 void ts_top_records_finish(ts_top_records_t *records, GString *out)
 {
+    if (records->heap == NULL)
+        return;
     g_array_sort(records->heap, compare_descending);
     for (guint i = 0; i < records->heap->len; i++) {
         const record_t *record = record_at(records, i);
         uint64_t halves[2] = {GUINT64_TO_BE(record->high), GUINT64_TO_BE(record->low)};
         g_string_append_len(out, (const char *)halves, sizeof(halves));
     }
-    g_array_free(records->heap, TRUE);
+    ts_top_records_clear(records);
+}
+
+void ts_top_records_clear(ts_top_records_t *records)
+{
+    if (records->heap != NULL)
+        g_array_free(records->heap, TRUE);
+    records->heap = NULL;
 }
--- a/src/upstream/outgoing.c
+++ b/src/upstream/outgoing.c
@@ -63,17 +63,16 @@
     }
 }
 
-static void copy_body(const ts_http_message_t *message, ts_outgoing_t *outgoing)
+static void take_body(ts_http_message_t *message, ts_outgoing_t *outgoing)
 {
     bool has_length = (message->parser.flags & (F_CONTENTLENGTH | F_CHUNKED)) != 0;
     if (message->body->len == 0 && !has_length)
         return;
-    outgoing->body = g_string_new_len(message->body->str, (gssize)message->body->len);
-    g_string_append_printf(outgoing->head, "Content-Length: %zu\r\n", message->body->len);
+    outgoing->body = ts_http_message_take_body(message);
+    g_string_append_printf(outgoing->head, "Content-Length: %zu\r\n", outgoing->body->len);
 }
 
-ts_outgoing_t *ts_outgoing_compose(const ts_http_message_t *message,
-                                   const ts_outgoing_options_t *options)
+ts_outgoing_t *ts_outgoing_compose(ts_http_message_t *message, const ts_outgoing_options_t *options)
 {
     ts_outgoing_t *outgoing = g_new0(ts_outgoing_t, 1);
     outgoing->references = 1;
@@ -87,7 +86,7 @@
     if (options->tenant != NULL)
         outgoing->tenant = append_field(outgoing->head, options->names->tenant, options->tenant,
                                         strlen(options->tenant));
-    copy_body(message, outgoing);
+    take_body(message, outgoing);
     outgoing->is_head_method = message->parser.method == HTTP_HEAD;
     return outgoing;
 }
--- a/src/upstream/upstream.c
+++ b/src/upstream/upstream.c
@@ -8,8 +8,13 @@
 #include "tealspar/byte_account.h"
 #include "tealspar/counters.h"
 #include "tealspar/stream_end.h"
+#include "tealspar/stream_write.h"
 
 #define ANSWER_HEAD_MAX 65536
+/* Bodies of requests up to this size are written together with the head, from one buffer. */
+#define JOINED_BODY_MAX 4096
+/* Larger buffers of requests are not kept by idle connections. */
+#define REQUEST_KEEP_BYTES 2048
 #define ANSWER_BODY_MAX (4U * 1024U * 1024U)
 #define CONNECT_TIMEOUT_US (1000 * TS_US_PER_MS)
 /*
@@ -45,7 +50,8 @@
     ts_time_us_t idle_since_us;       /**< when it last became idle; 0: never */
     ts_time_us_t idle_before_send_us; /**< how long it was idle before the current exchange */
     ts_time_us_t idle_timeout_us; /**< the connection is closed once idle for longer than this */
-    GString *request_bytes;       /**< the request being sent */
+    GString *request_bytes;       /**< head of the request being sent, with a short body */
+    ts_outgoing_t *written;       /**< owner of a longer body until that is written; or NULL */
     bool is_idle;
     bool is_closing;
 } ts_connection_t;
@@ -295,11 +301,19 @@
 
 /* -- Connections ------------------------------------------------------------------------------- */
 
+static void release_written(ts_connection_t *connection)
+{
+    if (connection->written != NULL)
+        ts_outgoing_unref(connection->written);
+    connection->written = NULL;
+}
+
 static void free_connection(uv_handle_t *handle)
 {
     ts_connection_t *connection = handle->data;
     ts_http_message_clear(&connection->answer);
     g_string_free(connection->request_bytes, TRUE);
+    release_written(connection);
     g_free(connection);
 }
 
@@ -325,14 +339,21 @@
 static void on_written(uv_write_t *request, int status)
 {
     ts_connection_t *connection = request->data;
+    release_written(connection);
     if (status < 0 && status != UV_ECANCELED && connection->exchange != NULL) {
         fail_exchange(connection->exchange, TS_E_IO);
     }
 }
 
+/* Whether the body is written from the buffer that all sends of the request share. */
+static bool has_long_body(const ts_outgoing_t *outgoing)
+{
+    return outgoing->body != NULL && outgoing->body->len > JOINED_BODY_MAX;
+}
+
 /*
- * Builds the request: the head and body, which all sends of the request share, the remaining time
- * (at least 1 ms) and the expected instance.
+ * Builds the request: the head, which all sends of the request share, the remaining time (at least
+ * 1 ms), the expected instance, and a short body.
  */
 static void build_request(ts_connection_t *connection, ts_time_us_t now_us)
 {
@@ -346,7 +367,7 @@
     g_string_append_printf(out, "%s: %lu\r\n%s: %s\r\n\r\n", names->deadline_ms,
                            (unsigned long)(left_ms > 0 ? left_ms : 1), names->expected_instance,
                            connection->instance->id);
-    if (outgoing->body != NULL) {
+    if (outgoing->body != NULL && !has_long_body(outgoing)) {
         g_string_append_len(out, outgoing->body->str, (gssize)outgoing->body->len);
     }
 }
@@ -368,30 +389,25 @@
     exchange->sent_us = ts_clock_now_us();
     build_request(connection, exchange->sent_us);
     connection->answer.is_response_to_head = exchange->outgoing->is_head_method;
+    ts_outgoing_t *outgoing = exchange->outgoing;
+    GString *head = connection->request_bytes;
+    uv_buf_t buffers[2] = {uv_buf_init(head->str, (unsigned)head->len)};
+    unsigned count = 1;
+    if (has_long_body(outgoing))
+        buffers[count++] = uv_buf_init(outgoing->body->str, (unsigned)outgoing->body->len);
     ts_byte_account_add(exchange->cause, connection->instance->distance,
-                        connection->request_bytes->len);
+                        head->len + (count > 1 ? outgoing->body->len : 0));
     ts_count(TS_COUNTER_SENDS, 1);
     ts_count(TS_COUNTER_SENDS_REGION, connection->instance->distance == TS_DISTANCE_SAME_REGION);
     ts_count(TS_COUNTER_SENDS_FAR, connection->instance->distance == TS_DISTANCE_OTHER_REGION);
-    uv_buf_t buffer =
-        uv_buf_init(connection->request_bytes->str, (unsigned)connection->request_bytes->len);
-    int sent = uv_try_write((uv_stream_t *)&connection->socket, &buffer, 1);
-    if (sent == (int)buffer.len) {
-        return;
-    }
-    if (sent < 0 && sent != UV_EAGAIN) {
-        exchange->sent_us = 0; /* nothing was sent */
-        schedule_failure(exchange);
-        return;
-    }
-    if (sent > 0) {
-        buffer.base += sent;
-        buffer.len -= (size_t)sent;
-    }
+    bool was_sent = false;
     connection->writing.data = connection;
-    if (uv_write(&connection->writing, (uv_stream_t *)&connection->socket, &buffer, 1,
-                 on_written) != 0) {
-        exchange->sent_us = sent > 0 ? exchange->sent_us : 0;
+    int left = ts_stream_write(&connection->writing, (uv_stream_t *)&connection->socket, buffers,
+                               count, on_written, &was_sent);
+    if (left > 0 && count > 1)
+        connection->written = ts_outgoing_ref(outgoing);
+    if (left < 0) {
+        exchange->sent_us = was_sent ? exchange->sent_us : 0;
         schedule_failure(exchange);
     }
 }
@@ -505,7 +521,6 @@
     connection->exchange = exchange;
     exchange->connection = connection;
     if (!is_new) {
-        ts_http_message_reset(&connection->answer);
         write_request(connection);
         return exchange;
     }
@@ -589,10 +604,21 @@
     }
 }
 
+/* Frees what the last request and its answer needed, as the connection may be idle for long. */
+static void free_buffers(ts_connection_t *connection)
+{
+    ts_http_message_reset(&connection->answer);
+    if (connection->request_bytes->allocated_len > REQUEST_KEEP_BYTES) {
+        g_string_free(connection->request_bytes, TRUE);
+        connection->request_bytes = g_string_new(NULL);
+    }
+}
+
 static void make_idle(ts_connection_t *connection)
 {
     connection->idle_since_us = ts_clock_now_us();
     connection->idle_timeout_us = parse_idle_timeout(&connection->answer);
+    free_buffers(connection);
     if (connection->idle_timeout_us == 0 || connection->instance->is_draining) {
         close_connection(connection);
         return;
@@ -606,7 +632,7 @@
 static void finish_answer(ts_connection_t *connection, bool is_stream_unusable)
 {
     ts_exchange_t *exchange = connection->exchange;
-    const ts_http_message_t *answer = &connection->answer;
+    ts_http_message_t *answer = &connection->answer;
     if (!has_expected_id(exchange, answer) || !is_valid_answer(connection->upstream, answer)) {
         fail_exchange(exchange, TS_E_BAD_ANSWER);
         return;
