Process pipelined requests in a loop, and pause reading while one is in progress

Callers saw: with 64 kB of tiny requests that are answered at once on each of some connections, the process grew by the square of what one connection had sent, and its stack by the number of requests.

Cause: after an answer, the rest of the received bytes was copied and fed to the next request from within the function that had written the answer, so that each request added a level with its own copy. And up to 64 kB behind a request in progress were buffered for each connection; a client that sent more was closed without an answer.

Now a loop feeds requests from the received bytes until one is not answered at once. As a paused connection does not see its client leave, its TCP state is checked twice a second.

--- a/src/edge/caller.c
+++ b/src/edge/caller.c
@@ -1,22 +1,11 @@
-/** Client connections: reading of requests, writing of answers. */
+/** Client connections: accepting, state, writing of answers. */
 #include "caller_internal.h"
 
-#include <string.h>
-#include <strings.h>
-
 #include "tealspar/counters.h"
 #include "tealspar/stream_write.h"
 
-/* Maximum size of pipelined requests buffered while one is processed or answered; a connection that
- * sends more is closed. */
-#define PIPELINED_MAX 65536
 /* Bodies up to this size are written together with the head, from one buffer. */
 #define JOINED_BODY_MAX 4096
-#define STATUS_BAD_REQUEST 400
-#define STATUS_TOO_LARGE 413
-#define STATUS_HEAD_TOO_LARGE 431
-
-static void read_pipelined(ts_caller_t *caller);
 
 static void free_output(ts_caller_t *caller)
 {
@@ -32,7 +21,7 @@
 {
     ts_caller_t *caller = handle->data;
     ts_http_message_clear(&caller->message);
-    g_string_free(caller->pipelined, TRUE);
+    ts_caller_drop_pipelined(caller);
     free_output(caller);
     g_free(caller);
 }
@@ -64,7 +53,7 @@
     uv_close((uv_handle_t *)&caller->socket, free_caller);
 }
 
-static void set_state(ts_caller_t *caller, caller_state_t state)
+void ts_caller_set_state(ts_caller_t *caller, caller_state_t state)
 {
     caller->state = state;
     caller->since_us = ts_clock_now_us();
@@ -85,7 +74,9 @@
 {
     free_output(caller);
     if (caller->is_last) {
-        set_state(caller, CALLER_LINGERING);
+        ts_caller_set_state(caller, CALLER_LINGERING);
+        ts_caller_drop_pipelined(caller);
+        ts_caller_resume_reading(caller); // to see the client close its side
         caller->shutdown_request.data = caller;
         if (uv_shutdown(&caller->shutdown_request, (uv_stream_t *)&caller->socket, on_shutdown) !=
             0) {
@@ -93,13 +84,13 @@
         }
         return;
     }
-    set_state(caller, CALLER_READING);
+    ts_caller_set_state(caller, CALLER_READING);
     const ts_traffic_limits_t *limits = &caller->listener->limits;
     ts_http_message_reset(&caller->message);
     caller->message.head_max = limits->head_bytes;
     caller->message.body_max = limits->body_bytes;
     caller->has_sent_continue = false;
-    read_pipelined(caller);
+    ts_caller_read_pipelined(caller);
 }
 
 static void on_write(uv_write_t *request, int status)
@@ -114,7 +105,7 @@
 
 static void write_answer(ts_caller_t *caller)
 {
-    set_state(caller, CALLER_WRITING);
+    ts_caller_set_state(caller, CALLER_WRITING);
     uv_buf_t buffers[2] = {uv_buf_init(caller->output->str, (unsigned)caller->output->len)};
     unsigned count = 1;
     if (caller->output_body != NULL)
@@ -158,119 +149,12 @@
     write_answer(caller);
 }
 
-/* -- Reading ----------------------------------------------------------------------------------- */
-
-static unsigned error_status(ts_error_t error)
-{
-    if (error == TS_E_TOO_LARGE) {
-        return STATUS_TOO_LARGE;
-    }
-    return error == TS_E_HEAD_TOO_LARGE ? STATUS_HEAD_TOO_LARGE : STATUS_BAD_REQUEST;
-}
-
-void ts_caller_refuse(ts_caller_t *caller, unsigned status)
-{
-    ts_count(TS_COUNTER_HTTP_BAD_REQUESTS, 1);
-    caller->is_last = true;
-    g_string_truncate(caller->pipelined, 0);
-    ts_caller_answer(caller, status, NULL, NULL, 0);
-}
-
-/* HTTP/1.1 requires exactly one Host field: with several, this gateway and a backend could use
- * different ones. */
-static bool has_valid_host(const ts_http_message_t *message)
-{
-    bool is_http_1_0 = message->parser.http_major == 1 && message->parser.http_minor == 0;
-    unsigned hosts = ts_http_message_count(message, "Host");
-    return hosts == 1 || (is_http_1_0 && hosts == 0);
-}
-
-static void send_continue(ts_caller_t *caller)
-{
-    static char text[] = "HTTP/1.1 100 Continue\r\n\r\n";
-    const char *expect = ts_http_message_find(&caller->message, "Expect");
-    if (caller->has_sent_continue || expect == NULL || strcasecmp(expect, "100-continue") != 0) {
-        return;
-    }
-    caller->has_sent_continue = true;
-    uv_buf_t buffer = uv_buf_init(text, sizeof(text) - 1);
-    (void)uv_try_write((uv_stream_t *)&caller->socket, &buffer, 1);
-}
-
-/* Feeds bytes to the current request; bytes after its end are buffered as pipelined. */
-static void read_request(ts_caller_t *caller, const char *bytes, size_t length)
-{
-    ts_http_message_t *message = &caller->message;
-    if (!message->has_begun) {
-        caller->since_us = ts_clock_now_us();
-    }
-    size_t used = ts_http_message_feed(message, bytes, length);
-    if (message->error != TS_OK) {
-        ts_count_error(message->error);
-        ts_caller_refuse(caller, error_status(message->error));
-        return;
-    }
-    if (!message->is_complete) {
-        if (message->is_head_complete) {
-            send_continue(caller);
-        }
-        return;
-    }
-    g_string_append_len(caller->pipelined, bytes + used, (gssize)(length - used));
-    if (!has_valid_host(message)) {
-        ts_caller_refuse(caller, STATUS_BAD_REQUEST);
-        return;
-    }
-    ts_count(TS_COUNTER_REQUESTS, 1);
-    set_state(caller, CALLER_PROCESSING);
-    caller->listener->ops->request(caller, caller->listener->context);
-}
-
-static void read_pipelined(ts_caller_t *caller)
-{
-    if (caller->pipelined->len == 0 || caller->is_closing) {
-        return;
-    }
-    GString *bytes = caller->pipelined;
-    caller->pipelined = g_string_new(NULL);
-    read_request(caller, bytes->str, bytes->len);
-    g_string_free(bytes, TRUE);
-}
-
-static void on_allocate(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
-{
-    static char bytes[65536]; /* shared: a single loop, and each read is consumed immediately */
-    *buffer = uv_buf_init(bytes, sizeof(bytes));
-}
-
-static void on_read(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
-{
-    ts_caller_t *caller = stream->data;
-    if (length == 0 || caller->is_closing) {
-        return;
-    }
-    if (length < 0) {
-        ts_caller_close(caller);
-        return;
-    }
-    if (caller->state == CALLER_READING) {
-        read_request(caller, buffer->base, (size_t)length);
-        return;
-    }
-    if (caller->state == CALLER_LINGERING) {
-        return;
-    }
-    g_string_append_len(caller->pipelined, buffer->base, length);
-    if (caller->pipelined->len > PIPELINED_MAX) {
-        ts_caller_close(caller);
-    }
-}
+/* -- Accepting --------------------------------------------------------------------------------- */
 
 void ts_caller_accept(ts_listener_t *listener)
 {
     ts_caller_t *caller = g_new0(ts_caller_t, 1);
     caller->listener = listener;
-    caller->pipelined = g_string_new(NULL);
     ts_http_message_init(&caller->message, true, listener->limits.head_bytes,
                          listener->limits.body_bytes);
     uv_tcp_init(listener->socket.loop, &caller->socket);
@@ -282,13 +166,13 @@
     listener->callers = caller;
     listener->connections++;
     ts_count(TS_COUNTER_CALLER_CONNECTIONS, 1);
-    set_state(caller, CALLER_READING);
+    ts_caller_set_state(caller, CALLER_READING);
     if (uv_accept((uv_stream_t *)&listener->socket, (uv_stream_t *)&caller->socket) != 0) {
         ts_caller_close(caller);
         return;
     }
     uv_tcp_nodelay(&caller->socket, 1);
-    uv_read_start((uv_stream_t *)&caller->socket, on_allocate, on_read);
+    ts_caller_resume_reading(caller);
 }
 
 /* -- State ------------------------------------------------------------------------------------- */
--- a/src/edge/caller_internal.h
+++ b/src/edge/caller_internal.h
@@ -18,7 +18,7 @@
     ts_listener_t *listener;
     caller_state_t state;
     ts_http_message_t message;
-    GString *pipelined;    /**< bytes received after the current request */
+    GString *pipelined;    /**< bytes received after the current request; NULL: none */
     GString *output;       /**< head of the answer being written, with a short body; or NULL */
     GString *output_body;  /**< body of that answer if it is longer; or NULL */
     void *request;         /**< set by the owner */
@@ -26,6 +26,8 @@
     bool is_last;          /**< the connection is shut down after the answer */
     bool is_closing;
     bool has_sent_continue;
+    bool is_feeding; /**< a loop over received bytes runs; it continues with the next request */
+    bool is_paused;  /**< nothing is read, as enough pipelined bytes are buffered */
     ts_caller_t *previous;
     ts_caller_t *next;
 };
@@ -48,6 +50,16 @@
 /** Rejects a request that is malformed, too large or was not received in time, and ends the
  * connection. */
 void ts_caller_refuse(ts_caller_t *caller, unsigned status);
+/** Changes the state and notes the time. */
+void ts_caller_set_state(ts_caller_t *caller, caller_state_t state);
+/** Reads from the socket (again). */
+void ts_caller_resume_reading(ts_caller_t *caller);
+/** Processes buffered pipelined bytes up to a request that is not answered immediately. */
+void ts_caller_read_pipelined(ts_caller_t *caller);
+/** Frees the buffered pipelined bytes. */
+void ts_caller_drop_pipelined(ts_caller_t *caller);
+/** Whether the client has closed a connection that is not read at the moment. */
+bool ts_caller_has_left(const ts_caller_t *caller);
 /** Whether no byte of a request has arrived since the last answer. */
 bool ts_caller_is_idle(const ts_caller_t *caller);
 
--- a/src/edge/listener.c
+++ b/src/edge/listener.c
@@ -93,6 +93,8 @@
         }
         break;
     case CALLER_PROCESSING:
+        if (ts_caller_has_left(caller))
+            ts_caller_close(caller);
         break;
     case CALLER_WRITING:
         if (elapsed_us > TRANSFER_TIMEOUT_US) {
