Drop trailer fields

Callers saw: a client could make the process hold 80 kB of fields, and a table of four times that, behind a chunked body, beyond the limit on heads; its trailer fields were forwarded as header fields, and an id in a trailer counted as the request's id.

Cause: the parser reports trailer fields by the callbacks for header fields, which appended them to the complete head; the limit on heads is checked only until the head is complete.

Fields after the head are ignored now; the parser itself still bounds their length.

--- a/include/tealspar/http_message.h
+++ b/include/tealspar/http_message.h
@@ -1,7 +1,7 @@
 /**
  * One HTTP/1.1 message, parsed strictly with http_parser: a request from a caller, or a response
  * from a searcher or from the configuration service. The complete message is kept in memory; the
- * sizes of head and body are limited. Used instead of h2o where h2o cannot be strict enough (see
+ * sizes of head and body are limited. Trailer fields are dropped. Used instead of h2o where h2o cannot be strict enough (see
  * docs/PLATFORM.md).
  */
 #ifndef TEALSPAR_HTTP_MESSAGE_H
--- a/src/http/http_message.c
+++ b/src/http/http_message.c
@@ -29,6 +29,8 @@
 static int read_field_name(http_parser *parser, const char *bytes, size_t length)
 {
     ts_http_message_t *message = message_of(parser);
+    if (message->is_head_complete)
+        return 0; // a trailer field
     if (memchr(bytes, ' ', length) != NULL) {
         return set_error(message, TS_E_BAD_REQUEST);
     }
@@ -47,6 +49,8 @@
 static int read_field_value(http_parser *parser, const char *bytes, size_t length)
 {
     ts_http_message_t *message = message_of(parser);
+    if (message->is_head_complete)
+        return 0;
     if (message->fields->len == 0) {
         return set_error(message, TS_E_BAD_REQUEST);
     }
--- a/tests/gateway/test_callers.c
+++ b/tests/gateway/test_callers.c
@@ -126,6 +126,25 @@
     assert_null(strstr(g_ptr_array_index(searcher->requests, 0), "\r\nExpect:"));
 }
 
+/* Trailer fields are not kept: they must not count as header fields, of which a client could send
+ * more than the head may have. */
+static void test_trailer_fields_are_dropped(void **state)
+{
+    lab_searcher_t *searcher = NULL;
+    fixture_t *fixture = open_fixture(&searcher);
+    static const char chunked[] = "POST /p/x HTTP/1.1\r\n" REQUIRED_FIELDS
+                                  "Transfer-Encoding: chunked\r\n\r\n3;ext=1\r\nabc\r\n0\r\n"
+                                  "X-Late: 1\r\n\r\n";
+    assert_int_equal(fetch_status(fixture, chunked), 200);
+    assert_int_equal(searcher->runs, 1);
+    assert_null(strstr(g_ptr_array_index(searcher->requests, 0), "X-Late"));
+    static const char id_in_trailer[] =
+        "POST /p/x HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nabc\r\n0\r\nX-Request-Id: late\r\n\r\n";
+    assert_int_equal(fetch_status(fixture, id_in_trailer), 400);
+    assert_int_equal(searcher->runs, 1);
+}
+
 static void test_readiness(void **state)
 {
     fixture_t *fixture = fixture_open(NULL);
@@ -189,6 +208,7 @@
         cmocka_unit_test(test_slow_request_head_times_out),
         cmocka_unit_test(test_pipelined_requests),
         cmocka_unit_test(test_expect_100_continue),
+        cmocka_unit_test(test_trailer_fields_are_dropped),
         cmocka_unit_test(test_readiness),
         cmocka_unit_test(test_settings_reload_keeps_distances),
         cmocka_unit_test(test_shutdown_closes_connections_after_responses),
