Do not keep the answer of a released send

A send that nobody waits for any more, as its client has left or another answer was used, reads its answer to the end for a short while so that its connection can be reused. Now the body is parsed and dropped.

--- a/include/tealspar/http_message.h
+++ b/include/tealspar/http_message.h
@@ -40,6 +40,8 @@
     bool is_head_scanned;     /**< the scan for bare line ends has reached the empty line */
     bool has_begun;           /**< at least one byte was read */
     bool is_head_complete;    /**< http_parser has reported the end of the head */
+    bool is_body_dropped;     /**< the body is read but not kept, see ts_http_message_drop_body() */
+    size_t body_bytes;        /**< length of the body read so far */
     bool is_complete;
     bool keeps_alive; /**< valid once complete: the connection may be reused */
     bool is_in_value; /**< the parser's last callback was for a field value */
@@ -50,6 +52,8 @@
                           size_t body_max);
 /** Prepares for the next message; keeps the buffers unless they have grown large. */
 void ts_http_message_reset(ts_http_message_t *message);
+/** Frees the body and does not keep the rest of it; until the next reset. */
+void ts_http_message_drop_body(ts_http_message_t *message);
 /** Returns the body, which the caller of the function then owns; the message's becomes empty. */
 GString *ts_http_message_take_body(ts_http_message_t *message);
 /** Frees the buffers. */
--- a/src/http/http_message.c
+++ b/src/http/http_message.c
@@ -88,10 +88,12 @@
 static int read_body(http_parser *parser, const char *bytes, size_t length)
 {
     ts_http_message_t *message = message_of(parser);
-    if (message->body->len + length > message->body_max) {
+    if (message->body_bytes + length > message->body_max) {
         return set_error(message, TS_E_TOO_LARGE);
     }
-    g_string_append_len(message->body, bytes, (gssize)length);
+    message->body_bytes += length;
+    if (!message->is_body_dropped)
+        g_string_append_len(message->body, bytes, (gssize)length);
     return 0;
 }
 
@@ -125,6 +127,8 @@
     message->is_head_scanned = false;
     message->has_begun = false;
     message->is_head_complete = false;
+    message->is_body_dropped = false;
+    message->body_bytes = 0;
     message->is_complete = false;
     message->keeps_alive = false;
     message->is_in_value = false;
@@ -174,6 +178,13 @@
     reset_state(message);
 }
 
+void ts_http_message_drop_body(ts_http_message_t *message)
+{
+    g_string_free(message->body, TRUE);
+    message->body = g_string_new(NULL);
+    message->is_body_dropped = true;
+}
+
 GString *ts_http_message_take_body(ts_http_message_t *message)
 {
     GString *body = message->body;
@@ -249,7 +260,9 @@
         }
         used += parsed;
         if (is_interim(message)) {
+            bool is_body_dropped = message->is_body_dropped;
             ts_http_message_reset(message);
+            message->is_body_dropped = is_body_dropped;
         }
     }
     return used;
--- a/src/upstream/upstream.c
+++ b/src/upstream/upstream.c
@@ -275,6 +275,8 @@
     ts_time_us_t now_us = ts_clock_now_us();
     exchange->done = NULL;
     exchange->owner = NULL;
+    if (exchange->connection != NULL)
+        ts_http_message_drop_body(&exchange->connection->answer);
     if (exchange->sent_us != 0 && !exchange->has_invalid_times &&
         ts_instance_note_unanswered(exchange->instance, now_us,
                                     (double)(now_us - exchange->sent_us), exchange->typical_us))
