Settings memory_mb and descriptors_max: what the process may use

When absent, all of the machine's memory and the system's limit of descriptors count.

test_template_keeps_fractions_of_seconds renders every gap as 7, which these keys refuse; it renders them as 260 and 4100 now. test_limits_of_the_process is new.

--- a/include/tealspar/gateway_settings.h
+++ b/include/tealspar/gateway_settings.h
@@ -66,6 +66,8 @@
     double quota_slack;       /**< plus this many requests */
     uint32_t revoke_ms;       /**< maximum age of the configuration's last confirmation */
     bool revoke_fail_closed;  /**< beyond `revoke_ms`, refuse requests with keys */
+    uint32_t memory_mb;       /**< memory that the process may use, in MB; 0: all of the machine */
+    uint32_t descriptors_max; /**< descriptors that it may open; 0: up to the system's limit */
     ts_straggler_policy_t policy;
     uint32_t without; /**< disabled mechanisms; bits from tealspar/mechanism.h */
     TS_DURATION_SETTINGS(TS_DURATION_TEXT) /* durations as written; NULL if absent */
--- a/src/config/gateway_settings.c
+++ b/src/config/gateway_settings.c
@@ -15,6 +15,10 @@
 #define WINDOW_MIN_MS 100
 /* In less time a shutdown can't answer the requests in progress. */
 #define GRACE_MIN_MS 1000
+/* The process itself, and a few of the largest answers. */
+#define MEMORY_MIN_MB 32
+/* Those that are kept for files, and some for each kind of connection. */
+#define DESCRIPTORS_MIN 400
 #define DEFAULT_WARMUP_OVERRUN 1.0
 #define MS_PER_S 1000.0
 
@@ -68,6 +72,8 @@
     CYAML_FIELD_FLOAT("quota_slack", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t, quota_slack),
     CYAML_FIELD_BOOL("revoke_fail_closed", CYAML_FLAG_OPTIONAL, ts_gateway_settings_t,
                      revoke_fail_closed),
+    NUMBER_FIELD(memory_mb),
+    NUMBER_FIELD(descriptors_max),
     CYAML_FIELD_ENUM("policy", CYAML_FLAG_STRICT | CYAML_FLAG_OPTIONAL, ts_gateway_settings_t,
                      policy, policy_names, CYAML_ARRAY_LEN(policy_names)),
     CYAML_FIELD_FLAGS("without", CYAML_FLAG_STRICT | CYAML_FLAG_OPTIONAL, ts_gateway_settings_t,
@@ -97,6 +103,15 @@
                         minimum_ms, value_ms);
 }
 
+/* 0 stands for the default. */
+static void check_minimum(ts_problems_t *problems, const char *path, uint32_t value,
+                          uint32_t minimum)
+{
+    if (value != 0 && value < minimum)
+        ts_problems_add(problems, TS_E_INVALID, 0, path, "must be at least %u, not %u", minimum,
+                        value);
+}
+
 static void check_settings(const ts_gateway_settings_t *settings, ts_problems_t *problems)
 {
     check_address(problems, "callers", settings->callers);
@@ -124,6 +139,8 @@
     check_duration(problems, "quota_window", settings->quota_window_ms, WINDOW_MIN_MS);
     check_duration(problems, "retry_window", settings->retry_window_ms, WINDOW_MIN_MS);
     check_duration(problems, "grace", settings->grace_ms, GRACE_MIN_MS);
+    check_minimum(problems, "memory_mb", settings->memory_mb, MEMORY_MIN_MB);
+    check_minimum(problems, "descriptors_max", settings->descriptors_max, DESCRIPTORS_MIN);
 }
 
 /* Parses "6.5s" or "3000ms", rounded to a millisecond. Returns false if it is neither. */
--- a/tests/config/test_gateway_settings.c
+++ b/tests/config/test_gateway_settings.c
@@ -80,6 +80,21 @@
         assert_null(load(invalid[i]));
 }
 
+static void test_limits_of_the_process(void **state)
+{
+    ts_gateway_settings_t *settings = load("memory_mb: 260\ndescriptors_max: 4100\n");
+    assert_non_null(settings);
+    assert_int_equal(settings->memory_mb, 260);
+    assert_int_equal(settings->descriptors_max, 4100);
+    ts_gateway_settings_free(settings);
+    settings = load("");
+    assert_int_equal(settings->memory_mb, 0);
+    assert_int_equal(settings->descriptors_max, 0);
+    ts_gateway_settings_free(settings);
+    assert_null(load("memory_mb: 31\n"));
+    assert_null(load("descriptors_max: 399\n"));
+}
+
 /* Replaces all matches of a pattern in `*text`. */
 static void replace(char **text, const char *pattern, const char *replacement)
 {
@@ -98,6 +113,8 @@
     {"^zones: .*$", ""},
     {"\\{\\{bounds\\.graceS\\}\\}", "6.5"},
     {"\\{\\{bounds\\.budgetWindowS\\}\\}", "2.25"},
+    {"(?<=memory_mb: )\\{\\{\\.\\}\\}", "260"},
+    {"(?<=descriptors_max: )\\{\\{\\.\\}\\}", "4100"},
     {"(?<=grace: )\\{\\{\\.\\}\\}", "6.5"},
     {"(?<=retry_window: )\\{\\{\\.\\}\\}", "2.25"},
     {"(?<=quota_window: )\\{\\{\\.\\}\\}", "1.5"},
@@ -138,6 +155,7 @@
         cmocka_unit_test(test_rejects_invalid_settings),
         cmocka_unit_test(test_disabled_mechanisms),
         cmocka_unit_test(test_durations),
+        cmocka_unit_test(test_limits_of_the_process),
         cmocka_unit_test(test_template_keeps_fractions_of_seconds),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
