Bound the memory of all answers on their way to clients

Callers saw: clients that ask for long answers and read them slowly, or not at all, ended the process: it ran out of memory.

Cause: each answer was read whole from its backend and held until its client had taken it, up to 30 s, whatever all others held; parts of gathers likewise until the last one had arrived.

Now a budget of a quarter of memory_mb counts all answers: at the backend's connection, merged, and in the client's connection. Room for an answer that does not come with its first 4 kB is taken before the rest is read; if there is none, clients that have been taking an answer for at least a second are closed, slowest first, and otherwise the backend's connection is not read further (its window fills). Those that wait are served by the arrival of their requests, and one of them at a time may exceed the budget if hardly any of it is held by clients, so that gathers do not wait for each other's parts. No request that ran is refused, and the answer of one that runs only once is not given up before its caller's deadline. Short answers pass in any case.

--- a/include/tealspar/caller.h
+++ b/include/tealspar/caller.h
@@ -12,6 +12,7 @@
 #include "tealspar/clock.h"
 #include "tealspar/error.h"
 #include "tealspar/http_message.h"
+#include "tealspar/memory_budget.h"
 #include "tealspar/traffic.h"
 
 typedef struct ts_caller ts_caller_t;
@@ -56,12 +57,23 @@
  */
 void ts_listener_each_unanswered(ts_listener_t *listener,
                                  void (*visit)(ts_caller_t *caller, void *ctx), void *ctx);
+/** Sets the budget of the memory for answers being written, for connections accepted later. */
+void ts_listener_set_answer_budget(ts_listener_t *listener, ts_memory_budget_t *budget);
+/**
+ * Closes connections that transfer slowly, the slowest first, until `bytes` more have room in the
+ * budget. Only those that have been at it for a second and hold some kilobytes are closed. Returns
+ * their number.
+ */
+unsigned ts_listener_reclaim(ts_listener_t *listener, const ts_memory_budget_t *budget,
+                             size_t bytes);
 /** Number of open connections. */
 unsigned ts_listener_connections(const ts_listener_t *listener);
 
 const ts_http_message_t *ts_caller_message(const ts_caller_t *caller);
 /** The same, for an owner that takes buffers of the request in progress, such as its body. */
 ts_http_message_t *ts_caller_mutable_message(ts_caller_t *caller);
+/** Until this time, the next answer is not given up by ts_listener_reclaim(). */
+void ts_caller_keep_answer(ts_caller_t *caller, ts_time_us_t until_us);
 /** What the connection does: "reading", "processing", "writing" or "lingering". */
 const char *ts_caller_state_name(const ts_caller_t *caller);
 /** Whether the connection is idle or a request has not arrived completely. */
--- a/include/tealspar/counters.h
+++ b/include/tealspar/counters.h
@@ -106,6 +106,14 @@
       "suspects that were forgotten for want of room")                                             \
     X(QUARANTINE_FULL, counter, "quarantine_full_total",                                           \
       "requests that were not put on hold for want of room")                                       \
+    X(ANSWERS_DELAYED, counter, "answers_delayed_total",                                           \
+      "answers of back ends that were not read further until there was memory for them")           \
+    X(CALLERS_CLOSED, counter, "callers_closed_total",                                             \
+      "connections of callers closed to free memory or descriptors")                               \
+    X(CALLERS_REFUSED, counter, "callers_refused_total",                                           \
+      "requests of callers refused as there was no memory for them")                               \
+    X(ANSWER_BYTES, gauge, "answer_bytes", "memory held for answers")                              \
+    X(REQUEST_BYTES, gauge, "request_bytes", "memory held for requests of callers")                \
     X(CONNECTS, counter, "connects_total", "connections opened to back ends")                      \
     X(CONNECTS_FAILED, counter, "connects_failed_total", "connections that did not come up")       \
     X(INSTANCES_SUSPECTED, counter, "instances_suspected_total",                                   \
--- a/include/tealspar/gateway.h
+++ b/include/tealspar/gateway.h
@@ -12,6 +12,7 @@
 #include "tealspar/caller.h"
 #include "tealspar/dialect.h"
 #include "tealspar/gateway_settings.h"
+#include "tealspar/memory_budget.h"
 #include "tealspar/rate_limiter.h"
 #include "tealspar/registry.h"
 #include "tealspar/route_state.h"
@@ -35,6 +36,7 @@
     GHashTable *zones; /**< zone -> region, owned */
     ts_registry_t *registry;
     ts_upstream_t *upstream;
+    ts_memory_budget_t *answer_budget; /**< memory for answers on their way to callers */
     ts_store_mirror_t *mirror;
     ts_store_watch_t *store;
     ts_peers_t *peers;                     /**< NULL: a single gateway without peers */
--- a/include/tealspar/http_message.h
+++ b/include/tealspar/http_message.h
@@ -1,8 +1,8 @@
 /**
  * One HTTP/1.1 message, parsed strictly with http_parser: a request from a caller, or a response
  * from a searcher or from the configuration service. The complete message is kept in memory; the
- * sizes of head and body are limited. Trailer fields are dropped. Used instead of h2o where h2o cannot be strict enough (see
- * docs/PLATFORM.md).
+ * sizes of head and body are limited. Trailer fields are dropped. Used instead of h2o where h2o
+ * cannot be strict enough (see docs/PLATFORM.md).
  */
 #ifndef TEALSPAR_HTTP_MESSAGE_H
 #define TEALSPAR_HTTP_MESSAGE_H
@@ -42,6 +42,7 @@
     bool is_head_complete;    /**< http_parser has reported the end of the head */
     bool is_body_dropped;     /**< the body is read but not kept, see ts_http_message_drop_body() */
     size_t body_bytes;        /**< length of the body read so far */
+    uint64_t body_length;     /**< as given by Content-Length; UINT64_MAX: not given */
     bool is_complete;
     bool keeps_alive; /**< valid once complete: the connection may be reused */
     bool is_in_value; /**< the parser's last callback was for a field value */
@@ -68,6 +69,8 @@
  * incomplete message becomes invalid, usually with TS_E_IO.
  */
 void ts_http_message_finish(ts_http_message_t *message);
+/** Bytes that its buffers have allocated. */
+size_t ts_http_message_memory(const ts_http_message_t *message);
 /** Value of the first field with this name (case-insensitive), or NULL. */
 const char *ts_http_message_find(const ts_http_message_t *message, const char *name);
 /** Number of fields with this name (case-insensitive). */
--- a/include/tealspar/outgoing.h
+++ b/include/tealspar/outgoing.h
@@ -28,6 +28,7 @@
     bool is_head_method;      /**< HEAD request: the response has no body */
     bool is_repeatable;       /**< idempotent: may be sent on a connection idle for long */
     ts_time_us_t deadline_us; /**< each send carries the time left until this deadline */
+    ts_time_us_t arrived_us;  /**< answers of earlier requests get memory first */
     /* State of its sends, see tealspar/broken_sends.h. */
     unsigned sends_in_flight; /**< including those of released exchanges */
     bool has_completed;       /**< a backend has responded successfully */
--- /dev/null
+++ b/include/tealspar/process_limits.h
@@ -0,0 +1,15 @@
+/** How the memory and the descriptors that a process may use are divided. */
+#ifndef TEALSPAR_PROCESS_LIMITS_H
+#define TEALSPAR_PROCESS_LIMITS_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+typedef struct ts_process_limits {
+    size_t answer_bytes; /**< for answers on their way to callers */
+} ts_process_limits_t;
+
+/** `memory_mb`: memory that the process may use; 0: all of the machine. */
+ts_process_limits_t ts_process_limits(uint32_t memory_mb);
+
+#endif
--- a/include/tealspar/records.h
+++ b/include/tealspar/records.h
@@ -20,6 +20,8 @@
 void ts_top_records_add(ts_top_records_t *records, const char *bytes, size_t length);
 /** Appends the kept records to `out` in descending order and empties the heap. */
 void ts_top_records_finish(ts_top_records_t *records, GString *out);
+/** Bytes that the heap has at most allocated. */
+size_t ts_top_records_memory(const ts_top_records_t *records);
 /** Frees the heap. */
 void ts_top_records_clear(ts_top_records_t *records);
 
--- a/include/tealspar/upstream.h
+++ b/include/tealspar/upstream.h
@@ -12,6 +12,7 @@
 #include "tealspar/clock.h"
 #include "tealspar/dialect.h"
 #include "tealspar/http_message.h"
+#include "tealspar/memory_budget.h"
 #include "tealspar/messages.h"
 #include "tealspar/outgoing.h"
 #include "tealspar/registry.h"
@@ -45,6 +46,11 @@
 /** Sets the limit of idle connections; without a callback their number is not limited. */
 void ts_upstream_set_idle_limit_callback(ts_upstream_t *upstream,
                                          ts_upstream_idle_limit_cb_t callback, void *ctx);
+/**
+ * Sets the budget of the memory for answers. An answer that does not fit is not read further,
+ * beyond its first few kilobytes, until there is room; without a budget all are read.
+ */
+void ts_upstream_set_answer_budget(ts_upstream_t *upstream, ts_memory_budget_t *budget);
 /**
  * Sets the detector of process stalls. It is run when an exchange ends more than TS_STALL_MIN_US
  * after its request was sent, before the result is evaluated, so that a stall of this process does
@@ -88,6 +94,8 @@
 ts_time_us_t ts_exchange_sent_us(const ts_exchange_t *exchange);
 /** Whether this process stalled during the exchange, so that its times are invalid. */
 bool ts_exchange_has_invalid_times(const ts_exchange_t *exchange);
+/** Whether an answer has begun to arrive and is not read further until there is memory for it. */
+bool ts_exchange_is_answer_delayed(const ts_exchange_t *exchange);
 ts_instance_t *ts_exchange_instance(const ts_exchange_t *exchange);
 /**
  * Closes idle connections that timed out or exceed the limit, and all idle connections to an
--- a/src/edge/answer.c
+++ b/src/edge/answer.c
@@ -106,6 +106,7 @@
     g_string_append_printf(fields, "\r\n%s: %u\r\n", names->missing_parts, missing);
     GString *body = g_string_new(NULL);
     ts_top_records_finish(&request->records, body);
+    ts_memory_charge_clear(&request->answer_charge);
     ts_count(TS_COUNTER_REQUESTS_PARTIAL, missing > 0);
     ts_caller_answer_with(request->caller, STATUS_OK, fields->str, body);
     g_string_free(fields, TRUE);
@@ -116,6 +117,9 @@
     ts_request_part_t *part = &request->parts[0];
     GString *body = part->body;
     part->body = NULL;
+    ts_memory_charge_clear(&request->answer_charge);
+    if (!request->route->is_repeatable)
+        ts_caller_keep_answer(request->caller, request->caller_deadline_us);
     ts_caller_answer_with(request->caller, part->status, part->fields->str, body);
 }
 
--- a/src/edge/caller.c
+++ b/src/edge/caller.c
@@ -15,6 +15,7 @@
         g_string_free(caller->output_body, TRUE);
     caller->output = NULL;
     caller->output_body = NULL;
+    ts_memory_charge_clear(&caller->answer_charge);
 }
 
 static void free_caller(uv_handle_t *handle)
@@ -46,6 +47,7 @@
         return;
     }
     caller->is_closing = true;
+    ts_memory_charge_clear(&caller->answer_charge);
     unlink_caller(caller);
     if (caller->state == CALLER_PROCESSING) {
         caller->listener->ops->disconnected(caller, caller->listener->context);
@@ -73,6 +75,7 @@
 static void finish_answer(ts_caller_t *caller)
 {
     free_output(caller);
+    caller->keep_until_us = 0;
     if (caller->is_last) {
         ts_caller_set_state(caller, CALLER_LINGERING);
         ts_caller_drop_pipelined(caller);
@@ -145,6 +148,8 @@
     free_output(caller);
     caller->output = out;
     caller->output_body = is_long ? body : NULL;
+    ts_memory_charge_set(&caller->answer_charge, ts_memory_of_string(caller->output) +
+                                                     ts_memory_of_string(caller->output_body));
     caller->request = NULL;
     write_answer(caller);
 }
@@ -155,6 +160,8 @@
 {
     ts_caller_t *caller = g_new0(ts_caller_t, 1);
     caller->listener = listener;
+    caller->answer_charge.budget = listener->answer_budget;
+    caller->answer_charge.is_reclaimable = true;
     ts_http_message_init(&caller->message, true, listener->limits.head_bytes,
                          listener->limits.body_bytes);
     uv_tcp_init(listener->socket.loop, &caller->socket);
@@ -192,6 +199,11 @@
     return &caller->message;
 }
 
+void ts_caller_keep_answer(ts_caller_t *caller, ts_time_us_t until_us)
+{
+    caller->keep_until_us = until_us;
+}
+
 const char *ts_caller_state_name(const ts_caller_t *caller)
 {
     static const char *const names[] = {
--- a/src/edge/caller_internal.h
+++ b/src/edge/caller_internal.h
@@ -18,10 +18,12 @@
     ts_listener_t *listener;
     caller_state_t state;
     ts_http_message_t message;
-    GString *pipelined;    /**< bytes received after the current request; NULL: none */
-    GString *output;       /**< head of the answer being written, with a short body; or NULL */
-    GString *output_body;  /**< body of that answer if it is longer; or NULL */
-    void *request;         /**< set by the owner */
+    GString *pipelined;   /**< bytes received after the current request; NULL: none */
+    GString *output;      /**< head of the answer being written, with a short body; or NULL */
+    GString *output_body; /**< body of that answer if it is longer; or NULL */
+    ts_memory_charge_t answer_charge; /**< for the answer being written */
+    ts_time_us_t keep_until_us;       /**< until then the answer is not given up to free memory */
+    void *request;                    /**< set by the owner */
     ts_time_us_t since_us; /**< start of the state, or arrival of a request's first byte */
     bool is_last;          /**< the connection is shut down after the answer */
     bool is_closing;
@@ -41,6 +43,7 @@
     bool is_closed;
     unsigned connections;
     ts_caller_t *callers;
+    ts_memory_budget_t *answer_budget; /**< NULL: not limited */
 };
 
 /** Accepts the connection that waits at the listener's socket, and begins to read. */
--- a/src/edge/gateway.c
+++ b/src/edge/gateway.c
@@ -12,6 +12,7 @@
 #include "tealspar/peers.h"
 #include "tealspar/pending.h"
 #include "tealspar/plugin.h"
+#include "tealspar/process_limits.h"
 #include "tealspar/stall_detector.h"
 #include "tealspar/store_mirror.h"
 #include "tealspar/store_watch.h"
@@ -166,7 +167,12 @@
     }
     bool is_open = gateway->caller_listener != NULL && gateway->ready_listener != NULL &&
                    (settings->metrics == NULL || gateway->metrics_listener != NULL);
-    return is_open ? TS_OK : TS_E_LISTEN;
+    if (!is_open)
+        return TS_E_LISTEN;
+    ts_listener_set_answer_budget(gateway->caller_listener, gateway->answer_budget);
+    if (gateway->metrics_listener != NULL)
+        ts_listener_set_answer_budget(gateway->metrics_listener, gateway->answer_budget);
+    return TS_OK;
 }
 
 /* -- Settings and fleet ------------------------------------------------------------------------ */
@@ -187,9 +193,26 @@
     gateway->retry_rule.slack_share = slack_share * gateway->settings->retry_slack / gateway->nodes;
 }
 
+static void apply_process_limits(ts_gateway_t *gateway)
+{
+    ts_process_limits_t limits = ts_process_limits(gateway->settings->memory_mb);
+    ts_memory_budget_set_limit(gateway->answer_budget, limits.answer_bytes);
+}
+
+/* Makes room in a budget, at the cost of callers that transfer slowly. */
+static void reclaim_memory(void *ctx, ts_memory_budget_t *budget, size_t bytes)
+{
+    const ts_gateway_t *gateway = ctx;
+    if (gateway->caller_listener != NULL)
+        ts_listener_reclaim(gateway->caller_listener, budget, bytes);
+    if (gateway->metrics_listener != NULL)
+        ts_listener_reclaim(gateway->metrics_listener, budget, bytes);
+}
+
 static void apply_settings(ts_gateway_t *gateway)
 {
     const ts_gateway_settings_t *settings = gateway->settings;
+    apply_process_limits(gateway);
     ts_mechanisms_set_off(settings->without);
     gateway->retry_rule.ratio = settings->retry_ratio;
     gateway->cold_rule = (ts_cold_rule_t){settings->warmup_overrun, settings->warmup_slack};
@@ -295,10 +318,12 @@
     gateway->zones = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     gateway->route_states =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)ts_route_state_free);
+    gateway->answer_budget = ts_memory_budget_create(loop, reclaim_memory, gateway);
     gateway->random = ((uint32_t)ts_clock_now_us() ^ g_str_hash(settings->name)) | 1U;
     apply_settings(gateway);
     gateway->registry = ts_registry_create(settings->zone, gateway->zones);
     gateway->upstream = ts_upstream_create(loop, gateway->dialect);
+    ts_upstream_set_answer_budget(gateway->upstream, gateway->answer_budget);
     ts_upstream_set_idle_limit_callback(gateway->upstream, idle_connections_max, gateway);
     gateway->quarantine = ts_quarantine_create();
     gateway->broken_sends = ts_broken_sends_create(loop, gateway->quarantine);
--- a/src/edge/listener.c
+++ b/src/edge/listener.c
@@ -139,6 +139,11 @@
     }
 }
 
+void ts_listener_set_answer_budget(ts_listener_t *listener, ts_memory_budget_t *budget)
+{
+    listener->answer_budget = budget;
+}
+
 unsigned ts_listener_connections(const ts_listener_t *listener)
 {
     return listener->connections;
--- a/src/edge/part_answer.c
+++ b/src/edge/part_answer.c
@@ -45,6 +45,8 @@
         ts_top_records_add(&request->records, answer->body->str, answer->body->len);
     else
         save_forwarded(part, answer);
+    ts_memory_charge_set(&request->answer_charge, ts_top_records_memory(&request->records) +
+                                                      ts_memory_of_string(part->body));
 }
 
 /* After a send that was never written to a connection. The first delivery is free, so a
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -90,6 +90,7 @@
         arrived_us + (given_ms == 0 ? route->timeout_ms : given_ms) * TS_US_PER_MS;
     request->deadline_us = request->arrived_us + ts_request_answer_within_us(timeout_us);
     request->outgoing->deadline_us = request->arrived_us + timeout_us;
+    request->outgoing->arrived_us = request->arrived_us;
     ts_time_us_t target_latency_us = route->aim_ms * TS_US_PER_MS;
     request->soft_deadline_us =
         target_latency_us > 2 * TARGET_LATENCY_MARGIN_US
@@ -151,6 +152,7 @@
     if (!is_gather) {
         init_part(request, 0, ts_route_state_next_target(request->route_state, route));
     }
+    request->answer_charge.budget = gateway->answer_budget;
     ts_top_records_init(&request->records, route->top_count);
     gateway->requests++;
     return request;
@@ -164,6 +166,7 @@
     for (unsigned i = 0; i < request->parts_count; i++) {
         ts_part_clear(&request->parts[i]);
     }
+    ts_memory_charge_clear(&request->answer_charge);
     ts_top_records_clear(&request->records);
     ts_outgoing_unref(request->outgoing);
     ts_traffic_unref(request->traffic);
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -82,7 +82,8 @@
      * gather needs only the minimum coverage. Hedges are timed by it, too.
      */
     ts_time_us_t soft_deadline_us;
-    ts_top_records_t records; /**< gather: merged from the parts answered so far */
+    ts_memory_charge_t answer_charge; /**< for merged records and a saved answer */
+    ts_top_records_t records;         /**< gather: merged from the parts answered so far */
     unsigned parts_count;
     unsigned parts_answered;
     unsigned parts_lost;
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -341,6 +341,10 @@
     if (latest == NULL) {
         return;
     }
+    if (ts_exchange_is_answer_delayed(latest)) {
+        part->overdue_us = now_us + INSTANCE_RECHECK_US;
+        return;
+    }
     ts_time_us_t sent_us = ts_exchange_sent_us(latest);
     ts_straggler_policy_t policy = part->request->gateway->settings->policy;
     if (policy == TS_STRAGGLER_NAIVE) {
--- a/src/http/http_message.c
+++ b/src/http/http_message.c
@@ -4,6 +4,8 @@
 #include <string.h>
 #include <strings.h>
 
+#include "tealspar/memory_budget.h"
+
 #define INTERIM_STATUS_MAX 199
 /* Larger buffers are not kept for the next message, as a connection may be idle until then. */
 #define BUFFER_KEEP_BYTES 2048
@@ -79,6 +81,7 @@
         }
     }
     bool has_length = (parser->flags & F_CONTENTLENGTH) != 0;
+    message->body_length = has_length ? parser->content_length : UINT64_MAX;
     if (has_length && parser->content_length > message->body_max) {
         return set_error(message, TS_E_TOO_LARGE) == 1 ? -1 : 0;
     }
@@ -129,6 +132,7 @@
     message->is_head_complete = false;
     message->is_body_dropped = false;
     message->body_bytes = 0;
+    message->body_length = UINT64_MAX;
     message->is_complete = false;
     message->keeps_alive = false;
     message->is_in_value = false;
@@ -279,6 +283,12 @@
     }
 }
 
+size_t ts_http_message_memory(const ts_http_message_t *message)
+{
+    return ts_memory_of_string(message->target) + ts_memory_of_string(message->text) +
+           ts_memory_of_string(message->body) + message->fields->len * sizeof(ts_http_field_t);
+}
+
 const char *ts_http_message_find(const ts_http_message_t *message, const char *name)
 {
     for (guint i = 0; i < message->fields->len; i++) {
--- a/src/route/records.c
+++ b/src/route/records.c
@@ -95,6 +95,11 @@
     }
 }
 
+size_t ts_top_records_memory(const ts_top_records_t *records)
+{
+    return records->heap == NULL ? 0 : 2 * (size_t)records->heap->len * sizeof(record_t);
+}
+
 static gint compare_descending(gconstpointer left, gconstpointer right)
 {
     return is_less(left, right) - is_less(right, left);
--- a/src/upstream/upstream.c
+++ b/src/upstream/upstream.c
@@ -13,6 +13,8 @@
 #define ANSWER_HEAD_MAX 65536
 /* Bodies of requests up to this size are written together with the head, from one buffer. */
 #define JOINED_BODY_MAX 4096
+/* Bytes of an answer that are read at once before its whole length has room in the budget. */
+#define UNRESERVED_READ_BYTES 4096
 /* Larger buffers of requests are not kept by idle connections. */
 #define REQUEST_KEEP_BYTES 2048
 #define ANSWER_BODY_MAX (4U * 1024U * 1024U)
@@ -52,6 +54,8 @@
     ts_time_us_t idle_timeout_us; /**< the connection is closed once idle for longer than this */
     GString *request_bytes;       /**< head of the request being sent, with a short body */
     ts_outgoing_t *written;       /**< owner of a longer body until that is written; or NULL */
+    ts_memory_charge_t charge;    /**< for the answer */
+    bool is_answer_reserved;      /**< the whole answer has room */
     bool is_idle;
     bool is_closing;
 } ts_connection_t;
@@ -86,6 +90,7 @@
     ts_upstream_broken_send_cb_t broken_send; /* may be NULL */
     void *broken_send_ctx;
     ts_stall_detector_t *stall_detector; /* may be NULL */
+    ts_memory_budget_t *answer_budget;   /* may be NULL */
 };
 
 static void close_connection(ts_connection_t *connection);
@@ -270,13 +275,23 @@
     free_exchange(exchange);
 }
 
+/* Reads the rest of an answer that nobody waits for, without keeping it. */
+static void drop_answer_body(ts_connection_t *connection)
+{
+    bool is_waiting = connection->charge.wanted > 0;
+    ts_http_message_drop_body(&connection->answer);
+    ts_memory_charge_clear(&connection->charge);
+    if (is_waiting)
+        begin_reading(connection);
+}
+
 void ts_exchange_release(ts_exchange_t *exchange, ts_time_us_t until_us)
 {
     ts_time_us_t now_us = ts_clock_now_us();
     exchange->done = NULL;
     exchange->owner = NULL;
     if (exchange->connection != NULL)
-        ts_http_message_drop_body(&exchange->connection->answer);
+        drop_answer_body(exchange->connection);
     if (exchange->sent_us != 0 && !exchange->has_invalid_times &&
         ts_instance_note_unanswered(exchange->instance, now_us,
                                     (double)(now_us - exchange->sent_us), exchange->typical_us))
@@ -296,6 +311,11 @@
     return exchange->has_invalid_times;
 }
 
+bool ts_exchange_is_answer_delayed(const ts_exchange_t *exchange)
+{
+    return exchange->connection != NULL && exchange->connection->charge.wanted > 0;
+}
+
 ts_instance_t *ts_exchange_instance(const ts_exchange_t *exchange)
 {
     return exchange->instance;
@@ -333,6 +353,7 @@
         return;
     }
     connection->is_closing = true;
+    ts_memory_charge_clear(&connection->charge);
     remove_from_idle(connection);
     connection->instance->connections--;
     uv_close((uv_handle_t *)&connection->socket, free_connection);
@@ -450,6 +471,7 @@
     connection->idle_link.data = connection;
     connection->idle_timeout_us = IDLE_TIMEOUT_DEFAULT_US;
     connection->request_bytes = g_string_new(NULL);
+    connection->charge.budget = upstream->answer_budget;
     ts_http_message_init(&connection->answer, false, ANSWER_HEAD_MAX, ANSWER_BODY_MAX);
     uv_tcp_init(upstream->loop, &connection->socket);
     uv_tcp_nodelay(&connection->socket, 1);
@@ -539,7 +561,48 @@
 static void provide_read_buffer(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
 {
     static char bytes[65536]; /* shared: there is one loop, and each read is consumed immediately */
-    *buffer = uv_buf_init(bytes, sizeof(bytes));
+    const ts_connection_t *connection = handle->data;
+    bool may_read_all = connection->is_answer_reserved || connection->answer.is_body_dropped;
+    *buffer = uv_buf_init(bytes, may_read_all ? sizeof(bytes) : UNRESERVED_READ_BYTES);
+}
+
+static void on_answer_reserved(void *ctx)
+{
+    ts_connection_t *connection = ctx;
+    connection->is_answer_reserved = true;
+    begin_reading(connection);
+}
+
+/* Largest memory that the answer can take. An allocated buffer is a power of two. */
+static size_t answer_memory_max(const ts_http_message_t *answer)
+{
+    size_t length = (size_t)MIN(answer->body_length, ANSWER_BODY_MAX);
+    size_t allocated = UNRESERVED_READ_BYTES;
+    while (allocated <= length)
+        allocated *= 2;
+    return allocated + ts_memory_of_string(answer->text) + ts_memory_of_string(answer->target);
+}
+
+/* Reserves memory for the rest of an answer, or pauses reading until there is room for it. */
+static void reserve_answer(ts_connection_t *connection)
+{
+    ts_http_message_t *answer = &connection->answer;
+    ts_exchange_t *exchange = connection->exchange;
+    if (answer->is_body_dropped)
+        return;
+    if (!answer->is_head_complete || connection->is_answer_reserved) {
+        ts_memory_charge_set(&connection->charge,
+                             MAX(connection->charge.bytes, ts_http_message_memory(answer)));
+        return;
+    }
+    connection->is_answer_reserved =
+        ts_memory_reserve(&connection->charge, answer_memory_max(answer),
+                          exchange->outgoing->arrived_us, on_answer_reserved, connection);
+    if (connection->is_answer_reserved)
+        return;
+    ts_count(TS_COUNTER_ANSWERS_DELAYED, 1);
+    exchange->has_invalid_times = true; // the wait is this node's, not the backend's
+    uv_read_stop((uv_stream_t *)&connection->socket);
 }
 
 /* Idle timeout from the Keep-Alive field, less the margin; 0: too short to reuse the connection. */
@@ -610,6 +673,8 @@
 static void free_buffers(ts_connection_t *connection)
 {
     ts_http_message_reset(&connection->answer);
+    ts_memory_charge_clear(&connection->charge);
+    connection->is_answer_reserved = false;
     if (connection->request_bytes->allocated_len > REQUEST_KEEP_BYTES) {
         g_string_free(connection->request_bytes, TRUE);
         connection->request_bytes = g_string_new(NULL);
@@ -698,6 +763,8 @@
         fail_exchange(connection->exchange, TS_E_BAD_ANSWER);
     } else if (answer->is_complete) {
         finish_answer(connection, used < (size_t)length);
+    } else {
+        reserve_answer(connection);
     }
 }
 
@@ -737,6 +804,11 @@
     upstream->stall_detector = detector;
 }
 
+void ts_upstream_set_answer_budget(ts_upstream_t *upstream, ts_memory_budget_t *budget)
+{
+    upstream->answer_budget = budget;
+}
+
 void ts_upstream_invalidate_times(ts_upstream_t *upstream)
 {
     for (ts_exchange_t *exchange = upstream->exchanges; exchange != NULL; exchange = exchange->next)
