Size the kernel's buffers of callers' connections by their number

Callers saw: the same as with answers in the process: what clients don't read, and what they send behind a request in progress, filled the machine's memory.

Cause: the kernel takes up to some megabytes for each connection that is not read by the client, and 128 kB and more of what is not read by the process, whatever the number of connections.

Now the kernel's buffers have a quarter of memory_mb.

--- a/include/tealspar/caller.h
+++ b/include/tealspar/caller.h
@@ -59,6 +59,11 @@
                                  void (*visit)(ts_caller_t *caller, void *ctx), void *ctx);
 /** Sets the budget of the memory for answers being written, for connections accepted later. */
 void ts_listener_set_answer_budget(ts_listener_t *listener, ts_memory_budget_t *budget);
+/**
+ * Sets the memory for the kernel's buffers of all connections. The more there are, the smaller are
+ * those of further ones.
+ */
+void ts_listener_set_socket_memory(ts_listener_t *listener, size_t bytes);
 /**
  * Closes connections that transfer slowly, the slowest first, until `bytes` more have room in the
  * budget. Only those that have been at it for a second and hold some kilobytes are closed. Returns
--- a/include/tealspar/process_limits.h
+++ b/include/tealspar/process_limits.h
@@ -7,6 +7,7 @@
 
 typedef struct ts_process_limits {
     size_t answer_bytes; /**< for answers on their way to callers */
+    size_t socket_bytes; /**< for the kernel's buffers of callers' connections */
 } ts_process_limits_t;
 
 /** `memory_mb`: memory that the process may use; 0: all of the machine. */
--- a/src/edge/caller.c
+++ b/src/edge/caller.c
@@ -38,6 +38,7 @@
         caller->next->previous = caller->previous;
     }
     caller->listener->connections--;
+    ts_listener_size_buffers(caller->listener);
     ts_count(TS_COUNTER_CALLER_CONNECTIONS, -1);
 }
 
@@ -172,6 +173,7 @@
     }
     listener->callers = caller;
     listener->connections++;
+    ts_listener_size_buffers(listener);
     ts_count(TS_COUNTER_CALLER_CONNECTIONS, 1);
     ts_caller_set_state(caller, CALLER_READING);
     if (uv_accept((uv_stream_t *)&listener->socket, (uv_stream_t *)&caller->socket) != 0) {
--- a/src/edge/caller_internal.h
+++ b/src/edge/caller_internal.h
@@ -44,6 +44,9 @@
     unsigned connections;
     ts_caller_t *callers;
     ts_memory_budget_t *answer_budget; /**< NULL: not limited */
+    size_t socket_bytes;               /**< for the sockets' buffers; 0: not limited */
+    unsigned socket_class;             /**< number of connections for which these are set */
+    bool has_sized_buffers;            /**< they were set at least once */
 };
 
 /** Accepts the connection that waits at the listener's socket, and begins to read. */
@@ -63,6 +66,8 @@
 void ts_caller_drop_pipelined(ts_caller_t *caller);
 /** Whether the client has closed a connection that is not read at the moment. */
 bool ts_caller_has_left(const ts_caller_t *caller);
+/** Adapts the buffers of sockets accepted from now on to the number of connections. */
+void ts_listener_size_buffers(ts_listener_t *listener);
 /** Whether no byte of a request has arrived since the last answer. */
 bool ts_caller_is_idle(const ts_caller_t *caller);
 
--- a/src/edge/gateway.c
+++ b/src/edge/gateway.c
@@ -155,6 +155,14 @@
 static const ts_listener_ops_t ready_ops = {answer_ready, ignore_disconnect};
 static const ts_listener_ops_t metrics_ops = {answer_metrics, ignore_disconnect};
 
+static void apply_process_limits(ts_gateway_t *gateway)
+{
+    ts_process_limits_t limits = ts_process_limits(gateway->settings->memory_mb);
+    ts_memory_budget_set_limit(gateway->answer_budget, limits.answer_bytes);
+    if (gateway->caller_listener != NULL)
+        ts_listener_set_socket_memory(gateway->caller_listener, limits.socket_bytes);
+}
+
 static ts_error_t open_listeners(ts_gateway_t *gateway)
 {
     const ts_gateway_settings_t *settings = gateway->settings;
@@ -172,6 +180,7 @@
     ts_listener_set_answer_budget(gateway->caller_listener, gateway->answer_budget);
     if (gateway->metrics_listener != NULL)
         ts_listener_set_answer_budget(gateway->metrics_listener, gateway->answer_budget);
+    apply_process_limits(gateway);
     return TS_OK;
 }
 
@@ -193,12 +202,6 @@
     gateway->retry_rule.slack_share = slack_share * gateway->settings->retry_slack / gateway->nodes;
 }
 
-static void apply_process_limits(ts_gateway_t *gateway)
-{
-    ts_process_limits_t limits = ts_process_limits(gateway->settings->memory_mb);
-    ts_memory_budget_set_limit(gateway->answer_budget, limits.answer_bytes);
-}
-
 /* Makes room in a budget, at the cost of callers that transfer slowly. */
 static void reclaim_memory(void *ctx, ts_memory_budget_t *budget, size_t bytes)
 {
--- a/src/kernel/process_limits.c
+++ b/src/kernel/process_limits.c
@@ -5,7 +5,7 @@
 #include <uv.h>
 
 #define BYTES_PER_MB ((uint64_t)1 << 20)
-/* Answers get one of these parts of the memory. */
+/* Answers and the kernel's buffers get one of these parts of the memory each. */
 #define MEMORY_PARTS 4
 
 /* The machine's memory, or the process's share of it if that is limited. */
@@ -19,5 +19,6 @@
 ts_process_limits_t ts_process_limits(uint32_t memory_mb)
 {
     uint64_t memory = memory_mb == 0 ? machine_memory_bytes() : memory_mb * BYTES_PER_MB;
-    return (ts_process_limits_t){.answer_bytes = (size_t)(memory / MEMORY_PARTS)};
+    size_t part = (size_t)(memory / MEMORY_PARTS);
+    return (ts_process_limits_t){.answer_bytes = part, .socket_bytes = part};
 }
