Bound the memory of all requests of clients

Callers saw: with some hundred clients that announce bodies and do not finish them, the process grew by all that they had sent, up to the limit of a body each, for 30 s.

Cause: heads, bodies and pipelined bytes are bounded for each connection only.

Before a refusal, clients that have been sending for a second or more are closed, slowest first. While hardly anything is held, a request of any allowed length passes. A refused request frees its body at once.

--- a/include/tealspar/caller.h
+++ b/include/tealspar/caller.h
@@ -26,6 +26,11 @@
      * be called any more.
      */
     void (*disconnected)(ts_caller_t *caller, void *context);
+    /**
+     * There is no memory for a request that has been received in part; the owner answers it. NULL:
+     * it gets a 503 without further fields.
+     */
+    void (*no_room)(ts_caller_t *caller, void *context);
 } ts_listener_ops_t;
 
 /** Listens on "IP:port". Returns NULL on failure. */
@@ -57,8 +62,12 @@
  */
 void ts_listener_each_unanswered(ts_listener_t *listener,
                                  void (*visit)(ts_caller_t *caller, void *ctx), void *ctx);
-/** Sets the budget of the memory for answers being written, for connections accepted later. */
-void ts_listener_set_answer_budget(ts_listener_t *listener, ts_memory_budget_t *budget);
+/**
+ * Sets the budgets of the memory for requests being received and for answers being written, for
+ * connections accepted later.
+ */
+void ts_listener_set_budgets(ts_listener_t *listener, ts_memory_budget_t *requests,
+                             ts_memory_budget_t *answers);
 /**
  * Sets the memory for the kernel's buffers of all connections. The more there are, the smaller are
  * those of further ones.
--- a/include/tealspar/error.h
+++ b/include/tealspar/error.h
@@ -46,6 +46,7 @@
     X(TS_E_OWNER_CHANGED, -55, "owner_changed", "an earlier owner may have run the request")       \
     X(TS_E_NO_QUORUM, -56, "no_quorum", "the node cannot hear a majority of its zone")             \
     X(TS_E_PLACEMENT, -57, "not_permitted", "no back end stands where the request may be served")  \
+    X(TS_E_NO_ROOM, -58, "no_room", "this node holds as much of its clients' requests as it may")  \
     X(TS_E_UNAUTHENTICATED, -70, "unauthenticated", "the request shows no key that is held")       \
     X(TS_E_QUOTA, -71, "over_quota", "the tenant has sent what it may over the whole fleet")       \
     X(TS_E_UNCONFIRMED, -72, "unconfirmed", "keys were not confirmed for longer than is allowed")  \
--- a/include/tealspar/gateway.h
+++ b/include/tealspar/gateway.h
@@ -36,7 +36,8 @@
     GHashTable *zones; /**< zone -> region, owned */
     ts_registry_t *registry;
     ts_upstream_t *upstream;
-    ts_memory_budget_t *answer_budget; /**< memory for answers on their way to callers */
+    ts_memory_budget_t *request_budget; /**< memory for requests of callers */
+    ts_memory_budget_t *answer_budget;  /**< memory for answers on their way to callers */
     ts_store_mirror_t *mirror;
     ts_store_watch_t *store;
     ts_peers_t *peers;                     /**< NULL: a single gateway without peers */
--- a/include/tealspar/memory_budget.h
+++ b/include/tealspar/memory_budget.h
@@ -59,5 +59,7 @@
                        void (*granted)(void *ctx), void *ctx);
 /** Bytes that a GString has allocated; 0 for NULL. */
 size_t ts_memory_of_string(const GString *string);
+/** Bytes that a GString of this length allocates: a power of two. */
+size_t ts_memory_of_length(size_t length);
 
 #endif
--- a/include/tealspar/process_limits.h
+++ b/include/tealspar/process_limits.h
@@ -6,8 +6,9 @@
 #include <stdint.h>
 
 typedef struct ts_process_limits {
-    size_t answer_bytes; /**< for answers on their way to callers */
-    size_t socket_bytes; /**< for the kernel's buffers of callers' connections */
+    size_t answer_bytes;  /**< for answers on their way to callers */
+    size_t request_bytes; /**< for requests of callers */
+    size_t socket_bytes;  /**< for the kernel's buffers of callers' connections */
 } ts_process_limits_t;
 
 /** `memory_mb`: memory that the process may use; 0: all of the machine. */
--- a/lab/standin_store.c
+++ b/lab/standin_store.c
@@ -279,7 +279,7 @@
     }
 }
 
-static const ts_listener_ops_t store_ops = {handle_call, handle_caller_close};
+static const ts_listener_ops_t store_ops = {handle_call, handle_caller_close, NULL};
 
 /* Answers watches that have new changes or have timed out. */
 static void answer_due_watches(lab_store_t *store)
--- a/src/edge/answer.c
+++ b/src/edge/answer.c
@@ -23,6 +23,9 @@
 /* Retry-after time of a stopping gateway if there are others, which can take the request at once.
  */
 #define ELSEWHERE_RETRY_MS 1U
+/* Clients that transfer slowly are closed for others after a second. */
+#define NO_ROOM_RETRY_MIN_MS 1000U
+#define NO_ROOM_RETRY_MAX_MS 2000U
 #define MS_PER_S 1000.0
 
 static void append_retry_after(const ts_gateway_t *gateway, uint32_t retry_after_ms,
@@ -57,7 +60,8 @@
 {
     GString *fields = g_string_new("Content-Type: application/json\r\n");
     const char *id_name = gateway->dialect->headers.request_id;
-    const char *id = ts_http_message_find(ts_caller_message(caller), id_name);
+    const ts_http_message_t *message = ts_caller_message(caller);
+    const char *id = message->is_head_complete ? ts_http_message_find(message, id_name) : NULL;
     if (id != NULL) {
         g_string_append_printf(fields, "%s: %s\r\n", id_name, id);
     }
@@ -85,6 +89,19 @@
     ts_answer_error(gateway, caller, STATUS_UNAVAILABLE, TS_E_STOPPING, stopping_retry_ms(gateway));
 }
 
+void ts_answer_no_room(ts_gateway_t *gateway, ts_caller_t *caller)
+{
+    const ts_http_message_t *message = ts_caller_message(caller);
+    uint32_t given_ms =
+        message->is_head_complete ? ts_request_caller_timeout_ms(gateway, message) : 0;
+    uint32_t wait_max_ms = ts_answer_retry_wait_max_ms(
+        gateway, (given_ms == 0 ? NO_ROOM_RETRY_MAX_MS : given_ms) * TS_US_PER_MS);
+    uint32_t retry_ms = NO_ROOM_RETRY_MIN_MS +
+                        ts_gateway_random(gateway) % (NO_ROOM_RETRY_MAX_MS - NO_ROOM_RETRY_MIN_MS);
+    ts_answer_error(gateway, caller, STATUS_UNAVAILABLE, TS_E_NO_ROOM,
+                    MAX(MIN(retry_ms, wait_max_ms), 1));
+}
+
 /* -- Success ----------------------------------------------------------------------------------- */
 
 static void answer_gathered(ts_request_t *request)
--- a/src/edge/caller.c
+++ b/src/edge/caller.c
@@ -48,6 +48,7 @@
         return;
     }
     caller->is_closing = true;
+    ts_memory_charge_clear(&caller->request_charge);
     ts_memory_charge_clear(&caller->answer_charge);
     unlink_caller(caller);
     if (caller->state == CALLER_PROCESSING) {
@@ -94,6 +95,7 @@
     caller->message.head_max = limits->head_bytes;
     caller->message.body_max = limits->body_bytes;
     caller->has_sent_continue = false;
+    ts_caller_charge_request(caller);
     ts_caller_read_pipelined(caller);
 }
 
@@ -161,6 +163,8 @@
 {
     ts_caller_t *caller = g_new0(ts_caller_t, 1);
     caller->listener = listener;
+    caller->request_charge.budget = listener->request_budget;
+    caller->request_charge.is_reclaimable = true;
     caller->answer_charge.budget = listener->answer_budget;
     caller->answer_charge.is_reclaimable = true;
     ts_http_message_init(&caller->message, true, listener->limits.head_bytes,
@@ -176,6 +180,7 @@
     ts_listener_size_buffers(listener);
     ts_count(TS_COUNTER_CALLER_CONNECTIONS, 1);
     ts_caller_set_state(caller, CALLER_READING);
+    ts_caller_charge_request(caller);
     if (uv_accept((uv_stream_t *)&listener->socket, (uv_stream_t *)&caller->socket) != 0) {
         ts_caller_close(caller);
         return;
--- a/src/edge/caller_internal.h
+++ b/src/edge/caller_internal.h
@@ -21,9 +21,10 @@
     GString *pipelined;   /**< bytes received after the current request; NULL: none */
     GString *output;      /**< head of the answer being written, with a short body; or NULL */
     GString *output_body; /**< body of that answer if it is longer; or NULL */
-    ts_memory_charge_t answer_charge; /**< for the answer being written */
-    ts_time_us_t keep_until_us;       /**< until then the answer is not given up to free memory */
-    void *request;                    /**< set by the owner */
+    ts_memory_charge_t request_charge; /**< for the connection and what the client has sent */
+    ts_memory_charge_t answer_charge;  /**< for the answer being written */
+    ts_time_us_t keep_until_us;        /**< until then the answer is not given up to free memory */
+    void *request;                     /**< set by the owner */
     ts_time_us_t since_us; /**< start of the state, or arrival of a request's first byte */
     bool is_last;          /**< the connection is shut down after the answer */
     bool is_closing;
@@ -43,10 +44,11 @@
     bool is_closed;
     unsigned connections;
     ts_caller_t *callers;
-    ts_memory_budget_t *answer_budget; /**< NULL: not limited */
-    size_t socket_bytes;               /**< for the sockets' buffers; 0: not limited */
-    unsigned socket_class;             /**< number of connections for which these are set */
-    bool has_sized_buffers;            /**< they were set at least once */
+    ts_memory_budget_t *request_budget; /**< NULL: not limited */
+    ts_memory_budget_t *answer_budget;  /**< NULL: not limited */
+    size_t socket_bytes;                /**< for the sockets' buffers; 0: not limited */
+    unsigned socket_class;              /**< number of connections for which these are set */
+    bool has_sized_buffers;             /**< they were set at least once */
 };
 
 /** Accepts the connection that waits at the listener's socket, and begins to read. */
@@ -64,6 +66,8 @@
 void ts_caller_read_pipelined(ts_caller_t *caller);
 /** Frees the buffered pipelined bytes. */
 void ts_caller_drop_pipelined(ts_caller_t *caller);
+/** Charges what the connection holds of requests. */
+void ts_caller_charge_request(ts_caller_t *caller);
 /** Whether the client has closed a connection that is not read at the moment. */
 bool ts_caller_has_left(const ts_caller_t *caller);
 /** Adapts the buffers of sockets accepted from now on to the number of connections. */
--- a/src/edge/caller_read.c
+++ b/src/edge/caller_read.c
@@ -14,9 +14,16 @@
 /* While a request is in progress, reading pauses when this many bytes have followed it. It does not
  * pause at the first byte, as a client that leaves is noticed by reading. */
 #define PIPELINED_MAX 4096
+/* Memory of a connection without what it has received. */
+#define CONNECTION_BYTES 2048
+/* Bodies get this share of the budget, so that short requests pass when bodies have filled it. */
+#define BODIES_SHARE 0.75
+/* A request of any allowed length passes while less than this share is in use. */
+#define CALM_SHARE 0.25
 #define STATUS_BAD_REQUEST 400
 #define STATUS_TOO_LARGE 413
 #define STATUS_HEAD_TOO_LARGE 431
+#define STATUS_UNAVAILABLE 503
 
 static unsigned error_status(ts_error_t error)
 {
@@ -26,10 +33,18 @@
     return error == TS_E_HEAD_TOO_LARGE ? STATUS_HEAD_TOO_LARGE : STATUS_BAD_REQUEST;
 }
 
+/* Frees the body of a request that is refused; its connection ends with the answer. */
+static void end_request(ts_caller_t *caller)
+{
+    caller->is_last = true;
+    ts_http_message_drop_body(&caller->message);
+    ts_caller_charge_request(caller);
+}
+
 void ts_caller_refuse(ts_caller_t *caller, unsigned status)
 {
     ts_count(TS_COUNTER_HTTP_BAD_REQUESTS, 1);
-    caller->is_last = true;
+    end_request(caller);
     ts_caller_answer(caller, status, NULL, NULL, 0);
 }
 
@@ -54,6 +69,51 @@
     (void)uv_try_write((uv_stream_t *)&caller->socket, &buffer, 1);
 }
 
+/* Memory for the whole body, as far as its length is known. */
+static size_t body_memory(const ts_http_message_t *message)
+{
+    bool is_expected = message->is_head_complete && !message->is_complete &&
+                       !message->is_body_dropped && message->body_length != UINT64_MAX;
+    return is_expected ? ts_memory_of_length((size_t)message->body_length)
+                       : ts_memory_of_string(message->body);
+}
+
+void ts_caller_charge_request(ts_caller_t *caller)
+{
+    const ts_http_message_t *message = &caller->message;
+    size_t others = ts_http_message_memory(message) - ts_memory_of_string(message->body);
+    ts_memory_charge_set(&caller->request_charge, CONNECTION_BYTES + others + body_memory(message) +
+                                                      ts_memory_of_string(caller->pipelined));
+}
+
+/* Charges the request, as far as it is known. Returns whether the budget has room for it. */
+static bool has_room(ts_caller_t *caller)
+{
+    ts_memory_budget_t *budget = caller->request_charge.budget;
+    if (budget == NULL)
+        return true;
+    size_t charged = caller->request_charge.bytes;
+    bool is_calm = ts_memory_budget_has_room(budget, 0, CALM_SHARE);
+    ts_caller_charge_request(caller);
+    if (is_calm || caller->request_charge.bytes <= charged)
+        return true;
+    const ts_http_message_t *message = &caller->message;
+    bool has_body = message->body_bytes > 0 || (message->is_head_complete && !message->is_complete);
+    return ts_memory_budget_make_room(budget, 0, has_body ? BODIES_SHARE : 1);
+}
+
+/* Rejects a request that there is no memory for, and ends the connection. */
+static void refuse_for_room(ts_caller_t *caller)
+{
+    const ts_listener_ops_t *ops = caller->listener->ops;
+    ts_count(TS_COUNTER_CALLERS_REFUSED, 1);
+    end_request(caller);
+    if (ops->no_room != NULL)
+        ops->no_room(caller, caller->listener->context);
+    else
+        ts_caller_answer(caller, STATUS_UNAVAILABLE, NULL, NULL, 0);
+}
+
 /* Feeds bytes to the current request. Returns the number of bytes that belong to it. */
 static size_t read_request(ts_caller_t *caller, const char *bytes, size_t length)
 {
@@ -67,6 +127,13 @@
         ts_caller_refuse(caller, error_status(message->error));
         return used;
     }
+    bool is_refused = !has_room(caller);
+    if (caller->is_closing)
+        return used; // it was slow itself, and closed to make room
+    if (is_refused) {
+        refuse_for_room(caller);
+        return used;
+    }
     if (!message->is_complete) {
         if (message->is_head_complete) {
             send_continue(caller);
@@ -80,6 +147,8 @@
     ts_count(TS_COUNTER_REQUESTS, 1);
     ts_caller_set_state(caller, CALLER_PROCESSING);
     caller->listener->ops->request(caller, caller->listener->context);
+    if (!caller->is_closing)
+        ts_caller_charge_request(caller); // the owner has taken the body
     return used;
 }
 
@@ -122,6 +191,7 @@
     if (caller->pipelined == NULL)
         caller->pipelined = g_string_new(NULL);
     g_string_append_len(caller->pipelined, bytes, (gssize)length);
+    ts_caller_charge_request(caller);
     if (caller->pipelined->len >= PIPELINED_MAX)
         pause_reading(caller);
 }
--- a/src/edge/caller_reclaim.c
+++ b/src/edge/caller_reclaim.c
@@ -36,6 +36,8 @@
 /* Bytes that closing the connection would free in the budget. */
 static size_t held_bytes(const ts_caller_t *caller, const ts_memory_budget_t *budget)
 {
+    if (caller->request_charge.budget == budget)
+        return caller->request_charge.bytes;
     return caller->answer_charge.budget == budget ? caller->answer_charge.bytes : 0;
 }
 
--- a/src/edge/gateway.c
+++ b/src/edge/gateway.c
@@ -116,7 +116,12 @@
     ts_request_abandon(context, caller);
 }
 
-static const ts_listener_ops_t caller_ops = {begin_request, abandon_request};
+static void refuse_for_room(ts_caller_t *caller, void *context)
+{
+    ts_answer_no_room(context, caller);
+}
+
+static const ts_listener_ops_t caller_ops = {begin_request, abandon_request, refuse_for_room};
 
 bool ts_gateway_is_initialized(const ts_gateway_t *gateway)
 {
@@ -152,12 +157,13 @@
 {
 }
 
-static const ts_listener_ops_t ready_ops = {answer_ready, ignore_disconnect};
-static const ts_listener_ops_t metrics_ops = {answer_metrics, ignore_disconnect};
+static const ts_listener_ops_t ready_ops = {answer_ready, ignore_disconnect, NULL};
+static const ts_listener_ops_t metrics_ops = {answer_metrics, ignore_disconnect, NULL};
 
 static void apply_process_limits(ts_gateway_t *gateway)
 {
     ts_process_limits_t limits = ts_process_limits(gateway->settings->memory_mb);
+    ts_memory_budget_set_limit(gateway->request_budget, limits.request_bytes);
     ts_memory_budget_set_limit(gateway->answer_budget, limits.answer_bytes);
     if (gateway->caller_listener != NULL)
         ts_listener_set_socket_memory(gateway->caller_listener, limits.socket_bytes);
@@ -177,9 +183,10 @@
                    (settings->metrics == NULL || gateway->metrics_listener != NULL);
     if (!is_open)
         return TS_E_LISTEN;
-    ts_listener_set_answer_budget(gateway->caller_listener, gateway->answer_budget);
+    ts_listener_set_budgets(gateway->caller_listener, gateway->request_budget,
+                            gateway->answer_budget);
     if (gateway->metrics_listener != NULL)
-        ts_listener_set_answer_budget(gateway->metrics_listener, gateway->answer_budget);
+        ts_listener_set_budgets(gateway->metrics_listener, NULL, gateway->answer_budget);
     apply_process_limits(gateway);
     return TS_OK;
 }
@@ -321,6 +328,7 @@
     gateway->zones = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     gateway->route_states =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)ts_route_state_free);
+    gateway->request_budget = ts_memory_budget_create(loop, reclaim_memory, gateway);
     gateway->answer_budget = ts_memory_budget_create(loop, reclaim_memory, gateway);
     gateway->random = ((uint32_t)ts_clock_now_us() ^ g_str_hash(settings->name)) | 1U;
     apply_settings(gateway);
--- a/src/edge/gateway_metrics.c
+++ b/src/edge/gateway_metrics.c
@@ -105,6 +105,7 @@
                  (int64_t)ts_store_mirror_position(gateway->mirror).revision);
     ts_gauge_set(TS_COUNTER_STORE_FORMER_ENTRIES,
                  ts_store_mirror_count_earlier_epoch(gateway->mirror));
+    ts_gauge_set(TS_COUNTER_REQUEST_BYTES, (int64_t)ts_memory_budget_used(gateway->request_budget));
     ts_gauge_set(TS_COUNTER_ANSWER_BYTES, (int64_t)ts_memory_budget_used(gateway->answer_budget));
     ts_gauge_set(TS_COUNTER_INSTANCES_LISTED, ts_registry_count_listed(gateway->registry));
     ts_counters_write_prometheus(out);
--- a/src/edge/listener.c
+++ b/src/edge/listener.c
@@ -139,9 +139,11 @@
     }
 }
 
-void ts_listener_set_answer_budget(ts_listener_t *listener, ts_memory_budget_t *budget)
+void ts_listener_set_budgets(ts_listener_t *listener, ts_memory_budget_t *requests,
+                             ts_memory_budget_t *answers)
 {
-    listener->answer_budget = budget;
+    listener->request_budget = requests;
+    listener->answer_budget = answers;
 }
 
 unsigned ts_listener_connections(const ts_listener_t *listener)
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -152,6 +152,11 @@
     if (!is_gather) {
         init_part(request, 0, ts_route_state_next_target(request->route_state, route));
     }
+    request->request_charge.budget = gateway->request_budget;
+    ts_memory_charge_set(&request->request_charge,
+                         sizeof(*request) + parts * sizeof(ts_request_part_t) +
+                             ts_memory_of_string(request->outgoing->head) +
+                             ts_memory_of_string(request->outgoing->body));
     request->answer_charge.budget = gateway->answer_budget;
     ts_top_records_init(&request->records, route->top_count);
     gateway->requests++;
@@ -166,6 +171,7 @@
     for (unsigned i = 0; i < request->parts_count; i++) {
         ts_part_clear(&request->parts[i]);
     }
+    ts_memory_charge_clear(&request->request_charge);
     ts_memory_charge_clear(&request->answer_charge);
     ts_top_records_clear(&request->records);
     ts_outgoing_unref(request->outgoing);
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -82,8 +82,9 @@
      * gather needs only the minimum coverage. Hedges are timed by it, too.
      */
     ts_time_us_t soft_deadline_us;
-    ts_memory_charge_t answer_charge; /**< for merged records and a saved answer */
-    ts_top_records_t records;         /**< gather: merged from the parts answered so far */
+    ts_memory_charge_t request_charge; /**< for this structure, the head and the body */
+    ts_memory_charge_t answer_charge;  /**< for merged records and a saved answer */
+    ts_top_records_t records;          /**< gather: merged from the parts answered so far */
     unsigned parts_count;
     unsigned parts_answered;
     unsigned parts_lost;
@@ -192,6 +193,8 @@
                      uint32_t retry_after_ms);
 /** Longest retry-after time that a caller waits for if it has `left_us`. */
 uint32_t ts_answer_retry_wait_max_ms(const ts_gateway_t *gateway, ts_time_us_t left_us);
+/** Rejects a request that was received in part, as there is no memory for it. */
+void ts_answer_no_room(ts_gateway_t *gateway, ts_caller_t *caller);
 /** Rejects a request of which nothing was sent, because the gateway is stopping. */
 void ts_answer_stopping(ts_gateway_t *gateway, ts_caller_t *caller);
 /**
--- a/src/http/http_message.c
+++ b/src/http/http_message.c
@@ -293,7 +293,8 @@
 {
     for (guint i = 0; i < message->fields->len; i++) {
         const ts_http_field_t *field = &g_array_index(message->fields, ts_http_field_t, i);
-        if (strcasecmp(ts_http_message_text(message, field->name), name) == 0) {
+        bool has_value = field->value != 0; // else the head has not been received so far
+        if (has_value && strcasecmp(ts_http_message_text(message, field->name), name) == 0) {
             return ts_http_message_text(message, field->value);
         }
     }
--- a/src/kernel/memory_budget.c
+++ b/src/kernel/memory_budget.c
@@ -193,3 +193,11 @@
 {
     return string == NULL ? 0 : string->allocated_len;
 }
+
+size_t ts_memory_of_length(size_t length)
+{
+    size_t allocated = 1;
+    while (allocated <= length)
+        allocated *= 2;
+    return allocated;
+}
--- a/src/upstream/upstream.c
+++ b/src/upstream/upstream.c
@@ -573,14 +573,12 @@
     begin_reading(connection);
 }
 
-/* Largest memory that the answer can take. An allocated buffer is a power of two. */
+/* Largest memory that the answer can take. */
 static size_t answer_memory_max(const ts_http_message_t *answer)
 {
     size_t length = (size_t)MIN(answer->body_length, ANSWER_BODY_MAX);
-    size_t allocated = UNRESERVED_READ_BYTES;
-    while (allocated <= length)
-        allocated *= 2;
-    return allocated + ts_memory_of_string(answer->text) + ts_memory_of_string(answer->target);
+    return ts_memory_of_length(length) + ts_memory_of_string(answer->text) +
+           ts_memory_of_string(answer->target);
 }
 
 /* Reserves memory for the rest of an answer, or pauses reading until there is room for it. */
--- a/tests/gateway/test_callers.c
+++ b/tests/gateway/test_callers.c
@@ -145,6 +145,44 @@
     assert_int_equal(searcher->runs, 1);
 }
 
+/*
+ * Bodies that do not fit together into the memory for requests are refused when they are announced,
+ * as not run, and short requests still pass. Clients that do not send the body that they announced
+ * are closed for one that does.
+ */
+static void test_bodies_without_room_are_refused(void **state)
+{
+    enum { CLIENTS = 80, SLOW_MS = 1100 };
+    fixture_t *fixture = fixture_open("memory_mb: 32\n");
+    lab_searcher_t *searcher = fixture_add_searcher(fixture, "i-1", "a", "z1");
+    fixture_put_config(fixture, 1, SERVICE_ROUTE_JSON("one", "/p/", "idempotent", "a", 9000));
+    client_t *clients[CLIENTS];
+    for (unsigned i = 0; i < CLIENTS; i++) {
+        clients[i] = client_connect(fixture, fixture->callers_port);
+        client_send(clients[i],
+                    "POST /p/x HTTP/1.1\r\n" REQUIRED_FIELDS "Content-Length: 65536\r\n\r\n");
+        fixture_run_ms(fixture, 1);
+    }
+    client_t *refused = clients[CLIENTS - 1];
+    assert_int_equal(client_await_response(fixture, refused), 503);
+    assert_string_equal(ts_http_message_find(&refused->response, "X-Request-Id"), "r");
+    assert_string_equal(ts_http_message_find(&refused->response, "Connection"), "close");
+    assert_non_null(ts_http_message_find(&refused->response, "Retry-After"));
+    assert_non_null(strstr(refused->response.body->str, "no_room"));
+    assert_int_equal(clients[0]->received->len, 0);
+    assert_int_equal(searcher->runs, 0);
+    unsigned status = 0;
+    client_get(fixture, "/p/short", "r2", 1000, &status);
+    assert_int_equal(status, 200);
+    fixture_run_ms(fixture, SLOW_MS);
+    client_t *sender = client_connect(fixture, fixture->callers_port);
+    client_send(sender, "POST /p/x HTTP/1.1\r\n" REQUIRED_FIELDS "Content-Length: 65536\r\n\r\n");
+    char *body = g_strnfill(65536, 'b');
+    client_send(sender, body);
+    assert_int_equal(client_await_response(fixture, sender), 200);
+    g_free(body);
+}
+
 static void test_readiness(void **state)
 {
     fixture_t *fixture = fixture_open(NULL);
@@ -209,6 +247,7 @@
         cmocka_unit_test(test_pipelined_requests),
         cmocka_unit_test(test_expect_100_continue),
         cmocka_unit_test(test_trailer_fields_are_dropped),
+        cmocka_unit_test(test_bodies_without_room_are_refused),
         cmocka_unit_test(test_readiness),
         cmocka_unit_test(test_settings_reload_keeps_distances),
         cmocka_unit_test(test_shutdown_closes_connections_after_responses),
