Bound the connections of callers, of the other ports and to backends

Callers saw: with more silent connections than a process has descriptors, an ordinary caller got no answer: nothing was left for connections to backends, and libuv closed each connection that it accepted beyond the limit, without a line in the log.

Cause: all kinds of connections took descriptors first come, first served, and nothing bounded one kind.

At its limit, a listener closes the connection that has been idle for longest (100 ms at least) for a new one, or else the slowest; if all have requests in progress, new ones wait to be accepted. To backends, the idle connection that has rested longest is closed for a new one; if none is idle, the send fails as not sent, at no one's account. If accepting fails all the same, a line a second and a counter say so.

--- a/include/tealspar/caller.h
+++ b/include/tealspar/caller.h
@@ -68,6 +68,11 @@
  */
 void ts_listener_set_budgets(ts_listener_t *listener, ts_memory_budget_t *requests,
                              ts_memory_budget_t *answers);
+/**
+ * Sets the maximum number of connections. At the maximum, one that is idle or slow is closed for a
+ * new one; if there is none, new ones wait.
+ */
+void ts_listener_set_connections_max(ts_listener_t *listener, unsigned connections_max);
 /**
  * Sets the memory for the kernel's buffers of all connections. The more there are, the smaller are
  * those of further ones.
--- a/include/tealspar/counters.h
+++ b/include/tealspar/counters.h
@@ -110,6 +110,11 @@
       "answers of back ends that were not read further until there was memory for them")           \
     X(CALLERS_CLOSED, counter, "callers_closed_total",                                             \
       "connections of callers closed to free memory or descriptors")                               \
+    X(ACCEPTS_FAILED, counter, "accepts_failed_total",                                             \
+      "times a connection of a caller could not be accepted")                                      \
+    X(CONNECTS_DENIED, counter, "connects_denied_total",                                           \
+      "sends that failed unsent as there were too many connections to back ends")                  \
+    X(BACKEND_CONNECTIONS, gauge, "backend_connections", "open connections to back ends")          \
     X(CALLERS_REFUSED, counter, "callers_refused_total",                                           \
       "requests of callers refused as there was no memory for them")                               \
     X(ANSWER_BYTES, gauge, "answer_bytes", "memory held for answers")                              \
--- a/include/tealspar/log.h
+++ b/include/tealspar/log.h
@@ -36,6 +36,7 @@
     X(REQUEST_FAILED, MESSAGE, "request_failed")                                                   \
     X(REQUEST_LEFT, MESSAGE, "request_left")                                                       \
     X(REQUEST_CUT, WARNING, "request_cut")                                                         \
+    X(ACCEPT_FAILED, WARNING, "accept_failed")                                                     \
     X(CALLER_CLOSED, INFO, "caller_closed")                                                        \
     X(PART_SENT_AGAIN, INFO, "part_sent_again")                                                    \
     X(PART_DENIED, INFO, "part_denied")                                                            \
--- a/include/tealspar/upstream.h
+++ b/include/tealspar/upstream.h
@@ -46,6 +46,11 @@
 /** Sets the limit of idle connections; without a callback their number is not limited. */
 void ts_upstream_set_idle_limit_callback(ts_upstream_t *upstream,
                                          ts_upstream_idle_limit_cb_t callback, void *ctx);
+/**
+ * Sets the maximum number of connections. At the maximum, the one that has been idle for longest is
+ * closed for a new one; if none is idle, a send that needs a new one fails as not sent.
+ */
+void ts_upstream_set_connections_max(ts_upstream_t *upstream, unsigned connections_max);
 /**
  * Sets the budget of the memory for answers. An answer that does not fit is not read further,
  * beyond its first few kilobytes, until there is room; without a budget all are read.
--- a/src/edge/caller.c
+++ b/src/edge/caller.c
@@ -55,6 +55,8 @@
         caller->listener->ops->disconnected(caller, caller->listener->context);
     }
     uv_close((uv_handle_t *)&caller->socket, free_caller);
+    if (caller->listener->is_accepting_paused)
+        ts_listener_accept(caller->listener);
 }
 
 void ts_caller_set_state(ts_caller_t *caller, caller_state_t state)
--- a/src/edge/caller_internal.h
+++ b/src/edge/caller_internal.h
@@ -43,6 +43,9 @@
     bool is_keep_alive_disabled;
     bool is_closed;
     unsigned connections;
+    unsigned connections_max; /**< 0: not limited */
+    ts_time_us_t reported_us; /**< when a failure to accept was last logged; 0: never */
+    bool is_accepting_paused; /**< a new connection waits to be accepted */
     ts_caller_t *callers;
     ts_memory_budget_t *request_budget; /**< NULL: not limited */
     ts_memory_budget_t *answer_budget;  /**< NULL: not limited */
@@ -70,6 +73,13 @@
 void ts_caller_charge_request(ts_caller_t *caller);
 /** Whether the client has closed a connection that is not read at the moment. */
 bool ts_caller_has_left(const ts_caller_t *caller);
+/**
+ * Closes the connection that has been idle for longest, or else the slowest one. Returns false if
+ * all have requests in progress or are new.
+ */
+bool ts_listener_close_one(ts_listener_t *listener);
+/** Accepts the connection that waits, if there is room. */
+void ts_listener_accept(ts_listener_t *listener);
 /** Adapts the buffers of sockets accepted from now on to the number of connections. */
 void ts_listener_size_buffers(ts_listener_t *listener);
 /** Whether no byte of a request has arrived since the last answer. */
--- a/src/edge/gateway.c
+++ b/src/edge/gateway.c
@@ -162,11 +162,18 @@
 
 static void apply_process_limits(ts_gateway_t *gateway)
 {
-    ts_process_limits_t limits = ts_process_limits(gateway->settings->memory_mb);
+    const ts_gateway_settings_t *settings = gateway->settings;
+    ts_process_limits_t limits = ts_process_limits(settings->memory_mb, settings->descriptors_max);
     ts_memory_budget_set_limit(gateway->request_budget, limits.request_bytes);
     ts_memory_budget_set_limit(gateway->answer_budget, limits.answer_bytes);
-    if (gateway->caller_listener != NULL)
-        ts_listener_set_socket_memory(gateway->caller_listener, limits.socket_bytes);
+    if (gateway->caller_listener == NULL)
+        return; // applied again once the listeners are open
+    ts_listener_set_socket_memory(gateway->caller_listener, limits.socket_bytes);
+    ts_listener_set_connections_max(gateway->caller_listener, limits.callers_max);
+    ts_listener_set_connections_max(gateway->ready_listener, limits.others_max);
+    if (gateway->metrics_listener != NULL)
+        ts_listener_set_connections_max(gateway->metrics_listener, limits.others_max);
+    ts_upstream_set_connections_max(gateway->upstream, limits.backends_max);
 }
 
 static ts_error_t open_listeners(ts_gateway_t *gateway)
--- a/src/edge/listener.c
+++ b/src/edge/listener.c
@@ -3,6 +3,7 @@
 
 #include "tealspar/address.h"
 #include "tealspar/counters.h"
+#include "tealspar/log.h"
 
 #define BACKLOG 1024
 /* After the last answer, the client has this long to close its side of the connection. */
@@ -13,15 +14,46 @@
 /* A closing listener leaves new connections open this long, as a request that arrived while they
  * waited to be accepted is read only in the next loop iteration. */
 #define NEW_CONNECTION_US (20 * TS_US_PER_MS)
+/* Minimum interval of log lines about connections that cannot be accepted. */
+#define REPORT_INTERVAL_US TS_US_PER_S
 #define STATUS_TIMEOUT 408
 
+static bool is_full(const ts_listener_t *listener)
+{
+    return listener->connections_max > 0 && listener->connections >= listener->connections_max;
+}
+
+/* Logs a failure to accept, at most once in the interval: it is likely to occur again and again. */
+static void report_accept_failure(ts_listener_t *listener, int status)
+{
+    ts_time_us_t now_us = ts_clock_now_us();
+    ts_count(TS_COUNTER_ACCEPTS_FAILED, 1);
+    if (listener->reported_us != 0 && now_us - listener->reported_us < REPORT_INTERVAL_US)
+        return;
+    listener->reported_us = now_us;
+    ts_log(TS_EVENT_ACCEPT_FAILED, "error=%s connections=%u", uv_err_name(status),
+           listener->connections);
+}
+
+/* libuv accepts the next connection only after this one was taken by uv_accept(). */
+void ts_listener_accept(ts_listener_t *listener)
+{
+    if (listener->is_closed)
+        return;
+    listener->is_accepting_paused = false; // closing a connection would accept another
+    if (!is_full(listener) || ts_listener_close_one(listener))
+        ts_caller_accept(listener);
+    else
+        listener->is_accepting_paused = true;
+}
+
 static void on_connection(uv_stream_t *server, int status)
 {
     ts_listener_t *listener = server->data;
-    if (status < 0) {
-        return;
-    }
-    ts_caller_accept(listener);
+    if (status < 0)
+        report_accept_failure(listener, status);
+    else
+        ts_listener_accept(listener);
 }
 
 ts_listener_t *ts_listener_open(uv_loop_t *loop, const char *address, const ts_listener_ops_t *ops,
@@ -117,6 +149,8 @@
         next = caller->next;
         sweep_caller(caller, &listener->limits, now_us);
     }
+    if (listener->is_accepting_paused)
+        ts_listener_accept(listener);
 }
 
 void ts_listener_each_busy(ts_listener_t *listener, void (*visit)(ts_caller_t *caller, void *ctx),
@@ -139,6 +173,11 @@
     }
 }
 
+void ts_listener_set_connections_max(ts_listener_t *listener, unsigned connections_max)
+{
+    listener->connections_max = connections_max;
+}
+
 void ts_listener_set_budgets(ts_listener_t *listener, ts_memory_budget_t *requests,
                              ts_memory_budget_t *answers)
 {
--- a/src/upstream/upstream.c
+++ b/src/upstream/upstream.c
@@ -48,6 +48,7 @@
     ts_instance_t *instance;
     ts_exchange_t *exchange; /**< its current exchange, or NULL */
     GList idle_link;         /**< link in the instance's idle queue */
+    GList idle_order_link;   /**< link in `idle_order` */
     ts_http_message_t answer;
     ts_time_us_t idle_since_us;       /**< when it last became idle; 0: never */
     ts_time_us_t idle_before_send_us; /**< how long it was idle before the current exchange */
@@ -91,6 +92,9 @@
     void *broken_send_ctx;
     ts_stall_detector_t *stall_detector; /* may be NULL */
     ts_memory_budget_t *answer_budget;   /* may be NULL */
+    unsigned connections;
+    unsigned connections_max; /* 0: not limited */
+    GQueue idle_order;        /* idle connections to all instances, the latest first */
 };
 
 static void close_connection(ts_connection_t *connection);
@@ -343,6 +347,7 @@
 {
     if (connection->is_idle) {
         g_queue_unlink(&connection->instance->idle, &connection->idle_link);
+        g_queue_unlink(&connection->upstream->idle_order, &connection->idle_order_link);
         connection->is_idle = false;
     }
 }
@@ -356,6 +361,8 @@
     ts_memory_charge_clear(&connection->charge);
     remove_from_idle(connection);
     connection->instance->connections--;
+    connection->upstream->connections--;
+    ts_count(TS_COUNTER_BACKEND_CONNECTIONS, -1);
     uv_close((uv_handle_t *)&connection->socket, free_connection);
 }
 
@@ -469,6 +476,7 @@
     connection->upstream = upstream;
     connection->instance = instance;
     connection->idle_link.data = connection;
+    connection->idle_order_link.data = connection;
     connection->idle_timeout_us = IDLE_TIMEOUT_DEFAULT_US;
     connection->request_bytes = g_string_new(NULL);
     connection->charge.budget = upstream->answer_budget;
@@ -478,6 +486,8 @@
     connection->socket.data = connection;
     connection->connecting.data = connection;
     instance->connections++;
+    upstream->connections++;
+    ts_count(TS_COUNTER_BACKEND_CONNECTIONS, 1);
     ts_count(TS_COUNTER_CONNECTS, 1);
     return connection;
 }
@@ -503,6 +513,18 @@
     return NULL;
 }
 
+/* Returns whether a connection may be opened; closes the one that has been idle for longest if
+ * needed. */
+static bool make_room_for_connection(const ts_upstream_t *upstream)
+{
+    if (upstream->connections_max == 0 || upstream->connections < upstream->connections_max)
+        return true;
+    if (upstream->idle_order.length == 0)
+        return false;
+    close_connection(upstream->idle_order.tail->data);
+    return true;
+}
+
 static ts_exchange_t *create_exchange(ts_upstream_t *upstream, ts_instance_t *instance,
                                       ts_outgoing_t *outgoing, ts_exchange_done_t done, void *owner)
 {
@@ -539,6 +561,7 @@
     exchange->cause = terms->is_repeat ? TS_BYTES_SECOND_SEND : TS_BYTES_FIRST_SEND;
     ts_connection_t *connection = take_idle_connection(instance, outgoing->is_repeatable);
     bool is_new = connection == NULL;
+    bool has_descriptor = !is_new || make_room_for_connection(upstream);
     if (is_new) {
         connection = open_connection(upstream, instance);
     }
@@ -548,6 +571,11 @@
         write_request(connection);
         return exchange;
     }
+    if (!has_descriptor) {
+        ts_count(TS_COUNTER_CONNECTS_DENIED, 1);
+        schedule_failure(exchange);
+        return exchange;
+    }
     if (uv_tcp_connect(&connection->connecting, &connection->socket,
                        (const struct sockaddr *)&instance->address, on_connected) != 0) {
         ts_count(TS_COUNTER_CONNECTS_FAILED, 1);
@@ -690,6 +718,7 @@
     }
     connection->is_idle = true;
     g_queue_push_head_link(&connection->instance->idle, &connection->idle_link);
+    g_queue_push_head_link(&connection->upstream->idle_order, &connection->idle_order_link);
     close_excess_idle(connection->upstream, connection->instance, connection->idle_since_us);
 }
 
@@ -778,6 +807,7 @@
     ts_upstream_t *upstream = g_new0(ts_upstream_t, 1);
     upstream->loop = loop;
     upstream->dialect = dialect;
+    g_queue_init(&upstream->idle_order);
     uv_timer_init(loop, &upstream->timer);
     upstream->timer.data = upstream;
     return upstream;
@@ -802,6 +832,11 @@
     upstream->stall_detector = detector;
 }
 
+void ts_upstream_set_connections_max(ts_upstream_t *upstream, unsigned connections_max)
+{
+    upstream->connections_max = connections_max;
+}
+
 void ts_upstream_set_answer_budget(ts_upstream_t *upstream, ts_memory_budget_t *budget)
 {
     upstream->answer_budget = budget;
