A status outside 100 to 599, or 101, makes an answer invalid

Callers saw: a searcher in trouble that answers with status 000 held its caller until the deadline (504), and a status such as 600 or 999 reached the caller as an answer.

Cause: any status up to 199 was taken for an interim response, which is skipped until the final one comes; no upper bound was checked.

Now such a head is malformed like any other: the connection is closed, the failure counts against the searcher, a repeatable request is sent to another one at once, a part is missing from a gather, and a request that may run only once ends with 502 at once, as it may have run. 101 was never asked for. Other interim statuses are still skipped. The two-hop node takes any status that it does not know for a bad answer already.

Evidence: test_invalid_status (the searcher's failure was not counted) and test_invalid_status_of_request_that_runs_once (504 instead of 502) failed before and pass, for 000, 0, 20, 099, 101, 600, 999, abc, 2000 and -20. test_other_statuses_are_passed_on and test_part_with_invalid_status_is_missing passed before, too.

--- a/include/tealspar/http_message.h
+++ b/include/tealspar/http_message.h
@@ -61,7 +61,8 @@
 void ts_http_message_clear(ts_http_message_t *message);
 /**
  * Parses bytes until the message is complete or invalid. Returns the number of bytes consumed;
- * bytes after a complete message are not consumed. Interim responses (1xx) are skipped.
+ * bytes after a complete message are not consumed. Interim responses (1xx) are skipped; a status
+ * outside 100 to 599, and 101, make a response invalid.
  */
 size_t ts_http_message_feed(ts_http_message_t *message, const char *bytes, size_t length);
 /**
--- a/lab/standin_searcher.c
+++ b/lab/standin_searcher.c
@@ -92,6 +92,16 @@
                            NAME_REQUEST_ID, id, extra);
 }
 
+/* Replaces the status of the response by a text. */
+static void replace_status(connection_t *connection, const char *text)
+{
+    size_t begin = strlen("HTTP/1.1 ");
+    const char *end = strchr(connection->response->str + begin, ' ');
+    g_string_erase(connection->response, (gssize)begin,
+                   (gssize)(end - connection->response->str) - (gssize)begin);
+    g_string_insert(connection->response, (gssize)begin, text);
+}
+
 /* Returns the body of the response to a request; the caller frees it. */
 static GString *compose_body(lab_searcher_t *searcher, const char *id)
 {
@@ -243,6 +253,10 @@
     case LAB_ENCODED:
         append_response(connection, 200, id, "Content-Encoding: gzip\r\n");
         break;
+    case LAB_ODD_STATUS:
+        append_response(connection, 200, id, "");
+        replace_status(connection, searcher->status_text);
+        break;
     case LAB_HANGS:
         connection->is_working = true;
         return;
--- a/lab/standin_searcher.h
+++ b/lab/standin_searcher.h
@@ -25,6 +25,7 @@
     LAB_UNSIGNED,              /**< success without a signature */
     LAB_ENCODED,               /**< success with a content encoding */
     LAB_MALFORMED,             /**< bytes that are not HTTP */
+    LAB_ODD_STATUS,            /**< complete response with `status_text` as its status */
     LAB_CLOSES_AFTER /**< complete response, then an end of stream without `Connection: close` */
 } lab_searcher_behaviour_t;
 
@@ -54,6 +55,7 @@
     unsigned port;
     uint64_t born_ms; /**< start time in its entry; increases with each incarnation */
     lab_searcher_behaviour_t behaviour;
+    const char *status_text;  /**< of LAB_ODD_STATUS */
     unsigned delay_ms;        /**< delay of each response */
     unsigned idle_reset_ms;   /**< idle time after which the next bytes cause a reset; 0: never */
     unsigned connections_max; /**< further connections are reset; 0: no limit */
--- a/src/http/http_message.c
+++ b/src/http/http_message.c
@@ -6,7 +6,10 @@
 
 #include "tealspar/memory_budget.h"
 
+#define STATUS_FIRST 100U
+#define STATUS_SWITCHING_PROTOCOLS 101U
 #define INTERIM_STATUS_MAX 199
+#define STATUS_LAST 599U
 /* Larger buffers are not kept for the next message, as a connection may be idle until then. */
 #define BUFFER_KEEP_BYTES 2048
 
@@ -70,9 +73,24 @@
     return 0;
 }
 
+/* Returns what makes http_parser stop after the head. */
+static int reject_head(ts_http_message_t *message, ts_error_t error)
+{
+    (void)set_error(message, error);
+    return -1;
+}
+
+/* This node asks for no other protocol, so that 101 answers nothing. */
+static bool is_valid_status(unsigned status)
+{
+    return status >= STATUS_FIRST && status <= STATUS_LAST && status != STATUS_SWITCHING_PROTOCOLS;
+}
+
 static int end_head(http_parser *parser)
 {
     ts_http_message_t *message = message_of(parser);
+    if (!message->is_request && !is_valid_status(parser->status_code))
+        return reject_head(message, TS_E_BAD_REQUEST);
     message->is_head_complete = true;
     for (guint i = 0; i < message->fields->len; i++) {
         ts_http_field_t *field = &g_array_index(message->fields, ts_http_field_t, i);
@@ -83,7 +101,7 @@
     bool has_length = (parser->flags & F_CONTENTLENGTH) != 0;
     message->body_length = has_length ? parser->content_length : UINT64_MAX;
     if (has_length && parser->content_length > message->body_max) {
-        return set_error(message, TS_E_TOO_LARGE) == 1 ? -1 : 0;
+        return reject_head(message, TS_E_TOO_LARGE);
     }
     return message->is_response_to_head ? 1 : 0; /* 1: http_parser expects no body */
 }
--- a/tests/gateway/test_forwarding.c
+++ b/tests/gateway/test_forwarding.c
@@ -125,6 +125,67 @@
 {
     check_retried(LAB_MALFORMED, true);
 }
+static const char *const invalid_statuses[] = {"000", "0",   "20",  "099",  "101",
+                                               "600", "999", "abc", "2000", "-20"};
+
+/*
+ * A status outside 100 to 599 is no answer, and 101 was never asked for: taken for an interim
+ * answer, it would hold the caller until its deadline; taken for a final one, it would reach the
+ * caller.
+ */
+static void test_invalid_status(void **state)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(invalid_statuses); i++) {
+        lab_searcher_t *first = NULL;
+        lab_searcher_t *second = NULL;
+        unsigned status = 0;
+        fixture_t *fixture = open_single_route("idempotent", &first, &second);
+        first->behaviour = LAB_ODD_STATUS;
+        first->status_text = invalid_statuses[i];
+        client_t *client = client_get(fixture, "/p/x", "r1", 1400, &status);
+        if (status != 200 || second->runs != 1)
+            print_error("status %s of a backend: the caller got %u\n", invalid_statuses[i], status);
+        assert_int_equal(status, 200);
+        assert_int_equal(second->runs, 1);
+        assert_body(client, "0123456789abcdef");
+        const ts_instance_t *failed = ts_registry_find_current(fixture->gateway.registry, "i-1");
+        assert_true(ts_instance_failure_rate(failed, ts_clock_now_us()) > 0.2);
+        assert_int_equal(failed->connections, 0); // the connection is not used again
+    }
+}
+
+/* A request that may run only once has run, or may have: it is not sent again, and its caller is
+ * told so at once. */
+static void test_invalid_status_of_request_that_runs_once(void **state)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(invalid_statuses); i++) {
+        lab_searcher_t *first = NULL;
+        lab_searcher_t *second = NULL;
+        unsigned status = 0;
+        fixture_t *fixture = open_single_route("non_idempotent", &first, &second);
+        first->behaviour = LAB_ODD_STATUS;
+        first->status_text = invalid_statuses[i];
+        client_t *client = client_get(fixture, "/p/x", "r1", 60000, &status);
+        assert_int_equal(status, 502);
+        assert_int_equal(first->runs + second->runs, 1);
+        assert_null(ts_http_message_find(&client->response, "X-Server-Stamp"));
+    }
+}
+
+static void test_other_statuses_are_passed_on(void **state)
+{
+    static const char *const valid[] = {"201", "302", "404", "599"};
+    for (size_t i = 0; i < G_N_ELEMENTS(valid); i++) {
+        lab_searcher_t *searcher = NULL;
+        unsigned status = 0;
+        fixture_t *fixture = open_single_route("non_idempotent", &searcher, NULL);
+        searcher->behaviour = LAB_ODD_STATUS;
+        searcher->status_text = valid[i];
+        client_get(fixture, "/p/x", "r1", 1400, &status);
+        assert_int_equal(status, atoi(valid[i]));
+    }
+}
+
 static void test_overloaded_backend(void **state)
 {
     check_retried(LAB_SHEDS, false);
@@ -362,6 +423,9 @@
         cmocka_unit_test(test_unsigned_response),
         cmocka_unit_test(test_encoded_response),
         cmocka_unit_test(test_malformed_response),
+        cmocka_unit_test(test_invalid_status),
+        cmocka_unit_test(test_invalid_status_of_request_that_runs_once),
+        cmocka_unit_test(test_other_statuses_are_passed_on),
         cmocka_unit_test(test_overloaded_backend),
         cmocka_unit_test(test_error_response),
         cmocka_unit_test(test_hanging_backend),
--- a/tests/gateway/test_gathering.c
+++ b/tests/gateway/test_gathering.c
@@ -221,6 +221,28 @@
     assert_int_equal(count_signatures(client), 3);
 }
 
+/* A part with an invalid status is missing from the answer; its records are not merged. */
+static void test_part_with_invalid_status_is_missing(void **state)
+{
+    static const char *const statuses[] = {"000", "101", "600"};
+    for (size_t i = 0; i < G_N_ELEMENTS(statuses); i++) {
+        shards_t shards = open_shards("0.5");
+        unsigned status = 0;
+        g_string_assign(shards.near[0]->body, "aaaaaaaaaaaaaaaa");
+        g_string_assign(shards.near[1]->body, "mmmmmmmmmmmmmmmm");
+        g_string_assign(shards.near[2]->body, "zzzzzzzzzzzzzzzz");
+        g_string_assign(shards.far[2]->body, "zzzzzzzzzzzzzzzz");
+        shards.near[2]->behaviour = shards.far[2]->behaviour = LAB_ODD_STATUS;
+        shards.near[2]->status_text = shards.far[2]->status_text = statuses[i];
+        client_t *client = client_get(shards.fixture, "/g/x", "r1", 1400, &status);
+        assert_int_equal(status, 200);
+        assert_string_equal(missing_parts(client), "1");
+        assert_int_equal(count_signatures(client), 2);
+        assert_int_equal(client->response.body->len, 32);
+        assert_int_equal(shards.near[2]->runs + shards.far[2]->runs, 2);
+    }
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -234,6 +256,7 @@
         cmocka_unit_test(test_failed_part_is_missing),
         cmocka_unit_test(test_service_without_searchers_is_missing),
         cmocka_unit_test(test_configuration_version_is_pinned),
+        cmocka_unit_test(test_part_with_invalid_status_is_missing),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
