Small receive buffers to backends while answers are short of memory

Callers saw: answers that wait for memory are not read from their backends, but the kernel went on taking up to a whole answer for each of them.

Cause: a connection that has carried long answers has a window of about a megabyte, a new one of 64 kB and more, whether they are read or not.

Now a connection that waits, or is opened while answers hold a quarter of their budget or more, gets a receive buffer of 16 kB. It is closed after its answer once memory is no longer short, as the size can't be given back to the system. In calm nothing changes.

Also: an answer without a length reserves 4 MB rather than 8; the listener's buffers follow the number of connections only when it passes half of the last power of two; options that can't be set are logged.

--- a/src/edge/listener_buffers.c
+++ b/src/edge/listener_buffers.c
@@ -1,7 +1,7 @@
 /** Sizes of the kernel's buffers of client connections. */
 #include "caller_internal.h"
 
-#include "tealspar/counters.h"
+#include "tealspar/log.h"
 
 /*
  * The n-th connection gets 1/(BUFFERS_DIVISOR * n) of the memory for each direction. Up to 1,000
@@ -37,6 +37,10 @@
     unsigned connections = connections_class(listener);
     if (listener->socket_bytes == 0 || listener->is_closed || connections == listener->socket_class)
         return;
+    bool is_slightly_less =
+        connections < listener->socket_class && listener->connections >= listener->socket_class / 2;
+    if (is_slightly_less)
+        return; // their number may vary around a power of two
     if (!listener->has_sized_buffers &&
         listener->socket_bytes / BUFFERS_DIVISOR / connections > BUFFER_MAX_BYTES)
         return;
@@ -46,7 +50,8 @@
     listener->has_sized_buffers = true;
     if (uv_send_buffer_size((uv_handle_t *)&listener->socket, &send_bytes) != 0 ||
         uv_recv_buffer_size((uv_handle_t *)&listener->socket, &receive_bytes) != 0)
-        ts_count_error(TS_E_LIMIT);
+        ts_log(TS_EVENT_FAILURE, "option=socket_buffers bytes=%d connections=%u",
+               buffer_size(listener, connections), listener->connections);
 }
 
 void ts_listener_set_socket_memory(ts_listener_t *listener, size_t bytes)
--- a/src/upstream/upstream.c
+++ b/src/upstream/upstream.c
@@ -7,6 +7,7 @@
 
 #include "tealspar/byte_account.h"
 #include "tealspar/counters.h"
+#include "tealspar/log.h"
 #include "tealspar/stream_end.h"
 #include "tealspar/stream_write.h"
 
@@ -15,6 +16,10 @@
 #define JOINED_BODY_MAX 4096
 /* Bytes of an answer that are read at once before its whole length has room in the budget. */
 #define UNRESERVED_READ_BYTES 4096
+/* The kernel's buffer for answers on a connection once answers hold this share of their budget. The
+ * kernel allocates twice the size. */
+#define SHORTAGE_RECEIVE_BYTES 8192
+#define SHORTAGE_SHARE 0.25
 /* Larger buffers of requests are not kept by idle connections. */
 #define REQUEST_KEEP_BYTES 2048
 #define ANSWER_BODY_MAX (4U * 1024U * 1024U)
@@ -57,6 +62,7 @@
     ts_outgoing_t *written;       /**< owner of a longer body until that is written; or NULL */
     ts_memory_charge_t charge;    /**< for the answer */
     bool is_answer_reserved;      /**< the whole answer has room */
+    bool has_small_buffer;        /**< the kernel buffers less than usual */
     bool is_idle;
     bool is_closing;
 } ts_connection_t;
@@ -100,6 +106,8 @@
 static void close_connection(ts_connection_t *connection);
 static void check_exchanges(uv_timer_t *timer);
 static void begin_reading(ts_connection_t *connection);
+static void shrink_receive_buffer(ts_connection_t *connection);
+static bool is_memory_short(const ts_upstream_t *upstream);
 
 /* -- Exchanges --------------------------------------------------------------------------------- */
 
@@ -461,6 +469,8 @@
         }
         return;
     }
+    if (is_memory_short(connection->upstream))
+        shrink_receive_buffer(connection);
     begin_reading(connection);
     if (exchange != NULL) {
         ts_instance_note_connected(connection->instance, exchange->started_us);
@@ -601,14 +611,36 @@
     begin_reading(connection);
 }
 
-/* Largest memory that the answer can take. */
-static size_t answer_memory_max(const ts_http_message_t *answer)
+/* Memory that the answer takes; without a length, that of the largest allowed one. */
+static size_t answer_memory(const ts_http_message_t *answer)
 {
-    size_t length = (size_t)MIN(answer->body_length, ANSWER_BODY_MAX);
+    size_t length = (size_t)MIN(answer->body_length, ANSWER_BODY_MAX - 1);
     return ts_memory_of_length(length) + ts_memory_of_string(answer->text) +
            ts_memory_of_string(answer->target);
 }
 
+/*
+ * Lets the kernel buffer less of the answers on this connection. Not done in general, as it makes
+ * long answers from far backends slower.
+ */
+static void shrink_receive_buffer(ts_connection_t *connection)
+{
+    int bytes = SHORTAGE_RECEIVE_BYTES;
+    if (connection->has_small_buffer)
+        return;
+    connection->has_small_buffer = true;
+    if (uv_recv_buffer_size((uv_handle_t *)&connection->socket, &bytes) != 0)
+        ts_log(TS_EVENT_FAILURE, "option=receive_buffer bytes=%d instance=%s",
+               SHORTAGE_RECEIVE_BYTES, connection->instance->id);
+}
+
+/* Whether answers hold so much memory that some may have to wait soon. */
+static bool is_memory_short(const ts_upstream_t *upstream)
+{
+    return upstream->answer_budget != NULL &&
+           !ts_memory_budget_has_room(upstream->answer_budget, 0, SHORTAGE_SHARE);
+}
+
 /* Reserves memory for the rest of an answer, or pauses reading until there is room for it. */
 static void reserve_answer(ts_connection_t *connection)
 {
@@ -622,12 +654,13 @@
         return;
     }
     connection->is_answer_reserved =
-        ts_memory_reserve(&connection->charge, answer_memory_max(answer),
+        ts_memory_reserve(&connection->charge, answer_memory(answer),
                           exchange->outgoing->arrived_us, on_answer_reserved, connection);
     if (connection->is_answer_reserved)
         return;
     ts_count(TS_COUNTER_ANSWERS_DELAYED, 1);
     exchange->has_invalid_times = true; // the wait is this node's, not the backend's
+    shrink_receive_buffer(connection);
     uv_read_stop((uv_stream_t *)&connection->socket);
 }
 
@@ -735,6 +768,7 @@
         .error = TS_OK, .run = get_execution_state(connection->upstream, answer), .answer = answer};
     bool is_reusable = answer->keeps_alive && !is_stream_unusable &&
                        !uv_is_closing((uv_handle_t *)&connection->socket) &&
+                       (!connection->has_small_buffer || is_memory_short(connection->upstream)) &&
                        connection->socket.write_queue_size == 0;
     connection->exchange = NULL;
     exchange->connection = NULL;
