--- a/include/tealspar/caller.h
+++ b/include/tealspar/caller.h
@@ -80,11 +80,9 @@
 void ts_listener_set_socket_memory(ts_listener_t *listener, size_t bytes);
 /**
  * Closes connections that transfer slowly, the slowest first, until `bytes` more have room in the
- * budget. Only those that have been at it for a second and hold some kilobytes are closed. Returns
- * their number.
+ * budget. Only those that have been at it for a second and hold some kilobytes are closed.
  */
-unsigned ts_listener_reclaim(ts_listener_t *listener, const ts_memory_budget_t *budget,
-                             size_t bytes);
+void ts_listener_reclaim(ts_listener_t *listener, const ts_memory_budget_t *budget, size_t bytes);
 /** Number of open connections. */
 unsigned ts_listener_connections(const ts_listener_t *listener);
 
--- a/src/edge/caller_internal.h
+++ b/src/edge/caller_internal.h
@@ -1,4 +1,8 @@
-/** Internal to caller.c and listener.c: the state of a client connection and of its listener. */
+/**
+ * Internal to caller*.c and listener*.c: the state of a client connection and of its listener.
+ * caller.c accepts and writes, caller_read.c reads, caller_reclaim.c closes connections for others;
+ * listener.c has the timeouts and limits, listener_buffers.c the sizes of the kernel's buffers.
+ */
 #ifndef TEALSPAR_EDGE_CALLER_INTERNAL_H
 #define TEALSPAR_EDGE_CALLER_INTERNAL_H
 
--- a/src/edge/caller_read.c
+++ b/src/edge/caller_read.c
@@ -34,7 +34,7 @@
 }
 
 /* Frees the body of a request that is refused; its connection ends with the answer. */
-static void end_request(ts_caller_t *caller)
+static void give_up_request(ts_caller_t *caller)
 {
     caller->is_last = true;
     ts_http_message_drop_body(&caller->message);
@@ -44,7 +44,7 @@
 void ts_caller_refuse(ts_caller_t *caller, unsigned status)
 {
     ts_count(TS_COUNTER_HTTP_BAD_REQUESTS, 1);
-    end_request(caller);
+    give_up_request(caller);
     ts_caller_answer(caller, status, NULL, NULL, 0);
 }
 
@@ -107,7 +107,7 @@
 {
     const ts_listener_ops_t *ops = caller->listener->ops;
     ts_count(TS_COUNTER_CALLERS_REFUSED, 1);
-    end_request(caller);
+    give_up_request(caller);
     if (ops->no_room != NULL)
         ops->no_room(caller, caller->listener->context);
     else
@@ -228,8 +228,7 @@
 
 static void on_allocate(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
 {
-    static char
-        bytes[BODY_READ_BYTES]; /* shared: one loop, and each read is consumed immediately */
+    static char bytes[BODY_READ_BYTES]; // shared: one loop, and each read is consumed immediately
     *buffer = uv_buf_init(bytes, (unsigned)read_size(handle->data));
 }
 
--- a/src/edge/caller_reclaim.c
+++ b/src/edge/caller_reclaim.c
@@ -20,7 +20,9 @@
     return length - MIN(length, caller->socket.write_queue_size);
 }
 
-static bool is_transferring(const ts_caller_t *caller, ts_time_us_t now_us)
+/* Whether the client has been sending a request, or taking an answer, for long enough to be slow.
+ */
+static bool may_be_slow(const ts_caller_t *caller, ts_time_us_t now_us)
 {
     if (now_us < caller->since_us + SLOW_AFTER_US)
         return false;
@@ -50,7 +52,7 @@
     ts_caller_t *slowest = NULL;
     for (ts_caller_t *caller = listener->callers; caller != NULL; caller = caller->next) {
         bool is_useful = budget == NULL || held_bytes(caller, budget) >= RECLAIMED_BYTES_MIN;
-        if (is_useful && is_transferring(caller, now_us) &&
+        if (is_useful && may_be_slow(caller, now_us) &&
             (slowest == NULL || transfer_rate(caller, now_us) < transfer_rate(slowest, now_us)))
             slowest = caller;
     }
@@ -79,19 +81,15 @@
     ts_caller_close(caller);
 }
 
-unsigned ts_listener_reclaim(ts_listener_t *listener, const ts_memory_budget_t *budget,
-                             size_t bytes)
+void ts_listener_reclaim(ts_listener_t *listener, const ts_memory_budget_t *budget, size_t bytes)
 {
     ts_time_us_t now_us = ts_clock_now_us();
-    unsigned closed = 0;
     while (!ts_memory_budget_has_room(budget, bytes, 1)) {
         ts_caller_t *slowest = find_slowest(listener, budget, now_us);
         if (slowest == NULL)
             break;
         close_for_others(slowest, "memory");
-        closed++;
     }
-    return closed;
 }
 
 bool ts_listener_close_one(ts_listener_t *listener)
