A mirror that applied a list sends no single changes since before it

Cause: a list contains no deletions. A gateway that had listed the entries at L answered a pull from an earlier position with the changes it knew, without the deletions before L, and the peer moved to L with the deleted entry still listed.

Evidence: test_deletion_before_a_list_reaches_peers failed before ("0 != -1": a wrong key 0) and passes. The position up to which tombstones have expired already forced a whole list; the position of a list that moves the mirror on now does the same, so a peer never takes an incomplete history for a complete one.

--- a/src/control/store_mirror.c
+++ b/src/control/store_mirror.c
@@ -34,8 +34,9 @@
     ts_gateway_t *gateway;
     GHashTable *items; /* key -> mirror_entry_t, owned */
     ts_store_position_t position;
-    /* Position of the latest removed tombstone; earlier changes can no longer be listed singly. */
-    ts_store_position_t last_swept;
+    /* Changes after an earlier position can no longer be listed singly: tombstones were removed, or
+     * a list replaced the changes. */
+    ts_store_position_t history_start;
     uint64_t base_revision;
     uint64_t rewrite_window_epoch; /* epoch of the last rewrite window; 0: none */
     uv_timer_t rewrite_timer;
@@ -448,6 +449,12 @@
     }
 }
 
+static void raise_position(ts_store_position_t *position, ts_store_position_t minimum)
+{
+    if (ts_store_position_compare(*position, minimum) < 0)
+        *position = minimum;
+}
+
 unsigned ts_store_mirror_apply_list(ts_store_mirror_t *mirror, const ts_store_list_t *list)
 {
     if (list->position.epoch > mirror->position.epoch)
@@ -461,6 +468,8 @@
     GHashTable *keys = collect_list_keys(list);
     delete_unlisted(mirror, keys, list->position);
     g_hash_table_unref(keys);
+    if (ts_store_position_compare(list->position, mirror->position) > 0)
+        raise_position(&mirror->history_start, list->position);
     mirror->is_loaded = true;
     ts_store_mirror_advance(mirror, list->position, list->confirmed_us);
     return applied;
@@ -598,7 +607,7 @@
     GHashTableIter iterator;
     gpointer value = NULL;
     *is_whole =
-        is_initial || is_other_epoch || ts_store_position_compare(after, mirror->last_swept) < 0;
+        is_initial || is_other_epoch || ts_store_position_compare(after, mirror->history_start) < 0;
     add_kept_from_earlier_epoch(mirror, changes);
     g_hash_table_iter_init(&iterator, mirror->items);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
@@ -625,8 +634,7 @@
                           now_us - item->updated_us > TOMBSTONE_RETENTION_US;
         if (!is_expired)
             continue;
-        if (ts_store_position_compare(item->entry.changed, mirror->last_swept) > 0)
-            mirror->last_swept = item->entry.changed;
+        raise_position(&mirror->history_start, item->entry.changed);
         g_hash_table_iter_remove(&iterator);
     }
 }
