Count a leaving backend's last resort from the last confirmation, in one budget

Cause: noticing (1.5 s and a poll of 0.2 s), learning, and half of drain_ms from the moment of learning are constants of three modules. Each fits alone, the sum doesn't.

--- /dev/null
+++ b/include/tealspar/drain_budget.h
@@ -0,0 +1,20 @@
+/**
+ * Divides the time that a leaving backend keeps serving (`drain_ms` of the settings) among the
+ * steps from its announcement in the configuration service to the last request sent to it. All
+ * times run from the last confirmation that this node's position was the newest: the backend cannot
+ * have announced earlier what this node did not know then.
+ */
+#ifndef TEALSPAR_DRAIN_BUDGET_H
+#define TEALSPAR_DRAIN_BUDGET_H
+
+#include <stdint.h>
+
+typedef struct ts_drain_budget {
+    uint32_t standby_ms; /**< age of the confirmation at which a node calls the service itself */
+    uint32_t send_ms;    /**< a leaving backend gets no request after this */
+} ts_drain_budget_t;
+
+/** Pure. */
+ts_drain_budget_t ts_drain_budget(uint32_t drain_ms);
+
+#endif
--- a/include/tealspar/gateway_settings.h
+++ b/include/tealspar/gateway_settings.h
@@ -52,7 +52,7 @@
     char *store; /**< "IP:port" of the configuration service */
     ts_zone_setting_t *zones;
     unsigned zones_count;
-    /** After this a draining backend takes no new requests; gateways send none after half of it. */
+    /** After this a draining backend takes no new requests; see tealspar/drain_budget.h. */
     uint32_t drain_ms;
     uint32_t heartbeat_ms; /**< interval at which a backend renews its entry */
     uint32_t grace_ms;     /**< from the stop signal until the process is killed */
--- a/include/tealspar/registry.h
+++ b/include/tealspar/registry.h
@@ -39,6 +39,7 @@
     uint32_t slots; /**< requests it processes concurrently; 0: not reported */
     bool is_draining;
     uint32_t warmup_left_ms; /**< remaining warm-up time after its start */
+    ts_time_us_t left_us;    /**< if draining: earliest time at which it may have begun to */
 } ts_instance_record_t;
 
 void ts_instance_record_clear(ts_instance_record_t *record);
@@ -58,8 +59,10 @@
     uint32_t slots;
     bool is_evacuated; /**< its zone is being evacuated: no requests are sent to it */
     bool is_draining;
-    bool is_listed;       /**< currently listed by discovery */
-    ts_time_us_t left_us; /**< when draining last began or ended; when delisted, if not draining */
+    bool is_listed; /**< currently listed by discovery */
+    /** If draining or delisted: earliest time at which it may have begun to drain or, if it has not
+     * drained, to be delisted. */
+    ts_time_us_t left_us;
     ts_time_us_t warm_at_us; /**< end of its warm-up; it is slow until then */
     ts_cold_window_t cold;   /**< this node's recent sends, if its service limits cold instances */
     ts_time_us_t cold_at_us; /**< when this node's share in `cold` was last computed */
@@ -141,7 +144,7 @@
 bool ts_registry_update(ts_registry_t *registry, const ts_instance_record_t *record,
                         ts_time_us_t now_us);
 /** Marks the instance as no longer listed by discovery; ts_registry_sweep frees it later. */
-void ts_registry_delist(ts_registry_t *registry, const char *id, ts_time_us_t now_us);
+void ts_registry_delist(ts_registry_t *registry, const char *id, ts_time_us_t left_us);
 /**
  * Begins or ends the evacuation of a zone: while it lasts, no requests are sent to its backends.
  * Afterwards they go through their service's warm-up again, as they may have turned cold.
--- a/src/control/store_mirror.c
+++ b/src/control/store_mirror.c
@@ -88,30 +88,32 @@
  * entry may have added. Logged once per change of the entry.
  */
 static void refuse_instance(ts_registry_t *registry, const ts_store_entry_t *entry,
-                            ts_error_t error, ts_time_us_t now_us)
+                            ts_error_t error, ts_time_us_t left_us)
 {
     ts_count_error(error);
     ts_log(TS_EVENT_BACKEND_REFUSED, "entry=%.*s reason=%s bytes=%zu", LOGGED_ID_MAX, entry->id,
            ts_error_name(error), entry->length);
-    ts_registry_delist(registry, entry->id, now_us);
+    ts_registry_delist(registry, entry->id, left_us);
 }
 
 static void apply_instance(ts_store_mirror_t *mirror, const ts_store_entry_t *entry,
                            ts_time_us_t now_us)
 {
     ts_registry_t *registry = mirror->gateway->registry;
+    // What this node didn't know when it was last up to date has happened since.
+    ts_time_us_t left_us = mirror->confirmed_us;
     if (entry->is_deleted) {
-        ts_registry_delist(registry, entry->id, now_us);
+        ts_registry_delist(registry, entry->id, left_us);
         return;
     }
-    ts_instance_record_t record = {0};
+    ts_instance_record_t record = {.left_us = left_us};
     ts_error_t error = mirror->gateway->dialect->read_instance(entry, &record);
     if (error == TS_OK)
         error = ts_registry_validate(&record);
     if (error == TS_OK)
         (void)ts_registry_update(registry, &record, now_us);
     else
-        refuse_instance(registry, entry, error, now_us);
+        refuse_instance(registry, entry, error, left_us);
     ts_instance_record_clear(&record);
 }
 
--- a/src/edge/request_part.c
+++ b/src/edge/request_part.c
@@ -4,6 +4,7 @@
 #include "request.h"
 #include "tealspar/connection_share.h"
 #include "tealspar/counters.h"
+#include "tealspar/drain_budget.h"
 #include "tealspar/log.h"
 #include "tealspar/mechanism.h"
 #include "tealspar/peers.h"
@@ -47,7 +48,7 @@
         ts_gateway_update_cold_shares(gateway, part->service, now_us);
     return (ts_replica_input_t){part->request->route_state->median.value_us,
                                 now_us,
-                                gateway->settings->drain_ms * TS_US_PER_MS / 2,
+                                ts_drain_budget(gateway->settings->drain_ms).send_ms * TS_US_PER_MS,
                                 connections_max(part),
                                 gateway->nodes,
                                 ts_gateway_random(gateway),
--- a/src/peers/peers_store.c
+++ b/src/peers/peers_store.c
@@ -3,10 +3,8 @@
 
 #include "peers_internal.h"
 #include "tealspar/counters.h"
+#include "tealspar/drain_budget.h"
 
-/* A node watches the configuration service itself if the last confirmation that its position is the
- * newest is older than this. */
-#define CONFIRMED_MAX_US (1500 * TS_US_PER_MS)
 /* pull_from sends no other pull for this long after the last one, unless changes arrive before. */
 #define PULL_TIMEOUT_US (300 * TS_US_PER_MS)
 /*
@@ -264,8 +262,9 @@
 bool ts_peers_should_watch(const ts_peers_t *peers, ts_time_us_t now_us)
 {
     ts_time_us_t confirmed_us = ts_store_mirror_confirmed_us(peers->mirror);
+    uint32_t age_max_ms = ts_drain_budget(peers->gateway->settings->drain_ms).standby_ms;
     return ts_peers_is_watcher(peers) || confirmed_us == 0 ||
-           now_us - confirmed_us > CONFIRMED_MAX_US;
+           now_us - confirmed_us > age_max_ms * TS_US_PER_MS;
 }
 
 void ts_peers_announce(ts_peers_t *peers)
--- a/src/registry/registry.c
+++ b/src/registry/registry.c
@@ -195,17 +195,17 @@
            instance->id, instance->born_ms, instance->service->name, instance->zone, state);
 }
 
-static void set_draining(ts_instance_t *instance, bool is_draining, ts_time_us_t now_us)
+static void set_draining(ts_instance_t *instance, bool is_draining, ts_time_us_t left_us)
 {
     if (instance->is_draining == is_draining) {
         return;
     }
     instance->is_draining = is_draining;
-    instance->left_us = now_us;
+    instance->left_us = left_us;
     log_state(instance, is_draining ? "draining" : "ready");
 }
 
-static void delist(ts_instance_t *instance, ts_time_us_t now_us)
+static void delist(ts_instance_t *instance, ts_time_us_t left_us)
 {
     if (!instance->is_listed) {
         return;
@@ -213,7 +213,7 @@
     instance->is_listed = false;
     /* The drain period of a draining instance continues from its start. */
     if (!instance->is_draining) {
-        instance->left_us = now_us;
+        instance->left_us = left_us;
     }
     log_state(instance, "gone");
 }
@@ -284,7 +284,7 @@
         instance->is_listed = true;
         log_state(instance, "listed");
     }
-    set_draining(instance, record->is_draining, now_us);
+    set_draining(instance, record->is_draining, record->left_us);
     return is_new;
 }
 
@@ -334,11 +334,11 @@
 
 /* -- Delisting and cleanup --------------------------------------------------------------------- */
 
-void ts_registry_delist(ts_registry_t *registry, const char *id, ts_time_us_t now_us)
+void ts_registry_delist(ts_registry_t *registry, const char *id, ts_time_us_t left_us)
 {
     ts_instance_t *instance = g_hash_table_lookup(registry->instances, id);
     if (instance != NULL) {
-        delist(instance, now_us);
+        delist(instance, left_us);
     }
 }
 
--- a/tests/route/test_forecast.c
+++ b/tests/route/test_forecast.c
@@ -21,6 +21,7 @@
                                        g_strdup("z1"),
                                        slots,
                                        false,
+                                       0,
                                        0};
         ts_registry_update(registry, &record, 1);
         ts_instance_record_clear(&record);
--- a/tests/route/test_gateway_decisions.c
+++ b/tests/route/test_gateway_decisions.c
@@ -146,8 +146,8 @@
 
 static ts_instance_t *add_instance(ts_registry_t *registry, const char *id, const char *zone)
 {
-    ts_instance_record_t record = {g_strdup(id),   0, g_strdup("s"), g_strdup("127.0.0.1:80"),
-                                   g_strdup(zone), 4, false,         0};
+    ts_instance_record_t record = {
+        g_strdup(id), 0, g_strdup("s"), g_strdup("127.0.0.1:80"), g_strdup(zone), 4, false, 0, 0};
     ts_registry_update(registry, &record, 1);
     ts_instance_record_clear(&record);
     ts_service_t *service = ts_registry_ensure_service(registry, "s");
