Open a new connection to the configuration service after a rest

Cause: the first call after a rest was made on the old connection and given 3.5 s to find out that it is dead.

Why it works: a connection that carried no call for a second is closed before the next call, and a new one either works or fails within a round trip. A gateway that calls continuously keeps its connection, so that this costs one connection for each rest.

--- a/src/control/store_client.c
+++ b/src/control/store_client.c
@@ -11,6 +11,8 @@
 
 #define HEAD_MAX 65536
 #define BODY_MAX (16U * 1024U * 1024U)
+/* A connection that was idle for longer may have gone silent, so calls open a new one. */
+#define IDLE_MAX_US (1000 * TS_US_PER_MS)
 
 /* Allocated apart from the client, because it is freed only once libuv has closed its handle. */
 typedef struct connection {
@@ -31,6 +33,7 @@
     void *context;
     uv_timer_t timeout;
     connection_t *connection;
+    ts_time_us_t answered_us; /**< end of the last call */
     bool is_call_pending;
     GString *request;
 };
@@ -61,6 +64,7 @@
         return;
     }
     client->is_call_pending = false;
+    client->answered_us = ts_clock_now_us();
     uv_timer_stop(&client->timeout);
     if (error != TS_OK) {
         ts_count(TS_COUNTER_STORE_FAILURES, 1);
@@ -234,6 +238,8 @@
                     "GET %s HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n", target,
                     client->address);
     uv_timer_start(&client->timeout, on_timeout, timeout_ms, 0);
+    if (ts_clock_now_us() - client->answered_us > IDLE_MAX_US)
+        close_connection(client);
     if (client->connection != NULL) {
         write_request(client->connection);
     } else if (!open_connection(client)) {
--- a/tests/gateway/test_draining.c
+++ b/tests/gateway/test_draining.c
@@ -127,6 +127,16 @@
     return (unsigned)((pair->last_run_us - begun_us) / TS_US_PER_MS);
 }
 
+/* Guards against a first call after a rest that waits on a connection that has gone silent. */
+static void test_idle_connection_to_store_is_silent(void **state)
+{
+    pair_t *pair = open_pair("z1");
+    int follower = find_follower(pair);
+    lab_link_blackhole(pair->links[follower]);
+    suspend_watcher(pair);
+    assert_in_range(drain_and_observe(pair, follower), 0, DRAIN_MS);
+}
+
 /* Guards against parts of the drain period (noticing, learning, last resort) that add up to more.
  */
 static void test_watcher_is_suspended(void **state)
@@ -141,6 +151,7 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_idle_connection_to_store_is_silent),
         cmocka_unit_test(test_watcher_is_suspended),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
