Watch calls of half of drain_ms confirm the position, in place of stale probes

Cause: a watch call was given 3.5 s, or 9 s beside probes. The probes were reads that may be seconds old, on another connection: an answer without news proved nothing, yet counted as a confirmation.

Why it works: the answer to a watch call is not stale, so each one proves that the position was the newest, and a call that isn't answered in time is repeated at once on a new connection. After a rest or a failure the call asks for an answer without delay. A service that is only slow gets more time with each call that times out.

The bound on calls in test_lost_poll_of_a_watcher is unchanged (12 in 5 s); its comment now counts polls of all three gateways that watch, as there are no probes any more.

--- a/include/tealspar/dialect.h
+++ b/include/tealspar/dialect.h
@@ -73,8 +73,6 @@
     char *(*list_target)(const char *after_key);
     /** Request target that waits up to `wait_ms` for changes after a revision. */
     char *(*watch_target)(uint64_t after_revision, uint32_t wait_ms);
-    /** Target of a cheap request for the service's revision only, which may be seconds old. */
-    char *(*probe_target)(void);
     /**
      * Parses the header field with the epoch of the configuration service (NULL: absent). The epoch
      * rises each time the service was restored from an older copy, after which it reuses revision
@@ -84,7 +82,7 @@
     /** Sets an entry's kind and id according to its key. */
     void (*classify_entry)(ts_store_entry_t *entry);
     /**
-     * Parses the response to a list, watch or probe request. Does not set the epoch, see
+     * Parses the response to a list or watch request. Does not set the epoch, see
      * ts_store_page_set_epoch(). Returns TS_OK or TS_E_SYNTAX.
      */
     ts_error_t (*read_page)(const char *text, size_t length, ts_store_page_t *page);
--- a/include/tealspar/drain_budget.h
+++ b/include/tealspar/drain_budget.h
@@ -10,11 +10,13 @@
 #include <stdint.h>
 
 typedef struct ts_drain_budget {
+    uint32_t watch_ms;   /**< a node that follows the service is confirmed again after this */
+    uint32_t answer_ms;  /**< time for the service's response beyond the wait that was requested */
     uint32_t standby_ms; /**< age of the confirmation at which a node calls the service itself */
     uint32_t send_ms;    /**< a leaving backend gets no request after this */
 } ts_drain_budget_t;
 
-/** Pure. */
+/** Pure. Leaves room for one failed call and its repetition before `send_ms`. */
 ts_drain_budget_t ts_drain_budget(uint32_t drain_ms);
 
 #endif
--- a/include/tealspar/peers.h
+++ b/include/tealspar/peers.h
@@ -16,11 +16,9 @@
 bool ts_peers_should_watch(const ts_peers_t *peers, ts_time_us_t now_us);
 /** Whether another node of the zone is the watcher. */
 bool ts_peers_is_follower(const ts_peers_t *peers);
-/** Whether this node is the watcher and its zone has other nodes. */
-bool ts_peers_has_followers(const ts_peers_t *peers);
 /**
- * Announces a change read from the configuration service: the configuration version by gossip and,
- * if this node is the watcher, its position to the zone immediately.
+ * Announces what the configuration service has responded: the configuration version by gossip and,
+ * if this node is the watcher, its confirmed position to the zone immediately.
  */
 void ts_peers_announce(ts_peers_t *peers);
 /** Pulls changes from a random peer; for nodes without entries or access to the service. */
--- a/include/tealspar/store_client.h
+++ b/include/tealspar/store_client.h
@@ -29,8 +29,6 @@
                                           const char *address, ts_store_done_t done, void *context);
 /** Changes the address of the service; if it differs, a pending call fails with TS_E_CANCELLED. */
 void ts_store_client_set_address(ts_store_client_t *client, const char *address);
-/** Cancels the pending call, if any, without calling `done`. */
-void ts_store_client_cancel(ts_store_client_t *client);
 /** Closes the connection; the next call opens another. Must not be used during a call. */
 void ts_store_client_reconnect(ts_store_client_t *client);
 /** Sends a GET; no other call may be pending. `done` is called once, after this has returned. */
--- a/src/control/store_client.c
+++ b/src/control/store_client.c
@@ -216,15 +216,6 @@
     }
 }
 
-void ts_store_client_cancel(ts_store_client_t *client)
-{
-    if (!client->is_call_pending)
-        return;
-    client->is_call_pending = false;
-    uv_timer_stop(&client->timeout);
-    close_connection(client);
-}
-
 void ts_store_client_reconnect(ts_store_client_t *client)
 {
     close_connection(client);
--- a/src/control/store_watch.c
+++ b/src/control/store_watch.c
@@ -5,6 +5,7 @@
 
 #include "tealspar/call_pace.h"
 #include "tealspar/counters.h"
+#include "tealspar/drain_budget.h"
 #include "tealspar/log.h"
 #include "tealspar/peers.h"
 #include "tealspar/store_client.h"
@@ -20,29 +21,16 @@
  */
 #define INITIAL_LIST_TIMEOUT_MS 300
 #define INITIAL_LIST_TIMEOUT_GROWTH 1.5
-/*
- * Duration of a watch call (a long poll for changes). A call without a response after this and the
- * margin has failed, so a lost call is noticed after their sum at the latest. The sum must be less
- * than the time after the service's recovery within which the gateway must again apply changes on
- * time (five seconds on the platform).
- */
-#define WATCH_TIMEOUT_MS 2500
-#define WATCH_MARGIN_MS 1000
-/*
- * A watcher with followers (peers that rely on it for the changes) probes the service once a second
- * anyway, at a tenth of the cost of a watch call. Its watch calls may last longer, because the
- * probes detect a lost one: a watch call is restarted when a probe succeeds after one has failed,
- * or when STALE_WATCH_PROBES probes in a row have seen a newer revision.
- */
-#define WATCH_PROBED_TIMEOUT_MS 8000
-#define STALE_WATCH_PROBES 2
+/* Maximum of the time for a response (answer_ms), which grows with each call that times out. */
+#define ANSWER_MAX_MS 2500
+#define ANSWER_GROWTH 1.5
+/* Shortest watch call: the service responds at once, with the changes if there are any. */
+#define WATCH_MIN_MS 1
 /* A gateway that has just started listens to its peers this long before it watches for changes. */
 #define PEER_WAIT_US (1000 * TS_US_PER_MS)
-/* Interval at which a node that makes no watch calls (is_standby, is_settling) checks again. */
+/* Maximum interval at which a node that makes no watch calls (is_standby, is_settling) checks
+ * again. */
 #define STANDBY_POLL_MS 200
-/* Interval between probes of the service by a watcher with followers. */
-#define PROBE_INTERVAL_MS 1000
-#define PROBE_TIMEOUT_MS 900
 /* Mean pause before listing again if a peer may send the entries meanwhile, as after a restore. */
 #define RELIST_PEER_PAUSE_MS 300
 #define BACKOFF_MIN_MS 150
@@ -58,19 +46,15 @@
     ts_store_position_t watch_position; /**< the pending watch call requests changes after this */
     ts_store_position_t list_start_position; /**< position of the mirror when the list was begun */
     ts_store_position_t list_position;       /**< position of the list's first page */
+    ts_time_us_t list_started_us;            /**< start of the call for that page */
     GPtrArray *list;                         /**< of ts_store_entry_t: pages received so far */
     ts_call_pace_t pace;
     uint32_t backoff_ms;
     uint32_t relist_pause_ms;    /**< pause before the next list; reset by an answered watch call */
     uint32_t initial_timeout_ms; /**< timeout of a list call until the first list is applied */
     ts_time_us_t call_started_us; /**< start of the pending call */
-    ts_store_client_t *probe_client;
-    uv_timer_t probe_timer;
-    ts_time_us_t probe_started_us; /**< start of the pending probe */
-    bool is_probing;
-    bool is_watch_probed;  /**< the pending call is a long watch call, monitored by probes */
-    bool has_probe_failed; /**< a probe failed since the watch call began */
-    unsigned newer_revision_probes; /**< probes in a row with a revision above the mirror's */
+    uint32_t watch_wait_ms; /**< the service may delay its response to the watch call by this */
+    uint32_t answer_ms;     /**< time for the response beyond that; 0: of the drain budget */
 };
 
 static void start_next_call(uv_timer_t *timer);
@@ -155,7 +139,7 @@
         return restart_list(watch); // a peer has reported a later epoch meanwhile
     const ts_store_list_t list = {.entries = watch->list,
                                   .position = watch->list_position,
-                                  .confirmed_us = watch->call_started_us,
+                                  .confirmed_us = watch->list_started_us,
                                   .source = "service"};
     log_list(watch, ts_store_mirror_apply_list(mirror, &list));
     g_ptr_array_set_size(watch->list, 0);
@@ -184,16 +168,25 @@
     return page->has_more && has_entries ? 0 : finish_list(watch);
 }
 
+/*
+ * Latest time at which the service can have sent the response to the watch call. This process may
+ * have received it later, e.g. after a suspension.
+ */
+static ts_time_us_t response_time_us(const ts_store_watch_t *watch)
+{
+    ts_time_us_t due_us = watch->call_started_us + watch->watch_wait_ms * TS_US_PER_MS;
+    return MIN(due_us, ts_clock_now_us());
+}
+
 static uint64_t apply_changes(ts_store_watch_t *watch, const ts_store_page_t *page)
 {
     ts_store_mirror_t *mirror = watch->gateway->mirror;
     watch->relist_pause_ms = 0;
     (void)ts_store_mirror_apply(mirror, page->entries, page->position);
-    ts_store_mirror_advance(mirror, page->position, ts_clock_now_us());
-    if (page->entries->len == 0) {
-        return 0;
-    }
+    ts_store_mirror_advance(mirror, page->position, response_time_us(watch));
     announce_entries(watch);
+    if (page->entries->len == 0)
+        return 0;
     return ts_call_pace_take(&watch->pace, ts_clock_now_us()) / TS_US_PER_MS;
 }
 
@@ -299,10 +292,32 @@
     return page;
 }
 
+static ts_drain_budget_t drain_budget(const ts_store_watch_t *watch)
+{
+    return ts_drain_budget(watch->gateway->settings->drain_ms);
+}
+
+static uint32_t answer_ms(const ts_store_watch_t *watch)
+{
+    return MAX(watch->answer_ms, drain_budget(watch).answer_ms);
+}
+
+/* Gives the next call more time if this one timed out, as the service may only be slow. */
+static void adapt_answer_time(ts_store_watch_t *watch, ts_error_t error)
+{
+    ts_time_us_t due_us = watch->call_started_us + watch->watch_wait_ms * TS_US_PER_MS;
+    ts_time_us_t late_us = ts_clock_now_us() - MIN(due_us, ts_clock_now_us());
+    if (error == TS_E_DEADLINE)
+        watch->answer_ms = MIN((uint32_t)(answer_ms(watch) * ANSWER_GROWTH), ANSWER_MAX_MS);
+    else if (error == TS_OK && late_us < drain_budget(watch).answer_ms * TS_US_PER_MS / 2)
+        watch->answer_ms = 0;
+}
+
 static void on_call_done(void *context, ts_error_t error, const ts_store_response_t *response)
 {
     ts_store_watch_t *watch = context;
-    watch->is_watch_probed = false;
+    if (!watch->is_listing)
+        adapt_answer_time(watch, error);
     if (error != TS_OK) {
         handle_failure(watch, ts_error_name(error));
         return;
@@ -335,12 +350,6 @@
            !ts_peers_should_watch(gateway->peers, ts_clock_now_us());
 }
 
-static bool has_followers(const ts_store_watch_t *watch)
-{
-    const ts_gateway_t *gateway = watch->gateway;
-    return gateway->peers != NULL && ts_peers_has_followers(gateway->peers);
-}
-
 /* Whether this node has just started and a peer may still announce that it watches the service. */
 static bool is_settling(const ts_store_watch_t *watch)
 {
@@ -349,15 +358,22 @@
            ts_clock_now_us() - gateway->opened_us < PEER_WAIT_US;
 }
 
+/* The next confirmation is due `watch_ms` after the last one, whatever has delayed this call. */
+static uint32_t watch_wait_ms(const ts_store_watch_t *watch)
+{
+    ts_time_us_t due_us = ts_store_mirror_confirmed_us(watch->gateway->mirror) +
+                          drain_budget(watch).watch_ms * TS_US_PER_MS;
+    ts_time_us_t left_us = due_us - MIN(due_us, watch->call_started_us);
+    return MAX((uint32_t)(left_us / TS_US_PER_MS), WATCH_MIN_MS);
+}
+
 static void start_watch(ts_store_watch_t *watch)
 {
-    uint32_t wait_ms = has_followers(watch) ? WATCH_PROBED_TIMEOUT_MS : WATCH_TIMEOUT_MS;
+    watch->watch_wait_ms = watch_wait_ms(watch);
     watch->watch_position = ts_store_mirror_position(watch->gateway->mirror);
-    char *target = watch->gateway->dialect->watch_target(watch->watch_position.revision, wait_ms);
-    watch->is_watch_probed = wait_ms > WATCH_TIMEOUT_MS;
-    watch->has_probe_failed = false;
-    watch->newer_revision_probes = 0;
-    ts_store_client_get(watch->client, target, wait_ms + WATCH_MARGIN_MS);
+    char *target =
+        watch->gateway->dialect->watch_target(watch->watch_position.revision, watch->watch_wait_ms);
+    ts_store_client_get(watch->client, target, watch->watch_wait_ms + answer_ms(watch));
     g_free(target);
 }
 
@@ -365,10 +381,12 @@
 static void request_list(ts_store_watch_t *watch)
 {
     const ts_store_entry_t *last = NULL;
-    if (watch->list->len > 0)
+    if (watch->list->len > 0) {
         last = g_ptr_array_index(watch->list, watch->list->len - 1);
-    else
+    } else {
         watch->list_start_position = ts_store_mirror_position(watch->gateway->mirror);
+        watch->list_started_us = watch->call_started_us;
+    }
     char *target = watch->gateway->dialect->list_target(last == NULL ? NULL : last->key);
     ts_store_client_get(watch->client, target, list_timeout_ms(watch));
     g_free(target);
@@ -390,6 +408,15 @@
     g_ptr_array_set_size(watch->list, 0);
 }
 
+/* Time until this node has to call the service itself, unless a peer confirms the position. */
+static uint64_t standby_pause_ms(const ts_store_watch_t *watch)
+{
+    ts_time_us_t age_us = ts_clock_now_us() - ts_store_mirror_confirmed_us(watch->gateway->mirror);
+    ts_time_us_t age_max_us = drain_budget(watch).standby_ms * TS_US_PER_MS;
+    ts_time_us_t left_us = age_max_us - MIN(age_us, age_max_us);
+    return MIN(left_us / TS_US_PER_MS + 1, STANDBY_POLL_MS);
+}
+
 static void start_next_call(uv_timer_t *timer)
 {
     ts_store_watch_t *watch = timer->data;
@@ -397,7 +424,7 @@
         drop_list(watch);
     if (is_standby(watch)) {
         drop_list(watch); /* the entries come from a peer instead */
-        schedule_call(watch, STANDBY_POLL_MS);
+        schedule_call(watch, standby_pause_ms(watch));
         return;
     }
     if (!watch->is_listing && is_settling(watch)) {
@@ -412,94 +439,6 @@
     request_list(watch);
 }
 
-/* -- Probing ----------------------------------------------------------------------------------- */
-
-/* Replaces the pending watch call, which the service may have lost although it is reachable. */
-static void restart_watch(ts_store_watch_t *watch)
-{
-    ts_store_client_cancel(watch->client);
-    watch->is_watch_probed = false;
-    schedule_call(watch, 0);
-}
-
-/* Replaces the pending watch call by a list, because the service has reported a later epoch. */
-static void switch_to_list(ts_store_watch_t *watch)
-{
-    if (watch->is_listing)
-        return;
-    ts_store_client_cancel(watch->client);
-    watch->is_watch_probed = false;
-    schedule_call(watch, restart_list(watch));
-}
-
-/* Restarts the pending watch call if a successful probe shows that it may have been lost. */
-static void check_watch(ts_store_watch_t *watch, bool has_newer_revision)
-{
-    bool is_probe_later =
-        watch->is_watch_probed && watch->call_started_us < watch->probe_started_us;
-    if (!is_probe_later)
-        return;
-    watch->newer_revision_probes = has_newer_revision ? watch->newer_revision_probes + 1 : 0;
-    if (watch->has_probe_failed || watch->newer_revision_probes >= STALE_WATCH_PROBES)
-        restart_watch(watch);
-}
-
-static void on_probe_done(void *context, ts_error_t error, const ts_store_response_t *response)
-{
-    ts_store_watch_t *watch = context;
-    ts_store_mirror_t *mirror = watch->gateway->mirror;
-    watch->is_probing = false;
-    if (error != TS_OK || response->status != STATUS_OK) {
-        watch->has_probe_failed = true;
-        return;
-    }
-    uint64_t epoch = ts_store_epoch_reported(ts_store_mirror_position(mirror).epoch);
-    if (response->epoch != epoch) {
-        if (response->epoch > epoch)
-            switch_to_list(watch);
-        return;
-    }
-    ts_store_page_t *page = ts_store_page_create();
-    const ts_dialect_t *dialect = watch->gateway->dialect;
-    bool is_read = dialect->read_page(response->body, response->length, page) == TS_OK;
-    uint64_t known = ts_store_mirror_position(mirror).revision;
-    bool is_up_to_date = is_read && page->position.revision <= known;
-    if (is_up_to_date && !watch->is_failing) {
-        ts_store_mirror_confirm(mirror, watch->probe_started_us);
-    }
-    ts_store_page_free(page);
-    if (is_read)
-        check_watch(watch, !is_up_to_date);
-}
-
-/* Whether a peer has reported another epoch than the one of the pending watch call. */
-static bool is_watch_outdated(const ts_store_watch_t *watch)
-{
-    return watch->is_watch_probed &&
-           watch->watch_position.epoch != ts_store_mirror_position(watch->gateway->mirror).epoch;
-}
-
-/*
- * Periodic check by the zone's watcher that the service is reachable while nothing changes. Also
- * restarts a long watch call that was begun in another epoch than the mirror's.
- */
-static void send_probe(uv_timer_t *timer)
-{
-    ts_store_watch_t *watch = timer->data;
-    const ts_gateway_t *gateway = watch->gateway;
-    if (is_watch_outdated(watch))
-        restart_watch(watch);
-    bool is_needed = watch->is_watch_probed || has_followers(watch);
-    if (watch->is_probing || !is_needed || !ts_store_mirror_is_loaded(gateway->mirror)) {
-        return;
-    }
-    watch->is_probing = true;
-    watch->probe_started_us = ts_clock_now_us();
-    char *target = gateway->dialect->probe_target();
-    ts_store_client_get(watch->probe_client, target, PROBE_TIMEOUT_MS);
-    g_free(target);
-}
-
 ts_store_watch_t *ts_store_watch_create(ts_gateway_t *gateway)
 {
     ts_store_watch_t *watch = g_new0(ts_store_watch_t, 1);
@@ -507,15 +446,11 @@
     watch->gateway = gateway;
     watch->client =
         ts_store_client_create(gateway->loop, gateway->dialect, address, on_call_done, watch);
-    watch->probe_client =
-        ts_store_client_create(gateway->loop, gateway->dialect, address, on_probe_done, watch);
     watch->list = g_ptr_array_new_with_free_func(ts_store_entry_free);
     watch->backoff_ms = BACKOFF_MIN_MS;
     watch->initial_timeout_ms = INITIAL_LIST_TIMEOUT_MS;
     uv_timer_init(gateway->loop, &watch->call_timer);
-    uv_timer_init(gateway->loop, &watch->probe_timer);
     watch->call_timer.data = watch;
-    watch->probe_timer.data = watch;
     reset_list(watch);
     return watch;
 }
@@ -523,7 +458,6 @@
 void ts_store_watch_start(ts_store_watch_t *watch)
 {
     schedule_call(watch, 0);
-    uv_timer_start(&watch->probe_timer, send_probe, PROBE_INTERVAL_MS, PROBE_INTERVAL_MS);
 }
 
 ts_time_us_t ts_store_watch_earliest_us(const ts_store_watch_t *watch, ts_time_us_t now_us)
@@ -536,5 +470,4 @@
 void ts_store_watch_reload(ts_store_watch_t *watch)
 {
     ts_store_client_set_address(watch->client, watch->gateway->settings->store);
-    ts_store_client_set_address(watch->probe_client, watch->gateway->settings->store);
 }
--- a/src/peers/peers.c
+++ b/src/peers/peers.c
@@ -11,7 +11,7 @@
 #define PROTOCOL 1
 /* Interval of membership ticks. */
 #define TICK_MS 250
-/* Ticks between beacons of the watcher. */
+/* Ticks after which the watcher repeats its beacon. */
 #define BEACON_TICKS 2
 /* Fan-out of the tree along which frames are distributed within a zone. */
 #define TREE_CHILDREN 16U
@@ -199,7 +199,8 @@
     }
     ts_peers_compare_quarantine(peers);
     ts_peers_probe_silent_zones(peers);
-    if (++peers->ticks % BEACON_TICKS == 0 && ts_peers_is_watcher(peers) &&
+    peers->ticks++;
+    if (++peers->ticks_without_beacon >= BEACON_TICKS && ts_peers_is_watcher(peers) &&
         ts_store_mirror_is_loaded(peers->mirror)) {
         ts_peers_send_beacon(peers);
     }
--- a/src/peers/peers_internal.h
+++ b/src/peers/peers_internal.h
@@ -30,7 +30,8 @@
     ts_time_us_t sent_beacon_confirmed_us;    /* confirmation time in the last beacon sent */
     ts_store_position_t sent_beacon_position; /* position in that beacon */
     unsigned ticks;
-    bool is_mute;           /**< see ts_peers_set_mute */
+    unsigned ticks_without_beacon; /* since this node last sent a beacon */
+    bool is_mute;                  /**< see ts_peers_set_mute */
     ts_time_us_t pulled_us; /* last pull from an announcing peer; 0: none, or changes arrived */
     ts_store_position_t announced_position; /**< newest position in a received beacon */
     char *announcer;                        /**< address of its sender; NULL: none yet */
--- a/src/peers/peers_store.c
+++ b/src/peers/peers_store.c
@@ -42,6 +42,7 @@
     beacon.revision = position.revision;
     beacon.age_ms = confirmation_age_ms(peers);
     frame.beacon = &beacon;
+    peers->ticks_without_beacon = 0;
     peers->sent_beacon_confirmed_us = ts_store_mirror_confirmed_us(peers->mirror);
     peers->sent_beacon_position = position;
     ts_peers_send_to_children(peers, &frame);
@@ -249,11 +250,6 @@
 
 /* -- Watcher role and pulls from random peers -------------------------------------------------- */
 
-bool ts_peers_has_followers(const ts_peers_t *peers)
-{
-    return peers->zone_order->len > 1 && ts_peers_is_watcher(peers);
-}
-
 bool ts_peers_is_follower(const ts_peers_t *peers)
 {
     return !ts_peers_is_watcher(peers);
--- a/tests/gateway/test_draining.c
+++ b/tests/gateway/test_draining.c
@@ -137,6 +137,19 @@
     assert_in_range(drain_and_observe(pair, follower), 0, DRAIN_MS);
 }
 
+/*
+ * Guards against a watch call that is lost on a connection that has gone silent, and is given so
+ * long that the drain period ends before another call reports the drain.
+ */
+static void test_watch_call_is_lost(void **state)
+{
+    pair_t *pair = open_pair("z2");
+    confirm_all(pair);
+    for (int i = 0; i < NODES; i++)
+        lab_link_blackhole(pair->links[i]);
+    assert_in_range(drain_and_observe(pair, 0), 0, DRAIN_MS);
+}
+
 /* Guards against parts of the drain period (noticing, learning, last resort) that add up to more.
  */
 static void test_watcher_is_suspended(void **state)
@@ -152,6 +165,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_idle_connection_to_store_is_silent),
+        cmocka_unit_test(test_watch_call_is_lost),
         cmocka_unit_test(test_watcher_is_suspended),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/gateway/test_peers.c
+++ b/tests/gateway/test_peers.c
@@ -40,7 +40,7 @@
 static ts_gateway_t *find_watcher(const fleet_t *fleet)
 {
     for (int i = 0; i < 3; i++) {
-        if (ts_peers_has_followers(fleet->nodes[i]->peers)) {
+        if (!ts_peers_is_follower(fleet->nodes[i]->peers)) {
             return fleet->nodes[i];
         }
     }
@@ -73,16 +73,13 @@
     }
 }
 
-/*
- * The long poll of a watcher is lost in a store that did not answer for a while. Its probes must
- * detect that, as the poll itself would time out much later.
- */
+/* The long poll of a watcher is lost in a store that did not answer for a while. */
 static void test_lost_poll_of_a_watcher(void **state)
 {
     fleet_t fleet = open_fleet();
     unsigned calls_before = lab_store_call_count(fleet.fixture->store);
     fixture_run_ms(fleet.fixture, 5000);
-    // each of the two watchers: five probes and at most one poll
+    // each of the two watchers and the fixture's own gateway: at most four polls
     assert_true(lab_store_call_count(fleet.fixture->store) - calls_before <= 2 * 6);
     lab_store_set_mode(fleet.fixture->store, LAB_STORE_SILENT);
     lab_store_put(fleet.fixture->store, "op/config",
