--- a/include/tealspar/store_mirror.h
+++ b/include/tealspar/store_mirror.h
@@ -27,9 +27,9 @@
 ts_store_mirror_t *ts_store_mirror_create(ts_gateway_t *gateway);
 /**
  * Applies entries from a sender whose position is `from`; returns how many changed the mirror.
- * Entries of an epoch later than the mirror's are ignored, as a new epoch begins with a list. So are
- * entries that were changed up to the mirror's position, if the sender's is earlier: the mirror is
- * complete up to its position, so what it lacks was deleted since.
+ * Entries of an epoch later than the mirror's are ignored, as a new epoch begins with a list. So
+ * are entries that were changed up to the mirror's position, if the sender's is earlier: the mirror
+ * is complete up to its position, so what it lacks was deleted since.
  */
 unsigned ts_store_mirror_apply(ts_store_mirror_t *mirror, const GPtrArray *entries,
                                ts_store_position_t from);
--- a/src/control/store_mirror.c
+++ b/src/control/store_mirror.c
@@ -303,8 +303,9 @@
 }
 
 /*
- * Whether an entry from a sender at position `from` is already accounted for. The mirror is complete
- * up to its position: an entry that was changed before that and is missing here was deleted since.
+ * Whether an entry from a sender at position `from` is already accounted for. The mirror is
+ * complete up to its position: an entry that was changed before that and is missing here was
+ * deleted since.
  */
 static bool is_outdated(const ts_store_mirror_t *mirror, const ts_store_entry_t *entry,
                         ts_store_position_t from)
