--- a/tests/gateway/test_draining.c
+++ b/tests/gateway/test_draining.c
@@ -113,13 +113,11 @@
     client_close(client);
 }
 
-/* Returns how long after its drain began the searcher received the last request of a gateway. */
-static unsigned drain_and_observe(pair_t *pair, int node)
+/* Returns how long after the searcher left it received the last request of a gateway. */
+static unsigned observe(pair_t *pair, int node)
 {
-    send_request(pair, node);
-    assert_true(pair->last_run_us > 0);
     ts_time_us_t begun_us = ts_clock_now_us();
-    fixture_set_draining(pair->fixture, pair->searcher);
+    assert_true(pair->last_run_us > 0);
     while (ts_clock_now_us() - begun_us < OBSERVED_MS * TS_US_PER_MS) {
         send_request(pair, node);
         fixture_run_ms(pair->fixture, REQUEST_INTERVAL_MS);
@@ -127,6 +125,20 @@
     return (unsigned)((pair->last_run_us - begun_us) / TS_US_PER_MS);
 }
 
+static unsigned drain_and_observe(pair_t *pair, int node)
+{
+    send_request(pair, node);
+    fixture_set_draining(pair->fixture, pair->searcher);
+    return observe(pair, node);
+}
+
+static unsigned delete_and_observe(pair_t *pair, int node)
+{
+    send_request(pair, node);
+    lab_store_delete(pair->fixture->store, "servers/i-1");
+    return observe(pair, node);
+}
+
 /* Guards against a first call after a rest that waits on a connection that has gone silent. */
 static void test_idle_connection_to_store_is_silent(void **state)
 {
@@ -161,12 +173,35 @@
     assert_in_range(drain_and_observe(pair, find_follower(pair)), 0, DRAIN_MS);
 }
 
+/* Guards against the sum of all of these: an entry that disappears while every connection to the
+ * store is silent and the watcher is suspended. */
+static void test_entry_disappears_behind_silent_connections(void **state)
+{
+    pair_t *pair = open_pair("z1");
+    int follower = find_follower(pair);
+    confirm_all(pair);
+    for (int i = 0; i < NODES; i++)
+        lab_link_blackhole(pair->links[i]);
+    suspend_watcher(pair);
+    assert_in_range(delete_and_observe(pair, follower), 0, DRAIN_MS);
+}
+
+/* Guards against a last resort that lasts too long where nothing is disturbed. */
+static void test_drain_in_calm(void **state)
+{
+    pair_t *pair = open_pair("z1");
+    confirm_all(pair);
+    assert_in_range(drain_and_observe(pair, find_follower(pair)), 0, DRAIN_MS);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_idle_connection_to_store_is_silent),
         cmocka_unit_test(test_watch_call_is_lost),
         cmocka_unit_test(test_watcher_is_suspended),
+        cmocka_unit_test(test_entry_disappears_behind_silent_connections),
+        cmocka_unit_test(test_drain_in_calm),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
