--- a/include/tealspar/registry.h
+++ b/include/tealspar/registry.h
@@ -59,10 +59,8 @@
     uint32_t slots;
     bool is_evacuated; /**< its zone is being evacuated: no requests are sent to it */
     bool is_draining;
-    bool is_listed; /**< currently listed by discovery */
-    /** If draining or delisted: earliest time at which it may have begun to drain or, if it has not
-     * drained, to be delisted. */
-    ts_time_us_t left_us;
+    bool is_listed;       /**< currently listed by discovery */
+    ts_time_us_t left_us; /**< earliest time at which it may have left (drained or been delisted) */
     ts_time_us_t warm_at_us; /**< end of its warm-up; it is slow until then */
     ts_cold_window_t cold;   /**< this node's recent sends, if its service limits cold instances */
     ts_time_us_t cold_at_us; /**< when this node's share in `cold` was last computed */
@@ -143,7 +141,10 @@
  */
 bool ts_registry_update(ts_registry_t *registry, const ts_instance_record_t *record,
                         ts_time_us_t now_us);
-/** Marks the instance as no longer listed by discovery; ts_registry_sweep frees it later. */
+/**
+ * Marks the instance as no longer listed by discovery; ts_registry_sweep frees it later. `left_us`:
+ * earliest time at which its entry may have disappeared.
+ */
 void ts_registry_delist(ts_registry_t *registry, const char *id, ts_time_us_t left_us);
 /**
  * Begins or ends the evacuation of a zone: while it lasts, no requests are sent to its backends.
--- a/include/tealspar/replica.h
+++ b/include/tealspar/replica.h
@@ -11,7 +11,7 @@
 typedef struct ts_replica_input {
     double work_us; /**< typical service time of such a request */
     ts_time_us_t now_us;
-    ts_time_us_t drain_us; /**< how long an instance that drains or was delisted may get new work */
+    ts_time_us_t drain_us;    /**< how long after `left_us` of an instance it may get new work */
     uint32_t connections_max; /**< limit of this node's connections to one instance */
     uint32_t nodes;           /**< nodes that share an instance's slots */
     uint32_t random;          /**< breaks ties */
--- a/src/control/store_mirror.c
+++ b/src/control/store_mirror.c
@@ -100,7 +100,7 @@
                            ts_time_us_t now_us)
 {
     ts_registry_t *registry = mirror->gateway->registry;
-    // What this node didn't know when it was last up to date has happened since.
+    // This node was up to date when its position was last confirmed, so the change came after that.
     ts_time_us_t left_us = mirror->confirmed_us;
     if (entry->is_deleted) {
         ts_registry_delist(registry, entry->id, left_us);
--- a/src/peers/peers.c
+++ b/src/peers/peers.c
@@ -11,7 +11,7 @@
 #define PROTOCOL 1
 /* Interval of membership ticks. */
 #define TICK_MS 250
-/* Ticks after which the watcher repeats its beacon. */
+/* The watcher sends a beacon if it has sent none for this many ticks. */
 #define BEACON_TICKS 2
 /* Fan-out of the tree along which frames are distributed within a zone. */
 #define TREE_CHILDREN 16U
