--- a/tests/gateway/test_late_requests.c
+++ b/tests/gateway/test_late_requests.c
@@ -322,7 +322,7 @@
 /* The same while all gateways of the zone stop at once. */
 static void test_late_requests_of_two_stops_are_answered(void **state)
 {
-    check_stop(2, 2000, 3);
+    check_stop(2, 4000, 3);
 }
 
 int main(void)
