--- a/tests/gateway/test_admission.c
+++ b/tests/gateway/test_admission.c
@@ -34,25 +34,31 @@
 
 static const lab_searcher_ops_t slot_ops = {.delay_ms = slot_delay_ms};
 
-static char *route_json(const char *name, unsigned target_latency_ms, unsigned priority)
+static char *route_json(const char *name, const char *type, unsigned target_latency_ms,
+                        unsigned priority)
 {
     return g_strdup_printf("{\"name\":\"%s\",\"host\":\"h.example\",\"pathPrefix\":\"/%s/\","
-                           "\"routeType\":\"idempotent\",\"timeoutMs\":9000,"
+                           "\"routeType\":\"%s\",\"timeoutMs\":9000,"
                            "\"targetLatencyMs\":%u,\"priority\":%u,\"service\":\"a\","
                            "\"maxAttempts\":2}",
-                           name, name, target_latency_ms, priority);
+                           name, name, type, target_latency_ms, priority);
 }
 
-/* Routes /p200/, /p1000/ and /p2500/ with these target latencies, and /urgent/. */
+/* Routes /p200/, /p1000/ and /p2500/ with these target latencies, /urgent/, and /once/, whose
+ * requests may run only once. */
 static void put_config(fixture_t *fixture, unsigned connections_max)
 {
-    char *routes[] = {route_json("p200", 200, 1), route_json("p1000", 1000, 1),
-                      route_json("p2500", 2500, 1), route_json("urgent", 200, 0)};
-    char *text = g_strdup_printf("{\"version\":1,\"routes\":[%s,%s,%s,%s],\"services\":"
-                                 "[{\"name\":\"a\",\"maxConnections\":%u}],\"limits\":"
-                                 "{\"maxHeaderBytes\":4096,\"maxBodyBytes\":65536,"
-                                 "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}",
-                                 routes[0], routes[1], routes[2], routes[3], connections_max);
+    char *routes[] = {
+        route_json("p200", "idempotent", 200, 1),     route_json("p1000", "idempotent", 1000, 1),
+        route_json("p2500", "idempotent", 2500, 1),   route_json("urgent", "idempotent", 200, 0),
+        route_json("once", "non_idempotent", 200, 1),
+    };
+    char *text =
+        g_strdup_printf("{\"version\":1,\"routes\":[%s,%s,%s,%s,%s],\"services\":"
+                        "[{\"name\":\"a\",\"maxConnections\":%u}],\"limits\":"
+                        "{\"maxHeaderBytes\":4096,\"maxBodyBytes\":65536,"
+                        "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}",
+                        routes[0], routes[1], routes[2], routes[3], routes[4], connections_max);
     lab_store_put(fixture->store, "op/config", text);
     g_free(text);
     for (unsigned i = 0; i < G_N_ELEMENTS(routes); i++)
@@ -190,6 +196,62 @@
     assert_true(served >= possible - 2 * SLOTS);
 }
 
+/* One of five answers of the route took longer than the caller has, and another request of it is in
+ * progress. Returns the status of a request. */
+static unsigned get_after_mixed_answers(const char *route)
+{
+    enum { LONG_MS = 600, HAS_MS = 400 };
+    lab_searcher_t *searcher = NULL;
+    fixture_t *fixture = open_fixture(&searcher, CONNECTIONS_MANY);
+    for (unsigned i = 0; i < 10; i++) {
+        searcher->delay_ms = i % 5 == 0 ? LONG_MS : 0;
+        assert_int_equal(get(fixture, route, 9000), 200);
+    }
+    searcher->delay_ms = LONG_MS;
+    (void)send_get(fixture, route, 9000);
+    fixture_run_ms(fixture, 20);
+    searcher->delay_ms = 0;
+    return get(fixture, route, HAS_MS);
+}
+
+/* The caller of a request that may run only once cannot repeat it after a 504, so that it is
+ * refused rather than risked. */
+static void test_requests_that_run_once_need_more_time(void **state)
+{
+    assert_int_equal(get_after_mixed_answers("p200"), 200);
+    assert_int_equal(get_after_mixed_answers("once"), 503);
+}
+
+/* Callers that are refused together return one after the other, at the pace of the backend. */
+static void test_refused_callers_return_one_after_the_other(void **state)
+{
+    enum { WORK_MS = 400, HAS_MS = 1500, SENT = 24, REFUSED = 3 };
+    lab_searcher_t *searcher = NULL;
+    slots_t slots = {.work_ms = WORK_MS};
+    fixture_t *fixture = open_fixture(&searcher, CONNECTIONS_MANY);
+    searcher->ops = &slot_ops;
+    searcher->ctx = &slots;
+    for (unsigned i = 0; i < 5; i++)
+        assert_int_equal(get(fixture, "p200", 9000), 200);
+    const ts_service_t *service = ts_registry_find_service(fixture->gateway.registry, "a");
+    ts_instance_t *instance = g_ptr_array_index(service->instances, 0);
+    instance->limit = SLOTS;
+    double times_ms[REFUSED] = {0};
+    unsigned refused = 0;
+    for (unsigned i = 0; i < SENT && refused < REFUSED; i++) {
+        client_t *client = send_get(fixture, "p200", HAS_MS);
+        fixture_run_ms(fixture, 5);
+        if (status_of(client) != 503)
+            continue;
+        client_await_response(fixture, client);
+        const char *text = ts_http_message_find(&client->response, "Retry-After");
+        times_ms[refused++] = strtod(text, NULL) * 1000;
+    }
+    assert_int_equal(refused, REFUSED);
+    for (unsigned i = 1; i < REFUSED; i++)
+        assert_true(times_ms[i] - times_ms[i - 1] >= WORK_MS / (double)SLOTS / 2);
+}
+
 /* Callers that are refused are told a time for which they wait: up to a third of what they have
  * left, by the pages. */
 static void test_refused_callers_return_in_time(void **state)
@@ -375,6 +437,8 @@
         cmocka_unit_test(test_wait_is_independent_of_other_timeouts),
         cmocka_unit_test(test_longer_timeout_is_not_refused_earlier),
         cmocka_unit_test(test_burst_is_served_as_far_as_possible),
+        cmocka_unit_test(test_requests_that_run_once_need_more_time),
+        cmocka_unit_test(test_refused_callers_return_one_after_the_other),
         cmocka_unit_test(test_refused_callers_return_in_time),
         cmocka_unit_test(test_backend_that_was_slow_is_used_again),
         cmocka_unit_test(test_route_that_was_slow_is_not_refused_for_ever),
