Fix: connections that waited to be accepted got the buffers of the first one

Cause: accepted sockets inherit the listening socket's buffer sizes when the kernel establishes them. A crowd that comes up while the process gets no processor time has the sizes for the first connection.

Now a connection is sized again when it is accepted, before anything is written to it. test_buffers_of_connections_that_waited failed before (488 MB of buffers, 16 MB allowed).

--- a/src/edge/caller.c
+++ b/src/edge/caller.c
@@ -188,6 +188,7 @@
         return;
     }
     uv_tcp_nodelay(&caller->socket, 1);
+    ts_caller_size_buffers(caller);
     ts_caller_resume_reading(caller);
 }
 
--- a/src/edge/caller_internal.h
+++ b/src/edge/caller_internal.h
@@ -84,8 +84,10 @@
 bool ts_listener_close_one(ts_listener_t *listener);
 /** Accepts the connection that waits, if there is room. */
 void ts_listener_accept(ts_listener_t *listener);
-/** Adapts the buffers of sockets accepted from now on to the number of connections. */
+/** Adapts the buffers of connections established from now on to the number of connections. */
 void ts_listener_size_buffers(ts_listener_t *listener);
+/** Adapts the buffers of a connection that was just accepted to the number of connections. */
+void ts_caller_size_buffers(ts_caller_t *caller);
 /** Whether no byte of a request has arrived since the last answer. */
 bool ts_caller_is_idle(const ts_caller_t *caller);
 
--- a/src/edge/listener_buffers.c
+++ b/src/edge/listener_buffers.c
@@ -31,7 +31,16 @@
     return (int)(CLAMP(bytes, BUFFER_MIN_BYTES, BUFFER_MAX_BYTES) / KERNEL_FACTOR);
 }
 
-/* Accepted sockets inherit the sizes of the listening one, which saves setting them for each. */
+static void set_buffer_sizes(const ts_listener_t *listener, uv_tcp_t *socket)
+{
+    int send_bytes = buffer_size(listener, listener->socket_class);
+    int receive_bytes = send_bytes;
+    if (uv_send_buffer_size((uv_handle_t *)socket, &send_bytes) != 0 ||
+        uv_recv_buffer_size((uv_handle_t *)socket, &receive_bytes) != 0)
+        ts_log(TS_EVENT_FAILURE, "option=socket_buffers bytes=%d connections=%u",
+               buffer_size(listener, listener->socket_class), listener->connections);
+}
+
 void ts_listener_size_buffers(ts_listener_t *listener)
 {
     unsigned connections = connections_class(listener);
@@ -44,14 +53,17 @@
     if (!listener->has_sized_buffers &&
         listener->socket_bytes / BUFFERS_DIVISOR / connections > BUFFER_MAX_BYTES)
         return;
-    int send_bytes = buffer_size(listener, connections);
-    int receive_bytes = send_bytes;
     listener->socket_class = connections;
     listener->has_sized_buffers = true;
-    if (uv_send_buffer_size((uv_handle_t *)&listener->socket, &send_bytes) != 0 ||
-        uv_recv_buffer_size((uv_handle_t *)&listener->socket, &receive_bytes) != 0)
-        ts_log(TS_EVENT_FAILURE, "option=socket_buffers bytes=%d connections=%u",
-               buffer_size(listener, connections), listener->connections);
+    set_buffer_sizes(listener, &listener->socket);
+}
+
+/* A connection has inherited the sizes from the time at which the kernel established it, which may
+ * be long before it is accepted. */
+void ts_caller_size_buffers(ts_caller_t *caller)
+{
+    if (caller->listener->has_sized_buffers)
+        set_buffer_sizes(caller->listener, &caller->socket);
 }
 
 void ts_listener_set_socket_memory(ts_listener_t *listener, size_t bytes)
--- a/tests/gateway/test_callers.c
+++ b/tests/gateway/test_callers.c
@@ -1,7 +1,10 @@
 /** Request validation, limits, readiness and the end of client connections. */
 #include "fixture.h"
 
+#include "../../src/edge/caller_internal.h"
+
 #include <string.h>
+#include <sys/socket.h>
 
 #define REQUIRED_FIELDS "Host: h.example\r\nX-Request-Id: r\r\nX-Deadline-Ms: 1000\r\n"
 
@@ -183,6 +186,36 @@
     g_free(body);
 }
 
+/*
+ * Guards against answers that fill the kernel's memory: connections that wait to be accepted while
+ * the process is busy got the buffers of the first one.
+ */
+static void test_buffers_of_connections_that_waited(void **state)
+{
+    enum { CLIENTS = 120, MEMORY_MB = 64, SOCKET_PARTS = 4 };
+    fixture_t *fixture = fixture_open("memory_mb: 64\n");
+    struct sockaddr_in address;
+    assert_int_equal(uv_ip4_addr("127.0.0.1", (int)fixture->callers_port, &address), 0);
+    for (unsigned i = 0; i < CLIENTS; i++) {
+        int client = socket(AF_INET, SOCK_STREAM, 0);
+        assert_int_equal(connect(client, (struct sockaddr *)&address, sizeof(address)), 0);
+    }
+    fixture_run_ms(fixture, 200);
+    uint64_t bytes = 0;
+    unsigned accepted = 0;
+    for (ts_caller_t *caller = fixture->gateway.caller_listener->callers; caller != NULL;
+         caller = caller->next) {
+        int send_bytes = 0;
+        int receive_bytes = 0;
+        assert_int_equal(uv_send_buffer_size((uv_handle_t *)&caller->socket, &send_bytes), 0);
+        assert_int_equal(uv_recv_buffer_size((uv_handle_t *)&caller->socket, &receive_bytes), 0);
+        bytes += (unsigned)send_bytes + (unsigned)receive_bytes;
+        accepted++;
+    }
+    assert_int_equal(accepted, CLIENTS);
+    assert_in_range(bytes, 1, MEMORY_MB * (1 << 20) / SOCKET_PARTS);
+}
+
 static void test_readiness(void **state)
 {
     fixture_t *fixture = fixture_open(NULL);
@@ -248,6 +281,7 @@
         cmocka_unit_test(test_expect_100_continue),
         cmocka_unit_test(test_trailer_fields_are_dropped),
         cmocka_unit_test(test_bodies_without_room_are_refused),
+        cmocka_unit_test(test_buffers_of_connections_that_waited),
         cmocka_unit_test(test_readiness),
         cmocka_unit_test(test_settings_reload_keeps_distances),
         cmocka_unit_test(test_shutdown_closes_connections_after_responses),
