Fix: the age in a frame between gateways did not count the time on its way

Cause: a beacon carries the age of a confirmation as it was when it was sent; the receiver counted it from when it read the frame. Frames that had waited in its sockets confirmed the position for now, and the drain that it learned next was dated after that.

Frames carry their time of sending on the sender's clock. What a frame took beyond the fastest one of the last one to two minutes is added to the age. It does not matter where it waited: the same mistake was made on slow links.

--- a/src/peers/peers.c
+++ b/src/peers/peers.c
@@ -47,6 +47,8 @@
     frame->protocol = PROTOCOL;
     frame->name = settings->name;
     frame->address = (char *)ts_gateway_settings_peer_address(settings);
+    frame->sent_ms = ts_clock_now_us() / TS_US_PER_MS;
+    frame->clock = peers->clock;
     ts_peers_number_frame(peers, address, frame);
     size_t length = ts_peer__frame__get_packed_size(frame);
     uint8_t *bytes = g_malloc(length);
@@ -58,19 +60,20 @@
 
 static void dispatch_frame(ts_peers_t *peers, TsPeer__Frame *frame)
 {
+    ts_time_us_t delay_us = ts_peers_frame_delay(peers, frame);
     if (frame->gossip.len > 0 &&
         !ts_membership_receive(peers->membership, frame->name, frame->address, frame->gossip.data,
                                frame->gossip.len, ts_clock_now_us())) {
         ts_count_error(TS_E_PROTOCOL);
     }
     if (frame->beacon != NULL) {
-        ts_peers_handle_beacon(peers, frame);
+        ts_peers_handle_beacon(peers, frame, delay_us);
     }
     if (frame->pull != NULL) {
         ts_peers_handle_pull(peers, frame);
     }
     if (frame->changes != NULL) {
-        ts_peers_handle_changes(peers, frame->changes);
+        ts_peers_handle_changes(peers, frame->changes, delay_us);
     }
     if (frame->sighting != NULL) {
         ts_peers_handle_sighting(peers, frame->sighting);
@@ -256,6 +259,7 @@
         .retries_probe = true,
     };
     peers->gateway = gateway;
+    peers->clock = (uint32_t)config.seed | 1U;
     peers->mirror = mirror;
     peers->link = ts_peer_link_open(gateway->loop, settings->peers, handle_frame, peers);
     if (peers->link == NULL) {
--- a/src/peers/peers_echo.c
+++ b/src/peers/peers_echo.c
@@ -22,6 +22,7 @@
     ts_time_us_t unacknowledged_us; /* begin of the wait for an ack of the last frame, restarted by
                                        each partial ack; 0: all frames are acknowledged */
     ts_time_us_t requested_us;      /* when an ack was requested; 0: no request is outstanding */
+    ts_transit_t transit;           /* of frames from the peer */
 } ack_state_t;
 
 void ts_peers_init_acks(ts_peers_t *peers)
@@ -88,6 +89,13 @@
     return frame->wants_echo;
 }
 
+ts_time_us_t ts_peers_frame_delay(ts_peers_t *peers, const TsPeer__Frame *frame)
+{
+    ack_state_t *ack = find_or_add_ack_state(peers, frame->address);
+    return ts_transit_add(&ack->transit, frame->clock, frame->sent_ms * TS_US_PER_MS,
+                          ts_clock_now_us());
+}
+
 uint32_t ts_peers_frames_sent(ts_peers_t *peers, const char *address)
 {
     return find_or_add_ack_state(peers, address)->last_sent;
--- a/src/peers/peers_internal.h
+++ b/src/peers/peers_internal.h
@@ -7,6 +7,7 @@
 #include "tealspar/membership.h"
 #include "tealspar/peer_link.h"
 #include "tealspar/peers.h"
+#include "tealspar/transit.h"
 
 typedef struct ts_peers_quarantine ts_peers_quarantine_t;
 
@@ -29,6 +30,7 @@
     guint own_index;                          /* index of this node in `zone_order` */
     ts_time_us_t sent_beacon_confirmed_us;    /* confirmation time in the last beacon sent */
     ts_store_position_t sent_beacon_position; /* position in that beacon */
+    uint32_t clock; /**< identifies this process's clock in frames; not 0 */
     unsigned ticks;
     unsigned ticks_without_beacon; /* since this node last sent a beacon */
     bool is_mute;                  /**< see ts_peers_set_mute */
@@ -76,9 +78,11 @@
  * the children in the zone's tree.
  */
 void ts_peers_send_beacon(ts_peers_t *peers);
-void ts_peers_handle_beacon(ts_peers_t *peers, const TsPeer__Frame *frame);
+/** `delay_us`: how long the frame was delayed, by which its age is greater now. */
+void ts_peers_handle_beacon(ts_peers_t *peers, const TsPeer__Frame *frame, ts_time_us_t delay_us);
 void ts_peers_handle_pull(ts_peers_t *peers, const TsPeer__Frame *frame);
-void ts_peers_handle_changes(ts_peers_t *peers, const TsPeer__Changes *changes);
+void ts_peers_handle_changes(ts_peers_t *peers, const TsPeer__Changes *changes,
+                             ts_time_us_t delay_us);
 /** Handles a configuration version announced by a peer's gossip; see CROSS_ZONE_PULL_DELAY_US. */
 void ts_peers_handle_config_version(void *context, const char *name, const char *address,
                                     uint64_t version, uint64_t digest);
@@ -108,6 +112,8 @@
 void ts_peers_number_frame(ts_peers_t *peers, const char *address, TsPeer__Frame *frame);
 /** Processes the numbers of a received frame; returns whether its sender wants an ack. */
 bool ts_peers_process_ack(ts_peers_t *peers, const TsPeer__Frame *frame);
+/** How long a received frame was delayed on its way; called once for each frame. */
+ts_time_us_t ts_peers_frame_delay(ts_peers_t *peers, const TsPeer__Frame *frame);
 /** Number of the last frame sent to a peer; 0: none. */
 uint32_t ts_peers_frames_sent(ts_peers_t *peers, const char *address);
 void ts_peers_send_ack(ts_peers_t *peers, const char *address);
--- a/src/peers/peers_store.c
+++ b/src/peers/peers_store.c
@@ -112,11 +112,12 @@
     g_ptr_array_unref(list);
 }
 
-/* Converts the age of a confirmation to a time on this node's clock. */
-static ts_time_us_t confirmation_time(uint32_t age_ms)
+/* Converts the age of a confirmation, in a frame that was delayed, to a time on this node's clock.
+ */
+static ts_time_us_t confirmation_time(uint32_t age_ms, ts_time_us_t delay_us)
 {
     ts_time_us_t now_us = ts_clock_now_us();
-    ts_time_us_t age_us = (ts_time_us_t)age_ms * TS_US_PER_MS;
+    ts_time_us_t age_us = (ts_time_us_t)age_ms * TS_US_PER_MS + delay_us;
     return age_us < now_us ? now_us - age_us : 0;
 }
 
@@ -150,7 +151,7 @@
     }
 }
 
-void ts_peers_handle_beacon(ts_peers_t *peers, const TsPeer__Frame *frame)
+void ts_peers_handle_beacon(ts_peers_t *peers, const TsPeer__Frame *frame, ts_time_us_t delay_us)
 {
     ts_store_position_t own = ts_store_mirror_position(peers->mirror);
     ts_store_position_t position = {frame->beacon->epoch, frame->beacon->revision};
@@ -163,7 +164,7 @@
         note_announced(peers, frame->address, position);
         pull_from(peers, frame->address, own);
     } else if (order == 0) {
-        ts_store_mirror_confirm(peers->mirror, confirmation_time(frame->beacon->age_ms));
+        ts_store_mirror_confirm(peers->mirror, confirmation_time(frame->beacon->age_ms, delay_us));
         send_beacon_if_advanced(peers);
     }
 }
@@ -194,12 +195,13 @@
     return entries;
 }
 
-void ts_peers_handle_changes(ts_peers_t *peers, const TsPeer__Changes *changes)
+void ts_peers_handle_changes(ts_peers_t *peers, const TsPeer__Changes *changes,
+                             ts_time_us_t delay_us)
 {
     ts_store_position_t before = ts_store_mirror_position(peers->mirror);
     ts_store_list_t list = {.position = {changes->epoch, changes->revision},
                             .base_revision = changes->epoch_base,
-                            .confirmed_us = confirmation_time(changes->age_ms),
+                            .confirmed_us = confirmation_time(changes->age_ms, delay_us),
                             .source = "peer"};
     if (!changes->is_whole && !ts_store_mirror_is_loaded(peers->mirror)) {
         return;
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -1642,7 +1642,7 @@
   (ProtobufCMessageInit) ts_peer__quarantine__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ts_peer__frame__field_descriptors[15] =
+static const ProtobufCFieldDescriptor ts_peer__frame__field_descriptors[17] =
 {
   {
     "protocol",
@@ -1824,11 +1824,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_ms",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Frame, sent_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "clock",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Frame, clock),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ts_peer__frame__field_indices_by_name[] = {
   2,   /* field[2] = address */
   4,   /* field[4] = beacon */
   6,   /* field[6] = changes */
+  16,   /* field[16] = clock */
   9,   /* field[9] = evidence */
   3,   /* field[3] = gossip */
   12,   /* field[12] = heard */
@@ -1839,13 +1864,14 @@
   5,   /* field[5] = pull */
   14,   /* field[14] = quarantine */
   10,   /* field[10] = rate */
+  15,   /* field[15] = sent_ms */
   7,   /* field[7] = sighting */
   13,   /* field[13] = wants_echo */
 };
 static const ProtobufCIntRange ts_peer__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor ts_peer__frame__descriptor =
 {
@@ -1855,7 +1881,7 @@
   "TsPeer__Frame",
   "ts_peer",
   sizeof(TsPeer__Frame),
-  15,
+  17,
   ts_peer__frame__field_descriptors,
   ts_peer__frame__field_indices_by_name,
   1,  ts_peer__frame__number_ranges,
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -409,10 +409,18 @@
    * requests any frame in return, as an acknowledgement
    */
   protobuf_c_boolean wants_echo;
+  /*
+   * when it was sent, on the sender's monotonic clock
+   */
+  uint64_t sent_ms;
+  /*
+   * identifies that clock: differs between processes; 0: no time
+   */
+  uint32_t clock;
 };
 #define TS_PEER__FRAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ts_peer__frame__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, NULL, NULL, NULL, NULL, NULL, NULL, NULL, 0, 0, NULL, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, NULL, NULL, NULL, NULL, NULL, NULL, NULL, 0, 0, NULL, 0, 0, 0 }
 
 
 /* TsPeer__Beacon methods */
--- a/tests/gateway/test_peers.c
+++ b/tests/gateway/test_peers.c
@@ -99,7 +99,7 @@
     beacon.revision = revision;
     frame.beacon = &beacon;
     frame.address = address;
-    ts_peers_handle_beacon(peers, &frame);
+    ts_peers_handle_beacon(peers, &frame, 0);
 }
 
 static void deliver_changes(ts_peers_t *peers, uint64_t epoch, uint64_t revision)
@@ -107,7 +107,7 @@
     TsPeer__Changes changes = TS_PEER__CHANGES__INIT;
     changes.epoch = epoch;
     changes.revision = revision;
-    ts_peers_handle_changes(peers, &changes);
+    ts_peers_handle_changes(peers, &changes, 0);
 }
 
 /* A revision announced while a pull is in progress is pulled as soon as that one is answered. */
--- a/tests/gateway/test_store_epochs.c
+++ b/tests/gateway/test_store_epochs.c
@@ -315,12 +315,12 @@
     frame.beacon = &beacon;
     frame.address = address;
     peers->pulled_us = 0;
-    ts_peers_handle_beacon(peers, &frame);
+    ts_peers_handle_beacon(peers, &frame, 0);
     assert_true(peers->pulled_us == 0); // no pull was sent in response
     TsPeer__Changes changes = TS_PEER__CHANGES__INIT;
     changes.revision = 1000;
     changes.is_whole = true;
-    ts_peers_handle_changes(peers, &changes);
+    ts_peers_handle_changes(peers, &changes, 0);
     assert_true(is_listed(peers->gateway, "i-1"));
     assert_true(ts_store_mirror_position(peers->mirror).revision < 1000);
 }
