Fix: changes pulled by an earlier process could leave some out

What callers could see: a drain, a deletion or a configuration that one restarted gateway does not know until it lists all entries again.

Cause: the answer to a pull did not say where it begins. Delivered to the next process at the address, at an earlier position, it was applied and its position taken over.

The answer names the position that it continues; a node that has not reached it ignores the answer and pulls with the next beacon. test_changes_that_leave_some_out_are_ignored failed before (position 5 in place of 2).

--- a/src/peers/peers_store.c
+++ b/src/peers/peers_store.c
@@ -103,6 +103,8 @@
     changes.epoch_base = ts_store_mirror_base_revision(peers->mirror);
     changes.age_ms = confirmation_age_ms(peers);
     changes.is_whole = is_whole;
+    changes.after = after.revision;
+    changes.after_epoch = after.epoch;
     changes.entries = pointers;
     changes.n_entries = list->len;
     frame.changes = &changes;
@@ -195,6 +197,14 @@
     return entries;
 }
 
+/* Whether the changes leave none out. Those that an earlier process of this node has pulled may. */
+static bool is_continued_by(const ts_peers_t *peers, ts_store_position_t own,
+                            const TsPeer__Changes *changes)
+{
+    ts_store_position_t after = {changes->after_epoch, changes->after};
+    return ts_store_mirror_is_loaded(peers->mirror) && ts_store_position_compare(after, own) <= 0;
+}
+
 void ts_peers_handle_changes(ts_peers_t *peers, const TsPeer__Changes *changes,
                              ts_time_us_t delay_us)
 {
@@ -203,9 +213,8 @@
                             .base_revision = changes->epoch_base,
                             .confirmed_us = confirmation_time(changes->age_ms, delay_us),
                             .source = "peer"};
-    if (!changes->is_whole && !ts_store_mirror_is_loaded(peers->mirror)) {
+    if (!changes->is_whole && !is_continued_by(peers, before, changes))
         return;
-    }
     GPtrArray *entries = read_entries(peers, changes);
     list.entries = entries;
     if (changes->is_whole) {
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -752,7 +752,7 @@
   (ProtobufCMessageInit) ts_peer__entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ts_peer__changes__field_descriptors[6] =
+static const ProtobufCFieldDescriptor ts_peer__changes__field_descriptors[8] =
 {
   {
     "revision",
@@ -826,8 +826,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "after",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Changes, after),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "after_epoch",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TsPeer__Changes, after_epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ts_peer__changes__field_indices_by_name[] = {
+  6,   /* field[6] = after */
+  7,   /* field[7] = after_epoch */
   1,   /* field[1] = age_ms */
   3,   /* field[3] = entries */
   4,   /* field[4] = epoch */
@@ -838,7 +864,7 @@
 static const ProtobufCIntRange ts_peer__changes__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ts_peer__changes__descriptor =
 {
@@ -848,7 +874,7 @@
   "TsPeer__Changes",
   "ts_peer",
   sizeof(TsPeer__Changes),
-  6,
+  8,
   ts_peer__changes__field_descriptors,
   ts_peer__changes__field_indices_by_name,
   1,  ts_peer__changes__number_ranges,
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -129,10 +129,18 @@
    * lowest revision at which the epoch was first listed
    */
   uint64_t epoch_base;
+  /*
+   * not whole: the entries are all changes after this position
+   */
+  uint64_t after;
+  /*
+   * of that position
+   */
+  uint64_t after_epoch;
 };
 #define TS_PEER__CHANGES__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ts_peer__changes__descriptor) \
-    , 0, 0, 0, 0,NULL, 0, 0 }
+    , 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/gateway/test_peers.c
+++ b/tests/gateway/test_peers.c
@@ -131,6 +131,26 @@
     assert_true(peers->pulled_us == 0);
 }
 
+/*
+ * Guards against changes that are never applied: the answer to a pull of an earlier process begins
+ * after this one's position.
+ */
+static void test_changes_that_leave_some_out_are_ignored(void **state)
+{
+    fleet_t fleet = open_fleet();
+    ts_peers_t *peers = fleet.nodes[0]->peers;
+    ts_store_position_t own = ts_store_mirror_position(peers->mirror);
+    TsPeer__Changes changes = TS_PEER__CHANGES__INIT;
+    changes.epoch = changes.after_epoch = own.epoch;
+    changes.after = own.revision + 2;
+    changes.revision = own.revision + 3;
+    ts_peers_handle_changes(peers, &changes, 0);
+    assert_int_equal(ts_store_mirror_position(peers->mirror).revision, own.revision);
+    changes.after = own.revision;
+    ts_peers_handle_changes(peers, &changes, 0);
+    assert_int_equal(ts_store_mirror_position(peers->mirror).revision, own.revision + 3);
+}
+
 /*
  * A newer version reported by a node of another zone is pulled from there only if it has not
  * arrived through the own zone within half a second.
@@ -516,6 +536,7 @@
         cmocka_unit_test(test_change_reaches_all_nodes_in_time),
         cmocka_unit_test(test_lost_poll_of_a_watcher),
         cmocka_unit_test(test_changes_in_quick_succession),
+        cmocka_unit_test(test_changes_that_leave_some_out_are_ignored),
         cmocka_unit_test(test_newer_version_is_not_pulled_from_other_zone_at_once),
         cmocka_unit_test(test_start_while_store_is_silent),
         cmocka_unit_test(test_node_without_store_follows_peers),
