--- a/tests/control/test_store_mirror.c
+++ b/tests/control/test_store_mirror.c
@@ -11,7 +11,10 @@
 #include "tealspar/store_mirror.h"
 
 #define MEMBERS 3
-#define KEYS 8
+/* Entries of searchers, then of evacuated zones. */
+#define SEARCHERS 8
+#define ZONES 3
+#define KEYS (SEARCHERS + ZONES)
 #define PAGE_SIZE 3
 #define STEPS 400
 #define SEEDS 300
@@ -83,11 +86,11 @@
     return 0;
 }
 
-static bool is_deleted_after(const world_t *world, unsigned key, uint64_t position)
+static bool has_change_after(const world_t *world, unsigned key, uint64_t position, bool is_deleted)
 {
     for (uint64_t revision = position + 1; revision <= latest_revision(world); revision++) {
         const change_t *change = &g_array_index(world->history, change_t, revision - 1);
-        if (change->key == key && change->is_deleted)
+        if (change->key == key && change->is_deleted == is_deleted)
             return true;
     }
     return false;
@@ -100,18 +103,36 @@
     g_array_append_val(world->history, change);
 }
 
+static bool is_searcher(unsigned key)
+{
+    return key < SEARCHERS;
+}
+
+static char *key_name(unsigned key)
+{
+    return g_strdup_printf(is_searcher(key) ? "servers/i-%u" : "op/evacuate/z-%u", key);
+}
+
+static unsigned key_number(const char *name)
+{
+    return (unsigned)strtoul(strrchr(name, '-') + 1, NULL, 10);
+}
+
 static ts_store_entry_t *make_entry(unsigned key, uint64_t revision, bool is_deleted)
 {
     ts_store_entry_t *entry = g_new0(ts_store_entry_t, 1);
-    entry->key = g_strdup_printf("servers/i-%u", key);
+    entry->key = key_name(key);
     entry->changed = position_at(revision);
     entry->is_deleted = is_deleted;
     platform()->classify_entry(entry);
     if (is_deleted)
         return entry;
-    entry->value = g_strdup_printf("{\"service\":\"a\",\"address\":\"127.0.0.1:1\",\"zone\":\"z1\","
-                                   "\"slots\":%lu,\"state\":\"ready\",\"warmupLeftMs\":0}",
-                                   (unsigned long)revision);
+    entry->value =
+        !is_searcher(key)
+            ? g_strdup("{}")
+            : g_strdup_printf("{\"service\":\"a\",\"address\":\"127.0.0.1:1\",\"zone\":\"z1\","
+                              "\"slots\":%lu,\"state\":\"ready\",\"warmupLeftMs\":0}",
+                              (unsigned long)revision);
     entry->length = strlen(entry->value);
     return entry;
 }
@@ -211,9 +232,8 @@
     GPtrArray *changes = ts_store_mirror_changes(peer->mirror, after, &message->is_list);
     for (guint i = 0; i < changes->len; i++) {
         const ts_store_entry_t *entry = g_ptr_array_index(changes, i);
-        unsigned key = (unsigned)strtoul(entry->key + strlen("servers/i-"), NULL, 10);
-        g_ptr_array_add(message->entries,
-                        make_entry(key, entry->changed.revision, entry->is_deleted));
+        g_ptr_array_add(message->entries, make_entry(key_number(entry->key),
+                                                     entry->changed.revision, entry->is_deleted));
     }
     message->position = ts_store_mirror_position(peer->mirror);
     message->base_revision = ts_store_mirror_base_revision(peer->mirror);
@@ -269,23 +289,33 @@
 }
 
 /*
- * Returns the key of an entry that a mirror should not have, or lacks, -1 if there is none. Later
- * changes than those up to the mirror's position may be there: the pages of a list are no snapshot.
+ * Whether the registry has an entry as it was at the mirror's position. Later changes may be there:
+ * the pages of a list are no snapshot.
  */
-static int find_wrong_key(const world_t *world, const member_t *member)
+static bool is_right(const world_t *world, const member_t *member, unsigned key)
 {
+    const ts_registry_t *registry = member->gateway.registry;
     uint64_t position = ts_store_mirror_position(member->mirror).revision;
-    if (!ts_store_mirror_is_loaded(member->mirror))
-        return -1;
-    for (unsigned key = 0; key < KEYS; key++) {
-        char id[16];
-        g_snprintf(id, sizeof(id), "i-%u", key);
-        const ts_instance_t *instance = ts_registry_find_current(member->gateway.registry, id);
+    uint64_t expected = written_at(world, key, position);
+    char name[16];
+    if (is_searcher(key)) {
+        g_snprintf(name, sizeof(name), "i-%u", key);
+        const ts_instance_t *instance = ts_registry_find_current(registry, name);
         uint64_t known = instance != NULL && instance->is_listed ? instance->slots : 0;
         bool is_newer = known > position && written_at(world, key, known) == known;
-        uint64_t expected = written_at(world, key, position);
-        bool is_gone_later = known == 0 && is_deleted_after(world, key, position);
-        if (known != expected && !is_newer && !is_gone_later)
+        bool is_gone_later = known == 0 && has_change_after(world, key, position, true);
+        return known == expected || is_newer || is_gone_later;
+    }
+    g_snprintf(name, sizeof(name), "z-%u", key);
+    bool is_known = ts_registry_is_evacuated(registry, name);
+    return is_known == (expected != 0) || has_change_after(world, key, position, !is_known);
+}
+
+/* Returns the key of an entry that a mirror should not have, or lacks, -1 if there is none. */
+static int find_wrong_key(const world_t *world, const member_t *member)
+{
+    for (unsigned key = 0; ts_store_mirror_is_loaded(member->mirror) && key < KEYS; key++) {
+        if (!is_right(world, member, key))
             return (int)key;
     }
     return -1;
@@ -311,7 +341,7 @@
         for (unsigned i = 0; i < MEMBERS; i++) {
             int key = find_wrong_key(world, &world->members[i]);
             if (key >= 0)
-                fail_msg("seed %u step %u: gateway %u has a wrong i-%d", seed, step, i, key);
+                fail_msg("seed %u step %u: gateway %u has a wrong entry %d", seed, step, i, key);
         }
     }
 }
