--- a/include/tealspar/transit.h
+++ b/include/tealspar/transit.h
@@ -20,7 +20,8 @@
 /**
  * Adds a message; returns its delay beyond the fastest one of the last one to two minutes. The
  * first one of a clock has no delay, and neither has one without a clock (0). Clocks may drift
- * apart by 500 us a second, which falsifies a delay by 60 ms at most.
+ * apart by 500 us a second, which falsifies a delay by 60 ms at most. A way that stays slow for two
+ * minutes has no delay any more.
  */
 ts_time_us_t ts_transit_add(ts_transit_t *transit, uint32_t clock, ts_time_us_t sent_us,
                             ts_time_us_t received_us);
